--- /dev/null
+++ b/event.go
@@ -0,0 +1,99 @@
+package cornelwall
+
+import "time"
+
+// Core is all decisions of one entry as a state machine. It is not safe for
+// concurrent use: one goroutine owns it. It reads no clock and starts nothing.
+type Core interface {
+	// Step takes one event and returns the commands that follow from it.
+	Step(now time.Time, ev Event) []Command
+	// Next returns when the core wants a Tick at the latest.
+	Next() time.Time
+}
+
+// Event is something that happened outside of the core.
+type Event interface{ isEvent() }
+
+type (
+	// Draw asks for N tickets for the team of a profile.
+	Draw struct {
+		Req     uint64 // chosen by the host; the reply carries it
+		Profile string
+		N       int
+	}
+	// Submit asks to run a job and to be told once it has ended. Key is the
+	// caller's own idempotency key, if it has no ticket.
+	Submit struct {
+		Req uint64
+		Job *Job
+		Key string
+	}
+	// Fetch asks for the state of a job; with Wait, for its end.
+	Fetch struct {
+		Req    uint64
+		Ticket Ticket
+		Wait   bool
+	}
+	// Cancel gives up a job. Waiting tasks are dropped.
+	Cancel struct {
+		Req    uint64
+		Ticket Ticket
+	}
+	// Gone says that nobody waits for the request any longer.
+	Gone struct{ Req uint64 }
+	// Ended is the result of a Run command.
+	Ended struct {
+		Attempt uint64
+		Result  Result
+	}
+	// Receive is what a peer sent.
+	Receive struct{ Envelope Envelope }
+	// Undelivered says that an envelope may not have arrived.
+	Undelivered struct{ To Incarnation }
+	// Machines is the current VM list.
+	Machines struct{ VMs []VM }
+	// Watched is word from the platform's service: profiles that were read or have
+	// changed. An empty list says that the watch is alive. All is set if the list is
+	// everything that the service holds.
+	Watched struct {
+		Profiles []Profile
+		All      bool
+	}
+	// WatchLost says that the watch on the platform's service broke.
+	WatchLost struct{}
+	// Stored answers a StoreSwap or StoreGet command.
+	Stored struct {
+		ID      uint64
+		Pair    Pair
+		Swapped bool
+		Err     error
+	}
+	// Inspect asks each known entry for the version of a profile that is in force.
+	Inspect struct {
+		Req  uint64
+		Name string
+	}
+	// Catalog asks for all profiles in force at this entry.
+	Catalog struct{ Req uint64 }
+	// Tick says that time has passed.
+	Tick struct{}
+	// Stop asks for a planned stop.
+	Stop struct{}
+)
+
+func (Draw) isEvent()        {}
+func (Submit) isEvent()      {}
+func (Fetch) isEvent()       {}
+func (Cancel) isEvent()      {}
+func (Gone) isEvent()        {}
+func (Ended) isEvent()       {}
+func (Receive) isEvent()     {}
+func (Undelivered) isEvent() {}
+func (Machines) isEvent()    {}
+func (Watched) isEvent()     {}
+func (WatchLost) isEvent()   {}
+func (Stored) isEvent()      {}
+func (Inspect) isEvent()     {}
+func (Catalog) isEvent()     {}
+func (Tick) isEvent()        {}
+func (Stop) isEvent()        {}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,253 @@
+package cornelwall
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Envelope is a batch of messages from one incarnation to another. A receiver of
+// another life than To refuses all of them but beats.
+type Envelope struct {
+	From     Incarnation `json:"from"`
+	To       Incarnation `json:"to"` // life 0: whoever has the address
+	Messages []Message   `json:"messages"`
+}
+
+const maxMessages = 1 << 14
+
+// Check reports all that is wrong with the envelope.
+func (e *Envelope) Check() error {
+	errs := []error{e.From.Check()}
+	if len(e.Messages) > maxMessages {
+		errs = append(errs, fmt.Errorf("envelope has %d messages; send at most %d", len(e.Messages), maxMessages))
+	}
+	for i := range e.Messages {
+		if err := e.Messages[i].Check(); err != nil {
+			errs = append(errs, fmt.Errorf("messages[%d]: %w", i, err))
+		}
+		if e.To.Life == 0 && e.Messages[i].Beat == nil {
+			errs = append(errs, fmt.Errorf("messages[%d] names no life; only a beat may", i))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Message is one of its fields; all others are nil.
+type Message struct {
+	Beat      *Beat      `json:"beat,omitempty"`
+	Wrong     *Wrong     `json:"wrong,omitempty"`
+	Forward   *Forward   `json:"forward,omitempty"`
+	Back      *Back      `json:"back,omitempty"`
+	Want      *Want      `json:"want,omitempty"`
+	Loan      *Loan      `json:"loan,omitempty"`
+	Return    *Return    `json:"return,omitempty"`
+	Versions  *Versions  `json:"versions,omitempty"`
+	Catalog   *Profiles  `json:"catalog,omitempty"`
+	Ask       *Ask       `json:"ask,omitempty"`
+	Told      *Told      `json:"told,omitempty"`
+	Heirs     *Heirs     `json:"heirs,omitempty"`
+	Inherit   *Inherit   `json:"inherit,omitempty"`
+	Inherited *Inherited `json:"inherited,omitempty"`
+}
+
+// Check reports all that is wrong with the message.
+func (m *Message) Check() error {
+	n := 0
+	count := func(set bool) {
+		if set {
+			n++
+		}
+	}
+	count(m.Beat != nil)
+	count(m.Wrong != nil)
+	count(m.Forward != nil)
+	count(m.Back != nil)
+	count(m.Want != nil)
+	count(m.Loan != nil)
+	count(m.Return != nil)
+	count(m.Versions != nil)
+	count(m.Catalog != nil)
+	count(m.Ask != nil)
+	count(m.Told != nil)
+	count(m.Heirs != nil)
+	count(m.Inherit != nil)
+	count(m.Inherited != nil)
+	if n != 1 {
+		return fmt.Errorf("message has %d kinds; send exactly one", n)
+	}
+	switch {
+	case m.Forward != nil:
+		return m.Forward.Check()
+	case m.Back != nil:
+		return m.Back.Answer.Check()
+	case m.Want != nil:
+		return m.Want.Check()
+	case m.Loan != nil:
+		return checkRange("loan count", m.Loan.Count, 1, maxLoan)
+	case m.Return != nil:
+		return checkRange("return count", m.Return.Count, 0, maxLoan)
+	case m.Catalog != nil:
+		return m.Catalog.Check()
+	}
+	return nil
+}
+
+const maxLoan = 1 << 16
+
+// Beat is a heartbeat.
+type Beat struct {
+	Leaving bool   `json:"leaving,omitempty"` // the sender is stopping
+	Digest  uint64 `json:"digest"`            // of the versions of all profiles
+	Fresh   bool   `json:"fresh,omitempty"`   // the sender has fresh word of the platform
+	Watcher bool   `json:"watcher,omitempty"` // the sender watches the platform's service
+	Answer  bool   `json:"answer,omitempty"`  // sent in answer to a beat
+}
+
+// Wrong tells the sender that an envelope was meant for another life of this entry,
+// and that nothing in it was done.
+type Wrong struct {
+	Meant Incarnation `json:"meant"`
+}
+
+// Deed is what a forwarded request asks for.
+type Deed int
+
+const (
+	// DeedSubmit asks to run a job.
+	DeedSubmit Deed = iota
+	// DeedFetch asks for the state of a job.
+	DeedFetch
+	// DeedWait asks for the end of a job.
+	DeedWait
+	// DeedCancel gives up a job.
+	DeedCancel
+)
+
+// Forward is a caller's request on its way to the owner of the ticket or its heir.
+type Forward struct {
+	Req    uint64 `json:"req"` // of the sender
+	Deed   Deed   `json:"deed"`
+	Ticket Ticket `json:"ticket"`
+	Job    *Job   `json:"job,omitempty"` // of a submission
+}
+
+// Check reports all that is wrong with the request.
+func (f *Forward) Check() error {
+	err := f.Ticket.Check()
+	if f.Deed != DeedSubmit {
+		return err
+	}
+	if f.Job == nil {
+		return errors.Join(err, errors.New("forwarded submission has no job; send the job"))
+	}
+	if f.Job.Ticket != f.Ticket {
+		err = errors.Join(err, errors.New("forwarded job has another ticket; send one ticket"))
+	}
+	return errors.Join(err, f.Job.Check())
+}
+
+// Back is the answer to a Forward.
+type Back struct {
+	Req    uint64 `json:"req"`
+	Answer Answer `json:"answer"`
+}
+
+// Want is how many tasks of one need wait at the sender for machines. It replaces
+// the sender's last word for the need.
+type Want struct {
+	Need  Need     `json:"need,omitzero"`
+	Count int      `json:"count"`
+	Class Class    `json:"class"`
+	Age   Duration `json:"age"` // of the oldest waiting task of that class
+}
+
+// Check reports all that is wrong with the want.
+func (w *Want) Check() error {
+	return errors.Join(w.Need.Check(), checkRange("want count", w.Count, 0, 1<<30))
+}
+
+// Loan gives the receiver the use of a part of a machine, Count times the need,
+// until it returns it.
+type Loan struct {
+	Machine string `json:"machine"`
+	Need    Need   `json:"need,omitzero"`
+	Count   int    `json:"count"`
+}
+
+// Return ends Count loans. Done and Fail tell the home how tasks on the machine
+// ended since the last word.
+type Return struct {
+	Machine  string `json:"machine"`
+	Need     Need   `json:"need,omitzero"`
+	Count    int    `json:"count"`
+	Done     int    `json:"done,omitempty"`
+	Fail     int    `json:"fail,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+}
+
+// Versions is the version of each profile that the sender has. The receiver sends
+// what it has newer.
+type Versions struct {
+	Have map[string]uint64 `json:"have"`
+}
+
+// Profiles carries profiles with their versions.
+type Profiles struct {
+	Profiles []Profile `json:"profiles"`
+}
+
+// Check reports all that is wrong with the profiles.
+func (p *Profiles) Check() error {
+	var errs []error
+	for i := range p.Profiles {
+		errs = append(errs, p.Profiles[i].Check())
+	}
+	return errors.Join(errs...)
+}
+
+// Ask asks for the version of a profile that is in force at the receiver.
+type Ask struct {
+	Req  uint64 `json:"req"`
+	Name string `json:"name"`
+}
+
+// Told answers an Ask.
+type Told struct {
+	Req   uint64 `json:"req"`
+	Force Force  `json:"force"`
+}
+
+// Heirs tells which incarnations have closed and who answers for them.
+type Heirs struct {
+	Heirs []Heir `json:"heirs"`
+}
+
+// Heir names the entry that answers for a closed incarnation.
+type Heir struct {
+	Of   Incarnation `json:"of"`
+	Heir Incarnation `json:"heir"`
+}
+
+// Record is the outcome of one ticket of a closed incarnation.
+type Record struct {
+	Seq    uint64 `json:"seq"`
+	Digest uint64 `json:"digest"`
+	Answer Answer `json:"answer"`
+}
+
+// Inherit is one part of the complete table of a closed incarnation. Closed is
+// the time from the incarnation's start to its close, Since the time passed since
+// then.
+type Inherit struct {
+	Of      Incarnation `json:"of"`
+	Closed  Duration    `json:"closed"`
+	Since   Duration    `json:"since"`
+	Part    int         `json:"part"`
+	Parts   int         `json:"parts"`
+	Records []Record    `json:"records"`
+}
+
+// Inherited confirms that every part of a table has arrived.
+type Inherited struct {
+	Of Incarnation `json:"of"`
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,23 @@
+package cornelwall
+
+//go:generate go tool enumer -type=Outcome,Class,Stale,Kind,VMState -text -transform=lower -output=enums_gen.go
+
+// Outcome is what became of a job or of one task.
+type Outcome int
+
+const (
+	// Pending means that the outcome is not known yet.
+	Pending Outcome = iota
+	// Done means that every task ran and the answer is whole.
+	Done
+	// Failed means that at least one task started and the job has no answer. Of a
+	// task it means that the task ran and its back end reported a failure.
+	Failed
+	// NotRun means that nothing started and nothing will.
+	NotRun
+	// Unknown means that it cannot be told, for now or for good, whether it ran.
+	Unknown
+)
+
+// Definite reports whether the outcome can no longer change.
+func (o Outcome) Definite() bool { return o == Done || o == Failed || o == NotRun }
--- /dev/null
+++ b/profile.go
@@ -0,0 +1,103 @@
+package cornelwall
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Class orders profiles under pressure: tasks of a higher class go first.
+type Class int
+
+const (
+	// Batch work goes last.
+	Batch Class = iota
+	// Normal work is the default.
+	Normal
+	// Urgent work goes first.
+	Urgent
+)
+
+// Stale is what an entry does when it has had no fresh word of the profiles.
+type Stale int
+
+const (
+	// Serve goes on with the last version known.
+	Serve Stale = iota
+	// Refuse answers not run until there is fresh word.
+	Refuse
+)
+
+const (
+	maxDeadline    = time.Hour
+	maxQueue       = 1 << 20
+	maxConcurrency = 1 << 20
+	maxQuota       = 1000
+)
+
+// Profile states how a class of work is treated under pressure. Operators create,
+// change and retire profiles; Version grows with each change and never goes down.
+type Profile struct {
+	Name        string   `json:"name" yaml:"name"`
+	Team        string   `json:"team" yaml:"team"`
+	Class       Class    `json:"class" yaml:"class"`
+	Deadline    Duration `json:"deadline" yaml:"deadline"`       // of a job that brings none
+	Queue       int      `json:"queue" yaml:"queue"`             // waiting tasks per entry
+	Concurrency int      `json:"concurrency" yaml:"concurrency"` // running tasks per entry; 0 is no limit
+	Quota       int      `json:"quota" yaml:"quota"`             // weight of the team in fair sharing
+	Idempotent  bool     `json:"idempotent" yaml:"idempotent"`   // the caller may submit again under a new ticket
+	Stale       Stale    `json:"stale" yaml:"stale"`
+
+	Version uint64 `json:"version" yaml:"version,omitempty"`
+	Retired bool   `json:"retired,omitempty" yaml:"-"` // a tombstone
+	Change  string `json:"change,omitempty" yaml:"-"`  // identity of the change that wrote this version
+}
+
+// Normalise fills in the defaults of the fields that were left out.
+func (p *Profile) Normalise() {
+	if p.Deadline == 0 {
+		p.Deadline = Duration(10 * time.Second)
+	}
+	if p.Queue == 0 {
+		p.Queue = 10000
+	}
+	if p.Quota == 0 {
+		p.Quota = 1
+	}
+}
+
+// Check reports all that is wrong with the profile.
+func (p *Profile) Check() error {
+	errs := []error{CheckName("name", p.Name), CheckName("team", p.Team)}
+	if !p.Class.IsAClass() {
+		errs = append(errs, fmt.Errorf("class %d is unknown; use batch, normal or urgent", p.Class))
+	}
+	if !p.Stale.IsAStale() {
+		errs = append(errs, fmt.Errorf("stale %d is unknown; use serve or refuse", p.Stale))
+	}
+	if d := time.Duration(p.Deadline); d <= 0 || d > maxDeadline {
+		errs = append(errs, fmt.Errorf("deadline %s is out of range; use more than 0s and at most %s", d, maxDeadline))
+	}
+	errs = append(errs,
+		checkRange("queue", p.Queue, 1, maxQueue),
+		checkRange("concurrency", p.Concurrency, 0, maxConcurrency),
+		checkRange("quota", p.Quota, 1, maxQuota))
+	return errors.Join(errs...)
+}
+
+func checkRange(field string, n, low, high int) error {
+	if n < low || n > high {
+		return fmt.Errorf("%s %d is out of range; use %d to %d", field, n, low, high)
+	}
+	return nil
+}
+
+// Newer reports whether p goes before q, a version of the same profile. Two writes
+// of one version can only come from a store that went back in time; the change
+// identity then decides alike on every entry.
+func (p *Profile) Newer(q *Profile) bool {
+	if p.Version != q.Version {
+		return p.Version > q.Version
+	}
+	return p.Change > q.Change
+}
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,59 @@
+package cornelwall
+
+//go:generate go tool enumer -type=Reason -text -transform=kebab -trimprefix=Reason -output=reason_gen.go
+
+// Reason tells why a job or task was refused, failed, retried or is unknown. Each
+// reason has a counter on the metrics page.
+type Reason int
+
+const (
+	// ReasonNone is the reason of a success.
+	ReasonNone Reason = iota
+	// ReasonDeadline means that the deadline passed.
+	ReasonDeadline
+	// ReasonTooLate means that the job could not have met its deadline.
+	ReasonTooLate
+	// ReasonQueueFull means that the queue limit of the profile was reached.
+	ReasonQueueFull
+	// ReasonQuota means that the team has used up its quota.
+	ReasonQuota
+	// ReasonNeverFits means that no known machine is large enough for a task.
+	ReasonNeverFits
+	// ReasonNoProfile means that the profile is unknown or retired.
+	ReasonNoProfile
+	// ReasonStale means that the entry has no fresh word of the profiles.
+	ReasonStale
+	// ReasonCancelled means that the caller cancelled the job.
+	ReasonCancelled
+	// ReasonExpired means that the ticket is older than its life.
+	ReasonExpired
+	// ReasonStopping means that the entry is stopping.
+	ReasonStopping
+	// ReasonClosed means that the owner stopped before the job was submitted.
+	ReasonClosed
+	// ReasonOwnerLost means that the owner of the ticket is gone.
+	ReasonOwnerLost
+	// ReasonOwnerAway means that the owner of the ticket cannot be reached.
+	ReasonOwnerAway
+	// ReasonTask means that a back end reported that a task failed.
+	ReasonTask
+	// ReasonLost means that the answer of a back end was lost.
+	ReasonLost
+	// ReasonBusy means that the back end had no free slot.
+	ReasonBusy
+	// ReasonConnect means that no connection to the back end could be made.
+	ReasonConnect
+	// ReasonDraining means that the back end takes no new tasks.
+	ReasonDraining
+	// ReasonRetries means that the retry budget is used up.
+	ReasonRetries
+	// ReasonContent means that the ticket or key was used with other content.
+	ReasonContent
+	// ReasonStore means that the platform's service did not answer.
+	ReasonStore
+	// ReasonClaims means that the share of the platform's writes for caller keys is
+	// used up.
+	ReasonClaims
+	// ReasonOverload means that the entry holds as much work as its memory allows.
+	ReasonOverload
+)
