--- /dev/null
+++ b/cmd/cornelwall/settings.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+)
+
+const minSecretLen = 16 // characters of a secret or token
+
+// settings is what serve is told by flags and environment variables.
+type settings struct {
+	Name       string
+	DataCentre string
+
+	Callers   netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+
+	Store   []string // base URLs of the key-value service
+	Machine string   // URL of the VM list
+
+	Secret string // shared by all entries
+	Token  string // of the operators
+
+	ListPoll        time.Duration
+	PlatformTimeout time.Duration
+	PeerTimeout     time.Duration
+	StopTimeout     time.Duration
+	Verbose         bool
+}
+
+func env(name string) cli.ValueSourceChain { return cli.EnvVars("CORNELWALL_" + name) }
+
+func serveFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "name", Usage: "name of this entry VM on the VM list", Sources: env("NAME")},
+		&cli.StringFlag{Name: "dc", Usage: "data centre of this entry VM", Sources: env("DC")},
+		&cli.StringFlag{Name: "callers", Usage: "ip:port for callers", Value: "127.0.0.1:7000", Sources: env("CALLERS")},
+		&cli.StringFlag{Name: "peers", Usage: "ip:port for other entries", Value: "127.0.0.1:7001", Sources: env("PEERS")},
+		&cli.StringFlag{Name: "operators", Usage: "ip:port for operators", Value: "127.0.0.1:7002", Sources: env("OPERATORS")},
+		&cli.StringSliceFlag{Name: "store", Usage: "URL of the key-value service; may be repeated", Sources: env("STORE")},
+		&cli.StringFlag{Name: "vms", Usage: "URL of the VM list", Sources: env("VMS")},
+		&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries", Sources: env("SECRET")},
+		&cli.StringFlag{Name: "token", Usage: "token of the operators", Sources: env("TOKEN")},
+		&cli.DurationFlag{Name: "list-poll", Usage: "time between reads of the VM list", Value: time.Second, Sources: env("LIST_POLL")},
+		&cli.DurationFlag{Name: "platform-timeout", Usage: "limit of one call of the platform", Value: 2 * time.Second, Sources: env("PLATFORM_TIMEOUT")},
+		&cli.DurationFlag{Name: "peer-timeout", Usage: "limit of one call of another entry", Value: 2 * time.Second, Sources: env("PEER_TIMEOUT")},
+		&cli.DurationFlag{Name: "stop-timeout", Usage: "limit of a planned stop", Value: time.Minute, Sources: env("STOP_TIMEOUT")},
+		&cli.BoolFlag{Name: "verbose", Usage: "log what is only of use in a search for faults", Sources: env("VERBOSE")},
+	}
+}
+
+// readSettings collects the settings and every problem with them.
+func readSettings(c *cli.Command) (settings, error) {
+	s := settings{
+		Name:            c.String("name"),
+		DataCentre:      c.String("dc"),
+		Store:           c.StringSlice("store"),
+		Machine:         c.String("vms"),
+		Secret:          c.String("secret"),
+		Token:           c.String("token"),
+		ListPoll:        c.Duration("list-poll"),
+		PlatformTimeout: c.Duration("platform-timeout"),
+		PeerTimeout:     c.Duration("peer-timeout"),
+		StopTimeout:     c.Duration("stop-timeout"),
+		Verbose:         c.Bool("verbose"),
+	}
+	var errs []error
+	address := func(flag string, to *netip.AddrPort) {
+		a, err := netip.ParseAddrPort(c.String(flag))
+		if err != nil {
+			errs = append(errs, fmt.Errorf("--%s %q is not an address; use ip:port", flag, c.String(flag)))
+		}
+		*to = a
+	}
+	address("callers", &s.Callers)
+	address("peers", &s.Peers)
+	address("operators", &s.Operators)
+	return s, errors.Join(append(errs, s.check())...)
+}
+
+// check reports all that is wrong with the settings.
+func (s *settings) check() error {
+	errs := []error{cornelwall.CheckName("--name", s.Name), cornelwall.CheckName("--dc", s.DataCentre)}
+	if len(s.Store) == 0 {
+		errs = append(errs, errors.New("--store is missing; set the URL of the key-value service"))
+	}
+	for _, u := range append(s.Store, s.Machine) {
+		if v, err := url.Parse(u); err != nil || v.Host == "" {
+			errs = append(errs, fmt.Errorf("%q is not a URL; set --store and --vms to http://host:port/path", u))
+		}
+	}
+	if len(s.Secret) < minSecretLen {
+		errs = append(errs, fmt.Errorf("--secret has %d characters; use %d or more", len(s.Secret), minSecretLen))
+	}
+	if len(s.Token) < minSecretLen {
+		errs = append(errs, fmt.Errorf("--token has %d characters; use %d or more", len(s.Token), minSecretLen))
+	}
+	if s.Secret != "" && s.Secret == s.Token {
+		errs = append(errs, errors.New("--secret and --token are the same; use two"))
+	}
+	for flag, d := range map[string]time.Duration{
+		"list-poll": s.ListPoll, "platform-timeout": s.PlatformTimeout,
+		"peer-timeout": s.PeerTimeout, "stop-timeout": s.StopTimeout,
+	} {
+		if d <= 0 {
+			errs = append(errs, fmt.Errorf("--%s %s is not positive; use a duration such as 2s", flag, d))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/core/control/loop.go
@@ -0,0 +1,186 @@
+// Package control runs a core: one goroutine owns it, takes events from all traffic
+// goroutines and hands the commands to the actors that carry them out.
+//
+// # Usage
+//
+//	loop := control.New(core, clock, log)
+//	loop.Connect(peers, endpoints, platform)
+//	go loop.Run(ctx)
+//	reply, err := loop.Ask(ctx, func(req uint64) cornelwall.Event {
+//		return cornelwall.Fetch{Req: req, Ticket: t}
+//	})
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"cornelwall"
+)
+
+const (
+	eventBuffer = 4096
+	maxBatch    = 256 // events between two looks at the clock
+)
+
+// Loop owns a core.
+type Loop struct {
+	core   cornelwall.Core
+	clock  cornelwall.Clock
+	log    logr.Logger
+	events chan cornelwall.Event
+
+	peers     cornelwall.Actor
+	endpoints cornelwall.Actor
+	platform  cornelwall.Actor
+
+	nextReq atomic.Uint64
+	mu      sync.Mutex
+	waiting map[uint64]chan cornelwall.Command
+
+	stopped chan struct{} // the planned stop is complete
+	once    sync.Once
+	done    chan struct{}
+}
+
+// New returns a loop that does not run yet.
+func New(core cornelwall.Core, clock cornelwall.Clock, log logr.Logger) *Loop {
+	return &Loop{
+		core:    core,
+		clock:   clock,
+		log:     log,
+		events:  make(chan cornelwall.Event, eventBuffer),
+		waiting: map[uint64]chan cornelwall.Command{},
+		stopped: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+}
+
+// Connect names the actors. It is called before Run.
+func (l *Loop) Connect(peers, endpoints, platform cornelwall.Actor) {
+	l.peers, l.endpoints, l.platform = peers, endpoints, platform
+}
+
+// Post hands an event to the core. After Run has returned it does nothing.
+func (l *Loop) Post(ev cornelwall.Event) {
+	select {
+	case l.events <- ev:
+	case <-l.done:
+	}
+}
+
+// Ask posts a request event and waits for the command that replies to it. If ctx ends
+// first, the core is told that nobody waits any longer.
+func (l *Loop) Ask(ctx context.Context, event func(req uint64) cornelwall.Event) (cornelwall.Command, error) {
+	req := l.nextReq.Add(1)
+	ch := make(chan cornelwall.Command, 1)
+	l.mu.Lock()
+	l.waiting[req] = ch
+	l.mu.Unlock()
+	l.Post(event(req))
+	select {
+	case cmd := <-ch:
+		return cmd, nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		delete(l.waiting, req)
+		l.mu.Unlock()
+		l.Post(cornelwall.Gone{Req: req})
+		return nil, ctx.Err()
+	case <-l.done:
+		return nil, cornelwall.ErrStopping
+	}
+}
+
+// Stopped is closed once a planned stop is complete.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+// Done is closed once Run has returned.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+// Run takes events until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-l.events:
+			l.batch(ev)
+		case <-timer.C:
+			l.step(l.clock.Now(), cornelwall.Tick{})
+		}
+		timer.Reset(max(0, l.core.Next().Sub(l.clock.Now())))
+	}
+}
+
+// batch handles an event and those that have come after it.
+func (l *Loop) batch(ev cornelwall.Event) {
+	now := l.clock.Now()
+	l.step(now, ev)
+	for range maxBatch {
+		select {
+		case ev := <-l.events:
+			l.step(now, ev)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) step(now time.Time, ev cornelwall.Event) {
+	for _, cmd := range l.core.Step(now, ev) {
+		l.act(cmd)
+	}
+}
+
+func (l *Loop) act(cmd cornelwall.Command) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Reply:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyTickets:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyForce:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyCatalog:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.Send:
+		l.peers.Act(cmd)
+	case cornelwall.Run, cornelwall.Abandon:
+		l.endpoints.Act(cmd)
+	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
+		l.platform.Act(cmd)
+	case cornelwall.Count:
+		counter(cmd).Add(cmd.N)
+	case cornelwall.Log:
+		l.log.Info(cmd.Event, cmd.Pairs...)
+	case cornelwall.Stopped:
+		l.once.Do(func() { close(l.stopped) })
+	}
+}
+
+func (l *Loop) answer(req uint64, cmd cornelwall.Command) {
+	l.mu.Lock()
+	ch := l.waiting[req]
+	delete(l.waiting, req)
+	l.mu.Unlock()
+	if ch != nil {
+		ch <- cmd
+	}
+}
+
+func counter(c cornelwall.Count) *metrics.Counter {
+	kind := "refusals"
+	if c.Retry {
+		kind = "retries"
+	}
+	return metrics.GetOrCreateCounter(fmt.Sprintf("cornelwall_%s_total{reason=%q}", kind, c.Reason))
+}
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,230 @@
+// Package node composes the decisions of one entry: it is the cornelwall.Core that
+// the host drives, and that any test or bench can drive in its place.
+//
+// # Usage
+//
+//	n := node.New(node.Config{Self: self, Addr: addr, Secret: secret}, clock.Now())
+//	cmds := n.Step(clock.Now(), cornelwall.Submit{Req: 1, Job: job})
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/catalog"
+	"cornelwall/core/claim"
+	"cornelwall/core/heir"
+	"cornelwall/core/member"
+	"cornelwall/core/owner"
+	"cornelwall/core/queue"
+	"cornelwall/core/slot"
+	"cornelwall/core/ticket"
+)
+
+// Config is the settings of a node. Zero fields but the first three take defaults.
+type Config struct {
+	Self   cornelwall.Incarnation
+	Addr   netip.AddrPort // where peers reach this entry
+	Secret []byte         // shared by all entries; signs tickets
+
+	TicketLife time.Duration // from the mint to the end of the outcome
+	Beat       time.Duration // between heartbeats
+	Away       time.Duration // silence after which a peer does not count as alive
+	StaleAfter time.Duration // without word of the platform
+	ClaimLife  time.Duration // of a caller's key
+	ClaimRate  float64       // claims per second at this entry
+	MaxJobs    int           // records held at once
+}
+
+const minSecretLen = 16 // bytes
+
+// Normalise fills in the defaults.
+func (c *Config) Normalise() {
+	setDefault(&c.TicketLife, 10*time.Minute)
+	setDefault(&c.Beat, 500*time.Millisecond)
+	setDefault(&c.Away, 3*time.Second)
+	setDefault(&c.StaleAfter, 10*time.Second)
+	setDefault(&c.ClaimLife, time.Hour)
+	setDefault(&c.ClaimRate, 20)
+	setDefault(&c.MaxJobs, 200000)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Check reports all that is wrong with the settings.
+func (c *Config) Check() error {
+	errs := []error{c.Self.Check()}
+	if !c.Addr.IsValid() {
+		errs = append(errs, errors.New("peer address is missing; set ip:port"))
+	}
+	if len(c.Secret) < minSecretLen {
+		errs = append(errs, fmt.Errorf("secret has %d bytes; use %d or more", len(c.Secret), minSecretLen))
+	}
+	if c.Away < 2*c.Beat {
+		errs = append(errs, fmt.Errorf("away %s is less than two beats of %s; use more", c.Away, c.Beat))
+	}
+	if c.ClaimLife < c.TicketLife {
+		errs = append(errs, fmt.Errorf("claim life %s is shorter than ticket life %s; use more", c.ClaimLife, c.TicketLife))
+	}
+	return errors.Join(errs...)
+}
+
+// Node is the core of one entry.
+type Node struct {
+	cfg   Config
+	start time.Time
+	now   time.Time
+	out   []cornelwall.Command
+
+	minter   *ticket.Minter
+	jobs     *owner.Table
+	queue    *queue.Queue
+	home     *slot.Home
+	pool     *slot.Pool
+	members  *member.Table
+	catalog  *catalog.Catalog
+	heirs    *heir.Keeper
+	claims   *claim.Table
+	timers   timers
+	machines map[string]cornelwall.VM
+
+	attempts map[uint64]*attempt
+	forwards map[uint64]*forward
+	inspects map[uint64]*inspect
+	lastWant map[cornelwall.Need]sentWant
+	asked    map[uint64]askedBack // local requests that wait for an owned job
+	resend   []cornelwall.Send
+	nextID   uint64
+	nextBeat time.Time
+
+	watching bool
+	freshAt  time.Time
+	leaving  bool
+	handover handover
+}
+
+// New returns the core of an entry that starts now. It panics if the settings do not
+// pass Check.
+func New(cfg Config, now time.Time) *Node {
+	cfg.Normalise()
+	if err := cfg.Check(); err != nil {
+		panic(err)
+	}
+	return &Node{
+		cfg:      cfg,
+		start:    now,
+		now:      now,
+		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
+		jobs:     owner.NewTable(),
+		queue:    queue.New(),
+		home:     slot.NewHome(),
+		pool:     slot.NewPool(),
+		members:  member.NewTable(cfg.Self, cfg.Away),
+		catalog:  catalog.New(),
+		heirs:    heir.NewKeeper(cfg.TicketLife),
+		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
+		machines: map[string]cornelwall.VM{},
+		attempts: map[uint64]*attempt{},
+		forwards: map[uint64]*forward{},
+		inspects: map[uint64]*inspect{},
+		lastWant: map[cornelwall.Need]sentWant{},
+		asked:    map[uint64]askedBack{},
+		nextBeat: now,
+	}
+}
+
+// Next returns when the node wants a Tick at the latest.
+func (n *Node) Next() time.Time {
+	next := n.nextBeat
+	if at, ok := n.timers.next(); ok && at.Before(next) {
+		next = at
+	}
+	if n.queue.Len() > 0 {
+		next = minTime(next, n.now.Add(pauseBusy))
+	}
+	return next
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Step takes one event and returns what follows from it.
+func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	n.now, n.out = now, nil
+	n.expire() // first, so that a frozen process does not act on what is past
+	n.take(ev)
+	n.beat()
+	n.dispatch()
+	n.advanceStop()
+	return n.out
+}
+
+func (n *Node) take(ev cornelwall.Event) {
+	switch ev := ev.(type) {
+	case cornelwall.Draw:
+		n.draw(ev)
+	case cornelwall.Submit:
+		n.submit(ev)
+	case cornelwall.Fetch:
+		n.fetch(ev)
+	case cornelwall.Cancel:
+		n.route(ev.Req, cornelwall.DeedCancel, ev.Ticket, nil)
+	case cornelwall.Gone:
+		n.gone(ev.Req)
+	case cornelwall.Ended:
+		n.ended(ev)
+	case cornelwall.Receive:
+		n.receive(&ev.Envelope)
+	case cornelwall.Undelivered:
+		n.undelivered(&ev.Envelope)
+	case cornelwall.Machines:
+		n.setMachines(ev.VMs)
+	case cornelwall.Watched:
+		n.watched(ev)
+	case cornelwall.WatchLost:
+		n.log("watch-lost")
+	case cornelwall.Stored:
+		n.stored(ev)
+	case cornelwall.Inspect:
+		n.inspect(ev)
+	case cornelwall.Catalog:
+		n.emit(cornelwall.ReplyCatalog{Req: ev.Req, Profiles: n.catalog.All()})
+	case cornelwall.Stop:
+		n.stop()
+	case cornelwall.Tick:
+	}
+}
+
+func (n *Node) emit(cmd cornelwall.Command) { n.out = append(n.out, cmd) }
+
+func (n *Node) log(event string, pairs ...any) {
+	n.emit(cornelwall.Log{Event: event, Pairs: pairs})
+}
+
+func (n *Node) count(r cornelwall.Reason, retry bool) {
+	n.emit(cornelwall.Count{Reason: r, Retry: retry, N: 1})
+}
+
+// send hands a message to a peer.
+func (n *Node) send(to cornelwall.Incarnation, m cornelwall.Message) {
+	if p := n.members.Find(to); p != nil && p.Addr.IsValid() {
+		n.emit(cornelwall.Send{To: to, Addr: p.Addr, Message: m})
+	}
+}
+
+func (n *Node) id() uint64 {
+	n.nextID++
+	return n.nextID
+}
--- /dev/null
+++ b/core/node/submit.go
@@ -0,0 +1,367 @@
+package node
+
+import (
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/claim"
+	"cornelwall/core/owner"
+	"cornelwall/core/queue"
+)
+
+const (
+	backSoon  = 100 * time.Millisecond // for what clears by itself
+	backLater = 2 * time.Second        // for what needs a machine or peer to return
+)
+
+// draw mints tickets for the team of a profile.
+func (n *Node) draw(ev cornelwall.Draw) {
+	reply := cornelwall.ReplyTickets{Req: ev.Req}
+	p, ok := n.catalog.Get(ev.Profile)
+	switch {
+	case !ok:
+		reply.Answer = n.refusal(cornelwall.Ticket{}, cornelwall.ReasonNoProfile, backLater)
+	case n.leaving:
+		reply.Answer = n.refusal(cornelwall.Ticket{}, cornelwall.ReasonStopping, backSoon)
+	default:
+		for range ev.N {
+			reply.Tickets = append(reply.Tickets, n.minter.Mint(n.now, p.Team))
+		}
+	}
+	n.emit(reply)
+}
+
+// refusal returns the answer that nothing ran and nothing will.
+func (n *Node) refusal(tk cornelwall.Ticket, reason cornelwall.Reason, back time.Duration) cornelwall.Answer {
+	n.count(reason, false)
+	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.NotRun, Reason: reason, Final: true,
+		Back: cornelwall.Duration(back), Text: remedies[reason]}
+}
+
+// remedies tells people what to do.
+var remedies = map[cornelwall.Reason]string{
+	cornelwall.ReasonNoProfile: "no such profile is in force; list the profiles and use one of them",
+	cornelwall.ReasonStopping:  "the entry is stopping; draw a new ticket from another entry",
+	cornelwall.ReasonStale:     "the entry has no fresh word of the profiles; come back later or use another data centre",
+	cornelwall.ReasonQueueFull: "the queue of the profile is full; come back later",
+	cornelwall.ReasonOverload:  "the entry holds as much work as it can; come back later",
+	cornelwall.ReasonNeverFits: "no machine is large enough for a task of the job; make the task smaller",
+	cornelwall.ReasonTicket:    "the ticket is not genuine or belongs to another team; draw one for this profile",
+	cornelwall.ReasonContent:   "the ticket or key was used with other content; use a new one",
+	cornelwall.ReasonExpired:   "the ticket is older than its life; its outcome is no longer known",
+	cornelwall.ReasonOwnerLost: "the entry that owned the job is gone; whether it ran is not known",
+	cornelwall.ReasonOwnerAway: "the entry that owns the job cannot be reached; ask again later",
+	cornelwall.ReasonStore:     "the platform's service does not answer; come back later or use a ticket",
+	cornelwall.ReasonClaims:    "too many keys at once; come back later or use tickets",
+	cornelwall.ReasonCancelled: "the job was cancelled",
+	cornelwall.ReasonDeadline:  "the deadline passed",
+}
+
+// submit takes a submission from a caller at this entry.
+func (n *Node) submit(ev cornelwall.Submit) {
+	if !ev.Job.Ticket.IsZero() {
+		n.route(ev.Req, cornelwall.DeedSubmit, ev.Job.Ticket, ev.Job)
+		return
+	}
+	p, ok := n.catalog.Get(ev.Job.Profile)
+	if !ok {
+		n.reply(ev.Req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonNoProfile, backLater))
+		return
+	}
+	job := *ev.Job
+	job.Ticket = n.minter.Mint(n.now, p.Team)
+	if ev.Key == "" {
+		n.accept(&job, owner.Waiter{Req: ev.Req})
+		return
+	}
+	n.beginClaim(ev.Req, &job, p.Team, ev.Key)
+}
+
+func (n *Node) beginClaim(req uint64, job *cornelwall.Job, team, key string) {
+	if n.leaving {
+		n.reply(req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonStopping, backSoon))
+		return
+	}
+	id := n.id()
+	c, back := n.claims.Begin(n.now, id, req, job, team, key)
+	if c == nil {
+		n.reply(req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonClaims, back))
+		return
+	}
+	n.writeClaim(id, c)
+}
+
+func (n *Node) writeClaim(id uint64, c *claim.Claim) {
+	n.emit(cornelwall.StoreSwap{ID: id, Key: c.Key, Value: c.Value(), Life: n.cfg.ClaimLife})
+}
+
+// stored takes the answer of the platform's service to a claim.
+func (n *Node) stored(ev cornelwall.Stored) {
+	c, step := n.claims.Stored(ev.ID, ev)
+	if c == nil {
+		return
+	}
+	c.Job.Left = shorten(c.Job.Left, n.now.Sub(c.Since))
+	switch step {
+	case claim.Won:
+		n.accept(c.Job, owner.Waiter{Req: c.Req})
+	case claim.Lost:
+		n.joinClaim(c)
+	case claim.Read:
+		n.emit(cornelwall.StoreGet{ID: ev.ID, Key: c.Key})
+	case claim.Write:
+		n.writeClaim(ev.ID, c)
+	case claim.GiveUp:
+		// The claim may yet take effect, so that the ticket is refused for good.
+		n.refuse(c.Job, c.Digest, owner.Waiter{Req: c.Req}, cornelwall.ReasonStore, backLater)
+	}
+}
+
+// joinClaim forwards to the holder of the key.
+func (n *Node) joinClaim(c *claim.Claim) {
+	if c.Holder.Digest != c.Digest {
+		n.reply(c.Req, n.mistake(c.Holder.Ticket, cornelwall.ReasonContent))
+		return
+	}
+	job := *c.Job
+	job.Ticket = c.Holder.Ticket
+	n.route(c.Req, cornelwall.DeedSubmit, job.Ticket, &job)
+}
+
+// shorten takes the time that has passed off the time left; 0 stays 0, as it means the
+// profile's deadline.
+func shorten(left cornelwall.Duration, passed time.Duration) cornelwall.Duration {
+	if left == 0 {
+		return 0
+	}
+	return max(1, left-cornelwall.Duration(passed))
+}
+
+// mistake returns the answer to a request that is wrong in itself and changes nothing.
+func (n *Node) mistake(tk cornelwall.Ticket, reason cornelwall.Reason) cornelwall.Answer {
+	n.count(reason, false)
+	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending, Reason: reason, Text: remedies[reason]}
+}
+
+// accept takes a submission under a ticket of this incarnation: it joins the job that
+// the ticket has, or admits or refuses a new one.
+func (n *Node) accept(job *cornelwall.Job, w owner.Waiter) {
+	digest := job.Digest()
+	if j := n.jobs.Get(job.Ticket.Seq); j != nil {
+		if j.Digest != digest && j.Digest != 0 {
+			n.answer(w, n.mistake(job.Ticket, cornelwall.ReasonContent))
+			return
+		}
+		n.join(j, w)
+		return
+	}
+	expires := n.minter.Expires(job.Ticket, n.cfg.TicketLife)
+	if !n.now.Before(expires) {
+		n.answer(w, n.expired(job.Ticket))
+		return
+	}
+	p, reason, back := n.admit(job)
+	if reason != cornelwall.ReasonNone {
+		n.refuse(job, digest, w, reason, back)
+		return
+	}
+	left := time.Duration(job.Left)
+	if left == 0 {
+		left = time.Duration(p.Deadline)
+	}
+	j := n.jobs.Add(job, digest, n.now, n.now.Add(left), expires)
+	n.timers.add(j.Deadline, job.Ticket.Seq)
+	n.join(j, w)
+	for i := range job.Tasks {
+		n.queue.Push(n.item(j, i, &p))
+	}
+}
+
+func (n *Node) item(j *owner.Job, i int, p *cornelwall.Profile) queue.Item {
+	return queue.Item{
+		Job: j.Ticket.Seq, Task: i, Need: j.Spec[i].Need,
+		Class: p.Class, Team: p.Team, Weight: p.Quota, Since: j.Since,
+	}
+}
+
+// admit decides whether a new job may wait here. The ticket's team must be the
+// profile's.
+func (n *Node) admit(job *cornelwall.Job) (cornelwall.Profile, cornelwall.Reason, time.Duration) {
+	p, ok := n.catalog.Get(job.Profile)
+	switch {
+	case !ok:
+		return p, cornelwall.ReasonNoProfile, backLater
+	case p.Team != job.Ticket.Team:
+		return p, cornelwall.ReasonTicket, 0
+	case n.leaving:
+		return p, cornelwall.ReasonStopping, backSoon
+	case p.Stale == cornelwall.Refuse && n.stale():
+		return p, cornelwall.ReasonStale, backLater
+	case n.jobs.Len() >= n.cfg.MaxJobs:
+		return p, cornelwall.ReasonOverload, backSoon
+	case n.queue.Len()+len(job.Tasks) > p.Queue:
+		return p, cornelwall.ReasonQueueFull, backSoon
+	}
+	for i := range job.Tasks {
+		if !n.fitsAnywhere(job.Tasks[i].Need) {
+			return p, cornelwall.ReasonNeverFits, 0
+		}
+	}
+	return p, cornelwall.ReasonNone, 0
+}
+
+// fitsAnywhere reports whether a machine of the VM list, free or not, is large enough.
+// Before the first list any need might fit.
+func (n *Node) fitsAnywhere(need cornelwall.Need) bool {
+	if len(n.machines) == 0 {
+		return true
+	}
+	for _, vm := range n.machines {
+		if vm.Kind == need.Kind() && (vm.Kind == cornelwall.Executor || need.Fits(vm.Room)) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse records for good that the job does not run, and says so.
+func (n *Node) refuse(job *cornelwall.Job, digest uint64, w owner.Waiter, reason cornelwall.Reason, back time.Duration) {
+	expires := n.minter.Expires(job.Ticket, n.cfg.TicketLife)
+	j := n.jobs.Refuse(job.Ticket, digest, expires, n.refusal(job.Ticket, reason, back))
+	n.timers.add(expires, job.Ticket.Seq)
+	n.answer(w, j.Answer)
+}
+
+func (n *Node) expired(tk cornelwall.Ticket) cornelwall.Answer {
+	n.count(cornelwall.ReasonExpired, false)
+	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonExpired, Final: true,
+		Text: remedies[cornelwall.ReasonExpired]}
+}
+
+// join makes w wait for the end of the job.
+func (n *Node) join(j *owner.Job, w owner.Waiter) {
+	if j.Ended() {
+		n.answer(w, j.Answer)
+		return
+	}
+	for _, v := range j.Waiters {
+		if v == w {
+			return
+		}
+	}
+	j.Waiters = append(j.Waiters, w)
+	if w.From.IsZero() {
+		n.asked[w.Req] = askedBack{seq: j.Ticket.Seq}
+	}
+}
+
+// askedBack is a local request that waits for a job of this incarnation.
+type askedBack struct{ seq uint64 }
+
+// local carries out a request about a ticket of this incarnation.
+func (n *Node) local(w owner.Waiter, deed cornelwall.Deed, tk cornelwall.Ticket, job *cornelwall.Job) {
+	if deed == cornelwall.DeedSubmit {
+		n.accept(job, w)
+		return
+	}
+	j := n.jobs.Get(tk.Seq)
+	expires := n.minter.Expires(tk, n.cfg.TicketLife)
+	switch {
+	case j == nil && !n.now.Before(expires):
+		n.answer(w, n.expired(tk))
+	case j == nil && deed == cornelwall.DeedCancel:
+		j = n.jobs.Refuse(tk, 0, expires, n.refusal(tk, cornelwall.ReasonCancelled, 0))
+		n.timers.add(expires, tk.Seq)
+		n.answer(w, j.Answer)
+	case j == nil:
+		n.answer(w, cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending,
+			Text: "nothing was submitted under the ticket yet"})
+	case deed == cornelwall.DeedCancel:
+		n.finish(j, cornelwall.ReasonCancelled, 0)
+		n.answer(w, j.Answer)
+	case deed == cornelwall.DeedWait:
+		n.join(j, w)
+	case j.Ended():
+		n.answer(w, j.Answer)
+	default:
+		n.answer(w, cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending})
+	}
+}
+
+// finish ends a job without an answer and frees what it holds.
+func (n *Node) finish(j *owner.Job, reason cornelwall.Reason, back time.Duration) {
+	if j.Ended() {
+		return
+	}
+	n.count(reason, false)
+	j.Finish(reason, back, remedies[reason])
+	n.settle(j)
+}
+
+// settle tells everybody who waits for a job that it has ended, and drops what it has
+// waiting.
+func (n *Node) settle(j *owner.Job) {
+	n.queue.Remove(j.Ticket.Seq)
+	n.abandon(j)
+	for _, w := range j.Waiters {
+		n.answer(w, j.Answer)
+	}
+	j.Waiters = nil
+	n.timers.add(j.Expires, j.Ticket.Seq)
+}
+
+// answer replies to a caller here or at another entry.
+func (n *Node) answer(w owner.Waiter, a cornelwall.Answer) {
+	if w.From.IsZero() {
+		n.reply(w.Req, a)
+		return
+	}
+	n.send(w.From, cornelwall.Message{Back: &cornelwall.Back{Req: w.Req, Answer: a}})
+}
+
+func (n *Node) reply(req uint64, a cornelwall.Answer) {
+	delete(n.asked, req)
+	n.emit(cornelwall.Reply{Req: req, Answer: a})
+}
+
+// gone forgets a caller that waits no longer. Its job goes on, as the caller may ask
+// again.
+func (n *Node) gone(req uint64) {
+	delete(n.forwards, req)
+	delete(n.inspects, req)
+	back, ok := n.asked[req]
+	if !ok {
+		return
+	}
+	delete(n.asked, req)
+	j := n.jobs.Get(back.seq)
+	if j == nil {
+		return
+	}
+	for i, w := range j.Waiters {
+		if w.From.IsZero() && w.Req == req {
+			j.Waiters = append(j.Waiters[:i], j.Waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// expire ends jobs whose deadline has passed and forgets expired tickets.
+func (n *Node) expire() {
+	for {
+		seq, ok := n.timers.due(n.now)
+		if !ok {
+			return
+		}
+		j := n.jobs.Get(seq)
+		switch {
+		case j == nil:
+		case !j.Ended():
+			n.finish(j, cornelwall.ReasonDeadline, 0)
+		case !n.now.Before(j.Expires) && j.Running() == 0:
+			n.jobs.Forget(seq)
+		case !n.now.Before(j.Expires):
+			n.timers.add(n.now.Add(backLater), seq)
+		}
+	}
+}
--- /dev/null
+++ b/core/ticket/ticket.go
@@ -0,0 +1,68 @@
+// Package ticket mints the tickets of one incarnation and tells genuine tickets
+// from forged ones.
+//
+// # Usage
+//
+//	m := ticket.NewMinter(self, secret, start)
+//	t := m.Mint(now, "bookings")
+//	ok := m.Genuine(t) // of any owner, as all entries share the secret
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"cornelwall"
+)
+
+// Minter mints tickets.
+type Minter struct {
+	self   cornelwall.Incarnation
+	secret []byte
+	start  time.Time
+	seq    uint64
+}
+
+// NewMinter returns a minter for the incarnation that started at start.
+func NewMinter(self cornelwall.Incarnation, secret []byte, start time.Time) *Minter {
+	return &Minter{self: self, secret: secret, start: start}
+}
+
+// Mint returns a new ticket for the team.
+func (m *Minter) Mint(now time.Time, team string) cornelwall.Ticket {
+	m.seq++
+	t := cornelwall.Ticket{
+		Owner: m.self,
+		Seq:   m.seq,
+		Mint:  uint64(now.Sub(m.start) / time.Millisecond),
+		Team:  team,
+	}
+	copy(t.MAC[:], m.sum(t))
+	return t
+}
+
+// Genuine reports whether an entry with the same secret minted the ticket.
+func (m *Minter) Genuine(t cornelwall.Ticket) bool {
+	return hmac.Equal(t.MAC[:], m.sum(t)[:len(t.MAC)])
+}
+
+// Expires returns when a ticket of this incarnation reaches the given age.
+func (m *Minter) Expires(t cornelwall.Ticket, life time.Duration) time.Time {
+	return m.start.Add(t.MintedAfter() + life)
+}
+
+func (m *Minter) sum(t cornelwall.Ticket) []byte {
+	buf := make([]byte, 0, 128)
+	for _, s := range []string{t.Owner.DataCentre, t.Owner.Entry, t.Team} {
+		buf = binary.AppendUvarint(buf, uint64(len(s)))
+		buf = append(buf, s...)
+	}
+	for _, n := range []uint64{t.Owner.Life, t.Seq, t.Mint} {
+		buf = binary.BigEndian.AppendUint64(buf, n)
+	}
+	mac := hmac.New(sha256.New, m.secret)
+	_, _ = mac.Write(buf)
+	return mac.Sum(nil)
+}
--- a/event.go
+++ b/event.go
@@ -48,8 +48,8 @@
 	}
 	// Receive is what a peer sent.
 	Receive struct{ Envelope Envelope }
-	// Undelivered says that an envelope may not have arrived.
-	Undelivered struct{ To Incarnation }
+	// Undelivered gives back an envelope that may not have arrived.
+	Undelivered struct{ Envelope Envelope }
 	// Machines is the current VM list.
 	Machines struct{ VMs []VM }
 	// Watched is word from the platform's service: profiles that were read or have
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,213 @@
+// Package caller serves the callers' HTTP API: draw tickets, submit, fetch and cancel
+// jobs.
+//
+// # Usage
+//
+//	h := caller.New(loop)
+//	server := &http.Server{Handler: h}
+//
+// docs/callers.md describes the API for its users.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+
+	"cornelwall"
+)
+
+const (
+	maxBody    = 12 << 20 // bytes; a job of the largest size in base64
+	maxKey     = 256      // bytes of an Idempotency-Key
+	maxDraw    = 1000     // tickets in one request
+	headerKey  = "Idempotency-Key"
+	headerBack = "Cornelwall-Back"
+)
+
+// Asker asks the core.
+type Asker interface {
+	Ask(ctx context.Context, event func(req uint64) cornelwall.Event) (cornelwall.Command, error)
+}
+
+// Drawing is a request for tickets.
+type Drawing struct {
+	Profile string `json:"profile"`
+	Count   int    `json:"count"`
+}
+
+// Check reports all that is wrong with the request.
+func (d *Drawing) Check() error {
+	err := cornelwall.CheckName("profile", d.Profile)
+	if d.Count < 1 || d.Count > maxDraw {
+		err = errors.Join(err, fmt.Errorf("count %d is out of range; use 1 to %d", d.Count, maxDraw))
+	}
+	return err
+}
+
+// Tickets is the answer to a Drawing.
+type Tickets struct {
+	Tickets []cornelwall.Ticket `json:"tickets"`
+}
+
+// Problem is the answer to a request that is wrong in itself.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// handler serves the API.
+type handler struct{ core Asker }
+
+// New returns the handler of the API.
+func New(core Asker) http.Handler {
+	h := &handler{core: core}
+	e := echo.New()
+	e.HTTPErrorHandler = writeError
+	e.POST("/v1/tickets", h.draw)
+	e.POST("/v1/jobs", h.submit)
+	e.GET("/v1/jobs/:ticket", h.fetch)
+	e.DELETE("/v1/jobs/:ticket", h.cancel)
+	return e
+}
+
+func (h *handler) draw(c echo.Context) error {
+	var d Drawing
+	if err := decode(c, &d); err != nil {
+		return err
+	}
+	cmd, err := h.core.Ask(c.Request().Context(), func(req uint64) cornelwall.Event {
+		return cornelwall.Draw{Req: req, Profile: d.Profile, N: d.Count}
+	})
+	if err != nil {
+		return err
+	}
+	reply := cmd.(cornelwall.ReplyTickets)
+	if len(reply.Tickets) == 0 {
+		return write(c, reply.Answer)
+	}
+	return c.JSON(http.StatusOK, Tickets{Tickets: reply.Tickets})
+}
+
+func (h *handler) submit(c echo.Context) error {
+	var j cornelwall.Job
+	if err := decode(c, &j); err != nil {
+		return err
+	}
+	key := c.Request().Header.Get(headerKey)
+	if len(key) > maxKey {
+		return inputError(fmt.Errorf("%s has %d bytes; use at most %d", headerKey, len(key), maxKey))
+	}
+	if key != "" && !j.Ticket.IsZero() {
+		return inputError(fmt.Errorf("%s and ticket are both set; use one", headerKey))
+	}
+	return h.ask(c, func(req uint64) cornelwall.Event {
+		return cornelwall.Submit{Req: req, Job: &j, Key: key}
+	})
+}
+
+func (h *handler) fetch(c echo.Context) error {
+	t, err := cornelwall.ParseTicket(c.Param("ticket"))
+	if err != nil {
+		return inputError(err)
+	}
+	wait := false
+	if s := c.QueryParam("wait"); s != "" {
+		if wait, err = strconv.ParseBool(s); err != nil {
+			return inputError(fmt.Errorf("wait %q is not valid; use true or false", s))
+		}
+	}
+	return h.ask(c, func(req uint64) cornelwall.Event {
+		return cornelwall.Fetch{Req: req, Ticket: t, Wait: wait}
+	})
+}
+
+func (h *handler) cancel(c echo.Context) error {
+	t, err := cornelwall.ParseTicket(c.Param("ticket"))
+	if err != nil {
+		return inputError(err)
+	}
+	return h.ask(c, func(req uint64) cornelwall.Event { return cornelwall.Cancel{Req: req, Ticket: t} })
+}
+
+func (h *handler) ask(c echo.Context, event func(req uint64) cornelwall.Event) error {
+	cmd, err := h.core.Ask(c.Request().Context(), event)
+	if err != nil {
+		return err
+	}
+	return write(c, cmd.(cornelwall.Reply).Answer)
+}
+
+// write sends an answer with the status and the time to come back that belong to it.
+func write(c echo.Context, a cornelwall.Answer) error {
+	if back := time.Duration(a.Back); back > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int((back+time.Second-1)/time.Second)))
+		c.Response().Header().Set(headerBack, back.String())
+	}
+	return c.JSON(Status(&a), a)
+}
+
+// Status returns the HTTP status of an answer.
+func Status(a *cornelwall.Answer) int {
+	switch a.Reason {
+	case cornelwall.ReasonContent:
+		return http.StatusConflict
+	case cornelwall.ReasonTicket:
+		return http.StatusForbidden
+	case cornelwall.ReasonExpired:
+		return http.StatusGone
+	case cornelwall.ReasonNoProfile, cornelwall.ReasonNeverFits:
+		return http.StatusUnprocessableEntity
+	}
+	switch a.Outcome {
+	case cornelwall.Done:
+		return http.StatusOK
+	case cornelwall.Pending:
+		return http.StatusAccepted
+	case cornelwall.NotRun:
+		return http.StatusServiceUnavailable
+	case cornelwall.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// decode reads a JSON body and checks it. Unknown fields are errors.
+func decode(c echo.Context, v interface{ Check() error }) error {
+	r := http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return inputError(fmt.Errorf("body is not valid JSON for this request: %w", err))
+	}
+	if dec.More() {
+		return inputError(errors.New("body has more than one JSON value; send one"))
+	}
+	if err := v.Check(); err != nil {
+		return inputError(err)
+	}
+	return nil
+}
+
+func inputError(err error) error {
+	return merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(err.Error()))
+}
+
+// writeError sends a Problem.
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	code := merry.HTTPCode(err)
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		code = he.Code
+	}
+	_ = c.JSON(code, Problem{Error: err.Error()}) // the connection is gone if this fails
+}
--- /dev/null
+++ b/io/endpoint/endpoint.go
@@ -0,0 +1,91 @@
+// Package endpoint starts tasks on executors and workers and reports their results to
+// the core.
+//
+// # Usage
+//
+//	e := endpoint.New(loop, map[cornelwall.Kind]cornelwall.BackEnd{
+//		cornelwall.Executor: executor.New(...),
+//		cornelwall.Worker:   worker.New(...),
+//	})
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cornelwall"
+)
+
+// Endpoints carries out Run and Abandon commands.
+type Endpoints struct {
+	post     cornelwall.Poster
+	backEnds map[cornelwall.Kind]cornelwall.BackEnd
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	cancels map[uint64]context.CancelFunc
+	done    chan struct{}
+}
+
+// New returns endpoints that report to post.
+func New(post cornelwall.Poster, backEnds map[cornelwall.Kind]cornelwall.BackEnd) *Endpoints {
+	return &Endpoints{
+		post: post, backEnds: backEnds,
+		cancels: map[uint64]context.CancelFunc{},
+		done:    make(chan struct{}),
+	}
+}
+
+// Act starts a task, or asks for its end.
+func (e *Endpoints) Act(cmd cornelwall.Command) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Run:
+		e.run(cmd)
+	case cornelwall.Abandon:
+		e.mu.Lock()
+		cancel := e.cancels[cmd.Attempt]
+		e.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	}
+}
+
+func (e *Endpoints) run(cmd cornelwall.Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancels[cmd.Start.Attempt] = cancel
+	e.wg.Go(func() {
+		began := time.Now()
+		r := e.backEnds[cmd.VM.Kind].Run(ctx, cmd.VM, cmd.Start)
+		r.Took = time.Since(began)
+		e.mu.Lock()
+		delete(e.cancels, cmd.Start.Attempt)
+		e.mu.Unlock()
+		cancel()
+		e.post.Post(cornelwall.Ended{Attempt: cmd.Start.Attempt, Result: r})
+	})
+}
+
+// Run waits for ctx to end, then gives up what is still running.
+func (e *Endpoints) Run(ctx context.Context) error {
+	defer close(e.done)
+	<-ctx.Done()
+	e.mu.Lock()
+	e.closed = true
+	for _, cancel := range e.cancels {
+		cancel()
+	}
+	e.mu.Unlock()
+	e.wg.Wait()
+	return nil
+}
+
+// Done is closed once Run has returned.
+func (e *Endpoints) Done() <-chan struct{} { return e.done }
--- /dev/null
+++ b/io/operator/change.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+
+	"cornelwall"
+)
+
+const (
+	// Prefix starts the keys of all profiles in the platform's service.
+	Prefix = "cornelwall/profiles/"
+
+	settleTries = 5 // reads to settle a write whose answer was lost
+)
+
+// Changer writes profiles to the platform's service.
+type Changer struct {
+	Store cornelwall.Store
+	Known func(name string) cornelwall.Profile // the highest version in force here
+	Draw  func() string                        // a unique identity for a change
+}
+
+// Apply writes p as the next version. If expect is not 0, it must be the version that
+// p replaces. It returns what was accepted.
+func (c *Changer) Apply(ctx context.Context, p cornelwall.Profile, expect uint64) (cornelwall.Profile, error) {
+	p.Normalise()
+	if err := p.Check(); err != nil {
+		return p, merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(err.Error()))
+	}
+	return c.change(ctx, p.Name, expect, func(old cornelwall.Profile) (cornelwall.Profile, error) { return p, nil })
+}
+
+// Retire writes a tombstone as the next version of the profile.
+func (c *Changer) Retire(ctx context.Context, name string, expect uint64) (cornelwall.Profile, error) {
+	return c.change(ctx, name, expect, func(old cornelwall.Profile) (cornelwall.Profile, error) {
+		if old.Version == 0 {
+			return old, merry.Wrap(cornelwall.ErrMissing, merry.AppendMessagef("profile %q does not exist", name))
+		}
+		old.Retired = true
+		return old, nil
+	})
+}
+
+// change replaces the newest version of a profile by what next makes of it.
+func (c *Changer) change(ctx context.Context, name string, expect uint64, next func(cornelwall.Profile) (cornelwall.Profile, error)) (cornelwall.Profile, error) {
+	pair, old, err := c.read(ctx, name)
+	if err != nil {
+		return old, err
+	}
+	if known := c.Known(name); known.Newer(&old) {
+		old = known // the store went back in time; versions never do
+	}
+	if old.Retired {
+		return old, merry.Wrap(cornelwall.ErrRetired, merry.AppendMessagef("profile %q", name))
+	}
+	if expect != 0 && expect != old.Version {
+		return old, merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d", name, old.Version, expect))
+	}
+	p, err := next(old)
+	if err != nil {
+		return p, err
+	}
+	p.Version = old.Version + 1
+	p.Change = c.Draw()
+	value, err := json.Marshal(p)
+	if err != nil {
+		return p, merry.Wrap(err)
+	}
+	swapped, err := c.Store.Swap(ctx, Prefix+name, pair.Revision, value, 0)
+	switch {
+	case err != nil:
+		return p, c.settle(ctx, p, err)
+	case !swapped:
+		return p, merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q", name))
+	}
+	return p, nil
+}
+
+func (c *Changer) read(ctx context.Context, name string) (cornelwall.Pair, cornelwall.Profile, error) {
+	pair, err := c.Store.Get(ctx, Prefix+name)
+	if err != nil || pair.Revision == 0 {
+		return pair, cornelwall.Profile{Name: name}, err
+	}
+	p, err := Decode(pair)
+	return pair, p, err
+}
+
+// settle finds out whether a write whose answer was lost took effect. It is an error
+// of kind ErrStore if that cannot be told.
+func (c *Changer) settle(ctx context.Context, p cornelwall.Profile, cause error) error {
+	for range settleTries {
+		_, held, err := c.read(ctx, p.Name)
+		if err != nil {
+			continue
+		}
+		if held.Change == p.Change {
+			return nil
+		}
+		if held.Version >= p.Version {
+			return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q", p.Name))
+		}
+	}
+	return merry.Wrap(cornelwall.ErrStore, merry.AppendMessagef(
+		"whether version %d of profile %q was accepted is not known; look at its status", p.Version, p.Name), merry.WithCause(cause))
+}
+
+// Decode reads a profile as the platform's service holds it.
+func Decode(pair cornelwall.Pair) (cornelwall.Profile, error) {
+	var p cornelwall.Profile
+	if err := json.Unmarshal(pair.Value, &p); err != nil {
+		return p, fmt.Errorf("key %q is not a profile; write it with \"cornelwall profile apply\": %w", pair.Key, err)
+	}
+	if Prefix+p.Name != pair.Key {
+		return p, fmt.Errorf("key %q holds the profile %q; write it with \"cornelwall profile apply\"", pair.Key, p.Name)
+	}
+	return p, errors.Join(p.Check())
+}
--- a/message.go
+++ b/message.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 )
 
 // Envelope is a batch of messages from one incarnation to another. A receiver of
@@ -94,13 +95,15 @@
 
 const maxLoan = 1 << 16
 
-// Beat is a heartbeat.
+// Beat is a heartbeat. Addr is where the sender listens for peers, as the VM list may
+// lag.
 type Beat struct {
-	Leaving bool   `json:"leaving,omitempty"` // the sender is stopping
-	Digest  uint64 `json:"digest"`            // of the versions of all profiles
-	Fresh   bool   `json:"fresh,omitempty"`   // the sender has fresh word of the platform
-	Watcher bool   `json:"watcher,omitempty"` // the sender watches the platform's service
-	Answer  bool   `json:"answer,omitempty"`  // sent in answer to a beat
+	Addr    netip.AddrPort `json:"addr"`
+	Leaving bool           `json:"leaving,omitempty"` // the sender is stopping
+	Digest  uint64         `json:"digest"`            // of the versions of all profiles
+	Fresh   bool           `json:"fresh,omitempty"`   // the sender has fresh word of the platform
+	Watcher bool           `json:"watcher,omitempty"` // the sender watches the platform's service
+	Answer  bool           `json:"answer,omitempty"`  // sent in answer to a beat
 }
 
 // Wrong tells the sender that an envelope was meant for another life of this entry,
--- a/reason.go
+++ b/reason.go
@@ -47,6 +47,8 @@
 	ReasonDraining
 	// ReasonRetries means that the retry budget is used up.
 	ReasonRetries
+	// ReasonTicket means that the ticket is forged or belongs to another team.
+	ReasonTicket
 	// ReasonContent means that the ticket or key was used with other content.
 	ReasonContent
 	// ReasonStore means that the platform's service did not answer.
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriescontentstoreclaimsoverload"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverload"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 151, 156, 162, 170}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriescontentstoreclaimsoverload"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverload"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -44,13 +44,14 @@
 	_ = x[ReasonConnect-(17)]
 	_ = x[ReasonDraining-(18)]
 	_ = x[ReasonRetries-(19)]
-	_ = x[ReasonContent-(20)]
-	_ = x[ReasonStore-(21)]
-	_ = x[ReasonClaims-(22)]
-	_ = x[ReasonOverload-(23)]
+	_ = x[ReasonTicket-(20)]
+	_ = x[ReasonContent-(21)]
+	_ = x[ReasonStore-(22)]
+	_ = x[ReasonClaims-(23)]
+	_ = x[ReasonOverload-(24)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -73,10 +74,11 @@
 	_ReasonName[122:129]: ReasonConnect,
 	_ReasonName[129:137]: ReasonDraining,
 	_ReasonName[137:144]: ReasonRetries,
-	_ReasonName[144:151]: ReasonContent,
-	_ReasonName[151:156]: ReasonStore,
-	_ReasonName[156:162]: ReasonClaims,
-	_ReasonName[162:170]: ReasonOverload,
+	_ReasonName[144:150]: ReasonTicket,
+	_ReasonName[150:157]: ReasonContent,
+	_ReasonName[157:162]: ReasonStore,
+	_ReasonName[162:168]: ReasonClaims,
+	_ReasonName[168:176]: ReasonOverload,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -100,10 +102,11 @@
 	_ReasonLowerName[122:129]: ReasonConnect,
 	_ReasonLowerName[129:137]: ReasonDraining,
 	_ReasonLowerName[137:144]: ReasonRetries,
-	_ReasonLowerName[144:151]: ReasonContent,
-	_ReasonLowerName[151:156]: ReasonStore,
-	_ReasonLowerName[156:162]: ReasonClaims,
-	_ReasonLowerName[162:170]: ReasonOverload,
+	_ReasonLowerName[144:150]: ReasonTicket,
+	_ReasonLowerName[150:157]: ReasonContent,
+	_ReasonLowerName[157:162]: ReasonStore,
+	_ReasonLowerName[162:168]: ReasonClaims,
+	_ReasonLowerName[168:176]: ReasonOverload,
 }
 
 var _ReasonNames = []string{
@@ -127,10 +130,11 @@
 	_ReasonName[122:129],
 	_ReasonName[129:137],
 	_ReasonName[137:144],
-	_ReasonName[144:151],
-	_ReasonName[151:156],
-	_ReasonName[156:162],
-	_ReasonName[162:170],
+	_ReasonName[144:150],
+	_ReasonName[150:157],
+	_ReasonName[157:162],
+	_ReasonName[162:168],
+	_ReasonName[168:176],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
