--- /dev/null
+++ b/io/platform/platform.go
@@ -0,0 +1,227 @@
+// Package platform speaks to the platform: its key-value service, in the form of
+// the JSON gateway of etcd v3, and its VM list.
+//
+// # Usage
+//
+//	store := platform.New(platform.Config{Endpoints: []string{"http://10.0.0.1:2379"}})
+//	pair, err := store.Get(ctx, "profiles/booking")
+//	vms, err := platform.NewVMList(platform.ListConfig{URL: "http://10.0.0.1:8080/vms"}).List(ctx)
+//
+// A read goes to each endpoint in turn until one answers. A write is sent once; if
+// its answer is lost, the caller reads back what became of it.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"cornelwall"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxAnswer      = 64 << 20 // bytes of the answer to one call
+	maxWatchLine   = 16 << 20 // bytes of one message of a watch
+	maxErrorText   = 512      // bytes of an error answer that are kept
+	idleConns      = 4
+	idleLife       = time.Minute
+)
+
+// Config is the settings of a Client.
+type Config struct {
+	Endpoints []string      // base URLs, for example "http://10.0.0.1:2379"
+	Timeout   time.Duration // of one call to one endpoint; 0 is 2 s
+}
+
+// Client implements [cornelwall.Store].
+type Client struct {
+	cfg  Config
+	http *http.Client
+	next atomic.Uint32 // endpoint that is tried first
+}
+
+var _ cornelwall.Store = (*Client)(nil)
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	return &Client{cfg: cfg, http: newHTTP(cfg.Timeout)}
+}
+
+func newHTTP(timeout time.Duration) *http.Client {
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: timeout}).DialContext,
+		ResponseHeaderTimeout: timeout,
+		MaxIdleConnsPerHost:   idleConns,
+		IdleConnTimeout:       idleLife,
+	}
+	// A redirect would send a write again.
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads one key. A missing key has revision 0 and no error.
+func (c *Client) Get(ctx context.Context, key string) (cornelwall.Pair, error) {
+	var resp RangeResponse
+	if err := c.read(ctx, "/v3/kv/range", RangeRequest{Key: []byte(key)}, &resp); err != nil {
+		return cornelwall.Pair{}, err
+	}
+	if len(resp.KVs) == 0 {
+		return cornelwall.Pair{Key: key}, nil
+	}
+	return pair(resp.KVs[0]), nil
+}
+
+// List reads all keys with the prefix, and the store's revision.
+func (c *Client) List(ctx context.Context, prefix string) ([]cornelwall.Pair, uint64, error) {
+	var resp RangeResponse
+	req := RangeRequest{Key: firstKey(prefix), End: PrefixEnd(prefix)}
+	if err := c.read(ctx, "/v3/kv/range", req, &resp); err != nil {
+		return nil, 0, err
+	}
+	pairs := make([]cornelwall.Pair, len(resp.KVs))
+	for i, kv := range resp.KVs {
+		pairs[i] = pair(kv)
+	}
+	return pairs, uint64(resp.Header.Revision), nil
+}
+
+// Swap writes the value if the key still has the revision old.
+func (c *Client) Swap(ctx context.Context, key string, old uint64, value []byte, lease int64) (bool, error) {
+	req := TxnRequest{
+		Compare: []Compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", Revision: int64(old)}},
+		Success: []Op{{Put: &Put{Key: []byte(key), Value: value, Lease: lease}}},
+	}
+	var resp TxnResponse
+	if err := c.write(ctx, "/v3/kv/txn", req, &resp); err != nil {
+		return false, err
+	}
+	return resp.Succeeded, nil
+}
+
+// Grant makes a lease of so many seconds and returns its identity.
+func (c *Client) Grant(ctx context.Context, seconds int64) (int64, error) {
+	var resp GrantResponse
+	if err := c.write(ctx, "/v3/lease/grant", GrantRequest{TTL: seconds}, &resp); err != nil {
+		return 0, err
+	}
+	if resp.Error != "" || resp.ID == 0 {
+		return 0, storeError("/v3/lease/grant", fmt.Errorf("no lease: %s", resp.Error))
+	}
+	return resp.ID, nil
+}
+
+// read tries each endpoint in turn.
+func (c *Client) read(ctx context.Context, path string, req, resp any) error {
+	err := errors.New("no endpoint is set")
+	for range c.cfg.Endpoints {
+		if err = c.call(ctx, path, req, resp); err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return storeError(path, err)
+}
+
+// write sends the call once, to one endpoint.
+func (c *Client) write(ctx context.Context, path string, req, resp any) error {
+	if len(c.cfg.Endpoints) == 0 {
+		return storeError(path, errors.New("no endpoint is set"))
+	}
+	return storeError(path, c.call(ctx, path, req, resp))
+}
+
+// call does one call on the first endpoint. If it fails, the next call goes to the
+// next endpoint.
+func (c *Client) call(ctx context.Context, path string, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	n := c.next.Load()
+	err := c.post(ctx, c.endpoint(n)+path, req, resp)
+	if err != nil {
+		c.next.CompareAndSwap(n, n+1)
+	}
+	return err
+}
+
+func (c *Client) endpoint(n uint32) string {
+	return strings.TrimSuffix(c.cfg.Endpoints[int(n)%len(c.cfg.Endpoints)], "/")
+}
+
+func (c *Client) post(ctx context.Context, url string, req, resp any) error {
+	r, err := c.open(ctx, url, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	return decode(r.Body, maxAnswer, resp)
+}
+
+// open sends the request and returns the answer if its status is 200.
+func (c *Client) open(ctx context.Context, url string, req any) (*http.Response, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil // the transport must not send a write again
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText))
+		return nil, fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	}
+	return resp, nil
+}
+
+func decode(r io.Reader, limit int64, v any) error {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) > limit {
+		return fmt.Errorf("answer is larger than %d bytes", limit)
+	}
+	return json.Unmarshal(body, v)
+}
+
+func storeError(path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return merry.Wrap(cornelwall.ErrStore, merry.WithCause(err), merry.PrependMessagef("call %s", path))
+}
+
+func pair(kv KV) cornelwall.Pair {
+	return cornelwall.Pair{Key: string(kv.Key), Value: kv.Value, Revision: uint64(kv.Revision)}
+}
+
+// firstKey returns the first key with the prefix; the service takes no empty key.
+func firstKey(prefix string) []byte {
+	if prefix == "" {
+		return []byte{0}
+	}
+	return []byte(prefix)
+}
--- /dev/null
+++ b/io/platform/watch.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cornelwall"
+)
+
+const watchPath = "/v3/watch"
+
+// Watch calls f for each change of a key with the prefix after the revision. It
+// returns when ctx ends or the stream breaks; the error is of kind ErrStore.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, f func(cornelwall.Change)) error {
+	if len(c.cfg.Endpoints) == 0 {
+		return storeError(watchPath, errors.New("no endpoint is set"))
+	}
+	n := c.next.Load()
+	err := c.watch(ctx, c.endpoint(n), prefix, after, f)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	c.next.CompareAndSwap(n, n+1)
+	return storeError(watchPath, err)
+}
+
+func (c *Client) watch(ctx context.Context, base, prefix string, after uint64, f func(cornelwall.Change)) error {
+	req := WatchRequest{Create: WatchCreate{Key: firstKey(prefix), End: PrefixEnd(prefix), Start: int64(after) + 1}}
+	resp, err := c.open(ctx, base+watchPath, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxWatchLine)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		if err := deliver(lines.Bytes(), f); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return errors.New("the stream ended")
+}
+
+func deliver(line []byte, f func(cornelwall.Change)) error {
+	var msg WatchMessage
+	if err := json.Unmarshal(line, &msg); err != nil {
+		return err
+	}
+	switch {
+	case msg.Error != nil:
+		return errors.New(msg.Error.Message)
+	case msg.Result == nil:
+		return errors.New("message has neither result nor error")
+	case msg.Result.Canceled:
+		return fmt.Errorf("cancelled by the service; compacted up to %d", msg.Result.Compact)
+	}
+	for _, ev := range msg.Result.Events {
+		f(cornelwall.Change{Pair: pair(ev.KV), Deleted: ev.Type == EventDelete})
+	}
+	return nil
+}
--- /dev/null
+++ b/io/worker/worker.go
@@ -0,0 +1,237 @@
+// Package worker starts tasks on workers over HTTP, under leases.
+//
+// # Usage
+//
+//	b := worker.New(worker.Config{})
+//	result := b.Run(ctx, vm, start)
+//	used, err := b.Usage(ctx, vm)
+//
+// POST /leases starts a task and answers with a lease. POST /leases/ID/renew renews
+// it and waits for the end of the task for a third of the lease's life. The worker
+// stops a task whose lease lapses, and on DELETE /leases/ID.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"cornelwall"
+	"cornelwall/io/executor"
+	"cornelwall/io/http1"
+)
+
+const (
+	defaultTTL  = 10 * time.Second
+	stopTimeout = time.Second
+	renewPause  = 50 * time.Millisecond
+)
+
+// State is the state of a task under a lease.
+type State int
+
+//go:generate go tool enumer -type=State -text -transform=lower -output=state_gen.go
+
+const (
+	// Running means that the task has not ended.
+	Running State = iota
+	// Done means that the task ended well.
+	Done
+	// Failed means that the task ran and failed.
+	Failed
+)
+
+// Lease is the request that starts a task.
+type Lease struct {
+	Ticket cornelwall.Ticket   `json:"ticket"`
+	Index  int                 `json:"index"`
+	Need   cornelwall.Need     `json:"need,omitzero"`
+	TTL    cornelwall.Duration `json:"ttl"`
+	Body   []byte              `json:"body"`
+}
+
+// Check reports all that is wrong with the lease.
+func (l *Lease) Check() error {
+	errs := []error{l.Ticket.Check(), l.Need.Check()}
+	if l.TTL <= 0 {
+		errs = append(errs, fmt.Errorf("ttl %s is not positive; use more than 0s", l.TTL))
+	}
+	if l.Index < 0 {
+		errs = append(errs, fmt.Errorf("index %d is negative; use 0 or more", l.Index))
+	}
+	return errors.Join(errs...)
+}
+
+// Granted is the answer to a Lease.
+type Granted struct {
+	Lease string `json:"lease"`
+}
+
+// Status is the answer to a renewal.
+type Status struct {
+	State State  `json:"state"`
+	Body  []byte `json:"body,omitempty"`
+}
+
+// Usage is what the tasks of a worker take up. It lags.
+type Usage struct {
+	Used cornelwall.Need `json:"used"`
+	At   time.Time       `json:"at"` // when it was measured
+}
+
+// Config is the settings of a BackEnd. The zero value is usable.
+type Config struct {
+	Dial  time.Duration    // limit for making a connection; 0 is 1 s
+	TTL   time.Duration    // life of a lease; 0 is 10 s
+	Clock cornelwall.Clock // nil is the clock of the machine
+}
+
+// BackEnd implements [cornelwall.BackEnd] for workers.
+type BackEnd struct {
+	client *http1.Client
+	ttl    time.Duration
+	clock  cornelwall.Clock
+}
+
+var _ cornelwall.BackEnd = (*BackEnd)(nil)
+
+// New returns a back end.
+func New(cfg Config) *BackEnd {
+	if cfg.TTL == 0 {
+		cfg.TTL = defaultTTL
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = cornelwall.SystemClock{}
+	}
+	client := http1.New(http1.Config{Dial: cfg.Dial, Clock: cfg.Clock})
+	return &BackEnd{client: client, ttl: cfg.TTL, clock: cfg.Clock}
+}
+
+// Close closes the idle connections.
+func (b *BackEnd) Close() { b.client.Close() }
+
+// Run starts the task once and waits for its result. When ctx ends it asks the
+// worker to stop the task.
+func (b *BackEnd) Run(ctx context.Context, vm cornelwall.VM, start cornelwall.Start) cornelwall.Result {
+	began := b.clock.Now()
+	result := b.run(ctx, vm, start)
+	result.Took = b.clock.Now().Sub(began)
+	return result
+}
+
+func (b *BackEnd) run(ctx context.Context, vm cornelwall.VM, start cornelwall.Start) cornelwall.Result {
+	lease := Lease{Ticket: start.Ticket, Index: start.Index, Need: start.Need,
+		TTL: cornelwall.Duration(b.ttl), Body: start.Body}
+	body, err := json.Marshal(lease)
+	if err != nil {
+		return cornelwall.Result{Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonConnect}
+	}
+	// A start whose answer is lost ends when its lease lapses, without an owner.
+	startCtx, cancel := context.WithTimeout(ctx, b.ttl)
+	defer cancel()
+	resp, sent, err := b.client.Do(startCtx, vm.Addr, vm.Conns, post("/leases", body))
+	result := executor.Judge(resp, sent, err, ctx.Err() != nil)
+	if result.Outcome != cornelwall.Done {
+		return result
+	}
+	var granted Granted
+	if resp.Status != http.StatusCreated || json.Unmarshal(resp.Body, &granted) != nil || granted.Lease == "" {
+		return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost, Draining: result.Draining}
+	}
+	ended := b.follow(ctx, vm, granted.Lease)
+	ended.Draining = ended.Draining || result.Draining
+	return ended
+}
+
+// follow renews the lease until the task ends, the lease may have lapsed or ctx ends.
+func (b *BackEnd) follow(ctx context.Context, vm cornelwall.VM, id string) cornelwall.Result {
+	path := "/leases/" + url.PathEscape(id)
+	renewed := b.clock.Now()
+	draining := false
+	for {
+		sentAt := b.clock.Now()
+		status, drains, err := b.renew(ctx, vm, path+"/renew")
+		draining = draining || drains
+		switch {
+		case err == nil && status.State != Running:
+			return ended(status, draining)
+		case ctx.Err() != nil:
+			b.stop(ctx, vm, path)
+			return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonDeadline, Draining: draining}
+		case errors.Is(err, cornelwall.ErrMissing) || err != nil && b.clock.Now().Sub(renewed) > b.ttl:
+			return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost, Draining: draining}
+		case err != nil:
+			pause(ctx, renewPause)
+		default:
+			renewed = sentAt
+		}
+	}
+}
+
+func ended(status Status, draining bool) cornelwall.Result {
+	if status.State == Failed {
+		return cornelwall.Result{Outcome: cornelwall.Failed, Reason: cornelwall.ReasonTask, Draining: draining}
+	}
+	return cornelwall.Result{Outcome: cornelwall.Done, Body: status.Body, Draining: draining}
+}
+
+func (b *BackEnd) renew(ctx context.Context, vm cornelwall.VM, path string) (status Status, draining bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, b.ttl)
+	defer cancel()
+	resp, _, err := b.client.Do(ctx, vm.Addr, vm.Conns, post(path, nil))
+	if err != nil {
+		return Status{}, false, err
+	}
+	draining = resp.Header.Get(executor.HeaderDraining) == "true"
+	switch resp.Status {
+	case http.StatusOK:
+		return status, draining, json.Unmarshal(resp.Body, &status)
+	case http.StatusNotFound:
+		return Status{}, draining, cornelwall.ErrMissing
+	}
+	return Status{}, draining, fmt.Errorf("renew answered status %d", resp.Status)
+}
+
+// stop asks for the end of a task. If it gets lost the lease lapses.
+func (b *BackEnd) stop(ctx context.Context, vm cornelwall.VM, path string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	_, _, _ = b.client.Do(ctx, vm.Addr, vm.Conns, http1.Request{Method: http.MethodDelete, Path: path})
+}
+
+// Usage returns what the tasks of the worker took up a while ago.
+func (b *BackEnd) Usage(ctx context.Context, vm cornelwall.VM) (cornelwall.Need, error) {
+	resp, _, err := b.client.Do(ctx, vm.Addr, vm.Conns, http1.Request{Method: http.MethodGet, Path: "/usage"})
+	if err != nil {
+		return cornelwall.Need{}, err
+	}
+	var usage Usage
+	if resp.Status != http.StatusOK {
+		return cornelwall.Need{}, merry.Errorf("usage of worker %q answered status %d; check the worker", vm.Name, resp.Status)
+	}
+	if err := json.Unmarshal(resp.Body, &usage); err != nil {
+		return cornelwall.Need{}, merry.Errorf("usage of worker %q is not valid: %w", vm.Name, err)
+	}
+	return usage.Used, usage.Used.Check()
+}
+
+func post(path string, body []byte) http1.Request {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	return http1.Request{Method: http.MethodPost, Path: path, Header: h, Body: body}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
