--- a/io/executor/executor.go
+++ b/io/executor/executor.go
@@ -64,7 +64,7 @@
 func (b *BackEnd) Run(ctx context.Context, vm cornelwall.VM, start cornelwall.Start) cornelwall.Result {
 	began := b.clock.Now()
 	resp, sent, err := b.client.Do(ctx, vm.Addr, vm.Conns, request(start))
-	result := Judge(resp, sent, err, ctx.Err() != nil)
+	result := Judge(resp, http.StatusOK, sent, err, ctx.Err() != nil)
 	result.Took = b.clock.Now().Sub(began)
 	return result
 }
@@ -78,9 +78,10 @@
 	return http1.Request{Method: http.MethodPost, Path: Path, Header: h, Body: start.Body}
 }
 
-// Judge tells what an answer says about a start. Ended tells that the time to wait
+// Judge tells what an answer says about a start that succeeds with the status
+// success. Sent and err are those of the client; ended tells that the time to wait
 // was over.
-func Judge(resp http1.Response, sent bool, err error, ended bool) cornelwall.Result {
+func Judge(resp http1.Response, success int, sent bool, err error, ended bool) cornelwall.Result {
 	result := cornelwall.Result{Draining: resp.Header.Get(HeaderDraining) == "true"}
 	switch {
 	case err != nil && !sent:
@@ -91,7 +92,7 @@
 		result.Outcome, result.Reason = cornelwall.Unknown, cornelwall.ReasonDeadline
 	case err != nil:
 		result.Outcome, result.Reason = cornelwall.Unknown, cornelwall.ReasonLost
-	case resp.Status == http.StatusOK || resp.Status == http.StatusCreated:
+	case resp.Status == success:
 		result.Outcome, result.Body = cornelwall.Done, resp.Body
 	default:
 		judgeRefusal(resp, &result)
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -136,12 +136,12 @@
 	startCtx, cancel := context.WithTimeout(ctx, b.ttl)
 	defer cancel()
 	resp, sent, err := b.client.Do(startCtx, vm.Addr, vm.Conns, post("/leases", body))
-	result := executor.Judge(resp, sent, err, ctx.Err() != nil)
+	result := executor.Judge(resp, http.StatusCreated, sent, err, ctx.Err() != nil)
 	if result.Outcome != cornelwall.Done {
 		return result
 	}
 	var granted Granted
-	if resp.Status != http.StatusCreated || json.Unmarshal(resp.Body, &granted) != nil || granted.Lease == "" {
+	if json.Unmarshal(resp.Body, &granted) != nil || granted.Lease == "" {
 		return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost, Draining: result.Draining}
 	}
 	ended := b.follow(ctx, vm, granted.Lease)
@@ -170,6 +170,9 @@
 			pause(ctx, renewPause)
 		default:
 			renewed = sentAt
+			if b.clock.Now().Sub(sentAt) < renewPause {
+				pause(ctx, renewPause)
+			}
 		}
 	}
 }
@@ -182,7 +185,9 @@
 }
 
 func (b *BackEnd) renew(ctx context.Context, vm cornelwall.VM, path string) (status Status, draining bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, b.ttl)
+	// The worker answers after a third of the life at the latest; half leaves time
+	// to renew again before the lease lapses.
+	ctx, cancel := context.WithTimeout(ctx, b.ttl/2)
 	defer cancel()
 	resp, _, err := b.client.Do(ctx, vm.Addr, vm.Conns, post(path, nil))
 	if err != nil {
--- /dev/null
+++ b/standin/executor/executor.go
@@ -0,0 +1,173 @@
+// Package executor is a small stand-in for an executor of a service.
+//
+// # Usage
+//
+//	e := executor.New(executor.Config{Slots: 8})
+//	server := httptest.NewServer(e)
+//	defer e.Close()
+//
+// POST /run starts a task, GET /starts tells the starts of each task, POST /ctl
+// sets a [task.Control], GET /health answers 200.
+package executor
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"cornelwall"
+	product "cornelwall/io/executor"
+	"cornelwall/standin/task"
+)
+
+const (
+	defaultSlots = 8
+	defaultConns = 64
+)
+
+// Config is the settings of an Executor.
+type Config struct {
+	Slots int  // tasks at a time; 0 is 8
+	Conns int  // connections at a time; 0 is 64
+	Busy  bool // refuse tasks beyond the slots; else they wait
+}
+
+// Executor is an http.Handler.
+type Executor struct {
+	cfg   Config
+	echo  *echo.Echo
+	state *task.State
+	slots chan struct{} // holds one value per running task
+	stop  chan struct{}
+	once  sync.Once
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// New returns an executor.
+func New(cfg Config) *Executor {
+	if cfg.Slots == 0 {
+		cfg.Slots = defaultSlots
+	}
+	if cfg.Conns == 0 {
+		cfg.Conns = defaultConns
+	}
+	e := &Executor{
+		cfg:   cfg,
+		echo:  echo.New(),
+		state: task.NewState(),
+		slots: make(chan struct{}, cfg.Slots),
+		stop:  make(chan struct{}),
+		conns: map[net.Conn]bool{},
+	}
+	e.echo.POST(product.Path, e.run)
+	e.echo.GET("/starts", func(c echo.Context) error { return c.JSON(http.StatusOK, e.state.Starts()) })
+	e.echo.POST("/ctl", e.control)
+	e.echo.GET("/health", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	return e
+}
+
+// ServeHTTP answers a request.
+func (e *Executor) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.echo.ServeHTTP(w, r) }
+
+// Starts returns how often each task was started.
+func (e *Executor) Starts() map[string]int { return e.state.Starts().Starts }
+
+// Set replaces the control.
+func (e *Executor) Set(control task.Control) { e.state.Set(control) }
+
+// Close ends running tasks as failed.
+func (e *Executor) Close() { e.once.Do(func() { close(e.stop) }) }
+
+// ConnState is for the server's hook of this name; it closes connections beyond the
+// limit.
+func (e *Executor) ConnState(conn net.Conn, state http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if len(e.conns) >= e.cfg.Conns {
+			_ = conn.Close()
+			return
+		}
+		e.conns[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(e.conns, conn)
+	}
+}
+
+func (e *Executor) control(c echo.Context) error {
+	var control task.Control
+	if err := c.Bind(&control); err != nil {
+		return err
+	}
+	e.state.Set(control)
+	return c.NoContent(http.StatusOK)
+}
+
+func (e *Executor) run(c echo.Context) error {
+	r := c.Request()
+	body, err := io.ReadAll(io.LimitReader(r.Body, cornelwall.MaxTaskBody))
+	if err != nil {
+		return err
+	}
+	index, err := strconv.Atoi(r.Header.Get(product.HeaderTask))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "header "+product.HeaderTask+" is not a number")
+	}
+	if control, _ := e.state.Control(); control.Drain {
+		return refuse(c, "draining")
+	}
+	if !e.takeSlot(r.Context().Done()) {
+		return refuse(c, "busy")
+	}
+	defer func() { <-e.slots }()
+	e.state.Count(r.Header.Get(product.HeaderTicket), index)
+	return e.work(c, task.Parse(body))
+}
+
+// takeSlot reports whether the task got a slot.
+func (e *Executor) takeSlot(gone <-chan struct{}) bool {
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if e.cfg.Busy {
+		return false
+	}
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-gone:
+	case <-e.stop:
+	}
+	return false
+}
+
+func (e *Executor) work(c echo.Context, t task.Task) error {
+	ok := e.state.Work(t, e.stop)
+	if t.ReadAndClose {
+		panic(http.ErrAbortHandler)
+	}
+	if control, _ := e.state.Control(); control.Drain {
+		c.Response().Header().Set(product.HeaderDraining, "true")
+	}
+	if !ok {
+		return c.String(http.StatusInternalServerError, "task failed")
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, []byte(t.Echo))
+}
+
+func refuse(c echo.Context, reason string) error {
+	c.Response().Header().Set(product.HeaderNotRun, reason)
+	if reason == "draining" {
+		c.Response().Header().Set(product.HeaderDraining, "true")
+	}
+	return c.String(http.StatusServiceUnavailable, reason)
+}
--- /dev/null
+++ b/standin/worker/lease.go
@@ -0,0 +1,48 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"cornelwall"
+	product "cornelwall/io/worker"
+	"cornelwall/standin/task"
+)
+
+// lease is one task with the time that it may run without a renewal.
+type lease struct {
+	task      task.Task
+	need      cornelwall.Need
+	ttl       time.Duration
+	timer     *time.Timer
+	cancelled chan struct{}
+	done      chan struct{}
+	ok        bool // set before done closes
+}
+
+func newLease(req product.Lease) *lease {
+	return &lease{
+		task:      task.Parse(req.Body),
+		need:      req.Need,
+		ttl:       time.Duration(req.TTL),
+		cancelled: make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+}
+
+// wait returns the end of the task, or that it runs after a third of the life.
+func (l *lease) wait(ctx context.Context) product.Status {
+	timer := time.NewTimer(l.ttl / 3)
+	defer timer.Stop()
+	select {
+	case <-l.done:
+	case <-timer.C:
+		return product.Status{State: product.Running}
+	case <-ctx.Done():
+		return product.Status{State: product.Running}
+	}
+	if !l.ok {
+		return product.Status{State: product.Failed}
+	}
+	return product.Status{State: product.Done, Body: []byte(l.task.Echo)}
+}
--- /dev/null
+++ b/standin/worker/usage.go
@@ -0,0 +1,52 @@
+package worker
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+// usage is what the tasks took up at each moment of the lag.
+type usage struct {
+	samples []sample
+}
+
+type sample struct {
+	at   time.Time
+	used cornelwall.Need
+}
+
+// now returns what the tasks take up.
+func (u *usage) now() cornelwall.Need {
+	if len(u.samples) == 0 {
+		return cornelwall.Need{}
+	}
+	return u.samples[len(u.samples)-1].used
+}
+
+// at returns what the tasks took up at the time.
+func (u *usage) at(t time.Time) cornelwall.Need {
+	for i := len(u.samples) - 1; i >= 0; i-- {
+		if !u.samples[i].at.After(t) {
+			return u.samples[i].used
+		}
+	}
+	return cornelwall.Need{}
+}
+
+// add changes the usage and forgets what is older than the lag.
+func (u *usage) add(now time.Time, n cornelwall.Need, lag time.Duration) {
+	used := sub(u.now(), sub(cornelwall.Need{}, n))
+	u.samples = append(u.samples, sample{now, used})
+	for len(u.samples) > 1 && !u.samples[1].at.After(now.Add(-lag)) {
+		u.samples = u.samples[1:]
+	}
+}
+
+func sub(a, b cornelwall.Need) cornelwall.Need {
+	return cornelwall.Need{
+		Cores:        a.Cores - b.Cores,
+		Memory:       a.Memory - b.Memory,
+		Accelerators: a.Accelerators - b.Accelerators,
+	}
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,214 @@
+// Package worker is a small stand-in for a worker of the platform.
+//
+// # Usage
+//
+//	w := worker.New(worker.Config{Room: cornelwall.Need{Cores: 16, Memory: 65536}})
+//	server := httptest.NewServer(w)
+//	defer w.Close()
+//
+// POST /leases, POST /leases/ID/renew, DELETE /leases/ID and GET /usage are as in
+// package io/worker. GET /starts tells the starts of each task, POST /ctl sets a
+// [task.Control], GET /health answers 200.
+package worker
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"cornelwall"
+	"cornelwall/io/executor"
+	product "cornelwall/io/worker"
+	"cornelwall/standin/task"
+)
+
+const (
+	defaultCores  = 16
+	defaultMemory = 64 << 10 // MiB
+	maxBody       = 4 << 20  // bytes of a request
+)
+
+// Config is the settings of a Worker.
+type Config struct {
+	Room cornelwall.Need  // zero is 16 cores and 64 GiB
+	Lag  time.Duration    // of the usage report
+	Now  cornelwall.Clock // nil is the clock of the machine
+}
+
+// Worker is an http.Handler.
+type Worker struct {
+	cfg   Config
+	echo  *echo.Echo
+	state *task.State
+	wg    sync.WaitGroup
+
+	mu     sync.Mutex
+	leases map[string]*lease
+	next   int
+	usage  usage
+	closed bool
+}
+
+// New returns a worker.
+func New(cfg Config) *Worker {
+	if cfg.Room == (cornelwall.Need{}) {
+		cfg.Room = cornelwall.Need{Cores: defaultCores, Memory: defaultMemory}
+	}
+	if cfg.Now == nil {
+		cfg.Now = cornelwall.SystemClock{}
+	}
+	w := &Worker{cfg: cfg, echo: echo.New(), state: task.NewState(), leases: map[string]*lease{}}
+	w.echo.POST("/leases", w.start)
+	w.echo.POST("/leases/:id/renew", w.renew)
+	w.echo.DELETE("/leases/:id", w.stop)
+	w.echo.GET("/usage", w.report)
+	w.echo.GET("/starts", func(c echo.Context) error { return c.JSON(http.StatusOK, w.state.Starts()) })
+	w.echo.POST("/ctl", w.control)
+	w.echo.GET("/health", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	return w
+}
+
+// ServeHTTP answers a request.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(rw, r.Body, maxBody)
+	w.echo.ServeHTTP(rw, r)
+}
+
+// Starts returns how often each task was started.
+func (w *Worker) Starts() map[string]int { return w.state.Starts().Starts }
+
+// Leases returns the number of leases held.
+func (w *Worker) Leases() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.leases)
+}
+
+// Set replaces the control.
+func (w *Worker) Set(control task.Control) { w.state.Set(control) }
+
+// Close stops all tasks and waits for their ends.
+func (w *Worker) Close() {
+	w.mu.Lock()
+	w.closed = true
+	for id := range w.leases {
+		w.drop(id)
+	}
+	w.mu.Unlock()
+	w.wg.Wait()
+}
+
+func (w *Worker) control(c echo.Context) error {
+	var control task.Control
+	if err := c.Bind(&control); err != nil {
+		return err
+	}
+	w.state.Set(control)
+	return c.NoContent(http.StatusOK)
+}
+
+func (w *Worker) start(c echo.Context) error {
+	var req product.Lease
+	if err := c.Bind(&req); err != nil {
+		return err
+	}
+	if err := req.Check(); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if control, _ := w.state.Control(); control.Drain {
+		return refuse(c, "draining")
+	}
+	id, ok := w.grant(req)
+	if !ok {
+		return refuse(c, "busy")
+	}
+	if task.Parse(req.Body).ReadAndClose {
+		panic(http.ErrAbortHandler)
+	}
+	return c.JSON(http.StatusCreated, product.Granted{Lease: id})
+}
+
+// grant starts the task if it fits beside the others.
+func (w *Worker) grant(req product.Lease) (id string, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.cfg.Now.Now()
+	if w.closed || !req.Need.Fits(sub(w.cfg.Room, w.usage.now())) {
+		return "", false
+	}
+	w.next++
+	id = strconv.Itoa(w.next)
+	l := newLease(req)
+	l.timer = time.AfterFunc(l.ttl, func() { w.lapse(id) })
+	w.leases[id] = l
+	w.usage.add(now, req.Need, w.cfg.Lag)
+	w.state.Count(req.Ticket.String(), req.Index)
+	w.wg.Go(func() { w.work(l) })
+	return id, true
+}
+
+// work does the task and frees its room.
+func (w *Worker) work(l *lease) {
+	ok := w.state.Work(l.task, l.cancelled)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.usage.add(w.cfg.Now.Now(), sub(cornelwall.Need{}, l.need), w.cfg.Lag)
+	l.ok = ok
+	close(l.done)
+}
+
+func (w *Worker) renew(c echo.Context) error {
+	w.mu.Lock()
+	l := w.leases[c.Param("id")]
+	if l != nil {
+		l.timer.Reset(l.ttl)
+	}
+	w.mu.Unlock()
+	if l == nil {
+		return echo.NewHTTPError(http.StatusNotFound, "no such lease; it ended or lapsed")
+	}
+	if control, _ := w.state.Control(); control.Drain {
+		c.Response().Header().Set(executor.HeaderDraining, "true")
+	}
+	return c.JSON(http.StatusOK, l.wait(c.Request().Context()))
+}
+
+func (w *Worker) stop(c echo.Context) error {
+	w.lapse(c.Param("id"))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (w *Worker) lapse(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drop(id)
+}
+
+// drop ends a lease and its task. The caller holds mu.
+func (w *Worker) drop(id string) {
+	l := w.leases[id]
+	if l == nil {
+		return
+	}
+	delete(w.leases, id)
+	l.timer.Stop()
+	close(l.cancelled)
+}
+
+func (w *Worker) report(c echo.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.cfg.Now.Now().Add(-w.cfg.Lag)
+	return c.JSON(http.StatusOK, product.Usage{Used: w.usage.at(at), At: at})
+}
+
+func refuse(c echo.Context, reason string) error {
+	c.Response().Header().Set(executor.HeaderNotRun, reason)
+	if reason == "draining" {
+		c.Response().Header().Set(executor.HeaderDraining, "true")
+	}
+	return c.String(http.StatusServiceUnavailable, reason)
+}
