--- /dev/null
+++ b/standin/cmd/standin/platform.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall/standin/platform"
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run the key-value service and the VM list",
+		Flags: []cli.Flag{
+			addrFlag(),
+			&cli.DurationFlag{Name: "lag", Usage: "lag of the VM list", Sources: cli.EnvVars("STANDIN_LAG")},
+		},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command) error {
+	p := platform.New(platform.Config{Lag: cmd.Duration("lag")})
+	return serve(ctx, cmd, service{server: &http.Server{Handler: p}, close: p.Close})
+}
--- /dev/null
+++ b/standin/cmd/standin/worker.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/standin/worker"
+)
+
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "worker",
+		Usage: "run a worker",
+		Flags: append(machineFlags(),
+			&cli.IntFlag{Name: "cores", Value: 16, Usage: "cores", Sources: cli.EnvVars("STANDIN_CORES")},
+			&cli.IntFlag{Name: "memory", Value: 64 << 10, Usage: "memory in `MIB`", Sources: cli.EnvVars("STANDIN_MEMORY")},
+			&cli.IntFlag{Name: "accelerators", Usage: "accelerators", Sources: cli.EnvVars("STANDIN_ACCELERATORS")},
+			&cli.DurationFlag{Name: "lag", Usage: "lag of the usage report", Sources: cli.EnvVars("STANDIN_LAG")},
+		),
+		Action: runWorker,
+	}
+}
+
+func runWorker(ctx context.Context, cmd *cli.Command) error {
+	room := cornelwall.Need{Cores: cmd.Int("cores"), Memory: cmd.Int("memory"), Accelerators: cmd.Int("accelerators")}
+	w := worker.New(worker.Config{Room: room, Lag: cmd.Duration("lag")})
+	defer w.Close()
+	vm := machine(cmd, cornelwall.Worker)
+	vm.Room = room
+	return serve(ctx, cmd, service{
+		server: &http.Server{Handler: w},
+		listen: func(addr netip.AddrPort) error {
+			vm.Addr = addr
+			return register(ctx, cmd.String("platform"), vm)
+		},
+	})
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,220 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	wire "cornelwall/io/platform"
+)
+
+const maxValue = 1 << 20 // bytes
+
+// store is the key-value service in memory.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	kvs      map[string]wire.KV
+	history  []wire.Event
+	leases   map[int64]*time.Timer
+	next     int64         // number of the last lease
+	epoch    int           // grows when the store goes back in time
+	changed  chan struct{} // closed by the next change
+	saved    *snapshot
+}
+
+// snapshot is an older state of the store.
+type snapshot struct {
+	revision int64
+	kvs      map[string]wire.KV
+	history  []wire.Event
+}
+
+func newStore() *store {
+	return &store{
+		revision: 1,
+		kvs:      map[string]wire.KV{},
+		leases:   map[int64]*time.Timer{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// wake tells all watches to look again. The caller holds mu.
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) rangeOf(req wire.RangeRequest) wire.RangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	resp := wire.RangeResponse{Header: wire.Header{Revision: s.revision}}
+	for _, kv := range s.kvs {
+		if within(kv.Key, req.Key, req.End) {
+			resp.KVs = append(resp.KVs, kv)
+		}
+	}
+	slices.SortFunc(resp.KVs, func(a, b wire.KV) int { return bytes.Compare(a.Key, b.Key) })
+	resp.Count = int64(len(resp.KVs))
+	return resp
+}
+
+func (s *store) txn(req wire.TxnRequest) (wire.TxnResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkTxn(req); err != nil {
+		return wire.TxnResponse{}, err
+	}
+	for _, cmp := range req.Compare {
+		if s.kvs[string(cmp.Key)].Revision != cmp.Revision {
+			return wire.TxnResponse{Header: wire.Header{Revision: s.revision}}, nil
+		}
+	}
+	if len(req.Success) > 0 {
+		s.revision++
+	}
+	for _, op := range req.Success {
+		s.put(*op.Put)
+	}
+	s.wake()
+	return wire.TxnResponse{Header: wire.Header{Revision: s.revision}, Succeeded: true}, nil
+}
+
+func (s *store) checkTxn(req wire.TxnRequest) error {
+	for _, cmp := range req.Compare {
+		if cmp.Target != "MOD" || cmp.Result != "EQUAL" {
+			return fmt.Errorf("compare %s %s is not supported; use MOD EQUAL", cmp.Target, cmp.Result)
+		}
+	}
+	for _, op := range req.Success {
+		if op.Put == nil || len(op.Put.Key) == 0 {
+			return fmt.Errorf("operation is not supported; use request_put with a key")
+		}
+		if len(op.Put.Value) > maxValue {
+			return fmt.Errorf("value has %d bytes; use at most %d", len(op.Put.Value), maxValue)
+		}
+		if op.Put.Lease != 0 && s.leases[op.Put.Lease] == nil {
+			return fmt.Errorf("requested lease not found")
+		}
+	}
+	return nil
+}
+
+// put writes a key at the current revision. The caller holds mu.
+func (s *store) put(p wire.Put) {
+	kv := s.kvs[string(p.Key)]
+	if kv.Version == 0 {
+		kv.Create = s.revision
+	}
+	kv.Key, kv.Value, kv.Lease = p.Key, p.Value, p.Lease
+	kv.Revision = s.revision
+	kv.Version++
+	s.kvs[string(p.Key)] = kv
+	s.history = append(s.history, wire.Event{KV: kv})
+}
+
+// remove deletes the keys that match in one revision. The caller holds mu.
+func (s *store) remove(match func(wire.KV) bool) {
+	var keys []string
+	for key, kv := range s.kvs {
+		if match(kv) {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	s.revision++
+	for _, key := range keys {
+		delete(s.kvs, key)
+		gone := wire.KV{Key: []byte(key), Revision: s.revision}
+		s.history = append(s.history, wire.Event{Type: wire.EventDelete, KV: gone})
+	}
+	s.wake()
+}
+
+func (s *store) grant(req wire.GrantRequest) (wire.GrantResponse, error) {
+	if req.TTL < 1 {
+		return wire.GrantResponse{}, fmt.Errorf("TTL %d is not positive; use 1 or more seconds", req.TTL)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	id := s.next
+	s.leases[id] = time.AfterFunc(time.Duration(req.TTL)*time.Second, func() { s.expire(id) })
+	return wire.GrantResponse{Header: wire.Header{Revision: s.revision}, ID: id, TTL: req.TTL}, nil
+}
+
+func (s *store) expire(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	s.remove(func(kv wire.KV) bool { return kv.Lease == id })
+}
+
+// since returns the events of the range from the revision on, the store's revision
+// and epoch, and a channel that closes at the next change.
+func (s *store) since(req wire.WatchCreate, from int64) (events []wire.Event, revision int64, epoch int, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ev := range s.history {
+		if ev.KV.Revision >= from && within(ev.KV.Key, req.Key, req.End) {
+			events = append(events, ev)
+		}
+	}
+	return events, s.revision, s.epoch, s.changed
+}
+
+// save keeps the state for a later restore.
+func (s *store) save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = &snapshot{revision: s.revision, kvs: clone(s.kvs), history: slices.Clone(s.history)}
+}
+
+// restore goes back to the state of the last save, without the keys whose leases
+// have ended since. It ends all watches.
+func (s *store) restore() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saved == nil {
+		return fmt.Errorf("there is no snapshot; call /ctl/snapshot first")
+	}
+	s.revision, s.kvs, s.history = s.saved.revision, clone(s.saved.kvs), slices.Clone(s.saved.history)
+	s.epoch++
+	s.remove(func(kv wire.KV) bool { return kv.Lease != 0 && s.leases[kv.Lease] == nil })
+	s.wake()
+	return nil
+}
+
+func (s *store) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, timer := range s.leases {
+		timer.Stop()
+	}
+	s.epoch++
+	s.wake()
+}
+
+func clone(kvs map[string]wire.KV) map[string]wire.KV {
+	c := make(map[string]wire.KV, len(kvs))
+	for key, kv := range kvs {
+		c[key] = kv
+	}
+	return c
+}
+
+// within reports whether the key is the first one or, with an end, before the end.
+// The end of one zero byte is the end of all keys.
+func within(key, first, end []byte) bool {
+	switch {
+	case len(end) == 0:
+		return bytes.Equal(key, first)
+	case bytes.Equal(end, []byte{0}):
+		return bytes.Compare(key, first) >= 0
+	}
+	return bytes.Compare(key, first) >= 0 && bytes.Compare(key, end) < 0
+}
