The whole path serves: local system of separate processes

Cause: the parts stood side by side and had never run together. Change: cornelwall serve builds them by name in a kernel; standin/local starts a platform, entries, executors and workers as processes; standin/cmd/local submits a job. Conclusion: the path serves; nothing is proved under failure yet.

--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -93,9 +93,9 @@
 		cornelwall.Executor: executor.New(executor.Config{}),
 		cornelwall.Worker:   worker.New(worker.Config{}),
 	})
-	store := platform.New(platform.Config{URLs: s.Store, Timeout: s.PlatformTimeout})
+	store := platform.New(platform.Config{Endpoints: s.Store, Timeout: s.PlatformTimeout})
 	service := platform.NewService(platform.Settings{
-		Store: store, List: platform.NewVMList(s.Machine),
+		Store: store, List: platform.NewVMList(platform.ListConfig{URL: s.Machine, Timeout: s.PlatformTimeout, Log: log}),
 		Prefix: operator.Prefix, Decode: operator.Decode,
 		ListPoll: s.ListPoll, Timeout: s.PlatformTimeout,
 	}, loop, log)
--- /dev/null
+++ b/standin/cmd/local/main.go
@@ -0,0 +1,104 @@
+// Command local starts a small cornelwall system on loopback, submits a job to it and
+// prints the answer.
+//
+// # Usage
+//
+//	go run ./standin/cmd/local          # then ends
+//	go run ./standin/cmd/local --stay   # stays up until Ctrl-C, to be tried by hand
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/standin/local"
+)
+
+const startTimeout = 2 * time.Minute
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	cmd := &cli.Command{
+		Name:   "local",
+		Usage:  "start a small local system and run a job on it",
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "stay", Usage: "stay up until interrupted"}},
+		Action: start,
+	}
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "local:", err)
+		os.Exit(1)
+	}
+}
+
+func start(ctx context.Context, c *cli.Command) error {
+	dir, err := os.MkdirTemp("", "cornelwall-local-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	sctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fmt.Println("starting two data centres with two entries, three executors and a worker each")
+	sys, err := local.Start(sctx, local.Config{
+		Dir: dir, DataCentres: []string{"ikeja", "lekki"}, Entries: 2, Executors: 3, Workers: 1,
+	})
+	if err != nil {
+		return err
+	}
+	err = try(sctx, sys)
+	if err == nil && c.Bool("stay") {
+		show(sys)
+		<-ctx.Done()
+	}
+	return errors.Join(err, sys.Stop())
+}
+
+// try applies a profile, submits a job and prints its answer.
+func try(ctx context.Context, sys *local.System) error {
+	profile := cornelwall.Profile{Name: "seat-holds", Team: "bookings", Class: cornelwall.Urgent}
+	if err := sys.Apply(ctx, profile); err != nil {
+		return err
+	}
+	fmt.Printf("profile %s is in force at %d entries\n", profile.Name, len(sys.Entries))
+	job := cornelwall.Job{Profile: profile.Name}
+	for i := range 12 {
+		body := fmt.Sprintf(`{"sleep":"50ms","echo":"seat %d held"}`, i)
+		job.Tasks = append(job.Tasks, cornelwall.Task{Body: []byte(body)})
+	}
+	began := time.Now()
+	a, err := local.Submit(ctx, sys.Entries[0], job)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(a, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s\n", text)
+	for _, t := range a.Tasks {
+		fmt.Printf("%s: %s\n", t.Outcome, t.Body)
+	}
+	fmt.Printf("%d tasks of 50 ms answered %s in %s\n", len(a.Tasks), a.Outcome, time.Since(began).Round(time.Millisecond))
+	if a.Outcome != cornelwall.Done {
+		return fmt.Errorf("job is %s: %s", a.Outcome, a.Reason)
+	}
+	return nil
+}
+
+// show prints how to reach the system.
+func show(sys *local.System) {
+	for _, e := range sys.Entries {
+		fmt.Printf("%s callers=%s operators=%s\n", e.Name, e.URL("callers"), e.URL("operators"))
+	}
+	fmt.Printf("operators' token: %s\nCtrl-C ends\n", local.Token)
+}
--- /dev/null
+++ b/standin/local/local.go
@@ -0,0 +1,277 @@
+// Package local starts a small cornelwall system as separate processes on loopback: the
+// stand-in platform, entries, executors and workers.
+//
+// # Usage
+//
+//	sys, err := local.Start(ctx, local.Config{Dir: dir, DataCentres: []string{"ikeja", "lekki"}, Entries: 2, Executors: 3, Workers: 1})
+//	defer sys.Stop()
+//	err = sys.Apply(ctx, profile)
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	// Secret is the peers' secret of the local system.
+	Secret = "local-secret-of-all-entries"
+	// Token is the operators' token of the local system.
+	Token = "local-token-of-operators"
+
+	pollPause = 20 * time.Millisecond
+)
+
+// Config is the size of the system.
+type Config struct {
+	Dir         string // for the programs and the logs
+	DataCentres []string
+	Entries     int // per data centre
+	Executors   int // per data centre
+	Workers     int // per data centre
+	EntryArgs   []string
+}
+
+// System is a running system.
+type System struct {
+	cfg       Config
+	Platform  *Process
+	Entries   []*Process
+	Executors []*Process
+	Workers   []*Process
+}
+
+// Build compiles the programs into the directory.
+func Build(ctx context.Context, dir string) error {
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator),
+		"cornelwall/cmd/cornelwall", "cornelwall/standin/cmd/standin")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("programs do not build: %w: %s", err, out)
+	}
+	return nil
+}
+
+// Start builds and starts the system and waits until every entry serves.
+func Start(ctx context.Context, cfg Config) (*System, error) {
+	s := &System{cfg: cfg}
+	if err := Build(ctx, cfg.Dir); err != nil {
+		return nil, err
+	}
+	if err := s.start(ctx); err != nil {
+		return nil, errors.Join(err, s.Stop())
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	var err error
+	if s.Platform, err = s.standin(ctx, "platform", "platform"); err != nil {
+		return err
+	}
+	for _, dc := range s.cfg.DataCentres {
+		for i := range s.cfg.Executors {
+			p, err := s.machine(ctx, "executor", dc, i)
+			if err != nil {
+				return err
+			}
+			s.Executors = append(s.Executors, p)
+		}
+		for i := range s.cfg.Workers {
+			p, err := s.machine(ctx, "worker", dc, i)
+			if err != nil {
+				return err
+			}
+			s.Workers = append(s.Workers, p)
+		}
+	}
+	for _, dc := range s.cfg.DataCentres {
+		for i := range s.cfg.Entries {
+			p, err := s.StartEntry(ctx, dc, fmt.Sprintf("%s-entry-%d", dc, i))
+			if err != nil {
+				return err
+			}
+			s.Entries = append(s.Entries, p)
+		}
+	}
+	return nil
+}
+
+func (s *System) standin(ctx context.Context, name, kind string, args ...string) (*Process, error) {
+	return startProcess(ctx, s.cfg.Dir, name, "standin", append([]string{kind}, args...))
+}
+
+func (s *System) machine(ctx context.Context, kind, dc string, i int) (*Process, error) {
+	name := fmt.Sprintf("%s-%s-%d", dc, kind, i)
+	return s.standin(ctx, name, kind, "--name", name, "--dc", dc, "--rack", dc+"-rack", "--platform", s.Platform.URL())
+}
+
+// StartEntry starts an entry and puts it on the VM list.
+func (s *System) StartEntry(ctx context.Context, dc, name string) (*Process, error) {
+	args := []string{
+		"serve", "--name", name, "--dc", dc,
+		"--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0", "--operators", "127.0.0.1:0",
+		"--store", s.Platform.URL(), "--vms", s.Platform.URL() + "/vms",
+		"--secret", Secret, "--token", Token, "--list-poll", "200ms",
+	}
+	p, err := startProcess(ctx, s.cfg.Dir, name, "cornelwall", append(args, s.cfg.EntryArgs...))
+	if err != nil {
+		return nil, err
+	}
+	vm := cornelwall.VM{Name: name, Kind: cornelwall.Entry, DataCentre: dc, Addr: p.Addrs["peers"]}
+	return p, s.Control(ctx, "/ctl/vm", vm)
+}
+
+// Control posts to the control page of the stand-in platform.
+func (s *System) Control(ctx context.Context, path string, body any) error {
+	return call(ctx, http.MethodPost, s.Platform.URL()+path, body, nil)
+}
+
+// Apply applies a profile and waits until it is in force at every entry.
+func (s *System) Apply(ctx context.Context, p cornelwall.Profile) error {
+	url := s.Entries[0].URL("operators") + "/v1/profiles/" + p.Name
+	if err := call(ctx, http.MethodPut, url, p, &p); err != nil {
+		return err
+	}
+	return Wait(ctx, func() error {
+		var st struct{ Force []cornelwall.Force }
+		if err := call(ctx, http.MethodGet, url+"/status", nil, &st); err != nil {
+			return err
+		}
+		if len(st.Force) < len(s.Entries) {
+			return fmt.Errorf("status names %d of %d entries", len(st.Force), len(s.Entries))
+		}
+		if i := slices.IndexFunc(st.Force, func(f cornelwall.Force) bool { return f.Version != p.Version }); i >= 0 {
+			return fmt.Errorf("entry %s is at version %d", st.Force[i].Entry, st.Force[i].Version)
+		}
+		return nil
+	})
+}
+
+// Submit sends a job to an entry and returns the answer, whatever its outcome.
+func Submit(ctx context.Context, entry *Process, job cornelwall.Job) (cornelwall.Answer, error) {
+	var a cornelwall.Answer
+	err := call(ctx, http.MethodPost, entry.URL("callers")+"/v1/jobs", job, &a)
+	return a, err
+}
+
+// Stop ends all processes, the entries first.
+func (s *System) Stop() error {
+	var errs []error
+	for _, group := range [][]*Process{s.Entries, s.Executors, s.Workers, {s.Platform}} {
+		for _, p := range group {
+			if p != nil {
+				errs = append(errs, p.Kill())
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Wait calls f until it returns no error or ctx ends.
+func Wait(ctx context.Context, f func() error) error {
+	tick := time.NewTicker(pollPause)
+	defer tick.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w; last: %w", ctx.Err(), err)
+		case <-tick.C:
+		}
+	}
+}
+
+// call sends a JSON request and decodes the JSON answer, if out is not nil.
+func call(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+Token)
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		if resp.StatusCode >= http.StatusBadRequest {
+			return fmt.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, b)
+		}
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fmt.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, b)
+	}
+	return nil
+}
+
+// Process is one process of the system.
+type Process struct {
+	Name  string
+	Addrs map[string]netip.AddrPort // by the name of the listener
+	cmd   *exec.Cmd
+	ended chan struct{}
+	err   error
+}
+
+// URL returns the base URL of a listener; without a name, of the only one.
+func (p *Process) URL(listener ...string) string {
+	key := "addr"
+	if len(listener) > 0 {
+		key = listener[0]
+	}
+	return "http://" + p.Addrs[key].String()
+}
+
+// Process returns the operating system's process, to send it signals.
+func (p *Process) Process() *os.Process { return p.cmd.Process }
+
+// Ended is closed once the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Err returns how the process ended.
+func (p *Process) Err() error { return p.err }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() error {
+	select {
+	case <-p.ended:
+		return nil
+	default:
+	}
+	err := p.cmd.Process.Kill()
+	<-p.ended
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/standin/local/process.go
@@ -0,0 +1,83 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// listeners are the keys of the addresses that a process prints when it listens.
+var listeners = []string{"addr", "callers", "peers", "operators"}
+
+// startProcess starts a program of the directory, keeps its output in a log file there
+// and waits until it has told its addresses.
+func startProcess(ctx context.Context, dir, name, program string, args []string) (*Process, error) {
+	logFile, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(filepath.Join(dir, program), args...)
+	cmd.Stdout, cmd.Stderr = w, w
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	_ = w.Close() // the process has its own copy
+	p := &Process{Name: name, cmd: cmd, ended: make(chan struct{})}
+	ready := make(chan map[string]netip.AddrPort, 1)
+	go p.copyLog(r, logFile, ready)
+	select {
+	case p.Addrs = <-ready:
+		return p, nil
+	case <-p.ended:
+		text, _ := os.ReadFile(logFile.Name())
+		return nil, fmt.Errorf("%s ended at once: %w: %s", name, p.err, text)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%s does not listen: %w: %w", name, ctx.Err(), p.Kill())
+	}
+}
+
+// copyLog copies the output of a process to its log file until the process ends, and
+// hands over the addresses that it prints.
+func (p *Process) copyLog(r io.ReadCloser, logFile *os.File, ready chan<- map[string]netip.AddrPort) {
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, 1<<20)
+	told := false
+	for scan.Scan() {
+		_, _ = fmt.Fprintln(logFile, scan.Text()) // a full disk shows in the missing log
+		if addrs := parseAddrs(scan.Text()); !told && len(addrs) > 0 {
+			told = true
+			ready <- addrs
+		}
+	}
+	p.err = p.cmd.Wait()
+	_ = logFile.Close()
+	_ = r.Close()
+	close(p.ended)
+}
+
+// parseAddrs returns the key=ip:port pairs of a line that tells of listeners.
+func parseAddrs(line string) map[string]netip.AddrPort {
+	addrs := map[string]netip.AddrPort{}
+	if !strings.Contains(line, "msg=serving") && !strings.HasPrefix(line, "addr=") {
+		return nil
+	}
+	for _, field := range strings.Fields(line) {
+		key, value, _ := strings.Cut(field, "=")
+		for _, name := range listeners {
+			if addr, err := netip.ParseAddrPort(value); key == name && err == nil {
+				addrs[key] = addr
+			}
+		}
+	}
+	return addrs
+}
