--- /dev/null
+++ b/standin/fake/store.go
@@ -0,0 +1,120 @@
+package fake
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"cornelwall"
+)
+
+var errDown = errors.New("store is down")
+
+// Store is the platform's key-value service. Its faults are fields.
+type Store struct {
+	Delay       time.Duration      // of each answer
+	Down        bool               // every call fails without effect
+	LoseAnswers int                // writes that take effect and report an error
+	Cut         func(h *Host) bool // hosts that cannot reach the store; nil cuts none
+	Decode      func(cornelwall.Pair) (cornelwall.Profile, error)
+	Prefix      string // of the profiles
+
+	revision uint64
+	pairs    map[string]cornelwall.Pair
+	watchers []*Host
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{pairs: map[string]cornelwall.Pair{}} }
+
+// Get reads a key.
+func (s *Store) Get(key string) cornelwall.Pair {
+	p := s.pairs[key]
+	p.Key = key
+	return p
+}
+
+// Swap writes a key if it has the revision old.
+func (s *Store) Swap(key string, old uint64, value []byte) bool {
+	if s.pairs[key].Revision != old {
+		return false
+	}
+	s.revision++
+	s.pairs[key] = cornelwall.Pair{Key: key, Value: value, Revision: s.revision}
+	return true
+}
+
+// Snapshot returns a copy of the content, for Restore.
+func (s *Store) Snapshot() map[string]cornelwall.Pair { return maps.Clone(s.pairs) }
+
+// Restore takes the store back to a snapshot.
+func (s *Store) Restore(pairs map[string]cornelwall.Pair) { s.pairs = maps.Clone(pairs) }
+
+// Publish tells the watching hosts of a changed key.
+func (s *Store) Publish(w *World, key string) {
+	for _, h := range s.watchers {
+		if h.watching && s.reaches(h) {
+			if p, err := s.Decode(s.pairs[key]); err == nil {
+				w.After(s.Delay, h, cornelwall.Watched{Profiles: []cornelwall.Profile{p}})
+			}
+		}
+	}
+}
+
+func (s *Store) reaches(h *Host) bool { return !s.Down && (s.Cut == nil || !s.Cut(h)) }
+
+// Refresh sends every watching host that reaches the store all profiles, as the probe
+// of the real watch does.
+func (s *Store) Refresh(w *World) {
+	for _, h := range s.watchers {
+		if h.watching && s.reaches(h) {
+			w.After(s.Delay, h, cornelwall.Watched{Profiles: s.profiles(), All: true})
+		}
+	}
+}
+
+func (s *Store) profiles() []cornelwall.Profile {
+	var ps []cornelwall.Profile
+	for _, key := range slices.Sorted(maps.Keys(s.pairs)) {
+		if s.Prefix == "" || !strings.HasPrefix(key, s.Prefix) {
+			continue
+		}
+		if p, err := s.Decode(s.pairs[key]); err == nil {
+			ps = append(ps, p)
+		}
+	}
+	slices.SortFunc(ps, func(p, q cornelwall.Profile) int { return cmp.Compare(p.Name, q.Name) })
+	return ps
+}
+
+func (s *Store) act(w *World, h *Host, cmd cornelwall.Command) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Watch:
+		if !h.watching && cmd.On {
+			s.watchers = append(slices.DeleteFunc(s.watchers, func(v *Host) bool { return v == h }), h)
+		}
+		h.watching = cmd.On
+		if cmd.On && s.reaches(h) {
+			w.After(s.Delay, h, cornelwall.Watched{Profiles: s.profiles(), All: true})
+		}
+	case cornelwall.StoreGet:
+		ev := cornelwall.Stored{ID: cmd.ID, Pair: s.Get(cmd.Key)}
+		if !s.reaches(h) {
+			ev = cornelwall.Stored{ID: cmd.ID, Err: errDown}
+		}
+		w.After(s.Delay, h, ev)
+	case cornelwall.StoreSwap:
+		ev := cornelwall.Stored{ID: cmd.ID, Err: errDown}
+		if s.reaches(h) {
+			ev = cornelwall.Stored{ID: cmd.ID, Swapped: s.Swap(cmd.Key, 0, cmd.Value)}
+			if s.LoseAnswers > 0 {
+				s.LoseAnswers--
+				ev = cornelwall.Stored{ID: cmd.ID, Err: errDown}
+			}
+		}
+		w.After(s.Delay, h, ev)
+	}
+}
--- /dev/null
+++ b/standin/fake/world.go
@@ -0,0 +1,228 @@
+// Package fake drives several cores in one goroutine under a virtual clock, with small
+// fakes of the network, the endpoints and the platform at their interfaces.
+//
+// # Usage
+//
+//	w := fake.NewWorld(start)
+//	w.Link = func(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate { ... }
+//	w.Work = func(h *fake.Host, r cornelwall.Run) (time.Duration, cornelwall.Result) { ... }
+//	h := w.Add(core, self, addr)
+//	w.Post(h, cornelwall.Submit{Req: 1, Job: job})
+//	w.Advance(time.Second)
+package fake
+
+import (
+	"container/heap"
+	"net/netip"
+	"time"
+
+	"cornelwall"
+)
+
+// World holds the hosts and what is on its way to them. All fates come from its
+// functions, so that a seed decides everything.
+type World struct {
+	Now   time.Time
+	Store *Store
+	// Link decides what becomes of an envelope. Nil delivers all at once.
+	Link func(from, to cornelwall.Incarnation, e cornelwall.Envelope) Fate
+	// Work decides how a start ends and after how long.
+	Work func(h *Host, r cornelwall.Run) (time.Duration, cornelwall.Result)
+	// Replied takes the replies, logs and counts of the cores.
+	Replied func(h *Host, cmd cornelwall.Command)
+
+	Envelopes int // sent
+	Messages  int // sent
+
+	hosts map[netip.AddrPort]*Host
+	queue eventHeap
+	seq   uint64
+}
+
+// Fate is what becomes of an envelope: it arrives after each of the delays. With none,
+// it is lost. Told says whether the sender learns of a loss, and when.
+type Fate struct {
+	Delays []time.Duration
+	Told   time.Duration // 0: the sender is not told
+}
+
+// Host runs one core.
+type Host struct {
+	Core   cornelwall.Core
+	Self   cornelwall.Incarnation
+	Addr   netip.AddrPort
+	Frozen bool
+	Dead   bool
+
+	held     []cornelwall.Event // events that came while frozen
+	tick     time.Time          // of the next tick on its way
+	watching bool
+}
+
+// NewWorld returns a world without hosts.
+func NewWorld(start time.Time) *World {
+	return &World{Now: start, Store: NewStore(), hosts: map[netip.AddrPort]*Host{}}
+}
+
+// Add puts a host at an address. The host that was there before is dead.
+func (w *World) Add(core cornelwall.Core, self cornelwall.Incarnation, addr netip.AddrPort) *Host {
+	if old := w.hosts[addr]; old != nil {
+		old.Dead = true
+	}
+	h := &Host{Core: core, Self: self, Addr: addr}
+	w.hosts[addr] = h
+	w.Post(h, cornelwall.Tick{})
+	return h
+}
+
+// Post hands an event to a host now.
+func (w *World) Post(h *Host, ev cornelwall.Event) { w.After(0, h, ev) }
+
+// After hands an event to a host after a delay.
+func (w *World) After(d time.Duration, h *Host, ev cornelwall.Event) {
+	w.seq++
+	heap.Push(&w.queue, scheduled{at: w.Now.Add(d), seq: w.seq, host: h, ev: ev})
+}
+
+// Do calls f after a delay.
+func (w *World) Do(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, scheduled{at: w.Now.Add(d), seq: w.seq, do: f})
+}
+
+// Freeze stops a host from acting; what comes to it waits.
+func (w *World) Freeze(h *Host) { h.Frozen = true }
+
+// Thaw lets a frozen host go on.
+func (w *World) Thaw(h *Host) {
+	h.Frozen = false
+	held := h.held
+	h.held = nil
+	for _, ev := range held {
+		w.Post(h, ev)
+	}
+	w.Post(h, cornelwall.Tick{})
+}
+
+// Advance lets time pass.
+func (w *World) Advance(d time.Duration) {
+	end := w.Now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		s := heap.Pop(&w.queue).(scheduled)
+		w.Now = s.at
+		if s.do != nil {
+			s.do()
+			continue
+		}
+		w.deliver(s.host, s.ev)
+	}
+	w.Now = end
+}
+
+func (w *World) deliver(h *Host, ev cornelwall.Event) {
+	if h.Dead {
+		return
+	}
+	if h.Frozen {
+		if _, ok := ev.(cornelwall.Tick); !ok {
+			h.held = append(h.held, ev)
+		}
+		return
+	}
+	if _, ok := ev.(cornelwall.Tick); ok && h.tick.Equal(w.Now) {
+		h.tick = time.Time{}
+	}
+	w.act(h, h.Core.Step(w.Now, ev))
+	next := h.Core.Next()
+	if h.tick.IsZero() || next.Before(h.tick) {
+		h.tick = next
+		w.After(max(0, next.Sub(w.Now)), h, cornelwall.Tick{})
+	}
+}
+
+func (w *World) act(h *Host, cmds []cornelwall.Command) {
+	var envelopes []*cornelwall.Envelope
+	var addrs []netip.AddrPort
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case cornelwall.Send:
+			i := len(envelopes) - 1
+			for i >= 0 && (addrs[i] != cmd.Addr || envelopes[i].To != cmd.To) {
+				i--
+			}
+			if i < 0 {
+				envelopes = append(envelopes, &cornelwall.Envelope{From: h.Self, To: cmd.To})
+				addrs = append(addrs, cmd.Addr)
+				i = len(envelopes) - 1
+			}
+			envelopes[i].Messages = append(envelopes[i].Messages, cmd.Message)
+		case cornelwall.Run:
+			after, result := w.Work(h, cmd)
+			result.Took = after
+			w.After(after, h, cornelwall.Ended{Attempt: cmd.Start.Attempt, Result: result})
+		case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
+			w.Store.act(w, h, cmd)
+		default:
+			if w.Replied != nil {
+				w.Replied(h, cmd)
+			}
+		}
+	}
+	for i, e := range envelopes {
+		w.send(h, addrs[i], *e)
+	}
+}
+
+func (w *World) send(h *Host, addr netip.AddrPort, e cornelwall.Envelope) {
+	w.Envelopes++
+	w.Messages += len(e.Messages)
+	fate := Fate{Delays: []time.Duration{0}}
+	to := w.hosts[addr]
+	switch {
+	case to == nil || to.Dead:
+		fate = Fate{Told: time.Millisecond}
+	case w.Link != nil:
+		fate = w.Link(h.Self, to.Self, e)
+	}
+	for _, d := range fate.Delays {
+		w.Do(d, func() {
+			if to := w.hosts[addr]; to != nil {
+				w.deliver(to, cornelwall.Receive{Envelope: e})
+			}
+		})
+	}
+	if fate.Told > 0 {
+		w.After(fate.Told, h, cornelwall.Undelivered{Envelope: e})
+	}
+}
+
+// scheduled is an event or a call at a time.
+type scheduled struct {
+	at   time.Time
+	seq  uint64
+	host *Host
+	ev   cornelwall.Event
+	do   func()
+}
+
+type eventHeap []scheduled
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(scheduled)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
