Tests of the clients against the stand-ins

A slow stand-in of the platform did not notice that its caller had gone, since it had not read the request; the test of timeouts hung on it. It now reads first.

--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -69,6 +71,12 @@
 func (f *faults) on(kind string, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		f.count(kind)
+		// The server notices that a caller has gone only once the body is read.
+		body, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return err
+		}
+		c.Request().Body = io.NopCloser(bytes.NewReader(body))
 		if kind == kindVMs && !f.get().VMs {
 			return next(c)
 		}
