Planned stops of the stand-ins; tests of dead connections

A connection that cannot tell its writes now counts as written. The stand-ins drain before they shut down, so that a planned stop cuts off no task.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -48,6 +48,7 @@
 	conn   *conn
 	base   uint64 // writes on conn before the request
 	sealed bool
+	blind  bool // the connection cannot tell its writes
 }
 
 func (g *guard) trace() *httptrace.ClientTrace {
@@ -61,6 +62,7 @@
 	defer g.mu.Unlock()
 	c, ok := info.Conn.(*conn)
 	if !ok {
+		g.blind = true
 		return
 	}
 	if g.conn != nil || g.sealed {
@@ -76,5 +78,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sealed = true
-	return g.conn != nil && g.conn.seal() != g.base
+	return g.blind || g.conn != nil && g.conn.seal() != g.base
 }
--- a/standin/cmd/standin/executor.go
+++ b/standin/cmd/standin/executor.go
@@ -30,6 +30,7 @@
 	vm.Slots, vm.Conns = cmd.Int("slots"), cmd.Int("conns")
 	return serve(ctx, cmd, service{
 		server: &http.Server{Handler: e, ConnState: e.ConnState},
+		drain:  e.Drain,
 		listen: func(addr netip.AddrPort) error {
 			vm.Addr = addr
 			return register(ctx, cmd.String("platform"), vm)
--- a/standin/cmd/standin/main_test.go
+++ b/standin/cmd/standin/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -11,6 +12,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"cornelwall/io/platform"
 )
@@ -62,7 +64,42 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	assert.NilError(t, endWorker())
+	answers := make(chan string, 1)
+	go func() { answers <- post("http://"+x+"/run", `{"sleep":"300ms","echo":"whole"}`) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !strings.Contains(get("http://"+x+"/starts"), "/0") {
+			return poll.Continue("task has not started")
+		}
+		return poll.Success()
+	})
 	assert.NilError(t, endExecutor())
+	assert.Equal(t, <-answers, "whole", "a planned stop cuts off no request")
+	assert.NilError(t, endWorker())
+	watch, err := http.Post(base+"/v3/watch", "application/json", strings.NewReader(`{"create_request":{"key":"YQ=="}}`))
+	assert.NilError(t, err)
 	assert.NilError(t, endPlatform())
+	assert.NilError(t, watch.Body.Close())
+}
+
+func post(url, body string) string {
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	r.Header.Set("Cornelwall-Task", "0")
+	return answer(http.DefaultClient.Do(r))
+}
+
+func get(url string) string { return answer(http.Get(url)) }
+
+func answer(resp *http.Response, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
 }
--- a/standin/cmd/standin/platform.go
+++ b/standin/cmd/standin/platform.go
@@ -23,5 +23,6 @@
 
 func runPlatform(ctx context.Context, cmd *cli.Command) error {
 	p := platform.New(platform.Config{Lag: cmd.Duration("lag")})
-	return serve(ctx, cmd, service{server: &http.Server{Handler: p}, close: p.Close})
+	drain := func(context.Context) { p.Close() } // watches have no end of their own
+	return serve(ctx, cmd, service{server: &http.Server{Handler: p}, drain: drain})
 }
--- a/standin/cmd/standin/serve.go
+++ b/standin/cmd/standin/serve.go
@@ -58,7 +58,7 @@
 type service struct {
 	server *http.Server
 	listen func(addr netip.AddrPort) error // nil does nothing
-	close  func()
+	drain  func(ctx context.Context)       // before the server shuts down
 }
 
 // serve runs the service until SIGTERM or SIGINT.
@@ -88,14 +88,11 @@
 	return err
 }
 
-// stop waits for the requests in flight. Watches have no end of their own: close
-// ends them first where it is safe, which only the platform needs.
+// stop drains the service and then waits for the requests in flight.
 func stop(s service, log logr.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if s.close != nil {
-		s.close()
-	}
+	s.drain(ctx)
 	if err := s.server.Shutdown(ctx); err != nil {
 		log.Info("requests cut off", "error", err.Error())
 		_ = s.server.Close()
--- a/standin/cmd/standin/worker.go
+++ b/standin/cmd/standin/worker.go
@@ -33,6 +33,7 @@
 	vm.Room = room
 	return serve(ctx, cmd, service{
 		server: &http.Server{Handler: w},
+		drain:  w.Drain,
 		listen: func(addr netip.AddrPort) error {
 			vm.Addr = addr
 			return register(ctx, cmd.String("platform"), vm)
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -11,6 +11,7 @@
 package executor
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -81,6 +82,18 @@
 // Set replaces the control.
 func (e *Executor) Set(control task.Control) { e.state.Set(control) }
 
+// Drain refuses new tasks and waits until none runs or ctx ends.
+func (e *Executor) Drain(ctx context.Context) {
+	e.state.Drain()
+	for range cap(e.slots) {
+		select {
+		case e.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close ends running tasks as failed.
 func (e *Executor) Close() { e.once.Do(func() { close(e.stop) }) }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -142,7 +142,7 @@
 	}
 	for {
 		events, revision, now, changed := p.store.since(req.Create, from)
-		if now != epoch || p.faults.get().Down {
+		if now != epoch || now == epochClosed || p.faults.get().Down {
 			panic(http.ErrAbortHandler)
 		}
 		if len(events) > 0 {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -10,7 +10,10 @@
 	wire "cornelwall/io/platform"
 )
 
-const maxValue = 1 << 20 // bytes
+const (
+	maxValue    = 1 << 20 // bytes
+	epochClosed = -1
+)
 
 // store is the key-value service in memory.
 type store struct {
@@ -195,7 +198,7 @@
 	for _, timer := range s.leases {
 		timer.Stop()
 	}
-	s.epoch++
+	s.epoch = epochClosed
 	s.wake()
 }
 
--- a/standin/task/task.go
+++ b/standin/task/task.go
@@ -85,6 +85,13 @@
 	return s.control, s.changed
 }
 
+// Drain sets Drain and leaves the rest of the control.
+func (s *State) Drain() {
+	control, _ := s.Control()
+	control.Drain = true
+	s.Set(control)
+}
+
 // Count counts one start.
 func (s *State) Count(ticket string, index int) {
 	s.mu.Lock()
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cornelwall"
@@ -17,7 +18,9 @@
 	timer     *time.Timer
 	cancelled chan struct{}
 	done      chan struct{}
-	ok        bool // set before done closes
+	ok        bool          // set before done closes
+	told      chan struct{} // closed once a renewal has told the end
+	tell      sync.Once
 }
 
 func newLease(req product.Lease) *lease {
@@ -27,6 +30,7 @@
 		ttl:       time.Duration(req.TTL),
 		cancelled: make(chan struct{}),
 		done:      make(chan struct{}),
+		told:      make(chan struct{}),
 	}
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -12,7 +12,10 @@
 package worker
 
 import (
+	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -90,6 +93,23 @@
 // Set replaces the control.
 func (w *Worker) Set(control task.Control) { w.state.Set(control) }
 
+// Drain refuses new tasks and waits until the end of each task is told, its lease
+// has lapsed or ctx ends.
+func (w *Worker) Drain(ctx context.Context) {
+	w.state.Drain()
+	w.mu.Lock()
+	leases := slices.Collect(maps.Values(w.leases))
+	w.mu.Unlock()
+	for _, l := range leases {
+		select {
+		case <-l.told:
+		case <-l.cancelled:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close stops all tasks and waits for their ends.
 func (w *Worker) Close() {
 	w.mu.Lock()
@@ -173,7 +193,12 @@
 	if control, _ := w.state.Control(); control.Drain {
 		c.Response().Header().Set(executor.HeaderDraining, "true")
 	}
-	return c.JSON(http.StatusOK, l.wait(c.Request().Context()))
+	status := l.wait(c.Request().Context())
+	err := c.JSON(http.StatusOK, status)
+	if err == nil && status.State != product.Running {
+		l.tell.Do(func() { close(l.told) })
+	}
+	return err
 }
 
 func (w *Worker) stop(c echo.Context) error {
