Jobs answer truthfully when nothing is known to have started; owners' memory is bounded

Cause: a job that was cancelled, or whose deadline passed, while a start was on its way was answered as failed, which says that a task ran; the start could still be refused. A refused ticket cost a whole job record for its life, and results of done jobs were bounded by their number only.

A refused submission under a ticket of another team burnt the ticket.

Ruled out: holding the answer back until the last start is settled, since a final answer is never held back and neither is word that the deadline passed.

Change: such a job is unknown, and refined once when its last start is settled. Results over 64 MiB are dropped, the oldest first, and the answer then says that every task ran. Keys that cannot be claimed are unknown, without a ticket. A job's deadline ends with its ticket. The core's clock does not go back.

--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -152,7 +152,9 @@
 		n.home.Pause(a.held.Machine, n.now.Add(pauseBusy))
 	}
 	n.giveBack(a.held, 1, cornelwall.Return{Fail: 1, Draining: r.Draining})
-	a.job.Unstart(a.index)
+	if a.job.Unstart(a.index) {
+		n.jobs.Settle(a.job)
+	}
 	if a.job.Ended() {
 		return
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -36,7 +36,9 @@
 	StaleAfter time.Duration // without word of the platform
 	ClaimLife  time.Duration // of a caller's key
 	ClaimRate  float64       // claims per second at this entry
-	MaxJobs    int           // records held at once
+	MaxJobs    int           // jobs held at once, those that have ended too
+	MaxRefuse  int           // refusals held at once
+	MaxResults int           // bytes of results held at once
 }
 
 const minSecretLen = 16 // bytes
@@ -50,6 +52,8 @@
 	setDefault(&c.ClaimLife, time.Hour)
 	setDefault(&c.ClaimRate, 20)
 	setDefault(&c.MaxJobs, 200000)
+	setDefault(&c.MaxRefuse, 1<<20)
+	setDefault(&c.MaxResults, 64<<20)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -123,7 +127,7 @@
 		start:    now,
 		now:      now,
 		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
-		jobs:     owner.NewTable(),
+		jobs:     owner.NewTable(cfg.TicketLife, cfg.MaxRefuse, cfg.MaxResults),
 		queue:    queue.New(),
 		home:     slot.NewHome(),
 		pool:     slot.NewPool(),
@@ -162,6 +166,9 @@
 
 // Step takes one event and returns what follows from it.
 func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if now.Before(n.now) {
+		now = n.now // a clock without a monotonic reading was set back
+	}
 	n.now, n.out = now, nil
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -11,6 +11,7 @@
 const (
 	backSoon  = 100 * time.Millisecond // for what clears by itself
 	backLater = 2 * time.Second        // for what needs a machine or peer to return
+	minLeft   = time.Millisecond       // to the deadline of a job that is accepted
 )
 
 // draw mints tickets for the team of a profile.
@@ -33,8 +34,12 @@
 // refusal returns the answer that nothing ran and nothing will.
 func (n *Node) refusal(tk cornelwall.Ticket, reason cornelwall.Reason, back time.Duration) cornelwall.Answer {
 	n.count(reason, false)
-	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.NotRun, Reason: reason, Final: true,
-		Back: cornelwall.Duration(back), Text: remedies[reason]}
+	return notRun(tk, owner.Refusal{Reason: reason, Back: back})
+}
+
+func notRun(tk cornelwall.Ticket, r owner.Refusal) cornelwall.Answer {
+	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.NotRun, Reason: r.Reason, Final: true,
+		Back: cornelwall.Duration(r.Back), Text: remedies[r.Reason]}
 }
 
 // remedies tells people what to do.
@@ -50,8 +55,7 @@
 	cornelwall.ReasonExpired:   "the ticket is older than its life; its outcome is no longer known",
 	cornelwall.ReasonOwnerLost: "the entry that owned the job is gone; whether it ran is not known",
 	cornelwall.ReasonOwnerAway: "the entry that owns the job cannot be reached; ask again later",
-	cornelwall.ReasonStore:     "the platform's service does not answer; come back later or use a ticket",
-	cornelwall.ReasonClaims:    "too many keys at once; come back later or use tickets",
+	cornelwall.ReasonStore:     "the platform's service did not answer; take a new key, or use tickets",
 	cornelwall.ReasonCancelled: "the job was cancelled",
 	cornelwall.ReasonDeadline:  "the deadline passed",
 }
@@ -62,6 +66,10 @@
 		n.route(ev.Req, cornelwall.DeedSubmit, ev.Job.Ticket, ev.Job)
 		return
 	}
+	if ev.Key != "" {
+		n.beginClaim(ev)
+		return
+	}
 	p, ok := n.catalog.Get(ev.Job.Profile)
 	if !ok {
 		n.reply(ev.Req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonNoProfile, backLater))
@@ -69,27 +77,42 @@
 	}
 	job := *ev.Job
 	job.Ticket = n.minter.Mint(n.now, p.Team)
-	if ev.Key == "" {
-		n.accept(&job, owner.Waiter{Req: ev.Req})
-		return
-	}
-	n.beginClaim(ev.Req, &job, p.Team, ev.Key)
+	n.accept(&job, owner.Waiter{Req: ev.Req})
 }
 
-func (n *Node) beginClaim(req uint64, job *cornelwall.Job, team, key string) {
-	if n.leaving {
-		n.reply(req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonStopping, backSoon))
+// beginClaim claims the caller's key for a new ticket. Until the key has been read
+// nothing is known of an earlier submission under it, so that the answer is unknown and
+// not a refusal if the key cannot be claimed. The profile may be retired: the owner of
+// the key then answers for what ran before.
+func (n *Node) beginClaim(ev cornelwall.Submit) {
+	p, ok := n.catalog.Last(ev.Job.Profile)
+	switch {
+	case !ok:
+		n.reply(ev.Req, n.mistake(cornelwall.Ticket{}, cornelwall.ReasonNoProfile))
+		return
+	case n.leaving:
+		n.reply(ev.Req, n.unclaimed(cornelwall.ReasonStopping, backSoon))
 		return
 	}
+	job := *ev.Job
+	job.Ticket = n.minter.Mint(n.now, p.Team)
 	id := n.id()
-	c, back := n.claims.Begin(n.now, id, req, job, team, key)
+	c, back := n.claims.Begin(n.now, id, ev.Req, &job, p.Team, ev.Key)
 	if c == nil {
-		n.reply(req, n.refusal(cornelwall.Ticket{}, cornelwall.ReasonClaims, back))
+		n.reply(ev.Req, n.unclaimed(cornelwall.ReasonClaims, back))
 		return
 	}
 	n.writeClaim(id, c)
 }
 
+// unclaimed returns the answer to a submission whose key could not be claimed. It
+// carries no ticket, since the key may hold another.
+func (n *Node) unclaimed(reason cornelwall.Reason, back time.Duration) cornelwall.Answer {
+	n.count(reason, false)
+	return cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: reason, Back: cornelwall.Duration(back),
+		Text: "the key could not be claimed; send the job again under the same key, to any entry"}
+}
+
 func (n *Node) writeClaim(id uint64, c *claim.Claim) {
 	n.emit(cornelwall.StoreSwap{ID: id, Key: c.Key, Value: c.Value(), Life: n.cfg.ClaimLife})
 }
@@ -112,7 +135,8 @@
 		n.writeClaim(ev.ID, c)
 	case claim.GiveUp:
 		// The claim may yet take effect, so that the ticket is refused for good.
-		n.refuse(c.Job, c.Digest, owner.Waiter{Req: c.Req}, cornelwall.ReasonStore, backLater)
+		n.jobs.Refuse(c.Job.Ticket, owner.Refusal{Reason: cornelwall.ReasonStore})
+		n.reply(c.Req, n.unclaimed(cornelwall.ReasonStore, backLater))
 	}
 }
 
@@ -147,41 +171,65 @@
 func (n *Node) accept(job *cornelwall.Job, w owner.Waiter) {
 	digest := job.Digest()
 	if j := n.jobs.Get(job.Ticket.Seq); j != nil {
-		if j.Digest != digest && j.Digest != 0 {
+		if j.Digest != digest {
 			n.answer(w, n.mistake(job.Ticket, cornelwall.ReasonContent))
 			return
 		}
 		n.join(j, w)
 		return
 	}
-	expires := n.minter.Expires(job.Ticket, n.cfg.TicketLife)
-	if !n.now.Before(expires) {
-		n.answer(w, n.expired(job.Ticket))
+	if a, ok := n.past(job.Ticket); ok {
+		n.answer(w, a)
 		return
 	}
-	p, reason, back := n.admit(job)
-	if reason != cornelwall.ReasonNone {
-		n.refuse(job, digest, w, reason, back)
+	if p, ok := n.catalog.Last(job.Profile); ok && p.Team != job.Ticket.Team {
+		n.answer(w, n.mistake(job.Ticket, cornelwall.ReasonTicket))
 		return
 	}
+	p, reason, back := n.admit(job)
 	left := time.Duration(job.Left)
 	if left == 0 {
 		left = time.Duration(p.Deadline)
 	}
-	j := n.jobs.Add(job, digest, n.now, n.now.Add(left), expires)
+	if reason == cornelwall.ReasonNone && left < minLeft {
+		reason = cornelwall.ReasonDeadline
+	}
+	if reason != cornelwall.ReasonNone {
+		n.answer(w, n.refuse(job.Ticket, reason, back))
+		return
+	}
+	n.add(job, &p, digest, left, w)
+}
+
+// add queues the tasks of a new job. Its deadline is not after the end of the ticket, so
+// that no task starts once the ticket or a key that leads to it may be forgotten.
+func (n *Node) add(job *cornelwall.Job, p *cornelwall.Profile, digest uint64, left time.Duration, w owner.Waiter) {
+	expires := n.minter.Expires(job.Ticket, n.cfg.TicketLife)
+	deadline := minTime(n.now.Add(left), expires)
+	j := n.jobs.Add(job, digest, n.now, deadline, expires)
 	n.timers.add(j.Deadline, job.Ticket.Seq)
 	n.join(j, w)
 	for i := range job.Tasks {
-		n.queue.Push(n.item(j, i, &p))
+		n.queue.Push(n.item(j, i, p))
 	}
 }
 
-// refuse records for good that the job does not run, and says so.
-func (n *Node) refuse(job *cornelwall.Job, digest uint64, w owner.Waiter, reason cornelwall.Reason, back time.Duration) {
-	expires := n.minter.Expires(job.Ticket, n.cfg.TicketLife)
-	j := n.jobs.Refuse(job.Ticket, digest, expires, n.refusal(job.Ticket, reason, back))
-	n.timers.add(expires, job.Ticket.Seq)
-	n.answer(w, j.Answer)
+// past answers for a ticket without a job that starts none any more: it has expired or
+// was refused.
+func (n *Node) past(tk cornelwall.Ticket) (cornelwall.Answer, bool) {
+	if !n.now.Before(n.minter.Expires(tk, n.cfg.TicketLife)) {
+		return n.expired(tk), true
+	}
+	r, ok := n.jobs.Refused(tk)
+	return notRun(tk, r), ok
+}
+
+// refuse records for good that the job of a ticket does not run, and returns the answer.
+func (n *Node) refuse(tk cornelwall.Ticket, reason cornelwall.Reason, back time.Duration) cornelwall.Answer {
+	n.count(reason, false)
+	r := owner.Refusal{Reason: reason, Back: back}
+	n.jobs.Refuse(tk, r)
+	return notRun(tk, r)
 }
 
 func (n *Node) expired(tk cornelwall.Ticket) cornelwall.Answer {
@@ -217,17 +265,11 @@
 		return
 	}
 	j := n.jobs.Get(tk.Seq)
-	expires := n.minter.Expires(tk, n.cfg.TicketLife)
+	if j == nil {
+		n.answer(w, n.unsubmitted(deed, tk))
+		return
+	}
 	switch {
-	case j == nil && !n.now.Before(expires):
-		n.answer(w, n.expired(tk))
-	case j == nil && deed == cornelwall.DeedCancel:
-		j = n.jobs.Refuse(tk, 0, expires, n.refusal(tk, cornelwall.ReasonCancelled, 0))
-		n.timers.add(expires, tk.Seq)
-		n.answer(w, j.Answer)
-	case j == nil:
-		n.answer(w, cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending,
-			Text: "nothing was submitted under the ticket yet"})
 	case deed == cornelwall.DeedCancel:
 		n.finish(j, cornelwall.ReasonCancelled, 0)
 		n.answer(w, j.Answer)
@@ -240,6 +282,17 @@
 	}
 }
 
+// unsubmitted answers for a ticket that has no job.
+func (n *Node) unsubmitted(deed cornelwall.Deed, tk cornelwall.Ticket) cornelwall.Answer {
+	if a, ok := n.past(tk); ok {
+		return a
+	}
+	if deed == cornelwall.DeedCancel {
+		return n.refuse(tk, cornelwall.ReasonCancelled, 0)
+	}
+	return cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending, Text: "nothing was submitted under the ticket yet"}
+}
+
 // finish ends a job without an answer and frees what it holds.
 func (n *Node) finish(j *owner.Job, reason cornelwall.Reason, back time.Duration) {
 	if j.Ended() {
@@ -255,11 +308,15 @@
 func (n *Node) settle(j *owner.Job) {
 	n.queue.Remove(j.Ticket.Seq)
 	n.abandon(j)
+	if !j.Answer.Final && j.Answer.Back == 0 {
+		j.Answer.Back = cornelwall.Duration(backLater)
+	}
 	for _, w := range j.Waiters {
 		n.answer(w, j.Answer)
 	}
 	j.Waiters = nil
 	n.timers.add(j.Expires, j.Ticket.Seq)
+	n.jobs.Settle(j)
 }
 
 // answer replies to a caller here or at another entry.
@@ -300,6 +357,7 @@
 
 // expire ends jobs whose deadline has passed and forgets expired tickets.
 func (n *Node) expire() {
+	n.jobs.ForgetRefusals(n.now.Sub(n.start))
 	for {
 		seq, ok := n.timers.due(n.now)
 		if !ok {
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -5,13 +5,19 @@
 // [Job.Begin], and returns to it only by [Job.Unstart], for a start that provably
 // did not happen.
 //
+// A definite answer never changes. An answer of unknown is refined once, when the last
+// running task has a result. Jobs that did not run are kept as a few bytes each, and
+// the results of jobs that are done are dropped, the oldest first, when they take up
+// too much memory.
+//
 // # Usage
 //
-//	t := owner.NewTable()
-//	j := t.Add(job, digest, deadline, expires)
+//	t := owner.NewTable(ticketLife, maxRefusals, maxResults)
+//	j := t.Add(job, digest, now, deadline, expires)
 //	j.Begin(0)
 //	if ended := j.End(0, result); ended {
 //		answer := j.Answer
+//		t.Settle(j)
 //	}
 package owner
 
@@ -53,26 +59,27 @@
 	Digest   uint64
 	Profile  string
 	Spec     []cornelwall.Task // nil once the job has ended
-	Tasks    []Task
+	Tasks    []Task            // nil once the answer is final
 	Since    time.Time
 	Deadline time.Time
 	Expires  time.Time // of the ticket
 	Waiters  []Waiter
-	Answer   cornelwall.Answer // Final once the job has ended
+	Answer   cornelwall.Answer // set once the job has ended
 
+	ended   bool
 	running int
 	done    int
 }
 
-// Ended reports whether the job has its final answer.
-func (j *Job) Ended() bool { return j.Answer.Final }
+// Ended reports whether the job has an answer and starts no more tasks.
+func (j *Job) Ended() bool { return j.ended }
 
 // Running returns the number of tasks that have started and not ended.
 func (j *Job) Running() int { return j.running }
 
 // Begin marks a waiting task as started. It reports false if the task must not start.
 func (j *Job) Begin(i int) bool {
-	if j.Ended() || j.Tasks[i].State != Waiting {
+	if j.ended || j.Tasks[i].State != Waiting {
 		return false
 	}
 	j.Tasks[i].State = Running
@@ -80,29 +87,32 @@
 	return true
 }
 
-// Unstart takes back a start that provably did not happen.
-func (j *Job) Unstart(i int) {
+// Unstart takes back a start that provably did not happen. It reports whether the answer
+// of a job that had ended became final just now.
+func (j *Job) Unstart(i int) bool {
 	if j.Tasks[i].State != Running {
-		return
+		return false
 	}
 	j.Tasks[i].State = Waiting
 	j.Tasks[i].Retries++
 	j.running--
+	return j.refine()
 }
 
 // End records the result of a running task and ends the job with its last task, or
-// with the first that has no result. It reports whether the job ended just now.
+// with the first that has no result. It reports whether the job ended, or its answer
+// became final, just now.
 func (j *Job) End(i int, r cornelwall.Result) bool {
 	t := &j.Tasks[i]
 	if t.State != Running {
 		return false
 	}
 	t.State = Ended
+	t.Result = cornelwall.TaskAnswer{Outcome: r.Outcome, Reason: r.Reason}
 	j.running--
-	if j.Ended() {
-		return false
+	if j.ended {
+		return j.refine()
 	}
-	t.Result = cornelwall.TaskAnswer{Outcome: r.Outcome, Reason: r.Reason}
 	if r.Outcome != cornelwall.Done {
 		j.Finish(r.Reason, 0, "")
 		return true
@@ -112,32 +122,66 @@
 	if j.done < len(j.Tasks) {
 		return false
 	}
-	j.finish(cornelwall.Answer{Outcome: cornelwall.Done, Tasks: j.results()})
+	j.end(cornelwall.Answer{Outcome: cornelwall.Done, Final: true, Tasks: j.results()})
 	return true
 }
 
-// Finish ends the job without an answer: not run if nothing has started, else failed
-// with the outcome of each task. Back is the time after which to come back.
+// Finish ends the job without an answer: failed if a task is known to have run, unknown
+// if one may have, else not run. Back is the time after which to come back.
 func (j *Job) Finish(reason cornelwall.Reason, back time.Duration, text string) {
-	if j.Ended() {
+	if j.ended {
 		return
 	}
-	a := cornelwall.Answer{Outcome: cornelwall.NotRun, Reason: reason, Back: cornelwall.Duration(back), Text: text}
+	for i := range j.Tasks {
+		j.Tasks[i].Result.Body = nil
+	}
+	j.end(j.verdict(cornelwall.Answer{Reason: reason, Back: cornelwall.Duration(back), Text: text}))
+}
+
+// refine makes the answer of a job final that ended as unknown while tasks were running.
+func (j *Job) refine() bool {
+	if !j.ended || j.running > 0 {
+		return false
+	}
+	if j.Answer.Final {
+		j.Tasks = nil
+		return false
+	}
+	j.end(j.verdict(cornelwall.Answer{Reason: j.Answer.Reason, Text: j.Answer.Text}))
+	return true
+}
+
+// verdict fills in what became of the tasks of a job that has no answer.
+func (j *Job) verdict(a cornelwall.Answer) cornelwall.Answer {
+	a.Outcome = cornelwall.NotRun
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
-		t.Result.Body = nil
 		switch t.State {
 		case Waiting:
-			t.Result = cornelwall.TaskAnswer{Outcome: cornelwall.NotRun, Reason: reason}
+			t.Result = cornelwall.TaskAnswer{Outcome: cornelwall.NotRun, Reason: a.Reason}
 		case Running:
-			t.Result = cornelwall.TaskAnswer{Outcome: cornelwall.Unknown, Reason: reason}
-			a.Outcome = cornelwall.Failed
-		case Ended:
-			a.Outcome = cornelwall.Failed
+			t.Result = cornelwall.TaskAnswer{Outcome: cornelwall.Unknown, Reason: a.Reason}
 		}
+		a.Outcome = worse(a.Outcome, t.Result.Outcome)
 	}
-	a.Tasks = j.results()
-	j.finish(a)
+	a.Final = a.Outcome.Definite() || j.running == 0
+	a.Tasks = nil
+	if a.Outcome != cornelwall.NotRun {
+		a.Tasks = j.results()
+	}
+	return a
+}
+
+// worse returns the outcome of a job without an answer, given its outcome so far and
+// that of one more task.
+func worse(job, task cornelwall.Outcome) cornelwall.Outcome {
+	switch {
+	case job == cornelwall.Failed, task == cornelwall.Done, task == cornelwall.Failed:
+		return cornelwall.Failed
+	case task == cornelwall.Unknown:
+		return cornelwall.Unknown
+	}
+	return job
 }
 
 func (j *Job) results() []cornelwall.TaskAnswer {
@@ -149,53 +193,12 @@
 	return rs
 }
 
-func (j *Job) finish(a cornelwall.Answer) {
+func (j *Job) end(a cornelwall.Answer) {
 	a.Ticket = j.Ticket
-	a.Final = true
+	j.ended = true
 	j.Answer = a
 	j.Spec = nil
-}
-
-// Table holds the jobs of one incarnation by the sequence number of their ticket.
-type Table struct {
-	jobs map[uint64]*Job
-}
-
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{jobs: map[uint64]*Job{}} }
-
-// Get returns the job of a ticket, or nil.
-func (t *Table) Get(seq uint64) *Job { return t.jobs[seq] }
-
-// Add records a job that was accepted.
-func (t *Table) Add(spec *cornelwall.Job, digest uint64, now, deadline, expires time.Time) *Job {
-	j := &Job{
-		Ticket: spec.Ticket, Digest: digest, Profile: spec.Profile,
-		Spec: spec.Tasks, Tasks: make([]Task, len(spec.Tasks)),
-		Since: now, Deadline: deadline, Expires: expires,
-	}
-	t.jobs[spec.Ticket.Seq] = j
-	return j
-}
-
-// Refuse records for good that the job of a ticket does not run.
-func (t *Table) Refuse(tk cornelwall.Ticket, digest uint64, expires time.Time, a cornelwall.Answer) *Job {
-	j := &Job{Ticket: tk, Digest: digest, Expires: expires}
-	a.Outcome = cornelwall.NotRun
-	j.finish(a)
-	t.jobs[tk.Seq] = j
-	return j
-}
-
-// Forget drops the job of an expired ticket.
-func (t *Table) Forget(seq uint64) { delete(t.jobs, seq) }
-
-// Len returns the number of tickets with a record.
-func (t *Table) Len() int { return len(t.jobs) }
-
-// All calls f for each job.
-func (t *Table) All(f func(*Job)) {
-	for _, j := range t.jobs {
-		f(j)
+	if j.running == 0 {
+		j.Tasks = nil
 	}
 }
--- /dev/null
+++ b/core/owner/table.go
@@ -0,0 +1,131 @@
+package owner
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+// Table holds the jobs of one incarnation by the sequence number of their ticket.
+type Table struct {
+	jobs     map[uint64]*Job
+	refusals refusals
+
+	maxResults int      // bytes
+	results    int      // bytes of the results held
+	done       []uint64 // jobs with results, the oldest first
+}
+
+// NewTable returns an empty table for tickets that live for life. It holds maxRefusals
+// refusals and maxResults bytes of results.
+func NewTable(life time.Duration, maxRefusals, maxResults int) *Table {
+	return &Table{
+		jobs:       map[uint64]*Job{},
+		refusals:   newRefusals(life, maxRefusals),
+		maxResults: maxResults,
+	}
+}
+
+// Get returns the job of a ticket, or nil.
+func (t *Table) Get(seq uint64) *Job { return t.jobs[seq] }
+
+// Add records a job that was accepted.
+func (t *Table) Add(spec *cornelwall.Job, digest uint64, now, deadline, expires time.Time) *Job {
+	j := &Job{
+		Ticket: spec.Ticket, Digest: digest, Profile: spec.Profile,
+		Spec: spec.Tasks, Tasks: make([]Task, len(spec.Tasks)),
+		Since: now, Deadline: deadline, Expires: expires,
+	}
+	t.jobs[spec.Ticket.Seq] = j
+	return j
+}
+
+// Refuse records for good that the job of a ticket does not run.
+func (t *Table) Refuse(tk cornelwall.Ticket, r Refusal) { t.refusals.add(tk, r) }
+
+// Refused returns the refusal of a ticket. Without one, and without a job, the ticket
+// was never submitted.
+func (t *Table) Refused(tk cornelwall.Ticket) (Refusal, bool) { return t.refusals.get(tk) }
+
+// Settle makes room once the answer of a job is final: a job that did not run is kept
+// as a refusal, and the oldest results are dropped when there are too many bytes.
+func (t *Table) Settle(j *Job) {
+	switch {
+	case !j.Answer.Final || j.running > 0:
+	case j.Answer.Outcome == cornelwall.NotRun:
+		delete(t.jobs, j.Ticket.Seq)
+		t.Refuse(j.Ticket, Refusal{Reason: j.Answer.Reason, Back: time.Duration(j.Answer.Back)})
+	case j.Answer.Outcome == cornelwall.Done:
+		t.results += resultBytes(&j.Answer)
+		t.done = append(t.done, j.Ticket.Seq)
+		t.dropResults()
+	}
+}
+
+// dropResults drops the oldest results while there are too many bytes.
+func (t *Table) dropResults() {
+	for len(t.done) > 0 {
+		j := t.jobs[t.done[0]]
+		switch {
+		case j == nil: // forgotten meanwhile
+		case t.results > t.maxResults:
+			t.results -= resultBytes(&j.Answer)
+			j.Answer = Dropped(j.Answer)
+		default:
+			return
+		}
+		t.done = t.done[1:]
+	}
+}
+
+// Dropped returns what is left of the answer of a job that is done once its results are
+// no longer held: that every task ran. It is not the answer of the job, which is whole
+// or fails, and its outcome is unknown as after the life of the ticket.
+func Dropped(a cornelwall.Answer) cornelwall.Answer {
+	tasks := make([]cornelwall.TaskAnswer, len(a.Tasks))
+	for i := range a.Tasks {
+		tasks[i] = cornelwall.TaskAnswer{Outcome: a.Tasks[i].Outcome, Reason: a.Tasks[i].Reason}
+	}
+	return cornelwall.Answer{Ticket: a.Ticket, Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonDropped, Final: true,
+		Text: "every task ran, but the results are no longer held; do not run the job again", Tasks: tasks}
+}
+
+func resultBytes(a *cornelwall.Answer) int {
+	n := 0
+	for i := range a.Tasks {
+		n += len(a.Tasks[i].Body)
+	}
+	return n
+}
+
+// Forget drops the job of an expired ticket.
+func (t *Table) Forget(seq uint64) {
+	j := t.jobs[seq]
+	if j == nil {
+		return
+	}
+	delete(t.jobs, seq)
+	if j.Answer.Outcome == cornelwall.Done {
+		t.results -= resultBytes(&j.Answer)
+	}
+}
+
+// ForgetRefusals drops the refusals of tickets that have expired when the incarnation
+// reaches the age.
+func (t *Table) ForgetRefusals(age time.Duration) { t.refusals.forget(age) }
+
+// Len returns the number of jobs, without refusals.
+func (t *Table) Len() int { return len(t.jobs) }
+
+// Refusals returns the number of refusals held.
+func (t *Table) Refusals() int { return t.refusals.len }
+
+// Results returns the bytes of the results held.
+func (t *Table) Results() int { return t.results }
+
+// All calls f for each job.
+func (t *Table) All(f func(*Job)) {
+	for _, j := range t.jobs {
+		f(j)
+	}
+}
--- a/reason.go
+++ b/reason.go
@@ -58,4 +58,6 @@
 	ReasonClaims
 	// ReasonOverload means that the entry holds as much work as its memory allows.
 	ReasonOverload
+	// ReasonDropped means that the job is done but its results are no longer held.
+	ReasonDropped
 )
