--- /dev/null
+++ b/core/heir/heir_test.go
@@ -0,0 +1,131 @@
+package heir_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/heir"
+)
+
+const life = 10 * time.Minute
+
+var (
+	start = time.Unix(1700000000, 0)
+	a     = cornelwall.Incarnation{DataCentre: "ikeja", Entry: "a", Life: 1}
+	b     = cornelwall.Incarnation{DataCentre: "ikeja", Entry: "b", Life: 2}
+	c     = cornelwall.Incarnation{DataCentre: "ikeja", Entry: "c", Life: 3}
+	d     = cornelwall.Incarnation{DataCentre: "ikeja", Entry: "d", Life: 4}
+)
+
+func record(seq uint64) cornelwall.Record {
+	return cornelwall.Record{Seq: seq, Answer: cornelwall.Answer{
+		Ticket: cornelwall.Ticket{Owner: a, Seq: seq}, Outcome: cornelwall.Done, Final: true}}
+}
+
+func part(i, of int, seqs ...uint64) *cornelwall.Inherit {
+	in := &cornelwall.Inherit{Of: a, Closed: cornelwall.Duration(time.Hour), Part: i, Parts: of}
+	for _, seq := range seqs {
+		in.Records = append(in.Records, record(seq))
+	}
+	return in
+}
+
+// TestReceive puts parts together in every way in which they can come. A table that
+// lacks a record would answer "not run" for a job that ran.
+func TestReceive(t *testing.T) {
+	type step struct {
+		from cornelwall.Incarnation
+		part *cornelwall.Inherit
+		want heir.Progress
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+	}{
+		{"in order", []step{{a, part(0, 2, 1, 2), heir.Part}, {a, part(1, 2, 3), heir.Whole}}},
+		{"out of order", []step{{a, part(1, 2, 3), heir.Part}, {a, part(0, 2, 1, 2), heir.Whole}}},
+		{"doubled", []step{{a, part(0, 2, 1, 2), heir.Part}, {a, part(0, 2, 1, 2), heir.Part}, {a, part(1, 2, 3), heir.Whole}}},
+		{"two senders with other cuts", []step{
+			{a, part(0, 2, 1), heir.Part}, {b, part(1, 2, 2), heir.Part}, {a, part(1, 2, 2, 3), heir.Whole}}},
+		{"one sender with another cut", []step{
+			{a, part(0, 3, 1), heir.Part}, {a, part(1, 2, 3), heir.Part}, {a, part(0, 2, 1, 2), heir.Whole}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k := heir.NewKeeper(life, 1<<20)
+			for _, s := range tt.steps {
+				assert.Equal(t, k.Receive(start, s.from, s.part), s.want)
+				assert.Equal(t, k.Holds(a), s.want == heir.Whole)
+			}
+			for _, seq := range []uint64{1, 2, 3} {
+				r, ok := k.Lookup(start, cornelwall.Ticket{Owner: a, Seq: seq, Mint: 3600_000})
+				assert.Assert(t, ok)
+				assert.Equal(t, r.Answer.Outcome, cornelwall.Done, "ticket %d", seq)
+			}
+		})
+	}
+}
+
+// TestFull refuses a table that is larger than the limit and frees what came of it.
+func TestFull(t *testing.T) {
+	k := heir.NewKeeper(life, 400)
+	assert.Equal(t, k.Receive(start, a, part(0, 2, 1, 2)), heir.Part)
+	assert.Equal(t, k.Receive(start, a, part(1, 2, 3, 4)), heir.Full)
+	assert.Equal(t, k.Bytes(), 0)
+	assert.Assert(t, !k.Holds(a))
+}
+
+// TestLookupAge asks for tickets that are not in a table. The owner forgets a record at
+// the end of the ticket's life, so that from then on its absence proves nothing.
+func TestLookupAge(t *testing.T) {
+	for _, tt := range []struct {
+		mint  time.Duration // before the close
+		since time.Duration // from the close to the question
+		want  cornelwall.Outcome
+	}{
+		{0, 0, cornelwall.NotRun},
+		{life - time.Millisecond, 0, cornelwall.NotRun},
+		{life, 0, cornelwall.Unknown},
+		{time.Minute, life - time.Minute, cornelwall.Unknown},
+	} {
+		k := heir.NewKeeper(life, 1<<20)
+		assert.Equal(t, k.Receive(start, a, part(0, 1)), heir.Whole)
+		tk := cornelwall.Ticket{Owner: a, Seq: 9, Mint: uint64((time.Hour - tt.mint) / time.Millisecond)}
+		r, ok := k.Lookup(start.Add(tt.since), tk)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.Answer.Outcome, tt.want, "%s %s", tt.mint, tt.since)
+	}
+}
+
+// TestHeirs follows heirs that have closed in their turn.
+func TestHeirs(t *testing.T) {
+	k := heir.NewKeeper(life, 1<<20)
+	learn := func(of, h cornelwall.Incarnation) bool { return k.Learn(start, cornelwall.Heir{Of: of, Heir: h}) }
+	assert.Equal(t, len(k.Heirs(a)), 0)
+	assert.Assert(t, learn(a, b) && learn(a, c) && !learn(a, b))
+	assert.DeepEqual(t, k.Heirs(a), []cornelwall.Incarnation{b, c})
+	assert.Assert(t, learn(b, d))
+	assert.DeepEqual(t, k.Heirs(a), []cornelwall.Incarnation{c, d})
+	assert.Equal(t, len(k.Chain(start, a)), 3)
+}
+
+// TestLearnAge hands the word of an heir from entry to entry. It must not live longer
+// for that.
+func TestLearnAge(t *testing.T) {
+	now := start
+	word := cornelwall.Heir{Of: a, Heir: b}
+	for range 3 {
+		k := heir.NewKeeper(life, 1<<20)
+		k.Learn(now, word)
+		now = now.Add(4 * time.Minute)
+		k.Forget(now)
+		if hs := k.Known(now); len(hs) > 0 {
+			word = hs[0]
+		} else {
+			word = cornelwall.Heir{}
+		}
+	}
+	assert.Assert(t, word.Heir.IsZero(), "known for %s", now.Sub(start))
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -7,10 +7,14 @@
 //
 // # Usage
 //
-//	t := member.NewTable(self, away)
-//	t.SetMachines(vms)
-//	t.Heard(now, from, beat)
+//	t := member.NewTable(self, member.Limits{Away: away, ListLag: lag, Keep: ticketLife})
+//	t.SetMachines(now, vms)
+//	if t.Heard(now, from, beat, proven) == member.Unproven { ... } // ask it for an echo
 //	for _, p := range t.Near() { ... }
+//
+// A heartbeat can be late, so that a life that differs from the one known counts only
+// once it has echoed a number drawn after its heartbeat came. An incarnation is gone
+// only when that is proven; see [Table.Status].
 package member
 
 import (
@@ -37,7 +41,7 @@
 	Away Status = iota
 	// Alive incarnations answer.
 	Alive
-	// Gone incarnations were replaced by another life or left the VM list.
+	// Gone incarnations are proven to have ended.
 	Gone
 )
 
@@ -52,31 +56,41 @@
 	Watcher     bool
 	Fresh       bool
 	Digest      uint64
+	Probe       uint64 // number that another life has to echo; 0 is none
 	heard       time.Time
 	listed      bool
+	absent      time.Time // since when the VM list has lacked the entry
 	past        []uint64
 }
 
+// Limits is the times that a table goes by.
+type Limits struct {
+	Away    time.Duration // silence after which a peer does not count as alive
+	ListLag time.Duration // by which the VM list may be late
+	Keep    time.Duration // for which a peer that is gone is remembered
+}
+
 // Table holds the other entries.
 type Table struct {
-	self  cornelwall.Incarnation
-	away  time.Duration
-	peers map[name]*Peer
-	near  []*Peer
-	known bool // a VM list has been read
+	self   cornelwall.Incarnation
+	limits Limits
+	peers  map[name]*Peer
+	near   []*Peer
+	known  bool // a VM list has been read
 }
 
-// NewTable returns a table for the entry self; a peer that is silent for longer than
-// away is not alive.
-func NewTable(self cornelwall.Incarnation, away time.Duration) *Table {
-	return &Table{self: self, away: away, peers: map[name]*Peer{}}
+// NewTable returns a table for the entry self.
+func NewTable(self cornelwall.Incarnation, limits Limits) *Table {
+	return &Table{self: self, limits: limits, peers: map[name]*Peer{}}
 }
 
 // SetMachines takes over the entries of the VM list. An entry that has left the list
 // is kept while it still answers.
-func (t *Table) SetMachines(vms []cornelwall.VM) {
+func (t *Table) SetMachines(now time.Time, vms []cornelwall.VM) {
 	t.known = true
+	was := make(map[*Peer]bool, len(t.peers))
 	for _, p := range t.peers {
+		was[p] = p.listed
 		p.listed = false
 	}
 	for _, vm := range vms {
@@ -87,64 +101,118 @@
 		if id.SameEntry(t.self) {
 			continue
 		}
-		p := t.peer(id)
+		p := t.peer(now, id)
 		p.listed = true
-		p.Addr = vm.Addr
+		if !t.alive(now, p) { // else the peer's own word is newer
+			p.Addr = vm.Addr
+		}
 		p.Leaving = p.Leaving || vm.State == cornelwall.Leaving
 	}
-	t.choose()
+	for _, p := range t.peers {
+		if was[p] && !p.listed {
+			p.absent = now
+		}
+	}
+	t.choose(now)
 }
 
-func (t *Table) peer(id cornelwall.Incarnation) *Peer {
+// Expect starts to watch for an incarnation that the table may not know, so that its
+// absence from the VM list counts from now on.
+func (t *Table) Expect(now time.Time, id cornelwall.Incarnation) {
+	if !id.SameEntry(t.self) {
+		t.peer(now, id)
+	}
+}
+
+func (t *Table) peer(now time.Time, id cornelwall.Incarnation) *Peer {
 	key := name{id.DataCentre, id.Entry}
 	p := t.peers[key]
 	if p == nil {
-		p = &Peer{Incarnation: cornelwall.Incarnation{DataCentre: id.DataCentre, Entry: id.Entry}}
+		p = &Peer{
+			Incarnation: cornelwall.Incarnation{DataCentre: id.DataCentre, Entry: id.Entry},
+			absent:      now,
+		}
 		t.peers[key] = p
 	}
 	return p
 }
 
-// Heard takes a heartbeat. It reports whether the sender is a new incarnation.
-func (t *Table) Heard(now time.Time, from cornelwall.Incarnation, b *cornelwall.Beat) (fresh bool) {
+// News is what a heartbeat tells of its sender.
+type News int
+
+const (
+	// Old says that the sender is known, or that its life is past.
+	Old News = iota
+	// Joined says that the sender is a new incarnation.
+	Joined
+	// Unproven says that the sender claims another life than the one known. It has to
+	// echo a number before it counts.
+	Unproven
+)
+
+// Heard takes a heartbeat. Proven says that the sender has echoed the peer's Probe.
+func (t *Table) Heard(now time.Time, from cornelwall.Incarnation, b *cornelwall.Beat, proven bool) News {
 	if from.SameEntry(t.self) {
-		return false
+		return Old
 	}
-	p := t.peer(from)
+	p := t.peer(now, from)
 	if slices.Contains(p.past, from.Life) {
-		return false
+		return Old
 	}
-	if p.Incarnation.Life != from.Life {
-		if p.Incarnation.Life != 0 {
-			p.past = append(p.past, p.Incarnation.Life)
-			p.past = p.past[max(0, len(p.past)-maxPast):]
+	news := Old
+	if known := p.Incarnation.Life; known != from.Life {
+		if known != 0 && !proven {
+			return Unproven
 		}
+		if known > from.Life && t.alive(now, p) {
+			return Old // both live for a while, when a VM is replaced by one of the same name
+		}
+		p.retire(known)
 		p.Incarnation.Life = from.Life
-		fresh = true
+		p.Probe = 0
+		news = Joined
 	}
 	p.heard = now
 	p.Leaving, p.Watcher, p.Fresh, p.Digest = b.Leaving, b.Watcher, b.Fresh, b.Digest
 	if b.Addr.IsValid() {
 		p.Addr = b.Addr
 	}
-	if fresh {
-		t.choose()
+	if news == Joined {
+		t.choose(now)
 	}
-	return fresh
+	return news
 }
 
-// Replaced records that an incarnation no longer lives at its address.
-func (t *Table) Replaced(old cornelwall.Incarnation) {
-	p := t.peer(old)
-	if !slices.Contains(p.past, old.Life) {
-		p.past = append(p.past, old.Life)
+// retire records that a life of the peer is past.
+func (p *Peer) retire(life uint64) {
+	if life != 0 && !slices.Contains(p.past, life) {
+		p.past = append(p.past, life)
+		p.past = p.past[max(0, len(p.past)-maxPast):]
+	}
+}
+
+// Replaced takes the word of a sender that an envelope for the incarnation old came to
+// it instead. It reports whether that proves that old is gone: another entry that has
+// the address now proves nothing, and neither does an older life of the same entry.
+func (t *Table) Replaced(now time.Time, from, old cornelwall.Incarnation) bool {
+	p := t.peer(now, old)
+	if !from.SameEntry(old) {
+		p.heard = time.Time{} // its address is wrong
+		return false
 	}
+	if from == old || slices.Contains(p.past, from.Life) || from.Life < old.Life && t.alive(now, p) {
+		return false
+	}
+	p.retire(old.Life)
 	if p.Incarnation.Life == old.Life {
 		p.Incarnation.Life = 0
 	}
+	return true
 }
 
-// Status tells what is known of an incarnation.
+// Status tells what is known of an incarnation. It is gone only if it is proven that a
+// later life has taken its place, or if the VM list has lacked it for longer than the
+// list may be late and it is silent.
 func (t *Table) Status(now time.Time, id cornelwall.Incarnation) Status {
 	if id == t.self {
 		return Alive
@@ -154,22 +222,41 @@
 	}
 	p := t.peers[name{id.DataCentre, id.Entry}]
 	switch {
-	case p == nil && t.known:
-		return Gone
 	case p == nil:
 		return Away
 	case slices.Contains(p.past, id.Life):
 		return Gone
 	case p.Incarnation.Life == id.Life && t.alive(now, p):
 		return Alive
-	case p.Incarnation.Life != 0 && p.Incarnation.Life != id.Life:
+	case p.Incarnation.Life > id.Life:
 		return Gone
-	case !p.listed && t.known:
+	case t.departed(now, p):
 		return Gone
 	}
 	return Away
 }
 
+// departed reports whether the VM list has lacked a silent peer for so long that the
+// list cannot be late.
+func (t *Table) departed(now time.Time, p *Peer) bool {
+	return t.known && !p.listed && now.Sub(p.absent) > t.limits.ListLag && !t.alive(now, p)
+}
+
+// Witnesses returns the entries that may know what became of an incarnation of the data
+// centre: the near ones and those of that data centre, unless they are gone. Whole is
+// false if no VM list has been read, so that there may be more.
+func (t *Table) Witnesses(now time.Time, dataCentre string) (ps []*Peer, whole bool) {
+	ps = slices.Clone(t.near)
+	for _, p := range t.peers {
+		if p.Incarnation.DataCentre == dataCentre && !slices.Contains(t.near, p) {
+			ps = append(ps, p)
+		}
+	}
+	ps = slices.DeleteFunc(ps, func(p *Peer) bool { return t.departed(now, p) })
+	slices.SortFunc(ps, func(p, q *Peer) int { return p.Incarnation.Compare(q.Incarnation) })
+	return ps, t.known
+}
+
 // Find returns the peer of an incarnation's entry, or nil.
 func (t *Table) Find(id cornelwall.Incarnation) *Peer {
 	return t.peers[name{id.DataCentre, id.Entry}]
@@ -178,6 +265,9 @@
 // Near returns the entries to exchange heartbeats with, in a stable order.
 func (t *Table) Near() []*Peer { return t.near }
 
+// Others reports whether there is any other entry, answering or not.
+func (t *Table) Others() bool { return len(t.near) > 0 }
+
 // Alive returns the near incarnations that answer, in a stable order.
 func (t *Table) Alive(now time.Time) []*Peer {
 	var ps []*Peer
@@ -205,27 +295,29 @@
 }
 
 func (t *Table) alive(now time.Time, p *Peer) bool {
-	return p.Incarnation.Life != 0 && !p.heard.IsZero() && now.Sub(p.heard) <= t.away
+	return p.Incarnation.Life != 0 && !p.heard.IsZero() && now.Sub(p.heard) <= t.limits.Away
 }
 
-// Forget drops peers that are neither listed nor answer.
+// Forget drops peers that have been gone for long.
 func (t *Table) Forget(now time.Time) {
 	for key, p := range t.peers {
-		if !p.listed && now.Sub(p.heard) > 2*t.away {
+		if t.departed(now, p) && now.Sub(p.absent) > t.limits.ListLag+t.limits.Keep {
 			delete(t.peers, key)
 		}
 	}
-	t.choose()
+	t.choose(now)
 }
 
-// choose picks the near peers.
-func (t *Table) choose() {
+// choose picks the near peers among those that are listed or answer.
+func (t *Table) choose(now time.Time) {
 	var remote []*Peer
 	t.near = t.near[:0:0]
 	for _, p := range t.peers {
-		if p.Incarnation.DataCentre == t.self.DataCentre {
+		switch {
+		case !p.listed && !t.alive(now, p):
+		case p.Incarnation.DataCentre == t.self.DataCentre:
 			t.near = append(t.near, p)
-		} else {
+		default:
 			remote = append(remote, p)
 		}
 	}
--- /dev/null
+++ b/core/node/cluster_test.go
@@ -0,0 +1,191 @@
+package node_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/node"
+	"cornelwall/standin/fake"
+)
+
+var secret = []byte("0123456789abcdef")
+
+// cluster is entries in several data centres with their executors.
+type cluster struct {
+	*fake.World
+	t       *testing.T
+	vms     []cornelwall.VM
+	hosts   map[string]*fake.Host // the present life of each entry
+	life    uint64
+	req     uint64
+	answers map[uint64]cornelwall.Answer
+	tickets map[uint64]cornelwall.Ticket
+	starts  map[string]int // by ticket and task
+	retries map[cornelwall.Reason]int
+	took    time.Duration // of a task
+	unlist  map[string]bool
+	drain   time.Duration // from the end of a stop to the end of the process
+	closed  map[*fake.Host]bool
+}
+
+func newCluster(t *testing.T, dataCentres, entries int) *cluster {
+	c := &cluster{
+		World: fake.NewWorld(time.Unix(1700000000, 0)), t: t, hosts: map[string]*fake.Host{},
+		answers: map[uint64]cornelwall.Answer{}, tickets: map[uint64]cornelwall.Ticket{},
+		starts: map[string]int{}, retries: map[cornelwall.Reason]int{}, took: 50 * time.Millisecond,
+		unlist: map[string]bool{}, closed: map[*fake.Host]bool{},
+	}
+	c.Work = func(_ *fake.Host, r cornelwall.Run) (time.Duration, cornelwall.Result) {
+		c.starts[fmt.Sprint(r.Start.Ticket, r.Start.Index)]++
+		return c.took, cornelwall.Result{Outcome: cornelwall.Done, Body: r.Start.Body}
+	}
+	c.Replied = c.replied
+	for d := range dataCentres {
+		dc := fmt.Sprintf("dc%d", d)
+		for i := range entries {
+			c.vms = append(c.vms, cornelwall.VM{Name: fmt.Sprintf("%s-e%d", dc, i), Kind: cornelwall.Entry, DataCentre: dc,
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(d), byte(i + 1)}), 7001)})
+		}
+		for i := range 2 {
+			c.vms = append(c.vms, cornelwall.VM{Name: fmt.Sprintf("%s-x%d", dc, i), Kind: cornelwall.Executor, DataCentre: dc,
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(d), byte(i + 1)}), 80), Slots: 8})
+		}
+	}
+	for _, name := range c.names() {
+		c.start(name)
+	}
+	c.Advance(2 * time.Second)
+	return c
+}
+
+// names returns the entries in the order of the VM list.
+func (c *cluster) names() []string {
+	var names []string
+	for _, vm := range c.vms {
+		if vm.Kind == cornelwall.Entry {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
+func (c *cluster) listed() []cornelwall.VM {
+	var vms []cornelwall.VM
+	for _, vm := range c.vms {
+		if !c.unlist[vm.Name] {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// start starts a new life of an entry.
+func (c *cluster) start(name string) *fake.Host {
+	for _, vm := range c.vms {
+		if vm.Name != name {
+			continue
+		}
+		c.life++
+		self := cornelwall.Incarnation{DataCentre: vm.DataCentre, Entry: name, Life: c.life}
+		core := node.New(node.Config{Self: self, Addr: vm.Addr, Secret: secret}, c.Now)
+		c.hosts[name] = c.Add(core, self, vm.Addr)
+	}
+	profile := cornelwall.Profile{Name: "holds", Team: "bookings", Version: 1}
+	profile.Normalise()
+	h := c.hosts[name]
+	c.Post(h, cornelwall.Machines{VMs: c.listed()})
+	c.Post(h, cornelwall.Watched{Profiles: []cornelwall.Profile{profile}})
+	return h
+}
+
+// list hands the VM list to all entries.
+func (c *cluster) list() {
+	for _, h := range c.hosts {
+		c.Post(h, cornelwall.Machines{VMs: c.listed()})
+	}
+}
+
+func (c *cluster) replied(h *fake.Host, cmd cornelwall.Command) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Reply:
+		_, twice := c.answers[cmd.Req]
+		assert.Assert(c.t, !twice, "request %d is answered twice", cmd.Req)
+		c.answers[cmd.Req] = cmd.Answer
+	case cornelwall.ReplyTickets:
+		for _, tk := range cmd.Tickets {
+			c.tickets[cmd.Req] = tk
+		}
+	case cornelwall.Count:
+		if cmd.Retry {
+			c.retries[cmd.Reason] += cmd.N
+		}
+	case cornelwall.Stopped:
+		c.closed[h] = true
+		if h.Dead = c.drain == 0; !h.Dead {
+			c.Do(c.drain, func() { h.Dead = true })
+		}
+	}
+}
+
+// serves reports whether callers reach the entry.
+func (c *cluster) serves(name string) bool { return !c.hosts[name].Dead && !c.closed[c.hosts[name]] }
+
+// draw returns a ticket of an entry.
+func (c *cluster) draw(name string) cornelwall.Ticket {
+	c.req++
+	c.Post(c.hosts[name], cornelwall.Draw{Req: c.req, Profile: "holds", N: 1})
+	c.Advance(0)
+	tk, ok := c.tickets[c.req]
+	assert.Assert(c.t, ok, "%s gives no ticket", name)
+	return tk
+}
+
+// submit hands a job of some tasks to an entry and returns the request.
+func (c *cluster) submit(name string, tk cornelwall.Ticket, tasks int) uint64 {
+	c.req++
+	job := &cornelwall.Job{Ticket: tk, Profile: "holds"}
+	for i := range tasks {
+		job.Tasks = append(job.Tasks, cornelwall.Task{Body: fmt.Append(nil, i)})
+	}
+	c.Post(c.hosts[name], cornelwall.Submit{Req: c.req, Job: job})
+	return c.req
+}
+
+// fetch asks an entry after a job and returns the request.
+func (c *cluster) fetch(name string, tk cornelwall.Ticket) uint64 {
+	c.req++
+	c.Post(c.hosts[name], cornelwall.Fetch{Req: c.req, Ticket: tk})
+	return c.req
+}
+
+// answer lets time pass until the request is answered.
+func (c *cluster) answer(req uint64, within time.Duration) cornelwall.Answer {
+	c.t.Helper()
+	for end := c.Now.Add(within); c.Now.Before(end); c.Advance(10 * time.Millisecond) {
+		if a, ok := c.answers[req]; ok {
+			return a
+		}
+	}
+	a, ok := c.answers[req]
+	assert.Assert(c.t, ok, "request %d has no answer after %s", req, within)
+	return a
+}
+
+// stop makes a planned stop of an entry and waits for its end.
+func (c *cluster) stop(name string) {
+	c.t.Helper()
+	h := c.hosts[name]
+	c.Post(h, cornelwall.Stop{})
+	for range 3000 {
+		if h.Dead {
+			return
+		}
+		c.Advance(10 * time.Millisecond)
+	}
+	c.t.Fatalf("%s does not stop", name)
+}
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -39,7 +39,7 @@
 			n.machines[vm.Name] = vm
 		}
 	}
-	n.members.SetMachines(vms)
+	n.members.SetMachines(n.now, vms)
 	n.rehome()
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -37,6 +37,9 @@
 	ClaimLife  time.Duration // of a caller's key
 	ClaimRate  float64       // claims per second at this entry
 	MaxJobs    int           // records held at once
+	ListLag    time.Duration // by which the VM list may be late
+	MaxInherit int           // bytes of answers of closed incarnations
+	HeirWait   time.Duration // for an heir to turn up at a planned stop
 }
 
 const minSecretLen = 16 // bytes
@@ -50,6 +53,9 @@
 	setDefault(&c.ClaimLife, time.Hour)
 	setDefault(&c.ClaimRate, 20)
 	setDefault(&c.MaxJobs, 200000)
+	setDefault(&c.ListLag, time.Minute)
+	setDefault(&c.MaxInherit, 256<<20)
+	setDefault(&c.HeirWait, 20*time.Second)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -101,7 +107,9 @@
 	inspects map[uint64]*inspect
 	lastWant map[cornelwall.Need]sentWant
 	asked    map[uint64]askedBack // local requests that wait for an owned job
-	resend   []cornelwall.Send
+	seeks    map[cornelwall.Incarnation]*seeking
+	resends  map[resendKey]*resend
+	wakeAt   time.Time // of the next message to send again; zero is none
 	nextID   uint64
 	nextBeat time.Time
 
@@ -127,14 +135,16 @@
 		queue:    queue.New(),
 		home:     slot.NewHome(),
 		pool:     slot.NewPool(),
-		members:  member.NewTable(cfg.Self, cfg.Away),
+		members:  member.NewTable(cfg.Self, member.Limits{Away: cfg.Away, ListLag: cfg.ListLag, Keep: cfg.TicketLife}),
 		catalog:  catalog.New(),
-		heirs:    heir.NewKeeper(cfg.TicketLife),
+		heirs:    heir.NewKeeper(cfg.TicketLife, cfg.MaxInherit),
 		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
 		machines: map[string]cornelwall.VM{},
 		attempts: map[uint64]*attempt{},
 		forwards: map[uint64]*forward{},
 		inspects: map[uint64]*inspect{},
+		seeks:    map[cornelwall.Incarnation]*seeking{},
+		resends:  map[resendKey]*resend{},
 		lastWant: map[cornelwall.Need]sentWant{},
 		asked:    map[uint64]askedBack{},
 		nextBeat: now,
@@ -147,6 +157,9 @@
 	if at, ok := n.timers.next(); ok && at.Before(next) {
 		next = at
 	}
+	if !n.wakeAt.IsZero() {
+		next = minTime(next, n.wakeAt)
+	}
 	if n.queue.Len() > 0 {
 		next = minTime(next, n.now.Add(pauseBusy))
 	}
@@ -165,6 +178,7 @@
 	n.now, n.out = now, nil
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
+	n.sendAgain()
 	n.beat()
 	n.dispatch()
 	n.advanceStop()
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/netip"
+
 	"cornelwall"
 	"cornelwall/core/member"
 )
@@ -11,7 +13,7 @@
 	for i := range e.Messages {
 		m := &e.Messages[i]
 		if m.Beat != nil {
-			n.heard(e.From, m.Beat)
+			n.heard(e.From, e.To, m.Beat)
 			continue
 		}
 		if meant {
@@ -26,11 +28,11 @@
 func (n *Node) handle(from cornelwall.Incarnation, m *cornelwall.Message) {
 	switch {
 	case m.Wrong != nil:
-		n.replaced(m.Wrong.Meant)
+		n.replaced(from, m.Wrong.Meant)
 	case m.Forward != nil:
 		n.serveForward(from, m.Forward)
 	case m.Back != nil:
-		n.back(m.Back)
+		n.back(from, m.Back)
 	case m.Want != nil:
 		n.home.Want(n.now, from, m.Want)
 	case m.Loan != nil:
@@ -51,26 +53,35 @@
 		n.inherit(from, m.Inherit)
 	case m.Inherited != nil:
 		n.confirmed(from, m.Inherited)
+	case m.Seek != nil:
+		n.sought(from, m.Seek.Of)
+	case m.Sought != nil:
+		n.foundOut(from, m.Sought)
 	}
 }
 
 // heard takes a heartbeat.
-func (n *Node) heard(from cornelwall.Incarnation, b *cornelwall.Beat) {
-	p := n.members.Find(from)
+func (n *Node) heard(from, to cornelwall.Incarnation, b *cornelwall.Beat) {
+	if b.Probe != 0 && !from.SameEntry(n.cfg.Self) {
+		n.beatTo(from, b.Addr, cornelwall.Beat{Answer: true, Echo: b.Probe})
+	}
 	var before cornelwall.Incarnation
+	var probe uint64
 	wasLeaving := false
-	if p != nil {
-		before, wasLeaving = p.Incarnation, p.Leaving
+	if p := n.members.Find(from); p != nil {
+		before, wasLeaving, probe = p.Incarnation, p.Leaving, p.Probe
 	}
-	if n.members.Heard(n.now, from, b) {
-		if before.Life != 0 {
-			n.lost(before)
-		}
-		n.log("peer-joined", "peer", from)
-		if hs := n.heirs.Known(); len(hs) > 0 {
-			n.send(from, cornelwall.Message{Heirs: &cornelwall.Heirs{Heirs: hs}})
-		}
-		n.rehome()
+	proven := b.Echo != 0 && b.Echo == probe && to == n.cfg.Self
+	switch n.members.Heard(n.now, from, b, proven) {
+	case member.Unproven:
+		n.probe(from, b.Addr)
+		return
+	case member.Joined:
+		n.joined(from, before)
+	}
+	p := n.members.Find(from)
+	if p == nil || p.Incarnation != from {
+		return // an old life
 	}
 	if b.Leaving != wasLeaving {
 		n.rehome()
@@ -81,11 +92,35 @@
 	if b.Digest != n.catalog.Digest() {
 		n.send(from, cornelwall.Message{Versions: &cornelwall.Versions{Have: n.catalog.Versions()}})
 	}
-	if !b.Answer && !n.isNear(from) {
-		n.sendBeat(n.members.Find(from), true)
+	if !b.Answer && b.Probe == 0 && !n.isNear(from) {
+		n.sendBeat(p, cornelwall.Beat{Answer: true})
 	}
 }
 
+// probe asks a sender that claims another life than the one known to echo a number, as
+// its heartbeat may be an old one.
+func (n *Node) probe(from cornelwall.Incarnation, addr netip.AddrPort) {
+	p := n.members.Find(from)
+	if p.Probe == 0 {
+		p.Probe = n.id()
+	}
+	from.Life = 0
+	n.beatTo(from, addr, cornelwall.Beat{Answer: true, Probe: p.Probe})
+}
+
+// joined takes in a new incarnation in place of the one before, if there was one.
+func (n *Node) joined(id, before cornelwall.Incarnation) {
+	n.log("peer-joined", "peer", id)
+	if before.Life != 0 {
+		n.lost(before)
+	}
+	if hs := n.heirs.Known(n.now); len(hs) > 0 {
+		n.send(id, cornelwall.Message{Heirs: &cornelwall.Heirs{Heirs: hs}})
+	}
+	n.rehome()
+	n.checkForwards()
+}
+
 func (n *Node) isNear(id cornelwall.Incarnation) bool {
 	for _, p := range n.members.Near() {
 		if p.Incarnation == id {
@@ -95,10 +130,12 @@
 	return false
 }
 
-// replaced records that a peer's address has another life now.
-func (n *Node) replaced(old cornelwall.Incarnation) {
-	n.members.Replaced(old)
-	n.lost(old)
+// replaced takes the word of a peer that an envelope for another life came to it.
+func (n *Node) replaced(from, old cornelwall.Incarnation) {
+	if n.members.Replaced(n.now, from, old) {
+		n.lost(old)
+	}
+	n.checkForwards()
 }
 
 // lost takes back what an incarnation held and steers again what waited for it.
@@ -116,12 +153,12 @@
 	sent := map[cornelwall.Incarnation]bool{}
 	for _, p := range n.members.Near() {
 		sent[p.Incarnation] = true
-		n.sendBeat(p, false)
+		n.sendBeat(p, cornelwall.Beat{})
 	}
 	for _, f := range n.forwards {
 		if p := n.members.Find(f.to); p != nil && !sent[p.Incarnation] {
 			sent[p.Incarnation] = true
-			n.sendBeat(p, false)
+			n.sendBeat(p, cornelwall.Beat{})
 		}
 	}
 	n.members.Forget(n.now)
@@ -135,25 +172,28 @@
 	n.electWatcher()
 	n.checkForwards()
 	n.endInspects()
-	resend := n.resend
-	n.resend = nil
-	for _, s := range resend {
-		n.send(s.To, s.Message)
+	n.forgetSeeks()
+	n.forgetResends()
+}
+
+// sendBeat sends a heartbeat to a peer.
+func (n *Node) sendBeat(p *member.Peer, b cornelwall.Beat) {
+	if p != nil {
+		n.beatTo(p.Incarnation, p.Addr, b)
 	}
 }
 
-func (n *Node) sendBeat(p *member.Peer, answer bool) {
-	if p == nil || !p.Addr.IsValid() {
+// beatTo fills in a heartbeat and sends it.
+func (n *Node) beatTo(to cornelwall.Incarnation, addr netip.AddrPort, b cornelwall.Beat) {
+	if !addr.IsValid() {
 		return
 	}
-	n.emit(cornelwall.Send{To: p.Incarnation, Addr: p.Addr, Message: cornelwall.Message{Beat: &cornelwall.Beat{
-		Addr:    n.cfg.Addr,
-		Leaving: n.leaving,
-		Digest:  n.catalog.Digest(),
-		Fresh:   n.watching && !n.stale(),
-		Watcher: n.watching,
-		Answer:  answer,
-	}}})
+	b.Addr = n.cfg.Addr
+	b.Leaving = n.leaving
+	b.Digest = n.catalog.Digest()
+	b.Fresh = n.watching && !n.stale()
+	b.Watcher = n.watching
+	n.emit(cornelwall.Send{To: to, Addr: addr, Message: cornelwall.Message{Beat: &b}})
 }
 
 // undelivered looks after messages that may not have arrived.
@@ -164,13 +204,11 @@
 		case m.Loan != nil:
 			n.home.Return(e.To, &cornelwall.Return{Machine: m.Loan.Machine, Need: m.Loan.Need, Count: m.Loan.Count})
 		case m.Forward != nil:
-			if f := n.forwards[m.Forward.Req]; f != nil && f.to == e.To {
-				n.resend = append(n.resend, cornelwall.Send{To: e.To, Message: m})
-			}
-		case m.Back != nil, m.Return != nil, m.Inherited != nil:
-			if n.members.Status(n.now, e.To) != member.Gone {
-				n.resend = append(n.resend, cornelwall.Send{To: e.To, Message: m})
-			}
+			n.forwardLost(e.To, m.Forward.Req)
+		case m.Back != nil, m.Return != nil:
+			n.resendLater(e.To, m)
+		case m.Inherit != nil:
+			n.partLost(e.To, m.Inherit)
 		}
 	}
 }
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -10,14 +10,27 @@
 	"cornelwall/core/owner"
 )
 
+const (
+	firstAsk   = 5 * time.Second  // from a forward to the first question after its answer
+	lastAsk    = 40 * time.Second // longest time between two questions after an answer
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 2 * time.Second // longest time between two sends that did not arrive
+)
+
 // forward is a request of a local caller that another entry has to answer.
 type forward struct {
 	deed   cornelwall.Deed
 	ticket cornelwall.Ticket
 	job    *cornelwall.Job
-	to     cornelwall.Incarnation // the owner or its heir
+	to     cornelwall.Incarnation // the owner or its heir; zero while neither is known
 	since  time.Time
-	giveUp time.Time // while the target does not answer
+	sent   time.Time // to the present target first, or since there is none
+	ask    time.Time // of the next question after the answer
+	wait   time.Duration
+
+	failing time.Time     // first of the sends in a row that did not arrive
+	retry   time.Time     // of the next send after one that did not arrive
+	backoff time.Duration // until the send after that one
 }
 
 // route carries a request to the entry that can answer it.
@@ -30,8 +43,9 @@
 		n.local(owner.Waiter{Req: req}, deed, tk, job)
 		return
 	}
-	f := &forward{deed: deed, ticket: tk, job: job, since: n.now, giveUp: n.now.Add(n.cfg.Away)}
+	f := &forward{deed: deed, ticket: tk, job: job, since: n.now, sent: n.now}
 	n.forwards[req] = f
+	n.members.Expect(n.now, tk.Owner)
 	n.steer(req, f)
 }
 
@@ -44,27 +58,52 @@
 	n.route(ev.Req, deed, ev.Ticket, nil)
 }
 
-// steer sends a forward to the owner or its heir, or answers it if neither can.
+// steer sends a forward to the owner or its heir. If neither is left, it asks the other
+// entries, and gives the final answer once none of them knows more.
 func (n *Node) steer(req uint64, f *forward) {
 	if rec, ok := n.heirs.Lookup(n.now, f.ticket); ok {
 		n.endForward(req, n.inherited(rec, f.job))
 		return
 	}
-	f.to = f.ticket.Owner
-	if n.members.Status(n.now, f.to) == member.Gone {
-		h, ok := n.heirs.HeirOf(f.ticket.Owner)
-		if !ok || n.members.Status(n.now, h) == member.Gone {
+	f.to = n.target(f.ticket.Owner)
+	if f.to.IsZero() {
+		if n.seek(f.ticket.Owner) == nobodyKnows {
 			n.endForward(req, n.unknown(f.ticket, cornelwall.ReasonOwnerLost))
-			return
 		}
-		f.to = h
+		return
 	}
-	n.sendForward(req, f)
+	f.sent, f.failing, f.retry, f.backoff = n.now, time.Time{}, time.Time{}, firstRetry
+	f.ask, f.wait = n.now.Add(firstAsk), firstAsk
+	n.sendForward(req, f, f.deed)
 }
 
-func (n *Node) sendForward(req uint64, f *forward) {
-	m := &cornelwall.Forward{Req: req, Deed: f.deed, Ticket: f.ticket}
-	if f.job != nil {
+// target returns who can answer for an owner: its heirs once it has closed, else the
+// owner itself. It is zero if all of them are gone.
+func (n *Node) target(of cornelwall.Incarnation) cornelwall.Incarnation {
+	heirs := n.heirs.Heirs(of)
+	if len(heirs) == 0 {
+		heirs = []cornelwall.Incarnation{of}
+	}
+	var away cornelwall.Incarnation
+	for _, id := range heirs {
+		switch n.members.Status(n.now, id) {
+		case member.Alive:
+			if id != n.cfg.Self { // whose own table has been looked at
+				return id
+			}
+		case member.Away:
+			if away.IsZero() {
+				away = id
+			}
+		}
+	}
+	return away
+}
+
+// sendForward sends the request, or with DeedWait only a question after its answer.
+func (n *Node) sendForward(req uint64, f *forward, deed cornelwall.Deed) {
+	m := &cornelwall.Forward{Req: req, Deed: deed, Ticket: f.ticket}
+	if f.job != nil && deed == cornelwall.DeedSubmit {
 		job := *f.job
 		job.Left = shorten(job.Left, n.now.Sub(f.since))
 		m.Job = &job
@@ -96,22 +135,75 @@
 	n.reply(req, a)
 }
 
-// checkForwards steers again what waits for an entry that does not answer, and gives
-// up on what has waited for too long.
+// checkForwards steers again what waits for an entry that is gone or has closed, asks
+// again after answers that may be lost, and gives up on what cannot be reached.
 func (n *Node) checkForwards() {
 	for _, req := range slices.Sorted(maps.Keys(n.forwards)) {
-		f := n.forwards[req]
-		switch n.members.Status(n.now, f.to) {
-		case member.Alive:
-			f.giveUp = n.now.Add(n.cfg.Away)
-		case member.Gone:
-			n.steer(req, f)
-		case member.Away:
-			if !n.now.Before(f.giveUp) {
-				n.endForward(req, n.unknown(f.ticket, cornelwall.ReasonOwnerAway))
-			}
+		n.checkForward(req, n.forwards[req])
+	}
+}
+
+func (n *Node) checkForward(req uint64, f *forward) {
+	if !f.retry.IsZero() {
+		n.wake(f.retry)
+	}
+	if to := n.target(f.ticket.Owner); to.IsZero() || to != f.to || n.heirs.Holds(f.ticket.Owner) {
+		n.steer(req, f)
+		if n.forwards[req] == nil {
+			return
 		}
 	}
+	alive := !f.to.IsZero() && n.members.Status(n.now, f.to) == member.Alive
+	silent := n.now.Sub(f.sent)
+	if alive {
+		silent = 0
+	}
+	if !f.failing.IsZero() {
+		silent = max(silent, n.now.Sub(f.failing))
+	}
+	switch {
+	case silent >= n.cfg.Away:
+		n.endForward(req, n.unknown(f.ticket, cornelwall.ReasonOwnerAway))
+	case f.to.IsZero():
+	case !f.retry.IsZero() && !n.now.Before(f.retry):
+		f.retry = time.Time{}
+		n.count(cornelwall.ReasonOwnerAway, true)
+		n.sendForward(req, f, f.deed)
+	case alive && !n.now.Before(f.ask):
+		n.askAgain(req, f)
+	}
+	if silent >= n.cfg.Away/2 && n.forwards[req] != nil {
+		n.seek(f.ticket.Owner) // the owner may have closed without this entry hearing of it
+	}
+}
+
+// askAgain asks after an answer that is late, since either message may be lost. The
+// question carries no tasks: an owner that has not seen the submission says so.
+func (n *Node) askAgain(req uint64, f *forward) {
+	f.wait = min(2*f.wait, lastAsk)
+	f.ask = n.now.Add(f.wait)
+	f.failing = time.Time{}
+	n.count(cornelwall.ReasonLost, true)
+	deed := f.deed
+	if deed == cornelwall.DeedSubmit {
+		deed = cornelwall.DeedWait
+	}
+	n.sendForward(req, f, deed)
+}
+
+// forwardLost takes back a forward that may not have arrived.
+func (n *Node) forwardLost(to cornelwall.Incarnation, req uint64) {
+	f := n.forwards[req]
+	if f == nil || f.to != to || !f.retry.IsZero() {
+		return
+	}
+	if f.failing.IsZero() {
+		f.failing = n.now
+	}
+	f.retry = n.now.Add(f.backoff)
+	f.backoff = min(2*f.backoff, lastRetry)
+	n.wake(f.retry)
+	n.seek(f.ticket.Owner) // the owner may have closed without this entry hearing of it
 }
 
 // serveForward carries out a request that another entry forwarded.
@@ -132,9 +224,22 @@
 	}
 }
 
-// back takes the answer of another entry to a forward.
-func (n *Node) back(b *cornelwall.Back) {
-	if f := n.forwards[b.Req]; f != nil && f.ticket == b.Answer.Ticket {
-		n.endForward(b.Req, b.Answer)
+// back takes the answer of another entry to a forward. Only the owner of the ticket and
+// the heir that was asked can answer.
+func (n *Node) back(from cornelwall.Incarnation, b *cornelwall.Back) {
+	f := n.forwards[b.Req]
+	if f == nil || f.ticket != b.Answer.Ticket || (from != f.to && from != f.ticket.Owner) {
+		return
+	}
+	if f.deed == cornelwall.DeedSubmit && unseen(&b.Answer) {
+		n.count(cornelwall.ReasonLost, true)
+		n.sendForward(b.Req, f, f.deed)
+		return
 	}
+	n.endForward(b.Req, b.Answer)
+}
+
+// unseen reports whether an answer says that the submission has not arrived.
+func unseen(a *cornelwall.Answer) bool {
+	return !a.Final && a.Outcome == cornelwall.Pending && a.Reason == cornelwall.ReasonNone
 }
--- /dev/null
+++ b/core/node/stop_test.go
@@ -0,0 +1,200 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/standin/fake"
+)
+
+// TestRestartInTurn restarts every entry twice under load. No request may be cut or
+// answered with unknown, no outcome may change, and no task may start twice.
+func TestRestartInTurn(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.drain = time.Second
+	c.Link = func(_, _ cornelwall.Incarnation, _ cornelwall.Envelope) fake.Fate {
+		return fake.Fate{Delays: []time.Duration{time.Millisecond}}
+	}
+	names := c.names()
+	outcomes := map[cornelwall.Ticket]cornelwall.Outcome{}
+	var reqs []uint64
+	var ended []cornelwall.Ticket
+	load := func(i int) {
+		from, to := names[i%len(names)], names[(i/2+i)%len(names)]
+		c.req++
+		draw := c.req
+		c.Post(c.hosts[from], cornelwall.Draw{Req: draw, Profile: "holds", N: 1})
+		c.Do(3*time.Millisecond, func() {
+			if tk, ok := c.tickets[draw]; ok && c.serves(to) {
+				reqs = append(reqs, c.submit(to, tk, 4))
+			}
+		})
+		if len(ended) > 0 && c.serves(to) { // an old job, asked for anywhere
+			reqs = append(reqs, c.fetch(to, ended[i*7%len(ended)]))
+		}
+	}
+	check := func() {
+		for _, req := range reqs {
+			a := c.answer(req, 10*time.Second)
+			assert.Assert(t, a.Outcome != cornelwall.Unknown, "request %d: %+v", req, a)
+			if a.Final {
+				if o, ok := outcomes[a.Ticket]; ok {
+					assert.Equal(t, a.Outcome, o, "%+v", a)
+				} else {
+					ended = append(ended, a.Ticket)
+				}
+				outcomes[a.Ticket] = a.Outcome
+			}
+		}
+		reqs = nil
+	}
+	i := 0
+	for range 2 {
+		for _, name := range names {
+			h := c.hosts[name]
+			c.Post(h, cornelwall.Stop{})
+			for !h.Dead {
+				i++
+				load(i)
+				c.Advance(10 * time.Millisecond)
+			}
+			c.start(name)
+			for range 20 {
+				i++
+				load(i)
+				c.Advance(10 * time.Millisecond)
+			}
+			check()
+		}
+	}
+	assert.Assert(t, len(outcomes) > 200, "only %d jobs", len(outcomes))
+	for task, n := range c.starts {
+		assert.Equal(t, n, 1, task)
+	}
+}
+
+// TestHeirsOfHeirs asks after jobs of an entry whose heirs have stopped or crashed.
+func TestHeirsOfHeirs(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after func(c *cluster)
+	}{
+		{"asked at once", func(*cluster) {}},
+		{"new life of the owner", func(c *cluster) { c.start("dc0-e0") }},
+		{"every other entry restarts in turn", func(c *cluster) {
+			for _, name := range c.names()[1:] {
+				c.stop(name)
+				c.start(name)
+				c.Advance(time.Second)
+			}
+		}},
+		{"one heir crashes", func(c *cluster) { c.hosts["dc0-e1"].Dead = true; c.Advance(5 * time.Second) }},
+		{"all entries of the data centre are new", func(c *cluster) {
+			c.start("dc0-e0")
+			c.Advance(time.Second)
+			c.stop("dc0-e1")
+			c.start("dc0-e1")
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 2, 2)
+			ran, drawn := c.draw("dc0-e0"), c.draw("dc0-e0")
+			assert.Equal(t, c.answer(c.submit("dc0-e1", ran, 3), time.Second).Outcome, cornelwall.Done)
+			c.stop("dc0-e0")
+			tt.after(c)
+			for _, name := range c.names() {
+				if c.hosts[name].Dead {
+					continue
+				}
+				a := c.answer(c.submit(name, ran, 3), 5*time.Second)
+				assert.Equal(t, a.Outcome, cornelwall.Done, "%s: %+v", name, a)
+				a = c.answer(c.submit(name, drawn, 3), 5*time.Second)
+				assert.Equal(t, a.Outcome, cornelwall.NotRun, "%s: %+v", name, a)
+			}
+		})
+	}
+}
+
+// TestStopUnderForwards stops an entry whose callers never cease to ask for jobs of
+// other owners.
+func TestStopUnderForwards(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.took = time.Second
+	h := c.hosts["dc0-e0"]
+	c.Post(h, cornelwall.Stop{})
+	var reqs []uint64
+	for range 200 {
+		if h.Dead {
+			break
+		}
+		reqs = append(reqs, c.submit("dc0-e0", c.draw("dc0-e1"), 1))
+		c.Advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, h.Dead, "the entry does not stop")
+}
+
+// TestPartsLost loses the first copy of every part of a table.
+func TestPartsLost(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.took = time.Millisecond
+	var tickets []cornelwall.Ticket
+	for range 40 {
+		tk := c.draw("dc0-e0")
+		tickets = append(tickets, tk)
+		c.req++
+		c.Post(c.hosts["dc0-e0"], cornelwall.Submit{Req: c.req, Job: &cornelwall.Job{
+			Ticket: tk, Profile: "holds", Tasks: []cornelwall.Task{{Body: make([]byte, 512<<10)}}}})
+		assert.Equal(t, c.answer(c.req, time.Second).Outcome, cornelwall.Done)
+	}
+	lost := map[int]bool{}
+	c.Link = func(_, _ cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+		fate := fake.Fate{Delays: []time.Duration{0}}
+		for _, m := range e.Messages {
+			if m.Inherit != nil && !lost[m.Inherit.Part] {
+				lost[m.Inherit.Part] = true
+				fate = fake.Fate{}
+			}
+		}
+		return fate
+	}
+	c.stop("dc0-e0")
+	assert.Assert(t, len(lost) > 10, "%d parts", len(lost))
+	for _, tk := range tickets {
+		assert.Equal(t, c.answer(c.fetch("dc0-e1", tk), time.Second).Outcome, cornelwall.Done)
+	}
+}
+
+// TestStoppingHeir stops two entries at once: neither may take the other's table after
+// it has handed on its own.
+func TestStoppingHeir(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	a, b := c.draw("dc0-e0"), c.draw("dc0-e1")
+	for _, tk := range []cornelwall.Ticket{a, b} {
+		assert.Equal(t, c.answer(c.submit("dc0-e2", tk, 1), time.Second).Outcome, cornelwall.Done)
+	}
+	c.Post(c.hosts["dc0-e0"], cornelwall.Stop{})
+	c.Post(c.hosts["dc0-e1"], cornelwall.Stop{})
+	c.Advance(5 * time.Second)
+	assert.Assert(t, c.hosts["dc0-e0"].Dead && c.hosts["dc0-e1"].Dead)
+	for _, tk := range []cornelwall.Ticket{a, b} {
+		assert.Equal(t, c.answer(c.fetch("dc0-e2", tk), time.Second).Outcome, cornelwall.Done)
+	}
+}
+
+// TestStopWaitsForHeir stops an entry while the only other one restarts.
+func TestStopWaitsForHeir(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	tk := c.draw("dc0-e0")
+	assert.Equal(t, c.answer(c.submit("dc0-e0", tk, 1), time.Second).Outcome, cornelwall.Done)
+	c.hosts["dc0-e1"].Dead = true
+	c.Advance(4 * time.Second)
+	c.Post(c.hosts["dc0-e0"], cornelwall.Stop{})
+	c.Advance(2 * time.Second)
+	c.start("dc0-e1")
+	c.Advance(2 * time.Second)
+	assert.Assert(t, c.hosts["dc0-e0"].Dead)
+	assert.Equal(t, c.answer(c.fetch("dc0-e1", tk), time.Second).Outcome, cornelwall.Done)
+}
--- a/message.go
+++ b/message.go
@@ -49,6 +49,8 @@
 	Heirs     *Heirs     `json:"heirs,omitempty"`
 	Inherit   *Inherit   `json:"inherit,omitempty"`
 	Inherited *Inherited `json:"inherited,omitempty"`
+	Seek      *Seek      `json:"seek,omitempty"`
+	Sought    *Sought    `json:"sought,omitempty"`
 }
 
 // Check reports all that is wrong with the message.
@@ -73,6 +75,8 @@
 	count(m.Heirs != nil)
 	count(m.Inherit != nil)
 	count(m.Inherited != nil)
+	count(m.Seek != nil)
+	count(m.Sought != nil)
 	if n != 1 {
 		return fmt.Errorf("message has %d kinds; send exactly one", n)
 	}
@@ -89,6 +93,18 @@
 		return checkRange("return count", m.Return.Count, 0, maxLoan)
 	case m.Catalog != nil:
 		return m.Catalog.Check()
+	case m.Wrong != nil:
+		return m.Wrong.Meant.Check()
+	case m.Heirs != nil:
+		return checkHeirs(m.Heirs.Heirs)
+	case m.Inherit != nil:
+		return m.Inherit.Check()
+	case m.Inherited != nil:
+		return m.Inherited.Of.Check()
+	case m.Seek != nil:
+		return m.Seek.Of.Check()
+	case m.Sought != nil:
+		return errors.Join(m.Sought.Of.Check(), checkHeirs(m.Sought.Heirs))
 	}
 	return nil
 }
@@ -104,6 +120,8 @@
 	Fresh   bool           `json:"fresh,omitempty"`   // the sender has fresh word of the platform
 	Watcher bool           `json:"watcher,omitempty"` // the sender watches the platform's service
 	Answer  bool           `json:"answer,omitempty"`  // sent in answer to a beat
+	Probe   uint64         `json:"probe,omitempty"`   // number to send back as Echo, 0 if none
+	Echo    uint64         `json:"echo,omitempty"`    // the Probe that this answers
 }
 
 // Wrong tells the sender that an envelope was meant for another life of this entry,
@@ -225,10 +243,26 @@
 	Heirs []Heir `json:"heirs"`
 }
 
-// Heir names the entry that answers for a closed incarnation.
+// Heir names an entry that answers for a closed incarnation. Since is the time since
+// the close.
 type Heir struct {
-	Of   Incarnation `json:"of"`
-	Heir Incarnation `json:"heir"`
+	Of    Incarnation `json:"of"`
+	Heir  Incarnation `json:"heir"`
+	Since Duration    `json:"since,omitempty"`
+}
+
+func checkHeirs(hs []Heir) error {
+	var errs []error
+	for i, h := range hs {
+		err := errors.Join(h.Of.Check(), h.Heir.Check())
+		if h.Since < 0 {
+			err = errors.Join(err, fmt.Errorf("since %s is negative; send the time since the close", h.Since))
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("heirs[%d]: %w", i, err))
+		}
+	}
+	return errors.Join(errs...)
 }
 
 // Record is the outcome of one ticket of a closed incarnation.
@@ -238,9 +272,20 @@
 	Answer Answer `json:"answer"`
 }
 
+const recordBytes = 128 // of a record or task without its body
+
+// Bytes returns about how much memory the record takes, in bytes.
+func (r *Record) Bytes() int {
+	size := recordBytes + len(r.Answer.Text)
+	for i := range r.Answer.Tasks {
+		size += recordBytes + len(r.Answer.Tasks[i].Body)
+	}
+	return size
+}
+
 // Inherit is one part of the complete table of a closed incarnation. Closed is
 // the time from the incarnation's start to its close, Since the time passed since
-// then.
+// then. A sender cuts a table into the same parts however often it sends them.
 type Inherit struct {
 	Of      Incarnation `json:"of"`
 	Closed  Duration    `json:"closed"`
@@ -250,7 +295,48 @@
 	Records []Record    `json:"records"`
 }
 
-// Inherited confirms that every part of a table has arrived.
+const maxParts = 1 << 16
+
+// Check reports all that is wrong with the part.
+func (in *Inherit) Check() error {
+	errs := []error{
+		in.Of.Check(),
+		checkRange("inherit parts", in.Parts, 1, maxParts),
+		checkRange("inherit part", in.Part, 0, in.Parts-1),
+	}
+	if in.Closed < 0 || in.Since < 0 {
+		errs = append(errs, fmt.Errorf("inherit has closed %s and since %s; neither can be negative", in.Closed, in.Since))
+	}
+	for i := range in.Records {
+		a := &in.Records[i].Answer
+		if err := a.Check(); err != nil {
+			errs = append(errs, fmt.Errorf("records[%d]: %w", i, err))
+		}
+		if !a.Final || a.Ticket.Owner != in.Of {
+			errs = append(errs, fmt.Errorf("records[%d] is not a final outcome of %s; send the records of one closed incarnation", i, in.Of))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Inherited confirms that a part of a table has arrived. Whole says that every part
+// has, Full that the table needs more memory than the receiver has and was dropped.
 type Inherited struct {
+	Of    Incarnation `json:"of"`
+	Part  int         `json:"part"`
+	Whole bool        `json:"whole,omitempty"`
+	Full  bool        `json:"full,omitempty"`
+}
+
+// Seek asks what the receiver knows of an incarnation that does not answer the sender.
+type Seek struct {
 	Of Incarnation `json:"of"`
 }
+
+// Sought answers a Seek: whether the receiver hears the incarnation, and who answers
+// for it if it has closed.
+type Sought struct {
+	Of    Incarnation `json:"of"`
+	Alive bool        `json:"alive,omitempty"`
+	Heirs []Heir      `json:"heirs,omitempty"`
+}
--- a/reason.go
+++ b/reason.go
@@ -58,4 +58,6 @@
 	ReasonClaims
 	// ReasonOverload means that the entry holds as much work as its memory allows.
 	ReasonOverload
+	// ReasonPeer means that a message to another entry did not arrive.
+	ReasonPeer
 )
