Tests of lost, doubled, late and stray messages between entries

Cause: the way of forwards and answers under loss was not tested.

Ruled out: nothing; each test runs on the fakes under the virtual clock.

Change: peers_test.go loses, doubles, delays and refuses forwards and answers, cuts one way only, freezes and kills owners, and hands over lists and heartbeats that are late. What others said is now asked again as long as one of them hears the owner, since the answer for a crashed owner stayed open for 10 s otherwise.

--- /dev/null
+++ b/core/node/peers_test.go
@@ -0,0 +1,230 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/standin/fake"
+)
+
+const away = 3 * time.Second // of the default settings
+
+var (
+	arrives = fake.Fate{Delays: []time.Duration{time.Millisecond}}
+	refused = fake.Fate{Told: time.Millisecond}
+)
+
+// has reports whether one of the messages is of the kind.
+func has(e cornelwall.Envelope, kind func(m *cornelwall.Message) bool) bool {
+	for i := range e.Messages {
+		if kind(&e.Messages[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+func isForward(m *cornelwall.Message) bool { return m.Forward != nil }
+func isBack(m *cornelwall.Message) bool    { return m.Back != nil }
+
+// TestLostMessages loses, doubles and delays the forwards and the answers to them. The
+// caller is answered all the same, without many messages, and tasks start once.
+func TestLostMessages(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		fate   func(e cornelwall.Envelope, nth int) fake.Fate // of the nth envelope with a forward or an answer
+		within time.Duration
+	}{
+		{"forward lost", func(e cornelwall.Envelope, n int) fake.Fate {
+			if has(e, isForward) && n == 0 {
+				return fake.Fate{}
+			}
+			return arrives
+		}, 10 * time.Second},
+		{"answer lost", func(e cornelwall.Envelope, n int) fake.Fate {
+			if has(e, isBack) && n < 2 {
+				return fake.Fate{}
+			}
+			return arrives
+		}, 10 * time.Second},
+		{"forward refused twice", func(e cornelwall.Envelope, n int) fake.Fate {
+			if has(e, isForward) && n < 2 {
+				return refused
+			}
+			return arrives
+		}, 2 * time.Second},
+		{"answer refused four times", func(e cornelwall.Envelope, n int) fake.Fate {
+			if has(e, isBack) && n < 5 {
+				return refused
+			}
+			return arrives
+		}, 5 * time.Second},
+		{"arrived and told as lost", func(cornelwall.Envelope, int) fake.Fate {
+			return fake.Fate{Delays: []time.Duration{time.Millisecond}, Told: 2 * time.Millisecond}
+		}, 2 * time.Second},
+		{"doubled and late", func(cornelwall.Envelope, int) fake.Fate {
+			return fake.Fate{Delays: []time.Duration{time.Millisecond, 700 * time.Millisecond}}
+		}, 2 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			nth := 0
+			c.Link = func(_, _ cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+				if !has(e, isForward) && !has(e, isBack) {
+					return arrives
+				}
+				nth++
+				return tt.fate(e, nth-1)
+			}
+			a := c.answer(c.submit("dc0-e1", c.draw("dc0-e0"), 3), tt.within)
+			assert.Equal(t, a.Outcome, cornelwall.Done, "%+v", a)
+			c.Advance(20 * time.Second)
+			assert.Assert(t, nth <= 12, "%d envelopes with forwards and answers", nth)
+			for task, n := range c.starts {
+				assert.Equal(t, n, 1, task)
+			}
+		})
+	}
+}
+
+// TestOneWayCut cuts the way to the owner but not the way back: the owner seems alive,
+// and the caller is told in time all the same.
+func TestOneWayCut(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	tk := c.draw("dc0-e0")
+	owner := c.hosts["dc0-e0"].Self
+	c.Link = func(_, to cornelwall.Incarnation, _ cornelwall.Envelope) fake.Fate {
+		if to == owner {
+			return refused
+		}
+		return arrives
+	}
+	a := c.answer(c.submit("dc0-e1", tk, 1), away+time.Second)
+	assert.Equal(t, a.Outcome, cornelwall.Unknown)
+	assert.Assert(t, !a.Final && a.Back > 0, "%+v", a)
+	before := c.Envelopes
+	c.Advance(10 * time.Second)
+	assert.Assert(t, c.Envelopes-before < 100, "%d envelopes in 10 s", c.Envelopes-before)
+	assert.Assert(t, c.retries[cornelwall.ReasonOwnerAway] > 0)
+}
+
+// TestFrozenOwner asks for a job while its owner is frozen, and once it goes on.
+func TestFrozenOwner(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		via  string
+	}{
+		{"near", "dc0-e1"},
+		{"other data centre", "dc1-e0"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 2, 2)
+			tk := c.draw("dc0-e0")
+			owner := c.hosts["dc0-e0"]
+			c.Freeze(owner)
+			a := c.answer(c.submit(tt.via, tk, 1), away+time.Second)
+			assert.Equal(t, a.Outcome, cornelwall.Unknown)
+			assert.Assert(t, !a.Final && a.Back > 0, "%+v", a)
+			a = c.answer(c.submit(tt.via, tk, 1), time.Second+away)
+			assert.Assert(t, !a.Final)
+			c.Thaw(owner)
+			c.Advance(time.Second)
+			a = c.answer(c.submit(tt.via, tk, 1), 2*time.Second)
+			assert.Equal(t, a.Outcome, cornelwall.Done, "%+v", a)
+			for task, n := range c.starts {
+				assert.Equal(t, n, 1, task)
+			}
+		})
+	}
+}
+
+// TestCrashedOwner asks for a job whose owner has crashed: the answer is final only
+// once the owner is proven gone and no other entry knows an heir.
+func TestCrashedOwner(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	tk := c.draw("dc0-e0")
+	c.hosts["dc0-e0"].Dead = true
+	for range 2 {
+		a := c.answer(c.fetch("dc1-e1", tk), away+time.Second)
+		assert.Equal(t, a.Outcome, cornelwall.Unknown)
+		assert.Assert(t, !a.Final && a.Back > 0, "%+v", a)
+	}
+	c.start("dc0-e0")
+	c.Advance(time.Second)
+	for _, name := range c.names() {
+		a := c.answer(c.fetch(name, tk), 2*time.Second)
+		assert.Equal(t, a.Outcome, cornelwall.Unknown)
+		assert.Assert(t, a.Final, "%s: %+v", name, a)
+	}
+}
+
+// TestLaggingList takes a live entry off the VM list of all others, and puts an entry
+// into service that the list does not name yet.
+func TestLaggingList(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	tk := c.draw("dc0-e0")
+	c.unlist["dc0-e0"] = true
+	c.list()
+	c.Advance(5 * time.Second)
+	a := c.answer(c.submit("dc1-e1", tk, 1), 2*time.Second)
+	assert.Equal(t, a.Outcome, cornelwall.Done, "%+v", a)
+
+	c.unlist["dc1-e0"] = true
+	c.start("dc1-e0")
+	tk = c.draw("dc1-e0")
+	young := c.start("dc0-e1") // reads a list without dc1-e0 and has not heard of it
+	c.Link = func(_, to cornelwall.Incarnation, _ cornelwall.Envelope) fake.Fate {
+		if to == young.Self {
+			return fake.Fate{}
+		}
+		return arrives
+	}
+	a = c.answer(c.submit("dc0-e1", tk, 1), away+time.Second)
+	assert.Assert(t, !a.Final, "%+v", a)
+}
+
+// TestLateBeat delivers a heartbeat of a life that has long been replaced to an entry
+// that never heard of it, many times.
+func TestLateBeat(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	tk := c.draw("dc0-e0")
+	now := c.hosts["dc0-e0"].Self
+	for _, life := range []uint64{99, 98, 97} { // random lives have no order in time
+		past := now
+		past.Life = life
+		late := cornelwall.Envelope{From: past, To: c.hosts["dc0-e1"].Self,
+			Messages: []cornelwall.Message{{Beat: &cornelwall.Beat{Addr: c.hosts["dc0-e0"].Addr}}}}
+		c.Post(c.hosts["dc0-e1"], cornelwall.Receive{Envelope: late})
+		c.Post(c.hosts["dc0-e1"], cornelwall.Receive{Envelope: late})
+		c.Advance(time.Millisecond)
+		a := c.answer(c.submit("dc0-e1", tk, 1), time.Second)
+		assert.Equal(t, a.Outcome, cornelwall.Done, "%+v", a)
+	}
+}
+
+// TestStrayBack sends answers that are not of the owner, or that belong to a request of
+// an earlier life.
+func TestStrayBack(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.took = time.Second
+	tk, other := c.draw("dc0-e0"), c.draw("dc0-e0")
+	req := c.submit("dc0-e1", tk, 1)
+	c.Advance(10 * time.Millisecond)
+	self := c.hosts["dc0-e1"].Self
+	past := self
+	past.Life = 99
+	for _, e := range []cornelwall.Envelope{
+		{From: c.hosts["dc0-e2"].Self, To: self, Messages: []cornelwall.Message{{Back: &cornelwall.Back{Req: req,
+			Answer: cornelwall.Answer{Ticket: tk, Outcome: cornelwall.NotRun, Final: true}}}}},
+		{From: c.hosts["dc0-e0"].Self, To: self, Messages: []cornelwall.Message{{Back: &cornelwall.Back{Req: req,
+			Answer: cornelwall.Answer{Ticket: other, Outcome: cornelwall.NotRun, Final: true}}}}},
+		{From: c.hosts["dc0-e0"].Self, To: past, Messages: []cornelwall.Message{{Back: &cornelwall.Back{Req: req,
+			Answer: cornelwall.Answer{Ticket: tk, Outcome: cornelwall.NotRun, Final: true}}}}},
+	} {
+		c.Post(c.hosts["dc0-e1"], cornelwall.Receive{Envelope: e})
+	}
+	assert.Equal(t, c.answer(req, 3*time.Second).Outcome, cornelwall.Done)
+}
--- a/core/node/seek.go
+++ b/core/node/seek.go
@@ -28,8 +28,7 @@
 type seeking struct {
 	since time.Time
 	asked map[cornelwall.Incarnation]time.Time // entries by incarnation
-	none  map[cornelwall.Incarnation]bool      // entries that know nothing
-	alive bool                                 // an entry hears it
+	none  map[cornelwall.Incarnation]bool      // entries that do not hear it
 }
 
 // seek asks the entries that may know what became of an incarnation, and tells what
@@ -48,7 +47,7 @@
 		whole = false
 		n.askAfter(s, p, of)
 	}
-	if whole && !s.alive && n.members.Status(n.now, of) == member.Gone {
+	if whole && n.members.Status(n.now, of) == member.Gone {
 		return nobodyKnows
 	}
 	return notYet
@@ -82,7 +81,6 @@
 	if s == nil {
 		return
 	}
-	s.alive = s.alive || a.Alive
 	s.none[from] = !a.Alive // whoever it names is known from now on
 	n.learn(a.Heirs)
 	n.checkForwards()
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -125,12 +125,11 @@
 	c.took = time.Second
 	h := c.hosts["dc0-e0"]
 	c.Post(h, cornelwall.Stop{})
-	var reqs []uint64
 	for range 200 {
 		if h.Dead {
 			break
 		}
-		reqs = append(reqs, c.submit("dc0-e0", c.draw("dc0-e1"), 1))
+		c.submit("dc0-e0", c.draw("dc0-e1"), 1)
 		c.Advance(100 * time.Millisecond)
 	}
 	assert.Assert(t, h.Dead, "the entry does not stop")
