Services end in reverse order; the loop shows its state and every reason

Cause: at the end of a stop all services ended at once, so that a request that waited for another entry lost the way to it; counters of a reason appeared with its first use only; the core's queue, jobs and loans were not shown; a watch command could block the loop while the watch waited for the loop.

Ruled out: a second context per service (the kernel can wait for each end instead).

Change: the kernel ends the last service first and waits for it. Describe asks the core how it stands, for the metrics and the ready page. Each loop has its own set of counters. A request that ends before its event is taken is not posted. The platform's service keeps only the last wish for the watch and never blocks the loop.

Shown: go test -race ./core/control ./core/kernel passes, under full event buffers and with goleak.

--- a/command.go
+++ b/command.go
@@ -49,6 +49,11 @@
 		Req      uint64
 		Profiles []Profile
 	}
+	// ReplyStatus ends a Describe.
+	ReplyStatus struct {
+		Req    uint64
+		Status Status
+	}
 	// Run starts a task on a machine. The host reports its end with Ended.
 	Run struct {
 		VM    VM
@@ -96,6 +101,7 @@
 func (ReplyTickets) isCommand() {}
 func (ReplyForce) isCommand()   {}
 func (ReplyCatalog) isCommand() {}
+func (ReplyStatus) isCommand()  {}
 func (Run) isCommand()          {}
 func (Abandon) isCommand()      {}
 func (Send) isCommand()         {}
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -13,12 +13,10 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"cornelwall"
@@ -43,6 +41,7 @@
 	nextReq atomic.Uint64
 	mu      sync.Mutex
 	waiting map[uint64]chan cornelwall.Command
+	meters  meters
 
 	stopped chan struct{} // the planned stop is complete
 	once    sync.Once
@@ -51,7 +50,7 @@
 
 // New returns a loop that does not run yet.
 func New(core cornelwall.Core, clock cornelwall.Clock, log logr.Logger) *Loop {
-	return &Loop{
+	l := &Loop{
 		core:    core,
 		clock:   clock,
 		log:     log,
@@ -60,6 +59,8 @@
 		stopped: make(chan struct{}),
 		done:    make(chan struct{}),
 	}
+	l.meters = newMeters(l)
+	return l
 }
 
 // Connect names the actors. It is called before Run.
@@ -67,7 +68,9 @@
 	l.peers, l.endpoints, l.platform = peers, endpoints, platform
 }
 
-// Post hands an event to the core. After Run has returned it does nothing.
+// Post hands an event to the core. It waits while the buffer is full, so that it must
+// not be called by an actor inside Act: the loop would wait for itself. After Run has
+// returned it does nothing.
 func (l *Loop) Post(ev cornelwall.Event) {
 	select {
 	case l.events <- ev:
@@ -83,21 +86,39 @@
 	l.mu.Lock()
 	l.waiting[req] = ch
 	l.mu.Unlock()
-	l.Post(event(req))
+	select {
+	case l.events <- event(req):
+	case <-ctx.Done():
+		l.forget(req)
+		return nil, ctx.Err()
+	case <-l.done:
+		l.forget(req)
+		return nil, cornelwall.ErrStopping
+	}
 	select {
 	case cmd := <-ch:
 		return cmd, nil
 	case <-ctx.Done():
-		l.mu.Lock()
-		delete(l.waiting, req)
-		l.mu.Unlock()
+		l.forget(req)
 		l.Post(cornelwall.Gone{Req: req})
 		return nil, ctx.Err()
 	case <-l.done:
-		return nil, cornelwall.ErrStopping
+		l.forget(req)
+		select {
+		case cmd := <-ch: // the last thing that the loop did
+			return cmd, nil
+		default:
+			return nil, cornelwall.ErrStopping
+		}
 	}
 }
 
+func (l *Loop) forget(req uint64) {
+	l.mu.Lock()
+	delete(l.waiting, req)
+	l.mu.Unlock()
+}
+
 // Stopped is closed once a planned stop is complete.
 func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
 
@@ -125,6 +146,7 @@
 // batch handles an event and those that have come after it.
 func (l *Loop) batch(ev cornelwall.Event) {
 	now := l.clock.Now()
+	defer func() { l.meters.batch.Update(l.clock.Now().Sub(now).Seconds()) }()
 	l.step(now, ev)
 	for range maxBatch {
 		select {
@@ -137,7 +159,10 @@
 }
 
 func (l *Loop) step(now time.Time, ev cornelwall.Event) {
-	for _, cmd := range l.core.Step(now, ev) {
+	l.meters.events.Inc()
+	cmds := l.core.Step(now, ev)
+	l.meters.commands.Add(len(cmds))
+	for _, cmd := range cmds {
 		l.act(cmd)
 	}
 }
@@ -152,6 +177,8 @@
 		l.answer(cmd.Req, cmd)
 	case cornelwall.ReplyCatalog:
 		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyStatus:
+		l.answer(cmd.Req, cmd)
 	case cornelwall.Send:
 		l.peers.Act(cmd)
 	case cornelwall.Run, cornelwall.Abandon:
@@ -159,7 +186,7 @@
 	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
 		l.platform.Act(cmd)
 	case cornelwall.Count:
-		counter(cmd).Add(cmd.N)
+		l.meters.count(cmd)
 	case cornelwall.Log:
 		l.log.Info(cmd.Event, cmd.Pairs...)
 	case cornelwall.Stopped:
@@ -176,11 +203,3 @@
 		ch <- cmd
 	}
 }
-
-func counter(c cornelwall.Count) *metrics.Counter {
-	kind := "refusals"
-	if c.Retry {
-		kind = "retries"
-	}
-	return metrics.GetOrCreateCounter(fmt.Sprintf("cornelwall_%s_total{reason=%q}", kind, c.Reason))
-}
--- /dev/null
+++ b/core/control/loop_test.go
@@ -0,0 +1,124 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/control"
+)
+
+// echoCore replies to each request and sends some messages for each event but a Tick.
+type echoCore struct{ sends int }
+
+func (c *echoCore) Next() time.Time { return time.Now().Add(time.Hour) }
+
+func (c *echoCore) Step(_ time.Time, ev cornelwall.Event) []cornelwall.Command {
+	var cmds []cornelwall.Command
+	switch ev := ev.(type) {
+	case cornelwall.Fetch:
+		cmds = append(cmds, cornelwall.Reply{Req: ev.Req})
+		for range c.sends {
+			cmds = append(cmds, cornelwall.Send{})
+		}
+	case cornelwall.Describe:
+		cmds = append(cmds, cornelwall.ReplyStatus{Req: ev.Req, Status: cornelwall.Status{Jobs: 7}})
+	case cornelwall.Cancel:
+		cmds = append(cmds, cornelwall.Count{Reason: cornelwall.ReasonQuota, N: 2},
+			cornelwall.Count{Reason: cornelwall.ReasonBusy, Retry: true, N: 3}, cornelwall.Reply{Req: ev.Req})
+	}
+	return cmds
+}
+
+// bouncer posts an event for each command, from a goroutine of its own.
+type bouncer struct {
+	loop *control.Loop
+	wg   sync.WaitGroup
+}
+
+func (b *bouncer) Act(cornelwall.Command) {
+	b.wg.Go(func() { b.loop.Post(cornelwall.Undelivered{}) })
+}
+
+func fetch(req uint64) cornelwall.Event { return cornelwall.Fetch{Req: req} }
+
+// run runs a loop and returns a function that ends it.
+func run(core cornelwall.Core) (l *control.Loop, b *bouncer, end func()) {
+	l = control.New(core, cornelwall.SystemClock{}, logr.Discard())
+	b = &bouncer{loop: l}
+	l.Connect(b, b, b)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = l.Run(ctx) }()
+	return l, b, func() {
+		cancel()
+		<-l.Done()
+		b.wg.Wait()
+	}
+}
+
+// TestPressure makes every event cause more events than the buffer holds.
+func TestPressure(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, _, end := run(&echoCore{sends: 300})
+	defer end()
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			for range 10 {
+				_, err := l.Ask(context.Background(), fetch)
+				assert.Check(t, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestAskEnds checks that nobody waits for a loop that has ended, nor past a context.
+func TestAskEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	silent := func(uint64) cornelwall.Event { return cornelwall.Tick{} }
+	l, _, end := run(&echoCore{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := l.Ask(ctx, silent)
+	assert.Assert(t, errors.Is(err, context.Canceled))
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			_, err := l.Ask(context.Background(), silent)
+			assert.Check(t, errors.Is(err, cornelwall.ErrStopping))
+		})
+	}
+	end()
+	wg.Wait()
+	_, err = l.Ask(context.Background(), fetch)
+	assert.Assert(t, errors.Is(err, cornelwall.ErrStopping))
+}
+
+// TestMetrics checks that every reason has its counters from the start.
+func TestMetrics(t *testing.T) {
+	l, _, end := run(&echoCore{})
+	defer end()
+	_, err := l.Ask(context.Background(), func(req uint64) cornelwall.Event { return cornelwall.Cancel{Req: req} })
+	assert.NilError(t, err)
+	var page strings.Builder
+	l.WriteMetrics(context.Background(), &page)
+	for _, line := range []string{
+		`cornelwall_refusals_total{reason="quota"} 2`,
+		`cornelwall_refusals_total{reason="busy"} 0`,
+		`cornelwall_retries_total{reason="busy"} 3`,
+		`cornelwall_retries_total{reason="peer"} 0`,
+		`cornelwall_core_events_waiting 0`,
+		`cornelwall_jobs 7`,
+	} {
+		assert.Assert(t, strings.Contains(page.String(), line+"\n"), "%s is missing in\n%s", line, page.String())
+	}
+}
--- /dev/null
+++ b/core/control/meters.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cornelwall"
+)
+
+const statusTimeout = time.Second // for the core to tell its state to the metrics page
+
+// meters counts what a loop does. Every reason has its counters from the start, so that
+// a rate can be taken of its first increment.
+type meters struct {
+	set      *metrics.Set
+	events   *metrics.Counter
+	commands *metrics.Counter
+	batch    *metrics.Histogram
+	refusals map[cornelwall.Reason]*metrics.Counter
+	retries  map[cornelwall.Reason]*metrics.Counter
+}
+
+func newMeters(l *Loop) meters {
+	m := meters{
+		set:      metrics.NewSet(),
+		refusals: map[cornelwall.Reason]*metrics.Counter{},
+		retries:  map[cornelwall.Reason]*metrics.Counter{},
+	}
+	m.events = m.set.NewCounter("cornelwall_core_events_total")
+	m.commands = m.set.NewCounter("cornelwall_core_commands_total")
+	m.batch = m.set.NewHistogram("cornelwall_core_batch_seconds")
+	m.set.NewGauge("cornelwall_core_events_waiting", func() float64 { return float64(len(l.events)) })
+	m.set.NewGauge("cornelwall_core_requests_waiting", func() float64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return float64(len(l.waiting))
+	})
+	for _, r := range cornelwall.ReasonValues() {
+		if r != cornelwall.ReasonNone {
+			m.refusals[r] = m.set.NewCounter(fmt.Sprintf("cornelwall_refusals_total{reason=%q}", r))
+			m.retries[r] = m.set.NewCounter(fmt.Sprintf("cornelwall_retries_total{reason=%q}", r))
+		}
+	}
+	return m
+}
+
+func (m *meters) count(c cornelwall.Count) {
+	counters := m.refusals
+	if c.Retry {
+		counters = m.retries
+	}
+	if counter := counters[c.Reason]; counter != nil {
+		counter.Add(c.N)
+	}
+}
+
+// WriteMetrics writes the counters of the loop and the state of the core in the text
+// format of Prometheus. If the core does not answer, its state is left out.
+func (l *Loop) WriteMetrics(ctx context.Context, w io.Writer) {
+	l.meters.set.WritePrometheus(w)
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	s, err := l.Status(ctx)
+	if err != nil {
+		return
+	}
+	for _, g := range []struct {
+		name  string
+		value int
+	}{
+		{"machines", s.Machines},
+		{"profiles", s.Profiles},
+		{"peers_alive", s.Peers},
+		{"jobs", s.Jobs},
+		{"tasks_waiting", s.Waiting},
+		{"tasks_running", s.Running},
+		{"forwards_waiting", s.Forwards},
+		{"claims_waiting", s.Claims},
+		{"resends_waiting", s.Resends},
+		{"inherited_bytes", s.Inherits},
+		{"stale", flag(s.Stale)},
+		{"stopping", flag(s.Stopping)},
+	} {
+		metrics.WriteGaugeUint64(w, "cornelwall_"+g.name, uint64(g.value))
+	}
+}
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Status returns how the core stands. It is an error of kind ErrStopping once the loop
+// has ended, and that of ctx if the core does not answer in time.
+func (l *Loop) Status(ctx context.Context) (cornelwall.Status, error) {
+	cmd, err := l.Ask(ctx, func(req uint64) cornelwall.Event { return cornelwall.Describe{Req: req} })
+	if err != nil {
+		return cornelwall.Status{}, err
+	}
+	return cmd.(cornelwall.ReplyStatus).Status, nil
+}
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -1,5 +1,8 @@
 // Package kernel runs the services of a process and lets them find each other by name.
 //
+// Services end one after the other, in the reverse order of their registration, so that
+// each can use those that were registered before it until it has ended itself.
+//
 // # Usage
 //
 //	k := kernel.New(log)
@@ -11,6 +14,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
@@ -60,24 +64,30 @@
 	return t, nil
 }
 
-// Run runs all services until ctx ends or one of them returns, then ends the others.
+// Run runs all services until ctx ends or one of them returns, then ends the others, the
+// last one registered first.
 func (k *Kernel) Run(ctx context.Context) error {
 	defer close(k.done)
 	var g run.Group
 	gctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g.Add(func() error { <-gctx.Done(); return nil }, func(error) { cancel() })
-	for _, name := range k.order {
+	for _, name := range slices.Backward(k.order) {
 		sctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 		s := k.services[name]
+		ended := make(chan struct{})
 		g.Add(func() error {
+			defer close(ended)
 			err := s.Run(sctx)
 			k.log.V(1).Info("service-ended", "service", name, "err", err)
 			if err != nil {
 				return fmt.Errorf("service %s: %w", name, err)
 			}
 			return nil
-		}, func(error) { stop() })
+		}, func(error) {
+			stop()
+			<-ended
+		})
 	}
 	return g.Run()
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -215,6 +215,8 @@
 		n.inspect(ev)
 	case cornelwall.Catalog:
 		n.emit(cornelwall.ReplyCatalog{Req: ev.Req, Profiles: n.catalog.All()})
+	case cornelwall.Describe:
+		n.emit(cornelwall.ReplyStatus{Req: ev.Req, Status: n.status()})
 	case cornelwall.Stop:
 		n.stop()
 	case cornelwall.Tick:
--- a/event.go
+++ b/event.go
@@ -75,6 +75,8 @@
 	}
 	// Catalog asks for all profiles in force at this entry.
 	Catalog struct{ Req uint64 }
+	// Describe asks how the entry stands.
+	Describe struct{ Req uint64 }
 	// Tick says that time has passed.
 	Tick struct{}
 	// Stop asks for a planned stop.
@@ -95,5 +97,6 @@
 func (Stored) isEvent()      {}
 func (Inspect) isEvent()     {}
 func (Catalog) isEvent()     {}
+func (Describe) isEvent()    {}
 func (Tick) isEvent()        {}
 func (Stop) isEvent()        {}
--- a/io/platform/service.go
+++ b/io/platform/service.go
@@ -35,7 +35,9 @@
 	post  cornelwall.Poster
 	log   logr.Logger
 	calls chan struct{}
-	watch chan bool
+	mu    sync.Mutex
+	on    bool          // what the core asked for last
+	wake  chan struct{} // on has changed
 	wg    sync.WaitGroup
 	ctx   context.Context
 	end   context.CancelFunc
@@ -48,7 +50,7 @@
 	return &Service{
 		Settings: s, post: post, log: log,
 		calls: make(chan struct{}, callsInFlight),
-		watch: make(chan bool, 16),
+		wake:  make(chan struct{}, 1),
 		ctx:   ctx, end: end,
 		done: make(chan struct{}),
 	}
@@ -58,9 +60,12 @@
 func (s *Service) Act(cmd cornelwall.Command) {
 	switch cmd := cmd.(type) {
 	case cornelwall.Watch:
+		s.mu.Lock()
+		s.on = cmd.On
+		s.mu.Unlock()
 		select {
-		case s.watch <- cmd.On:
-		case <-s.ctx.Done():
+		case s.wake <- struct{}{}:
+		default:
 		}
 	case cornelwall.StoreGet:
 		s.call(cmd.ID, func(ctx context.Context) cornelwall.Stored {
@@ -155,9 +160,12 @@
 		case <-ctx.Done():
 			w.end()
 			return
-		case on := <-s.watch:
+		case <-s.wake:
 			w.end()
 			w = nil
+			s.mu.Lock()
+			on := s.on
+			s.mu.Unlock()
 			if on {
 				w = s.startWatch(ctx)
 			}
