--- /dev/null
+++ b/core/node/fuzz/rig_test.go
@@ -0,0 +1,301 @@
+// Package fuzz drives several cores under a virtual clock through random events and
+// faults, and checks every reply and every start against a simple oracle.
+//
+// # Usage
+//
+//	go test -race ./core/node/fuzz
+//	go test ./core/node/fuzz -run TestEvents -rapid.seed 7 -rapid.checks 20000 -timeout 2h
+package fuzz
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/node"
+	"cornelwall/io/operator"
+	"cornelwall/standin/fake"
+)
+
+const (
+	listPoll    = time.Second     // between two reads of the VM list
+	refresh     = 2 * time.Second // between two words that the watch is alive
+	rpcTimeout  = time.Second     // after which a sender learns of a loss
+	ticketLife  = time.Minute
+	claimLife   = 2 * time.Minute
+	away        = 3 * time.Second
+	stopGrace   = 200 * time.Millisecond
+	leaveBound  = 6 * time.Second // from the first sign to the last start
+	maxListLag  = 3 * time.Second
+	maxStoreLag = 2 * time.Second
+	// answerBound is the time beyond its deadline in which a request is answered: a claim
+	// of seven calls, and an owner that is found to be away.
+	answerBound = 7*maxStoreLag + 3*away + 2*rpcTimeout
+)
+
+// entry is an entry VM through all its lives.
+type entry struct {
+	id   cornelwall.Incarnation // of the current life
+	addr netip.AddrPort
+	host *fake.Host
+	cut  bool // from the platform
+	// stopped tells that a planned stop is complete; the balancer sends nothing more.
+	stopped bool
+	// thawed is when the entry last went on after a freeze.
+	thawed time.Time
+}
+
+func (e *entry) up() bool { return !e.host.Dead && !e.host.Frozen && !e.stopped }
+
+// backEnd is an executor or worker.
+type backEnd struct {
+	mode   mode
+	silent bool      // does not tell that it is leaving
+	left   time.Time // when the first sign of its leaving came; zero while it stays
+}
+
+type mode int
+
+const (
+	good mode = iota
+	slow
+	failing
+	busy
+	losing // loses every other answer, and one of two starts of those
+	down
+	modes
+)
+
+// network is the faults of the network between entries.
+type network struct {
+	loss, double float64
+	delay        time.Duration
+	cuts         map[[2]string]bool
+}
+
+func pair(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// listing is the VM list as it was from a time on.
+type listing struct {
+	at  time.Time
+	vms []cornelwall.VM
+}
+
+// rig is a world of entries, machines and a platform under faults.
+type rig struct {
+	*oracle
+	w        *fake.World
+	rng      *rand.Rand
+	entries  []*entry
+	machines map[string]*backEnd
+	lists    []listing
+	listLag  time.Duration
+	net      network
+	change   int // identities of profile changes drawn
+	tamper   tamper
+}
+
+// tamper is a deliberate fault: it changes the events into a core or the commands out
+// of it, or builds another changer. Nil functions change nothing.
+type tamper struct {
+	event    func(ev cornelwall.Event) cornelwall.Event
+	commands func(cmds []cornelwall.Command) []cornelwall.Command
+	rig      func(r *rig)
+	blind    bool // operators write without comparing
+}
+
+// tampered is a core with a fault.
+type tampered struct {
+	cornelwall.Core
+	tamper
+}
+
+func (c tampered) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if c.event != nil {
+		ev = c.event(ev)
+	}
+	cmds := c.Core.Step(now, ev)
+	if c.commands != nil {
+		cmds = c.commands(cmds)
+	}
+	return cmds
+}
+
+var dataCentres = []string{"ikeja", "lekki"}
+
+func newRig(seed uint64, t tamper) *rig {
+	w := fake.NewWorld(time.Unix(1700000000, 0))
+	r := &rig{
+		w: w, tamper: t,
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		machines: map[string]*backEnd{},
+		net:      network{delay: 2 * time.Millisecond, cuts: map[[2]string]bool{}},
+	}
+	r.oracle = newOracle(r)
+	w.Link, w.Work, w.Replied = r.link, r.work, r.replied
+	w.Store.Prefix, w.Store.Decode = operator.Prefix, operator.Decode
+	w.Store.Cut = func(h *fake.Host) bool { return r.entryOf(h).cut }
+	r.build()
+	if t.rig != nil {
+		t.rig(r)
+	}
+	for _, p := range profiles {
+		r.accept(r.changer(r.entries[0]).Apply(background, p, 0))
+	}
+	r.every(refresh, func() { w.Store.Refresh(w) })
+	w.Advance(2 * time.Second)
+	return r
+}
+
+// build makes the machines and entries and starts the entries.
+func (r *rig) build() {
+	var vms []cornelwall.VM
+	for d, dc := range dataCentres {
+		for i := range 2 {
+			e := &entry{
+				id:   cornelwall.Incarnation{DataCentre: dc, Entry: fmt.Sprintf("%s-%d", dc, i)},
+				addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(d), byte(i + 1)}), 7001),
+			}
+			r.entries = append(r.entries, e)
+			vms = append(vms, cornelwall.VM{Name: e.id.Entry, Kind: cornelwall.Entry, DataCentre: dc, Addr: e.addr})
+		}
+		for i := range 3 {
+			vm := cornelwall.VM{Name: fmt.Sprintf("%s-x%d", dc, i), Kind: cornelwall.Executor, DataCentre: dc, Slots: 2,
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(d), byte(i + 1)}), 80)}
+			if i == 2 {
+				vm.Kind, vm.Room = cornelwall.Worker, cornelwall.Need{Cores: 4, Memory: 1024}
+			}
+			r.machines[vm.Name] = &backEnd{}
+			vms = append(vms, vm)
+		}
+	}
+	r.lists = []listing{{r.w.Now, vms}}
+	for i, e := range r.entries {
+		r.boot(e)
+		r.w.Do(time.Duration(i)*listPoll/10, func() { r.every(listPoll, func() { r.poll(e) }) })
+	}
+}
+
+// boot starts a new life of an entry.
+func (r *rig) boot(e *entry) {
+	e.id.Life++
+	e.stopped = false
+	cfg := node.Config{Self: e.id, Addr: e.addr, Secret: []byte("0123456789abcdef"),
+		TicketLife: ticketLife, ClaimLife: claimLife, Away: away}
+	e.host = r.w.Add(tampered{node.New(cfg, r.w.Now), r.tamper}, e.id, e.addr)
+	r.poll(e)
+}
+
+func (r *rig) every(d time.Duration, f func()) {
+	f()
+	r.w.Do(d, func() { r.every(d, f) })
+}
+
+// poll gives an entry the VM list as it was before the lag.
+func (r *rig) poll(e *entry) {
+	if e.cut || e.host.Dead {
+		return
+	}
+	i := len(r.lists) - 1
+	for i > 0 && r.lists[i].at.After(r.w.Now.Add(-r.listLag)) {
+		i--
+	}
+	r.w.Post(e.host, cornelwall.Machines{VMs: r.lists[i].vms})
+}
+
+// setState changes the state of a machine on the VM list.
+func (r *rig) setState(name string, s cornelwall.VMState) {
+	vms := slices.Clone(r.lists[len(r.lists)-1].vms)
+	for i := range vms {
+		if vms[i].Name == name {
+			vms[i].State = s
+		}
+	}
+	r.lists = append(r.lists, listing{r.w.Now, vms})
+}
+
+func (r *rig) entryOf(h *fake.Host) *entry {
+	for _, e := range r.entries {
+		if e.addr == h.Addr {
+			return e
+		}
+	}
+	panic("host has no entry")
+}
+
+// link decides what becomes of an envelope. A sender always learns of a loss, as every
+// envelope is a call with a timeout; it may be told of one that did not happen.
+func (r *rig) link(from, to cornelwall.Incarnation, _ cornelwall.Envelope) fake.Fate {
+	lost := fake.Fate{Told: rpcTimeout}
+	if r.net.cuts[pair(from.Entry, to.Entry)] || r.net.cuts[pair(from.DataCentre, to.DataCentre)] || r.rng.Float64() < r.net.loss {
+		return lost
+	}
+	fate := fake.Fate{Delays: []time.Duration{r.upTo(r.net.delay)}}
+	if r.rng.Float64() < r.net.double {
+		fate.Told = rpcTimeout
+	}
+	if r.rng.Float64() < r.net.double {
+		fate.Delays = append(fate.Delays, 10*r.upTo(r.net.delay))
+	}
+	for _, e := range r.entries {
+		if e.id == to && e.host.Frozen {
+			fate.Told = rpcTimeout
+		}
+	}
+	return fate
+}
+
+// upTo returns a random duration of at most d.
+func (r *rig) upTo(d time.Duration) time.Duration {
+	return time.Duration(r.rng.Int64N(int64(d) + 1))
+}
+
+// work decides how a start ends.
+func (r *rig) work(h *fake.Host, run cornelwall.Run) (time.Duration, cornelwall.Result) {
+	m := r.machines[run.VM.Name]
+	quick := r.upTo(5 * time.Millisecond)
+	refused := func(reason cornelwall.Reason, draining bool) (time.Duration, cornelwall.Result) {
+		return quick, cornelwall.Result{Outcome: cornelwall.NotRun, Reason: reason, Draining: draining}
+	}
+	r.offered(r.entryOf(h), m)
+	switch {
+	case m.mode == down:
+		return refused(cornelwall.ReasonConnect, false)
+	case !m.left.IsZero() && !m.silent:
+		return refused(cornelwall.ReasonDraining, true)
+	case m.mode == busy:
+		return refused(cornelwall.ReasonBusy, false)
+	case m.mode == losing && r.rng.IntN(2) == 0:
+		if r.rng.IntN(2) == 0 {
+			r.started(run.Start)
+		}
+		return r.upTo(2 * time.Second), cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost}
+	}
+	r.started(run.Start)
+	if m.mode == failing {
+		return quick, cornelwall.Result{Outcome: cornelwall.Failed, Reason: cornelwall.ReasonTask}
+	}
+	took := r.upTo(300 * time.Millisecond)
+	if m.mode == slow {
+		took *= 20
+	}
+	return took, cornelwall.Result{Outcome: cornelwall.Done, Body: result(run.Start.Body)}
+}
+
+// result is what a task returns.
+func result(body []byte) []byte { return append([]byte("result of "), body...) }
+
+// changer is an operator's client at an entry.
+func (r *rig) changer(e *entry) *operator.Changer {
+	return &operator.Changer{
+		Store: &store{rig: r, blind: r.tamper.blind},
+		Known: func(name string) cornelwall.Profile { return r.seen[e.host][name] },
+		Draw: func() string {
+			r.change++
+			return fmt.Sprintf("change-%d", r.change)
+		},
+	}
+}
--- a/reason.go
+++ b/reason.go
@@ -60,4 +60,6 @@
 	ReasonOverload
 	// ReasonDropped means that the job is done but its results are no longer held.
 	ReasonDropped
+	// ReasonPeer means that a message to another entry did not arrive.
+	ReasonPeer
 )
