--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -45,7 +45,7 @@
 // remedies tells people what to do.
 var remedies = map[cornelwall.Reason]string{
 	cornelwall.ReasonNoProfile: "no such profile is in force; list the profiles and use one of them",
-	cornelwall.ReasonStopping:  "the entry is stopping; draw a new ticket from another entry",
+	cornelwall.ReasonStopping:  "the entry is stopping; take a new ticket or key to another entry",
 	cornelwall.ReasonStale:     "the entry has no fresh word of the profiles; come back later or use another data centre",
 	cornelwall.ReasonQueueFull: "the queue of the profile is full; come back later",
 	cornelwall.ReasonOverload:  "the entry holds as much work as it can; come back later",
@@ -82,17 +82,14 @@
 
 // beginClaim claims the caller's key for a new ticket. Until the key has been read
 // nothing is known of an earlier submission under it, so that the answer is unknown and
-// not a refusal if the key cannot be claimed. The profile may be retired: the owner of
-// the key then answers for what ran before.
+// not a refusal if the key cannot be claimed. The profile may be retired or this entry
+// stopping: the owner of the key still answers for what ran before, and a key that is new
+// is bound to a ticket that is refused.
 func (n *Node) beginClaim(ev cornelwall.Submit) {
 	p, ok := n.catalog.Last(ev.Job.Profile)
-	switch {
-	case !ok:
+	if !ok {
 		n.reply(ev.Req, n.mistake(cornelwall.Ticket{}, cornelwall.ReasonNoProfile))
 		return
-	case n.leaving:
-		n.reply(ev.Req, n.unclaimed(cornelwall.ReasonStopping, backSoon))
-		return
 	}
 	job := *ev.Job
 	job.Ticket = n.minter.Mint(n.now, p.Team)
