--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -62,6 +62,7 @@
 
 	running int
 	done    int
+	bytes   int // of the results
 }
 
 // Ended reports whether the job has its final answer.
@@ -107,6 +108,11 @@
 		j.Finish(r.Reason, 0, "")
 		return true
 	}
+	j.bytes += len(r.Body)
+	if j.bytes > cornelwall.MaxAnswerBody {
+		j.Finish(cornelwall.ReasonTooLarge, 0, "the results are larger than an answer may be; return less or split the job")
+		return true
+	}
 	t.Result.Body = r.Body
 	j.done++
 	if j.done < len(j.Tasks) {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -9,7 +9,8 @@
 // checker is a type that checks itself when it is decoded.
 type checker interface{ Check() error }
 
-// Codec is CBOR for plain structs, for connect. It checks what it decodes.
+// Codec is CBOR for plain structs, for connect. It checks what it decodes. Fields that
+// this version does not know are left out.
 type Codec struct{ mode cbor.DecMode }
 
 const (
@@ -20,10 +21,9 @@
 // NewCodec returns the codec.
 func NewCodec() Codec {
 	mode, err := cbor.DecOptions{
-		MaxNestedLevels:   maxNested,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxNestedLevels:  maxNested,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
--- /dev/null
+++ b/io/peer/codec_test.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+var (
+	from = cornelwall.Incarnation{DataCentre: "ikeja", Entry: "a", Life: 7}
+	to   = cornelwall.Incarnation{DataCentre: "lekki", Entry: "b", Life: 8}
+	addr = netip.MustParseAddrPort("127.0.0.1:7001")
+)
+
+func ticket(seq uint64) cornelwall.Ticket {
+	return cornelwall.Ticket{Owner: to, Seq: seq, Mint: 12345, Team: "bookings", MAC: [16]byte{1, 2, 3}}
+}
+
+// submission is a forward of a job with so many tasks of so many bytes.
+func submission(tasks, bytes int) cornelwall.Message {
+	job := &cornelwall.Job{Ticket: ticket(1), Profile: "holds", Left: 1e9}
+	for i := range tasks {
+		body := make([]byte, bytes)
+		copy(body, fmt.Append(nil, i))
+		job.Tasks = append(job.Tasks, cornelwall.Task{Body: body, Size: 5e7})
+	}
+	return cornelwall.Message{Forward: &cornelwall.Forward{Req: 3, Ticket: job.Ticket, Job: job}}
+}
+
+func heartbeat() cornelwall.Message {
+	return cornelwall.Message{Beat: &cornelwall.Beat{Addr: addr, Digest: 1 << 60, Fresh: true}}
+}
+
+// samples is one message of each kind.
+func samples() []cornelwall.Message {
+	answer := cornelwall.Answer{Ticket: ticket(1), Outcome: cornelwall.Done, Final: true,
+		Tasks: []cornelwall.TaskAnswer{{Outcome: cornelwall.Done, Body: []byte("seat 4")}}}
+	p := cornelwall.Profile{Name: "holds", Team: "bookings", Version: 3}
+	p.Normalise()
+	need := cornelwall.Need{Cores: 2, Memory: 512}
+	return []cornelwall.Message{
+		heartbeat(),
+		{Wrong: &cornelwall.Wrong{Meant: to}},
+		submission(3, 10),
+		{Forward: &cornelwall.Forward{Req: 4, Deed: cornelwall.DeedWait, Ticket: ticket(2)}},
+		{Back: &cornelwall.Back{Req: 3, Answer: answer}},
+		{Want: &cornelwall.Want{Need: need, Count: 4, Age: 1e6}},
+		{Loan: &cornelwall.Loan{Machine: "x1", Need: need, Count: 2}},
+		{Return: &cornelwall.Return{Machine: "x1", Need: need, Count: 2, Done: 1}},
+		{Versions: &cornelwall.Versions{Have: map[string]uint64{"holds": 3}}},
+		{Catalog: &cornelwall.Profiles{Profiles: []cornelwall.Profile{p}}},
+		{Ask: &cornelwall.Ask{Req: 5, Name: "holds"}},
+		{Told: &cornelwall.Told{Req: 5, Force: cornelwall.Force{Entry: to, Version: 3}}},
+		{Heirs: &cornelwall.Heirs{Heirs: []cornelwall.Heir{{Of: to, Heir: from, Since: 1e9}}}},
+		{Inherit: &cornelwall.Inherit{Of: to, Closed: 1e12, Since: 1e6, Parts: 1,
+			Records: []cornelwall.Record{{Seq: 1, Digest: 9, Answer: answer}}}},
+		{Inherited: &cornelwall.Inherited{Of: to, Part: 2, Whole: true}},
+		{Seek: &cornelwall.Seek{Of: to}},
+		{Sought: &cornelwall.Sought{Of: to, Heirs: []cornelwall.Heir{{Of: to, Heir: from}}}},
+	}
+}
+
+// TestCodec carries one message of each kind.
+func TestCodec(t *testing.T) {
+	codec := NewCodec()
+	e := cornelwall.Envelope{From: from, To: to, Messages: samples()}
+	b, err := codec.Marshal(e)
+	assert.NilError(t, err)
+	var got cornelwall.Envelope
+	assert.NilError(t, codec.Unmarshal(b, &got))
+	assert.Assert(t, reflect.DeepEqual(got, e), "%+v", got)
+}
+
+// TestCodecRefuses decodes messages that are well formed and wrong.
+func TestCodecRefuses(t *testing.T) {
+	codec := NewCodec()
+	partial := cornelwall.Answer{Ticket: ticket(1), Outcome: cornelwall.Done, Final: true,
+		Tasks: []cornelwall.TaskAnswer{{Outcome: cornelwall.NotRun}}}
+	for _, tt := range []struct {
+		want string
+		from cornelwall.Incarnation
+		to   cornelwall.Incarnation
+		m    cornelwall.Message
+	}{
+		{"life 0", cornelwall.Incarnation{DataCentre: "ikeja", Entry: "a"}, to, heartbeat()},
+		{"names no life", from, cornelwall.Incarnation{DataCentre: "lekki", Entry: "b"}, submission(1, 1)},
+		{"2 kinds", from, to, cornelwall.Message{Seek: &cornelwall.Seek{Of: to}, Wrong: &cornelwall.Wrong{Meant: to}}},
+		{"no address", from, to, cornelwall.Message{Beat: &cornelwall.Beat{}}},
+		{"no job", from, to, cornelwall.Message{Forward: &cornelwall.Forward{Ticket: ticket(1)}}},
+		{"deed 9", from, to, cornelwall.Message{Forward: &cornelwall.Forward{Deed: 9, Ticket: ticket(1)}}},
+		{"another ticket", from, to, cornelwall.Message{Forward: &cornelwall.Forward{Ticket: ticket(2), Job: submission(1, 1).Forward.Job}}},
+		{"answer is done but", from, to, cornelwall.Message{Back: &cornelwall.Back{Answer: partial}}},
+		{"inherit part 2", from, to, cornelwall.Message{Inherit: &cornelwall.Inherit{Of: to, Part: 2, Parts: 2}}},
+		{"not a final outcome", from, to, cornelwall.Message{Inherit: &cornelwall.Inherit{Of: to, Parts: 1,
+			Records: []cornelwall.Record{{Seq: 1, Answer: cornelwall.Answer{Ticket: ticket(1)}}}}}},
+		{"negative", from, to, cornelwall.Message{Heirs: &cornelwall.Heirs{Heirs: []cornelwall.Heir{{Of: to, Heir: from, Since: -1}}}}},
+	} {
+		b, err := codec.Marshal(cornelwall.Envelope{From: tt.from, To: tt.to, Messages: []cornelwall.Message{tt.m}})
+		assert.NilError(t, err)
+		err = codec.Unmarshal(b, &cornelwall.Envelope{})
+		assert.ErrorContains(t, err, tt.want)
+	}
+}
+
+// TestCodecNewer decodes a message of a later version: unknown fields and kinds are
+// ignored, so that versions can be mixed during an upgrade.
+func TestCodecNewer(t *testing.T) {
+	codec := NewCodec()
+	type newMessage struct {
+		Beat  *cornelwall.Beat `json:"beat,omitempty"`
+		Brand map[string]int   `json:"brand,omitempty"`
+	}
+	b, err := codec.Marshal(struct {
+		From     cornelwall.Incarnation `json:"from"`
+		To       cornelwall.Incarnation `json:"to"`
+		Extra    string                 `json:"extra"`
+		Messages []newMessage           `json:"messages"`
+	}{from, to, "x", []newMessage{{Beat: heartbeat().Beat}, {Brand: map[string]int{"a": 1}}}})
+	assert.NilError(t, err)
+	var e cornelwall.Envelope
+	assert.NilError(t, codec.Unmarshal(b, &e))
+	assert.Equal(t, len(e.Messages), 2)
+	assert.Assert(t, e.Messages[0].Beat != nil && e.Messages[1] == cornelwall.Message{})
+}
+
+// FuzzCodec decodes any bytes: what passes the checks is the same after a second trip.
+func FuzzCodec(f *testing.F) {
+	codec := NewCodec()
+	for _, m := range samples() {
+		b, err := codec.Marshal(cornelwall.Envelope{From: from, To: to, Messages: []cornelwall.Message{m}})
+		assert.NilError(f, err)
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var e, again cornelwall.Envelope
+		if err := codec.Unmarshal(b, &e); err != nil {
+			assert.Assert(t, strings.HasPrefix(err.Error(), "message "))
+			return
+		}
+		b, err := codec.Marshal(e)
+		assert.NilError(t, err)
+		assert.NilError(t, codec.Unmarshal(b, &again))
+		b2, err := codec.Marshal(again)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b2, b)
+	})
+}
+
+func BenchmarkEncodeForward(b *testing.B) { benchmarkEncode(b, submission(770, 200)) }
+func BenchmarkDecodeForward(b *testing.B) { benchmarkDecode(b, submission(770, 200)) }
+func BenchmarkEncodeBeat(b *testing.B)    { benchmarkEncode(b, heartbeat()) }
+func BenchmarkDecodeBeat(b *testing.B)    { benchmarkDecode(b, heartbeat()) }
+
+func benchmarkEncode(b *testing.B, m cornelwall.Message) {
+	codec := NewCodec()
+	e := cornelwall.Envelope{From: from, To: to, Messages: []cornelwall.Message{m}}
+	b.ReportAllocs()
+	for b.Loop() {
+		data, err := codec.Marshal(&e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(data)))
+	}
+}
+
+func benchmarkDecode(b *testing.B, m cornelwall.Message) {
+	codec := NewCodec()
+	data, err := codec.Marshal(cornelwall.Envelope{From: from, To: to, Messages: []cornelwall.Message{m}})
+	assert.NilError(b, err)
+	b.SetBytes(int64(len(data)))
+	b.ReportAllocs()
+	for b.Loop() {
+		var e cornelwall.Envelope
+		if err := codec.Unmarshal(data, &e); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+const secret = "0123456789abcdef"
+
+// inbox takes events for a core.
+type inbox chan cornelwall.Event
+
+func (b inbox) Post(ev cornelwall.Event) { b <- ev }
+
+// entry is one end of the way between two entries.
+type entry struct {
+	*Peers
+	inbox inbox
+	addr  netip.AddrPort
+	gate  sync.RWMutex // held for writing, it holds up what comes
+	end   func()
+}
+
+func newEntry(t *testing.T, self cornelwall.Incarnation, token string) *entry {
+	t.Helper()
+	e := &entry{inbox: make(inbox, 1<<17)}
+	e.Peers = New(Config{Self: self, Token: token, Timeout: 10 * time.Second}, e.inbox, logr.Discard())
+	mux := http.NewServeMux()
+	path, h := e.Handler()
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		e.gate.RLock()
+		defer e.gate.RUnlock()
+		h.ServeHTTP(w, r)
+	})
+	server := httptest.NewServer(mux)
+	e.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = e.Run(ctx) }()
+	e.end = func() {
+		cancel()
+		<-e.Done()
+		server.Close()
+	}
+	return e
+}
+
+// messages returns the next n messages that came, and how many envelopes it took.
+func (e *entry) messages(t *testing.T, n int) (ms []cornelwall.Message, envelopes int) {
+	t.Helper()
+	for len(ms) < n {
+		r, ok := (<-e.inbox).(cornelwall.Receive)
+		assert.Assert(t, ok)
+		ms = append(ms, r.Envelope.Messages...)
+		envelopes++
+	}
+	return ms, envelopes
+}
+
+func ask(req uint64) cornelwall.Message {
+	return cornelwall.Message{Ask: &cornelwall.Ask{Req: req, Name: "holds"}}
+}
+
+// TestOrder holds up the first envelope: what waits meanwhile comes in one batch and in
+// order.
+func TestOrder(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
+	defer a.end()
+	defer b.end()
+	b.gate.Lock()
+	const n = 1000
+	for i := range uint64(n) {
+		a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: ask(i)})
+	}
+	b.gate.Unlock()
+	ms, envelopes := b.messages(t, n)
+	for i, m := range ms {
+		assert.Equal(t, m.Ask.Req, uint64(i))
+	}
+	assert.Assert(t, envelopes <= 3, "%d envelopes", envelopes)
+}
+
+// TestSlowEntry sends to an entry that takes nothing and to one that does.
+func TestSlowEntry(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, slow, quick := newEntry(t, from, secret), newEntry(t, to, secret), newEntry(t, to, secret)
+	defer a.end()
+	defer slow.end()
+	defer quick.end()
+	slow.gate.Lock()
+	defer slow.gate.Unlock()
+	for i := range uint64(maxOutbox + batchCount + 10) {
+		a.Act(cornelwall.Send{To: to, Addr: slow.addr, Message: ask(i)})
+	}
+	a.Act(cornelwall.Send{To: to, Addr: quick.addr, Message: ask(7)})
+	ms, _ := quick.messages(t, 1)
+	assert.Equal(t, ms[0].Ask.Req, uint64(7))
+	u, ok := (<-a.inbox).(cornelwall.Undelivered) // of what found no room
+	assert.Assert(t, ok)
+	assert.Assert(t, u.Envelope.Messages[0].Ask.Req >= maxOutbox)
+}
+
+// TestHuge sends the largest messages that there can be, several at once.
+func TestHuge(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
+	defer a.end()
+	defer b.end()
+	answer := cornelwall.Answer{Ticket: ticket(1), Outcome: cornelwall.Done, Final: true}
+	for range cornelwall.MaxTasks {
+		answer.Tasks = append(answer.Tasks, cornelwall.TaskAnswer{Outcome: cornelwall.Done,
+			Body: make([]byte, cornelwall.MaxAnswerBody/cornelwall.MaxTasks)})
+	}
+	b.gate.Lock()
+	for range 3 {
+		a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: cornelwall.Message{Back: &cornelwall.Back{Req: 1, Answer: answer}}})
+		a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: submission(cornelwall.MaxTasks, cornelwall.MaxJobBody/cornelwall.MaxTasks)})
+	}
+	b.gate.Unlock()
+	ms, _ := b.messages(t, 6)
+	assert.Equal(t, len(ms), 6)
+	assert.Equal(t, len(a.inbox), 0, "messages came back")
+}
+
+// TestWrongSecret sends with a secret that is not the receiver's.
+func TestWrongSecret(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newEntry(t, from, "another-secret-of-16"), newEntry(t, to, secret)
+	defer a.end()
+	defer b.end()
+	a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: ask(1)})
+	u, ok := (<-a.inbox).(cornelwall.Undelivered)
+	assert.Assert(t, ok)
+	assert.Equal(t, u.Envelope.Messages[0].Ask.Req, uint64(1))
+	assert.Equal(t, len(b.inbox), 0)
+}
+
+// TestFlush ends the sender right after its last message.
+func TestFlush(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
+	defer b.end()
+	for i := range uint64(100) {
+		a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: ask(i)})
+	}
+	a.end()
+	ms, _ := b.messages(t, 100)
+	assert.Equal(t, ms[99].Ask.Req, uint64(99))
+	a.Act(cornelwall.Send{To: to, Addr: b.addr, Message: ask(1)}) // does nothing
+}
--- a/job.go
+++ b/job.go
@@ -16,6 +16,9 @@
 	MaxTaskBody = 1 << 20
 	// MaxJobBody is the largest sum of the bodies of a job in bytes.
 	MaxJobBody = 8 << 20
+	// MaxAnswerBody is the largest sum of the results of a job in bytes. A job with
+	// larger results fails, since its answer could not be carried whole.
+	MaxAnswerBody = 16 << 20
 )
 
 // Need is what a task takes up while it runs. The zero need is one slot of an
--- a/message.go
+++ b/message.go
@@ -26,14 +26,16 @@
 		if err := e.Messages[i].Check(); err != nil {
 			errs = append(errs, fmt.Errorf("messages[%d]: %w", i, err))
 		}
-		if e.To.Life == 0 && e.Messages[i].Beat == nil {
+		if e.To.Life == 0 && e.Messages[i] != (Message{}) && e.Messages[i].Beat == nil {
 			errs = append(errs, fmt.Errorf("messages[%d] names no life; only a beat may", i))
 		}
 	}
 	return errors.Join(errs...)
 }
 
-// Message is one of its fields; all others are nil.
+// Message is one of its fields; all others are nil. A message of a kind that this
+// version does not know has no field set, and is ignored, so that entries of two versions
+// can serve together while one takes the place of the other.
 type Message struct {
 	Beat      *Beat      `json:"beat,omitempty"`
 	Wrong     *Wrong     `json:"wrong,omitempty"`
@@ -77,7 +79,7 @@
 	count(m.Inherited != nil)
 	count(m.Seek != nil)
 	count(m.Sought != nil)
-	if n != 1 {
+	if n > 1 {
 		return fmt.Errorf("message has %d kinds; send exactly one", n)
 	}
 	switch {
@@ -87,6 +89,8 @@
 		return m.Back.Answer.Check()
 	case m.Want != nil:
 		return m.Want.Check()
+	case m.Beat != nil && !m.Beat.Addr.IsValid():
+		return errors.New("beat has no address; send ip:port of the peers' listener")
 	case m.Loan != nil:
 		return checkRange("loan count", m.Loan.Count, 1, maxLoan)
 	case m.Return != nil:
@@ -154,7 +158,7 @@
 
 // Check reports all that is wrong with the request.
 func (f *Forward) Check() error {
-	err := f.Ticket.Check()
+	err := errors.Join(f.Ticket.Check(), checkRange("deed", int(f.Deed), int(DeedSubmit), int(DeedCancel)))
 	if f.Deed != DeedSubmit {
 		return err
 	}
--- a/reason.go
+++ b/reason.go
@@ -60,4 +60,6 @@
 	ReasonOverload
 	// ReasonPeer means that a message to another entry did not arrive.
 	ReasonPeer
+	// ReasonTooLarge means that the results of a job are larger than an answer may be.
+	ReasonTooLarge
 )
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloadpeer"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloadpeertoo-large"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176, 180}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176, 180, 189}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloadpeer"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloadpeertoo-large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -50,9 +50,10 @@
 	_ = x[ReasonClaims-(23)]
 	_ = x[ReasonOverload-(24)]
 	_ = x[ReasonPeer-(25)]
+	_ = x[ReasonTooLarge-(26)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonPeer}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonPeer, ReasonTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -81,6 +82,7 @@
 	_ReasonName[162:168]: ReasonClaims,
 	_ReasonName[168:176]: ReasonOverload,
 	_ReasonName[176:180]: ReasonPeer,
+	_ReasonName[180:189]: ReasonTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -110,6 +112,7 @@
 	_ReasonLowerName[162:168]: ReasonClaims,
 	_ReasonLowerName[168:176]: ReasonOverload,
 	_ReasonLowerName[176:180]: ReasonPeer,
+	_ReasonLowerName[180:189]: ReasonTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -139,6 +142,7 @@
 	_ReasonName[162:168],
 	_ReasonName[168:176],
 	_ReasonName[176:180],
+	_ReasonName[180:189],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
