Planned stop of the process: ready page, linger, listeners in order

Cause: all listeners closed at the same moment as the peers, connections were kept alive into the stop and reset at its end, a request that outlived the stop was told "entry is stopping" although its job may have run, a panic in a handler was logged over many lines, and secrets could come from flags and the environment only.

Ruled out: closing the callers' listener first (a balancer that has not seen the ready page yet would be refused), SetKeepAlivesEnabled (resets idle connections).

Change: /healthz and /readyz on the callers' listener. Limits of connections per listener.

Shown: go test -race ./cmd/cornelwall: a whole entry in this process stops with a job in flight, restarts, hands over and leaves no goroutine (goleak).

--- /dev/null
+++ b/cmd/cornelwall/entry_test.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cornelwall"
+	"cornelwall/io/caller"
+	"cornelwall/standin/executor"
+	"cornelwall/standin/platform"
+	"cornelwall/standin/task"
+)
+
+const (
+	testSecret = "secret-of-all-entries"
+	testToken  = "token-of-operators"
+)
+
+// system is a stand-in platform and executor, and entries in this process.
+type system struct {
+	t        *testing.T
+	client   *http.Client
+	platform *platform.Platform
+	url      string
+}
+
+// running is an entry that runs.
+type running struct {
+	*entry
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, client: &http.Client{Transport: &http.Transport{}}, platform: platform.New(platform.Config{})}
+	server := httptest.NewServer(s.platform)
+	s.url = server.URL
+	x := executor.New(executor.Config{})
+	worker := httptest.NewServer(x)
+	s.platform.PutVM(cornelwall.VM{Name: "x1", Kind: cornelwall.Executor, DataCentre: "ikeja", Slots: 8, Conns: 64,
+		Addr: netip.MustParseAddrPort(worker.Listener.Addr().String())})
+	t.Cleanup(func() {
+		s.client.CloseIdleConnections()
+		x.Close()
+		s.platform.Close()
+		worker.Close()
+		server.Close()
+	})
+	return s
+}
+
+// start builds and runs an entry.
+func (s *system) start(name string) *running {
+	s.t.Helper()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	e, err := build(settings{
+		Name: name, DataCentre: "ikeja", Callers: loopback, Peers: loopback, Operators: loopback,
+		Store: []string{s.url}, Machine: s.url + "/vms", Secret: testSecret, Token: testToken,
+		ListPoll: 20 * time.Millisecond, PlatformTimeout: time.Second, PeerTimeout: time.Second,
+		StopTimeout: 20 * time.Second, Linger: 300 * time.Millisecond,
+	}, logr.Discard())
+	assert.NilError(s.t, err)
+	s.platform.PutVM(cornelwall.VM{Name: name, Kind: cornelwall.Entry, DataCentre: "ikeja", Addr: e.peers.addr()})
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{entry: e, stop: cancel, ended: make(chan error, 1)}
+	go func() { r.ended <- e.run(ctx) }()
+	return r
+}
+
+// call sends a request and decodes the answer into out, if that is not nil.
+func (s *system) call(method, url string, in, out any) *http.Response {
+	s.t.Helper()
+	body, err := json.Marshal(in)
+	assert.NilError(s.t, err)
+	r, err := http.NewRequest(method, url, bytes.NewReader(body))
+	assert.NilError(s.t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	resp, err := s.client.Do(r)
+	assert.NilError(s.t, err)
+	defer func() { assert.Check(s.t, resp.Body.Close()) }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(s.t, err)
+	if out != nil {
+		assert.NilError(s.t, json.Unmarshal(text, out), "%s", text)
+	}
+	return resp
+}
+
+func (s *system) callersURL(e *running, path string) string {
+	return "http://" + e.callers.addr().String() + path
+}
+
+// ready waits until the entry has the status on its ready page.
+func (s *system) ready(e *running, status int) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		var page caller.Ready
+		if resp := s.call(http.MethodGet, s.callersURL(e, "/readyz"), nil, &page); resp.StatusCode != status {
+			return poll.Continue("status %d: %v", resp.StatusCode, page.Why)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+// TestPlannedStop stops an entry while a job is in flight and its callers still come.
+func TestPlannedStop(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("system", func(t *testing.T) {
+		s := newSystem(t)
+		a, b := s.start("a"), s.start("b")
+		s.ready(a, http.StatusServiceUnavailable)
+		profile := cornelwall.Profile{Name: "holds", Team: "bookings"}
+		resp := s.call(http.MethodPut, "http://"+a.operators.addr().String()+"/v1/profiles/holds", profile, nil)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		s.ready(a, http.StatusOK)
+		s.ready(b, http.StatusOK)
+
+		var drawn caller.Tickets
+		s.call(http.MethodPost, s.callersURL(a, "/v1/tickets"), caller.Drawing{Profile: "holds", Count: 2}, &drawn)
+		job := cornelwall.Job{Ticket: drawn.Tickets[0], Profile: "holds", Tasks: []cornelwall.Task{
+			{Body: task.Task{Sleep: cornelwall.Duration(400 * time.Millisecond), Echo: "seat 4"}.Body()}}}
+		answered := make(chan cornelwall.Answer)
+		go func() {
+			var answer cornelwall.Answer
+			s.call(http.MethodPost, s.callersURL(a, "/v1/jobs"), job, &answer)
+			answered <- answer
+		}()
+		status := func(e *running) (answer cornelwall.Answer) {
+			s.call(http.MethodGet, s.callersURL(e, "/v1/jobs/"+job.Ticket.String()), nil, &answer)
+			return answer
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if st, err := a.loop.Status(context.Background()); err != nil || st.Running == 0 {
+				return poll.Continue("%+v %v", st, err)
+			}
+			return poll.Success()
+		}, poll.WithDelay(5*time.Millisecond))
+
+		a.stop()
+		s.ready(a, http.StatusServiceUnavailable)
+		resp = s.call(http.MethodGet, s.callersURL(a, "/readyz"), nil, nil)
+		assert.Assert(t, resp.Close, "the answer of a stopping entry keeps the connection")
+		answer := <-answered
+		assert.Equal(t, answer.Outcome, cornelwall.Done, "%+v", answer)
+		assert.Equal(t, string(answer.Tasks[0].Body), "seat 4")
+		assert.NilError(t, <-a.ended)
+
+		assert.Equal(t, status(b).Outcome, cornelwall.Done)
+		job.Ticket = drawn.Tickets[1]
+		s.call(http.MethodPost, s.callersURL(b, "/v1/jobs"), job, &answer)
+		assert.Equal(t, answer.Outcome, cornelwall.NotRun, "%+v", answer)
+		job.Ticket = drawn.Tickets[0]
+
+		a = s.start("a")
+		s.ready(a, http.StatusOK)
+		assert.Equal(t, status(a).Outcome, cornelwall.Done)
+		b.stop()
+		assert.NilError(t, <-b.ended)
+		assert.Equal(t, status(a).Outcome, cornelwall.Done)
+		s.platform.RemoveVM("b")
+		a.stop() // with no other entry to hand over to
+		assert.NilError(t, <-a.ended)
+	})
+}
+
+// TestPanic checks that a panic in a handler ends one request only.
+func TestPanic(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	s, err := listen(listenConfig{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Conns: 1, Log: logr.Discard()},
+		http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/panic" {
+				panic("of the test")
+			}
+		}))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = s.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-s.Done()
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for path, status := range map[string]int{"/panic": 500, "/": 200} {
+		resp, err := client.Get("http://" + s.addr().String() + path)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, status)
+	}
+}
--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -38,10 +38,15 @@
 
 // entry is the parts of a running entry.
 type entry struct {
-	kernel *kernel.Kernel
-	loop   *control.Loop
-	log    logr.Logger
-	stop   time.Duration
+	kernel    *kernel.Kernel
+	loop      *control.Loop
+	callers   *server
+	peers     *server
+	operators *server
+	log       logr.Logger
+	stop      time.Duration // limit of a planned stop
+	linger    time.Duration // least time of a planned stop
+	close     func()        // closes the idle connections to other systems
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
@@ -64,11 +69,15 @@
 	return logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 }
 
-// drawLife returns a random number for one process life.
-func drawLife() uint64 {
+const lifeRandomBits = 22
+
+// drawLife returns a unique number for one process life. It starts with the time, so that
+// of two lives of one entry that both answer, the later one is the larger.
+func drawLife(now time.Time) uint64 {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
-	return binary.BigEndian.Uint64(b[:]) | 1
+	random := binary.BigEndian.Uint64(b[:]) >> (64 - lifeRandomBits)
+	return uint64(now.UnixMilli())<<lifeRandomBits | random
 }
 
 // drawChange returns a unique identity for a change of a profile.
@@ -76,36 +85,39 @@
 
 // build opens the listeners and connects the services.
 func build(s settings, log logr.Logger) (*entry, error) {
-	self := cornelwall.Incarnation{DataCentre: s.DataCentre, Entry: s.Name, Life: drawLife()}
+	clock := cornelwall.SystemClock{}
+	self := cornelwall.Incarnation{DataCentre: s.DataCentre, Entry: s.Name, Life: drawLife(clock.Now())}
 	log = log.WithValues("entry", self)
 	mux := http.NewServeMux()
-	peerServer, err := listen(s.Peers, mux)
+	peerServer, err := listen(listenConfig{Addr: s.Peers, Conns: maxPeerConns, Log: log}, mux)
 	if err != nil {
 		return nil, fmt.Errorf("--peers: %w", err)
 	}
-	clock := cornelwall.SystemClock{}
 	core := node.New(node.Config{Self: self, Addr: peerServer.addr(), Secret: []byte(s.Secret)}, clock.Now())
 	loop := control.New(core, clock, log)
 
 	peers := peer.New(peer.Config{Self: self, Token: s.Secret, Timeout: s.PeerTimeout}, loop, log)
 	mux.Handle(peers.Handler())
+	executors, workers := executor.New(executor.Config{}), worker.New(worker.Config{})
 	endpoints := endpoint.New(loop, map[cornelwall.Kind]cornelwall.BackEnd{
-		cornelwall.Executor: executor.New(executor.Config{}),
-		cornelwall.Worker:   worker.New(worker.Config{}),
+		cornelwall.Executor: executors,
+		cornelwall.Worker:   workers,
 	})
 	store := platform.New(platform.Config{Endpoints: s.Store, Timeout: s.PlatformTimeout})
+	list := platform.NewVMList(platform.ListConfig{URL: s.Machine, Timeout: s.PlatformTimeout, Log: log})
 	service := platform.NewService(platform.Settings{
-		Store: store, List: platform.NewVMList(platform.ListConfig{URL: s.Machine, Timeout: s.PlatformTimeout, Log: log}),
+		Store: store, List: list,
 		Prefix: operator.Prefix, Decode: operator.Decode,
 		ListPoll: s.ListPoll, Timeout: s.PlatformTimeout,
 	}, loop, log)
 	loop.Connect(peers, endpoints, service)
 
-	callers, err := listen(s.Callers, caller.New(loop))
+	callers, err := listen(listenConfig{Addr: s.Callers, Conns: maxCallerConns, Log: log}, caller.New(loop))
 	if err != nil {
 		return nil, fmt.Errorf("--callers: %w", err)
 	}
-	operators, err := listen(s.Operators, operatorHandler(loop, store, s.Token))
+	operators, err := listen(listenConfig{Addr: s.Operators, Conns: maxOperatorConns, Log: log},
+		operatorHandler(loop, store, s.Token))
 	if err != nil {
 		return nil, fmt.Errorf("--operators: %w", err)
 	}
@@ -115,15 +127,26 @@
 	k.Add(cornelwall.ServiceEndpoints, endpoints)
 	k.Add(cornelwall.ServicePlatform, service)
 	k.Add("peer-listener", peerServer)
-	k.Add("caller-listener", callers)
 	k.Add("operator-listener", operators)
+	k.Add("caller-listener", callers) // ends first, while its requests still reach everything
 	log.Info("serving", "callers", callers.addr(), "peers", peerServer.addr(), "operators", operators.addr())
-	return &entry{kernel: k, loop: loop, log: log, stop: s.StopTimeout}, nil
+	return &entry{
+		kernel: k, loop: loop, callers: callers, peers: peerServer, operators: operators, log: log, stop: s.StopTimeout, linger: s.Linger,
+		close: func() {
+			executors.Close()
+			workers.Close()
+			store.Close()
+			list.Close()
+		},
+	}, nil
 }
 
 func operatorHandler(loop *control.Loop, store cornelwall.Store, token string) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		metrics.WritePrometheus(w, true)
+		loop.WriteMetrics(r.Context(), w)
+	})
 	mux.Handle("/", operator.New(loop, store, token, drawChange))
 	return mux
 }
@@ -134,19 +157,35 @@
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- e.kernel.Run(kctx) }()
+	defer e.close()
 	select {
 	case err := <-ended:
 		return err
 	case <-ctx.Done():
 	}
+	e.leave()
+	cancel()
+	return <-ended
+}
+
+// leave makes the planned stop of the core. Callers are served until it is complete, and
+// at least for as long as the balancer needs to see that the entry is not ready.
+func (e *entry) leave() {
+	e.callers.leave(time.Now().Add(e.stop))
 	e.loop.Post(cornelwall.Stop{})
-	timer := time.NewTimer(e.stop)
-	defer timer.Stop()
+	limit, least := time.NewTimer(e.stop), time.NewTimer(e.linger)
+	defer limit.Stop()
+	defer least.Stop()
 	select {
 	case <-e.loop.Stopped():
-	case <-timer.C:
+	case <-e.loop.Done(): // a service has failed meanwhile
+		return
+	case <-limit.C:
 		e.log.Info("stop-timeout", "remedy", "raise --stop-timeout above the longest deadline")
+		return
+	}
+	select {
+	case <-least.C:
+	case <-e.loop.Done():
 	}
-	cancel()
-	return <-ended
 }
--- a/cmd/cornelwall/server.go
+++ b/cmd/cornelwall/server.go
@@ -3,47 +3,106 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"golang.org/x/net/netutil"
 )
 
 const (
-	maxConns          = 4096
+	maxCallerConns    = 8192
+	maxPeerConns      = 1024
+	maxOperatorConns  = 128
 	maxHeaderBytes    = 16 << 10
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	shutdownTimeout   = 5 * time.Second
+	drainTimeout      = 5 * time.Second // for requests in flight
+	cutTimeout        = time.Second     // for the answers to requests that are cut short
 )
 
+var handlerPanics = metrics.NewCounter("cornelwall_http_panics_total")
+
+// listenConfig is the settings of a listener.
+type listenConfig struct {
+	Addr  netip.AddrPort
+	Conns int // at once
+	Log   logr.Logger
+}
+
 // server is an HTTP listener that runs as a service.
 type server struct {
+	cfg      listenConfig
 	http     http.Server
 	listener net.Listener
+	leaving  atomic.Pointer[time.Time] // by when the requests in flight are to have ended
+	ctx      context.Context           // of all requests
+	cut      context.CancelFunc
 	done     chan struct{}
 }
 
 // listen opens the address, so that a wrong one is told before anything runs.
-func listen(addr netip.AddrPort, h http.Handler) (*server, error) {
-	l, err := net.Listen("tcp", addr.String())
+func listen(cfg listenConfig, h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", cfg.Addr.String())
 	if err != nil {
 		return nil, err
 	}
-	return &server{
-		http: http.Server{
-			Handler:           h,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ReadTimeout:       readTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
-		listener: netutil.LimitListener(l, maxConns),
-		done:     make(chan struct{}),
-	}, nil
+	s := &server{cfg: cfg, listener: netutil.LimitListener(l, cfg.Conns), done: make(chan struct{})}
+	s.ctx, s.cut = context.WithCancel(context.Background())
+	s.http = http.Server{
+		BaseContext:       func(net.Listener) context.Context { return s.ctx },
+		Handler:           s.wrap(h),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(logr.ToSlogHandler(cfg.Log.V(1).WithName("http")), slog.LevelInfo),
+	}
+	return s, nil
+}
+
+// wrap adds what every handler needs: a panic is logged and ends one request only, and
+// once the entry is leaving, each answer ends its connection.
+func (s *server) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() != nil {
+			w.Header().Set("Connection", "close")
+		}
+		defer s.recover(w, r)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) recover(w http.ResponseWriter, r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v) // the way to cut an answer short
+	}
+	handlerPanics.Inc()
+	s.cfg.Log.Info("handler-panic", "method", r.Method, "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
+	http.Error(w, "the entry made an error; report it with the log line handler-panic", http.StatusInternalServerError)
+}
+
+// leave makes each answer end its connection, so that callers come back elsewhere. The
+// requests in flight have until the time given.
+func (s *server) leave(by time.Time) { s.leaving.Store(&by) }
+
+// drain returns how long the requests in flight may take once the server ends.
+func (s *server) drain() time.Duration {
+	if by := s.leaving.Load(); by != nil {
+		return max(drainTimeout, time.Until(*by))
+	}
+	return drainTimeout
 }
 
 // addr returns the address that the server listens on.
@@ -59,14 +118,30 @@
 		return err
 	case <-ctx.Done():
 	}
-	sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	err := s.http.Shutdown(sctx)
+	err := s.shutdown()
 	if serr := <-ended; !errors.Is(serr, http.ErrServerClosed) {
 		err = errors.Join(err, serr)
 	}
 	return err
 }
 
+// shutdown lets the requests in flight finish, and ends those that take too long.
+func (s *server) shutdown() error {
+	defer s.cut()
+	ctx, cancel := context.WithTimeout(context.Background(), s.drain())
+	defer cancel()
+	if err := s.http.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	s.cfg.Log.Info("requests-cut", "addr", s.addr(), "remedy", "raise --stop-timeout above the longest deadline")
+	s.cut() // their handlers still tell the truth
+	ctx, cancel = context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) == nil {
+		return nil
+	}
+	return s.http.Close()
+}
+
 // Done is closed once Run has returned.
 func (s *server) Done() <-chan struct{} { return s.done }
--- a/cmd/cornelwall/settings.go
+++ b/cmd/cornelwall/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -33,6 +35,7 @@
 	PlatformTimeout time.Duration
 	PeerTimeout     time.Duration
 	StopTimeout     time.Duration
+	Linger          time.Duration
 	Verbose         bool
 }
 
@@ -47,12 +50,15 @@
 		&cli.StringFlag{Name: "operators", Usage: "ip:port for operators", Value: "127.0.0.1:7002", Sources: env("OPERATORS")},
 		&cli.StringSliceFlag{Name: "store", Usage: "URL of the key-value service; may be repeated", Sources: env("STORE")},
 		&cli.StringFlag{Name: "vms", Usage: "URL of the VM list", Sources: env("VMS")},
-		&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries", Sources: env("SECRET")},
-		&cli.StringFlag{Name: "token", Usage: "token of the operators", Sources: env("TOKEN")},
+		&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries; a file is safer", Sources: env("SECRET")},
+		&cli.StringFlag{Name: "secret-file", Usage: "file with the secret shared by all entries", Sources: env("SECRET_FILE")},
+		&cli.StringFlag{Name: "token", Usage: "token of the operators; a file is safer", Sources: env("TOKEN")},
+		&cli.StringFlag{Name: "token-file", Usage: "file with the token of the operators", Sources: env("TOKEN_FILE")},
 		&cli.DurationFlag{Name: "list-poll", Usage: "time between reads of the VM list", Value: time.Second, Sources: env("LIST_POLL")},
 		&cli.DurationFlag{Name: "platform-timeout", Usage: "limit of one call of the platform", Value: 2 * time.Second, Sources: env("PLATFORM_TIMEOUT")},
 		&cli.DurationFlag{Name: "peer-timeout", Usage: "limit of one call of another entry", Value: 2 * time.Second, Sources: env("PEER_TIMEOUT")},
 		&cli.DurationFlag{Name: "stop-timeout", Usage: "limit of a planned stop", Value: time.Minute, Sources: env("STOP_TIMEOUT")},
+		&cli.DurationFlag{Name: "linger", Usage: "least time of a planned stop, for the balancer to see it", Value: 2 * time.Second, Sources: env("LINGER")},
 		&cli.BoolFlag{Name: "verbose", Usage: "log what is only of use in a search for faults", Sources: env("VERBOSE")},
 	}
 }
@@ -64,12 +70,11 @@
 		DataCentre:      c.String("dc"),
 		Store:           c.StringSlice("store"),
 		Machine:         c.String("vms"),
-		Secret:          c.String("secret"),
-		Token:           c.String("token"),
 		ListPoll:        c.Duration("list-poll"),
 		PlatformTimeout: c.Duration("platform-timeout"),
 		PeerTimeout:     c.Duration("peer-timeout"),
 		StopTimeout:     c.Duration("stop-timeout"),
+		Linger:          c.Duration("linger"),
 		Verbose:         c.Bool("verbose"),
 	}
 	var errs []error
@@ -80,12 +85,37 @@
 		}
 		*to = a
 	}
+	secret := func(flag string, to *string) {
+		text, err := readSecret(flag, c.String(flag), c.String(flag+"-file"))
+		if err != nil {
+			errs = append(errs, err)
+		}
+		*to = text
+	}
+	secret("secret", &s.Secret)
+	secret("token", &s.Token)
 	address("callers", &s.Callers)
 	address("peers", &s.Peers)
 	address("operators", &s.Operators)
 	return s, errors.Join(append(errs, s.check())...)
 }
 
+// readSecret returns the secret of a flag, or the content of the file that the flag with
+// "-file" names, without the white space around it.
+func readSecret(flag, text, file string) (string, error) {
+	switch {
+	case file == "":
+		return text, nil
+	case text != "":
+		return text, fmt.Errorf("--%s and --%s-file are both set; use one", flag, flag)
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("--%s-file cannot be read: %w", flag, err)
+	}
+	return strings.TrimSpace(string(b)), nil
+}
+
 // check reports all that is wrong with the settings.
 func (s *settings) check() error {
 	errs := []error{cornelwall.CheckName("--name", s.Name), cornelwall.CheckName("--dc", s.DataCentre)}
@@ -98,21 +128,27 @@
 		}
 	}
 	if len(s.Secret) < minSecretLen {
-		errs = append(errs, fmt.Errorf("--secret has %d characters; use %d or more", len(s.Secret), minSecretLen))
+		errs = append(errs, fmt.Errorf("--secret has %d characters; use %d or more, here or in --secret-file", len(s.Secret), minSecretLen))
 	}
 	if len(s.Token) < minSecretLen {
-		errs = append(errs, fmt.Errorf("--token has %d characters; use %d or more", len(s.Token), minSecretLen))
+		errs = append(errs, fmt.Errorf("--token has %d characters; use %d or more, here or in --token-file", len(s.Token), minSecretLen))
 	}
 	if s.Secret != "" && s.Secret == s.Token {
 		errs = append(errs, errors.New("--secret and --token are the same; use two"))
 	}
-	for flag, d := range map[string]time.Duration{
-		"list-poll": s.ListPoll, "platform-timeout": s.PlatformTimeout,
-		"peer-timeout": s.PeerTimeout, "stop-timeout": s.StopTimeout,
+	for _, v := range []struct {
+		flag string
+		d    time.Duration
+	}{
+		{"list-poll", s.ListPoll}, {"platform-timeout", s.PlatformTimeout},
+		{"peer-timeout", s.PeerTimeout}, {"stop-timeout", s.StopTimeout},
 	} {
-		if d <= 0 {
-			errs = append(errs, fmt.Errorf("--%s %s is not positive; use a duration such as 2s", flag, d))
+		if v.d <= 0 {
+			errs = append(errs, fmt.Errorf("--%s %s is not positive; use a duration such as 2s", v.flag, v.d))
 		}
 	}
+	if s.Linger < 0 || s.Linger >= s.StopTimeout {
+		errs = append(errs, fmt.Errorf("--linger %s is out of range; use 0s or more, and less than --stop-timeout %s", s.Linger, s.StopTimeout))
+	}
 	return errors.Join(errs...)
 }
--- a/core/node/peers_test.go
+++ b/core/node/peers_test.go
@@ -228,3 +228,17 @@
 	}
 	assert.Equal(t, c.answer(req, 3*time.Second).Outcome, cornelwall.Done)
 }
+
+// TestCallerGone submits jobs whose callers go away at once, here and at another entry.
+func TestCallerGone(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	for _, via := range []string{"dc0-e0", "dc0-e1"} {
+		tk := c.draw("dc0-e0")
+		req := c.submit(via, tk, 3)
+		c.Post(c.hosts[via], cornelwall.Gone{Req: req})
+		c.Advance(time.Second)
+		_, answered := c.answers[req]
+		assert.Assert(t, !answered)
+		assert.Equal(t, c.answer(c.fetch(via, tk), time.Second).Outcome, cornelwall.Done)
+	}
+}
--- a/core/node/stop.go
+++ b/core/node/stop.go
@@ -280,12 +280,12 @@
 	case whole > 0 && n.now.Sub(h.proven) >= n.cfg.Away:
 		n.stopped()
 	case len(h.heirs) > 0:
-	case h.alone.IsZero() && n.members.Others():
-		h.alone = n.now
-		n.log("no-heir-yet", "remedy", "keep two entries up; waiting for one", "wait", n.cfg.HeirWait)
-	case h.alone.IsZero() || n.now.Sub(h.alone) >= n.cfg.HeirWait:
+	case !n.members.Others() || !h.alone.IsZero() && n.now.Sub(h.alone) >= n.cfg.HeirWait:
 		n.log("no-heir", "remedy", "outcomes of this entry are unknown from now on; keep two entries up")
 		n.stopped()
+	case h.alone.IsZero():
+		h.alone = n.now
+		n.log("no-heir-yet", "remedy", "keep two entries up; waiting for one", "wait", n.cfg.HeirWait)
 	}
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -74,6 +74,8 @@
 	e.POST("/v1/jobs", h.submit)
 	e.GET("/v1/jobs/:ticket", h.fetch)
 	e.DELETE("/v1/jobs/:ticket", h.cancel)
+	e.GET("/healthz", h.health)
+	e.GET("/readyz", h.ready)
 	return e
 }
 
@@ -139,11 +141,18 @@
 func (h *handler) ask(c echo.Context, event func(req uint64) cornelwall.Event) error {
 	cmd, err := h.core.Ask(c.Request().Context(), event)
 	if err != nil {
-		return err
+		return write(c, cut)
 	}
 	return write(c, cmd.(cornelwall.Reply).Answer)
 }
 
+// cut is the answer to a request that the end of the process cuts short: what became of
+// the job is not known here.
+var cut = cornelwall.Answer{
+	Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonStopping, Back: cornelwall.Duration(time.Second),
+	Text: "the entry stopped before the job ended; ask another entry with the same ticket",
+}
+
 // write sends an answer with the status and the time to come back that belong to it.
 func write(c echo.Context, a cornelwall.Answer) error {
 	if back := time.Duration(a.Back); back > 0 {
--- /dev/null
+++ b/io/caller/ready.go
@@ -0,0 +1,49 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"cornelwall"
+)
+
+const statusTimeout = time.Second // for the core to answer the health and ready pages
+
+// Ready is the answer of the ready page.
+type Ready struct {
+	Ready bool     `json:"ready"`
+	Why   []string `json:"why,omitempty"` // what is missing, each with the remedy
+}
+
+// health answers 200 while the core answers.
+func (h *handler) health(c echo.Context) error {
+	if _, err := h.status(c); err != nil {
+		return c.JSON(http.StatusServiceUnavailable, Ready{Why: []string{"the core does not answer; restart the entry if this lasts"}})
+	}
+	return c.JSON(http.StatusOK, Ready{Ready: true})
+}
+
+// ready answers 200 while the balancer should send callers here.
+func (h *handler) ready(c echo.Context) error {
+	s, err := h.status(c)
+	if err != nil {
+		return c.JSON(http.StatusServiceUnavailable, Ready{Why: []string{"the core does not answer"}})
+	}
+	if why := s.Unready(); len(why) > 0 {
+		return c.JSON(http.StatusServiceUnavailable, Ready{Why: why})
+	}
+	return c.JSON(http.StatusOK, Ready{Ready: true})
+}
+
+func (h *handler) status(c echo.Context) (cornelwall.Status, error) {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), statusTimeout)
+	defer cancel()
+	cmd, err := h.core.Ask(ctx, func(req uint64) cornelwall.Event { return cornelwall.Describe{Req: req} })
+	if err != nil {
+		return cornelwall.Status{}, err
+	}
+	return cmd.(cornelwall.ReplyStatus).Status, nil
+}
