Stop limit in the core; time for what waited while the entry was frozen

Ruled out: handing over with open jobs (an heir cannot end them).

Change: Stop carries the time left; at its end open jobs end as failed or not run and the tables are handed over. Tasks of ended jobs hold up nothing. After a gap in time as long as a silence counts, forwards get their time again.

Shown: TestStopLimit and TestThaw; TestThaw fails without thawForwards.

--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -172,7 +172,7 @@
 // at least for as long as the balancer needs to see that the entry is not ready.
 func (e *entry) leave() {
 	e.callers.leave(time.Now().Add(e.stop))
-	e.loop.Post(cornelwall.Stop{})
+	e.loop.Post(cornelwall.Stop{Left: e.stop * 3 / 4}) // the rest is for the handover
 	limit, least := time.NewTimer(e.stop), time.NewTimer(e.linger)
 	defer limit.Stop()
 	defer least.Stop()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -175,7 +175,11 @@
 
 // Step takes one event and returns what follows from it.
 func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	frozen := now.Sub(n.now) >= n.cfg.Away
 	n.now, n.out = now, nil
+	if frozen {
+		n.thawForwards()
+	}
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
 	n.sendAgain()
@@ -218,7 +222,7 @@
 	case cornelwall.Describe:
 		n.emit(cornelwall.ReplyStatus{Req: ev.Req, Status: n.status()})
 	case cornelwall.Stop:
-		n.stop()
+		n.stop(ev.Left)
 	case cornelwall.Tick:
 	}
 }
--- a/core/node/peers_test.go
+++ b/core/node/peers_test.go
@@ -242,3 +242,58 @@
 		assert.Equal(t, c.answer(c.fetch(via, tk), time.Second).Outcome, cornelwall.Done)
 	}
 }
+
+// TestFarEntries has more entries than exchange heartbeats with each other: requests
+// reach owners that are far, also those that have closed, and a cut is told in time.
+func TestFarEntries(t *testing.T) {
+	c := newCluster(t, 6, 3)
+	var tickets []cornelwall.Ticket
+	for _, name := range c.names() {
+		tk := c.draw(name)
+		tickets = append(tickets, tk)
+		assert.Equal(t, c.answer(c.submit("dc0-e0", tk, 1), time.Second).Outcome, cornelwall.Done, name)
+	}
+	c.stop("dc3-e1")
+	c.stop("dc4-e2")
+	c.start("dc4-e2")
+	for _, name := range c.names() {
+		if c.hosts[name].Dead {
+			continue
+		}
+		for _, tk := range tickets {
+			a := c.answer(c.fetch(name, tk), 3*time.Second)
+			assert.Equal(t, a.Outcome, cornelwall.Done, "%s asked for %s: %+v", name, tk, a)
+		}
+	}
+	c.Link = func(from, to cornelwall.Incarnation, _ cornelwall.Envelope) fake.Fate {
+		if (from.DataCentre == "dc0") != (to.DataCentre == "dc0") {
+			return fake.Fate{Told: 2 * time.Second}
+		}
+		return arrives
+	}
+	for _, tk := range tickets {
+		a := c.answer(c.fetch("dc0-e0", tk), away+time.Second)
+		if tk.Owner.Entry == "dc3-e1" || tk.Owner.Entry == "dc4-e2" {
+			continue // of which this data centre may have an heir
+		}
+		if tk.Owner.DataCentre == "dc0" {
+			assert.Equal(t, a.Outcome, cornelwall.Done)
+			continue
+		}
+		assert.Equal(t, a.Outcome, cornelwall.Unknown)
+		assert.Assert(t, !a.Final && a.Back > 0, "%+v", a)
+	}
+}
+
+// TestThaw freezes an entry that waits for an answer: what came meanwhile counts before
+// the entry gives up.
+func TestThaw(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.took = time.Second
+	req := c.submit("dc0-e1", c.draw("dc0-e0"), 1)
+	c.Advance(100 * time.Millisecond)
+	c.Freeze(c.hosts["dc0-e1"])
+	c.Advance(10 * time.Second)
+	c.Thaw(c.hosts["dc0-e1"])
+	assert.Equal(t, c.answer(req, time.Second).Outcome, cornelwall.Done)
+}
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -191,6 +191,14 @@
 	n.sendForward(req, f, deed)
 }
 
+// thawForwards gives what waits for other entries more time, after this entry was frozen:
+// their word may be waiting to be read.
+func (n *Node) thawForwards() {
+	for _, f := range n.forwards {
+		f.sent, f.failing = n.now, time.Time{}
+	}
+}
+
 // forwardLost takes back a forward that may not have arrived.
 func (n *Node) forwardLost(to cornelwall.Incarnation, req uint64) {
 	f := n.forwards[req]
--- a/core/node/stop.go
+++ b/core/node/stop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 // handover is the last part of a planned stop: the tables of this incarnation and of
 // those that it is an heir of go to two other entries.
 type handover struct {
+	limit   time.Time // of open jobs; zero is none
 	closed  time.Time
 	parts   []part
 	heirs   []*transfer
@@ -46,11 +48,15 @@
 }
 
 // stop begins a planned stop: no new jobs, and the machines go to other homes.
-func (n *Node) stop() {
+func (n *Node) stop(left time.Duration) {
 	if n.leaving {
 		return
 	}
 	n.leaving = true
+	if left > 0 {
+		n.handover.limit = n.now.Add(left)
+		n.wake(n.handover.limit)
+	}
 	n.log("stopping", "jobs", n.jobs.Len(), "running", len(n.attempts))
 	n.nextBeat = n.now
 	n.beat()
@@ -64,7 +70,9 @@
 		return
 	}
 	if h.closed.IsZero() {
-		if len(n.attempts) > 0 || n.queue.Len() > 0 || n.claims.Len() > 0 {
+		if !h.limit.IsZero() && !n.now.Before(h.limit) {
+			n.endJobs()
+		} else if n.busy() {
 			return
 		}
 		n.closeTables()
@@ -76,6 +84,38 @@
 	n.endStop()
 }
 
+// busy reports whether a job of this incarnation is open. A task of a job that has ended
+// may still run, but changes nothing.
+func (n *Node) busy() bool {
+	if n.queue.Len() > 0 || n.claims.Len() > 0 {
+		return true
+	}
+	for _, a := range n.attempts {
+		if !a.job.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// endJobs ends the open jobs without an answer, each with what is known of its tasks, so
+// that the heirs can tell it.
+func (n *Node) endJobs() {
+	var open []*owner.Job
+	n.jobs.All(func(j *owner.Job) {
+		if !j.Ended() {
+			open = append(open, j)
+		}
+	})
+	slices.SortFunc(open, func(a, b *owner.Job) int { return cmp.Compare(a.Ticket.Seq, b.Ticket.Seq) })
+	for _, j := range open {
+		n.count(cornelwall.ReasonStopping, false)
+		j.Finish(cornelwall.ReasonStopping, 0, "the entry had to stop before the job ended; the outcome of each task tells what ran")
+		n.settle(j)
+	}
+	n.log("stop-limit", "jobs", len(open), "remedy", "raise --stop-timeout above the longest deadline")
+}
+
 // closeTables cuts the final tables into parts. From here on every ticket that has no
 // record is not run, here as at the heirs.
 func (n *Node) closeTables() {
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -197,3 +197,29 @@
 	assert.Assert(t, c.hosts["dc0-e0"].Dead)
 	assert.Equal(t, c.answer(c.fetch("dc0-e1", tk), time.Second).Outcome, cornelwall.Done)
 }
+
+// TestStopLimit stops an entry with one task that never ends and one job that has not
+// started. At the limit both jobs end, and the heirs know of it.
+func TestStopLimit(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		took    time.Duration
+		outcome cornelwall.Outcome
+	}{
+		{"ends in time", time.Second, cornelwall.Done},
+		{"never ends", time.Hour, cornelwall.Failed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			c.took = tt.took
+			tk := c.draw("dc0-e0")
+			req := c.submit("dc0-e0", tk, 1)
+			c.Advance(100 * time.Millisecond)
+			c.Post(c.hosts["dc0-e0"], cornelwall.Stop{Left: 5 * time.Second})
+			c.Advance(6 * time.Second)
+			assert.Assert(t, c.hosts["dc0-e0"].Dead, "the entry does not stop")
+			assert.Equal(t, c.answer(req, 0).Outcome, tt.outcome)
+			assert.Equal(t, c.answer(c.fetch("dc0-e1", tk), time.Second).Outcome, tt.outcome)
+		})
+	}
+}
--- a/event.go
+++ b/event.go
@@ -79,8 +79,9 @@
 	Describe struct{ Req uint64 }
 	// Tick says that time has passed.
 	Tick struct{}
-	// Stop asks for a planned stop.
-	Stop struct{}
+	// Stop asks for a planned stop. Jobs that are open after the time left end without
+	// an answer; 0 is no limit.
+	Stop struct{ Left time.Duration }
 )
 
 func (Draw) isEvent()        {}
