--- a/core/owner/answer_test.go
+++ b/core/owner/answer_test.go
@@ -15,7 +15,7 @@
 func TestLargeResults(t *testing.T) {
 	now := time.Unix(1700000000, 0)
 	spec := &cornelwall.Job{Ticket: cornelwall.Ticket{Seq: 1}, Profile: "holds", Tasks: make([]cornelwall.Task, 6)}
-	j := owner.NewTable().Add(spec, 1, now, now.Add(time.Second), now.Add(time.Minute))
+	j := owner.NewTable(time.Minute, 10, 1<<30).Add(spec, 1, now, now.Add(time.Second), now.Add(time.Minute))
 	for i := range 5 {
 		assert.Assert(t, j.Begin(i))
 		ended := j.End(i, cornelwall.Result{Outcome: cornelwall.Done, Body: make([]byte, 4<<20)})
