One place for JSON bodies and problems of the HTTP APIs

A wrong body is now told with every wrong field, not only the first, and a body that is too large answers 413.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -11,17 +11,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
 
 	"cornelwall"
+	"cornelwall/io/web"
 )
 
 const (
@@ -57,19 +56,13 @@
 	Tickets []cornelwall.Ticket `json:"tickets"`
 }
 
-// Problem is the answer to a request that is wrong in itself.
-type Problem struct {
-	Error string `json:"error"`
-}
-
 // handler serves the API.
 type handler struct{ core Asker }
 
 // New returns the handler of the API.
 func New(core Asker) http.Handler {
 	h := &handler{core: core}
-	e := echo.New()
-	e.HTTPErrorHandler = writeError
+	e := web.New()
 	e.POST("/v1/tickets", h.draw)
 	e.POST("/v1/jobs", h.submit)
 	e.GET("/v1/jobs/:ticket", h.fetch)
@@ -79,7 +72,7 @@
 
 func (h *handler) draw(c echo.Context) error {
 	var d Drawing
-	if err := decode(c, &d); err != nil {
+	if err := web.Decode(c, &d, maxBody); err != nil {
 		return err
 	}
 	cmd, err := h.core.Ask(c.Request().Context(), func(req uint64) cornelwall.Event {
@@ -97,15 +90,15 @@
 
 func (h *handler) submit(c echo.Context) error {
 	var j cornelwall.Job
-	if err := decode(c, &j); err != nil {
+	if err := web.Decode(c, &j, maxBody); err != nil {
 		return err
 	}
 	key := c.Request().Header.Get(headerKey)
 	if len(key) > maxKey {
-		return inputError(fmt.Errorf("%s has %d bytes; use at most %d", headerKey, len(key), maxKey))
+		return web.InputError(fmt.Errorf("%s has %d bytes; use at most %d", headerKey, len(key), maxKey))
 	}
 	if key != "" && !j.Ticket.IsZero() {
-		return inputError(fmt.Errorf("%s and ticket are both set; use one", headerKey))
+		return web.InputError(fmt.Errorf("%s and ticket are both set; use one", headerKey))
 	}
 	return h.ask(c, func(req uint64) cornelwall.Event {
 		return cornelwall.Submit{Req: req, Job: &j, Key: key}
@@ -115,12 +108,12 @@
 func (h *handler) fetch(c echo.Context) error {
 	t, err := cornelwall.ParseTicket(c.Param("ticket"))
 	if err != nil {
-		return inputError(err)
+		return web.InputError(err)
 	}
 	wait := false
 	if s := c.QueryParam("wait"); s != "" {
 		if wait, err = strconv.ParseBool(s); err != nil {
-			return inputError(fmt.Errorf("wait %q is not valid; use true or false", s))
+			return web.InputError(fmt.Errorf("wait %q is not valid; use true or false", s))
 		}
 	}
 	return h.ask(c, func(req uint64) cornelwall.Event {
@@ -131,7 +124,7 @@
 func (h *handler) cancel(c echo.Context) error {
 	t, err := cornelwall.ParseTicket(c.Param("ticket"))
 	if err != nil {
-		return inputError(err)
+		return web.InputError(err)
 	}
 	return h.ask(c, func(req uint64) cornelwall.Event { return cornelwall.Cancel{Req: req, Ticket: t} })
 }
@@ -177,37 +170,3 @@
 	}
 	return http.StatusBadGateway
 }
-
-// decode reads a JSON body and checks it. Unknown fields are errors.
-func decode(c echo.Context, v interface{ Check() error }) error {
-	r := http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
-	dec := json.NewDecoder(r)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return inputError(fmt.Errorf("body is not valid JSON for this request: %w", err))
-	}
-	if dec.More() {
-		return inputError(errors.New("body has more than one JSON value; send one"))
-	}
-	if err := v.Check(); err != nil {
-		return inputError(err)
-	}
-	return nil
-}
-
-func inputError(err error) error {
-	return merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(err.Error()))
-}
-
-// writeError sends a Problem.
-func writeError(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	code := merry.HTTPCode(err)
-	var he *echo.HTTPError
-	if errors.As(err, &he) {
-		code = he.Code
-	}
-	_ = c.JSON(code, Problem{Error: err.Error()}) // the connection is gone if this fails
-}
--- /dev/null
+++ b/io/web/decode.go
@@ -0,0 +1,87 @@
+package web
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Checker is a value that reports all that is wrong with it.
+type Checker interface{ Check() error }
+
+// Decode reads a JSON body of at most limit bytes into v and checks it. Fields that v
+// does not have are errors. All errors but that of a cut connection are told together.
+func Decode(c echo.Context, v Checker, limit int64) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, fmt.Sprintf("body is too large; send at most %d bytes", limit))
+	case err != nil:
+		return InputError(fmt.Errorf("body ended early; send it whole: %w", err))
+	}
+	if err := unmarshal(body, v); err != nil {
+		return InputError(problems(body, v, err))
+	}
+	if err := v.Check(); err != nil {
+		return InputError(err)
+	}
+	return nil
+}
+
+// unmarshal reads exactly one JSON value.
+func unmarshal(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("body has more than one JSON value; send one")
+	}
+	return nil
+}
+
+// problems finds every field of a JSON object that v does not take. Without such a
+// field it returns err, the error of the whole body.
+func problems(body []byte, v any, err error) error {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return fmt.Errorf("body is not a JSON object for this request: %w", err)
+	}
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		one, merr := json.Marshal(map[string]json.RawMessage{name: fields[name]})
+		if merr != nil {
+			return err
+		}
+		if ferr := unmarshal(one, reflect.New(reflect.TypeOf(v).Elem()).Interface()); ferr != nil {
+			errs = append(errs, fmt.Errorf("%s: %s", name, plain(ferr)))
+		}
+	}
+	if len(errs) == 0 {
+		return err
+	}
+	return errors.Join(errs...)
+}
+
+// plain words an error of the JSON library for a caller.
+func plain(err error) string {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return fmt.Sprintf("%s at %q does not fit; use a JSON value of type %s", te.Value, te.Field, te.Type)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return fmt.Sprintf("field %s is unknown; leave it out or correct its name", name)
+	}
+	return err.Error()
+}
