Operators' API: terms of a change, waiting status, history in the log

A change may carry its own identity, so that a client whose answer was lost can send it again without a second change; the same identity with other content is refused. create refuses a profile that exists. Status names the version, whether it is in force everywhere, and waits on request. A class left out is normal, as its comment said; it was batch.

Ruled out: an identity in the body, since a profile that was read, edited and sent back would carry the old one and be taken for a repeat.

Shown by go test -race ./io/operator ./io/web .

--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("--callers: %w", err)
 	}
-	operators, err := listen(s.Operators, operatorHandler(loop, store, s.Token))
+	operators, err := listen(s.Operators, operatorHandler(loop, store, s.Token, log))
 	if err != nil {
 		return nil, fmt.Errorf("--operators: %w", err)
 	}
@@ -121,10 +121,10 @@
 	return &entry{kernel: k, loop: loop, log: log, stop: s.StopTimeout}, nil
 }
 
-func operatorHandler(loop *control.Loop, store cornelwall.Store, token string) http.Handler {
+func operatorHandler(loop *control.Loop, store cornelwall.Store, token string, log logr.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	mux.Handle("/", operator.New(loop, store, token, drawChange))
+	mux.Handle("/", operator.New(loop, store, token, drawChange, log))
 	return mux
 }
 
--- a/errors.go
+++ b/errors.go
@@ -10,6 +10,8 @@
 	ErrAuth = merry.New("token is missing or wrong; send it as \"Authorization: Bearer TOKEN\"", merry.WithHTTPCode(401))
 	// ErrMissing is a name that does not exist.
 	ErrMissing = merry.New("no such name; list the names that exist", merry.WithHTTPCode(404))
+	// ErrExists is the creation of a profile that exists.
+	ErrExists = merry.New("profile exists already; change it with \"profile apply\"", merry.WithHTTPCode(409))
 	// ErrConflict is a change that lost a race.
 	ErrConflict = merry.New("changed by someone else meanwhile; read it again and repeat the change", merry.WithHTTPCode(409))
 	// ErrRetired is a change to a retired profile.
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"cornelwall"
+	"cornelwall/io/web"
 )
 
 const (
@@ -21,23 +23,30 @@
 // Changer writes profiles to the platform's service.
 type Changer struct {
 	Store cornelwall.Store
-	Known func(name string) cornelwall.Profile // the highest version in force here
-	Draw  func() string                        // a unique identity for a change
+	Known func(ctx context.Context, name string) (cornelwall.Profile, error) // the highest version in force here
+	Draw  func() string                                                      // a unique identity for a change
 }
 
-// Apply writes p as the next version. If expect is not 0, it must be the version that
-// p replaces. It returns what was accepted.
-func (c *Changer) Apply(ctx context.Context, p cornelwall.Profile, expect uint64) (cornelwall.Profile, error) {
+// Terms are the conditions of a change.
+type Terms struct {
+	Create bool   // the profile must not exist yet
+	Expect uint64 // the version that the change replaces; 0 allows any
+	Change string // identity of the change, drawn if it is empty
+}
+
+// Apply writes p as the next version and returns what was accepted. A change that
+// repeats the identity of the newest one is not made again.
+func (c *Changer) Apply(ctx context.Context, p cornelwall.Profile, terms Terms) (cornelwall.Profile, error) {
 	p.Normalise()
 	if err := p.Check(); err != nil {
-		return p, merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(err.Error()))
+		return p, web.InputError(err)
 	}
-	return c.change(ctx, p.Name, expect, func(old cornelwall.Profile) (cornelwall.Profile, error) { return p, nil })
+	return c.change(ctx, p.Name, terms, func(cornelwall.Profile) (cornelwall.Profile, error) { return p, nil })
 }
 
 // Retire writes a tombstone as the next version of the profile.
-func (c *Changer) Retire(ctx context.Context, name string, expect uint64) (cornelwall.Profile, error) {
-	return c.change(ctx, name, expect, func(old cornelwall.Profile) (cornelwall.Profile, error) {
+func (c *Changer) Retire(ctx context.Context, name string, terms Terms) (cornelwall.Profile, error) {
+	return c.change(ctx, name, terms, func(old cornelwall.Profile) (cornelwall.Profile, error) {
 		if old.Version == 0 {
 			return old, merry.Wrap(cornelwall.ErrMissing, merry.AppendMessagef("profile %q does not exist", name))
 		}
@@ -47,26 +56,30 @@
 }
 
 // change replaces the newest version of a profile by what next makes of it.
-func (c *Changer) change(ctx context.Context, name string, expect uint64, next func(cornelwall.Profile) (cornelwall.Profile, error)) (cornelwall.Profile, error) {
+func (c *Changer) change(ctx context.Context, name string, terms Terms, next func(cornelwall.Profile) (cornelwall.Profile, error)) (cornelwall.Profile, error) {
 	pair, old, err := c.read(ctx, name)
 	if err != nil {
 		return old, err
 	}
-	if known := c.Known(name); known.Newer(&old) {
+	known, err := c.Known(ctx, name)
+	if err != nil {
+		return old, err
+	}
+	if known.Newer(&old) {
 		old = known // the store went back in time; versions never do
 	}
-	if old.Retired {
-		return old, merry.Wrap(cornelwall.ErrRetired, merry.AppendMessagef("profile %q", name))
+	if terms.Change != "" && terms.Change == old.Change {
+		return old, repeated(old, next)
 	}
-	if expect != 0 && expect != old.Version {
-		return old, merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d", name, old.Version, expect))
+	if err := terms.check(&old); err != nil {
+		return old, err
 	}
 	p, err := next(old)
 	if err != nil {
 		return p, err
 	}
 	p.Version = old.Version + 1
-	p.Change = c.Draw()
+	p.Change = cmp.Or(terms.Change, c.Draw())
 	value, err := json.Marshal(p)
 	if err != nil {
 		return p, merry.Wrap(err)
@@ -81,6 +94,30 @@
 	return p, nil
 }
 
+// check reports why a change may not replace old.
+func (t *Terms) check(old *cornelwall.Profile) error {
+	switch {
+	case old.Retired:
+		return merry.Wrap(cornelwall.ErrRetired, merry.AppendMessagef("profile %q", old.Name))
+	case t.Create && old.Version != 0:
+		return merry.Wrap(cornelwall.ErrExists, merry.AppendMessagef("profile %q is at version %d", old.Name, old.Version))
+	case t.Expect != 0 && t.Expect != old.Version:
+		return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d", old.Name, old.Version, t.Expect))
+	}
+	return nil
+}
+
+// repeated checks that a change with the identity of the newest one, held, has its
+// content too.
+func repeated(held cornelwall.Profile, next func(cornelwall.Profile) (cornelwall.Profile, error)) error {
+	p, err := next(held)
+	p.Version, p.Change = held.Version, held.Change
+	if err != nil || p != held {
+		return web.InputError(fmt.Errorf("change %q was made with other content; choose a new identity", held.Change))
+	}
+	return nil
+}
+
 func (c *Changer) read(ctx context.Context, name string) (cornelwall.Pair, cornelwall.Profile, error) {
 	pair, err := c.Store.Get(ctx, Prefix+name)
 	if err != nil || pair.Revision == 0 {
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -3,23 +3,23 @@
 //
 // # Usage
 //
-//	h := operator.New(loop, changer, token)
+//	h := operator.New(loop, store, token, drawChange, log)
 //	server := &http.Server{Handler: h}
+//
+// docs/operators.md describes the API for its users.
 package operator
 
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net/http"
-	"strconv"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 
 	"cornelwall"
+	"cornelwall/io/web"
 )
 
 const maxBody = 64 << 10 // bytes of a profile
@@ -30,28 +30,18 @@
 	Ask(ctx context.Context, event func(req uint64) cornelwall.Event) (cornelwall.Command, error)
 }
 
-// Status is the version of a profile in force at each entry.
-type Status struct {
-	Force []cornelwall.Force `json:"force"`
-}
-
-// Problem is the answer to a request that was refused.
-type Problem struct {
-	Error string `json:"error"`
-}
-
 type handler struct {
 	core    Core
 	changer *Changer
 	token   string
+	log     logr.Logger
 }
 
 // New returns the handler of the API.
-func New(core Core, store cornelwall.Store, token string, draw func() string) http.Handler {
-	h := &handler{core: core, token: token}
+func New(core Core, store cornelwall.Store, token string, draw func() string, log logr.Logger) http.Handler {
+	h := &handler{core: core, token: token, log: log}
 	h.changer = &Changer{Store: store, Known: h.known, Draw: draw}
-	e := echo.New()
-	e.HTTPErrorHandler = writeError
+	e := web.New()
 	g := e.Group("/v1", h.authorise)
 	g.GET("/profiles", h.list)
 	g.GET("/profiles/:name", h.show)
@@ -71,6 +61,7 @@
 	}
 }
 
+// catalog returns the profiles that this entry knows.
 func (h *handler) catalog(ctx context.Context) ([]cornelwall.Profile, error) {
 	cmd, err := h.core.Ask(ctx, func(req uint64) cornelwall.Event { return cornelwall.Catalog{Req: req} })
 	if err != nil {
@@ -79,18 +70,19 @@
 	return cmd.(cornelwall.ReplyCatalog).Profiles, nil
 }
 
-// known returns the highest version of a profile that this entry knows.
-func (h *handler) known(name string) cornelwall.Profile {
-	ps, err := h.catalog(context.Background())
+// known returns the highest version of a profile that this entry knows; version 0 if it
+// knows none.
+func (h *handler) known(ctx context.Context, name string) (cornelwall.Profile, error) {
+	ps, err := h.catalog(ctx)
 	if err != nil {
-		return cornelwall.Profile{Name: name}
+		return cornelwall.Profile{}, err
 	}
 	for _, p := range ps {
 		if p.Name == name {
-			return p
+			return p, nil
 		}
 	}
-	return cornelwall.Profile{Name: name}
+	return cornelwall.Profile{Name: name}, nil
 }
 
 func (h *handler) list(c echo.Context) error {
@@ -102,80 +94,16 @@
 }
 
 func (h *handler) show(c echo.Context) error {
-	p := h.known(c.Param("name"))
-	if p.Version == 0 {
-		return merry.Wrap(cornelwall.ErrMissing, merry.AppendMessagef("profile %q", c.Param("name")))
-	}
-	return c.JSON(http.StatusOK, p)
-}
-
-func (h *handler) apply(c echo.Context) error {
-	var p cornelwall.Profile
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
-		return merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(err.Error()))
-	}
-	if p.Name != c.Param("name") {
-		return merry.Wrap(cornelwall.ErrInput, merry.AppendMessagef("name %q is not the name %q in the path", p.Name, c.Param("name")))
-	}
-	expect, err := expected(c)
-	if err != nil {
-		return err
-	}
-	p, err = h.changer.Apply(c.Request().Context(), p, expect)
-	return h.accepted(c, p, err)
-}
-
-func (h *handler) retire(c echo.Context) error {
-	expect, err := expected(c)
+	p, err := h.known(c.Request().Context(), c.Param("name"))
 	if err != nil {
 		return err
 	}
-	p, err := h.changer.Retire(c.Request().Context(), c.Param("name"), expect)
-	return h.accepted(c, p, err)
-}
-
-// accepted puts an accepted change in force here, from where it reaches the others.
-func (h *handler) accepted(c echo.Context, p cornelwall.Profile, err error) error {
-	if err != nil {
-		return err
+	if p.Version == 0 {
+		return missing(p.Name)
 	}
-	h.core.Post(cornelwall.Watched{Profiles: []cornelwall.Profile{p}})
 	return c.JSON(http.StatusOK, p)
 }
 
-// expected returns the version that the change is meant to replace.
-func expected(c echo.Context) (uint64, error) {
-	s := c.QueryParam("expect")
-	if s == "" {
-		return 0, nil
-	}
-	v, err := strconv.ParseUint(s, 10, 64)
-	if err != nil {
-		return 0, merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(fmt.Sprintf("expect %q is not a version", s)))
-	}
-	return v, nil
-}
-
-func (h *handler) status(c echo.Context) error {
-	cmd, err := h.core.Ask(c.Request().Context(), func(req uint64) cornelwall.Event {
-		return cornelwall.Inspect{Req: req, Name: c.Param("name")}
-	})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, Status{Force: cmd.(cornelwall.ReplyForce).Force})
-}
-
-func writeError(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	code := merry.HTTPCode(err)
-	var he *echo.HTTPError
-	if errors.As(err, &he) {
-		code = he.Code
-	}
-	_ = c.JSON(code, Problem{Error: err.Error()}) // the connection is gone if this fails
+func missing(name string) error {
+	return merry.Wrap(cornelwall.ErrMissing, merry.AppendMessagef("profile %q", name))
 }
--- /dev/null
+++ b/io/operator/status.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"cornelwall"
+	"cornelwall/io/web"
+)
+
+const (
+	maxWait   = time.Minute            // of one status request
+	waitPause = 250 * time.Millisecond // between two questions to all entries
+)
+
+// Status is the version of a profile in force at each entry that is known.
+type Status struct {
+	Name    string             `json:"name"`
+	Version uint64             `json:"version"` // the one asked for, or else the highest known
+	InForce bool               `json:"inforce"` // every entry has confirmed Version or a higher one
+	Force   []cornelwall.Force `json:"force"`
+}
+
+// Missing returns the entries that have not confirmed the version.
+func (s *Status) Missing() []cornelwall.Force {
+	var fs []cornelwall.Force
+	for _, f := range s.Force {
+		if f.Missing || f.Version < s.Version {
+			fs = append(fs, f)
+		}
+	}
+	return fs
+}
+
+// status answers at once, or with wait=DURATION once the version is in force at every
+// entry, and at the latest after that time.
+func (h *handler) status(c echo.Context) error {
+	wait, version, err := readWait(c)
+	if err != nil {
+		return err
+	}
+	ctx := c.Request().Context()
+	until := time.Now().Add(wait)
+	for {
+		s, err := h.ask(ctx, c.Param("name"), version)
+		if err != nil {
+			return err
+		}
+		left := time.Until(until)
+		if s.InForce || left <= 0 {
+			return c.JSON(http.StatusOK, s)
+		}
+		if err := sleep(ctx, min(left, waitPause)); err != nil {
+			return err
+		}
+	}
+}
+
+// readWait reads the query of a status request.
+func readWait(c echo.Context) (wait time.Duration, version uint64, err error) {
+	if s := c.QueryParam("wait"); s != "" {
+		wait, err = time.ParseDuration(s)
+		if err != nil || wait < 0 || wait > maxWait {
+			return 0, 0, web.InputError(fmt.Errorf("wait %q is not valid; use a duration of 0s to %s", s, maxWait))
+		}
+	}
+	if s := c.QueryParam("version"); s != "" {
+		if version, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return 0, 0, web.InputError(fmt.Errorf("version %q is not a number; use the number that \"profile show\" prints", s))
+		}
+	}
+	return wait, version, nil
+}
+
+// ask asks every entry for the version in force. It is an error of kind ErrMissing if no
+// entry knows the profile.
+func (h *handler) ask(ctx context.Context, name string, version uint64) (*Status, error) {
+	cmd, err := h.core.Ask(ctx, func(req uint64) cornelwall.Event {
+		return cornelwall.Inspect{Req: req, Name: name}
+	})
+	if err != nil {
+		return nil, err
+	}
+	s := &Status{Name: name, Version: version, Force: cmd.(cornelwall.ReplyForce).Force}
+	var highest uint64
+	for _, f := range s.Force {
+		highest = max(highest, f.Version)
+	}
+	if highest == 0 {
+		return nil, missing(name)
+	}
+	if s.Version == 0 {
+		s.Version = highest
+	}
+	s.InForce = len(s.Missing()) == 0
+	return s, nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/outcome.go
+++ b/outcome.go
@@ -1,6 +1,6 @@
 package cornelwall
 
-//go:generate go tool enumer -type=Outcome,Class,Stale,Kind,VMState -text -transform=lower -output=enums_gen.go
+//go:generate go tool enumer -type=Outcome,Kind,VMState -text -transform=lower -output=enums_gen.go
 
 // Outcome is what became of a job or of one task.
 type Outcome int
--- a/profile.go
+++ b/profile.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
+//go:generate go tool enumer -type=Class,Stale -transform=lower -output=profile_gen.go
+
 // Class orders profiles under pressure: tasks of a higher class go first.
 type Class int
 
@@ -18,6 +21,19 @@
 	Urgent
 )
 
+// MarshalText writes the name of the class.
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads the name of a class.
+func (c *Class) UnmarshalText(text []byte) error {
+	v, err := ClassString(string(text))
+	if err != nil {
+		return fmt.Errorf("class %q is unknown; use %s", text, strings.Join(ClassStrings(), ", "))
+	}
+	*c = v
+	return nil
+}
+
 // Stale is what an entry does when it has had no fresh word of the profiles.
 type Stale int
 
@@ -28,11 +44,25 @@
 	Refuse
 )
 
+// MarshalText writes the name of the behaviour.
+func (s Stale) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads the name of a behaviour.
+func (s *Stale) UnmarshalText(text []byte) error {
+	v, err := StaleString(string(text))
+	if err != nil {
+		return fmt.Errorf("stale %q is unknown; use %s", text, strings.Join(StaleStrings(), " or "))
+	}
+	*s = v
+	return nil
+}
+
 const (
 	maxDeadline    = time.Hour
 	maxQueue       = 1 << 20
 	maxConcurrency = 1 << 20
 	maxQuota       = 1000
+	maxChangeLen   = 64 // characters of the identity of a change
 )
 
 // Profile states how a class of work is treated under pressure. Operators create,
@@ -53,7 +83,15 @@
 	Change  string `json:"change,omitempty" yaml:"-"`  // identity of the change that wrote this version
 }
 
-// Normalise fills in the defaults of the fields that were left out.
+// NewProfile returns a profile that has the defaults of all fields but the name and
+// the team. Profiles that people write are decoded into it.
+func NewProfile() Profile {
+	p := Profile{Class: Normal}
+	p.Normalise()
+	return p
+}
+
+// Normalise fills in the defaults of the numbers that are 0.
 func (p *Profile) Normalise() {
 	if p.Deadline == 0 {
 		p.Deadline = Duration(10 * time.Second)
@@ -78,6 +116,9 @@
 	if d := time.Duration(p.Deadline); d <= 0 || d > maxDeadline {
 		errs = append(errs, fmt.Errorf("deadline %s is out of range; use more than 0s and at most %s", d, maxDeadline))
 	}
+	if len(p.Change) > maxChangeLen {
+		errs = append(errs, fmt.Errorf("change has %d characters; use at most %d", len(p.Change), maxChangeLen))
+	}
 	errs = append(errs,
 		checkRange("queue", p.Queue, 1, maxQueue),
 		checkRange("concurrency", p.Concurrency, 0, maxConcurrency),
