Go client: tickets ahead, safe resubmission, typed outcomes

A job is sent under one ticket until its answer is final or the caller's ctx ends, to any of the entries in turn. A ticket whose entry cannot be dialled was never used and is dropped, so that a dead entry costs no unknown answer. A new ticket after not run is taken only if the caller set Retries.

Shown by go test -race -count=5 ./client.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,322 @@
+package client_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/client"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// clock passes at once. It ends the caller's ctx after so many waits.
+type clock struct {
+	mu    sync.Mutex
+	now   time.Time
+	waits []time.Duration
+	limit int
+	end   context.CancelFunc
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Wait(ctx context.Context, d time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+	c.waits = append(c.waits, d)
+	if len(c.waits) == c.limit {
+		c.end()
+	}
+	return ctx.Err()
+}
+
+// step answers one submission. A nil step closes the connection without an answer.
+type step func(w http.ResponseWriter, t cornelwall.Ticket)
+
+// says answers with an outcome.
+func says(a cornelwall.Answer) step {
+	return func(w http.ResponseWriter, t cornelwall.Ticket) {
+		a.Ticket = t
+		_ = json.NewEncoder(w).Encode(a)
+	}
+}
+
+// status answers with a status and a time to come back, and no outcome.
+func status(code, back int) step {
+	return func(w http.ResponseWriter, _ cornelwall.Ticket) {
+		w.Header().Set("Retry-After", strconv.Itoa(back))
+		w.WriteHeader(code)
+		_, _ = w.Write([]byte(`{"error":"the entry's words"}`))
+	}
+}
+
+// entry is a fake entry that gives out tickets and follows its steps.
+type entry struct {
+	*httptest.Server
+	mu      sync.Mutex
+	steps   []step
+	seq     uint64
+	draws   int
+	tickets []cornelwall.Ticket // of the submissions
+	left    []cornelwall.Duration
+}
+
+func newEntry(t *testing.T, name string, steps ...step) *entry {
+	e := &entry{steps: steps}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tickets", func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		var in struct{ Count int }
+		_ = json.NewDecoder(r.Body).Decode(&in)
+		var out struct {
+			Tickets []cornelwall.Ticket `json:"tickets"`
+		}
+		e.draws++
+		for range in.Count {
+			e.seq++
+			out.Tickets = append(out.Tickets, cornelwall.Ticket{Seq: e.seq, Team: "bookings",
+				Owner: cornelwall.Incarnation{DataCentre: "ikeja", Entry: name, Life: 1}})
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		var j cornelwall.Job
+		_ = json.NewDecoder(r.Body).Decode(&j)
+		e.tickets = append(e.tickets, j.Ticket)
+		e.left = append(e.left, j.Left)
+		next := e.steps[0]
+		e.steps = e.steps[min(1, len(e.steps)-1):]
+		if next == nil {
+			panic(http.ErrAbortHandler)
+		}
+		next(w, j.Ticket)
+	})
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(e.Close)
+	return e
+}
+
+// sent returns the tickets of the submissions that came.
+func (e *entry) sent() []cornelwall.Ticket {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.tickets)
+}
+
+func newClient(t *testing.T, cfg client.Config, limit int) (*client.Client, *clock, context.Context) {
+	ctx, end := context.WithCancel(context.Background())
+	k := &clock{now: time.Unix(1700000000, 0), limit: limit, end: end}
+	cfg.Profile, cfg.Clock = "seat-holds", k
+	c, err := client.New(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		end()
+		c.Close()
+	})
+	return c, k, ctx
+}
+
+var job = cornelwall.Job{Left: cornelwall.Duration(time.Minute), Tasks: []cornelwall.Task{{Body: []byte("a")}}}
+
+var done = cornelwall.Answer{Outcome: cornelwall.Done, Final: true,
+	Tasks: []cornelwall.TaskAnswer{{Outcome: cornelwall.Done, Body: []byte("b")}}}
+
+func refused(r cornelwall.Reason, back time.Duration) cornelwall.Answer {
+	return cornelwall.Answer{Outcome: cornelwall.NotRun, Reason: r, Final: true, Back: cornelwall.Duration(back)}
+}
+
+func TestSubmit(t *testing.T) {
+	away := cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonOwnerAway, Back: cornelwall.Duration(2 * time.Second)}
+	lost := cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonOwnerLost, Final: true}
+	failed := cornelwall.Answer{Outcome: cornelwall.Failed, Reason: cornelwall.ReasonTask, Final: true,
+		Tasks: []cornelwall.TaskAnswer{{Outcome: cornelwall.Failed}}}
+	mistake := cornelwall.Answer{Reason: cornelwall.ReasonContent}
+	short := cornelwall.Answer{Outcome: cornelwall.Done, Final: true}
+	other := func(w http.ResponseWriter, _ cornelwall.Ticket) { _ = json.NewEncoder(w).Encode(done) }
+	for _, tt := range []struct {
+		name    string
+		retries int
+		steps   []step
+		want    error // kind; nil is done
+		sent    int
+		tickets int // different ones that were sent
+		waits   []time.Duration
+	}{
+		{"done", 0, []step{says(done)}, nil, 1, 1, nil},
+		{"failed is not sent again", 3, []step{says(failed)}, client.ErrFailed, 1, 1, nil},
+		{"lost answer, one ticket", 3, []step{nil, says(done)}, nil, 2, 1, []time.Duration{50 * time.Millisecond}},
+		{"unknown with back, one ticket", 3, []step{says(away), says(done)}, nil, 2, 1, []time.Duration{2 * time.Second}},
+		{"unknown for good", 3, []step{says(lost)}, client.ErrUnknown, 1, 1, nil},
+		{"not run, no retry asked for", 0, []step{says(refused(cornelwall.ReasonQueueFull, time.Second))}, client.ErrNotRun, 1, 1, nil},
+		{"not run, new ticket", 1, []step{says(refused(cornelwall.ReasonQueueFull, time.Second)), says(done)}, nil, 2, 2, []time.Duration{time.Second}},
+		{"not run, owner closed", 1, []step{says(refused(cornelwall.ReasonClosed, 0)), says(done)}, nil, 2, 2, []time.Duration{0}},
+		{"not run, retries used up", 1, []step{says(refused(cornelwall.ReasonQueueFull, time.Second))}, client.ErrNotRun, 2, 2, []time.Duration{time.Second}},
+		{"not run and never will", 3, []step{says(refused(cornelwall.ReasonNeverFits, 0))}, client.ErrNotRun, 1, 1, nil},
+		{"used with other content", 3, []step{says(mistake)}, cornelwall.ErrInput, 1, 1, nil},
+		{"wrong in itself", 3, []step{status(400, 0)}, cornelwall.ErrInput, 1, 1, nil},
+		{"wrong after it may have run", 3, []step{nil, status(400, 0)}, client.ErrUnknown, 2, 1, []time.Duration{50 * time.Millisecond}},
+		{"balancer's status, Retry-After", 3, []step{status(502, 3), says(done)}, nil, 2, 1, []time.Duration{3 * time.Second}},
+		{"answer of another job", 3, []step{other, says(done)}, nil, 2, 1, []time.Duration{50 * time.Millisecond}},
+		{"done with too few tasks", 3, []step{says(short), says(done)}, nil, 2, 1, []time.Duration{50 * time.Millisecond}},
+		{"no answer until ctx ends", 3, []step{nil}, client.ErrUnknown, 3, 1, []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}},
+		{"unknown until ctx ends", 3, []step{says(away)}, client.ErrUnknown, 3, 1, []time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t, "e1", tt.steps...)
+			c, k, ctx := newClient(t, client.Config{Entries: []string{e.URL}, Retries: tt.retries}, 3)
+			a, err := c.Submit(ctx, job)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if tt.want == nil {
+				assert.NilError(t, err)
+				assert.Equal(t, string(a.Tasks[0].Body), "b")
+			}
+			assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+			assert.Equal(t, len(e.tickets), tt.sent)
+			seen := map[cornelwall.Ticket]bool{}
+			for _, tk := range e.tickets {
+				seen[tk] = true
+			}
+			assert.Equal(t, len(seen), tt.tickets)
+			assert.DeepEqual(t, k.waits, tt.waits)
+			var passed time.Duration
+			for i, left := range e.left {
+				assert.Equal(t, left, job.Left-cornelwall.Duration(passed))
+				if i < len(tt.waits) {
+					passed += tt.waits[i]
+				}
+			}
+			if errors.Is(err, client.ErrUnknown) {
+				assert.Equal(t, a.Outcome, cornelwall.Unknown)
+				assert.Equal(t, a.Ticket, e.tickets[0], "the ticket serves to ask again")
+			}
+		})
+	}
+}
+
+// TestFailover checks that a job goes on at another entry under its ticket, and that a
+// ticket whose entry cannot be reached is dropped unused.
+func TestFailover(t *testing.T) {
+	first := newEntry(t, "e1", nil)
+	second := newEntry(t, "e2", says(done))
+	c, k, ctx := newClient(t, client.Config{Entries: []string{first.URL, second.URL}}, 10)
+	_, err := c.Submit(ctx, job)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, second.sent(), first.sent())
+	assert.DeepEqual(t, k.waits, []time.Duration{0})
+
+	third := newEntry(t, "e3", says(done))
+	c, _, ctx = newClient(t, client.Config{Entries: []string{third.URL, second.URL}}, 10)
+	_, err = c.Submit(ctx, job)
+	assert.NilError(t, err)
+	third.Close()
+	_, err = c.Submit(ctx, job)
+	assert.NilError(t, err)
+	assert.Equal(t, len(third.sent()), 1)
+	assert.Equal(t, second.sent()[1].Owner.Entry, "e2")
+}
+
+// TestNoEntry checks that a job that never left is told as not run.
+func TestNoEntry(t *testing.T) {
+	e := newEntry(t, "e1", says(done))
+	e.Close()
+	c, _, ctx := newClient(t, client.Config{Entries: []string{e.URL}}, 4)
+	a, err := c.Submit(ctx, job)
+	assert.Assert(t, errors.Is(err, client.ErrNotRun))
+	assert.Equal(t, a.Outcome, cornelwall.NotRun)
+}
+
+// TestOwnTicket checks that a job with a ticket never takes another.
+func TestOwnTicket(t *testing.T) {
+	e := newEntry(t, "e1", says(refused(cornelwall.ReasonClosed, time.Second)))
+	c, _, ctx := newClient(t, client.Config{Entries: []string{e.URL}, Retries: 5}, 10)
+	ts, err := c.Draw(ctx, 1)
+	assert.NilError(t, err)
+	mine := job
+	mine.Ticket = ts[0]
+	_, err = c.Submit(ctx, mine)
+	assert.Assert(t, errors.Is(err, client.ErrNotRun))
+	assert.DeepEqual(t, e.sent(), ts)
+}
+
+// TestDrawsAhead checks that many submissions at once share their draws.
+func TestDrawsAhead(t *testing.T) {
+	e := newEntry(t, "e1", says(done))
+	c, _, ctx := newClient(t, client.Config{Entries: []string{e.URL}}, 1000)
+	const jobs = 200
+	errs := make(chan error, jobs)
+	for range jobs {
+		go func() {
+			_, err := c.Submit(ctx, job)
+			errs <- err
+		}()
+	}
+	for range jobs {
+		assert.NilError(t, <-errs)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := map[cornelwall.Ticket]bool{}
+	for _, tk := range e.tickets {
+		seen[tk] = true
+	}
+	assert.Equal(t, len(seen), jobs)
+	assert.Assert(t, e.draws <= jobs/4, "%d draws", e.draws)
+}
+
+func TestFetchAndCancel(t *testing.T) {
+	tk := cornelwall.Ticket{Seq: 1, Team: "bookings", Owner: cornelwall.Incarnation{DataCentre: "ikeja", Entry: "e1", Life: 1}}
+	calls := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, r.URL.Path, "/v1/jobs/"+tk.String())
+		a := cornelwall.Answer{Ticket: tk}
+		switch calls++; {
+		case r.Method == http.MethodDelete:
+			a.Outcome, a.Reason, a.Final = cornelwall.NotRun, cornelwall.ReasonCancelled, true
+		case calls == 1:
+			panic(http.ErrAbortHandler)
+		case calls == 3:
+			a.Outcome, a.Final = cornelwall.Done, true
+		}
+		_ = json.NewEncoder(w).Encode(a)
+	}))
+	defer srv.Close()
+	c, _, ctx := newClient(t, client.Config{Entries: []string{srv.URL}}, 10)
+	a, err := c.Fetch(ctx, tk, false)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Outcome, cornelwall.Pending)
+	a, err = c.Fetch(ctx, tk, true)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Outcome, cornelwall.Done)
+	a, err = c.Cancel(ctx, tk)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Outcome, cornelwall.NotRun)
+}
+
+func TestConfig(t *testing.T) {
+	_, err := client.New(client.Config{Entries: []string{"10.0.0.1:7000"}, Profile: "Holds", Retries: -1, Ahead: 5000})
+	for _, want := range []string{"Entries[0]", "Profile", "Retries -1", "Ahead 5000"} {
+		assert.ErrorContains(t, err, want)
+	}
+	assert.Assert(t, errors.Is(err, cornelwall.ErrInput))
+}
--- /dev/null
+++ b/client/error.go
@@ -0,0 +1,74 @@
+package client
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"cornelwall"
+)
+
+// Kinds of errors, beside cornelwall.ErrInput and cornelwall.ErrPeer. Compare with
+// errors.Is.
+var (
+	// ErrFailed means that at least one task started and the job has no answer.
+	ErrFailed = merry.New("job failed; look at the outcome of each task before you submit the work again")
+	// ErrNotRun means that nothing ran and nothing will.
+	ErrNotRun = merry.New("job did not run and will not; submit it again under a new ticket")
+	// ErrUnknown means that it cannot be told whether the job ran.
+	ErrUnknown = merry.New("whether the job ran is not known; ask again under the same ticket unless the answer is final")
+)
+
+// Error is a job that has no result. It wraps its kind and its cause.
+type Error struct {
+	Kind   error             // ErrFailed, ErrNotRun or ErrUnknown
+	Answer cornelwall.Answer // the last one; its ticket serves to ask again
+	Cause  error             // of the last request, if that had no answer
+}
+
+// Error tells the kind with its remedy, the reason and the ticket.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.Kind.Error())
+	if e.Answer.Reason != cornelwall.ReasonNone {
+		fmt.Fprintf(&b, ": %s", e.Answer.Reason)
+	}
+	if e.Answer.Text != "" {
+		fmt.Fprintf(&b, ": %s", e.Answer.Text)
+	}
+	if e.Cause != nil {
+		fmt.Fprintf(&b, ": %s", e.Cause)
+	}
+	if !e.Answer.Ticket.IsZero() {
+		fmt.Fprintf(&b, " (ticket %s)", e.Answer.Ticket)
+	}
+	return b.String()
+}
+
+// Unwrap returns the kind and the cause.
+func (e *Error) Unwrap() []error {
+	if e.Cause == nil {
+		return []error{e.Kind}
+	}
+	return []error{e.Kind, e.Cause}
+}
+
+// notRun returns the error of a job that was never sent.
+func notRun(cause error) error {
+	return &Error{Kind: ErrNotRun, Cause: cause,
+		Answer: cornelwall.Answer{Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonConnect, Final: true}}
+}
+
+// unknown returns the error of a job that was sent and has no final answer.
+func unknown(t cornelwall.Ticket, last cornelwall.Answer, cause error) error {
+	if last.Outcome != cornelwall.Unknown {
+		last = cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost}
+	}
+	last.Ticket = t
+	return &Error{Kind: ErrUnknown, Answer: last, Cause: cause}
+}
+
+func inputError(err error) error {
+	return merry.Wrap(cornelwall.ErrInput, merry.AppendMessage(strings.ReplaceAll(err.Error(), "\n", "; ")))
+}
--- /dev/null
+++ b/client/fetch.go
@@ -0,0 +1,59 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cornelwall"
+)
+
+// Fetch returns the state of a job. With wait it returns once the job has ended; if ctx
+// ends first, the last state known and the error of ctx.
+func (c *Client) Fetch(ctx context.Context, t cornelwall.Ticket, wait bool) (cornelwall.Answer, error) {
+	path := "/v1/jobs/" + t.String()
+	if wait {
+		path += "?wait=true"
+	}
+	return c.ask(ctx, http.MethodGet, path, t, wait)
+}
+
+// Cancel gives up a job and returns what became of it. Tasks that have started may go
+// on.
+func (c *Client) Cancel(ctx context.Context, t cornelwall.Ticket) (cornelwall.Answer, error) {
+	return c.ask(ctx, http.MethodDelete, "/v1/jobs/"+t.String(), t, true)
+}
+
+// ask sends a request that may be repeated until it has an answer, with settle a settled
+// one.
+func (c *Client) ask(ctx context.Context, method, path string, t cornelwall.Ticket, settle bool) (cornelwall.Answer, error) {
+	last := cornelwall.Answer{Ticket: t}
+	entry := c.first()
+	for try := 1; ; try++ {
+		a, back, err := c.askAt(ctx, entry, method, path, t)
+		switch {
+		case errors.Is(err, cornelwall.ErrInput):
+			return last, err
+		case err == nil && (!settle || isSettled(&a)):
+			return a, nil
+		case err == nil && a.Outcome == cornelwall.Pending && a.Reason != cornelwall.ReasonNone:
+			return a, inputError(errors.New(a.Text))
+		case err == nil:
+			last = a
+		}
+		entry = c.after(entry)
+		if werr := c.cfg.Clock.Wait(ctx, c.pause(try, back)); werr != nil {
+			return last, errors.Join(werr, err)
+		}
+	}
+}
+
+func (c *Client) askAt(ctx context.Context, entry, method, path string, t cornelwall.Ticket) (cornelwall.Answer, time.Duration, error) {
+	r, err := c.send(ctx, entry, method, path, nil)
+	if err != nil {
+		return cornelwall.Answer{}, 0, err
+	}
+	a, err := r.answer(t)
+	return a, time.Duration(a.Back), err
+}
--- /dev/null
+++ b/client/submit.go
@@ -0,0 +1,165 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"cornelwall"
+)
+
+// errUnsent says that a ticket was not used, since its entry cannot be reached.
+var errUnsent = errors.New("entry of the ticket cannot be reached")
+
+// Submit runs a job and waits for its answer until ctx ends. A job without a ticket
+// takes one of the client's; a job with a ticket never takes another. The error is an
+// *Error, or of kind cornelwall.ErrInput if the job is wrong in itself and was not
+// accepted.
+func (c *Client) Submit(ctx context.Context, job cornelwall.Job) (cornelwall.Answer, error) {
+	if job.Profile == "" {
+		job.Profile = c.cfg.Profile
+	}
+	err := job.Check()
+	if job.Profile != c.cfg.Profile {
+		err = errors.Join(err, fmt.Errorf("profile %q is not %q, that of the client; make another client", job.Profile, c.cfg.Profile))
+	}
+	if err != nil {
+		return cornelwall.Answer{}, inputError(err)
+	}
+	s := &submission{c: c, job: job, began: c.cfg.Clock.Now()}
+	if !job.Ticket.IsZero() {
+		return s.run(ctx, held{ticket: job.Ticket})
+	}
+	return s.runFresh(ctx)
+}
+
+// submission is a job on its way.
+type submission struct {
+	c     *Client
+	job   cornelwall.Job
+	began time.Time
+}
+
+// runFresh runs the job under tickets of the client.
+func (s *submission) runFresh(ctx context.Context) (cornelwall.Answer, error) {
+	retries := s.c.cfg.Retries
+	for {
+		h, err := s.c.take(ctx)
+		if err != nil {
+			return answerOf(err), err
+		}
+		a, err := s.run(ctx, h)
+		switch {
+		case errors.Is(err, errUnsent):
+			s.c.drop(h.entry)
+			s.c.after(h.entry)
+			if ctx.Err() != nil {
+				err = notRun(err)
+				return answerOf(err), err
+			}
+		case retries > 0 && errors.Is(err, ErrNotRun) && mayClear(&a):
+			retries--
+			if s.c.cfg.Clock.Wait(ctx, time.Duration(a.Back)) != nil {
+				return a, err
+			}
+		default:
+			return a, err
+		}
+	}
+}
+
+// mayClear reports whether a job that did not run may run under a new ticket.
+func mayClear(a *cornelwall.Answer) bool {
+	return a.Back > 0 || a.Reason == cornelwall.ReasonClosed || a.Reason == cornelwall.ReasonStopping
+}
+
+// run sends the job under one ticket until it has a final answer or ctx ends. A fresh
+// ticket, which names its entry, comes back with errUnsent if that cannot be reached.
+func (s *submission) run(ctx context.Context, h held) (cornelwall.Answer, error) {
+	s.job.Ticket = h.ticket
+	entry := h.entry
+	if entry == "" {
+		entry = s.c.first()
+	}
+	maybeSent := h.entry == "" // a ticket of the caller may have been sent before
+	var last cornelwall.Answer
+	for try := 1; ; try++ {
+		a, err := s.post(ctx, entry)
+		switch {
+		case err == nil && isSettled(&a):
+			return a, kindOf(&a)
+		case err == nil && a.Reason != cornelwall.ReasonNone && a.Outcome == cornelwall.Pending:
+			return a, inputError(fmt.Errorf("%s: %s", a.Reason, a.Text))
+		case err == nil:
+			last = a
+		case errors.Is(err, cornelwall.ErrInput) && !maybeSent:
+			return cornelwall.Answer{}, err
+		case errors.Is(err, cornelwall.ErrInput):
+			err = unknown(h.ticket, last, err)
+			return answerOf(err), err
+		case unsent(err) && !maybeSent:
+			return cornelwall.Answer{}, fmt.Errorf("%w: %w", errUnsent, err)
+		}
+		maybeSent = true
+		entry = s.c.after(entry)
+		if s.c.cfg.Clock.Wait(ctx, s.c.pause(try, time.Duration(a.Back))) != nil {
+			err = unknown(h.ticket, last, errors.Join(ctx.Err(), err))
+			return answerOf(err), err
+		}
+	}
+}
+
+// post sends the job once.
+func (s *submission) post(ctx context.Context, entry string) (cornelwall.Answer, error) {
+	job := s.job
+	if job.Left > 0 {
+		job.Left = max(1, job.Left-cornelwall.Duration(s.c.cfg.Clock.Now().Sub(s.began)))
+	}
+	r, err := s.c.send(ctx, entry, http.MethodPost, "/v1/jobs", &job)
+	if err != nil {
+		return cornelwall.Answer{}, err
+	}
+	a, err := r.answer(job.Ticket)
+	if err == nil && a.Outcome == cornelwall.Done && len(a.Tasks) != len(job.Tasks) {
+		err = fmt.Errorf("answer has %d tasks, want %d", len(a.Tasks), len(job.Tasks))
+	}
+	if err != nil {
+		return cornelwall.Answer{Back: cornelwall.Duration(r.back)}, err
+	}
+	return a, nil
+}
+
+// isSettled reports whether no further request can bring more.
+func isSettled(a *cornelwall.Answer) bool {
+	return a.Outcome.Definite() || (a.Outcome == cornelwall.Unknown && a.Final)
+}
+
+// kindOf returns the error of a settled answer, nil if it is done.
+func kindOf(a *cornelwall.Answer) error {
+	switch a.Outcome {
+	case cornelwall.Done:
+		return nil
+	case cornelwall.Failed:
+		return &Error{Kind: ErrFailed, Answer: *a}
+	case cornelwall.NotRun:
+		return &Error{Kind: ErrNotRun, Answer: *a}
+	}
+	return &Error{Kind: ErrUnknown, Answer: *a}
+}
+
+// answerOf returns the answer that an error carries.
+func answerOf(err error) cornelwall.Answer {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Answer
+	}
+	return cornelwall.Answer{}
+}
+
+// isFinal reports whether sending the request again would bring the same error.
+func isFinal(err error) bool {
+	return errors.Is(err, ErrNotRun) && answerOf(err).Reason != cornelwall.ReasonStopping ||
+		errors.Is(err, cornelwall.ErrInput)
+}
