Changes of profiles: repeated sends of one change, replaced ones

Two sends of one change that race each other no longer tell the loser of a conflict with itself, and a write whose answer was lost is not called a lost race if a later change has replaced what it may have written.

--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -89,11 +89,23 @@
 	case err != nil:
 		return p, c.settle(ctx, p, err)
 	case !swapped:
-		return p, merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q", name))
+		return p, c.lost(ctx, p)
 	}
 	return p, nil
 }
 
+// lost tells whether the change that won the race was a repetition of p itself.
+func (c *Changer) lost(ctx context.Context, p cornelwall.Profile) error {
+	_, held, err := c.read(ctx, p.Name)
+	if err != nil {
+		return err
+	}
+	if held.Change == p.Change {
+		return nil
+	}
+	return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q", p.Name))
+}
+
 // check reports why a change may not replace old.
 func (t *Terms) check(old *cornelwall.Profile) error {
 	switch {
@@ -128,7 +140,8 @@
 }
 
 // settle finds out whether a write whose answer was lost took effect. It is an error
-// of kind ErrStore if that cannot be told.
+// of kind ErrStore if that cannot be told, as when a later change has replaced what
+// was written.
 func (c *Changer) settle(ctx context.Context, p cornelwall.Profile, cause error) error {
 	for range settleTries {
 		_, held, err := c.read(ctx, p.Name)
@@ -138,7 +151,10 @@
 		if held.Change == p.Change {
 			return nil
 		}
-		if held.Version >= p.Version {
+		if held.Version > p.Version {
+			break
+		}
+		if held.Version == p.Version {
 			return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q", p.Name))
 		}
 	}
--- a/profile.go
+++ b/profile.go
@@ -78,7 +78,7 @@
 	Idempotent  bool     `json:"idempotent" yaml:"idempotent"`   // the caller may submit again under a new ticket
 	Stale       Stale    `json:"stale" yaml:"stale"`
 
-	Version uint64 `json:"version" yaml:"version,omitempty"`
+	Version uint64 `json:"version" yaml:"-"`
 	Retired bool   `json:"retired,omitempty" yaml:"-"` // a tombstone
 	Change  string `json:"change,omitempty" yaml:"-"`  // identity of the change that wrote this version
 }
