Command line: profiles, jobs, tickets, check, version

Each command has a help page with examples and the exit codes; all problems with flags and files are told at once, those of files with their line. apply compares files with what is in force and replaces just the version that it compared; a change carries its own identity, so that one whose answer was lost is sent again and made once, or is reported as not known.

--- a/client/error.go
+++ b/client/error.go
@@ -54,6 +54,19 @@
 	return []error{e.Kind, e.Cause}
 }
 
+// Err returns the *Error that belongs to an answer, or nil if that is done or pending.
+func Err(a cornelwall.Answer) error {
+	switch a.Outcome {
+	case cornelwall.Failed:
+		return &Error{Kind: ErrFailed, Answer: a}
+	case cornelwall.NotRun:
+		return &Error{Kind: ErrNotRun, Answer: a}
+	case cornelwall.Unknown:
+		return &Error{Kind: ErrUnknown, Answer: a}
+	}
+	return nil
+}
+
 // notRun returns the error of a job that was never sent.
 func notRun(cause error) error {
 	return &Error{Kind: ErrNotRun, Cause: cause,
--- a/client/fetch.go
+++ b/client/fetch.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"cornelwall"
 )
 
 // Fetch returns the state of a job. With wait it returns once the job has ended; if ctx
-// ends first, the last state known and the error of ctx.
+// ends first, the last state known and an error of kind cornelwall.ErrPeer.
 func (c *Client) Fetch(ctx context.Context, t cornelwall.Ticket, wait bool) (cornelwall.Answer, error) {
 	path := "/v1/jobs/" + t.String()
 	if wait {
@@ -20,7 +22,7 @@
 }
 
 // Cancel gives up a job and returns what became of it. Tasks that have started may go
-// on.
+// on. The error is of kind cornelwall.ErrPeer if ctx ends first.
 func (c *Client) Cancel(ctx context.Context, t cornelwall.Ticket) (cornelwall.Answer, error) {
 	return c.ask(ctx, http.MethodDelete, "/v1/jobs/"+t.String(), t, true)
 }
@@ -44,7 +46,7 @@
 		}
 		entry = c.after(entry)
 		if werr := c.cfg.Clock.Wait(ctx, c.pause(try, back)); werr != nil {
-			return last, errors.Join(werr, err)
+			return last, merry.Wrap(cornelwall.ErrPeer, merry.AppendMessage(errors.Join(werr, err).Error()))
 		}
 	}
 }
--- a/client/submit.go
+++ b/client/submit.go
@@ -47,6 +47,9 @@
 	retries := s.c.cfg.Retries
 	for {
 		h, err := s.c.take(ctx)
+		if errors.Is(err, cornelwall.ErrPeer) {
+			err = notRun(err)
+		}
 		if err != nil {
 			return answerOf(err), err
 		}
@@ -89,7 +92,7 @@
 		a, err := s.post(ctx, entry)
 		switch {
 		case err == nil && isSettled(&a):
-			return a, kindOf(&a)
+			return a, Err(a)
 		case err == nil && a.Reason != cornelwall.ReasonNone && a.Outcome == cornelwall.Pending:
 			return a, inputError(fmt.Errorf("%s: %s", a.Reason, a.Text))
 		case err == nil:
@@ -136,19 +139,6 @@
 	return a.Outcome.Definite() || (a.Outcome == cornelwall.Unknown && a.Final)
 }
 
-// kindOf returns the error of a settled answer, nil if it is done.
-func kindOf(a *cornelwall.Answer) error {
-	switch a.Outcome {
-	case cornelwall.Done:
-		return nil
-	case cornelwall.Failed:
-		return &Error{Kind: ErrFailed, Answer: *a}
-	case cornelwall.NotRun:
-		return &Error{Kind: ErrNotRun, Answer: *a}
-	}
-	return &Error{Kind: ErrUnknown, Answer: *a}
-}
-
 // answerOf returns the answer that an error carries.
 func answerOf(err error) cornelwall.Answer {
 	var e *Error
--- a/client/tickets.go
+++ b/client/tickets.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"cornelwall"
 )
 
@@ -23,7 +25,8 @@
 }
 
 // Draw returns n new tickets. It tries the entries in turn until ctx ends. The error is
-// of kind ErrNotRun if the entries refuse or cannot be reached.
+// of kind ErrNotRun if the entries refuse, and of kind cornelwall.ErrPeer if none can be
+// reached.
 func (c *Client) Draw(ctx context.Context, n int) ([]cornelwall.Ticket, error) {
 	hs, err := c.draw(ctx, n)
 	var ts []cornelwall.Ticket
@@ -45,7 +48,7 @@
 		}
 		entry = c.after(entry)
 		if c.cfg.Clock.Wait(ctx, c.pause(try, back)) != nil {
-			return nil, notRun(err)
+			return nil, merry.Wrap(cornelwall.ErrPeer, merry.AppendMessage(err.Error()))
 		}
 	}
 }
--- /dev/null
+++ b/cmd/cornelwall/check.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check profile files and settings without a connection",
+		ArgsUsage: "[FILE|DIRECTORY...]",
+		Description: `Checks profile files as "profile apply" reads them, and with --settings a file of
+environment variables as "serve" reads it: one CORNELWALL_NAME=value a line, empty lines
+and lines that begin with "#" left out. Prints every problem with its file and line and
+ends with exit code 2 if there is one. It speaks to no entry, so that it fits a check
+before a merge.
+
+Examples:
+  cornelwall check profiles/
+  cornelwall check --settings ikeja-entry-0.env profiles/
+  env | grep ^CORNELWALL_ | cornelwall check --settings -
+
+` + exitHelp(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` of environment variables for serve; \"-\" reads stdin"},
+			outputFlag(),
+		},
+		Action: check,
+	}
+}
+
+func check(ctx context.Context, c *cli.Command) error {
+	file := c.String("settings")
+	if file == "" && c.Args().Len() == 0 {
+		return usageError(errors.New("nothing to check is named; name profile files or use --settings"))
+	}
+	var errs []error
+	checked := []string{}
+	if file != "" {
+		errs = append(errs, checkSettings(ctx, file))
+		checked = append(checked, "settings "+file)
+	}
+	if c.Args().Len() > 0 {
+		ds, err := readProfiles(c.Args().Slice())
+		errs = append(errs, err)
+		for _, d := range ds {
+			checked = append(checked, fmt.Sprintf("profile %s of %s", d.Name, d.place))
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return usageError(err)
+	}
+	t := &table{head: []string{"CHECKED"}}
+	for _, line := range checked {
+		t.add(line)
+	}
+	return show(c, struct {
+		Checked []string `json:"checked"`
+	}{checked}, t)
+}
+
+// checkSettings reads a file of environment variables as serve would, and reports all
+// that is wrong with it.
+func checkSettings(ctx context.Context, file string) error {
+	lines, err := readLines(file)
+	if err != nil {
+		return err
+	}
+	flags, byEnv := settingFlags()
+	args := []string{"serve"}
+	var errs []error
+	for i, line := range lines {
+		place := file + ":" + strconv.Itoa(i+1)
+		name, value, ok := strings.Cut(strings.TrimSpace(line), "=")
+		switch {
+		case name == "" && !ok, strings.HasPrefix(name, "#"):
+		case !ok:
+			errs = append(errs, fmt.Errorf("%s: no \"=\"; write CORNELWALL_NAME=value", place))
+		case byEnv[name] == "":
+			errs = append(errs, fmt.Errorf("%s: %s is unknown; \"cornelwall serve --help\" lists the variables", place, name))
+		default:
+			arg := "--" + byEnv[name] + "=" + strings.Trim(value, `"'`)
+			if err := parse(ctx, flags, []string{"serve", arg}); err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", place, err))
+				continue
+			}
+			args = append(args, arg)
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	flags, _ = settingFlags()
+	var problems error
+	err = run(ctx, flags, args, func(_ context.Context, c *cli.Command) error {
+		_, problems = readSettings(c)
+		return nil
+	})
+	if err = errors.Join(err, problems); err != nil {
+		return errors.New(file + ": " + strings.ReplaceAll(err.Error(), "\n", "\n"+file+": "))
+	}
+	return nil
+}
+
+// settingFlags returns the flags of serve without their environment variables, and the
+// name of the flag of each variable.
+func settingFlags() ([]cli.Flag, map[string]string) {
+	byEnv := map[string]string{}
+	flags := serveFlags()
+	for _, f := range flags {
+		for _, name := range f.(cli.DocGenerationFlag).GetEnvVars() {
+			byEnv[name] = f.Names()[0]
+		}
+		switch f := f.(type) {
+		case *cli.StringFlag:
+			f.Sources = cli.ValueSourceChain{}
+		case *cli.StringSliceFlag:
+			f.Sources = cli.ValueSourceChain{}
+		case *cli.DurationFlag:
+			f.Sources = cli.ValueSourceChain{}
+		case *cli.IntFlag:
+			f.Sources = cli.ValueSourceChain{}
+		case *cli.BoolFlag:
+			f.Sources = cli.ValueSourceChain{}
+		}
+	}
+	return flags, byEnv
+}
+
+// parse reports whether the arguments fit the flags.
+func parse(ctx context.Context, flags []cli.Flag, args []string) error {
+	return run(ctx, flags, args, func(context.Context, *cli.Command) error { return nil })
+}
+
+// run parses arguments for serve and calls the action in its place.
+func run(ctx context.Context, flags []cli.Flag, args []string, action cli.ActionFunc) error {
+	c := &cli.Command{Name: "serve", Flags: flags, Action: action, HideHelp: true,
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }}
+	return c.Run(ctx, args)
+}
+
+// readLines returns the lines of a file, or of stdin for "-".
+func readLines(file string) ([]string, error) {
+	r := io.Reader(os.Stdin)
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, fmt.Errorf("%w; name a file that can be read", err)
+		}
+		defer func() { _ = f.Close() }()
+		r = f
+	}
+	var lines []string
+	scan := bufio.NewScanner(r)
+	for scan.Scan() {
+		lines = append(lines, scan.Text())
+	}
+	return lines, scan.Err()
+}
--- /dev/null
+++ b/cmd/cornelwall/files.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"cornelwall"
+)
+
+// declared is a profile as a file declares it.
+type declared struct {
+	cornelwall.Profile
+	place string // "file:line"
+}
+
+// readProfiles reads the profiles of YAML files and of the directories' files that end
+// in .yaml or .yml. The error joins every problem of every file, each with its place.
+func readProfiles(paths []string) ([]declared, error) {
+	if len(paths) == 0 {
+		return nil, errors.New("no file is named; name profile files or directories of them")
+	}
+	var ds []declared
+	var errs []error
+	for _, path := range paths {
+		files, err := listFiles(path)
+		errs = append(errs, err)
+		for _, file := range files {
+			more, err := readFile(file)
+			ds = append(ds, more...)
+			errs = append(errs, err)
+		}
+	}
+	errs = append(errs, checkNames(ds))
+	return ds, errors.Join(errs...)
+}
+
+// checkNames reports names that are declared twice.
+func checkNames(ds []declared) error {
+	var errs []error
+	first := map[string]string{}
+	for _, d := range ds {
+		if place, ok := first[d.Name]; ok && d.Name != "" {
+			errs = append(errs, fmt.Errorf("%s: profile %q is declared at %s too; keep one", d.place, d.Name, place))
+			continue
+		}
+		first[d.Name] = d.place
+	}
+	return errors.Join(errs...)
+}
+
+// listFiles returns path itself or, of a directory, the YAML files below it.
+func listFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil || !info.IsDir() {
+		return []string{path}, nil // reading it tells what is wrong
+	}
+	var files []string
+	err = filepath.WalkDir(path, func(file string, d fs.DirEntry, err error) error {
+		if ext := filepath.Ext(file); err == nil && !d.IsDir() && (ext == ".yaml" || ext == ".yml") {
+			files = append(files, file)
+		}
+		return err
+	})
+	if err == nil && len(files) == 0 {
+		err = fmt.Errorf("%s: no file ends in .yaml or .yml; put profiles there", path)
+	}
+	return files, err
+}
+
+// readFile reads the profiles of one file, one in each document.
+func readFile(file string) ([]declared, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w; name a file that can be read", err)
+	}
+	tree, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, fmt.Errorf("%s: not YAML: %s", placeOf(file, err), message(err))
+	}
+	var ds []declared
+	var errs []error
+	for _, doc := range tree.Docs {
+		if doc.Body == nil {
+			continue
+		}
+		d, err := decode(file, doc.Body)
+		ds = append(ds, d)
+		errs = append(errs, err)
+	}
+	if len(ds) == 0 {
+		errs = append(errs, fmt.Errorf("%s: no profile; write at least its name and team", file))
+	}
+	return ds, errors.Join(errs...)
+}
+
+// decode reads one profile and reports every problem with the line of its field.
+func decode(file string, body ast.Node) (declared, error) {
+	d := declared{Profile: cornelwall.NewProfile(), place: fmt.Sprintf("%s:%d", file, body.GetToken().Position.Line)}
+	m, ok := body.(ast.MapNode)
+	if !ok {
+		return d, fmt.Errorf("%s: not a profile; write fields such as \"name: seat-holds\"", d.place)
+	}
+	lines := map[string]int{}
+	var errs []error
+	for it := m.MapRange(); it.Next(); {
+		field := it.Key().String()
+		line := it.Key().GetToken().Position.Line
+		if first, ok := lines[field]; ok {
+			errs = append(errs, fmt.Errorf("%s:%d: field %q is set in line %d too; keep one", file, line, field, first))
+			continue
+		}
+		lines[field] = line
+		if err := yaml.NodeToValue(it.KeyValue(), &d.Profile, yaml.Strict()); err != nil {
+			errs = append(errs, fmt.Errorf("%s:%d: %s", file, line, fieldProblem(field, err)))
+		}
+	}
+	d.Normalise()
+	errs = append(errs, locate(file, d.place, lines, d.Check()))
+	return d, errors.Join(errs...)
+}
+
+// locate puts the place of its field before each joined error. Messages begin with the
+// name of the field.
+func locate(file, place string, lines map[string]int, err error) error {
+	if err == nil {
+		return nil
+	}
+	var errs []error
+	for _, text := range strings.Split(err.Error(), "\n") {
+		field, _, _ := strings.Cut(text, " ")
+		if line, ok := lines[field]; ok {
+			errs = append(errs, fmt.Errorf("%s:%d: %s", file, line, text))
+			continue
+		}
+		errs = append(errs, fmt.Errorf("%s: %s", place, text))
+	}
+	return errors.Join(errs...)
+}
+
+// fieldProblem words an error of the YAML library.
+func fieldProblem(field string, err error) string {
+	text := message(err)
+	switch {
+	case strings.HasPrefix(text, "unknown field"):
+		return fmt.Sprintf("field %q is unknown; use %s", field, strings.Join(fieldNames(), ", "))
+	case strings.Contains(text, "cannot unmarshal"):
+		return fmt.Sprintf("%s does not take such a value; docs/operators.md lists the values of each field", field)
+	}
+	return text
+}
+
+// message returns the message of an error of the YAML library without the excerpt of
+// the file.
+func message(err error) string {
+	var ye yaml.Error
+	if errors.As(err, &ye) {
+		return ye.GetMessage()
+	}
+	return err.Error()
+}
+
+func placeOf(file string, err error) string {
+	var ye yaml.Error
+	if errors.As(err, &ye) && ye.GetToken() != nil {
+		return fmt.Sprintf("%s:%d", file, ye.GetToken().Position.Line)
+	}
+	return file
+}
--- /dev/null
+++ b/cmd/cornelwall/job.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/client"
+)
+
+const progressPause = 2 * time.Second // between two words on a long wait
+
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "job",
+		Usage: "submit, show and cancel jobs",
+		Description: `A job is a list of tasks that are answered together. The commands speak to the callers'
+listener of any entry.
+
+Examples:
+  cornelwall job submit --profile seat-holds --task '{"seat":12}'
+  cornelwall job show --wait TICKET
+  cornelwall job cancel TICKET`,
+		Commands: []*cli.Command{
+			jobSubmitCommand(),
+			jobShowCommand(),
+			jobCancelCommand(),
+		},
+	}
+}
+
+// callerFlags are the flags of commands that speak to the callers' listeners.
+func callerFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of the callers' listener of an entry, or of the balancer; repeat it to name several, which are tried in turn",
+			Value: []string{"http://127.0.0.1:7000"}, Sources: env("CALLER_ENTRIES")},
+		&cli.DurationFlag{Name: "timeout", Usage: "limit of the whole command", Value: time.Minute, Sources: env("TIMEOUT")},
+		outputFlag(),
+	}
+}
+
+// newClient returns a client for the flags. Commands that know their ticket name no
+// profile; any will do for them.
+func newClient(c *cli.Command, profile string) (*client.Client, error) {
+	entries, err := readEntries(c)
+	if err = errors.Join(err, checkTimeout(c)); err != nil {
+		return nil, usageError(err)
+	}
+	return client.New(client.Config{Entries: entries, Profile: profile, Ahead: 1})
+}
+
+// readTicket returns the one ticket given as an argument.
+func readTicket(c *cli.Command) (cornelwall.Ticket, error) {
+	if c.Args().Len() != 1 {
+		return cornelwall.Ticket{}, usageError(fmt.Errorf("%d tickets are named; name one", c.Args().Len()))
+	}
+	t, err := cornelwall.ParseTicket(c.Args().First())
+	if err != nil {
+		return t, usageError(err)
+	}
+	return t, nil
+}
+
+// showAnswer prints an answer and returns the error that belongs to its outcome.
+func showAnswer(c *cli.Command, a cornelwall.Answer) error {
+	t := &table{head: []string{"TASK", "OUTCOME", "REASON", "ANSWER"}}
+	t.add("all", a.Outcome.String(), reason(a.Reason), a.Text)
+	for i, task := range a.Tasks {
+		t.add(strconv.Itoa(i), task.Outcome.String(), reason(task.Reason), text(task.Body))
+	}
+	if err := show(c, a, t); err != nil {
+		return err
+	}
+	return client.Err(a)
+}
+
+func reason(r cornelwall.Reason) string {
+	if r == cornelwall.ReasonNone {
+		return "-"
+	}
+	return r.String()
+}
+
+// progress tells every few seconds that the command still waits for what, until the
+// function that it returns is called.
+func progress(w io.Writer, what string) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(done)
+		for pause(ctx, progressPause) == nil {
+			_, _ = fmt.Fprintf(w, "waiting for %s, %s so far\n", what, time.Since(began).Round(time.Second))
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
--- /dev/null
+++ b/cmd/cornelwall/job_cancel.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall/client"
+)
+
+func jobCancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "give up a job",
+		ArgsUsage: "TICKET",
+		Description: `Gives up a job: tasks that wait are dropped, tasks that have started may go on. Prints
+what became of the job. A job that had not started is "notrun" then, also if it is
+submitted later; one that had ended keeps its answer. The exit code is 0 in all these
+cases, and 5 if the outcome is unknown.
+
+Examples:
+  cornelwall job cancel TICKET
+
+` + exitHelp(),
+		Flags:  callerFlags(),
+		Action: cancelJob,
+	}
+}
+
+func cancelJob(ctx context.Context, c *cli.Command) error {
+	t, err := readTicket(c)
+	if err != nil {
+		return err
+	}
+	cl, err := newClient(c, anyProfile)
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	ctx, cancel := withTimeout(ctx, c)
+	defer cancel()
+	a, err := cl.Cancel(ctx, t)
+	if err != nil {
+		return err
+	}
+	err = showAnswer(c, a)
+	if errors.Is(err, client.ErrNotRun) || errors.Is(err, client.ErrFailed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/cornelwall/job_show.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+// anyProfile stands for the profile where a ticket tells all that is needed.
+const anyProfile = "any"
+
+func jobShowCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "show",
+		Usage:     "show the state or the answer of a job",
+		ArgsUsage: "TICKET",
+		Description: `Shows what became of a job, as long as its ticket lives. A job that has not ended is
+pending; --wait waits for its end. The exit code tells the outcome, as of "job submit";
+it is 0 for a pending job.
+
+Examples:
+  cornelwall job show TICKET
+  cornelwall job show --wait --timeout 10s --output json TICKET
+
+` + exitHelp(),
+		Flags:  append(callerFlags(), &cli.BoolFlag{Name: "wait", Usage: "wait for the end of the job"}),
+		Action: showJob,
+	}
+}
+
+func showJob(ctx context.Context, c *cli.Command) error {
+	t, err := readTicket(c)
+	if err != nil {
+		return err
+	}
+	cl, err := newClient(c, anyProfile)
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	ctx, cancel := withTimeout(ctx, c)
+	defer cancel()
+	stop := progress(stderr(c), "the end of the job")
+	a, err := cl.Fetch(ctx, t, c.Bool("wait"))
+	stop()
+	if err != nil {
+		return err
+	}
+	return showAnswer(c, a)
+}
--- a/cmd/cornelwall/main.go
+++ b/cmd/cornelwall/main.go
@@ -1,4 +1,11 @@
-// Command cornelwall is a dispatcher for sub-second tasks.
+// Command cornelwall is a dispatcher for sub-second tasks. It runs an entry, and it is
+// the operators' and callers' client on the command line.
+//
+// # Usage
+//
+//	cornelwall serve --name ikeja-entry-0 --dc ikeja --store http://10.0.0.1:2379 ...
+//	cornelwall profile apply profiles/
+//	cornelwall job submit --profile seat-holds --task '{"seat":12}'
 package main
 
 import (
@@ -6,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -15,20 +23,62 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	if err := app().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "cornelwall:", err)
+		printError(os.Stderr, err)
 		os.Exit(exitCode(err))
 	}
 }
 
+// app returns the command with all its subcommands.
 func app() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:  "cornelwall",
 		Usage: "dispatch sub-second tasks by declared profiles",
+		Description: `Operators declare profiles, which state how a class of work is treated under
+pressure; callers submit jobs that name a profile. Every task starts at most once,
+and every answer says truthfully what ran.
+
+Flags can also be set by the environment variables that each help page names.
+
+` + exitHelp(),
 		Commands: []*cli.Command{
 			serveCommand(),
+			profileCommand(),
+			jobCommand(),
+			ticketsCommand(),
+			checkCommand(),
+			versionCommand(),
 		},
 	}
+	prepare(root)
+	return root
+}
+
+// prepare makes every wrong use an error of kind errUsage.
+func prepare(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return usageError(fmt.Errorf("%w; see \"%s --help\"", err, c.FullName()))
+	}
+	if c.Action == nil {
+		c.Action = func(_ context.Context, c *cli.Command) error {
+			if name := c.Args().First(); name != "" {
+				return usageError(fmt.Errorf("command %q is unknown; use one of: %s", name, strings.Join(names(c.Commands), ", ")))
+			}
+			return cli.ShowSubcommandHelp(c)
+		}
+	}
+	for _, sub := range c.Commands {
+		prepare(sub)
+	}
+}
+
+func names(cs []*cli.Command) []string {
+	var ns []string
+	for _, c := range cs {
+		if c.Name != "help" {
+			ns = append(ns, c.Name)
+		}
+	}
+	return ns
 }
 
-// exitCode returns the exit code of an error.
-func exitCode(error) int { return 1 }
+func env(name string) cli.ValueSourceChain { return cli.EnvVars("CORNELWALL_" + name) }
--- /dev/null
+++ b/cmd/cornelwall/operators.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/io/operator"
+)
+
+const (
+	maxReply     = 8 << 20                // bytes
+	roundPause   = 250 * time.Millisecond // between two rounds through the entries
+	statusWait   = 5 * time.Second        // that one status request may wait
+	readRounds   = 2                      // through the entries for a read
+	requestLimit = 15 * time.Second       // of one request
+)
+
+// operatorFlags are the flags of commands that speak to the operators' listeners.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of the operators' listener of an entry; repeat it to name several, which are tried in turn",
+			Value: []string{"http://127.0.0.1:7002"}, Sources: env("OPERATOR_ENTRIES")},
+		&cli.StringFlag{Name: "token", Usage: "operators' `TOKEN`; better set by the environment, as others can read flags",
+			HideDefault: true, Sources: env("TOKEN")},
+		&cli.StringFlag{Name: "as", Usage: "`NAME` to log changes under", Value: os.Getenv("USER"), HideDefault: true, Sources: env("AS")},
+		&cli.DurationFlag{Name: "timeout", Usage: "limit of the whole command", Value: 30 * time.Second, Sources: env("TIMEOUT")},
+		outputFlag(),
+	}
+}
+
+// operators speaks to the operators' listeners of some entries.
+type operators struct {
+	entries []string
+	token   string
+	as      string
+	http    *http.Client
+}
+
+// newOperators reads the flags and reports all that is wrong with them.
+func newOperators(c *cli.Command) (*operators, error) {
+	o := &operators{token: c.String("token"), as: c.String("as"), http: &http.Client{Timeout: requestLimit}}
+	entries, err := readEntries(c)
+	o.entries = entries
+	if o.token == "" {
+		err = errors.Join(err, errors.New("--token is missing; set CORNELWALL_TOKEN to the operators' token"))
+	}
+	err = errors.Join(err, checkTimeout(c))
+	if err != nil {
+		return nil, usageError(err)
+	}
+	return o, nil
+}
+
+// readEntries returns the base URLs of --entry.
+func readEntries(c *cli.Command) ([]string, error) {
+	var entries []string
+	var errs []error
+	for _, e := range strings.Split(strings.Join(c.StringSlice("entry"), ","), ",") {
+		if u, err := url.Parse(e); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			errs = append(errs, fmt.Errorf("--entry %q is not a URL; use http://ip:port", e))
+		}
+		entries = append(entries, strings.TrimSuffix(e, "/"))
+	}
+	return entries, errors.Join(errs...)
+}
+
+func checkTimeout(c *cli.Command) error {
+	if d := c.Duration("timeout"); d <= 0 {
+		return fmt.Errorf("--timeout %s is not positive; use a duration such as 30s", d)
+	}
+	return nil
+}
+
+// withTimeout returns the ctx of a command that ends after --timeout.
+func withTimeout(ctx context.Context, c *cli.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.Duration("timeout"))
+}
+
+// send sends one request to one entry and decodes the answer. sure reports whether an
+// error proves that the request changed nothing.
+func (o *operators) send(ctx context.Context, entry, method, path string, in, out any) (sure bool, err error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return true, err
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, entry+path, body)
+	if err != nil {
+		return true, err
+	}
+	r.Header.Set("Authorization", "Bearer "+o.token)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(operator.HeaderOperator, o.as)
+	w, err := o.http.Do(r)
+	if err != nil {
+		var op *net.OpError
+		return errors.As(err, &op) && op.Op == "dial", merry.Wrap(cornelwall.ErrPeer, merry.AppendMessage(err.Error()))
+	}
+	defer func() { _ = w.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(w.Body, maxReply))
+	if err != nil {
+		return false, merry.Wrap(cornelwall.ErrPeer, merry.AppendMessage(err.Error()))
+	}
+	if w.StatusCode != http.StatusOK {
+		return w.StatusCode < http.StatusInternalServerError, problem(w.StatusCode, text)
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		return false, merry.Wrap(cornelwall.ErrPeer, merry.AppendMessagef("%s answered no JSON: %v", entry, err))
+	}
+	return true, nil
+}
+
+// problem returns the error of an answer with an error status.
+func problem(status int, text []byte) error {
+	var p struct{ Error string }
+	if err := json.Unmarshal(text, &p); err != nil || p.Error == "" {
+		p.Error = fmt.Sprintf("status %d", status)
+	}
+	kind := cornelwall.ErrPeer
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		kind = cornelwall.ErrInput
+	case http.StatusUnauthorized:
+		kind = cornelwall.ErrAuth
+		p.Error = "token is wrong; set CORNELWALL_TOKEN to the operators' token of the entries"
+	case http.StatusNotFound:
+		kind = cornelwall.ErrMissing
+	case http.StatusConflict:
+		kind = cornelwall.ErrConflict
+	case http.StatusServiceUnavailable:
+		kind = cornelwall.ErrStore
+	}
+	return merry.Wrap(kind, merry.WithMessage(p.Error))
+}
+
+// read sends a request that changes nothing to the entries in turn until one answers.
+func (o *operators) read(ctx context.Context, path string, out any) error {
+	var last error
+	for round := range readRounds {
+		if round > 0 && pause(ctx, roundPause) != nil {
+			break
+		}
+		for _, entry := range o.entries {
+			sure, err := o.send(ctx, entry, http.MethodGet, path, nil, out)
+			if err == nil || (sure && !errors.Is(err, cornelwall.ErrPeer)) {
+				return err
+			}
+			last = err
+		}
+	}
+	return last
+}
+
+// get returns a profile, or one of version 0 if no entry that answers knows it.
+func (o *operators) get(ctx context.Context, name string) (cornelwall.Profile, error) {
+	var p cornelwall.Profile
+	err := o.read(ctx, "/v1/profiles/"+name, &p)
+	if errors.Is(err, cornelwall.ErrMissing) {
+		return cornelwall.Profile{Name: name}, nil
+	}
+	return p, err
+}
+
+// change is one change of a profile on its way.
+type change struct {
+	method string
+	name   string
+	body   any
+	base   uint64 // the version that it replaces; 0 creates the profile
+	id     string // tells the change apart from all others
+}
+
+func newChange(method, name string, body any, base uint64) *change {
+	return &change{method: method, name: name, body: body, base: base, id: strings.ToLower(rand.Text())}
+}
+
+func (ch *change) path() string {
+	q := url.Values{"change": {ch.id}}
+	if ch.base == 0 {
+		q.Set("create", "true")
+	} else {
+		q.Set("expect", strconv.FormatUint(ch.base, 10))
+	}
+	return "/v1/profiles/" + ch.name + "?" + q.Encode()
+}
+
+// make sends the change to the entries in turn until it is accepted or refused, or ctx
+// ends. A change whose answer was lost is sent again under its identity, so that it is
+// made once. The error is of kind errChangeUnknown if it cannot be told whether it was
+// accepted.
+func (o *operators) make(ctx context.Context, ch *change) (cornelwall.Profile, error) {
+	maybe := false // an earlier send may have been accepted
+	for {
+		var last error
+		for _, entry := range o.entries {
+			var p cornelwall.Profile
+			sure, err := o.send(ctx, entry, ch.method, ch.path(), ch.body, &p)
+			switch {
+			case err == nil:
+				return p, nil
+			case sure && !errors.Is(err, cornelwall.ErrPeer) && maybe:
+				return o.settle(ctx, ch, err)
+			case sure && !errors.Is(err, cornelwall.ErrPeer):
+				return p, err
+			}
+			maybe = maybe || !sure
+			last = err
+		}
+		if pause(ctx, roundPause) == nil {
+			continue
+		}
+		if maybe {
+			return cornelwall.Profile{}, merry.Wrap(errChangeUnknown, merry.AppendMessage(last.Error()))
+		}
+		return cornelwall.Profile{}, last
+	}
+}
+
+// settle finds out about a change that was refused after an earlier send of it may have
+// been accepted.
+func (o *operators) settle(ctx context.Context, ch *change, refusal error) (cornelwall.Profile, error) {
+	p, err := o.get(ctx, ch.name)
+	switch {
+	case err == nil && p.Change == ch.id:
+		return p, nil
+	case err == nil && p.Version == ch.base+1:
+		return p, refusal // another change has the only version that this one could have
+	}
+	return p, merry.Wrap(errChangeUnknown, merry.AppendMessage(refusal.Error()))
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/cmd/cornelwall/output.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "print a `FORMAT`: table or json", Value: outputTable,
+		Sources: env("OUTPUT"), Validator: func(s string) error {
+			if s != outputTable && s != outputJSON {
+				return fmt.Errorf("%q is not an output; use table or json", s)
+			}
+			return nil
+		}}
+}
+
+// stdout returns where results go. Progress and errors go to stderr.
+func stdout(c *cli.Command) io.Writer {
+	if w := c.Root().Writer; w != nil {
+		return w
+	}
+	return os.Stdout
+}
+
+// stderr returns where progress goes.
+func stderr(c *cli.Command) io.Writer {
+	if w := c.Root().ErrWriter; w != nil {
+		return w
+	}
+	return os.Stderr
+}
+
+// table is rows under a heading.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// show prints v as JSON, or t as a table, as --output asks.
+func show(c *cli.Command, v any, t *table) error {
+	if c.String("output") == outputJSON {
+		enc := json.NewEncoder(stdout(c))
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(stdout(c), 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{t.head}, t.rows...) {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// text returns a body for people: as it is if it can be printed, else in base64.
+func text(body []byte) string {
+	if !utf8.Valid(body) || strings.ContainsFunc(string(body), func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return "base64:" + base64.StdEncoding.EncodeToString(body)
+	}
+	return string(body)
+}
--- /dev/null
+++ b/cmd/cornelwall/profile.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+)
+
+func profileCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "profile",
+		Usage: "create, change, retire and inspect profiles",
+		Description: `Profiles are declared in YAML files that are kept in version control, and applied
+from there. A change is accepted once the platform's service holds it, and in force
+once every entry has confirmed it. The commands speak to the operators' listener of any
+entry.
+
+Examples:
+  cornelwall profile apply --dry-run profiles/
+  cornelwall profile apply --wait profiles/
+  cornelwall profile status seat-holds`,
+		Commands: []*cli.Command{
+			profileCreateCommand(),
+			profileApplyCommand(),
+			profileRetireCommand(),
+			profileListCommand(),
+			profileShowCommand(),
+			profileStatusCommand(),
+			profileWaitCommand(),
+		},
+	}
+}
+
+// profileNames returns the names given as arguments and reports all that is wrong with
+// them. Most is the largest number of names; 0 is no limit.
+func profileNames(c *cli.Command, most int) ([]string, error) {
+	ns := c.Args().Slice()
+	var errs []error
+	if len(ns) == 0 {
+		errs = append(errs, errors.New("no profile is named; name one"))
+	}
+	if most > 0 && len(ns) > most {
+		errs = append(errs, fmt.Errorf("%d profiles are named; name %d", len(ns), most))
+	}
+	for _, name := range ns {
+		errs = append(errs, cornelwall.CheckName("profile", name))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, usageError(err)
+	}
+	return ns, nil
+}
+
+// profileTable returns a table of profiles.
+func profileTable(ps ...cornelwall.Profile) *table {
+	t := &table{head: []string{"NAME", "VERSION", "STATE", "TEAM", "CLASS", "DEADLINE", "QUEUE", "CONCURRENCY", "QUOTA", "IDEMPOTENT", "STALE"}}
+	for i := range ps {
+		p := &ps[i]
+		row := []string{p.Name, version(p.Version), state(p)}
+		for _, f := range fieldsOf(p)[1:] {
+			row = append(row, f.value)
+		}
+		t.add(row...)
+	}
+	return t
+}
+
+func version(v uint64) string { return strconv.FormatUint(v, 10) }
+
+func state(p *cornelwall.Profile) string {
+	if p.Retired {
+		return "retired"
+	}
+	return "in force"
+}
--- /dev/null
+++ b/cmd/cornelwall/profile_retire.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+)
+
+func profileRetireCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "retire",
+		Usage:     "retire profiles for good",
+		ArgsUsage: "NAME...",
+		Description: `Retires profiles: entries refuse new jobs that name them, as not run, and finish the
+jobs that they have. A retired name cannot be used again. To retire a profile that is
+retired already changes nothing and is no error.
+
+Examples:
+  cornelwall profile retire seat-holds
+  cornelwall profile retire --expect 7 --wait seat-holds
+
+` + exitHelp(),
+		Flags: append(operatorFlags(),
+			&cli.BoolFlag{Name: "dry-run", Usage: "show what would be retired and change nothing"},
+			&cli.Uint64Flag{Name: "expect", Usage: "refuse unless the profile in force has this `VERSION`; for one profile"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until the retirement is in force at every entry"}),
+		Action: retireProfiles,
+	}
+}
+
+func retireProfiles(ctx context.Context, c *cli.Command) error {
+	most := 0
+	if c.IsSet("expect") {
+		most = 1
+	}
+	ns, err := profileNames(c, most)
+	if err != nil {
+		return err
+	}
+	o, err := newOperators(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, c)
+	defer cancel()
+	plans, err := o.planRetire(ctx, ns)
+	if err != nil {
+		return err
+	}
+	if want := c.Uint64("expect"); c.IsSet("expect") && plans[0].old.Version != want {
+		return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d",
+			plans[0].Name, plans[0].old.Version, want))
+	}
+	if c.Bool("dry-run") {
+		return showPlans(c, plans)
+	}
+	err = o.carryOut(ctx, plans)
+	if serr := showPlans(c, plans); err == nil {
+		err = serr
+	}
+	if err == nil && c.Bool("wait") {
+		err = o.awaitAll(ctx, stderr(c), versionsOf(plans))
+	}
+	return err
+}
+
+// planRetire looks up the profiles. The error joins all names that do not exist.
+func (o *operators) planRetire(ctx context.Context, ns []string) ([]*plan, error) {
+	var plans []*plan
+	missing := &problemsError{kind: cornelwall.ErrMissing}
+	for _, name := range ns {
+		old, err := o.get(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		if old.Version == 0 {
+			missing.problems = append(missing.problems, fmt.Sprintf("profile %q does not exist; \"profile list\" shows those that do", name))
+		}
+		pl := &plan{Name: name, Action: planRetire, Version: old.Version, old: old}
+		if old.Retired {
+			pl.Action = planUnchanged
+		}
+		plans = append(plans, pl)
+	}
+	if len(missing.problems) > 0 {
+		return nil, missing
+	}
+	return plans, nil
+}
--- /dev/null
+++ b/cmd/cornelwall/profile_status.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/io/operator"
+)
+
+func profileStatusCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "show the version of a profile in force at each entry",
+		ArgsUsage: "NAME",
+		Description: `Asks every entry that the first entry to answer knows of, and shows the version that
+each has in force. An entry that does not answer, or has an older version, has not
+confirmed. An entry is stale if it has had no fresh word of the platform for some
+seconds.
+
+Examples:
+  cornelwall profile status seat-holds
+  cornelwall profile status --output json seat-holds | jq .inforce
+
+` + exitHelp(),
+		Flags:  operatorFlags(),
+		Action: showStatus,
+	}
+}
+
+func showStatus(ctx context.Context, c *cli.Command) error {
+	ns, err := profileNames(c, 1)
+	if err != nil {
+		return err
+	}
+	o, err := newOperators(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, c)
+	defer cancel()
+	var s operator.Status
+	if err := o.read(ctx, "/v1/profiles/"+ns[0]+"/status", &s); err != nil {
+		return err
+	}
+	t := &table{head: []string{"DATA CENTRE", "ENTRY", "VERSION", "STATE"}}
+	for _, f := range s.Force {
+		t.add(f.Entry.DataCentre, f.Entry.Entry, version(f.Version), forceState(&s, f))
+	}
+	return show(c, s, t)
+}
+
+// forceState tells people what one entry has confirmed.
+func forceState(s *operator.Status, f cornelwall.Force) string {
+	state := "in force"
+	switch {
+	case f.Missing:
+		state = "no answer"
+	case f.Version < s.Version:
+		state = "not confirmed"
+	case f.Retired:
+		state = "retired"
+	}
+	if f.Stale {
+		state += ", stale"
+	}
+	return state
+}
--- /dev/null
+++ b/cmd/cornelwall/profile_wait.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/io/operator"
+)
+
+func profileWaitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "wait",
+		Usage:     "wait until profiles are in force at every entry",
+		ArgsUsage: "NAME...",
+		Description: `Waits until every entry that is known has confirmed the version, by default the highest
+one known. Tells on stderr which entries have not confirmed yet. Ends with exit code 8
+after --timeout; the change stays accepted all the same.
+
+Examples:
+  cornelwall profile wait seat-holds
+  cornelwall profile wait --version 7 --timeout 20s seat-holds
+
+` + exitHelp(),
+		Flags: append(operatorFlags(),
+			&cli.Uint64Flag{Name: "version", Usage: "wait for this `VERSION` or a higher one; for one profile"}),
+		Action: waitForProfiles,
+	}
+}
+
+func waitForProfiles(ctx context.Context, c *cli.Command) error {
+	most := 0
+	if c.IsSet("version") {
+		most = 1
+	}
+	ns, err := profileNames(c, most)
+	if err != nil {
+		return err
+	}
+	o, err := newOperators(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx, c)
+	defer cancel()
+	vs := map[string]uint64{}
+	for _, name := range ns {
+		vs[name] = c.Uint64("version")
+	}
+	return o.awaitAll(ctx, stderr(c), vs)
+}
+
+// awaitAll waits until each profile is in force everywhere at its version, or at the
+// highest one known if that is 0.
+func (o *operators) awaitAll(ctx context.Context, progress io.Writer, versions map[string]uint64) error {
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		if err := o.await(ctx, progress, name, versions[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *operators) await(ctx context.Context, progress io.Writer, name string, version uint64) error {
+	path := fmt.Sprintf("/v1/profiles/%s/status?wait=%s&version=%d", name, statusWait, version)
+	told := ""
+	for {
+		var s operator.Status
+		err := o.read(ctx, path, &s)
+		if err == nil && s.InForce {
+			_, _ = fmt.Fprintf(progress, "profile %s: version %d is in force at all %d entries\n", name, s.Version, len(s.Force))
+			return nil
+		}
+		line := waitingFor(name, &s, err)
+		if line != told {
+			_, _ = fmt.Fprintln(progress, line)
+			told = line
+		}
+		if errors.Is(err, cornelwall.ErrAuth) || errors.Is(err, cornelwall.ErrInput) {
+			return err
+		}
+		if pause(ctx, roundPause) != nil {
+			return merry.Wrap(errNotInForce, merry.AppendMessage(line))
+		}
+	}
+}
+
+// waitingFor tells what is still missing.
+func waitingFor(name string, s *operator.Status, err error) string {
+	if err != nil {
+		return fmt.Sprintf("profile %s: waiting for an entry that answers: %v", name, err)
+	}
+	var late []string
+	for _, f := range s.Missing() {
+		late = append(late, f.Entry.DataCentre+"."+f.Entry.Entry)
+	}
+	return fmt.Sprintf("profile %s: %d of %d entries have version %d; waiting for %s",
+		name, len(s.Force)-len(late), len(s.Force), s.Version, strings.Join(late, ", "))
+}
--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -47,7 +47,7 @@
 func serve(ctx context.Context, c *cli.Command) error {
 	s, err := readSettings(c)
 	if err != nil {
-		return err
+		return usageError(err)
 	}
 	e, err := build(s, newLog(s.Verbose))
 	if err != nil {
--- a/cmd/cornelwall/settings.go
+++ b/cmd/cornelwall/settings.go
@@ -36,8 +36,6 @@
 	Verbose         bool
 }
 
-func env(name string) cli.ValueSourceChain { return cli.EnvVars("CORNELWALL_" + name) }
-
 func serveFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "name", Usage: "name of this entry VM on the VM list", Sources: env("NAME")},
