Client test: the dead entry is dialled anew

TestFailover failed in about one of ten runs: it expected a ticket to be dropped after its entry had closed, but on a kept connection that is just being closed the request may have been read, and the client rightly goes on under the ticket. The test now dials for each request, so that the failure it means is the one that happens, and is as strict.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -226,7 +226,10 @@
 	assert.DeepEqual(t, k.waits, []time.Duration{0})
 
 	third := newEntry(t, "e3", says(done))
-	c, _, ctx = newClient(t, client.Config{Entries: []string{third.URL, second.URL}}, 10)
+	// Each request dials, as a request on a connection that is just being closed may have
+	// been read.
+	dials := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	c, _, ctx = newClient(t, client.Config{Entries: []string{third.URL, second.URL}, HTTP: dials}, 10)
 	_, err = c.Submit(ctx, job)
 	assert.NilError(t, err)
 	third.Close()
