--- a/cmd/cornelwall/operators.go
+++ b/cmd/cornelwall/operators.go
@@ -24,11 +24,12 @@
 )
 
 const (
-	maxReply     = 8 << 20                // bytes
-	roundPause   = 250 * time.Millisecond // between two rounds through the entries
-	statusWait   = 5 * time.Second        // that one status request may wait
-	readRounds   = 2                      // through the entries for a read
-	requestLimit = 15 * time.Second       // of one request
+	maxReply      = 8 << 20                // bytes
+	roundPause    = 250 * time.Millisecond // between two rounds through the entries
+	statusWait    = 5 * time.Second        // that one status request may wait
+	statusReserve = 3 * time.Second        // for an answer of entries that ask others
+	readRounds    = 2                      // through the entries for a read
+	requestLimit  = 15 * time.Second       // of one request
 )
 
 // operatorFlags are the flags of commands that speak to the operators' listeners.
--- a/cmd/cornelwall/profile_wait.go
+++ b/cmd/cornelwall/profile_wait.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/urfave/cli/v3"
@@ -70,29 +71,39 @@
 }
 
 func (o *operators) await(ctx context.Context, progress io.Writer, name string, version uint64) error {
-	path := fmt.Sprintf("/v1/profiles/%s/status?wait=%s&version=%d", name, statusWait, version)
 	told := ""
-	for {
+	for wait := time.Duration(0); ; wait = statusWait {
 		var s operator.Status
-		err := o.read(ctx, path, &s)
-		if err == nil && s.InForce {
+		err := o.read(ctx, statusPath(ctx, name, version, wait), &s)
+		switch {
+		case err == nil && s.InForce:
 			_, _ = fmt.Fprintf(progress, "profile %s: version %d is in force at all %d entries\n", name, s.Version, len(s.Force))
 			return nil
-		}
-		line := waitingFor(name, &s, err)
-		if line != told {
-			_, _ = fmt.Fprintln(progress, line)
-			told = line
-		}
-		if errors.Is(err, cornelwall.ErrAuth) || errors.Is(err, cornelwall.ErrInput) {
+		case errors.Is(err, cornelwall.ErrAuth), errors.Is(err, cornelwall.ErrInput),
+			errors.Is(err, cornelwall.ErrMissing) && version == 0:
 			return err
+		case ctx.Err() == nil || told == "":
+			line := waitingFor(name, &s, err)
+			if line != told {
+				_, _ = fmt.Fprintln(progress, line)
+			}
+			told = line
 		}
 		if pause(ctx, roundPause) != nil {
-			return merry.Wrap(errNotInForce, merry.AppendMessage(line))
+			return merry.Wrap(errNotInForce, merry.AppendMessage(told))
 		}
 	}
 }
 
+// statusPath asks for the status, to be answered after wait at the latest and in time
+// for the end of ctx.
+func statusPath(ctx context.Context, name string, version uint64, wait time.Duration) string {
+	if end, ok := ctx.Deadline(); ok {
+		wait = max(0, min(wait, time.Until(end)-statusReserve))
+	}
+	return fmt.Sprintf("/v1/profiles/%s/status?wait=%s&version=%d", name, wait, version)
+}
+
 // waitingFor tells what is still missing.
 func waitingFor(name string, s *operator.Status, err error) string {
 	if err != nil {
