A wrong body is told with the problems of its readable fields too

A body with one unknown field was refused for that alone; what was wrong with the other fields came out only at the next try.

Shown by go test ./io/web ./io/operator.

--- a/io/web/decode.go
+++ b/io/web/decode.go
@@ -8,7 +8,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"reflect"
 	"slices"
 	"strings"
 
@@ -51,9 +50,9 @@
 	return nil
 }
 
-// problems finds every field of a JSON object that v does not take. Without such a
-// field it returns err, the error of the whole body.
-func problems(body []byte, v any, err error) error {
+// problems finds every field of a JSON object that v does not take, and what is wrong
+// with the others. Without such a field it returns err, the error of the whole body.
+func problems(body []byte, v Checker, err error) error {
 	var fields map[string]json.RawMessage
 	if json.Unmarshal(body, &fields) != nil {
 		return fmt.Errorf("body is not a JSON object for this request: %w", err)
@@ -64,13 +63,31 @@
 		if merr != nil {
 			return err
 		}
-		if ferr := unmarshal(one, reflect.New(reflect.TypeOf(v).Elem()).Interface()); ferr != nil {
+		if ferr := unmarshal(one, v); ferr != nil {
 			errs = append(errs, fmt.Errorf("%s: %s", name, plain(ferr)))
+			delete(fields, name)
 		}
 	}
 	if len(errs) == 0 {
 		return err
 	}
+	return errors.Join(append(errs, checkFields(v, fields))...)
+}
+
+// checkFields returns those problems of v that begin with the name of one of the fields,
+// as the others may come of a field that could not be read.
+func checkFields(v Checker, fields map[string]json.RawMessage) error {
+	err := v.Check()
+	if err == nil {
+		return nil
+	}
+	var errs []error
+	for _, text := range strings.Split(err.Error(), "\n") {
+		end := strings.IndexAny(text, " [.")
+		if _, ok := fields[text[:max(0, end)]]; ok {
+			errs = append(errs, errors.New(text))
+		}
+	}
 	return errors.Join(errs...)
 }
 
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -31,7 +31,7 @@
 	}{
 		{"right", `{"profile":"holds","tasks":[{}]}`, 204, nil},
 		{"two fields wrong", `{"profile":"Holds","left":"5x","tusks":[]}`, 400, []string{
-			`left: duration "5x" is not valid`, `tusks: field "tusks" is unknown`}},
+			`left: duration "5x" is not valid`, `tusks: field "tusks" is unknown`, `profile "Holds" contains 'H'`}},
 		{"values out of range", `{"profile":"Holds","tasks":[]}`, 400, []string{
 			`profile "Holds" contains 'H'`, `tasks has 0 entries; use 1 to 1024`}},
 		{"wrong type in a task", `{"profile":"holds","tasks":[{"need":{"cores":"two"}}]}`, 400, []string{
--- a/standin/cmd/local/main.go
+++ b/standin/cmd/local/main.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -100,5 +101,18 @@
 	for _, e := range sys.Entries {
 		fmt.Printf("%s callers=%s operators=%s\n", e.Name, e.URL("callers"), e.URL("operators"))
 	}
-	fmt.Printf("operators' token: %s\nCtrl-C ends\n", local.Token)
+	fmt.Printf("to try the command line and the examples of the docs by hand:\n")
+	fmt.Printf("export CORNELWALL_CALLER_ENTRIES=%s\n", urls(sys.Entries, "callers"))
+	fmt.Printf("export CORNELWALL_OPERATOR_ENTRIES=%s\n", urls(sys.Entries, "operators"))
+	fmt.Printf("export CORNELWALL_TOKEN=%s\n", local.Token)
+	fmt.Printf("export CALLERS=%s OPERATORS=%s\nCtrl-C ends\n", sys.Entries[0].URL("callers"), sys.Entries[0].URL("operators"))
+}
+
+// urls joins the URLs of a listener of all entries.
+func urls(entries []*local.Process, listener string) string {
+	var us []string
+	for _, e := range entries {
+		us = append(us, e.URL(listener))
+	}
+	return strings.Join(us, ",")
 }
