Pages for callers, operators and developers; docs checked against the code

Tests check that flags, variables, exit codes, fields, reasons, outcomes, files and links that the pages name exist, and that the tables name all that exists.

Shown by go test ./cmd/cornelwall.

--- /dev/null
+++ b/cmd/cornelwall/docs_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/urfave/cli/v3"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// page reads a page of the docs.
+func page(t *testing.T, name string) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("../..", name))
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// named returns what the first group of the pattern matches in the text, sorted.
+func named(text, pattern string) []string {
+	set := map[string]bool{}
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		set[m[1]] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// part returns the text between two lines.
+func part(t *testing.T, text, from, to string) string {
+	t.Helper()
+	_, rest, ok := strings.Cut(text, from)
+	assert.Assert(t, ok, "no %q", from)
+	got, _, ok := strings.Cut(rest, to)
+	assert.Assert(t, ok, "no %q", to)
+	return got
+}
+
+// flagsOf adds the flags and variables of a command and those below it.
+func flagsOf(c *cli.Command, flags, envs map[string]bool) {
+	for _, f := range c.Flags {
+		flags["--"+f.Names()[0]] = true
+		for _, e := range f.(cli.DocGenerationFlag).GetEnvVars() {
+			envs[e] = true
+		}
+	}
+	for _, sub := range c.Commands {
+		flagsOf(sub, flags, envs)
+	}
+}
+
+// TestDocs checks that what the pages name exists, and that they name all that exists.
+func TestDocs(t *testing.T) {
+	operators, callers := page(t, "docs/operators.md"), page(t, "docs/callers.md")
+	flags, envs := map[string]bool{}, map[string]bool{}
+	flagsOf(app(), flags, envs)
+	assert.DeepEqual(t, named(operators, "`(--[a-z-]+)`"), slices.Sorted(maps.Keys(flags)))
+	assert.DeepEqual(t, named(operators, "`(CORNELWALL_[A-Z_]+)`"), slices.Sorted(maps.Keys(envs)))
+
+	var codes strings.Builder
+	for _, e := range exitCodes {
+		fmt.Fprintf(&codes, "| %d | %s |\n", e.code, e.meaning)
+	}
+	assert.Assert(t, strings.Contains(operators, codes.String()), codes.String())
+
+	fields := named(part(t, operators, "| field | values |", "\n\n"), "(?m)^\\| `([a-z]+)`")
+	assert.DeepEqual(t, fields, slices.Sorted(slices.Values(fieldNames())))
+
+	reasons := named(part(t, callers, "| reason | comes with |", "\n\n"), "(?m)^\\| `([a-z-]+)`")
+	assert.DeepEqual(t, reasons, slices.Sorted(slices.Values(cornelwall.ReasonStrings())))
+	outcomes := named(part(t, callers, "| outcome | status |", "\n\n"), "(?m)^\\| `([a-z]+)`")
+	assert.DeepEqual(t, outcomes, slices.Sorted(slices.Values(cornelwall.OutcomeStrings())))
+}
+
+// TestDocsPaths checks that every file and folder that the pages name exists.
+func TestDocsPaths(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	for _, p := range append(pages, "../../README.md", "../../CHANGELOG.md") {
+		b, err := os.ReadFile(p)
+		assert.NilError(t, err)
+		for _, path := range named(string(b), "`((?:core|io|client|cmd|standin|examples|docs)/[a-z0-9_./-]+)`") {
+			_, err := os.Stat(filepath.Join("../..", path))
+			assert.NilError(t, err, p)
+		}
+		for _, link := range named(string(b), `\]\(([^):#]+)\)`) {
+			_, err := os.Stat(filepath.Join(filepath.Dir(p), link))
+			assert.NilError(t, err, p)
+		}
+	}
+}
+
+// TestHelpPages checks that every command has a full page with examples.
+func TestHelpPages(t *testing.T) {
+	var visit func(c *cli.Command)
+	visit = func(c *cli.Command) {
+		assert.Assert(t, c.Usage != "" && c.Description != "", "%s has no page", c.FullName())
+		if c.Name != "cornelwall" {
+			assert.Assert(t, strings.Contains(c.Description, "Examples:\n"), "%s has no examples", c.FullName())
+		}
+		for _, line := range strings.Split(c.Description, "\n") {
+			assert.Assert(t, len(line) <= 90, "%s: %q is too long", c.FullName(), line)
+		}
+		for _, sub := range c.Commands {
+			visit(sub)
+		}
+	}
+	visit(app())
+}
--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -29,10 +29,11 @@
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "serve",
-		Usage:  "run an entry",
-		Flags:  serveFlags(),
-		Action: serve,
+		Name:        "serve",
+		Usage:       "run an entry",
+		Description: serveHelp + exitHelp(),
+		Flags:       serveFlags(),
+		Action:      serve,
 	}
 }
 
