--- a/cmd/cornelwall/job_submit.go
+++ b/cmd/cornelwall/job_submit.go
@@ -32,7 +32,7 @@
 Examples:
   cornelwall job submit --profile seat-holds --task '{"seat":12}' --task '{"seat":13}'
   cornelwall job submit --output json job.json
-  echo '{"profile":"seat-holds","tasks":[{"body":"eyJzZWF0IjoxMn0="}]}' | cornelwall job submit -
+  generate-job | cornelwall job submit --timeout 10s -
 
 ` + exitHelp(),
 		DisableSliceFlagSeparator: true, // bodies contain commas
