--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -14,6 +14,7 @@
 	"crypto/subtle"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
@@ -24,6 +25,8 @@
 
 const maxBody = 64 << 10 // bytes of a profile
 
+var authFailures = metrics.NewCounter("cornelwall_operator_auth_failures_total")
+
 // Core is what the API needs of the core.
 type Core interface {
 	cornelwall.Poster
@@ -55,6 +58,8 @@
 	return func(c echo.Context) error {
 		got := c.Request().Header.Get("Authorization")
 		if subtle.ConstantTimeCompare([]byte(got), []byte("Bearer "+h.token)) != 1 {
+			authFailures.Inc()
+			h.log.Info("operator-refused", "from", c.Request().RemoteAddr, "method", c.Request().Method, "path", c.Path())
 			return cornelwall.ErrAuth
 		}
 		return next(c)
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -178,6 +178,8 @@
 		r.h.ServeHTTP(w, req)
 		assert.Equal(t, w.Code, 401, header)
 	}
+	assert.Equal(t, strings.Count(r.log.String(), `"operator-refused"`), 5)
+	assert.Assert(t, !strings.Contains(r.log.String(), token))
 }
 
 func TestStatus(t *testing.T) {
