Client: an owner that is gone costs one job, not all tickets held

Behind one balancer the client cannot tell that the entry which gave out its tickets has died: each of them brought one unknown answer. The first such answer now drops the other tickets of that owner.

Shown by TestOwnerGone, which failed before; go test -race -count=20 ./client.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -239,6 +239,22 @@
 	assert.Equal(t, second.sent()[1].Owner.Entry, "e2")
 }
 
+// TestOwnerGone checks that an answer that the owner is gone costs one job, not one for
+// each ticket of that owner that the client holds.
+func TestOwnerGone(t *testing.T) {
+	lost := cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonOwnerLost, Final: true}
+	e := newEntry(t, "e1", says(lost), says(done))
+	c, _, ctx := newClient(t, client.Config{Entries: []string{e.URL}, Ahead: 4}, 10)
+	_, err := c.Submit(ctx, job)
+	assert.Assert(t, errors.Is(err, client.ErrUnknown))
+	e.mu.Lock()
+	drawn := e.seq
+	e.mu.Unlock()
+	_, err = c.Submit(ctx, job)
+	assert.NilError(t, err)
+	assert.Assert(t, e.sent()[1].Seq > drawn, "a ticket of the first draw was used: %s", e.sent()[1])
+}
+
 // TestNoEntry checks that a job that never left is told as not run.
 func TestNoEntry(t *testing.T) {
 	e := newEntry(t, "e1", says(done))
--- a/client/submit.go
+++ b/client/submit.go
@@ -56,7 +56,7 @@
 		a, err := s.run(ctx, h)
 		switch {
 		case errors.Is(err, errUnsent):
-			s.c.drop(h.entry)
+			s.c.drop(func(other held) bool { return other.entry == h.entry })
 			s.c.after(h.entry)
 			if ctx.Err() != nil {
 				err = notRun(err)
@@ -90,6 +90,7 @@
 	var last cornelwall.Answer
 	for try := 1; ; try++ {
 		a, err := s.post(ctx, entry)
+		s.c.heed(&a)
 		switch {
 		case err == nil && isSettled(&a):
 			return a, Err(a)
--- a/client/tickets.go
+++ b/client/tickets.go
@@ -139,11 +139,20 @@
 	return h, true
 }
 
-// drop forgets the tickets of an entry that does not answer.
-func (c *Client) drop(entry string) {
+// drop forgets the tickets that match.
+func (c *Client) drop(match func(held) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pool = slices.DeleteFunc(c.pool, func(h held) bool { return h.entry == entry })
+	c.pool = slices.DeleteFunc(c.pool, match)
+}
+
+// heed forgets the tickets of an owner that an answer says is gone, away or stopping, as
+// jobs under them would fare alike.
+func (c *Client) heed(a *cornelwall.Answer) {
+	switch a.Reason {
+	case cornelwall.ReasonOwnerLost, cornelwall.ReasonOwnerAway, cornelwall.ReasonClosed, cornelwall.ReasonStopping:
+		c.drop(func(h held) bool { return h.ticket.Owner == a.Ticket.Owner })
+	}
 }
 
 // keepTickets draws tickets ahead until ctx ends. A draw that fails is left to the next
