Setting for the address that other entries are told

Cause: an entry behind a relay or an address translation told its peers the address that it listens on, which its peers then preferred over the VM list.

--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -83,8 +83,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("--peers: %w", err)
 	}
+	advertise := peerServer.addr()
+	if s.Advertise.IsValid() {
+		advertise = s.Advertise
+	}
 	clock := cornelwall.SystemClock{}
-	core := node.New(node.Config{Self: self, Addr: peerServer.addr(), Secret: []byte(s.Secret)}, clock.Now())
+	core := node.New(node.Config{Self: self, Addr: advertise, Secret: []byte(s.Secret)}, clock.Now())
 	loop := control.New(core, clock, log)
 
 	peers := peer.New(peer.Config{Self: self, Token: s.Secret, Timeout: s.PeerTimeout}, loop, log)
--- a/cmd/cornelwall/settings.go
+++ b/cmd/cornelwall/settings.go
@@ -22,6 +22,7 @@
 	Callers   netip.AddrPort
 	Peers     netip.AddrPort
 	Operators netip.AddrPort
+	Advertise netip.AddrPort // where peers reach this entry; unset is Peers
 
 	Store   []string // base URLs of the key-value service
 	Machine string   // URL of the VM list
@@ -44,6 +45,7 @@
 		&cli.StringFlag{Name: "dc", Usage: "data centre of this entry VM", Sources: env("DC")},
 		&cli.StringFlag{Name: "callers", Usage: "ip:port for callers", Value: "127.0.0.1:7000", Sources: env("CALLERS")},
 		&cli.StringFlag{Name: "peers", Usage: "ip:port for other entries", Value: "127.0.0.1:7001", Sources: env("PEERS")},
+		&cli.StringFlag{Name: "advertise", Usage: "ip:port that other entries are told, if it is not that of --peers", Sources: env("ADVERTISE")},
 		&cli.StringFlag{Name: "operators", Usage: "ip:port for operators", Value: "127.0.0.1:7002", Sources: env("OPERATORS")},
 		&cli.StringSliceFlag{Name: "store", Usage: "URL of the key-value service; may be repeated", Sources: env("STORE")},
 		&cli.StringFlag{Name: "vms", Usage: "URL of the VM list", Sources: env("VMS")},
@@ -83,6 +85,9 @@
 	address("callers", &s.Callers)
 	address("peers", &s.Peers)
 	address("operators", &s.Operators)
+	if c.String("advertise") != "" {
+		address("advertise", &s.Advertise)
+	}
 	return s, errors.Join(append(errs, s.check())...)
 }
 
