Local system for proofs: built programs, signals, restarts, a network to cut

Cause: proofs with real processes need programs built once, entries that restart under their name, and a network between entries that can be cut for one pair. Machines and entries now start side by side.

--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -21,6 +21,8 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync"
+	"syscall"
 	"time"
 
 	"cornelwall"
@@ -37,12 +39,15 @@
 
 // Config is the size of the system.
 type Config struct {
-	Dir         string // for the programs and the logs
+	Dir         string // for the logs, and for the programs if Programs is empty
+	Programs    string // directory of programs that are built already
 	DataCentres []string
 	Entries     int // per data centre
 	Executors   int // per data centre
 	Workers     int // per data centre
 	EntryArgs   []string
+	MachineArgs []string // of each executor and worker
+	Relays      bool     // the entries reach each other through relays, to be cut
 }
 
 // System is a running system.
@@ -52,12 +57,14 @@
 	Entries   []*Process
 	Executors []*Process
 	Workers   []*Process
+	Net       *Net // between the entries; nil without Config.Relays
 }
 
-// Build compiles the programs into the directory.
-func Build(ctx context.Context, dir string) error {
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator),
-		"cornelwall/cmd/cornelwall", "cornelwall/standin/cmd/standin")
+// Build compiles the programs into the directory. Flags are further flags of go build.
+func Build(ctx context.Context, dir string, flags ...string) error {
+	args := append([]string{"build", "-o", dir + string(filepath.Separator)}, flags...)
+	args = append(args, "cornelwall/cmd/cornelwall", "cornelwall/standin/cmd/standin")
+	cmd := exec.CommandContext(ctx, "go", args...)
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return fmt.Errorf("programs do not build: %w: %s", err, out)
 	}
@@ -66,9 +73,15 @@
 
 // Start builds and starts the system and waits until every entry serves.
 func Start(ctx context.Context, cfg Config) (*System, error) {
+	if cfg.Programs == "" {
+		cfg.Programs = cfg.Dir
+		if err := Build(ctx, cfg.Dir); err != nil {
+			return nil, err
+		}
+	}
 	s := &System{cfg: cfg}
-	if err := Build(ctx, cfg.Dir); err != nil {
-		return nil, err
+	if cfg.Relays {
+		s.Net = newNet()
 	}
 	if err := s.start(ctx); err != nil {
 		return nil, errors.Join(err, s.Stop())
@@ -76,46 +89,58 @@
 	return s, nil
 }
 
+// start starts the platform, then the machines, then the entries.
 func (s *System) start(ctx context.Context) error {
 	var err error
 	if s.Platform, err = s.standin(ctx, "platform", "platform"); err != nil {
 		return err
 	}
-	for _, dc := range s.cfg.DataCentres {
-		for i := range s.cfg.Executors {
-			p, err := s.machine(ctx, "executor", dc, i)
-			if err != nil {
-				return err
-			}
-			s.Executors = append(s.Executors, p)
-		}
-		for i := range s.cfg.Workers {
-			p, err := s.machine(ctx, "worker", dc, i)
-			if err != nil {
+	n := len(s.cfg.DataCentres)
+	s.Executors = make([]*Process, n*s.cfg.Executors)
+	s.Workers = make([]*Process, n*s.cfg.Workers)
+	s.Entries = make([]*Process, n*s.cfg.Entries)
+	var machines, entries []func() error
+	add := func(fs *[]func() error, group []*Process, start func(i int) (*Process, error)) {
+		for i := range group {
+			*fs = append(*fs, func() (err error) {
+				group[i], err = start(i)
 				return err
-			}
-			s.Workers = append(s.Workers, p)
+			})
 		}
 	}
-	for _, dc := range s.cfg.DataCentres {
-		for i := range s.cfg.Entries {
-			p, err := s.StartEntry(ctx, dc, fmt.Sprintf("%s-entry-%d", dc, i))
-			if err != nil {
-				return err
-			}
-			s.Entries = append(s.Entries, p)
-		}
+	add(&machines, s.Executors, func(i int) (*Process, error) { return s.machine(ctx, "executor", i, s.cfg.Executors) })
+	add(&machines, s.Workers, func(i int) (*Process, error) { return s.machine(ctx, "worker", i, s.cfg.Workers) })
+	add(&entries, s.Entries, func(i int) (*Process, error) {
+		dc := s.cfg.DataCentres[i/s.cfg.Entries]
+		return s.StartEntry(ctx, dc, fmt.Sprintf("%s-entry-%d", dc, i%s.cfg.Entries))
+	})
+	if err := together(machines); err != nil {
+		return err
 	}
-	return nil
+	return together(entries)
+}
+
+// together runs the functions side by side and returns their errors.
+func together(fs []func() error) error {
+	errs := make([]error, len(fs))
+	var g sync.WaitGroup
+	for i, f := range fs {
+		g.Go(func() { errs[i] = f() })
+	}
+	g.Wait()
+	return errors.Join(errs...)
 }
 
 func (s *System) standin(ctx context.Context, name, kind string, args ...string) (*Process, error) {
-	return startProcess(ctx, s.cfg.Dir, name, "standin", append([]string{kind}, args...))
+	return startProcess(ctx, s.cfg, name, "standin", append([]string{kind}, args...))
 }
 
-func (s *System) machine(ctx context.Context, kind, dc string, i int) (*Process, error) {
-	name := fmt.Sprintf("%s-%s-%d", dc, kind, i)
-	return s.standin(ctx, name, kind, "--name", name, "--dc", dc, "--rack", dc+"-rack", "--platform", s.Platform.URL())
+// machine starts machine i of a kind of which each data centre has n.
+func (s *System) machine(ctx context.Context, kind string, i, n int) (*Process, error) {
+	dc := s.cfg.DataCentres[i/n]
+	name := fmt.Sprintf("%s-%s-%d", dc, kind, i%n)
+	args := []string{"--name", name, "--dc", dc, "--rack", dc + "-rack", "--platform", s.Platform.URL()}
+	return s.standin(ctx, name, kind, append(args, s.cfg.MachineArgs...)...)
 }
 
 // StartEntry starts an entry and puts it on the VM list.
@@ -126,14 +151,38 @@
 		"--store", s.Platform.URL(), "--vms", s.Platform.URL() + "/vms",
 		"--secret", Secret, "--token", Token, "--list-poll", "200ms",
 	}
-	p, err := startProcess(ctx, s.cfg.Dir, name, "cornelwall", append(args, s.cfg.EntryArgs...))
+	var r *relay
+	if s.Net != nil {
+		var err error
+		if r, err = s.Net.relay(dc, name); err != nil {
+			return nil, err
+		}
+		args = append(args, "--advertise", r.addr.String())
+	}
+	p, err := startProcess(ctx, s.cfg, name, "cornelwall", append(args, s.cfg.EntryArgs...))
 	if err != nil {
 		return nil, err
 	}
+	p.DataCentre = dc
 	vm := cornelwall.VM{Name: name, Kind: cornelwall.Entry, DataCentre: dc, Addr: p.Addrs["peers"]}
+	if r != nil {
+		r.setTarget(p.Addrs["peers"])
+		vm.Addr = r.addr
+	}
 	return p, s.Control(ctx, "/ctl/vm", vm)
 }
 
+// Restart starts an entry that has ended again, under the same name and at other
+// addresses.
+func (s *System) Restart(ctx context.Context, i int) error {
+	p, err := s.StartEntry(ctx, s.Entries[i].DataCentre, s.Entries[i].Name)
+	if err != nil {
+		return err
+	}
+	s.Entries[i] = p
+	return nil
+}
+
 // Control posts to the control page of the stand-in platform.
 func (s *System) Control(ctx context.Context, path string, body any) error {
 	return call(ctx, http.MethodPost, s.Platform.URL()+path, body, nil)
@@ -177,6 +226,9 @@
 			}
 		}
 	}
+	if s.Net != nil {
+		errs = append(errs, s.Net.close())
+	}
 	return errors.Join(errs...)
 }
 
@@ -236,11 +288,13 @@
 
 // Process is one process of the system.
 type Process struct {
-	Name  string
-	Addrs map[string]netip.AddrPort // by the name of the listener
-	cmd   *exec.Cmd
-	ended chan struct{}
-	err   error
+	Name       string
+	DataCentre string                    // of an entry
+	Addrs      map[string]netip.AddrPort // by the name of the listener
+	LogFile    string
+	cmd        *exec.Cmd
+	ended      chan struct{}
+	err        error
 }
 
 // URL returns the base URL of a listener; without a name, of the only one.
@@ -255,6 +309,15 @@
 // Process returns the operating system's process, to send it signals.
 func (p *Process) Process() *os.Process { return p.cmd.Process }
 
+// Freeze stops the process until Resume.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process for a planned stop.
+func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
 // Ended is closed once the process has ended.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
--- a/standin/local/process.go
+++ b/standin/local/process.go
@@ -15,10 +15,12 @@
 // listeners are the keys of the addresses that a process prints when it listens.
 var listeners = []string{"addr", "callers", "peers", "operators"}
 
-// startProcess starts a program of the directory, keeps its output in a log file there
+const logMode = 0o644
+
+// startProcess starts a program, appends its output to a log file of its name
 // and waits until it has told its addresses.
-func startProcess(ctx context.Context, dir, name, program string, args []string) (*Process, error) {
-	logFile, err := os.Create(filepath.Join(dir, name+".log"))
+func startProcess(ctx context.Context, cfg Config, name, program string, args []string) (*Process, error) {
+	logFile, err := os.OpenFile(filepath.Join(cfg.Dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, logMode)
 	if err != nil {
 		return nil, err
 	}
@@ -26,13 +28,13 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(filepath.Join(dir, program), args...)
+	cmd := exec.Command(filepath.Join(cfg.Programs, program), args...)
 	cmd.Stdout, cmd.Stderr = w, w
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
 	_ = w.Close() // the process has its own copy
-	p := &Process{Name: name, cmd: cmd, ended: make(chan struct{})}
+	p := &Process{Name: name, LogFile: logFile.Name(), cmd: cmd, ended: make(chan struct{})}
 	ready := make(chan map[string]netip.AddrPort, 1)
 	go p.copyLog(r, logFile, ready)
 	select {
