Proofs with real processes: scenarios, driver, ledger

Cause: the promises had no proof with the real binary. Change: standin/drive submits jobs as the client package does and holds every answer against the starts that endpoints counted, by ticket and by the work itself; standin/prove brings about 19 failures on systems of separate processes.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -134,14 +134,15 @@
 		return echo.NewHTTPError(http.StatusBadRequest, "header "+product.HeaderTask+" is not a number")
 	}
 	if control, _ := e.state.Control(); control.Drain {
-		return refuse(c, "draining")
+		return e.refuse(c, "draining")
 	}
 	if !e.takeSlot(r.Context().Done()) {
-		return refuse(c, "busy")
+		return e.refuse(c, "busy")
 	}
 	defer func() { <-e.slots }()
-	e.state.Count(r.Header.Get(product.HeaderTicket), index)
-	return e.work(c, task.Parse(body))
+	t := task.Parse(body)
+	e.state.Count(r.Header.Get(product.HeaderTicket), index, t)
+	return e.work(c, t)
 }
 
 // takeSlot reports whether the task got a slot.
@@ -177,7 +178,8 @@
 	return c.Blob(http.StatusOK, echo.MIMEOctetStream, []byte(t.Echo))
 }
 
-func refuse(c echo.Context, reason string) error {
+func (e *Executor) refuse(c echo.Context, reason string) error {
+	e.state.Refuse(reason)
 	c.Response().Header().Set(product.HeaderNotRun, reason)
 	if reason == "draining" {
 		c.Response().Header().Set(product.HeaderDraining, "true")
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/standin/task"
 )
 
 const (
@@ -58,6 +59,8 @@
 	Executors []*Process
 	Workers   []*Process
 	Net       *Net // between the entries; nil without Config.Relays
+
+	last map[*Process]task.Starts // of machines that were killed
 }
 
 // Build compiles the programs into the directory. Flags are further flags of go build.
@@ -143,7 +146,8 @@
 	return s.standin(ctx, name, kind, append(args, s.cfg.MachineArgs...)...)
 }
 
-// StartEntry starts an entry and puts it on the VM list.
+// StartEntry starts an entry and puts it on the VM list. An entry that has ended may be
+// started again under its name; it then has other addresses.
 func (s *System) StartEntry(ctx context.Context, dc, name string) (*Process, error) {
 	args := []string{
 		"serve", "--name", name, "--dc", dc,
@@ -172,31 +176,20 @@
 	return p, s.Control(ctx, "/ctl/vm", vm)
 }
 
-// Restart starts an entry that has ended again, under the same name and at other
-// addresses.
-func (s *System) Restart(ctx context.Context, i int) error {
-	p, err := s.StartEntry(ctx, s.Entries[i].DataCentre, s.Entries[i].Name)
-	if err != nil {
-		return err
-	}
-	s.Entries[i] = p
-	return nil
-}
-
 // Control posts to the control page of the stand-in platform.
 func (s *System) Control(ctx context.Context, path string, body any) error {
-	return call(ctx, http.MethodPost, s.Platform.URL()+path, body, nil)
+	return Call(ctx, http.MethodPost, s.Platform.URL()+path, body, nil)
 }
 
 // Apply applies a profile and waits until it is in force at every entry.
 func (s *System) Apply(ctx context.Context, p cornelwall.Profile) error {
 	url := s.Entries[0].URL("operators") + "/v1/profiles/" + p.Name
-	if err := call(ctx, http.MethodPut, url, p, &p); err != nil {
+	if err := Call(ctx, http.MethodPut, url, p, &p); err != nil {
 		return err
 	}
 	return Wait(ctx, func() error {
 		var st struct{ Force []cornelwall.Force }
-		if err := call(ctx, http.MethodGet, url+"/status", nil, &st); err != nil {
+		if err := Call(ctx, http.MethodGet, url+"/status", nil, &st); err != nil {
 			return err
 		}
 		if len(st.Force) < len(s.Entries) {
@@ -212,7 +205,11 @@
 // Submit sends a job to an entry and returns the answer, whatever its outcome.
 func Submit(ctx context.Context, entry *Process, job cornelwall.Job) (cornelwall.Answer, error) {
 	var a cornelwall.Answer
-	err := call(ctx, http.MethodPost, entry.URL("callers")+"/v1/jobs", job, &a)
+	err := Call(ctx, http.MethodPost, entry.URL("callers")+"/v1/jobs", job, &a)
+	var status *StatusError
+	if errors.As(err, &status) && a.Outcome != cornelwall.Pending {
+		err = nil
+	}
 	return a, err
 }
 
@@ -249,8 +246,8 @@
 	}
 }
 
-// call sends a JSON request and decodes the JSON answer, if out is not nil.
-func call(ctx context.Context, method, url string, in, out any) error {
+// Call sends a JSON request and decodes the JSON answer, if out is not nil.
+func Call(ctx context.Context, method, url string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -274,18 +271,25 @@
 	if err != nil {
 		return err
 	}
-	if out == nil {
-		if resp.StatusCode >= http.StatusBadRequest {
-			return fmt.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, b)
-		}
-		return nil
+	if out != nil {
+		err = json.Unmarshal(b, out)
 	}
-	if err := json.Unmarshal(b, out); err != nil {
-		return fmt.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, b)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Code: resp.StatusCode, Text: fmt.Sprintf("%s %s: %s", method, url, b)}
 	}
-	return nil
+	return err
 }
 
+// StatusError is an answer with a status of 400 or more. Its body has been decoded all
+// the same.
+type StatusError struct {
+	Code int
+	Text string
+}
+
+// Error returns the status and the body.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Text) }
+
 // Process is one process of the system.
 type Process struct {
 	Name       string
@@ -326,10 +330,8 @@
 
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() error {
-	select {
-	case <-p.ended:
+	if p.HasEnded() {
 		return nil
-	default:
 	}
 	err := p.cmd.Process.Kill()
 	<-p.ended
--- /dev/null
+++ b/standin/local/machine.go
@@ -0,0 +1,87 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+
+	"cornelwall/standin/task"
+)
+
+// Machines returns all executors and workers.
+func (s *System) Machines() []*Process {
+	return append(append([]*Process{}, s.Executors...), s.Workers...)
+}
+
+// Set controls an executor or worker.
+func Set(ctx context.Context, p *Process, control task.Control) error {
+	return Call(ctx, http.MethodPost, p.URL()+"/ctl", control, nil)
+}
+
+// SetAll controls all executors and workers that have not ended.
+func (s *System) SetAll(ctx context.Context, control task.Control) error {
+	for _, p := range s.Machines() {
+		if p.HasEnded() {
+			continue
+		}
+		if err := Set(ctx, p, control); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartsOf returns what an executor or worker has counted. Of one that was ended by
+// KillMachine it is the last count.
+func (s *System) StartsOf(ctx context.Context, p *Process) (task.Starts, error) {
+	if starts, ok := s.last[p]; ok {
+		return starts, nil
+	}
+	var starts task.Starts
+	err := Call(ctx, http.MethodGet, p.URL()+"/starts", nil, &starts)
+	return starts, err
+}
+
+// Starts returns what all executors and workers have counted.
+func (s *System) Starts(ctx context.Context) ([]task.Starts, error) {
+	var all []task.Starts
+	for _, p := range s.Machines() {
+		starts, err := s.StartsOf(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, starts)
+	}
+	return all, nil
+}
+
+// KillMachine keeps the count of an executor or worker and ends it at once. Nothing may
+// start on it between the two.
+func (s *System) KillMachine(ctx context.Context, p *Process) error {
+	starts, err := s.StartsOf(ctx, p)
+	if err != nil {
+		return err
+	}
+	if s.last == nil {
+		s.last = map[*Process]task.Starts{}
+	}
+	s.last[p] = starts
+	return p.Kill()
+}
+
+// HasEnded reports whether the process has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Logged reports whether the log of the process has the text.
+func (p *Process) Logged(text string) (bool, error) {
+	log, err := os.ReadFile(p.LogFile)
+	return bytes.Contains(log, []byte(text)), err
+}
--- a/standin/local/net.go
+++ b/standin/local/net.go
@@ -16,6 +16,8 @@
 
 const maxEnvelope = 32 << 20 // bytes
 
+//go:generate go tool enumer -type=Fate -text -transform=kebab -output=fate_gen.go
+
 // Fate is what becomes of an envelope between two entries.
 type Fate int
 
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -17,6 +17,7 @@
 	Down        bool                 `json:"down"`
 	Delay       cornelwall.Duration  `json:"delay,omitempty"` // of each call
 	LoseAnswers int                  `json:"loseanswers"`     // writes that take effect without an answer
+	LoseSwaps   int                  `json:"loseswaps"`       // of the writes, swaps that do so
 	VMs         bool                 `json:"vms"`             // Down and Delay are for the VM list too
 	Lag         *cornelwall.Duration `json:"lag,omitempty"`   // of the VM list; left out it stays
 }
@@ -41,13 +42,17 @@
 }
 
 // loses reports whether the answer of this write is to be lost.
-func (f *faults) loses() bool {
+func (f *faults) loses(swap bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fault.LoseAnswers <= 0 {
+	switch {
+	case swap && f.fault.LoseSwaps > 0:
+		f.fault.LoseSwaps--
+	case f.fault.LoseAnswers > 0:
+		f.fault.LoseAnswers--
+	default:
 		return false
 	}
-	f.fault.LoseAnswers--
 	return true
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	resp, err := p.store.txn(req)
-	return p.answerWrite(c, resp, err)
+	return p.answerWrite(c, resp, err, true)
 }
 
 func (p *Platform) grant(c echo.Context) error {
@@ -111,15 +111,15 @@
 		return err
 	}
 	resp, err := p.store.grant(req)
-	return p.answerWrite(c, resp, err)
+	return p.answerWrite(c, resp, err, false)
 }
 
 // answerWrite answers a write that has taken effect, unless its answer is to be lost.
-func (p *Platform) answerWrite(c echo.Context, resp any, err error) error {
+func (p *Platform) answerWrite(c echo.Context, resp any, err error, swap bool) error {
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	if p.faults.loses() {
+	if p.faults.loses(swap) {
 		panic(http.ErrAbortHandler)
 	}
 	return c.JSON(http.StatusOK, resp)
--- /dev/null
+++ b/standin/prove/machine_test.go
@@ -0,0 +1,175 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"cornelwall"
+	"cornelwall/standin/drive"
+	"cornelwall/standin/local"
+	"cornelwall/standin/task"
+)
+
+var (
+	released = task.Control{}
+)
+
+// leavingListed marks an executor as leaving on the VM list while it has tasks.
+func leavingListed(ctx context.Context, s *stage) error {
+	return s.leave(ctx, func(p *local.Process) error {
+		return s.Control(ctx, "/ctl/vm/"+p.Name+"/leaving", nil)
+	}, released)
+}
+
+// leavingSigned lets an executor say itself that it drains; the VM list lags and says
+// that it is live.
+func leavingSigned(ctx context.Context, s *stage) error {
+	drains := task.Control{Hang: true, Drain: true}
+	return s.leave(ctx, func(p *local.Process) error { return local.Set(ctx, p, drains) }, task.Control{Drain: true})
+}
+
+// leave gives an executor the sign to leave while it has tasks. They finish, and soon no
+// start is sent to it any more.
+func (s *stage) leave(ctx context.Context, sign func(p *local.Process) error, after task.Control) error {
+	j := job("flight", 16)
+	tk, err := s.ticketOf(ctx, 1)
+	if err != nil {
+		return err
+	}
+	if err := s.hang(ctx, true); err != nil {
+		return err
+	}
+	under := s.ask(ctx, 0, j, tk)
+	if err := s.awaitStarts(ctx, j, j.Tasks); err != nil {
+		return err
+	}
+	leaving := s.Executors[0]
+	if err := errors.Join(sign(leaving), s.hangBut(ctx, leaving, after)); err != nil {
+		return err
+	}
+	r, err := under.answer(ctx)
+	if err := errors.Join(err, is(cornelwall.Done, true)(r)); err != nil {
+		return fmt.Errorf("in flight at the sign: %w", err)
+	}
+	n := 0
+	quiet := func() error {
+		n++
+		return s.untouched(ctx, leaving, fmt.Sprintf("round-%d", n))
+	}
+	if err := local.Wait(ctx, quiet); err != nil {
+		return err
+	}
+	for range 5 {
+		if err := quiet(); err != nil {
+			return fmt.Errorf("after it was quiet: %w", err)
+		}
+	}
+	return nil
+}
+
+// hangBut releases all machines and controls one of them apart.
+func (s *stage) hangBut(ctx context.Context, p *local.Process, control task.Control) error {
+	return errors.Join(s.hang(ctx, false), local.Set(ctx, p, control))
+}
+
+// untouched runs jobs and reports an error if a start was sent to the machine.
+func (s *stage) untouched(ctx context.Context, p *local.Process, name string) error {
+	before, err := s.attempts(ctx, p)
+	if err != nil {
+		return err
+	}
+	if err := s.allDone(ctx, name, 20, 8); err != nil {
+		return err
+	}
+	after, err := s.attempts(ctx, p)
+	if err == nil && after != before {
+		err = fmt.Errorf("%d starts were sent to %s, which is leaving", after-before, p.Name)
+	}
+	return err
+}
+
+// attempts returns the starts that were sent to a machine, refused ones too.
+func (s *stage) attempts(ctx context.Context, p *local.Process) (int, error) {
+	starts, err := s.StartsOf(ctx, p)
+	n := 0
+	for _, m := range []map[string]int{starts.Starts, starts.Refused} {
+		for _, count := range m {
+			n += count
+		}
+	}
+	return n, err
+}
+
+// readAndClose lets endpoints read starts and close their connections, which have
+// served other starts before. Each start is seen once.
+func readAndClose(ctx context.Context, s *stage) error {
+	worker := cornelwall.Need{Cores: 1}
+	for round := range 5 {
+		for _, need := range []cornelwall.Need{{}, worker} {
+			warm := job(fmt.Sprintf("warm-%d-%d", round, need.Cores), 8)
+			warm.Need = need
+			if _, err := s.Run(ctx, warm); err != nil {
+				return err
+			}
+			j := job(fmt.Sprintf("vanish-%d-%d", round, need.Cores), 2)
+			j.Need, j.Vanish = need, true
+			a, err := s.Run(ctx, j)
+			if err != nil {
+				return err
+			}
+			if a.Outcome != cornelwall.Failed {
+				return fmt.Errorf("job %s is %s, want failed", j.Name, a.Outcome)
+			}
+		}
+	}
+	return s.allDone(ctx, "after", 10, 8)
+}
+
+// badMachines runs jobs with an executor that fails everything, one that dies with
+// tasks, and a worker that dies with leases.
+func badMachines(ctx context.Context, s *stage) error {
+	if err := local.Set(ctx, s.Executors[0], task.Control{FailAll: true}); err != nil {
+		return err
+	}
+	if _, err := s.runAll(ctx, "failing", 20, 4); err != nil {
+		return err
+	}
+	if err := local.Set(ctx, s.Executors[0], released); err != nil {
+		return err
+	}
+	if err := s.dies(ctx, s.Executors[0], job("on-dead-executor", 16)); err != nil {
+		return err
+	}
+	if err := s.allDone(ctx, "after", 10, 8); err != nil {
+		return err
+	}
+	leased := job("on-dead-worker", 4)
+	leased.Need = cornelwall.Need{Cores: 1}
+	return s.dies(ctx, s.Workers[0], leased)
+}
+
+// dies ends a machine while all tasks of a job run, some of them on it.
+func (s *stage) dies(ctx context.Context, p *local.Process, j drive.Job) error {
+	tk, err := s.ticketOf(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.hang(ctx, true); err != nil {
+		return err
+	}
+	under := s.ask(ctx, 1, j, tk)
+	if err := errors.Join(s.awaitStarts(ctx, j, j.Tasks), s.KillMachine(ctx, p), s.hang(ctx, false)); err != nil {
+		return err
+	}
+	r, err := under.answer(ctx)
+	if err := errors.Join(err, is(cornelwall.Failed, true)(r)); err != nil {
+		return err
+	}
+	for _, t := range r.Tasks {
+		if t.Outcome == cornelwall.Unknown {
+			return nil
+		}
+	}
+	return fmt.Errorf("no task of %s is unknown although its machine died", j.Name)
+}
--- /dev/null
+++ b/standin/prove/scenarios_test.go
@@ -0,0 +1,53 @@
+package prove
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall/standin/local"
+)
+
+var (
+	oneCentre  = local.Config{DataCentres: []string{"ikeja"}, Entries: 3, Executors: 2, Workers: 1}
+	twoCentres = local.Config{DataCentres: []string{"ikeja", "lekki"}, Entries: 2, Executors: 2, Workers: 1}
+	cutCentres = local.Config{DataCentres: []string{"ikeja", "lekki"}, Entries: 2, Executors: 2, Workers: 1, Relays: true}
+)
+
+var scenarios = []scenario{
+	{"kill-owner", twoCentres, killOwner},
+	{"freeze-owner", twoCentres, freezeOwner},
+	{"cut-centres", cutCentres, cutDataCentres},
+	{"cut-entries", cutCentres, cutEntries},
+	{"lossy-net", cutCentres, lossyNet},
+	{"late-answer", cutCentres, lateAnswer},
+	{"platform-away", twoCentres, platformAway},
+	{"stale-profile", oneCentre, staleProfile},
+	{"lost-swaps", twoCentres, lostSwaps},
+	{"older-store", oneCentre, olderStore},
+	{"rolling-restart", twoCentres, rollingRestart},
+	{"leaving-listed", oneCentre, leavingListed},
+	{"leaving-signed", oneCentre, leavingSigned},
+	{"operators-race", twoCentres, operatorsRace},
+	{"read-and-close", oneCentre, readAndClose},
+	{"bad-machines", oneCentre, badMachines},
+	{"same-key", twoCentres, sameKey},
+	{"cancel-waves", twoCentres, cancelWaves},
+	{"several", cutCentres, several},
+}
+
+// TestScenarios runs every scenario on the product. Each must hold.
+func TestScenarios(t *testing.T) {
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			sums, err := perform(t, programs, sc)
+			t.Logf("%s", sums)
+			total.Lock()
+			total.systems++
+			total.sums.Add(sums)
+			total.Unlock()
+			assert.NilError(t, err)
+		})
+	}
+}
--- /dev/null
+++ b/standin/prove/several_test.go
@@ -0,0 +1,140 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+
+	"cornelwall"
+	"cornelwall/standin/local"
+	"cornelwall/standin/platform"
+)
+
+// lossy returns a rule that loses and doubles envelopes at random.
+func (s *stage) lossy() func(from, to cornelwall.Incarnation) local.Fate {
+	r := rand.New(rand.NewPCG(s.seed, 1))
+	var mu sync.Mutex
+	return func(_, _ cornelwall.Incarnation) local.Fate {
+		mu.Lock()
+		defer mu.Unlock()
+		switch n := r.IntN(100); {
+		case n < 10:
+			return local.Drop
+		case n < 20:
+			return local.LoseAck
+		case n < 30:
+			return local.Double
+		}
+		return local.Deliver
+	}
+}
+
+// failure is one thing that can go wrong, and how it is mended.
+type failure struct {
+	name  string
+	start func(ctx context.Context, s *stage, entry int) error
+	mend  func(ctx context.Context, s *stage, entry int) error
+}
+
+func healNet(_ context.Context, s *stage, _ int) error {
+	s.Net.Heal()
+	return nil
+}
+
+func healPlatform(ctx context.Context, s *stage, _ int) error {
+	return s.fault(ctx, platform.Fault{})
+}
+
+var failures = []failure{
+	{"kill",
+		func(_ context.Context, s *stage, entry int) error {
+			s.rotate(s.Entries[entry].Name, false)
+			return s.Entries[entry].Kill()
+		},
+		func(ctx context.Context, s *stage, entry int) error { return s.restart(ctx, entry) }},
+	{"freeze",
+		func(_ context.Context, s *stage, entry int) error {
+			s.rotate(s.Entries[entry].Name, false)
+			return s.Entries[entry].Freeze()
+		},
+		func(_ context.Context, s *stage, entry int) error {
+			s.rotate(s.Entries[entry].Name, true)
+			return s.Entries[entry].Resume()
+		}},
+	{"cut-centres", func(_ context.Context, s *stage, _ int) error { s.Net.CutDataCentres(); return nil }, healNet},
+	{"lossy", func(_ context.Context, s *stage, _ int) error { s.Net.Set(s.lossy()); return nil }, healNet},
+	{"platform", func(ctx context.Context, s *stage, _ int) error {
+		return s.fault(ctx, platform.Fault{Down: true, VMs: true})
+	}, healPlatform},
+	{"slow-store", func(ctx context.Context, s *stage, _ int) error {
+		return s.fault(ctx, platform.Fault{Delay: cornelwall.Duration(1e9), LoseAnswers: 2})
+	}, healPlatform},
+}
+
+// several brings about three failures at once in a seeded order, several times, under
+// load with tickets and keys.
+func several(ctx context.Context, s *stage) error {
+	const rounds, atOnce = 4, 3
+	var order []string
+	stop := s.load(ctx, "load", 4, 4)
+	stopKeys := s.loadKeys(ctx)
+	var err error
+	for round := 0; round < rounds && err == nil; round++ {
+		picked := s.rand.Perm(len(failures))[:atOnce]
+		entry := s.rand.IntN(len(s.Entries)) // killed and frozen entries must differ
+		for n, f := range picked {
+			order = append(order, fmt.Sprintf("%s(%d)", failures[f].name, (entry+n)%len(s.Entries)))
+			err = errors.Join(err, failures[f].start(ctx, s, (entry+n)%len(s.Entries)))
+		}
+		err = errors.Join(err, s.progress(ctx, 40))
+		for n, f := range picked {
+			err = errors.Join(err, failures[f].mend(ctx, s, (entry+n)%len(s.Entries)))
+		}
+		err = errors.Join(err, s.progress(ctx, 40))
+	}
+	err = errors.Join(err, stop(), stopKeys(), s.allDone(ctx, "after", 10, 8))
+	if err != nil {
+		err = fmt.Errorf("seed %d, order %s: %w", s.seed, strings.Join(order, " "), err)
+	}
+	return err
+}
+
+// progress waits until callers got n more answers.
+func (s *stage) progress(ctx context.Context, n int) error {
+	from := s.Ledger.Answers()
+	return local.Wait(ctx, func() error {
+		if got := s.Ledger.Answers() - from; got < n {
+			return fmt.Errorf("%d of %d answers have come", got, n)
+		}
+		return nil
+	})
+}
+
+// loadKeys submits each key at two entries at once until stop is called.
+func (s *stage) loadKeys(ctx context.Context) (stop func() error) {
+	lctx, cancel := context.WithCancel(ctx)
+	errs := make([]error, 2)
+	var g sync.WaitGroup
+	g.Go(func() {
+		for n := 0; lctx.Err() == nil; n++ {
+			j := job(fmt.Sprintf("key-%d", n), 2)
+			j.Key = j.Name
+			var pair sync.WaitGroup
+			for side := range errs {
+				pair.Go(func() {
+					_, err := s.Settle(ctx, j, cornelwall.Ticket{})
+					errs[side] = errors.Join(errs[side], err)
+				})
+			}
+			pair.Wait()
+		}
+	})
+	return func() error {
+		cancel()
+		g.Wait()
+		return errors.Join(errs...)
+	}
+}
--- a/standin/task/task.go
+++ b/standin/task/task.go
@@ -4,7 +4,7 @@
 //
 //	t := task.Parse(body)
 //	state := task.NewState()
-//	state.Count(ticket, index)
+//	state.Count(ticket, index, t)
 //	ok := state.Work(t, stop)
 //
 // A body such as {"sleep":"50ms","echo":"text"} sleeps and returns the text. A body
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -51,9 +52,12 @@
 	Hang    bool    `json:"hang"` // started tasks do not end
 }
 
-// Starts is how often each task was started, by "ticket/index".
+// Starts is how often tasks were started and refused. Work tells whether work was
+// done twice under two tickets.
 type Starts struct {
-	Starts map[string]int `json:"starts"`
+	Starts  map[string]int `json:"starts"`  // by "ticket/index"
+	Work    map[string]int `json:"work"`    // by the text to echo
+	Refused map[string]int `json:"refused"` // by reason
 }
 
 // State is the control and the starts of one stand-in. It is safe for concurrent use.
@@ -61,12 +65,15 @@
 	mu      sync.Mutex
 	control Control
 	changed chan struct{} // closed by the next Set
-	starts  map[string]int
+	starts  Starts
 }
 
 // NewState returns a state without starts.
 func NewState() *State {
-	return &State{changed: make(chan struct{}), starts: map[string]int{}}
+	return &State{
+		changed: make(chan struct{}),
+		starts:  Starts{Starts: map[string]int{}, Work: map[string]int{}, Refused: map[string]int{}},
+	}
 }
 
 // Set replaces the control. Hanging tasks go on once Hang is off.
@@ -93,21 +100,31 @@
 }
 
 // Count counts one start.
-func (s *State) Count(ticket string, index int) {
+func (s *State) Count(ticket string, index int, t Task) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts.Starts[ticket+"/"+strconv.Itoa(index)]++
+	if t.Echo != "" {
+		s.starts.Work[t.Echo]++
+	}
+}
+
+// Refuse counts one refused start.
+func (s *State) Refuse(reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.starts[ticket+"/"+strconv.Itoa(index)]++
+	s.starts.Refused[reason]++
 }
 
 // Starts returns a copy of the counts.
 func (s *State) Starts() Starts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	starts := make(map[string]int, len(s.starts))
-	for k, n := range s.starts {
-		starts[k] = n
+	return Starts{
+		Starts:  maps.Clone(s.starts.Starts),
+		Work:    maps.Clone(s.starts.Work),
+		Refused: maps.Clone(s.starts.Refused),
 	}
-	return Starts{Starts: starts}
 }
 
 // Work does the task and reports whether it succeeded. It fails when stop closes.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -139,11 +139,11 @@
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
 	if control, _ := w.state.Control(); control.Drain {
-		return refuse(c, "draining")
+		return w.refuse(c, "draining")
 	}
 	id, ok := w.grant(req)
 	if !ok {
-		return refuse(c, "busy")
+		return w.refuse(c, "busy")
 	}
 	if task.Parse(req.Body).ReadAndClose {
 		panic(http.ErrAbortHandler)
@@ -165,7 +165,7 @@
 	l.timer = time.AfterFunc(l.ttl, func() { w.lapse(id) })
 	w.leases[id] = l
 	w.usage.add(now, req.Need, w.cfg.Lag)
-	w.state.Count(req.Ticket.String(), req.Index)
+	w.state.Count(req.Ticket.String(), req.Index, l.task)
 	w.wg.Go(func() { w.work(l) })
 	return id, true
 }
@@ -230,7 +230,8 @@
 	return c.JSON(http.StatusOK, product.Usage{Used: w.usage.at(at), At: at})
 }
 
-func refuse(c echo.Context, reason string) error {
+func (w *Worker) refuse(c echo.Context, reason string) error {
+	w.state.Refuse(reason)
 	c.Response().Header().Set(executor.HeaderNotRun, reason)
 	if reason == "draining" {
 		c.Response().Header().Set(executor.HeaderDraining, "true")
