Entries do not keep each other fresh when the platform is away

Cause: a watching entry passed on freshness that it had itself heard from a watching peer, so that with a watcher in each of two data centres no profile ever became stale. Change: only the platform's own word is passed on.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -106,7 +106,8 @@
 	nextBeat time.Time
 
 	watching bool
-	freshAt  time.Time
+	freshAt  time.Time // of the last word of the platform, through peers too
+	toldAt   time.Time // of the platform's last word to this entry itself
 	leaving  bool
 	handover handover
 }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -150,7 +150,7 @@
 		Addr:    n.cfg.Addr,
 		Leaving: n.leaving,
 		Digest:  n.catalog.Digest(),
-		Fresh:   n.watching && !n.stale(),
+		Fresh:   n.passesOn(),
 		Watcher: n.watching,
 		Answer:  answer,
 	}}})
--- a/core/node/profiles.go
+++ b/core/node/profiles.go
@@ -21,9 +21,15 @@
 	return n.freshAt.IsZero() || n.now.Sub(n.freshAt) > n.cfg.StaleAfter
 }
 
+// passesOn reports whether this entry's heartbeats keep others fresh. Only the
+// platform's own word counts, or entries would keep each other fresh for ever.
+func (n *Node) passesOn() bool {
+	return n.watching && !n.toldAt.IsZero() && n.now.Sub(n.toldAt) <= n.cfg.StaleAfter
+}
+
 // watched takes word from the platform's service.
 func (n *Node) watched(ev cornelwall.Watched) {
-	n.freshAt = n.now
+	n.freshAt, n.toldAt = n.now, n.now
 	if ev.All {
 		n.checkAge(ev.Profiles)
 	}
