--- a/standin/prove/owner_test.go
+++ b/standin/prove/owner_test.go
@@ -183,6 +183,7 @@
 	if err := errors.Join(s.Entries[1].Kill(), s.restart(ctx, 1)); err != nil {
 		return err
 	}
+	s.DropTickets()
 	var under []asked
 	for i := range next {
 		tk, err := s.ticketOf(ctx, 0)
--- a/standin/prove/platform_test.go
+++ b/standin/prove/platform_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"cornelwall"
 	"cornelwall/standin/drive"
@@ -282,7 +283,10 @@
 
 func (s *stage) neverLower(ctx context.Context) error {
 	seen := make([]uint64, len(s.Entries))
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
 	for ctx.Err() == nil {
+		<-tick.C
 		for i := range s.Entries {
 			p, err := s.shown(ctx, i, profileName)
 			if err != nil {
