--- /dev/null
+++ b/standin/cmd/load/measure.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cornelwall"
+	"cornelwall/standin/drive"
+	"cornelwall/standin/local"
+)
+
+const (
+	idleTime  = 2 * time.Second // in which the messages without load are counted
+	ratioUnit = 1000            // of a ratio of 1 in the histogram
+	maxRatio  = 10000 * ratioUnit
+	digits    = 3
+)
+
+var profile = cornelwall.Profile{Name: "load", Team: "measuring", Deadline: cornelwall.Duration(time.Minute)}
+
+// plan is the load.
+type plan struct {
+	clients  int
+	rate     float64 // jobs a second; 0 is the closed loop
+	jobs     int
+	limit    time.Duration
+	tasks    int
+	taskTime time.Duration
+}
+
+// recorder takes the responses.
+type recorder struct {
+	mu     sync.Mutex
+	ratios *hdrhistogram.Histogram
+	errs   []error
+}
+
+func (r *recorder) add(ratio float64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.errs = append(r.errs, err)
+		return
+	}
+	_ = r.ratios.RecordValue(min(int64(ratio*ratioUnit), maxRatio)) // in range
+}
+
+// measure applies the load and reports.
+func measure(ctx context.Context, sys *local.System, p plan) (*report, error) {
+	d := drive.New(func() string { return sys.Entries[rand.N(len(sys.Entries))].URL("callers") })
+	defer d.Close()
+	idle, err := idleMessages(ctx, sys)
+	if err != nil {
+		return nil, err
+	}
+	before, err := counters(ctx, sys)
+	if err != nil {
+		return nil, err
+	}
+	rec := &recorder{ratios: hdrhistogram.New(1, maxRatio, digits)}
+	began := time.Now()
+	lctx, cancel := context.WithDeadline(ctx, began.Add(p.limit))
+	defer cancel()
+	one := func(n int, due time.Time) {
+		j := drive.Job{Name: fmt.Sprintf("job-%d", n), Profile: profile.Name, Tasks: p.tasks, Sleep: p.taskTime}
+		_, err := d.Run(ctx, j)
+		rec.add(time.Since(due).Seconds()/p.taskTime.Seconds(), err)
+	}
+	if p.rate > 0 {
+		openLoop(lctx, p, one)
+	} else {
+		closedLoop(lctx, p, one)
+	}
+	took := time.Since(began)
+	after, err := counters(ctx, sys)
+	if err := errors.Join(append(rec.errs, err)...); err != nil {
+		return nil, err
+	}
+	starts, err := sys.Starts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newReport(p, took, rec.ratios, after.since(before), idle, starts, d.Ledger.Audit(starts)), nil
+}
+
+// closedLoop lets each client submit its next job after the answer to the last one.
+func closedLoop(ctx context.Context, p plan, one func(n int, due time.Time)) {
+	next := make(chan int)
+	var g sync.WaitGroup
+	for range p.clients {
+		g.Go(func() {
+			for n := range next {
+				one(n, time.Now())
+			}
+		})
+	}
+	for n := range p.jobs {
+		select {
+		case next <- n:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	close(next)
+	g.Wait()
+}
+
+// openLoop submits jobs at fixed times, whatever becomes of those before.
+func openLoop(ctx context.Context, p plan, one func(n int, due time.Time)) {
+	began := time.Now()
+	var g sync.WaitGroup
+	for n := range p.jobs {
+		due := began.Add(time.Duration(float64(n) / p.rate * float64(time.Second)))
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			break
+		}
+		g.Go(func() { one(n, due) })
+	}
+	g.Wait()
+}
+
+// idleMessages returns the messages a second between the entries without load.
+func idleMessages(ctx context.Context, sys *local.System) (float64, error) {
+	before, err := counters(ctx, sys)
+	if err != nil {
+		return 0, err
+	}
+	timer := time.NewTimer(idleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	after, err := counters(ctx, sys)
+	if err != nil {
+		return 0, err
+	}
+	return after.since(before)[messagesSent] / idleTime.Seconds(), nil
+}
--- /dev/null
+++ b/standin/cmd/load/report.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cornelwall/standin/drive"
+	"cornelwall/standin/local"
+	"cornelwall/standin/task"
+)
+
+// Names of the entries' counters.
+const (
+	envelopesSent = "cornelwall_peer_envelopes_sent_total"
+	messagesSent  = "cornelwall_peer_messages_sent_total"
+	refusals      = "cornelwall_refusals_total"
+	retries       = "cornelwall_retries_total"
+)
+
+// counts are the sums of the counters of all entries, by name and labels.
+type counts map[string]float64
+
+// counters reads the metrics pages of all entries.
+func counters(ctx context.Context, sys *local.System) (counts, error) {
+	sums := counts{}
+	for _, e := range sys.Entries {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL("operators")+"/metrics", nil)
+		if err != nil {
+			return nil, err
+		}
+		r.Header.Set("Authorization", "Bearer "+local.Token)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return nil, err
+		}
+		sums.read(resp.Body)
+		_ = resp.Body.Close()
+	}
+	return sums, nil
+}
+
+// read adds the counters of one metrics page.
+func (c counts) read(r io.Reader) {
+	for scan := bufio.NewScanner(r); scan.Scan(); {
+		name, value, _ := strings.Cut(scan.Text(), " ")
+		if n, err := strconv.ParseFloat(value, 64); err == nil && strings.HasPrefix(name, "cornelwall_") {
+			c[name] += n
+		}
+	}
+}
+
+// since returns what was counted after before.
+func (c counts) since(before counts) counts {
+	diff := counts{}
+	for name, n := range c {
+		if d := n - before[name]; d != 0 {
+			diff[name] = d
+		}
+	}
+	return diff
+}
+
+// reasons returns the counts of a counter by its reason.
+func (c counts) reasons(name string) map[string]int {
+	by := map[string]int{}
+	for full, n := range c {
+		if label, ok := strings.CutPrefix(full, name+`{reason="`); ok {
+			by[strings.TrimSuffix(label, `"}`)] = int(n)
+		}
+	}
+	return by
+}
+
+// report is the result of a run. Ratios are responses against the ideal.
+type report struct {
+	Loop     string  `json:"loop"`
+	Tasks    int     `json:"tasks"`    // of a job
+	TaskTime string  `json:"tasktime"` // the ideal of a job
+	Took     string  `json:"took"`
+	JobRate  float64 `json:"jobrate"` // jobs a second
+
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	Max  float64 `json:"max"`
+
+	IdleMessages      float64 `json:"idlemessages"` // a second, all entries, without load
+	MessagesPerTask   float64 `json:"messagespertask"`
+	BeyondIdlePerTask float64 `json:"beyondidlepertask"` // without the messages of an idle system
+	EnvelopesPerTask  float64 `json:"envelopespertask"`
+	RefusedStarts     int     `json:"refusedstarts"` // by endpoints
+
+	Refusals map[string]int `json:"refusals"` // by reason
+	Retries  map[string]int `json:"retries"`  // by reason
+	Sums     drive.Sums     `json:"sums"`
+}
+
+func newReport(p plan, took time.Duration, h *hdrhistogram.Histogram, c counts, idle float64, machines []task.Starts, sums drive.Sums) *report {
+	tasks := float64(max(1, sums.Starts))
+	ratio := func(n int64) float64 { return float64(n) / ratioUnit }
+	r := &report{
+		Loop: fmt.Sprintf("closed, %d clients", p.clients), Tasks: p.tasks, TaskTime: p.taskTime.String(),
+		Took: took.Round(time.Millisecond).String(), JobRate: float64(sums.Jobs) / took.Seconds(),
+		Mean: h.Mean() / ratioUnit, P50: ratio(h.ValueAtQuantile(50)), P99: ratio(h.ValueAtQuantile(99)), Max: ratio(h.Max()),
+		IdleMessages: idle, MessagesPerTask: c[messagesSent] / tasks, EnvelopesPerTask: c[envelopesSent] / tasks,
+		BeyondIdlePerTask: max(0, c[messagesSent]-idle*took.Seconds()) / tasks,
+		Refusals:          c.reasons(refusals), Retries: c.reasons(retries), Sums: sums,
+	}
+	if p.rate > 0 {
+		r.Loop = fmt.Sprintf("open, %g jobs/s", p.rate)
+	}
+	for _, m := range machines {
+		for _, n := range m.Refused {
+			r.RefusedStarts += n
+		}
+	}
+	return r
+}
+
+// print writes the report as a table.
+func (r *report) print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, args...)) // to the terminal
+	}
+	row("loop", "%s", r.Loop)
+	row("jobs", "%d of %d tasks of %s in %s, %.1f jobs/s", r.Sums.Jobs, r.Tasks, r.TaskTime, r.Took, r.JobRate)
+	row("response/ideal", "mean %.3f  p50 %.3f  p99 %.3f  max %.3f", r.Mean, r.P50, r.P99, r.Max)
+	row("messages/task", "%.3f, in %.3f envelopes", r.MessagesPerTask, r.EnvelopesPerTask)
+	row("beyond idle/task", "%.3f (idle: %.1f messages/s)", r.BeyondIdlePerTask, r.IdleMessages)
+	row("starts refused by endpoints", "%d", r.RefusedStarts)
+	row("refusals", "%s", list(r.Refusals))
+	row("retries", "%s", list(r.Retries))
+	row("audit", "%s", r.Sums)
+	_ = t.Flush()
+}
+
+func list(by map[string]int) string {
+	if len(by) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, by[name]))
+	}
+	return strings.Join(parts, " ")
+}
--- a/standin/prove/machine_test.go
+++ b/standin/prove/machine_test.go
@@ -121,6 +121,9 @@
 			if a.Outcome != cornelwall.Failed {
 				return fmt.Errorf("job %s is %s, want failed", j.Name, a.Outcome)
 			}
+			if _, err := s.audit(ctx); err != nil {
+				return nil // the audit at the end tells
+			}
 		}
 	}
 	return s.allDone(ctx, "after", 10, 8)
