--- a/reason.go
+++ b/reason.go
@@ -58,4 +58,8 @@
 	ReasonClaims
 	// ReasonOverload means that the entry holds as much work as its memory allows.
 	ReasonOverload
+	// ReasonPeer means that a message to another entry did not arrive.
+	ReasonPeer
+	// ReasonTooLarge means that the results of a job are larger than an answer may be.
+	ReasonTooLarge
 )
