--- a/core/node/fuzz/events_test.go
+++ b/core/node/fuzz/events_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"cornelwall"
+	"cornelwall/io/operator"
 )
 
 // TestMain makes every run of `go test` the same unless the flags say otherwise.
@@ -428,7 +429,7 @@
 	c := d.changer(d.entry())
 	s := c.Store.(*store)
 	s.lose, s.vanish = rapid.IntRange(0, 1).Draw(d.t, "lose"), rapid.IntRange(0, 1).Draw(d.t, "vanish")
-	d.accept(c.Apply(background, d.changed(name), 0))
+	d.accept(c.Apply(background, d.changed(name), operator.Terms{}))
 }
 
 // race lets an operator change a profile between the read and the write of another.
@@ -439,17 +440,17 @@
 	c := d.changer(a)
 	s := c.Store.(*store)
 	s.lose = rapid.IntRange(0, 1).Draw(d.t, "lose")
-	s.between = func() { d.accept(d.changer(b).Apply(background, second, 0)) }
-	d.accept(c.Apply(background, first, 0))
+	s.between = func() { d.accept(d.changer(b).Apply(background, second, operator.Terms{})) }
+	d.accept(c.Apply(background, first, operator.Terms{}))
 }
 
 // retire makes and retires a profile of its own, and tries to make it again.
 func (d *driver) retire() {
 	c := d.changer(d.entry())
 	p := cornelwall.Profile{Name: fmt.Sprintf("trial-%d", rapid.IntRange(0, 2).Draw(d.t, "name")), Team: "bookings"}
-	d.accept(c.Apply(background, p, 0))
+	d.accept(c.Apply(background, p, operator.Terms{}))
 	if rapid.Bool().Draw(d.t, "retire") {
-		d.accept(c.Retire(background, p.Name, 0))
+		d.accept(c.Retire(background, p.Name, operator.Terms{}))
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -118,7 +118,8 @@
 	nextBeat time.Time
 
 	watching bool
-	freshAt  time.Time
+	freshAt  time.Time // of the last word of the platform, through peers too
+	toldAt   time.Time // of the platform's last word to this entry itself
 	leaving  bool
 	handover handover
 }
@@ -182,7 +183,11 @@
 	if now.Before(n.now) {
 		now = n.now // a clock without a monotonic reading was set back
 	}
+	frozen := now.Sub(n.now) >= n.cfg.Away
 	n.now, n.out = now, nil
+	if frozen {
+		n.thawForwards()
+	}
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
 	n.sendAgain()
@@ -225,7 +230,7 @@
 	case cornelwall.Describe:
 		n.emit(cornelwall.ReplyStatus{Req: ev.Req, Status: n.status()})
 	case cornelwall.Stop:
-		n.stop()
+		n.stop(ev.Left)
 	case cornelwall.Tick:
 	}
 }
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeer"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176, 183, 187}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176, 183, 187, 196}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeer"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -51,9 +51,10 @@
 	_ = x[ReasonOverload-(24)]
 	_ = x[ReasonDropped-(25)]
 	_ = x[ReasonPeer-(26)]
+	_ = x[ReasonTooLarge-(27)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -83,6 +84,7 @@
 	_ReasonName[168:176]: ReasonOverload,
 	_ReasonName[176:183]: ReasonDropped,
 	_ReasonName[183:187]: ReasonPeer,
+	_ReasonName[187:196]: ReasonTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -113,6 +115,7 @@
 	_ReasonLowerName[168:176]: ReasonOverload,
 	_ReasonLowerName[176:183]: ReasonDropped,
 	_ReasonLowerName[183:187]: ReasonPeer,
+	_ReasonLowerName[187:196]: ReasonTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -143,6 +146,7 @@
 	_ReasonName[168:176],
 	_ReasonName[176:183],
 	_ReasonName[183:187],
+	_ReasonName[187:196],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
