A forward without a target does not keep the core busy

Cause: a forward that was to be sent again, and whose owner and heirs were then all gone, kept its time to be sent in the past. The core asked for one tick after another until the search for an heir ended (up to the time of being away, at full use of a core).

Change: the time is dropped with the target. The fuzz fails on a core that takes 20000 steps at one time.

--- a/core/node/fuzz/rig_test.go
+++ b/core/node/fuzz/rig_test.go
@@ -108,13 +108,24 @@
 	blind    bool // operators write without comparing
 }
 
-// tampered is a core with a fault.
+// tampered is a core with a fault. It also looks for a core that asks for one tick after
+// another without time passing.
 type tampered struct {
 	cornelwall.Core
 	tamper
+	now   time.Time
+	steps int
 }
 
-func (c tampered) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+const maxSteps = 20000 // of one core at one time
+
+func (c *tampered) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if c.steps++; !now.Equal(c.now) {
+		c.now, c.steps = now, 0
+	}
+	if c.steps > maxSteps {
+		panic(fmt.Sprintf("core does not come to rest; last event %T", ev))
+	}
 	if c.event != nil {
 		ev = c.event(ev)
 	}
@@ -186,7 +197,7 @@
 	e.stopped = false
 	cfg := node.Config{Self: e.id, Addr: e.addr, Secret: []byte("0123456789abcdef"),
 		TicketLife: ticketLife, ClaimLife: claimLife, Away: away}
-	e.host = r.w.Add(tampered{node.New(cfg, r.w.Now), r.tamper}, e.id, e.addr)
+	e.host = r.w.Add(&tampered{Core: node.New(cfg, r.w.Now), tamper: r.tamper}, e.id, e.addr)
 	r.poll(e)
 }
 
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -67,6 +67,7 @@
 	}
 	f.to = n.target(f.ticket.Owner)
 	if f.to.IsZero() {
+		f.retry = time.Time{} // there is nobody to send to again
 		if n.seek(f.ticket.Owner) == nobodyKnows {
 			n.endForward(req, n.unknown(f.ticket, cornelwall.ReasonOwnerLost))
 		}
