--- /dev/null
+++ b/core/node/fuzz/mutant_test.go
@@ -0,0 +1,274 @@
+package fuzz
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cornelwall"
+)
+
+const mutantSeeds = 60 // histories in which a mutant has to be found out
+
+// eachReply changes the replies of a core; a reply for which f returns nothing is lost.
+func eachReply(f func(r cornelwall.Reply) []cornelwall.Command) func([]cornelwall.Command) []cornelwall.Command {
+	return func(cmds []cornelwall.Command) []cornelwall.Command {
+		var out []cornelwall.Command
+		for _, cmd := range cmds {
+			if r, ok := cmd.(cornelwall.Reply); ok {
+				out = append(out, f(r)...)
+				continue
+			}
+			out = append(out, cmd)
+		}
+		return out
+	}
+}
+
+// eachDone changes the answers of jobs that are done.
+func eachDone(f func(a *cornelwall.Answer)) func([]cornelwall.Command) []cornelwall.Command {
+	return eachReply(func(r cornelwall.Reply) []cornelwall.Command {
+		if r.Answer.Outcome == cornelwall.Done {
+			r.Answer.Tasks = slices.Clone(r.Answer.Tasks)
+			f(&r.Answer)
+		}
+		return []cornelwall.Command{r}
+	})
+}
+
+// eachSent changes or drops the messages to peers.
+func eachSent(f func(m *cornelwall.Message) (keep bool)) func([]cornelwall.Command) []cornelwall.Command {
+	return func(cmds []cornelwall.Command) []cornelwall.Command {
+		var out []cornelwall.Command
+		for _, cmd := range cmds {
+			s, ok := cmd.(cornelwall.Send)
+			if ok && !f(&s.Message) {
+				continue
+			}
+			if ok {
+				cmd = s
+			}
+			out = append(out, cmd)
+		}
+		return out
+	}
+}
+
+// forgetRefusals refuses every third submission under a ticket without telling the core.
+func forgetRefusals() tamper {
+	n := 0
+	var refused *cornelwall.Submit
+	return tamper{
+		event: func(ev cornelwall.Event) cornelwall.Event {
+			s, ok := ev.(cornelwall.Submit)
+			if !ok || s.Job.Ticket.IsZero() {
+				return ev
+			}
+			if n++; n%3 != 0 {
+				return ev
+			}
+			refused = &s
+			return cornelwall.Tick{}
+		},
+		commands: func(cmds []cornelwall.Command) []cornelwall.Command {
+			if refused != nil {
+				cmds = append(cmds, cornelwall.Reply{Req: refused.Req, Answer: cornelwall.Answer{
+					Ticket: refused.Job.Ticket, Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonQueueFull, Final: true}})
+				refused = nil
+			}
+			return cmds
+		},
+	}
+}
+
+// mixAnswers gives a caller the results of the caller before.
+func mixAnswers() tamper {
+	var last []cornelwall.TaskAnswer
+	return tamper{commands: eachDone(func(a *cornelwall.Answer) {
+		if len(last) == len(a.Tasks) {
+			a.Tasks, last = last, a.Tasks
+			return
+		}
+		last = a.Tasks
+	})}
+}
+
+// allLosing makes every machine lose answers.
+func allLosing(r *rig) {
+	for _, m := range r.machines {
+		m.mode = losing
+	}
+}
+
+// stopAtOnce reports a planned stop as complete when it begins.
+func stopAtOnce() tamper {
+	stop := false
+	return tamper{
+		event: func(ev cornelwall.Event) cornelwall.Event {
+			_, stop = ev.(cornelwall.Stop)
+			return ev
+		},
+		commands: func(cmds []cornelwall.Command) []cornelwall.Command {
+			if stop {
+				cmds = append(cmds, cornelwall.Stopped{})
+			}
+			return cmds
+		},
+	}
+}
+
+// TestMutants makes deliberate faults and checks that the oracle finds each of them.
+func TestMutants(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		actions []action
+		tamper  func() tamper
+	}{
+		{"a start is sent twice", everything, func() tamper {
+			return tamper{commands: func(cmds []cornelwall.Command) []cornelwall.Command {
+				for _, cmd := range cmds {
+					if r, ok := cmd.(cornelwall.Run); ok {
+						return append(cmds, r)
+					}
+				}
+				return cmds
+			}}
+		}},
+		{"a start whose answer was lost is retried", everything, func() tamper {
+			return tamper{rig: allLosing, event: func(ev cornelwall.Event) cornelwall.Event {
+				if e, ok := ev.(cornelwall.Ended); ok && e.Result.Outcome == cornelwall.Unknown {
+					e.Result.Outcome = cornelwall.NotRun
+					return e
+				}
+				return ev
+			}}
+		}},
+		{"another entry takes a job over", everything, func() tamper {
+			return tamper{event: func(ev cornelwall.Event) cornelwall.Event {
+				if s, ok := ev.(cornelwall.Submit); ok && !s.Job.Ticket.IsZero() {
+					job := *s.Job
+					job.Ticket = cornelwall.Ticket{}
+					s.Job = &job
+					return s
+				}
+				return ev
+			}}
+		}},
+		{"an entry that is not the owner says not run", everything, func() tamper {
+			return tamper{commands: eachReply(func(r cornelwall.Reply) []cornelwall.Command {
+				if r.Answer.Reason == cornelwall.ReasonOwnerAway {
+					r.Answer.Outcome, r.Answer.Final = cornelwall.NotRun, true
+				}
+				return []cornelwall.Command{r}
+			})}
+		}},
+		{"a refusal is forgotten", everything, forgetRefusals},
+		{"a key is claimed without comparing", everything, func() tamper {
+			return tamper{event: func(ev cornelwall.Event) cornelwall.Event {
+				if s, ok := ev.(cornelwall.Stored); ok && s.Err == nil && s.Pair.Key == "" {
+					s.Swapped = true
+					return s
+				}
+				return ev
+			}}
+		}},
+		{"a job that failed is said not to have run", everything, func() tamper {
+			return tamper{commands: eachReply(func(r cornelwall.Reply) []cornelwall.Command {
+				if r.Answer.Outcome == cornelwall.Failed {
+					r.Answer.Outcome = cornelwall.NotRun
+				}
+				return []cornelwall.Command{r}
+			})}
+		}},
+		{"an answer lacks a result", everything, func() tamper {
+			return tamper{commands: eachDone(func(a *cornelwall.Answer) { a.Tasks = a.Tasks[:len(a.Tasks)-1] })}
+		}},
+		{"results are out of order", everything, func() tamper {
+			return tamper{commands: eachDone(func(a *cornelwall.Answer) { slices.Reverse(a.Tasks) })}
+		}},
+		{"a caller gets the answer of another", everything, mixAnswers},
+		{"an answer is sent twice", everything, func() tamper {
+			return tamper{commands: eachReply(func(r cornelwall.Reply) []cornelwall.Command { return []cornelwall.Command{r, r} })}
+		}},
+		{"an answer is not sent", everything, func() tamper {
+			return tamper{commands: eachReply(func(r cornelwall.Reply) []cornelwall.Command {
+				if r.Answer.Outcome == cornelwall.Done {
+					return nil
+				}
+				return []cornelwall.Command{r}
+			})}
+		}},
+		{"an answer changes", everything, func() tamper {
+			n := 0
+			return tamper{commands: eachReply(func(r cornelwall.Reply) []cornelwall.Command {
+				if n++; r.Answer.Outcome == cornelwall.Done && n%2 == 0 {
+					r.Answer.Outcome = cornelwall.Failed
+					r.Answer.Tasks = slices.Clone(r.Answer.Tasks)
+					for i := range r.Answer.Tasks {
+						r.Answer.Tasks[i].Body = nil
+					}
+				}
+				return []cornelwall.Command{r}
+			})}
+		}},
+		{"operators write without comparing", everything, func() tamper { return tamper{blind: true} }},
+		{"profiles do not travel", everything, func() tamper {
+			return tamper{commands: eachSent(func(m *cornelwall.Message) bool { return m.Catalog == nil })}
+		}},
+		{"a profile goes back", everything, func() tamper {
+			n := 0
+			return tamper{commands: func(cmds []cornelwall.Command) []cornelwall.Command {
+				for _, cmd := range cmds {
+					if r, ok := cmd.(cornelwall.ReplyCatalog); ok && len(r.Profiles) > 0 {
+						if n++; n%100 == 0 {
+							r.Profiles[0].Version--
+						}
+					}
+				}
+				return cmds
+			}}
+		}},
+		{"a leaving machine is not noticed", everything, func() tamper {
+			return tamper{event: func(ev cornelwall.Event) cornelwall.Event {
+				switch ev := ev.(type) {
+				case cornelwall.Machines:
+					ev.VMs = slices.Clone(ev.VMs)
+					for i := range ev.VMs {
+						ev.VMs[i].State = cornelwall.Live
+					}
+					return ev
+				case cornelwall.Ended:
+					ev.Result.Draining = false
+					return ev
+				}
+				return ev
+			}}
+		}},
+		{"outcomes are left out of a handover", planned, func() tamper {
+			return tamper{commands: eachSent(func(m *cornelwall.Message) bool {
+				if m.Inherit != nil {
+					in := *m.Inherit
+					in.Records = nil
+					m.Inherit = &in
+				}
+				return true
+			})}
+		}},
+		{"a planned stop does not wait", planned, stopAtOnce},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := 1; seed <= mutantSeeds; seed++ {
+				failure := rapid.Custom(func(rt *rapid.T) string {
+					return run(rt, tt.tamper(), tt.actions).failure
+				}).Example(seed)
+				if failure != "" {
+					t.Logf("found with seed %d: %s", seed, failure)
+					return
+				}
+			}
+			t.Errorf("the oracle did not notice the fault in %d histories", mutantSeeds)
+		})
+	}
+}
