Models of starts, claims and profiles, with mutants, checked by spin

Three models in Promela and a test that runs each, and a version of each with every rule left out, which must be rejected. The table of states and bounds is docs/PROOFS-model.md, written by go test ./spec -write and compared by go test ./spec.

What the models showed: an operator who reads back a later version of another change cannot tell whether his own was accepted (LATER_IS_CONFLICT), so the changer's answer of a conflict there is wrong. A key must outlive every ticket minted to claim it (KEY_BEFORE_TICKET). A store that goes back in time can let a key start twice (STORE_GOES_BACK); tickets do not depend on the store.

--- /dev/null
+++ b/spec/spec_test.go
@@ -0,0 +1,179 @@
+package spec
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const page = "../docs/PROOFS-model.md"
+
+var write = flag.Bool("write", false, "write "+page)
+
+// model is one model with what must hold in it and the rules that it needs.
+type model struct {
+	name, bounds, holds string
+	variants            [][]string // macros of further versions that must hold
+	mutants             []mutant
+}
+
+// mutant is a version with a rule left out, which must be rejected.
+type mutant struct {
+	macros []string
+	rule   string
+}
+
+var models = []model{
+	{
+		name:   "start",
+		bounds: "one operation, 2 tickets with an owner and an heir each, 2 tasks per ticket; submissions, cancels and answers are lost, delayed, doubled and reordered without a bound",
+		holds:  "a task starts once at most, over both tickets; not run is neither followed nor preceded by a start; a ticket has one definite outcome at most, and unknown is only refined; done and failed tell the truth of each task; a task sent to a back end is not run only if it was refused; a planned stop cuts off no job",
+		mutants: []mutant{
+			{[]string{"TAKEOVER"}, "only the owner starts tasks"},
+			{[]string{"LOST_IS_RETRIED"}, "a start whose answer was lost is never sent again"},
+			{[]string{"START_REPLAYED"}, "the transport never replays a start"},
+			{[]string{"REFUSAL_FORGOTTEN"}, "a refused ticket stays refused"},
+			{[]string{"EXPIRY_FORGOTTEN"}, "a forgotten ticket has expired for good"},
+			{[]string{"OTHER_SAYS_NOT_RUN"}, "only the owner or its heir says not run"},
+			{[]string{"RUNNING_IS_NOT_RUN"}, "a task sent to a back end is not run only if it was refused"},
+			{[]string{"FAILED_BEFORE_A_START"}, "failed says that a task is known to have run"},
+			{[]string{"CLOSED_IN_FLIGHT"}, "an owner closes when nothing is in flight"},
+			{[]string{"CLOSED_GOES_ON"}, "a closed owner accepts nothing"},
+			{[]string{"TABLE_NOT_WHOLE"}, "an heir answers only from a complete table"},
+			{[]string{"HEIR_WITHOUT_EXPIRY"}, "an heir tells expired tickets from those never submitted"},
+			{[]string{"CLIENT_RETRIES_UNKNOWN"}, "a client takes a new ticket only after not run"},
+		},
+	},
+	{
+		name:   "claim",
+		bounds: "one key, 3 entries that may crash, one claim with 2 writes at most per entry; a write takes effect late or never, its answer is lost or late; the key vanishes at the end of its life",
+		holds:  "one key never yields two jobs that start; not run under a key is neither followed nor preceded by a start under it",
+		mutants: []mutant{
+			{[]string{"WRITE_WITHOUT_COMPARING"}, "a claim is written only if the key does not exist"},
+			{[]string{"LOST_IS_WON"}, "a lost answer is settled by reading the key back"},
+			{[]string{"GIVING_UP_IS_NOT_RUN"}, "a key that could not be claimed is unknown"},
+			{[]string{"KEY_BEFORE_TICKET"}, "a key lives longer than every ticket minted to claim it"},
+			{[]string{"STORE_GOES_BACK"}, "(not a rule but a limit) the store keeps its claims: not promised if it goes back in time"},
+		},
+	},
+	{
+		name:     "profile",
+		bounds:   "one profile, 2 operators, 2 entries, 4 changes; word of a version is lost, delayed, doubled and reordered without a bound; the store goes back in time once in the second version",
+		holds:    "the version in force at an entry never goes down; no version is written twice and an accepted change is in force or replaced (while the store does not go back); an accepted change is newer than what its operator's entry had in force; a change answered as a conflict never took effect",
+		variants: [][]string{{"STORE_GOES_BACK"}},
+		mutants: []mutant{
+			{[]string{"WRITE_WITHOUT_COMPARING"}, "a change is written only over the version that was read"},
+			{[]string{"LOST_IS_REFUSED"}, "a lost answer is settled by reading the profile back"},
+			{[]string{"LATER_IS_CONFLICT"}, "a later version read back does not tell whether the change was accepted"},
+			{[]string{"LAST_WORD_COUNTS"}, "entries merge by the highest version"},
+			{[]string{"STORE_GOES_BACK", "KNOWN_IGNORED"}, "the next version is higher than what the entry knows, whatever the store holds"},
+		},
+	},
+}
+
+var (
+	states = regexp.MustCompile(`(\d+) states, stored`)
+	depth  = regexp.MustCompile(`depth reached (\d+), errors: (\d+)`)
+	broken = regexp.MustCompile(`assertion violated (.*) \(at depth`)
+)
+
+// result is what spin found.
+type result struct {
+	states, depth string
+	violated      string // empty if everything held
+}
+
+// TestModels checks every model and that each mutant of it is rejected.
+func TestModels(t *testing.T) {
+	found := make([]string, len(models))
+	t.Run("all", func(t *testing.T) {
+		for i, m := range models {
+			t.Run(m.name, func(t *testing.T) {
+				t.Parallel()
+				found[i] = m.check(t)
+			})
+		}
+	})
+	if t.Failed() {
+		return
+	}
+	want := "# Results of the models\n\nWritten by `go test ./spec -write`, checked by `go test ./spec`.\n" + strings.Join(found, "")
+	if *write {
+		assert.NilError(t, os.WriteFile(page, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), want, "the page is out of date; run go test ./spec -write")
+}
+
+// check runs the model with its versions and mutants, and returns its part of the page.
+func (m model) check(t *testing.T) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n## spec/%s.pml\n\nBounds: %s.\n\nHolds: %s.\n\n", m.name, m.bounds, m.holds)
+	fmt.Fprintf(&b, "| version | rule left out | states | depth | result |\n|---|---|---|---|---|\n")
+	for _, macros := range append([][]string{nil}, m.variants...) {
+		r := m.spin(t, macros)
+		assert.Equal(t, r.violated, "", "%s %v does not hold", m.name, macros)
+		fmt.Fprintf(&b, "| %s | none | %s | %s | holds |\n", version(macros), r.states, r.depth)
+	}
+	for _, u := range m.mutants {
+		r := m.spin(t, u.macros)
+		assert.Assert(t, r.violated != "", "%s %v: the mutant was not rejected", m.name, u.macros)
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | rejected: `%s` |\n", version(u.macros), u.rule, r.states, r.depth,
+			strings.ReplaceAll(r.violated, "|", "\\|"))
+	}
+	t.Log(b.String())
+	return b.String()
+}
+
+func version(macros []string) string {
+	if len(macros) == 0 {
+		return "model"
+	}
+	return "`" + strings.Join(macros, "`, `") + "`"
+}
+
+// spin builds and runs the checker of one version.
+func (m model) spin(t *testing.T, macros []string) result {
+	t.Helper()
+	dir := t.TempDir()
+	file, err := filepath.Abs(m.name + ".pml")
+	assert.NilError(t, err)
+	args := []string{"-a"}
+	for _, macro := range macros {
+		args = append(args, "-D"+macro)
+	}
+	command(t, dir, "spin", append(args, file)...)
+	command(t, dir, "gcc", "-O2", "-DSAFETY", "-o", "pan", "pan.c")
+	out := command(t, dir, "./pan", "-E", "-m100000", "-w22")
+	assert.Assert(t, !strings.Contains(out, "max search depth too small"), "%s", out)
+	s, d := states.FindStringSubmatch(out), depth.FindStringSubmatch(out)
+	assert.Assert(t, s != nil && d != nil, "no result of spin: %s", out)
+	r := result{states: s[1], depth: d[1]}
+	if v := broken.FindStringSubmatch(out); v != nil {
+		r.violated = strings.TrimSpace(v[1])
+	}
+	assert.Equal(t, r.violated == "", d[2] == "0", "%s", out)
+	return r
+}
+
+// command runs a program in a directory and returns what it prints.
+func command(t *testing.T, dir, name string, args ...string) string {
+	t.Helper()
+	cmd := exec.CommandContext(t.Context(), name, args...)
+	cmd.Dir = dir
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%s %v: %v; install spin and gcc, as .ci/run does\n%s", name, args, err, &out)
+	}
+	return out.String()
+}
