Thaw test with the owner's word behind another entry's

With two entries the owner's heartbeat came first, and the test passed without thawForwards as well; with three it fails then, and passes with it.

--- a/core/node/peers_test.go
+++ b/core/node/peers_test.go
@@ -288,9 +288,9 @@
 // TestThaw freezes an entry that waits for an answer: what came meanwhile counts before
 // the entry gives up.
 func TestThaw(t *testing.T) {
-	c := newCluster(t, 1, 2)
+	c := newCluster(t, 1, 3)
 	c.took = time.Second
-	req := c.submit("dc0-e1", c.draw("dc0-e0"), 1)
+	req := c.submit("dc0-e1", c.draw("dc0-e2"), 1)
 	c.Advance(100 * time.Millisecond)
 	c.Freeze(c.hosts["dc0-e1"])
 	c.Advance(10 * time.Second)
