--- a/cmd/cornelwall/operators.go
+++ b/cmd/cornelwall/operators.go
@@ -37,8 +37,9 @@
 	return []cli.Flag{
 		&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of the operators' listener of an entry; repeat it to name several, which are tried in turn",
 			Value: []string{"http://127.0.0.1:7002"}, Sources: env("OPERATOR_ENTRIES")},
-		&cli.StringFlag{Name: "token", Usage: "operators' `TOKEN`; better set by the environment, as others can read flags",
+		&cli.StringFlag{Name: "token", Usage: "operators' `TOKEN`; a file or the environment is safer, as others can read flags",
 			HideDefault: true, Sources: env("TOKEN")},
+		&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operators' token", Sources: env("TOKEN_FILE")},
 		&cli.StringFlag{Name: "as", Usage: "`NAME` to log changes under", Value: os.Getenv("USER"), HideDefault: true, Sources: env("AS")},
 		&cli.DurationFlag{Name: "timeout", Usage: "limit of the whole command", Value: 30 * time.Second, Sources: env("TIMEOUT")},
 		outputFlag(),
@@ -55,16 +56,16 @@
 
 // newOperators reads the flags and reports all that is wrong with them.
 func newOperators(c *cli.Command) (*operators, error) {
-	o := &operators{token: c.String("token"), as: c.String("as"), http: &http.Client{Timeout: requestLimit}}
-	entries, err := readEntries(c)
-	o.entries = entries
-	if o.token == "" {
-		err = errors.Join(err, errors.New("--token is missing; set CORNELWALL_TOKEN to the operators' token"))
+	o := &operators{as: c.String("as"), http: &http.Client{Timeout: requestLimit}}
+	entries, errEntries := readEntries(c)
+	token, errToken := readSecret("token", c.String("token"), c.String("token-file"))
+	if token == "" && errToken == nil {
+		errToken = errors.New("--token is missing; set CORNELWALL_TOKEN to the operators' token, or --token-file")
 	}
-	err = errors.Join(err, checkTimeout(c))
-	if err != nil {
+	if err := errors.Join(errEntries, errToken, checkTimeout(c)); err != nil {
 		return nil, usageError(err)
 	}
+	o.entries, o.token = entries, token
 	return o, nil
 }
 
--- a/io/web/problem.go
+++ b/io/web/problem.go
@@ -45,6 +45,9 @@
 	if errors.As(err, &he) {
 		code = he.Code
 		p.Error = fmt.Sprint(he.Message)
+		if errors.Is(he, echo.ErrNotFound) || errors.Is(he, echo.ErrMethodNotAllowed) {
+			p.Error = "no such path and method; docs/callers.md and docs/operators.md list them"
+		}
 	}
 	var ie *inputErr
 	if errors.As(err, &ie) {
