Status names every entry, also those that no heartbeats go to

An entry exchanges heartbeats with at most 12 entries of other data centres, and status asked just these: with nine data centres of two entries it named 14 of 18, and an operator was told of in force everywhere while four were not asked. It now asks every entry that is listed or answers. An entry whose life is not known may be asked too, as an ask starts and changes nothing.

Ruled out: a relay in each data centre, which would have to wait for its own entries and tell of those that do not answer; operators ask seldom, and 100 small messages are cheap.

--- a/command.go
+++ b/command.go
@@ -62,7 +62,7 @@
 	// Abandon asks a worker to stop a task whose job was given up.
 	Abandon struct{ Attempt uint64 }
 	// Send hands a message to a peer. To.Life is 0 if it is not known yet; only a
-	// Beat may be sent so.
+	// Beat or an Ask may be sent so.
 	Send struct {
 		To      Incarnation
 		Addr    netip.AddrPort
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -242,6 +242,18 @@
 	return t.known && !p.listed && now.Sub(p.absent) > t.limits.ListLag && !t.alive(now, p)
 }
 
+// All returns every entry that is listed or answers, near or not, in a stable order.
+func (t *Table) All(now time.Time) []*Peer {
+	var ps []*Peer
+	for _, p := range t.peers {
+		if !t.departed(now, p) {
+			ps = append(ps, p)
+		}
+	}
+	slices.SortFunc(ps, func(p, q *Peer) int { return p.Incarnation.Compare(q.Incarnation) })
+	return ps
+}
+
 // Witnesses returns the entries that may know what became of an incarnation of the data
 // centre: the near ones and those of that data centre, unless they are gone. Whole is
 // false if no VM list has been read, so that there may be more.
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -16,7 +16,7 @@
 			n.heard(e.From, e.To, m.Beat)
 			continue
 		}
-		if meant {
+		if meant || (e.To.Life == 0 && m.ForAnyLife()) {
 			n.handle(e.From, m)
 		}
 	}
--- a/core/node/profiles.go
+++ b/core/node/profiles.go
@@ -84,14 +84,13 @@
 	n.log("watch", "on", on)
 }
 
-// inspect asks every near entry for the version of a profile in force.
+// inspect asks every entry that is known, near or not, for the version of a profile in
+// force. Operators ask seldom, so that this may grow with the number of entries.
 func (n *Node) inspect(ev cornelwall.Inspect) {
 	in := &inspect{force: []cornelwall.Force{n.force(ev.Name)}, until: n.now.Add(inspectTimeout)}
-	for _, p := range n.members.Near() {
+	for _, p := range n.members.All(n.now) {
 		in.force = append(in.force, cornelwall.Force{Entry: p.Incarnation, Missing: true})
-		if p.Incarnation.Life != 0 {
-			n.send(p.Incarnation, cornelwall.Message{Ask: &cornelwall.Ask{Req: ev.Req, Name: ev.Name}})
-		}
+		n.send(p.Incarnation, cornelwall.Message{Ask: &cornelwall.Ask{Req: ev.Req, Name: ev.Name}})
 	}
 	n.inspects[ev.Req] = in
 	n.endInspects()
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -77,6 +77,18 @@
 	assert.Assert(t, reflect.DeepEqual(got, e), "%+v", got)
 }
 
+// TestCodecAnyLife carries what may be sent to an entry whose life is not known.
+func TestCodecAnyLife(t *testing.T) {
+	codec := NewCodec()
+	e := cornelwall.Envelope{From: from, To: cornelwall.Incarnation{DataCentre: "lekki", Entry: "b"},
+		Messages: []cornelwall.Message{heartbeat(), {Ask: &cornelwall.Ask{Req: 5, Name: "holds"}}}}
+	b, err := codec.Marshal(e)
+	assert.NilError(t, err)
+	var got cornelwall.Envelope
+	assert.NilError(t, codec.Unmarshal(b, &got))
+	assert.Assert(t, reflect.DeepEqual(got, e), "%+v", got)
+}
+
 // TestCodecRefuses decodes messages that are well formed and wrong.
 func TestCodecRefuses(t *testing.T) {
 	codec := NewCodec()
