--- /dev/null
+++ b/core/node/fuzz/oracle_test.go
@@ -0,0 +1,369 @@
+package fuzz
+
+import (
+	"fmt"
+	"time"
+
+	"cornelwall"
+	"cornelwall/standin/fake"
+)
+
+// operation is what a caller wants to happen once, under one ticket or key at a time.
+type operation struct {
+	id       int
+	tasks    int
+	profile  string
+	deadline time.Duration
+	need     cornelwall.Need
+	ticket   cornelwall.Ticket // zero until drawn or answered
+	key      string
+	changed  bool // other content was sent under the ticket or key
+	answered bool // with a definite outcome
+}
+
+// body returns what task i of the operation carries in its original or changed content.
+func (op *operation) body(i int, changed bool) string {
+	if changed {
+		return fmt.Sprintf("%d changed/%d", op.id, i)
+	}
+	return fmt.Sprintf("%d/%d", op.id, i)
+}
+
+type kind int
+
+const (
+	submit kind = iota
+	fetch
+	wait
+	cancel
+)
+
+// request is one request of a caller at one entry.
+type request struct {
+	kind    kind
+	op      *operation
+	changed bool // sends the changed content
+	host    *fake.Host
+	ticket  cornelwall.Ticket
+	due     time.Time
+}
+
+// taskKey is a task of a ticket.
+type taskKey struct {
+	ticket cornelwall.Ticket
+	index  int
+}
+
+// oracle knows what was started and what was answered, and nothing of how.
+type oracle struct {
+	r       *rig
+	failure string // the first thing that was wrong
+	calm    bool   // nothing fails, so that nothing may be unknown
+
+	starts  map[taskKey]int
+	bodies  map[string]int // starts by the task that the caller meant
+	never   map[taskKey]bool
+	outcome map[cornelwall.Ticket]cornelwall.Answer // definite ones
+	closed  map[cornelwall.Ticket]bool              // answered as unknown for good
+
+	pending map[*fake.Host]map[uint64]*request
+	ended   map[*fake.Host]map[uint64]bool
+	draws   map[uint64]string // profile by request
+	pool    []drawn           // tickets not used yet
+	nextReq uint64
+
+	seen     map[*fake.Host]map[string]cornelwall.Profile
+	accepted map[string]uint64
+	restored bool // the store went back in time
+
+	replies  map[cornelwall.Outcome]int
+	accepts  int
+	stops    int
+	refusals int
+}
+
+type drawn struct {
+	ticket  cornelwall.Ticket
+	profile string
+}
+
+func newOracle(r *rig) *oracle {
+	return &oracle{
+		r: r, starts: map[taskKey]int{}, bodies: map[string]int{}, never: map[taskKey]bool{},
+		outcome: map[cornelwall.Ticket]cornelwall.Answer{}, closed: map[cornelwall.Ticket]bool{},
+		pending: map[*fake.Host]map[uint64]*request{}, ended: map[*fake.Host]map[uint64]bool{},
+		draws: map[uint64]string{}, seen: map[*fake.Host]map[string]cornelwall.Profile{},
+		accepted: map[string]uint64{}, replies: map[cornelwall.Outcome]int{},
+	}
+}
+
+func (o *oracle) fail(format string, args ...any) {
+	if o.failure == "" {
+		o.failure = fmt.Sprintf("after %s: ", o.r.w.Now.Sub(time.Unix(1700000000, 0))) + fmt.Sprintf(format, args...)
+	}
+}
+
+// offered takes every start that reaches for a machine, whether it is refused or not.
+func (o *oracle) offered(e *entry, m *backEnd) {
+	if !m.left.IsZero() && !e.cut && o.r.w.Now.Sub(e.thawed) > leaveBound && o.r.w.Now.Sub(m.left) > leaveBound {
+		o.fail("start offered by %s to a machine that has been leaving for %s", e.id, o.r.w.Now.Sub(m.left))
+	}
+}
+
+// started takes every start that happens.
+func (o *oracle) started(s cornelwall.Start) {
+	k := taskKey{s.Ticket, s.Index}
+	o.starts[k]++
+	o.bodies[string(s.Body)]++
+	if o.starts[k] > 1 || o.bodies[string(s.Body)] > 1 {
+		o.fail("task %d of %s (%s) started twice", s.Index, s.Ticket, s.Body)
+	}
+	if o.never[k] {
+		o.fail("task %d of %s started after an answer that it did not run", s.Index, s.Ticket)
+	}
+}
+
+func (o *oracle) ask(h *fake.Host, q *request) uint64 {
+	o.nextReq++
+	q.host = h
+	q.due = o.r.w.Now.Add(answerBound)
+	if q.kind == submit || q.kind == wait {
+		q.due = q.due.Add(q.op.deadline)
+	}
+	if o.pending[h] == nil {
+		o.pending[h], o.ended[h] = map[uint64]*request{}, map[uint64]bool{}
+	}
+	o.pending[h][o.nextReq] = q
+	return o.nextReq
+}
+
+// replied takes what a core tells its host.
+func (o *oracle) replied(h *fake.Host, cmd cornelwall.Command) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Reply:
+		q := o.pending[h][cmd.Req]
+		if q == nil {
+			if !o.ended[h][cmd.Req] {
+				o.fail("answer to request %d that did not ask", cmd.Req)
+			}
+			o.fail("second answer to request %d", cmd.Req)
+			return
+		}
+		delete(o.pending[h], cmd.Req)
+		o.ended[h][cmd.Req] = true
+		o.judge(q, cmd.Answer)
+	case cornelwall.ReplyTickets:
+		for _, t := range cmd.Tickets {
+			o.pool = append(o.pool, drawn{t, o.draws[cmd.Req]})
+		}
+	case cornelwall.ReplyCatalog:
+		o.catalog(h, cmd.Profiles)
+	case cornelwall.Stopped:
+		o.stopped(h)
+	}
+}
+
+// stopped ends a process some time after its planned stop is complete, as it goes on
+// answering what has reached it.
+func (o *oracle) stopped(h *fake.Host) {
+	o.stops++
+	o.r.entryOf(h).stopped = true
+	o.r.w.Do(stopGrace, func() {
+		if n := len(o.pending[h]); n > 0 && !h.Dead && !h.Frozen {
+			o.fail("planned stop of %s cut off %d requests", h.Self, n)
+		}
+		h.Dead = true
+	})
+}
+
+// judge checks one answer.
+func (o *oracle) judge(q *request, a cornelwall.Answer) {
+	o.replies[a.Outcome]++
+	if !q.ticket.IsZero() && a.Ticket != q.ticket {
+		o.fail("request about %s was answered about %s", q.ticket, a.Ticket)
+	}
+	if q.op.ticket.IsZero() && a.Outcome != cornelwall.Pending {
+		q.op.ticket = a.Ticket
+	}
+	switch a.Outcome {
+	case cornelwall.Done:
+		o.judgeDone(q, a)
+	case cornelwall.NotRun:
+		for i := range q.op.tasks {
+			o.refuse(a, i)
+			if q.op.key != "" && o.bodies[q.op.body(i, false)] > 0 {
+				o.fail("key %q was answered as not run, but task %d started", q.op.key, i)
+			}
+		}
+	case cornelwall.Failed:
+		o.judgeFailed(q, a)
+	case cornelwall.Unknown:
+		if o.calm && a.Reason != cornelwall.ReasonExpired {
+			o.fail("unknown answer (%s) though nothing failed: %s", a.Reason, a.Ticket)
+		}
+	case cornelwall.Pending:
+		mistake := a.Reason == cornelwall.ReasonContent && q.op.changed || a.Reason == cornelwall.ReasonNoProfile
+		if a.Final || q.kind == cancel || (q.kind == submit && !mistake) {
+			o.fail("request of kind %d was answered as pending: %+v", q.kind, a)
+		}
+	}
+	o.settle(q, a)
+}
+
+// settle checks an answer against the earlier ones about its ticket.
+func (o *oracle) settle(q *request, a cornelwall.Answer) {
+	if a.Outcome == cornelwall.Unknown && a.Final {
+		o.closed[a.Ticket] = true
+	}
+	if !a.Outcome.Definite() || a.Ticket.IsZero() {
+		return
+	}
+	q.op.answered = true
+	if o.closed[a.Ticket] {
+		o.fail("%s was unknown for good and is %s now", a.Ticket, a.Outcome)
+	}
+	if !a.Final {
+		o.fail("%s is %s but not final", a.Ticket, a.Outcome)
+	}
+	first, ok := o.outcome[a.Ticket]
+	if !ok {
+		o.outcome[a.Ticket] = a
+		return
+	}
+	if first.Outcome != a.Outcome || !sameTasks(first.Tasks, a.Tasks) {
+		o.fail("%s was %s and is %s now, or with other tasks", a.Ticket, first.Outcome, a.Outcome)
+	}
+}
+
+func sameTasks(a, b []cornelwall.TaskAnswer) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Outcome != b[i].Outcome || string(a[i].Body) != string(b[i].Body) {
+			return false
+		}
+	}
+	return true
+}
+
+// judgeDone checks that the answer is whole, in order and of the job asked for.
+func (o *oracle) judgeDone(q *request, a cornelwall.Answer) {
+	if len(a.Tasks) != q.op.tasks {
+		o.fail("answer to %s has %d of %d tasks", a.Ticket, len(a.Tasks), q.op.tasks)
+		return
+	}
+	changed := q.changed
+	if q.kind != submit {
+		changed = string(a.Tasks[0].Body) == string(result([]byte(q.op.body(0, true))))
+	}
+	for i, t := range a.Tasks {
+		body := q.op.body(i, changed)
+		if t.Outcome != cornelwall.Done || string(t.Body) != string(result([]byte(body))) {
+			o.fail("task %d of %s answered %s %q, want the result of %q", i, a.Ticket, t.Outcome, t.Body, body)
+		}
+		if o.starts[taskKey{a.Ticket, i}] != 1 {
+			o.fail("task %d of %s is done with %d starts", i, a.Ticket, o.starts[taskKey{a.Ticket, i}])
+		}
+	}
+}
+
+// judgeFailed checks that the answer tells the truth of each task and has no results.
+func (o *oracle) judgeFailed(q *request, a cornelwall.Answer) {
+	if len(a.Tasks) != q.op.tasks {
+		o.fail("failure of %s lists %d of %d tasks", a.Ticket, len(a.Tasks), q.op.tasks)
+		return
+	}
+	starts := 0
+	for i, t := range a.Tasks {
+		n := o.starts[taskKey{a.Ticket, i}]
+		starts += n
+		if len(t.Body) > 0 {
+			o.fail("failure of %s carries a result of task %d", a.Ticket, i)
+		}
+		switch t.Outcome {
+		case cornelwall.NotRun:
+			o.refuse(a, i)
+		case cornelwall.Done, cornelwall.Failed:
+			if n != 1 {
+				o.fail("task %d of %s is said to have run, with %d starts", i, a.Ticket, n)
+			}
+		}
+	}
+	if starts == 0 {
+		o.fail("%s is said to have failed, but nothing started", a.Ticket)
+	}
+}
+
+// refuse records that a task never starts.
+func (o *oracle) refuse(a cornelwall.Answer, i int) {
+	k := taskKey{a.Ticket, i}
+	if o.starts[k] > 0 {
+		o.fail("task %d of %s is said not to have run, but it started", i, a.Ticket)
+	}
+	o.never[k] = true
+}
+
+// overdue checks that every request of a live entry has been answered in time.
+func (o *oracle) overdue() {
+	for _, e := range o.r.entries {
+		if !e.up() {
+			continue
+		}
+		for req, q := range o.pending[e.host] {
+			if o.r.w.Now.After(later(q.due, e.thawed.Add(answerBound+q.op.deadline))) {
+				o.fail("request %d of kind %d about %s at %s is not answered since %s", req, q.kind, q.ticket, e.id, q.due)
+			}
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// catalog checks that no version goes down in one life of an entry.
+func (o *oracle) catalog(h *fake.Host, ps []cornelwall.Profile) {
+	now := map[string]cornelwall.Profile{}
+	for _, p := range ps {
+		now[p.Name] = p
+	}
+	for name, p := range o.seen[h] {
+		if now[name].Version < p.Version {
+			o.fail("profile %q went from version %d to %d at %s", name, p.Version, now[name].Version, h.Self)
+		}
+	}
+	o.seen[h] = now
+}
+
+// accept takes the answer to an operator's change.
+func (o *oracle) accept(p cornelwall.Profile, err error) {
+	if err != nil {
+		o.refusals++
+		return
+	}
+	o.accepts++
+	if p.Version <= o.accepted[p.Name] && !o.restored {
+		o.fail("profile %q was accepted at version %d after version %d", p.Name, p.Version, o.accepted[p.Name])
+	}
+	o.accepted[p.Name] = max(o.accepted[p.Name], p.Version)
+}
+
+// converged checks that all entries hold the same profiles, none older than accepted.
+func (o *oracle) converged() {
+	first := o.seen[o.r.entries[0].host]
+	for _, e := range o.r.entries {
+		for name, version := range o.accepted {
+			p := o.seen[e.host][name]
+			if p != first[name] {
+				o.fail("profile %q: %s holds %+v, %s holds %+v", name, e.id, p, o.r.entries[0].id, first[name])
+			}
+			if p.Version < version && !o.restored {
+				o.fail("profile %q: %s is at version %d, accepted was %d", name, e.id, p.Version, version)
+			}
+		}
+	}
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -36,7 +36,9 @@
 	StaleAfter time.Duration // without word of the platform
 	ClaimLife  time.Duration // of a caller's key
 	ClaimRate  float64       // claims per second at this entry
-	MaxJobs    int           // records held at once
+	MaxJobs    int           // jobs held at once, those that have ended too
+	MaxRefuse  int           // refusals held at once
+	MaxResults int           // bytes of results held at once
 	ListLag    time.Duration // by which the VM list may be late
 	MaxInherit int           // bytes of answers of closed incarnations
 	HeirWait   time.Duration // for an heir to turn up at a planned stop
@@ -53,6 +55,8 @@
 	setDefault(&c.ClaimLife, time.Hour)
 	setDefault(&c.ClaimRate, 20)
 	setDefault(&c.MaxJobs, 200000)
+	setDefault(&c.MaxRefuse, 1<<20)
+	setDefault(&c.MaxResults, 64<<20)
 	setDefault(&c.ListLag, time.Minute)
 	setDefault(&c.MaxInherit, 256<<20)
 	setDefault(&c.HeirWait, 20*time.Second)
@@ -114,7 +118,8 @@
 	nextBeat time.Time
 
 	watching bool
-	freshAt  time.Time
+	freshAt  time.Time // of the last word of the platform, through peers too
+	toldAt   time.Time // of the platform's last word to this entry itself
 	leaving  bool
 	handover handover
 }
@@ -131,7 +136,7 @@
 		start:    now,
 		now:      now,
 		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
-		jobs:     owner.NewTable(),
+		jobs:     owner.NewTable(cfg.TicketLife, cfg.MaxRefuse, cfg.MaxResults),
 		queue:    queue.New(),
 		home:     slot.NewHome(),
 		pool:     slot.NewPool(),
@@ -175,6 +180,9 @@
 
 // Step takes one event and returns what follows from it.
 func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if now.Before(n.now) {
+		now = n.now // a clock without a monotonic reading was set back
+	}
 	frozen := now.Sub(n.now) >= n.cfg.Away
 	n.now, n.out = now, nil
 	if frozen {
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -191,7 +191,7 @@
 	b.Addr = n.cfg.Addr
 	b.Leaving = n.leaving
 	b.Digest = n.catalog.Digest()
-	b.Fresh = n.watching && !n.stale()
+	b.Fresh = n.passesOn()
 	b.Watcher = n.watching
 	n.emit(cornelwall.Send{To: to, Addr: addr, Message: cornelwall.Message{Beat: &b}})
 }
