--- a/cmd/cornelwall/cli_test.go
+++ b/cmd/cornelwall/cli_test.go
@@ -25,7 +25,7 @@
 	standin "cornelwall/standin/platform"
 )
 
-const cliToken = "token-of-the-tests"
+const testToken = "token-of-the-tests"
 
 // endpoints runs every task at once. A body of "fail" fails.
 type endpoints struct{ loop *control.Loop }
@@ -71,7 +71,7 @@
 	store := standin.New(standin.Config{})
 	storeServer := httptest.NewServer(store)
 	client := platform.New(platform.Config{Endpoints: []string{storeServer.URL}, Timeout: 5 * time.Second})
-	operators := httptest.NewServer(r.losing(operator.New(loop, client, cliToken, drawChange, logr.Discard())))
+	operators := httptest.NewServer(r.losing(operator.New(loop, client, testToken, drawChange, logr.Discard())))
 	callers := httptest.NewServer(caller.New(loop))
 	t.Cleanup(func() {
 		callers.Close()
@@ -83,7 +83,7 @@
 	})
 	t.Setenv("CORNELWALL_OPERATOR_ENTRIES", operators.URL)
 	t.Setenv("CORNELWALL_CALLER_ENTRIES", callers.URL)
-	t.Setenv("CORNELWALL_TOKEN", cliToken)
+	t.Setenv("CORNELWALL_TOKEN", testToken)
 	return r
 }
 
@@ -162,7 +162,7 @@
 		{exitInput, `profile "checks"`, []string{"show", "checks"}},
 		{exitOK, "holds  3        retired", []string{"list", "--retired"}},
 		{exitInput, "token is wrong", []string{"list", "--token", "another"}},
-		{exitOK, "holds  3", []string{"list", "--retired", "--token", "", "--token-file", write(t, "token", cliToken+"\n")}},
+		{exitOK, "holds  3", []string{"list", "--retired", "--token", "", "--token-file", write(t, "token", testToken+"\n")}},
 		{exitInput, "--token is missing", []string{"list", "--token", ""}},
 		{exitUnreachable, "entry did not answer", []string{"list", "--entry", "http://127.0.0.1:1"}},
 		{exitInput, `command "aply" is unknown`, []string{"aply"}},
