--- a/cmd/cornelwall/docs_test.go
+++ b/cmd/cornelwall/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -97,6 +98,27 @@
 	}
 }
 
+// TestDocsWatch checks that the events and metrics that the operators' page names exist.
+func TestDocsWatch(t *testing.T) {
+	var code strings.Builder
+	for _, root := range []string{"../../core", "../../io", "."} {
+		assert.NilError(t, filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			b, err := os.ReadFile(path)
+			code.Write(b)
+			return err
+		}))
+	}
+	operators := page(t, "docs/operators.md")
+	events := part(t, operators, "| event | meaning", "\n\n")
+	metrics := part(t, operators, "| metric | meaning", "\n\n")
+	for _, name := range append(named(events, "`([a-z]+(?:-[a-z]+)*)`"), named(metrics, "`(?:cornelwall_)([a-z_]+)`")...) {
+		assert.Assert(t, strings.Contains(code.String(), name), "%s is in the docs only", name)
+	}
+}
+
 // TestHelpPages checks that every command has a full page with examples.
 func TestHelpPages(t *testing.T) {
 	var visit func(c *cli.Command)
