Operators that race each other: what they are told is true

A property test lets operators race on a service that fails, loses answers and goes back in time: accepted changes were made once, refused ones were not, versions only go up and a tombstone stays. A change identity now needs expect or create: without, a repeat after a later change of someone else would have undone that one.

The client keeps up to 256 idle connections to an entry; the default of net/http is two. Its effect was not measured.

--- a/client/client.go
+++ b/client/client.go
@@ -39,6 +39,7 @@
 	defaultAhead   = 16
 	defaultTimeout = 30 * time.Second
 	maxAhead       = 1000 // tickets that an entry gives out at once
+	maxIdleConns   = 256  // to one entry
 )
 
 // Config is the settings of a client. Zero fields but the first two take defaults.
@@ -113,7 +114,7 @@
 		c.entries = append(c.entries, strings.TrimSuffix(e, "/"))
 	}
 	if c.http == nil {
-		c.http = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		c.http = &http.Client{Transport: newTransport()}
 	}
 	ctx, end := context.WithCancel(context.Background())
 	c.end = end
@@ -121,6 +122,14 @@
 	return c, nil
 }
 
+// newTransport returns a transport that keeps a connection for each of many submissions
+// at once.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConns, t.MaxIdleConnsPerHost = 0, maxIdleConns
+	return t
+}
+
 // Close ends the client's goroutine and idle connections. Submissions under way go on
 // until their ctx ends.
 func (c *Client) Close() {
--- a/io/operator/apply.go
+++ b/io/operator/apply.go
@@ -140,6 +140,9 @@
 	}
 	if t.Change != "" {
 		errs = append(errs, cornelwall.CheckName("change", t.Change))
+		if !t.Create && t.Expect == 0 {
+			errs = append(errs, errors.New("change is set without expect or create; set one, so that a repeat cannot undo a later change"))
+		}
 	}
 	if err := errors.Join(errs...); err != nil {
 		return t, web.InputError(err)
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -31,7 +31,7 @@
 type Terms struct {
 	Create bool   // the profile must not exist yet
 	Expect uint64 // the version that the change replaces; 0 allows any
-	Change string // identity of the change, drawn if it is empty
+	Change string // identity of the change, drawn if it is empty; goes with Create or Expect
 }
 
 // Apply writes p as the next version and returns what was accepted. A change that
--- /dev/null
+++ b/io/operator/change_test.go
@@ -0,0 +1,169 @@
+package operator_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cornelwall"
+	"cornelwall/io/operator"
+)
+
+// racing is a key of the platform's service that fails in every way, and a history of
+// what was written.
+type racing struct {
+	cornelwall.Store
+	t       *rapid.T
+	pair    cornelwall.Pair
+	history []cornelwall.Profile
+	rival   func() // runs before a swap, or between a lost answer and the read that follows
+}
+
+func (s *racing) Get(_ context.Context, key string) (cornelwall.Pair, error) {
+	if rapid.IntRange(0, 5).Draw(s.t, "read") == 0 {
+		return cornelwall.Pair{}, cornelwall.ErrStore
+	}
+	p := s.pair
+	p.Key = key
+	return p, nil
+}
+
+func (s *racing) Swap(_ context.Context, key string, old uint64, value []byte, _ int64) (bool, error) {
+	if s.rival != nil && rapid.Bool().Draw(s.t, "rival first") {
+		s.race()
+	}
+	fault := rapid.SampledFrom([]string{"none", "none", "before", "after"}).Draw(s.t, "write")
+	if fault == "before" {
+		return false, cornelwall.ErrStore
+	}
+	if s.pair.Revision != old {
+		return false, nil
+	}
+	s.pair = cornelwall.Pair{Key: key, Value: value, Revision: old + 1}
+	p, err := operator.Decode(s.pair)
+	assert.NilError(s.t, err)
+	s.history = append(s.history, p)
+	if fault == "after" {
+		s.race()
+		return false, cornelwall.ErrStore
+	}
+	return true, nil
+}
+
+// race lets the rival make its change, once.
+func (s *racing) race() {
+	if rival := s.rival; rival != nil {
+		s.rival = nil
+		rival()
+	}
+}
+
+// made returns how often a change was written.
+func (s *racing) made(change string) int {
+	n := 0
+	for _, p := range s.history {
+		if p.Change == change {
+			n++
+		}
+	}
+	return n
+}
+
+// highest returns the newest version that was ever written.
+func (s *racing) highest() cornelwall.Profile {
+	if len(s.history) == 0 {
+		return cornelwall.Profile{Name: "holds"}
+	}
+	return s.history[len(s.history)-1]
+}
+
+// attempt is one change of an operator.
+type attempt struct {
+	profile cornelwall.Profile
+	retire  bool
+	terms   operator.Terms
+}
+
+func (a *attempt) send(c *operator.Changer) (cornelwall.Profile, error) {
+	if a.retire {
+		return c.Retire(context.Background(), "holds", a.terms)
+	}
+	return c.Apply(context.Background(), a.profile, a.terms)
+}
+
+// TestRacingOperators checks, for operators that race each other on a service that fails
+// and loses answers, that what they are told is true: an accepted change was made once, a
+// refused one was not made, and versions only go up.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &racing{t: t}
+		back := false // the service went back in time
+		id := ""      // of a change without terms
+		c := &operator.Changer{Store: s, Draw: func() string { return id },
+			Known: func(context.Context, string) (cornelwall.Profile, error) {
+				if !back && rapid.Bool().Draw(t, "behind") {
+					return cornelwall.Profile{Name: "holds"}, nil
+				}
+				return s.highest(), nil
+			}}
+		drawn := 0
+		draw := func() *attempt {
+			drawn++
+			a := &attempt{profile: cornelwall.NewProfile(), retire: rapid.IntRange(0, 15).Draw(t, "retire") == 0}
+			a.profile.Name, a.profile.Team, a.profile.Queue = "holds", "bookings", drawn
+			a.terms = operator.Terms{Change: fmt.Sprint("c", drawn), Expect: s.highest().Version}
+			if stale := rapid.Uint64Range(0, 2).Draw(t, "stale"); stale > 1 && a.terms.Expect > 1 {
+				a.terms.Expect--
+			}
+			a.terms.Create = a.terms.Expect == 0
+			if rapid.IntRange(0, 3).Draw(t, "no terms") == 0 {
+				a.terms = operator.Terms{}
+			}
+			return a
+		}
+		send := func(a *attempt, again bool) {
+			id = fmt.Sprint("d", drawn)
+			change := cmp.Or(a.terms.Change, id)
+			p, err := a.send(c)
+			n := s.made(change)
+			switch {
+			case err == nil:
+				assert.Equal(t, n, 1, "accepted")
+				assert.Equal(t, p.Change, change)
+			case errors.Is(err, cornelwall.ErrStore):
+				assert.Assert(t, n <= 1, "not known")
+			case again:
+				assert.Assert(t, n <= 1, "refused when sent again")
+				assert.Assert(t, back || s.highest().Change != change, "the newest change is refused: %v", err)
+			default:
+				assert.Equal(t, n, 0, "refused: %v", err)
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			a := draw()
+			if rapid.Bool().Draw(t, "race") {
+				s.rival = func() { send(draw(), false) }
+			}
+			send(a, false)
+			for range rapid.IntRange(0, 2).Draw(t, "repeats") {
+				if a.terms.Change != "" {
+					send(a, true)
+				}
+			}
+			s.rival = nil
+			if rapid.IntRange(0, 9).Draw(t, "back in time") == 0 {
+				back = true
+				s.pair.Value, s.pair.Revision = nil, 0
+			}
+		}
+		for i := 1; i < len(s.history); i++ {
+			assert.Equal(t, s.history[i].Version, s.history[i-1].Version+1)
+			assert.Assert(t, !s.history[i-1].Retired, "a retired profile was changed")
+		}
+	})
+}
