--- a/standin/drive/ledger.go
+++ b/standin/drive/ledger.go
@@ -198,6 +198,9 @@
 		}
 	case cornelwall.Unknown:
 		s.Unknown++
+		if len(a.Tasks) > 0 {
+			s.auditFailed(rec, &a.Answer, started)
+		}
 	}
 }
 
@@ -218,15 +221,16 @@
 	}
 }
 
+// auditFailed checks the list of tasks of a job without an answer.
 func (s *Sums) auditFailed(rec *record, a *cornelwall.Answer, started func(int) int) {
 	if len(a.Tasks) != rec.job.Tasks {
-		s.fault(&s.Partial, "failed job %s of %d tasks lists %d", rec.job.Name, rec.job.Tasks, len(a.Tasks))
+		s.fault(&s.Partial, "job %s of %d tasks without an answer lists %d", rec.job.Name, rec.job.Tasks, len(a.Tasks))
 		return
 	}
 	for i, t := range a.Tasks {
 		switch {
 		case len(t.Body) > 0:
-			s.fault(&s.Partial, "failed job %s has the result of task %d", rec.job.Name, i)
+			s.fault(&s.Partial, "job %s without an answer has the result of task %d", rec.job.Name, i)
 		case t.Outcome == cornelwall.NotRun && started(i) > 0:
 			s.fault(&s.WrongNotRun, "task %s started but was not run (%s)", rec.job.Label(i), t.Reason)
 		case (t.Outcome == cornelwall.Done || t.Outcome == cornelwall.Failed) && started(i) == 0:
