--- a/core/node/fuzz/oracle_test.go
+++ b/core/node/fuzz/oracle_test.go
@@ -17,6 +17,7 @@
 	need     cornelwall.Need
 	ticket   cornelwall.Ticket // zero until drawn or answered
 	key      string
+	born     time.Time
 	changed  bool // other content was sent under the ticket or key
 	again    bool // it was sent under another ticket too, after an answer of not run
 	answered bool // with a definite outcome
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -62,6 +62,7 @@
 
 // submit takes a submission from a caller at this entry.
 func (n *Node) submit(ev cornelwall.Submit) {
+	ev.Job = n.withDeadline(ev.Job)
 	if !ev.Job.Ticket.IsZero() {
 		n.route(ev.Req, cornelwall.DeedSubmit, ev.Job.Ticket, ev.Job)
 		return
@@ -80,6 +81,18 @@
 	n.accept(&job, owner.Waiter{Req: ev.Req})
 }
 
+// withDeadline gives a job that brings no deadline that of its profile, so that the time
+// on the way to the owner counts.
+func (n *Node) withDeadline(job *cornelwall.Job) *cornelwall.Job {
+	p, ok := n.catalog.Get(job.Profile)
+	if job.Left != 0 || !ok {
+		return job
+	}
+	timed := *job
+	timed.Left = p.Deadline
+	return &timed
+}
+
 // beginClaim claims the caller's key for a new ticket. Until the key has been read
 // nothing is known of an earlier submission under it, so that the answer is unknown and
 // not a refusal if the key cannot be claimed. The profile may be retired or this entry
--- a/standin/fake/store.go
+++ b/standin/fake/store.go
@@ -21,6 +21,7 @@
 	Cut         func(h *Host) bool // hosts that cannot reach the store; nil cuts none
 	Decode      func(cornelwall.Pair) (cornelwall.Profile, error)
 	Prefix      string // of the profiles
+	Gets, Swaps int    // calls of the hosts
 
 	revision uint64
 	pairs    map[string]cornelwall.Pair
@@ -101,15 +102,20 @@
 			w.After(s.Delay, h, cornelwall.Watched{Profiles: s.profiles(), All: true})
 		}
 	case cornelwall.StoreGet:
+		s.Gets++
 		ev := cornelwall.Stored{ID: cmd.ID, Pair: s.Get(cmd.Key)}
 		if !s.reaches(h) {
 			ev = cornelwall.Stored{ID: cmd.ID, Err: errDown}
 		}
 		w.After(s.Delay, h, ev)
 	case cornelwall.StoreSwap:
+		s.Swaps++
 		ev := cornelwall.Stored{ID: cmd.ID, Err: errDown}
 		if s.reaches(h) {
 			ev = cornelwall.Stored{ID: cmd.ID, Swapped: s.Swap(cmd.Key, 0, cmd.Value)}
+			if ev.Swapped && cmd.Life > 0 {
+				s.expire(w, cmd.Key, cmd.Life)
+			}
 			if s.LoseAnswers > 0 {
 				s.LoseAnswers--
 				ev = cornelwall.Stored{ID: cmd.ID, Err: errDown}
@@ -118,3 +124,13 @@
 		w.After(s.Delay, h, ev)
 	}
 }
+
+// expire removes a key at the end of its life, unless it was written again.
+func (s *Store) expire(w *World, key string, life time.Duration) {
+	revision := s.pairs[key].Revision
+	w.Do(life, func() {
+		if s.pairs[key].Revision == revision {
+			delete(s.pairs, key)
+		}
+	})
+}
