The time that a claim takes is taken off its deadline once

Cause: each answer of the store took the whole time since the submission off again, so that a claim of two calls lost the first call's time twice. TestKeyDeadline failed first: a job with 0.5 s left was refused as too late.

--- /dev/null
+++ b/core/node/fuzz/focused_test.go
@@ -0,0 +1,37 @@
+package fuzz
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// submitKey sends a job under a key and returns its answer.
+func submitKey(r *rig, left, wait time.Duration) cornelwall.Outcome {
+	op := &operation{profile: "holds", tasks: 1, deadline: left, key: "key"}
+	req := r.ask(r.entries[0].host, &request{kind: submit, op: op})
+	r.w.Post(r.entries[0].host, cornelwall.Submit{Req: req, Key: op.key, Job: &cornelwall.Job{
+		Profile: op.profile, Left: cornelwall.Duration(left), Tasks: []cornelwall.Task{{Body: []byte(op.body(0, false))}}}})
+	r.w.Advance(wait)
+	return r.outcome[op.ticket].Outcome
+}
+
+// TestKeyDeadline checks that the time that a claim takes counts once. The claim is
+// written, its answer is lost, and it is read back: 2 s of 2.5 s.
+func TestKeyDeadline(t *testing.T) {
+	r := newRig(1, tamper{})
+	r.w.Store.Delay, r.w.Store.LoseAnswers = time.Second, 1
+	assert.Equal(t, submitKey(r, 2500*time.Millisecond, 4*time.Second), cornelwall.Done)
+	assert.Equal(t, r.failure, "")
+}
+
+// TestKeyPastDeadline checks that a claim that is won after the deadline starts nothing.
+func TestKeyPastDeadline(t *testing.T) {
+	r := newRig(1, tamper{})
+	r.w.Store.Delay = time.Second
+	assert.Equal(t, submitKey(r, 500*time.Millisecond, 4*time.Second), cornelwall.NotRun)
+	assert.Equal(t, len(r.starts), 0)
+}
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -133,7 +133,9 @@
 	if c == nil {
 		return
 	}
-	c.Job.Left = shorten(c.Job.Left, n.now.Sub(c.Since))
+	if step == claim.Won || step == claim.Lost {
+		c.Job.Left = shorten(c.Job.Left, n.now.Sub(c.Since))
+	}
 	switch step {
 	case claim.Won:
 		n.accept(c.Job, owner.Waiter{Req: c.Req})
