Profiles of one version with other content converge

Cause: two catalogs that held one version without the identity of a change, but with other content, had the same digest and kept their own. The content decides now, and the digest covers it.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,7 +10,6 @@
 package catalog
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 
@@ -55,7 +54,7 @@
 	return p, ok
 }
 
-// Digest returns a hash of all names and versions; two catalogs with the same
+// Digest returns a hash of all profiles; two catalogs with the same
 // content have the same digest.
 func (c *Catalog) Digest() uint64 { return c.digest }
 
@@ -98,11 +97,4 @@
 	return ps
 }
 
-func sum(p *cornelwall.Profile) uint64 {
-	buf := make([]byte, 0, 96)
-	buf = binary.BigEndian.AppendUint64(buf, p.Version)
-	buf = append(buf, p.Change...)
-	buf = append(buf, 0)
-	buf = append(buf, p.Name...)
-	return xxhash.Sum64(buf)
-}
+func sum(p *cornelwall.Profile) uint64 { return xxhash.Sum64(p.Content()) }
--- a/profile.go
+++ b/profile.go
@@ -1,6 +1,8 @@
 package cornelwall
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -135,10 +137,23 @@
 
 // Newer reports whether p goes before q, a version of the same profile. Two writes
 // of one version can only come from a store that went back in time; the change
-// identity then decides alike on every entry.
+// identity then decides alike on every entry, and the content where both were written
+// without one.
 func (p *Profile) Newer(q *Profile) bool {
 	if p.Version != q.Version {
 		return p.Version > q.Version
 	}
-	return p.Change > q.Change
+	if p.Change != q.Change {
+		return p.Change > q.Change
+	}
+	return *p != *q && bytes.Compare(p.Content(), q.Content()) > 0
+}
+
+// Content returns the whole profile as JSON.
+func (p *Profile) Content() []byte {
+	b, err := json.Marshal(p)
+	if err != nil {
+		panic(fmt.Sprintf("profile %q cannot be encoded: %v", p.Name, err)) // it was decoded from JSON
+	}
+	return b
 }
