--- /dev/null
+++ b/core/node/fuzz/measure_test.go
@@ -0,0 +1,152 @@
+package fuzz
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/standin/fake"
+)
+
+const (
+	measured  = 200 // submissions of each kind
+	taskTime  = 50 * time.Millisecond
+	nearDelay = 200 * time.Microsecond // one way, in a data centre
+	farDelay  = 1500 * time.Microsecond
+	storeTime = 5 * time.Millisecond
+)
+
+// cost is what submissions took.
+type cost struct {
+	forwards, others int // messages between entries, without heartbeats
+	calls            int // of the platform
+	over             time.Duration
+	outcomes         map[cornelwall.Outcome]int
+}
+
+// meter counts what submissions in a world without faults take.
+type meter struct {
+	*rig
+	cost
+	answered time.Time
+	answer   cornelwall.Answer
+}
+
+func newMeter() *meter {
+	m := &meter{rig: newRig(1, tamper{}), cost: cost{outcomes: map[cornelwall.Outcome]int{}}}
+	m.w.Store.Delay = storeTime
+	m.w.Link = func(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+		for i := range e.Messages {
+			switch msg := &e.Messages[i]; {
+			case msg.Forward != nil, msg.Back != nil:
+				m.forwards++
+			case msg.Beat == nil:
+				m.others++
+			}
+		}
+		if from.DataCentre == to.DataCentre {
+			return fake.Fate{Delays: []time.Duration{nearDelay}}
+		}
+		return fake.Fate{Delays: []time.Duration{farDelay}}
+	}
+	m.w.Work = func(_ *fake.Host, run cornelwall.Run) (time.Duration, cornelwall.Result) {
+		return taskTime, cornelwall.Result{Outcome: cornelwall.Done, Body: run.Start.Body}
+	}
+	m.w.Replied = func(h *fake.Host, cmd cornelwall.Command) {
+		switch cmd := cmd.(type) {
+		case cornelwall.Reply:
+			m.answered, m.answer = m.w.Now, cmd.Answer
+		case cornelwall.ReplyTickets:
+			m.replied(h, cmd)
+		}
+	}
+	return m
+}
+
+// submit sends one job of one task and adds up what it takes.
+func (m *meter) submit(e *entry, tk cornelwall.Ticket, key string) {
+	before, began := m.w.Store.Gets+m.w.Store.Swaps, m.w.Now
+	m.w.Post(e.host, cornelwall.Submit{Req: 1, Key: key, Job: &cornelwall.Job{Profile: "holds", Ticket: tk, Tasks: make([]cornelwall.Task, 1)}})
+	m.w.Advance(time.Second)
+	m.calls += m.w.Store.Gets + m.w.Store.Swaps - before
+	m.outcomes[m.answer.Outcome]++
+	m.over += m.answered.Sub(began)
+}
+
+func (m *meter) draw(e *entry) cornelwall.Ticket {
+	m.w.Post(e.host, cornelwall.Draw{Req: 2, Profile: "holds", N: 1})
+	m.w.Advance(time.Millisecond)
+	t := m.pool[len(m.pool)-1].ticket
+	return t
+}
+
+// TestSubmissionCost measures tickets against keys: messages between entries and calls of
+// the platform per submission, and the time beyond the run time of the task.
+func TestSubmissionCost(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		want cornelwall.Outcome
+		send func(m *meter, e, other *entry, i int)
+	}{
+		{"no ticket, no key", cornelwall.Done, func(m *meter, e, _ *entry, _ int) { m.submit(e, cornelwall.Ticket{}, "") }},
+		{"ticket, at its owner", cornelwall.Done, func(m *meter, e, _ *entry, _ int) { m.submit(e, m.draw(e), "") }},
+		{"ticket, at another entry", cornelwall.Done, func(m *meter, e, other *entry, _ int) { m.submit(other, m.draw(e), "") }},
+		{"key", cornelwall.Done, func(m *meter, e, _ *entry, i int) { m.submit(e, cornelwall.Ticket{}, fmt.Sprint(i)) }},
+		{"key, answer of the platform lost", cornelwall.Done, func(m *meter, e, _ *entry, i int) {
+			m.w.Store.LoseAnswers = 1
+			m.submit(e, cornelwall.Ticket{}, fmt.Sprint(i))
+		}},
+		{"ticket, platform down", cornelwall.Done, func(m *meter, e, other *entry, _ int) {
+			m.w.Store.Down = true
+			m.submit(other, m.draw(e), "")
+		}},
+		{"key, platform down", cornelwall.Unknown, func(m *meter, e, _ *entry, i int) {
+			m.w.Store.Down = true
+			m.submit(e, cornelwall.Ticket{}, fmt.Sprint(i))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMeter()
+			for i := range measured {
+				n := len(m.entries)
+				tt.send(m, m.entries[i%n], m.entries[(i+1+i/n%(n-1))%n], i)
+			}
+			per := func(n int) float64 { return float64(n) / measured }
+			over := m.over/measured - taskTime
+			if tt.want != cornelwall.Done {
+				over += taskTime
+			}
+			t.Logf("| %s | %.2f | %.2f | %.2f | %s | %s |", tt.name, per(m.forwards), per(m.others), per(m.calls),
+				over.Round(10*time.Microsecond), tt.want)
+			assert.Equal(t, m.outcomes[tt.want], measured)
+		})
+	}
+}
+
+// TestResubmissionCost measures what a submission takes that is sent again to another
+// entry after its end.
+func TestResubmissionCost(t *testing.T) {
+	for _, key := range []bool{false, true} {
+		m := newMeter()
+		for i := range measured {
+			tk, k := cornelwall.Ticket{}, fmt.Sprint(i)
+			if !key {
+				tk, k = m.draw(m.entries[i%len(m.entries)]), ""
+			}
+			m.submit(m.entries[i%len(m.entries)], tk, k)
+			m.cost = cost{forwards: m.forwards, calls: m.calls, outcomes: m.outcomes, over: m.over}
+			before := m.cost
+			m.submit(m.entries[(i+1)%len(m.entries)], tk, k)
+			again := cost{forwards: m.forwards - before.forwards, calls: m.calls - before.calls, over: m.over - before.over}
+			if i == 0 {
+				t.Logf("sent again with key %v: %d messages, %d calls of the platform, %s", key, again.forwards, again.calls, again.over)
+			}
+			assert.Equal(t, again.forwards, 2)
+			assert.Equal(t, again.calls == 0, !key)
+		}
+		assert.Equal(t, m.outcomes[cornelwall.Done], 2*measured)
+	}
+}
