--- a/io/web/web.go
+++ b/io/web/web.go
@@ -14,18 +14,11 @@
 //	})
 package web
 
-import (
-	"net/http"
-
-	"github.com/labstack/echo/v4"
-)
+import "github.com/labstack/echo/v4"
 
 // New returns an echo instance that answers errors with a Problem.
 func New() *echo.Echo {
 	e := echo.New()
 	e.HTTPErrorHandler = WriteError
-	e.RouteNotFound("/*", func(echo.Context) error {
-		return echo.NewHTTPError(http.StatusNotFound, "no such path; docs/callers.md and docs/operators.md list the paths")
-	})
 	return e
 }
--- a/io/web/web_test.go
+++ b/io/web/web_test.go
@@ -70,4 +70,8 @@
 		assert.Equal(t, w.Code, code)
 		assert.Assert(t, strings.Contains(w.Body.String(), `"error"`))
 	}
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/auth", nil))
+	assert.Equal(t, w.Code, 405)
+	assert.Assert(t, strings.Contains(w.Body.String(), "docs/callers.md"))
 }
