A job whose tasks all end after its deadline is whole when asked about again

An answer of unknown is refined to done, with every result, if all tasks were on their way at the deadline or the cancel and all are done.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -111,6 +111,10 @@
 	t.State = Ended
 	t.Result = cornelwall.TaskAnswer{Outcome: r.Outcome, Reason: r.Reason}
 	j.running--
+	if r.Outcome == cornelwall.Done && !j.Answer.Final {
+		t.Result.Body = r.Body
+		j.done++
+	}
 	if j.ended {
 		return j.refine()
 	}
@@ -123,8 +127,6 @@
 		j.Finish(cornelwall.ReasonTooLarge, 0, "the results are larger than an answer may be; return less or split the job")
 		return true
 	}
-	t.Result.Body = r.Body
-	j.done++
 	if j.done < len(j.Tasks) {
 		return false
 	}
@@ -138,13 +140,11 @@
 	if j.ended {
 		return
 	}
-	for i := range j.Tasks {
-		j.Tasks[i].Result.Body = nil
-	}
 	j.end(j.verdict(cornelwall.Answer{Reason: reason, Back: cornelwall.Duration(back), Text: text}))
 }
 
 // refine makes the answer of a job final that ended as unknown while tasks were running.
+// The answer may still be whole, if every task was running then and is done now.
 func (j *Job) refine() bool {
 	if !j.ended || j.running > 0 {
 		return false
@@ -153,6 +153,10 @@
 		j.Tasks = nil
 		return false
 	}
+	if j.done == len(j.Tasks) {
+		j.end(cornelwall.Answer{Outcome: cornelwall.Done, Final: true, Tasks: j.results()})
+		return true
+	}
 	j.end(j.verdict(cornelwall.Answer{Reason: j.Answer.Reason, Text: j.Answer.Text}))
 	return true
 }
@@ -168,6 +172,7 @@
 		case Running:
 			t.Result = cornelwall.TaskAnswer{Outcome: cornelwall.Unknown, Reason: a.Reason}
 		}
+		t.Result.Body = nil
 		a.Outcome = worse(a.Outcome, t.Result.Outcome)
 	}
 	a.Final = a.Outcome.Definite() || j.running == 0
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -38,6 +38,7 @@
 		{"one may have started and was refused", nil, []cornelwall.Result{refused}, 1, cornelwall.Unknown, cornelwall.NotRun},
 		{"one may have started and was lost", nil, []cornelwall.Result{lost}, 1, cornelwall.Unknown, cornelwall.Unknown},
 		{"one ran and one may have", []cornelwall.Result{{Outcome: cornelwall.Done}}, []cornelwall.Result{refused}, 2, cornelwall.Failed, cornelwall.Failed},
+		{"all may have started and are done", nil, []cornelwall.Result{{Outcome: cornelwall.Done}, {Outcome: cornelwall.Done}, {Outcome: cornelwall.Done}}, 3, cornelwall.Unknown, cornelwall.Done},
 		{"two may have started", nil, []cornelwall.Result{refused, ran}, 2, cornelwall.Unknown, cornelwall.Failed},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
