A question after a submission's answer names the content that was sent

Cause: an entry whose forwarded submission may be lost asks after the answer by ticket only. If another content had been submitted under the ticket, the caller got the results of that one. TestChangedContentAskedAgain failed first.

Change: the question carries the digest of the submission, and the owner or its heir answers other content as a mistake.

--- a/core/node/fuzz/focused_test.go
+++ b/core/node/fuzz/focused_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"cornelwall"
+	"cornelwall/standin/fake"
 )
 
 // submitKey sends a job under a key and returns its answer.
@@ -35,3 +36,31 @@
 	assert.Equal(t, submitKey(r, 500*time.Millisecond, 4*time.Second), cornelwall.NotRun)
 	assert.Equal(t, len(r.starts), 0)
 }
+
+// TestChangedContentAskedAgain loses a submission of other content under a ticket on its
+// way to the owner. The question that follows it must not be answered with the results of
+// the first submission.
+func TestChangedContentAskedAgain(t *testing.T) {
+	r := newRig(1, tamper{})
+	owner, other := r.entries[0], r.entries[1]
+	r.w.Post(owner.host, cornelwall.Draw{Req: 1, Profile: "holds", N: 1})
+	r.w.Advance(0)
+	op := &operation{profile: "holds", tasks: 1, deadline: 20 * time.Second, ticket: r.pool[0].ticket}
+	d := &driver{rig: r}
+	d.send(owner, &request{kind: submit, op: op, ticket: op.ticket})
+	r.w.Advance(time.Second)
+	op.changed = true
+	r.w.Link = func(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+		for _, m := range e.Messages {
+			if m.Forward != nil && m.Forward.Deed == cornelwall.DeedSubmit {
+				return fake.Fate{}
+			}
+		}
+		return r.link(from, to, e)
+	}
+	d.send(other, &request{kind: submit, op: op, ticket: op.ticket, changed: true})
+	r.w.Advance(20 * time.Second)
+	assert.Equal(t, r.failure, "")
+	assert.Equal(t, r.replies[cornelwall.Done], 1)
+	assert.Equal(t, r.replies[cornelwall.Pending], 1)
+}
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if tk.Owner == n.cfg.Self {
-		n.local(owner.Waiter{Req: req}, deed, tk, job)
+		n.local(owner.Waiter{Req: req}, &cornelwall.Forward{Deed: deed, Ticket: tk, Job: job})
 		return
 	}
 	f := &forward{deed: deed, ticket: tk, job: job, since: n.now, sent: n.now}
@@ -62,7 +62,7 @@
 // entries, and gives the final answer once none of them knows more.
 func (n *Node) steer(req uint64, f *forward) {
 	if rec, ok := n.heirs.Lookup(n.now, f.ticket); ok {
-		n.endForward(req, n.inherited(rec, f.job))
+		n.endForward(req, n.inherited(rec, digest(f.job)))
 		return
 	}
 	f.to = n.target(f.ticket.Owner)
@@ -103,7 +103,7 @@
 
 // sendForward sends the request, or with DeedWait only a question after its answer.
 func (n *Node) sendForward(req uint64, f *forward, deed cornelwall.Deed) {
-	m := &cornelwall.Forward{Req: req, Deed: deed, Ticket: f.ticket}
+	m := &cornelwall.Forward{Req: req, Deed: deed, Ticket: f.ticket, Digest: digest(f.job)}
 	if f.job != nil && deed == cornelwall.DeedSubmit {
 		job := *f.job
 		job.Left = shorten(job.Left, n.now.Sub(f.since))
@@ -123,14 +123,23 @@
 	return a
 }
 
-// inherited returns the answer of a closed incarnation.
-func (n *Node) inherited(rec cornelwall.Record, job *cornelwall.Job) cornelwall.Answer {
-	if job != nil && rec.Digest != 0 && rec.Digest != job.Digest() {
-		return n.mistake(job.Ticket, cornelwall.ReasonContent)
+// inherited returns the answer of a closed incarnation to a submission with the digest;
+// 0 is none.
+func (n *Node) inherited(rec cornelwall.Record, digest uint64) cornelwall.Answer {
+	if digest != 0 && rec.Digest != 0 && rec.Digest != digest {
+		return n.mistake(rec.Answer.Ticket, cornelwall.ReasonContent)
 	}
 	return rec.Answer
 }
 
+// digest returns the digest of a submission, or 0 for any other request.
+func digest(job *cornelwall.Job) uint64 {
+	if job == nil {
+		return 0
+	}
+	return job.Digest()
+}
+
 func (n *Node) endForward(req uint64, a cornelwall.Answer) {
 	delete(n.forwards, req)
 	n.reply(req, a)
@@ -222,14 +231,14 @@
 	case !n.minter.Genuine(f.Ticket):
 		n.answer(w, n.mistake(f.Ticket, cornelwall.ReasonTicket))
 	case f.Ticket.Owner == n.cfg.Self:
-		n.local(w, f.Deed, f.Ticket, f.Job)
+		n.local(w, f)
 	default:
 		rec, ok := n.heirs.Lookup(n.now, f.Ticket)
 		if !ok {
 			n.answer(w, n.unknown(f.Ticket, cornelwall.ReasonOwnerAway))
 			return
 		}
-		n.answer(w, n.inherited(rec, f.Job))
+		n.answer(w, n.inherited(rec, f.Digest))
 	}
 }
 
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -271,26 +271,28 @@
 type askedBack struct{ seq uint64 }
 
 // local carries out a request about a ticket of this incarnation.
-func (n *Node) local(w owner.Waiter, deed cornelwall.Deed, tk cornelwall.Ticket, job *cornelwall.Job) {
-	if deed == cornelwall.DeedSubmit {
-		n.accept(job, w)
+func (n *Node) local(w owner.Waiter, f *cornelwall.Forward) {
+	if f.Deed == cornelwall.DeedSubmit {
+		n.accept(f.Job, w)
 		return
 	}
-	j := n.jobs.Get(tk.Seq)
+	j := n.jobs.Get(f.Ticket.Seq)
 	if j == nil {
-		n.answer(w, n.unsubmitted(deed, tk))
+		n.answer(w, n.unsubmitted(f.Deed, f.Ticket))
 		return
 	}
 	switch {
-	case deed == cornelwall.DeedCancel:
+	case f.Digest != 0 && f.Digest != j.Digest:
+		n.answer(w, n.mistake(f.Ticket, cornelwall.ReasonContent))
+	case f.Deed == cornelwall.DeedCancel:
 		n.finish(j, cornelwall.ReasonCancelled, 0)
 		n.answer(w, j.Answer)
-	case deed == cornelwall.DeedWait:
+	case f.Deed == cornelwall.DeedWait:
 		n.join(j, w)
 	case j.Ended():
 		n.answer(w, j.Answer)
 	default:
-		n.answer(w, cornelwall.Answer{Ticket: tk, Outcome: cornelwall.Pending})
+		n.answer(w, cornelwall.Answer{Ticket: f.Ticket, Outcome: cornelwall.Pending})
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -159,6 +159,8 @@
 	Deed   Deed   `json:"deed"`
 	Ticket Ticket `json:"ticket"`
 	Job    *Job   `json:"job,omitempty"` // of a submission
+	// Digest is that of the job if the request asks after the answer to a submission.
+	Digest uint64 `json:"digest,omitempty"`
 }
 
 // Check reports all that is wrong with the request.
