A stop waits for requests to other owners; a forward without a target does not wake the core

Cause: the fuzz cut requests off: a stop was complete while requests to other owners were still in flight. A forward that was refused and then lost its target asked to be woken at a time in the past for ever.

Ruled out: closing the tables only after these requests (under load that is never).

Change: the handover does not wait for them, the end of the stop does, up to 20 s.

--- a/core/node/peers_test.go
+++ b/core/node/peers_test.go
@@ -297,3 +297,19 @@
 	c.Thaw(c.hosts["dc0-e1"])
 	assert.Equal(t, c.answer(req, time.Second).Outcome, cornelwall.Done)
 }
+
+// TestOwnerGoneWhileRefused refuses a forward and then proves the owner gone, while one
+// entry that might know an heir is silent. The core must not ask to be woken at once for
+// ever, which would never let the clock advance here.
+func TestOwnerGoneWhileRefused(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	tk := c.draw("dc0-e0")
+	c.hosts["dc0-e2"].Dead = true
+	c.hosts["dc0-e0"].Dead = true
+	req := c.submit("dc0-e1", tk, 1)
+	c.Advance(10 * time.Millisecond)
+	c.start("dc0-e0")
+	a := c.answer(req, away+time.Second)
+	assert.Equal(t, a.Outcome, cornelwall.Unknown)
+	assert.Assert(t, !a.Final, "%+v", a)
+}
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -67,6 +67,7 @@
 	}
 	f.to = n.target(f.ticket.Owner)
 	if f.to.IsZero() {
+		f.retry = time.Time{}
 		if n.seek(f.ticket.Owner) == nobodyKnows {
 			n.endForward(req, n.unknown(f.ticket, cornelwall.ReasonOwnerLost))
 		}
@@ -144,9 +145,6 @@
 }
 
 func (n *Node) checkForward(req uint64, f *forward) {
-	if !f.retry.IsZero() {
-		n.wake(f.retry)
-	}
 	if to := n.target(f.ticket.Owner); to.IsZero() || to != f.to || n.heirs.Holds(f.ticket.Owner) {
 		n.steer(req, f)
 		if n.forwards[req] == nil {
@@ -169,6 +167,8 @@
 		f.retry = time.Time{}
 		n.count(cornelwall.ReasonOwnerAway, true)
 		n.sendForward(req, f, f.deed)
+	case !f.retry.IsZero():
+		n.wake(f.retry)
 	case alive && !n.now.Before(f.ask):
 		n.askAgain(req, f)
 	}
--- a/core/node/stop.go
+++ b/core/node/stop.go
@@ -16,6 +16,8 @@
 	heirCount  = 2       // entries that a table is handed to
 	partBytes  = 1 << 20 // of answers in one part of a table
 	partWindow = 8       // parts on their way to one heir
+
+	forwardWait = 20 * time.Second // after the handover, for requests to other owners
 )
 
 // handover is the last part of a planned stop: the tables of this incarnation and of
@@ -28,6 +30,7 @@
 	refused map[cornelwall.Incarnation]time.Time // when entries had not the memory
 	proven  time.Time                            // when the first heir had everything
 	alone   time.Time                            // when there was no heir first
+	handed  time.Time                            // when the handover ended
 	done    bool
 }
 
@@ -63,7 +66,8 @@
 }
 
 // advanceStop hands the outcomes to heirs once none of this incarnation's own jobs is
-// in flight. Requests that wait for other owners go on meanwhile.
+// in flight. Requests that wait for other owners go on meanwhile; the stop is complete
+// when they have been answered too, unless new ones never cease to come.
 func (n *Node) advanceStop() {
 	h := &n.handover
 	if !n.leaving || h.done {
@@ -77,11 +81,18 @@
 		}
 		n.closeTables()
 	}
-	n.chooseHeirs()
-	for _, t := range h.heirs {
-		n.feed(t)
+	if h.handed.IsZero() {
+		n.chooseHeirs()
+		for _, t := range h.heirs {
+			n.feed(t)
+		}
+		n.endHandover()
+	}
+	if !h.handed.IsZero() && (len(n.forwards) == 0 || n.now.Sub(h.handed) >= forwardWait) {
+		h.done = true
+		n.log("stopped")
+		n.emit(cornelwall.Stopped{})
 	}
-	n.endStop()
 }
 
 // busy reports whether a job of this incarnation is open. A task of a job that has ended
@@ -302,9 +313,9 @@
 	}
 }
 
-// endStop ends the stop once the heirs have everything, or once there is nobody to wait
-// for.
-func (n *Node) endStop() {
+// endHandover ends the handover once the heirs have everything, or once there is nobody
+// to wait for.
+func (n *Node) endHandover() {
 	h := &n.handover
 	whole := 0
 	for _, t := range h.heirs {
@@ -314,25 +325,25 @@
 	}
 	switch {
 	case whole > 0 && whole == len(h.heirs):
-		n.stopped()
+		n.handedOver()
 	case whole > 0 && h.proven.IsZero():
 		h.proven = n.now
 	case whole > 0 && n.now.Sub(h.proven) >= n.cfg.Away:
-		n.stopped()
+		n.handedOver()
 	case len(h.heirs) > 0:
 	case !n.members.Others() || !h.alone.IsZero() && n.now.Sub(h.alone) >= n.cfg.HeirWait:
 		n.log("no-heir", "remedy", "outcomes of this entry are unknown from now on; keep two entries up")
-		n.stopped()
+		n.handedOver()
 	case h.alone.IsZero():
 		h.alone = n.now
 		n.log("no-heir-yet", "remedy", "keep two entries up; waiting for one", "wait", n.cfg.HeirWait)
 	}
 }
 
-// stopped tells the peers who the heirs are, and the host that the stop is complete.
-func (n *Node) stopped() {
+// handedOver tells the peers who the heirs are.
+func (n *Node) handedOver() {
 	h := &n.handover
-	h.done = true
+	h.handed = n.now
 	var hs []cornelwall.Heir
 	for _, t := range h.heirs {
 		if !t.whole {
@@ -346,8 +357,6 @@
 		n.log("handed-over", "heir", t.heir, "parts", len(h.parts))
 	}
 	n.tellHeirs(hs)
-	n.log("stopped")
-	n.emit(cornelwall.Stopped{})
 }
 
 // tellHeirs tells all near entries who answers for closed incarnations.
