--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -29,10 +29,11 @@
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "serve",
-		Usage:  "run an entry",
-		Flags:  serveFlags(),
-		Action: serve,
+		Name:        "serve",
+		Usage:       "run an entry",
+		Description: serveHelp + exitHelp(),
+		Flags:       serveFlags(),
+		Action:      serve,
 	}
 }
 
@@ -52,7 +53,7 @@
 func serve(ctx context.Context, c *cli.Command) error {
 	s, err := readSettings(c)
 	if err != nil {
-		return err
+		return usageError(err)
 	}
 	e, err := build(s, newLog(s.Verbose))
 	if err != nil {
@@ -93,7 +94,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("--peers: %w", err)
 	}
-	core := node.New(node.Config{Self: self, Addr: peerServer.addr(), Secret: []byte(s.Secret)}, clock.Now())
+	advertise := peerServer.addr()
+	if s.Advertise.IsValid() {
+		advertise = s.Advertise
+	}
+	core := node.New(node.Config{Self: self, Addr: advertise, Secret: []byte(s.Secret)}, clock.Now())
 	loop := control.New(core, clock, log)
 
 	peers := peer.New(peer.Config{Self: self, Token: s.Secret, Timeout: s.PeerTimeout}, loop, log)
@@ -117,7 +122,7 @@
 		return nil, fmt.Errorf("--callers: %w", err)
 	}
 	operators, err := listen(listenConfig{Addr: s.Operators, Conns: maxOperatorConns, Log: log},
-		operatorHandler(loop, store, s.Token))
+		operatorHandler(loop, store, s.Token, log))
 	if err != nil {
 		return nil, fmt.Errorf("--operators: %w", err)
 	}
@@ -141,13 +146,13 @@
 	}, nil
 }
 
-func operatorHandler(loop *control.Loop, store cornelwall.Store, token string) http.Handler {
+func operatorHandler(loop *control.Loop, store cornelwall.Store, token string, log logr.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
 		metrics.WritePrometheus(w, true)
 		loop.WriteMetrics(r.Context(), w)
 	})
-	mux.Handle("/", operator.New(loop, store, token, drawChange))
+	mux.Handle("/", operator.New(loop, store, token, drawChange, log))
 	return mux
 }
 
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -199,7 +199,7 @@
 }
 
 // TestStopLimit stops an entry with one task that never ends and one job that has not
-// started. At the limit both jobs end, and the heirs know of it.
+// started. At the limit both jobs end, unknown where a start has no result, and the heirs know of it.
 func TestStopLimit(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
