Fake hosts tick again after a freeze or a late tick

Cause: a tick that was due before the present, or that came while the host was frozen, left the host without any further tick, so that only messages moved it on.

--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -129,7 +129,7 @@
 		}
 		return
 	}
-	if _, ok := ev.(cornelwall.Tick); ok && h.tick.Equal(w.Now) {
+	if _, ok := ev.(cornelwall.Tick); ok && !h.tick.After(w.Now) {
 		h.tick = time.Time{}
 	}
 	w.act(h, h.Core.Step(w.Now, ev))
