Heartbeats within the budget of a node

Cause: two heartbeats a second to the entries of the data centre and 12 others were 31.1 envelopes a second and entry at 48 entries in 16 data centres, 17.6 kB/s with HTTP headers and answers, where a node may spend 7 kB/s on control.

Ruled out: leaving heartbeats out while other messages go (they carry the freshness of the profiles); a longer time for entries of other data centres (later truth about a cut).

Change: one heartbeat a second, to the data centre and 6 others; what depends on the time is looked at every half second as before.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	maxRemote = 12 // entries of other data centres to exchange heartbeats with
+	maxRemote = 6  // entries of other data centres to exchange heartbeats with
 	maxPast   = 64 // lives remembered per entry
 )
 
@@ -56,7 +56,8 @@
 	Watcher     bool
 	Fresh       bool
 	Digest      uint64
-	Probe       uint64 // number that another life has to echo; 0 is none
+	Probe       uint64    // number that another life has to echo; 0 is none
+	Beaten      time.Time // when a heartbeat was sent to it last
 	heard       time.Time
 	listed      bool
 	absent      time.Time // since when the VM list has lacked the entry
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -31,7 +31,7 @@
 	Secret []byte         // shared by all entries; signs tickets
 
 	TicketLife time.Duration // from the mint to the end of the outcome
-	Beat       time.Duration // between heartbeats
+	Beat       time.Duration // between heartbeats to one peer
 	Away       time.Duration // silence after which a peer does not count as alive
 	StaleAfter time.Duration // without word of the platform
 	ClaimLife  time.Duration // of a caller's key
@@ -49,7 +49,7 @@
 // Normalise fills in the defaults.
 func (c *Config) Normalise() {
 	setDefault(&c.TicketLife, 10*time.Minute)
-	setDefault(&c.Beat, 500*time.Millisecond)
+	setDefault(&c.Beat, time.Second)
 	setDefault(&c.Away, 3*time.Second)
 	setDefault(&c.StaleAfter, 10*time.Second)
 	setDefault(&c.ClaimLife, time.Hour)
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"cornelwall"
 	"cornelwall/core/member"
@@ -149,16 +151,13 @@
 	if n.now.Before(n.nextBeat) {
 		return
 	}
-	n.nextBeat = n.now.Add(n.cfg.Beat)
-	sent := map[cornelwall.Incarnation]bool{}
+	n.nextBeat = n.now.Add(n.cfg.Beat / 2) // half, so that what depends on it is not late
 	for _, p := range n.members.Near() {
-		sent[p.Incarnation] = true
-		n.sendBeat(p, cornelwall.Beat{})
+		n.beatInTurn(p)
 	}
-	for _, f := range n.forwards {
-		if p := n.members.Find(f.to); p != nil && !sent[p.Incarnation] {
-			sent[p.Incarnation] = true
-			n.sendBeat(p, cornelwall.Beat{})
+	for _, req := range slices.Sorted(maps.Keys(n.forwards)) {
+		if p := n.members.Find(n.forwards[req].to); p != nil {
+			n.beatInTurn(p)
 		}
 	}
 	n.members.Forget(n.now)
@@ -176,6 +175,14 @@
 	n.forgetResends()
 }
 
+// beatInTurn sends a heartbeat to a peer that has had none for about the time between two.
+func (n *Node) beatInTurn(p *member.Peer) {
+	if n.now.Sub(p.Beaten) >= n.cfg.Beat*3/4 {
+		p.Beaten = n.now
+		n.sendBeat(p, cornelwall.Beat{})
+	}
+}
+
 // sendBeat sends a heartbeat to a peer.
 func (n *Node) sendBeat(p *member.Peer, b cornelwall.Beat) {
 	if p != nil {
--- a/core/node/peers_test.go
+++ b/core/node/peers_test.go
@@ -313,3 +313,16 @@
 	assert.Equal(t, a.Outcome, cornelwall.Unknown)
 	assert.Assert(t, !a.Final, "%+v", a)
 }
+
+// TestIdleMessages counts what 48 entries of 16 data centres send when nothing happens. A
+// heartbeat with its HTTP headers and answer is 566 bytes on the wire (BenchmarkBeatOnWire
+// in io/peer), and a node may spend 7 KB a second on control.
+func TestIdleMessages(t *testing.T) {
+	c := newCluster(t, 16, 3)
+	const seconds, beatBytes, budget = 60, 566, 7000
+	before := c.Envelopes
+	c.Advance(seconds * time.Second)
+	perSecond := float64(c.Envelopes-before) / seconds / 48
+	t.Logf("%.1f envelopes a second and entry", perSecond)
+	assert.Assert(t, perSecond*beatBytes < budget, "%.1f envelopes a second and entry", perSecond)
+}
--- a/core/node/stop.go
+++ b/core/node/stop.go
@@ -61,6 +61,9 @@
 		n.wake(n.handover.limit)
 	}
 	n.log("stopping", "jobs", n.jobs.Len(), "running", len(n.attempts))
+	for _, p := range n.members.Near() {
+		p.Beaten = time.Time{} // so that all learn of it at once
+	}
 	n.nextBeat = n.now
 	n.beat()
 }
--- /dev/null
+++ b/io/peer/wire_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of all its connections.
+type countedListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, &l.in, &l.out}, err
+}
+
+// BenchmarkBeatOnWire sends heartbeats one by one over a connection and reports the bytes
+// of HTTP that each takes, both ways.
+func BenchmarkBeatOnWire(b *testing.B) {
+	inbox := make(inbox, 1)
+	p := New(Config{Self: from, Token: secret, Timeout: time.Second}, inbox, logr.Discard())
+	mux := http.NewServeMux()
+	mux.Handle(p.Handler())
+	server := httptest.NewUnstartedServer(mux)
+	l := &countedListener{Listener: server.Listener}
+	server.Listener = l
+	server.Start()
+	defer server.Close()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Act(cornelwall.Send{To: to, Addr: addr, Message: heartbeat()})
+		_, ok := (<-inbox).(cornelwall.Receive)
+		assert.Assert(b, ok)
+	}
+	b.ReportMetric(float64(l.in.Load())/float64(b.N), "B-request")
+	b.ReportMetric(float64(l.out.Load())/float64(b.N), "B-answer")
+}
