Client: a pause before yet another ticket of an entry that refuses connections

An entry that gives out tickets and then refuses connections was tried again at once, without end until ctx.

Shown by go test -race ./client.

--- a/client/submit.go
+++ b/client/submit.go
@@ -44,7 +44,7 @@
 
 // runFresh runs the job under tickets of the client.
 func (s *submission) runFresh(ctx context.Context) (cornelwall.Answer, error) {
-	retries := s.c.cfg.Retries
+	retries, dropped := s.c.cfg.Retries, 0
 	for {
 		h, err := s.c.take(ctx)
 		if errors.Is(err, cornelwall.ErrPeer) {
@@ -58,7 +58,8 @@
 		case errors.Is(err, errUnsent):
 			s.c.drop(func(other held) bool { return other.entry == h.entry })
 			s.c.after(h.entry)
-			if ctx.Err() != nil {
+			dropped++
+			if s.c.cfg.Clock.Wait(ctx, s.c.pause(dropped, 0)) != nil {
 				err = notRun(err)
 				return answerOf(err), err
 			}
