--- a/standin/prove/machine_test.go
+++ b/standin/prove/machine_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"cornelwall"
+	"cornelwall/io/worker"
 	"cornelwall/standin/drive"
 	"cornelwall/standin/local"
 	"cornelwall/standin/task"
@@ -123,9 +125,9 @@
 // readAndClose lets endpoints read starts and close their connections, which have
 // served other starts before. Each start is seen once.
 func readAndClose(ctx context.Context, s *stage) error {
-	worker := cornelwall.Need{Cores: 1}
+	leased := cornelwall.Need{Cores: 1}
 	for round := range 5 {
-		for _, need := range []cornelwall.Need{{}, worker} {
+		for _, need := range []cornelwall.Need{{}, leased} {
 			warm := job(fmt.Sprintf("warm-%d-%d", round, need.Cores), 8)
 			warm.Need = need
 			if _, err := s.Run(ctx, warm); err != nil {
@@ -133,7 +135,11 @@
 			}
 			j := job(fmt.Sprintf("vanish-%d-%d", round, need.Cores), 2)
 			j.Need, j.Vanish, j.Left = need, true, vanishLeft
-			a, err := s.Run(ctx, j)
+			tk, err := s.ticketOf(ctx, round%len(s.Entries))
+			if err != nil {
+				return err
+			}
+			a, err := s.Settle(ctx, j, tk)
 			if err != nil {
 				return err
 			}
@@ -203,3 +209,37 @@
 	}
 	return errors.New("no task is unknown although results were lost")
 }
+
+// lapsedLease freezes an owner until the worker has dropped the leases of its tasks, and
+// lets it go on.
+func lapsedLease(ctx context.Context, s *stage) error {
+	j := job("leased", 4)
+	j.Need = cornelwall.Need{Cores: 1}
+	tk, err := s.ticketOf(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.hang(ctx, true); err != nil {
+		return err
+	}
+	under := s.ask(ctx, 0, j, tk)
+	if err := errors.Join(s.awaitStarts(ctx, j, j.Tasks), s.Entries[0].Freeze()); err != nil {
+		return err
+	}
+	dropped := func() error {
+		var usage worker.Usage
+		err := local.Call(ctx, http.MethodGet, s.Workers[0].URL()+"/usage", nil, &usage)
+		if err == nil && usage.Used != (cornelwall.Need{}) {
+			err = fmt.Errorf("worker still runs tasks of %+v", usage.Used)
+		}
+		return err
+	}
+	if err := errors.Join(local.Wait(ctx, dropped), s.Entries[0].Resume(), s.hang(ctx, false)); err != nil {
+		return err
+	}
+	if _, err := under.answer(ctx); err != nil {
+		return err
+	}
+	a, err := s.Settle(ctx, j, tk)
+	return errors.Join(err, lost(a))
+}
--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -94,6 +94,12 @@
 			"return cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: reason, Back",
 			"return cornelwall.Answer{Outcome: cornelwall.NotRun, Final: true, Reason: reason, Back"}},
 	},
+	{
+		name: "lapsed-lease-retried", scenario: "lapsed-lease", want: "times",
+		edits: []edit{{"io/worker/worker.go",
+			"b.clock.Now().Sub(renewed) > b.ttl:\n			return cornelwall.Result{Outcome: cornelwall.Unknown,",
+			"b.clock.Now().Sub(renewed) > b.ttl:\n			return cornelwall.Result{Outcome: cornelwall.NotRun,"}},
+	},
 	{
 		name: "cancelled-is-notrun", scenario: "cancel-waves", want: "was not run",
 		edits: []edit{{"core/owner/owner.go",
--- a/standin/prove/scenarios_test.go
+++ b/standin/prove/scenarios_test.go
@@ -31,6 +31,7 @@
 	{"operators-race", twoCentres, operatorsRace},
 	{"read-and-close", oneCentre, readAndClose},
 	{"bad-machines", oneCentre, badMachines},
+	{"lapsed-lease", oneCentre, lapsedLease},
 	{"same-key", twoCentres, sameKey},
 	{"cancel-waves", twoCentres, cancelWaves},
 	{"several", cutCentres, several},
