--- a/core/node/route.go
+++ b/core/node/route.go
@@ -154,9 +154,6 @@
 }
 
 func (n *Node) checkForward(req uint64, f *forward) {
-	if !f.retry.IsZero() {
-		n.wake(f.retry)
-	}
 	if to := n.target(f.ticket.Owner); to.IsZero() || to != f.to || n.heirs.Holds(f.ticket.Owner) {
 		n.steer(req, f)
 		if n.forwards[req] == nil {
@@ -179,6 +176,8 @@
 		f.retry = time.Time{}
 		n.count(cornelwall.ReasonOwnerAway, true)
 		n.sendForward(req, f, f.deed)
+	case !f.retry.IsZero():
+		n.wake(f.retry)
 	case alive && !n.now.Before(f.ask):
 		n.askAgain(req, f)
 	}
