--- a/core/node/fuzz/events_test.go
+++ b/core/node/fuzz/events_test.go
@@ -324,8 +324,10 @@
 
 func (d *driver) kill() {
 	e := d.entry()
-	e.host.Dead = true
-	clear(d.pending[e.host])
+	if !e.host.Dead {
+		d.end(e)
+		clear(d.pending[e.host])
+	}
 }
 
 func (d *driver) restartOne() { d.restart(d.entry()) }
--- a/core/node/fuzz/oracle_test.go
+++ b/core/node/fuzz/oracle_test.go
@@ -175,7 +175,7 @@
 	switch {
 	case h.Dead:
 	case len(o.pending[h]) == 0:
-		h.Dead = true
+		o.r.end(o.r.entryOf(h))
 	case o.r.w.Now.After(end) && !h.Frozen:
 		o.fail("planned stop of %s cut off %d requests", h.Self, len(o.pending[h]))
 	default:
--- a/core/node/fuzz/rig_test.go
+++ b/core/node/fuzz/rig_test.go
@@ -195,6 +195,7 @@
 func (r *rig) boot(e *entry) {
 	e.id.Life++
 	e.stopped = false
+	r.list(e, true)
 	cfg := node.Config{Self: e.id, Addr: e.addr, Secret: []byte("0123456789abcdef"),
 		TicketLife: ticketLife, ClaimLife: claimLife, Away: away}
 	e.host = r.w.Add(&tampered{Core: node.New(cfg, r.w.Now), tamper: r.tamper}, e.id, e.addr)
@@ -229,6 +230,23 @@
 	r.lists = append(r.lists, listing{r.w.Now, vms})
 }
 
+// list puts an entry on the VM list or takes it off.
+func (r *rig) list(e *entry, on bool) {
+	vms := slices.DeleteFunc(slices.Clone(r.lists[len(r.lists)-1].vms), func(vm cornelwall.VM) bool { return vm.Name == e.id.Entry })
+	if on {
+		vms = append(vms, cornelwall.VM{Name: e.id.Entry, Kind: cornelwall.Entry, DataCentre: e.id.DataCentre, Addr: e.addr})
+	}
+	r.lists = append(r.lists, listing{r.w.Now, vms})
+}
+
+// end ends the process of an entry, and at times its VM.
+func (r *rig) end(e *entry) {
+	e.host.Dead = true
+	if r.rng.IntN(2) == 0 {
+		r.list(e, false)
+	}
+}
+
 func (r *rig) entryOf(h *fake.Host) *entry {
 	for _, e := range r.entries {
 		if e.addr == h.Addr {
