--- a/job.go
+++ b/job.go
@@ -123,7 +123,7 @@
 	Ticket  Ticket       `json:"ticket"`
 	Outcome Outcome      `json:"outcome"`
 	Reason  Reason       `json:"reason"`
-	Final   bool         `json:"final"`           // no later answer will differ
+	Final   bool         `json:"final"`           // no later answer will differ, save that an unknown may be refined
 	Back    Duration     `json:"back,omitempty"`  // time after which to come back
 	Text    string       `json:"text,omitempty"`  // what to do, for people
 	Tasks   []TaskAnswer `json:"tasks,omitempty"` // one per task once the job has ended
