--- a/core/node/fuzz/events_test.go
+++ b/core/node/fuzz/events_test.go
@@ -106,13 +106,13 @@
 
 // quiet heals every fault, waits, and asks every entry about every ticket.
 func (d *driver) quiet() {
+	d.heal()
 	d.net = network{delay: time.Millisecond, cuts: map[[2]string]bool{}}
 	d.w.Store.Down, d.w.Store.Delay, d.listLag = false, time.Millisecond, 0
 	for _, m := range d.machines {
 		m.mode = good
 	}
 	for _, e := range d.entries {
-		e.cut = false
 		d.thaw(e)
 	}
 	for range 100 {
