--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -28,6 +28,8 @@
 	Link func(from, to cornelwall.Incarnation, e cornelwall.Envelope) Fate
 	// Work decides how a start ends and after how long.
 	Work func(h *Host, r cornelwall.Run) (time.Duration, cornelwall.Result)
+	// Begin carries out a start in place of Work; it reports the end with After.
+	Begin func(h *Host, r cornelwall.Run)
 	// Replied takes the replies, logs and counts of the cores.
 	Replied func(h *Host, cmd cornelwall.Command)
 
@@ -157,6 +159,10 @@
 			}
 			envelopes[i].Messages = append(envelopes[i].Messages, cmd.Message)
 		case cornelwall.Run:
+			if w.Begin != nil {
+				w.Begin(h, cmd)
+				continue
+			}
 			after, result := w.Work(h, cmd)
 			result.Took = after
 			w.After(after, h, cornelwall.Ended{Attempt: cmd.Start.Attempt, Result: result})
--- /dev/null
+++ b/standin/measure/sweep.go
@@ -0,0 +1,49 @@
+package measure
+
+import (
+	"context"
+	"sync"
+)
+
+// Plan is the runs of a sweep.
+type Plan struct {
+	Sites    []Site
+	Cases    []Case
+	Policies []Policy
+	Seeds    int
+	Workers  int // runs at the same time
+}
+
+// Sweep makes all runs of the plan and returns their figures in the order of the
+// plan, whatever order the runs end in. It stops early with ctx.
+func Sweep(ctx context.Context, p Plan) ([]Result, error) {
+	var todo []func() Result
+	for _, site := range p.Sites {
+		for _, c := range p.Cases {
+			for _, policy := range p.Policies {
+				for seed := range p.Seeds {
+					todo = append(todo, func() Result { return Run(site, c, policy, uint64(seed+1)) })
+				}
+			}
+		}
+	}
+	results := make([]Result, len(todo))
+	next := make(chan int)
+	var wg sync.WaitGroup
+	for range p.Workers {
+		wg.Go(func() {
+			for i := range next {
+				results[i] = todo[i]()
+			}
+		})
+	}
+	for i := range todo {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+		}
+	}
+	close(next)
+	wg.Wait()
+	return results, ctx.Err()
+}
