--- /dev/null
+++ b/core/admit/estimate_test.go
@@ -0,0 +1,36 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall/core/admit"
+)
+
+func TestObservedGoesBeforeDeclared(t *testing.T) {
+	e := admit.NewEstimates()
+	assert.Equal(t, e.Task("holds", 5*time.Second), 5*time.Second)
+	for range 10 {
+		e.Observe("holds", 100*time.Millisecond)
+	}
+	assert.Equal(t, e.Task("holds", 5*time.Second).Round(time.Millisecond), 100*time.Millisecond)
+	assert.Equal(t, e.Task("rosters", 0).Round(time.Millisecond), 100*time.Millisecond)
+	assert.Equal(t, e.Last("holds", 0).Round(time.Millisecond), 100*time.Millisecond)
+}
+
+func TestLastTaskTakesLonger(t *testing.T) {
+	e := admit.NewEstimates()
+	for range 100 {
+		e.Observe("holds", 100*time.Millisecond)
+		e.Observe("holds", 300*time.Millisecond)
+	}
+	assert.Equal(t, e.Task("holds", 0).Round(10*time.Millisecond), 200*time.Millisecond)
+	assert.Equal(t, e.Last("holds", 0).Round(10*time.Millisecond), 400*time.Millisecond)
+}
+
+func TestWait(t *testing.T) {
+	assert.Equal(t, admit.Wait(10*time.Second, 5), 2*time.Second)
+	assert.Equal(t, admit.Wait(10*time.Second, 0), 10*time.Second)
+}
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,105 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall/core/health"
+)
+
+const slots = 8
+
+func TestFailingMachineIsCutOffAndComesBackSlowly(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	limit := func() int { return h.Limit(now, "x", slots) }
+	assert.Assert(t, !h.Failed(now, "x", 1))
+	assert.Assert(t, !h.Failed(now, "x", 1))
+	assert.Equal(t, limit(), slots)
+	assert.Assert(t, h.Failed(now, "x", 1))
+	assert.Equal(t, limit(), 0)
+	assert.Assert(t, !h.Failed(now, "x", 5), "starts from before the cut count only once")
+
+	now = h.Until(now, "x")
+	assert.Equal(t, limit(), 1)
+	assert.Assert(t, h.Failed(now, "x", 1), "a probe that fails cuts off at once")
+	assert.Equal(t, h.Until(now, "x").Sub(now), 2*time.Second)
+
+	now = h.Until(now, "x")
+	for _, want := range []int{1, 2, 4, slots} {
+		assert.Equal(t, limit(), want)
+		h.Done("x", want, 0)
+	}
+}
+
+func TestSuccessClearsFailures(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	for range 10 {
+		assert.Assert(t, !h.Failed(now, "x", 2))
+		h.Done("x", 1, 0)
+	}
+}
+
+func TestDeadMachineIsCutOffAtOnce(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	assert.Assert(t, h.Unreached(now, "x"))
+	assert.Equal(t, h.Limit(now, "x", slots), 0)
+	assert.Equal(t, h.Limit(now, "y", slots), slots)
+}
+
+func TestBusyMachineIsPausedForLonger(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	last := time.Duration(0)
+	for range 4 {
+		h.Busy(now, "x")
+		pause := h.Until(now, "x").Sub(now)
+		assert.Assert(t, pause > last)
+		last, now = pause, now.Add(pause)
+	}
+	h.Done("x", 1, 0)
+	h.Busy(now, "x")
+	assert.Assert(t, h.Until(now, "x").Sub(now) < last)
+}
+
+func TestSlowMachineGetsLess(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	h.Done("a", 100, 100*100)
+	h.Done("b", 100, 110*100)
+	h.Done("slow", 100, 400*100)
+	h.Compare()
+	assert.Equal(t, h.Limit(now, "a", slots), slots)
+	assert.Equal(t, h.Limit(now, "slow", slots), 2)
+}
+
+func TestJobThatFailsEverywhereIsToBlame(t *testing.T) {
+	j := health.NewJudge()
+	assert.Assert(t, j.Blame(1, "a"))
+	assert.Assert(t, !j.Blame(1, "a"))
+	assert.Assert(t, !j.Blame(1, "b"))
+	assert.Assert(t, j.Blame(2, "b"))
+	j.Forget(1)
+	j.Forget(2)
+	assert.Equal(t, j.Len(), 0)
+}
+
+func TestBadJobsDoNotCutOffMachines(t *testing.T) {
+	now := time.Unix(1700000000, 0)
+	h := health.New()
+	names := []string{"a", "b", "c", "d"}
+	cuts := 0
+	for i := range 4000 { // two of three tasks fail on every machine
+		name := names[i%len(names)]
+		if (i/len(names))%3 == 0 {
+			h.Done(name, 1, 0)
+		} else if h.Failed(now, name, 1) {
+			cuts++
+		}
+	}
+	assert.Equal(t, cuts, 0)
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -52,6 +52,8 @@
 	Watcher     bool
 	Fresh       bool
 	Digest      uint64
+	Room        cornelwall.Room
+	RoomAt      time.Time // of the word of Room
 	heard       time.Time
 	listed      bool
 	past        []uint64
@@ -124,6 +126,7 @@
 	}
 	p.heard = now
 	p.Leaving, p.Watcher, p.Fresh, p.Digest = b.Leaving, b.Watcher, b.Fresh, b.Digest
+	p.Room, p.RoomAt = b.Room, now
 	if b.Addr.IsValid() {
 		p.Addr = b.Addr
 	}
--- a/core/node/admit.go
+++ b/core/node/admit.go
@@ -4,21 +4,17 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/admit"
 	"cornelwall/core/owner"
 	"cornelwall/core/queue"
 )
 
-// item returns task i of a job as the queue holds it.
-func (n *Node) item(j *owner.Job, i int, p *cornelwall.Profile) queue.Item {
-	return queue.Item{
-		Job: j.Ticket.Seq, Task: i, Need: j.Spec[i].Need,
-		Class: p.Class, Team: p.Team, Weight: p.Quota, Since: j.Since,
-	}
-}
+// maxBack bounds the time after which a refused caller may come back.
+const maxBack = 30 * time.Second
 
 // admit decides whether a new job may wait here. The ticket's team must be the
-// profile's.
-func (n *Node) admit(job *cornelwall.Job) (cornelwall.Profile, cornelwall.Reason, time.Duration) {
+// profile's. Back is the time after which to come back, for a refusal.
+func (n *Node) admit(job *cornelwall.Job) (p cornelwall.Profile, reason cornelwall.Reason, back time.Duration) {
 	p, ok := n.catalog.Get(job.Profile)
 	switch {
 	case !ok:
@@ -30,26 +26,123 @@
 	case p.Stale == cornelwall.Refuse && n.stale():
 		return p, cornelwall.ReasonStale, backLater
 	case n.jobs.Len() >= n.cfg.MaxJobs:
-		return p, cornelwall.ReasonOverload, backSoon
-	case n.queue.Len()+len(job.Tasks) > p.Queue:
-		return p, cornelwall.ReasonQueueFull, backSoon
+		return p, cornelwall.ReasonOverload, backLater
+	case !n.fitsAnywhere(job.Tasks):
+		return p, cornelwall.ReasonNeverFits, 0
 	}
-	for i := range job.Tasks {
-		if !n.fitsAnywhere(job.Tasks[i].Need) {
-			return p, cornelwall.ReasonNeverFits, 0
-		}
+	if over := n.queue.Profile(p.Name) + len(job.Tasks) - p.Queue; over > 0 {
+		each := n.estimates.Task(p.Name, declared(job.Tasks))
+		return p, cornelwall.ReasonQueueFull, comeBack(admit.Wait(time.Duration(over)*each, n.slots(cornelwall.Executor)))
+	}
+	left := time.Duration(job.Left)
+	if left == 0 {
+		left = time.Duration(p.Deadline)
+	}
+	if late := n.ends(job, &p) - left; late > 0 {
+		return p, cornelwall.ReasonTooLate, comeBack(late)
 	}
 	return p, cornelwall.ReasonNone, 0
 }
 
-// fitsAnywhere reports whether a machine of the VM list, free or not, is large enough.
+// comeBack bounds the time after which to come back.
+func comeBack(d time.Duration) time.Duration { return min(maxBack, max(backSoon, d)) }
+
+// ends returns in how long a job would end by what was observed.
+func (n *Node) ends(job *cornelwall.Job, p *cornelwall.Profile) time.Duration {
+	j := &owner.Job{Ticket: job.Ticket, Profile: job.Profile, Spec: job.Tasks, Since: n.now}
+	var last time.Duration
+	for _, l := range n.lots(j, p) {
+		wait := admit.Wait(n.queue.Ahead(l), n.slots(l.Need.Kind()))
+		if p.Concurrency > 0 {
+			tasks := n.queue.Profile(p.Name) + len(l.Tasks)
+			wait = max(wait, admit.Wait(time.Duration(tasks)*l.Each, p.Concurrency))
+		}
+		last = max(last, wait+l.Each/2)
+	}
+	return last
+}
+
+// slots returns how many tasks this entry can run at once: as many as run now, or as
+// its own machines take, if these are more.
+func (n *Node) slots(kind cornelwall.Kind) int {
+	own := 1
+	if kind == cornelwall.Executor {
+		own = n.placer.Room().Slots
+	}
+	return max(own, len(n.attempts))
+}
+
+// lots returns the tasks of a job by their needs.
+func (n *Node) lots(j *owner.Job, p *cornelwall.Profile) []queue.Lot {
+	var ls []queue.Lot
+	byNeed := map[cornelwall.Need]int{}
+	for i := range j.Spec {
+		need := j.Spec[i].Need
+		k, ok := byNeed[need]
+		if !ok {
+			k = len(ls)
+			byNeed[need] = k
+			ls = append(ls, n.lot(j, p, need))
+		}
+		ls[k].Tasks = append(ls[k].Tasks, i)
+	}
+	return ls
+}
+
+// declared returns the mean run time that the caller declares.
+func declared(tasks []cornelwall.Task) time.Duration {
+	var sum time.Duration
+	for i := range tasks {
+		sum += time.Duration(tasks[i].Size)
+	}
+	return sum / time.Duration(max(1, len(tasks)))
+}
+
+// tooLate reports whether a job of which nothing has started can no longer end in
+// time, so that starting it would only take machines from others.
+func (n *Node) tooLate(j *owner.Job) bool {
+	return !j.Begun() && j.Deadline.Sub(n.now) < n.estimates.Task(j.Profile, 0)/2
+}
+
+// shapes returns the different sizes of the machines.
+func shapes(machines map[string]cornelwall.VM) map[cornelwall.Need]bool {
+	set := map[cornelwall.Need]bool{}
+	for _, vm := range machines {
+		if vm.Kind == cornelwall.Executor {
+			set[cornelwall.Need{}] = true
+		} else {
+			set[vm.Room] = true
+		}
+	}
+	return set
+}
+
+// fitsAnywhere reports whether each task fits a machine of the VM list, free or not.
 // Before the first list any need might fit.
-func (n *Node) fitsAnywhere(need cornelwall.Need) bool {
-	if len(n.machines) == 0 {
+func (n *Node) fitsAnywhere(tasks []cornelwall.Task) bool {
+	if len(n.shapes) == 0 {
 		return true
 	}
-	for _, vm := range n.machines {
-		if vm.Kind == need.Kind() && (vm.Kind == cornelwall.Executor || need.Fits(vm.Room)) {
+	checked := map[cornelwall.Need]bool{}
+	for i := range tasks {
+		need := tasks[i].Need
+		if checked[need] {
+			continue
+		}
+		if !n.fits(need) {
+			return false
+		}
+		checked[need] = true
+	}
+	return true
+}
+
+func (n *Node) fits(need cornelwall.Need) bool {
+	if need.Kind() == cornelwall.Executor {
+		return n.shapes[cornelwall.Need{}]
+	}
+	for room := range n.shapes {
+		if room != (cornelwall.Need{}) && need.Fits(room) {
 			return true
 		}
 	}
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -1,37 +1,46 @@
 package node
 
 import (
-	"cmp"
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
 	"cornelwall"
 	"cornelwall/core/member"
 	"cornelwall/core/owner"
-	"cornelwall/core/slot"
+	"cornelwall/core/queue"
 )
 
 const (
-	pauseBusy   = 50 * time.Millisecond  // of a machine that refused a task
-	wantRefresh = 100 * time.Millisecond // between unchanged wants
-	maxRetries  = 50                     // starts of one task that did not happen
+	maxRetries  = 50              // starts of one task that did not happen
+	drainLife   = 5 * time.Minute // of a machine's word that it drains, against a VM list that lags
+	homesWait   = time.Second     // after the start, for the other homes to be heard of
+	minSiblings = 3               // tasks of a job done before they tell what to expect of the others
 )
 
 // attempt is one start of one task.
 type attempt struct {
-	job     *owner.Job
-	index   int
-	held    slot.Held
-	profile string
+	job   *owner.Job
+	index int
+	place cornelwall.Place
 }
 
-// sentWant is the last want that was sent for a need.
-type sentWant struct {
-	count int
-	at    time.Time
+// progress is what the tasks of a job that are done have taken.
+type progress struct {
+	done int
+	took time.Duration
+	next int // number of tasks done at which the queue hears of it again
 }
 
-// setMachines takes over the VM list.
+// drainSign is a machine's word, or a peer's, that it takes no new tasks.
+type drainSign struct {
+	addr  netip.AddrPort // a machine that comes back at another address is another one
+	until time.Time
+}
+
+// setMachines takes over the VM list. The list lags: it does not undo the word of a
+// machine that it drains.
 func (n *Node) setMachines(vms []cornelwall.VM) {
 	clear(n.machines)
 	for _, vm := range vms {
@@ -39,76 +48,143 @@
 			n.machines[vm.Name] = vm
 		}
 	}
+	maps.DeleteFunc(n.draining, func(name string, s drainSign) bool {
+		return n.machines[name].Addr != s.addr || !n.now.Before(s.until)
+	})
+	for name := range n.draining {
+		n.mark(name)
+	}
+	n.shapes = shapes(n.machines)
 	n.members.SetMachines(vms)
+	n.homes = nil
 	n.rehome()
 }
 
+// drain stops new tasks on a machine that says, or of which a peer says, that it
+// leaves.
+func (n *Node) drain(name string) {
+	vm, ok := n.machines[name]
+	if !ok || vm.State == cornelwall.Leaving {
+		return
+	}
+	n.draining[name] = drainSign{addr: vm.Addr, until: n.now.Add(drainLife)}
+	n.log("machine-draining", "machine", name)
+	n.mark(name)
+	n.homes = nil
+	n.rehome()
+}
+
+func (n *Node) mark(name string) {
+	vm := n.machines[name]
+	vm.State = cornelwall.Leaving
+	n.machines[name] = vm
+}
+
 // rehome takes the machines whose home this entry is now.
 func (n *Node) rehome() {
 	homes := n.members.Homes(n.now, n.leaving)
 	if len(homes) == 0 {
 		homes = append(homes, n.cfg.Self) // nobody else can lend these machines
 	}
+	if n.homes != nil && slices.Equal(homes, n.homes) || !n.homesKnown() {
+		return
+	}
+	n.homes = homes
 	var mine []cornelwall.VM
 	for _, vm := range n.machines {
 		if vm.DataCentre == n.cfg.Self.DataCentre && member.Home(vm.Name, homes) == n.cfg.Self {
 			mine = append(mine, vm)
 		}
 	}
-	n.home.SetMachines(mine)
+	n.placer.Machines(n.now, n.machines, mine)
 }
 
-// dispatch starts waiting tasks on loans, asks for more and returns what is left over.
-func (n *Node) dispatch() {
-	n.useLoans()
-	n.wantHere()
-	n.lend()
-	n.useLoans()
-	n.wantThere()
-	n.returnLoans()
+// homesKnown reports whether every other entry of this data centre was heard of, or has
+// had the time to be. Before, an entry that starts would lend what others have lent.
+func (n *Node) homesKnown() bool {
+	if n.now.Sub(n.start) >= homesWait {
+		return true
+	}
+	for _, p := range n.members.Near() {
+		if p.Incarnation.DataCentre == n.cfg.Self.DataCentre && p.Incarnation.Life == 0 {
+			return false
+		}
+	}
+	return true
 }
 
-// useLoans starts tasks while there are loans for them.
-func (n *Node) useLoans() {
-	for _, need := range n.waitingNeeds() {
-		for n.queue.Waiting(need) > 0 {
-			held, ok := n.pool.Take(need)
-			if !ok {
-				break
-			}
-			n.begin(need, held)
-		}
+// demand shows the waiting tasks of the node to its placer.
+type demand struct{ *Node }
+
+// Needs implements [cornelwall.Demand].
+func (d demand) Needs() []cornelwall.Need { return d.queue.Needs() }
+
+// Waiting implements [cornelwall.Demand].
+func (d demand) Waiting(need cornelwall.Need) int { return d.queue.Waiting(need) }
+
+// Head implements [cornelwall.Demand].
+func (d demand) Head(need cornelwall.Need) (cornelwall.Class, time.Time) {
+	class, rank, ok := d.queue.Head(need)
+	if !ok {
+		return cornelwall.Batch, d.now
 	}
+	return class, rank
 }
 
-// waitingNeeds returns the needs of the waiting tasks in a stable order.
-func (n *Node) waitingNeeds() []cornelwall.Need {
-	var needs []cornelwall.Need
-	n.queue.Needs(func(need cornelwall.Need, _ int) { needs = append(needs, need) })
-	slices.SortFunc(needs, func(a, b cornelwall.Need) int {
-		return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Memory, b.Memory), cmp.Compare(a.Accelerators, b.Accelerators))
-	})
-	return needs
+// Expected implements [cornelwall.Demand].
+func (d demand) Expected() time.Duration { return d.estimates.Any() }
+
+// Peers implements [cornelwall.Demand].
+func (d demand) Peers() []cornelwall.PeerRoom {
+	alive := d.members.Alive(d.now)
+	peers := make([]cornelwall.PeerRoom, 0, len(alive))
+	for _, p := range alive {
+		peers = append(peers, cornelwall.PeerRoom{ID: p.Incarnation, Room: p.Room, At: p.RoomAt, Leaving: p.Leaving})
+	}
+	return peers
 }
 
-// begin starts the next waiting task of the need on the loan.
-func (n *Node) begin(need cornelwall.Need, held slot.Held) {
-	vm, ok := n.machines[held.Machine]
+// Send implements [cornelwall.Demand].
+func (d demand) Send(to cornelwall.Incarnation, m cornelwall.Message) { d.send(to, m) }
+
+// Begin implements [cornelwall.Demand]: it starts the next waiting task of the need on
+// the place.
+func (d demand) Begin(place cornelwall.Place) bool {
+	n := d.Node
+	vm, ok := n.machines[place.Machine]
 	if !ok || vm.State != cornelwall.Live {
-		n.giveBack(held, 1, cornelwall.Return{})
-		return
+		return false
 	}
-	it, _ := n.queue.Pop(need)
-	j := n.jobs.Get(it.Job)
-	if j == nil || !j.Begin(it.Task) {
-		n.pool.Put(held, 1)
-		return
+	for {
+		seq, index, ok := n.queue.Pop(place.Need)
+		if !ok {
+			return false
+		}
+		j := n.jobs.Get(seq)
+		if n.tooLate(j) {
+			n.queue.Release(j.Profile)
+			n.finish(j, cornelwall.ReasonTooLate, backSoon)
+			continue
+		}
+		if !j.Begin(index) {
+			n.queue.Release(j.Profile)
+			continue
+		}
+		n.run(vm, place, j, index)
+		return true
 	}
+}
+
+// run starts a task.
+func (n *Node) run(vm cornelwall.VM, place cornelwall.Place, j *owner.Job, index int) {
 	id := n.id()
-	n.attempts[id] = &attempt{job: j, index: it.Task, held: held, profile: j.Profile}
+	n.attempts[id] = &attempt{job: j, index: index, place: place}
+	if place.Need.Kind() == cornelwall.Worker {
+		n.leased[j.Ticket.Seq] = append(n.leased[j.Ticket.Seq], id)
+	}
 	n.emit(cornelwall.Run{VM: vm, Start: cornelwall.Start{
-		Attempt: id, Ticket: j.Ticket, Index: it.Task,
-		Body: j.Spec[it.Task].Body, Need: need, Left: j.Deadline.Sub(n.now),
+		Attempt: id, Ticket: j.Ticket, Index: index,
+		Body: j.Spec[index].Body, Need: place.Need, Left: j.Deadline.Sub(n.now),
 	}})
 }
 
@@ -119,16 +195,46 @@
 		return
 	}
 	delete(n.attempts, ev.Attempt)
+	n.queue.Release(a.job.Profile)
 	r := ev.Result
+	n.placer.Ended(n.now, a.place, n.report(a, r))
 	if r.Draining {
-		n.drain(a.held.Machine)
+		n.drain(a.place.Machine)
 	}
 	if r.Outcome == cornelwall.NotRun {
 		n.retry(a, r)
-		return
+	} else {
+		n.took(a, r)
+	}
+	if a.job.Running() == 0 {
+		n.judge.Forget(a.job.Ticket.Seq)
+		delete(n.leased, a.job.Ticket.Seq)
+	}
+}
+
+// report tells what a result says of the machine.
+func (n *Node) report(a *attempt, r cornelwall.Result) cornelwall.Report {
+	rep := cornelwall.Report{Started: r.Outcome != cornelwall.NotRun, Reason: r.Reason, Draining: r.Draining}
+	seq := a.job.Ticket.Seq
+	switch r.Outcome {
+	case cornelwall.Done:
+		rep.Reason = cornelwall.ReasonNone
+		if p := n.progress[seq]; p != nil && p.done >= minSiblings {
+			rep.Pace = int(100 * r.Took * time.Duration(p.done) / max(1, p.took))
+		}
+	case cornelwall.Failed, cornelwall.Unknown:
+		rep.Blame = r.Reason != cornelwall.ReasonDeadline && n.judge.Blame(seq, a.place.Machine)
 	}
-	n.pool.Put(a.held, 1)
-	if r.Outcome != cornelwall.Done {
+	return rep
+}
+
+// took takes the result of a task that ran, or may have.
+func (n *Node) took(a *attempt, r cornelwall.Result) {
+	n.budget.Started()
+	if r.Outcome == cornelwall.Done {
+		n.estimates.Observe(a.job.Profile, r.Took)
+		n.observe(a.job, r.Took)
+	} else {
 		n.count(r.Reason, false)
 	}
 	if a.job.End(a.index, r) {
@@ -136,131 +242,58 @@
 	}
 }
 
-// drain stops new tasks on a machine until the VM list says otherwise.
-func (n *Node) drain(machine string) {
-	if vm, ok := n.machines[machine]; ok {
-		vm.State = cornelwall.Leaving
-		n.machines[machine] = vm
-		n.rehome()
+// observe notes how long a task of a job took, and now and then tells the queue what
+// to expect of its other tasks.
+func (n *Node) observe(j *owner.Job, took time.Duration) {
+	if j.Ended() || len(j.Tasks) <= minSiblings {
+		return
+	}
+	seq := j.Ticket.Seq
+	p := n.progress[seq]
+	if p == nil {
+		p = &progress{next: minSiblings}
+		n.progress[seq] = p
+	}
+	p.done++
+	p.took += took
+	if p.done == p.next {
+		p.next *= 4
+		n.queue.Expect(seq, p.took/time.Duration(p.done))
 	}
 }
 
-// retry queues a task again whose start provably did not happen.
+// retry queues a task again whose start provably did not happen. Another machine gets
+// it at once, as the place has gone back to its home.
 func (n *Node) retry(a *attempt, r cornelwall.Result) {
 	n.count(r.Reason, true)
-	if a.held.Home == n.cfg.Self {
-		n.home.Pause(a.held.Machine, n.now.Add(pauseBusy))
-	}
-	n.giveBack(a.held, 1, cornelwall.Return{Fail: 1, Draining: r.Draining})
 	a.job.Unstart(a.index)
 	if a.job.Ended() {
 		return
 	}
-	if a.job.Tasks[a.index].Retries > maxRetries {
+	if a.job.Tasks[a.index].Retries > maxRetries || !n.budget.Take() {
 		n.finish(a.job, cornelwall.ReasonRetries, backLater)
 		return
 	}
 	p, _ := n.catalog.Last(a.job.Profile)
-	n.queue.PushFront(n.item(a.job, a.index, &p))
+	l := n.lot(a.job, &p, a.job.Spec[a.index].Need)
+	l.Tasks = []int{a.index}
+	n.queue.Push(l)
 }
 
-// abandon asks workers to stop the running tasks of a job that has ended.
-func (n *Node) abandon(j *owner.Job) {
-	if j.Running() == 0 {
-		return
-	}
-	var ids []uint64
-	for id, a := range n.attempts {
-		if a.job == j && a.held.Need.Kind() == cornelwall.Worker {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		n.emit(cornelwall.Abandon{Attempt: id})
-	}
-}
-
-// wantHere tells this entry's own home what waits here.
-func (n *Node) wantHere() {
-	for _, need := range n.waitingNeeds() {
-		w := n.wantOf(need)
-		n.home.Want(n.now, n.cfg.Self, &w)
-	}
-}
-
-func (n *Node) wantOf(need cornelwall.Need) cornelwall.Want {
-	class, since, ok := n.queue.Head(need)
-	w := cornelwall.Want{Need: need, Count: n.queue.Waiting(need), Class: class}
-	if ok {
-		w.Age = cornelwall.Duration(n.now.Sub(since))
-	}
-	return w
-}
-
-// lend hands out loans of this home.
-func (n *Node) lend() {
-	for _, g := range n.home.Grant(n.now) {
-		if g.To == n.cfg.Self {
-			n.pool.Put(slot.Held{Home: n.cfg.Self, Machine: g.Loan.Machine, Need: g.Loan.Need}, g.Loan.Count)
-			continue
-		}
-		loan := g.Loan
-		n.send(g.To, cornelwall.Message{Loan: &loan})
+// lot returns the lot of one need of a job, without tasks.
+func (n *Node) lot(j *owner.Job, p *cornelwall.Profile, need cornelwall.Need) queue.Lot {
+	return queue.Lot{
+		Job: j.Ticket.Seq, Need: need, Class: p.Class, Team: p.Team, Profile: j.Profile, Limit: p.Concurrency,
+		Weight: p.Quota, Since: j.Since, Each: n.estimates.Task(j.Profile, declared(j.Spec)),
 	}
 }
 
-// wantThere tells the other homes what is left waiting, and when nothing is.
-func (n *Node) wantThere() {
-	for need, sent := range n.lastWant {
-		if sent.count > 0 && n.queue.Waiting(need) == 0 {
-			n.sendWant(cornelwall.Want{Need: need})
-			delete(n.lastWant, need)
-		}
-	}
-	for _, need := range n.waitingNeeds() {
-		w := n.wantOf(need)
-		sent := n.lastWant[need]
-		if 2*sent.count < w.Count || n.now.Sub(sent.at) >= wantRefresh {
-			n.lastWant[need] = sentWant{count: w.Count, at: n.now}
-			n.sendWant(w)
+// abandon asks workers to stop the running tasks of a job that has ended.
+func (n *Node) abandon(j *owner.Job) {
+	for _, id := range n.leased[j.Ticket.Seq] {
+		if n.attempts[id] != nil {
+			n.emit(cornelwall.Abandon{Attempt: id})
 		}
 	}
-}
-
-func (n *Node) sendWant(w cornelwall.Want) {
-	for _, p := range n.members.Alive(n.now) {
-		n.send(p.Incarnation, cornelwall.Message{Want: &w})
-	}
-}
-
-// borrowed takes a loan from another home.
-func (n *Node) borrowed(from cornelwall.Incarnation, l *cornelwall.Loan) {
-	n.pool.Put(slot.Held{Home: from, Machine: l.Machine, Need: l.Need}, l.Count)
-}
-
-// returnLoans gives back all loans that no waiting task can use.
-func (n *Node) returnLoans() {
-	n.pool.Drain(func(h slot.Held, count int) { n.giveBack(h, count, cornelwall.Return{}) })
-}
-
-// giveBack returns loans to their home. The report tells how tasks there ended.
-func (n *Node) giveBack(h slot.Held, count int, report cornelwall.Return) {
-	report.Machine, report.Need, report.Count = h.Machine, h.Need, count
-	if h.Home == n.cfg.Self {
-		n.home.Return(n.cfg.Self, &report)
-		return
-	}
-	n.send(h.Home, cornelwall.Message{Return: &report})
-}
-
-// returned takes loans back from a borrower.
-func (n *Node) returned(from cornelwall.Incarnation, r *cornelwall.Return) {
-	n.home.Return(from, r)
-	if r.Draining {
-		n.drain(r.Machine)
-	}
-	if r.Fail > 0 {
-		n.home.Pause(r.Machine, n.now.Add(pauseBusy))
-	}
+	delete(n.leased, j.Ticket.Seq)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -14,12 +14,15 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/admit"
 	"cornelwall/core/catalog"
 	"cornelwall/core/claim"
+	"cornelwall/core/health"
 	"cornelwall/core/heir"
 	"cornelwall/core/member"
 	"cornelwall/core/owner"
 	"cornelwall/core/queue"
+	"cornelwall/core/retry"
 	"cornelwall/core/slot"
 	"cornelwall/core/ticket"
 )
@@ -37,6 +40,9 @@
 	ClaimLife  time.Duration // of a caller's key
 	ClaimRate  float64       // claims per second at this entry
 	MaxJobs    int           // records held at once
+
+	// Placer makes the placer; nil places by loans.
+	Placer func(self cornelwall.Incarnation) cornelwall.Placer
 }
 
 const minSecretLen = 16 // bytes
@@ -87,19 +93,26 @@
 	minter   *ticket.Minter
 	jobs     *owner.Table
 	queue    *queue.Queue
-	home     *slot.Home
-	pool     *slot.Pool
+	placer   cornelwall.Placer
 	members  *member.Table
 	catalog  *catalog.Catalog
 	heirs    *heir.Keeper
 	claims   *claim.Table
 	timers   timers
 	machines map[string]cornelwall.VM
+	draining map[string]drainSign
+	shapes   map[cornelwall.Need]bool // sizes of the machines
+	homes    []cornelwall.Incarnation // by which the machines were last dealt
+
+	estimates *admit.Estimates
+	judge     *health.Judge
+	budget    *retry.Budget
+	progress  map[uint64]*progress // by sequence number of the ticket
+	leased    map[uint64][]uint64  // starts on workers, by sequence number of the ticket
 
 	attempts map[uint64]*attempt
 	forwards map[uint64]*forward
 	inspects map[uint64]*inspect
-	lastWant map[cornelwall.Need]sentWant
 	asked    map[uint64]askedBack // local requests that wait for an owned job
 	resend   []cornelwall.Send
 	nextID   uint64
@@ -118,6 +131,9 @@
 	if err := cfg.Check(); err != nil {
 		panic(err)
 	}
+	if cfg.Placer == nil {
+		cfg.Placer = func(self cornelwall.Incarnation) cornelwall.Placer { return slot.New(self) }
+	}
 	return &Node{
 		cfg:      cfg,
 		start:    now,
@@ -125,17 +141,23 @@
 		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
 		jobs:     owner.NewTable(),
 		queue:    queue.New(),
-		home:     slot.NewHome(),
-		pool:     slot.NewPool(),
+		placer:   cfg.Placer(cfg.Self),
 		members:  member.NewTable(cfg.Self, cfg.Away),
 		catalog:  catalog.New(),
 		heirs:    heir.NewKeeper(cfg.TicketLife),
 		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
 		machines: map[string]cornelwall.VM{},
+		draining: map[string]drainSign{},
+
+		estimates: admit.NewEstimates(),
+		judge:     health.NewJudge(),
+		budget:    retry.NewBudget(retry.Share, retry.Burst),
+		progress:  map[uint64]*progress{},
+		leased:    map[uint64][]uint64{},
+
 		attempts: map[uint64]*attempt{},
 		forwards: map[uint64]*forward{},
 		inspects: map[uint64]*inspect{},
-		lastWant: map[cornelwall.Need]sentWant{},
 		asked:    map[uint64]askedBack{},
 		nextBeat: now,
 	}
@@ -147,26 +169,19 @@
 	if at, ok := n.timers.next(); ok && at.Before(next) {
 		next = at
 	}
-	if n.queue.Len() > 0 {
-		next = minTime(next, n.now.Add(pauseBusy))
+	if at := n.placer.Next(); !at.IsZero() && at.Before(next) {
+		next = at
 	}
 	return next
 }
 
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Step takes one event and returns what follows from it.
 func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
 	n.now, n.out = now, nil
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
 	n.beat()
-	n.dispatch()
+	n.placer.Place(now, demand{n})
 	n.advanceStop()
 	return n.out
 }
@@ -191,6 +206,8 @@
 		n.undelivered(&ev.Envelope)
 	case cornelwall.Machines:
 		n.setMachines(ev.VMs)
+	case cornelwall.Usage:
+		n.placer.Usage(n.now, ev.Machine, ev.Used, ev.Lag)
 	case cornelwall.Watched:
 		n.watched(ev)
 	case cornelwall.WatchLost:
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -31,12 +31,13 @@
 		n.serveForward(from, m.Forward)
 	case m.Back != nil:
 		n.back(m.Back)
-	case m.Want != nil:
-		n.home.Want(n.now, from, m.Want)
-	case m.Loan != nil:
-		n.borrowed(from, m.Loan)
+	case m.Want != nil, m.Loan != nil, m.Adopt != nil:
+		n.placer.Receive(n.now, from, m)
 	case m.Return != nil:
-		n.returned(from, m.Return)
+		n.placer.Receive(n.now, from, m)
+		if m.Return.Draining {
+			n.drain(m.Return.Machine)
+		}
 	case m.Versions != nil:
 		n.sendProfiles(from, n.catalog.NewerThan(m.Versions.Have))
 	case m.Catalog != nil:
@@ -103,7 +104,7 @@
 
 // lost takes back what an incarnation held and steers again what waited for it.
 func (n *Node) lost(id cornelwall.Incarnation) {
-	n.home.Reclaim(id)
+	n.placer.Lost(n.now, id)
 	n.checkForwards()
 }
 
@@ -126,12 +127,13 @@
 	}
 	n.members.Forget(n.now)
 	n.heirs.Forget(n.now)
-	for _, id := range n.home.Borrowers() {
-		if id != n.cfg.Self && n.members.Status(n.now, id) != member.Alive {
-			n.home.Reclaim(id)
+	for _, id := range n.placer.Partners() {
+		if n.members.Status(n.now, id) != member.Alive {
+			n.placer.Lost(n.now, id)
 		}
 	}
 	n.rehome()
+	n.placer.Beat(n.now, demand{n})
 	n.electWatcher()
 	n.checkForwards()
 	n.endInspects()
@@ -153,6 +155,7 @@
 		Fresh:   n.watching && !n.stale(),
 		Watcher: n.watching,
 		Answer:  answer,
+		Room:    n.placer.Room(),
 	}}})
 }
 
@@ -161,13 +164,13 @@
 	for i := range e.Messages {
 		m := e.Messages[i]
 		switch {
-		case m.Loan != nil:
-			n.home.Return(e.To, &cornelwall.Return{Machine: m.Loan.Machine, Need: m.Loan.Need, Count: m.Loan.Count})
+		case m.Want != nil, m.Loan != nil, m.Return != nil, m.Adopt != nil:
+			n.placer.Undelivered(n.now, e.To, &m)
 		case m.Forward != nil:
 			if f := n.forwards[m.Forward.Req]; f != nil && f.to == e.To {
 				n.resend = append(n.resend, cornelwall.Send{To: e.To, Message: m})
 			}
-		case m.Back != nil, m.Return != nil, m.Inherited != nil:
+		case m.Back != nil, m.Inherited != nil:
 			if n.members.Status(n.now, e.To) != member.Gone {
 				n.resend = append(n.resend, cornelwall.Send{To: e.To, Message: m})
 			}
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -42,6 +42,8 @@
 	cornelwall.ReasonNoProfile: "no such profile is in force; list the profiles and use one of them",
 	cornelwall.ReasonStopping:  "the entry is stopping; draw a new ticket from another entry",
 	cornelwall.ReasonStale:     "the entry has no fresh word of the profiles; come back later or use another data centre",
+	cornelwall.ReasonTooLate:   "the job would end after its deadline; come back later or give it more time",
+	cornelwall.ReasonRetries:   "too many machines refused the tasks of the job; come back later",
 	cornelwall.ReasonQueueFull: "the queue of the profile is full; come back later",
 	cornelwall.ReasonOverload:  "the entry holds as much work as it can; come back later",
 	cornelwall.ReasonNeverFits: "no machine is large enough for a task of the job; make the task smaller",
@@ -171,8 +173,8 @@
 	j := n.jobs.Add(job, digest, n.now, n.now.Add(left), expires)
 	n.timers.add(j.Deadline, job.Ticket.Seq)
 	n.join(j, w)
-	for i := range job.Tasks {
-		n.queue.Push(n.item(j, i, &p))
+	for _, l := range n.lots(j, &p) {
+		n.queue.Push(l)
 	}
 }
 
@@ -254,6 +256,7 @@
 // waiting.
 func (n *Node) settle(j *owner.Job) {
 	n.queue.Remove(j.Ticket.Seq)
+	delete(n.progress, j.Ticket.Seq)
 	n.abandon(j)
 	for _, w := range j.Waiters {
 		n.answer(w, j.Answer)
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -70,6 +70,9 @@
 // Running returns the number of tasks that have started and not ended.
 func (j *Job) Running() int { return j.running }
 
+// Begun reports whether a task of the job has started.
+func (j *Job) Begun() bool { return j.running+j.done > 0 }
+
 // Begin marks a waiting task as started. It reports false if the task must not start.
 func (j *Job) Begin(i int) bool {
 	if j.Ended() || j.Tasks[i].State != Waiting {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -1,66 +1,134 @@
 // Package queue orders the tasks that wait at an owner for a machine.
 //
-// Tasks of a higher class go first. Within a class the teams share by the weight of
-// their quota (start-time fair queueing), and within a team the jobs go in the order
-// of their submission, so that a job which has begun is finished before the next one
-// begins.
+// Tasks of a higher class go first, but a small share of the starts goes to the lower
+// classes, so that none starves. Within a class the teams share by the weight of their
+// quota (start-time fair queueing over expected run time). Within a team the job goes
+// first whose submission, put off by a share of the work that it has left, is the
+// earliest: small jobs and jobs that are nearly through pass large ones, but no job
+// waits for ever.
+//
+// All operations but Ahead take time logarithmic in the number of waiting jobs; Ahead
+// is linear in the number of teams and of the jobs of one team.
 //
 // # Usage
 //
 //	q := queue.New()
-//	q.Push(queue.Item{Job: seq, Task: 0, Need: need, Class: class, Team: team, Weight: 1, Since: now})
-//	item, ok := q.Pop(need)
+//	q.Push(queue.Lot{Job: seq, Need: need, Class: class, Team: team, Weight: 1, Since: now, Tasks: []int{0, 1}})
+//	job, task, ok := q.Pop(need)
+//	q.Remove(seq)
 package queue
 
 import (
+	"cmp"
+	"container/heap"
+	"slices"
 	"time"
 
 	"cornelwall"
 )
 
-// Item is one waiting task.
-type Item struct {
-	Job    uint64 // sequence number of the job's ticket
-	Task   int    // index in the job
-	Need   cornelwall.Need
-	Class  cornelwall.Class
-	Team   string
-	Weight int       // of the team in fair sharing; at least 1
-	Since  time.Time // when the job was submitted
+const (
+	// sizeShare puts a job off by this share of its work, in slot time.
+	sizeShare = 0.05
+	// lowShare is one in how many starts of a need goes to the lower classes.
+	lowShare = 16
+)
+
+// Lot is the waiting tasks of one need of one job.
+type Lot struct {
+	Job     uint64 // sequence number of the job's ticket
+	Need    cornelwall.Need
+	Class   cornelwall.Class
+	Team    string
+	Profile string
+	Limit   int           // tasks of the profile that may run at once; 0 is no limit
+	Weight  int           // of the team in fair sharing; at least 1
+	Since   time.Time     // when the job was submitted
+	Each    time.Duration // expected run time of a task
+	Tasks   []int         // indices in the job; the first goes first
 }
 
+// lot is a Lot in the queue.
+type lot struct {
+	Lot
+	rank  time.Time
+	open  int // tasks that the limit of the profile allows to start
+	team  *team
+	index int // in the heap of its team; -1 if nothing is open
+	held  int // in the heap of its profile; -1 if all is open
+}
+
+// work returns the expected slot time of the tasks that may start.
+func (l *lot) work() time.Duration { return time.Duration(l.open) * l.Each }
+
 // Queue holds the waiting tasks, apart by need.
 type Queue struct {
-	needs map[cornelwall.Need]*lanes
-	len   int
+	needs    map[cornelwall.Need]*lanes
+	jobs     map[uint64][]*lot
+	profiles map[string]*profile
+	len      int
+}
+
+// profile holds a profile to its limit.
+type profile struct {
+	limit   int // 0 is none
+	running int
+	len     int      // waiting tasks
+	open    int      // of them, those that may start
+	held    heldHeap // lots with tasks that may not
+}
+
+// room returns how many more tasks may be open.
+func (p *profile) room(want int) int {
+	if p.limit == 0 {
+		return want
+	}
+	return max(0, min(want, p.limit-p.running-p.open))
 }
 
 // lanes holds the waiting tasks of one need, a lane per class.
 type lanes struct {
 	lane [cornelwall.Urgent + 1]lane
-	len  int
+	len  int // without the blocked
+	pops int
 }
 
 // lane holds the waiting tasks of one class.
 type lane struct {
 	teams   map[string]*team
-	virtual float64 // virtual time of the last pop
-	len     int
+	order   teamHeap // teams with tasks that may start
+	virtual float64  // virtual time of the last pop
+	work    time.Duration
 }
 
-// team holds the waiting tasks of one team in one lane.
+// team holds the waiting jobs of one team in one lane.
 type team struct {
-	items  []Item // in order; popped items are removed from the front
-	finish float64
+	name   string
+	lane   *lane
+	lots   lotHeap
+	finish float64 // virtual time
+	weight float64
+	work   time.Duration // of the lots
+	index  int           // in the order of the lane; -1 without lots
 }
 
 // New returns an empty queue.
-func New() *Queue { return &Queue{needs: map[cornelwall.Need]*lanes{}} }
+func New() *Queue {
+	return &Queue{needs: map[cornelwall.Need]*lanes{}, jobs: map[uint64][]*lot{}, profiles: map[string]*profile{}}
+}
 
-// Len returns the number of waiting tasks.
+// Len returns the number of waiting tasks, those of blocked profiles included.
 func (q *Queue) Len() int { return q.len }
 
-// Waiting returns the number of waiting tasks of one need.
+// Profile returns the number of waiting tasks of a profile.
+func (q *Queue) Profile(name string) int {
+	if p := q.profiles[name]; p != nil {
+		return p.len
+	}
+	return 0
+}
+
+// Waiting returns the number of tasks of one need that may start.
 func (q *Queue) Waiting(need cornelwall.Need) int {
 	if l := q.needs[need]; l != nil {
 		return l.len
@@ -68,137 +136,380 @@
 	return 0
 }
 
-// Needs calls f for each need that has waiting tasks.
-func (q *Queue) Needs(f func(need cornelwall.Need, waiting int)) {
+// Needs returns the needs of the tasks that may start, the smallest first.
+func (q *Queue) Needs() []cornelwall.Need {
+	if len(q.needs) == 0 {
+		return nil
+	}
+	needs := make([]cornelwall.Need, 0, len(q.needs))
 	for need, l := range q.needs {
-		f(need, l.len)
+		if l.len > 0 {
+			needs = append(needs, need)
+		}
+	}
+	slices.SortFunc(needs, func(a, b cornelwall.Need) int {
+		return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Memory, b.Memory), cmp.Compare(a.Accelerators, b.Accelerators))
+	})
+	return needs
+}
+
+// Push adds tasks. They join the lot that the job has already, which is how a task
+// goes back whose start did not happen.
+func (q *Queue) Push(l Lot) {
+	for _, have := range q.jobs[l.Job] {
+		if have.Need == l.Need {
+			q.take(have)
+			have.Tasks = append(have.Tasks, l.Tasks...)
+			q.put(have)
+			return
+		}
+	}
+	l.Tasks = slices.Clone(l.Tasks)
+	added := &lot{Lot: l, index: -1, held: -1}
+	q.jobs[l.Job] = append(q.jobs[l.Job], added)
+	q.put(added)
+}
+
+// put enters a lot into the counts and heaps.
+func (q *Queue) put(l *lot) {
+	l.rank = l.Since.Add(time.Duration(sizeShare * float64(len(l.Tasks)) * float64(l.Each)))
+	q.len += len(l.Tasks)
+	p := q.profile(l.Profile)
+	p.len += len(l.Tasks)
+	q.limit(p, l.Limit)
+	l.open = p.room(len(l.Tasks))
+	p.open += l.open
+	if l.open < len(l.Tasks) {
+		heap.Push(&p.held, l)
+	}
+	if l.open > 0 {
+		q.offer(l)
+	}
+}
+
+// take is the reverse of put.
+func (q *Queue) take(l *lot) {
+	q.len -= len(l.Tasks)
+	p := q.profile(l.Profile)
+	p.len -= len(l.Tasks)
+	p.open -= l.open
+	if l.held >= 0 {
+		heap.Remove(&p.held, l.held)
+	}
+	if l.open > 0 {
+		q.withhold(l)
+	}
+}
+
+// limit sets the limit of a profile. Tasks that are open already stay so, even if the
+// limit becomes lower; no more are opened until it allows them.
+func (q *Queue) limit(p *profile, n int) {
+	if p.limit == n {
+		return
+	}
+	p.limit = n
+	q.open(p)
+}
+
+// open lets tasks start that the limit of their profile held back.
+func (q *Queue) open(p *profile) {
+	for len(p.held) > 0 && p.room(1) > 0 {
+		l := p.held[0]
+		q.take(l)
+		q.put(l)
+	}
+}
+
+// Release says that a task of the profile which was popped runs no longer.
+func (q *Queue) Release(name string) {
+	p := q.profiles[name]
+	if p == nil {
+		return
+	}
+	p.running--
+	q.open(p)
+	q.drop(name)
+}
+
+// drop forgets a profile that has no tasks.
+func (q *Queue) drop(name string) {
+	if p := q.profiles[name]; p != nil && p.running <= 0 && p.len == 0 {
+		delete(q.profiles, name)
 	}
 }
 
-// Push appends a task to its team.
-func (q *Queue) Push(it Item) { q.insert(it, false) }
+func (q *Queue) profile(name string) *profile {
+	p := q.profiles[name]
+	if p == nil {
+		p = &profile{}
+		q.profiles[name] = p
+	}
+	return p
+}
 
-// PushFront puts a task back that was popped but did not start.
-func (q *Queue) PushFront(it Item) { q.insert(it, true) }
+// offer lets a lot start.
+func (q *Queue) offer(l *lot) {
+	ls := q.needs[l.Need]
+	if ls == nil {
+		ls = &lanes{}
+		q.needs[l.Need] = ls
+	}
+	ls.len += l.open
+	ln := &ls.lane[l.Class]
+	ln.work += l.work()
+	t := ln.team(l.Team)
+	t.weight = float64(max(1, l.Weight))
+	t.work += l.work()
+	l.team = t
+	heap.Push(&t.lots, l)
+	if t.index < 0 {
+		t.finish = max(t.finish, ln.virtual)
+		heap.Push(&ln.order, t)
+	}
+}
 
-func (q *Queue) insert(it Item, front bool) {
-	l := q.needs[it.Need]
-	if l == nil {
-		l = &lanes{}
-		q.needs[it.Need] = l
+// withhold is the reverse of offer.
+func (q *Queue) withhold(l *lot) {
+	ls := q.needs[l.Need]
+	ls.len -= l.open
+	t := l.team
+	t.work -= l.work()
+	t.lane.work -= l.work()
+	heap.Remove(&t.lots, l.index)
+	if len(t.lots) == 0 {
+		heap.Remove(&t.lane.order, t.index)
+	}
+	if ls.len == 0 {
+		delete(q.needs, l.Need) // with nothing waiting, no team owes another anything
 	}
-	ln := &l.lane[it.Class]
+}
+
+// team returns the team of the name.
+func (ln *lane) team(name string) *team {
 	if ln.teams == nil {
 		ln.teams = map[string]*team{}
 	}
-	t := ln.teams[it.Team]
+	t := ln.teams[name]
 	if t == nil {
-		t = &team{}
-		ln.teams[it.Team] = t
+		t = &team{name: name, lane: ln, index: -1}
+		ln.teams[name] = t
 	}
-	if len(t.items) == 0 {
-		t.finish = max(t.finish, ln.virtual)
+	return t
+}
+
+// next returns the lane whose turn it is: the highest class, but for a share of the
+// starts the lowest that waits.
+func (ls *lanes) next() *lane {
+	var high, low *lane
+	for c := range ls.lane {
+		ln := &ls.lane[len(ls.lane)-1-c]
+		if len(ln.order) == 0 {
+			continue
+		}
+		if high == nil {
+			high = ln
+		} else {
+			low = ln
+		}
+	}
+	if low != nil && ls.pops%lowShare == lowShare-1 {
+		return low
 	}
-	if front {
-		t.items = append([]Item{it}, t.items...)
+	return high
+}
+
+// Pop removes and returns the next task of the need that may start. It runs until
+// Release is called for its profile.
+func (q *Queue) Pop(need cornelwall.Need) (job uint64, task int, ok bool) {
+	ls := q.needs[need]
+	if ls == nil {
+		return 0, 0, false
+	}
+	ln := ls.next()
+	ls.pops++
+	t := ln.order[0]
+	l := t.lots[0]
+	ln.virtual = t.finish
+	t.finish += l.Each.Seconds() / t.weight
+	heap.Fix(&ln.order, t.index)
+	q.take(l)
+	q.profile(l.Profile).running++
+	task = l.Tasks[0]
+	l.Tasks = l.Tasks[1:]
+	if len(l.Tasks) > 0 {
+		q.put(l)
 	} else {
-		t.items = append(t.items, it)
+		q.forget(l)
 	}
-	ln.len++
-	l.len++
-	q.len++
+	return l.Job, task, true
 }
 
-// Pop removes and returns the next task of the need.
-func (q *Queue) Pop(need cornelwall.Need) (Item, bool) {
-	l := q.needs[need]
-	if l == nil {
-		return Item{}, false
+// forget drops an empty lot from its job.
+func (q *Queue) forget(l *lot) {
+	lots := slices.DeleteFunc(q.jobs[l.Job], func(have *lot) bool { return have == l })
+	if len(lots) == 0 {
+		delete(q.jobs, l.Job)
+	} else {
+		q.jobs[l.Job] = lots
 	}
-	for c := range l.lane {
-		ln := &l.lane[len(l.lane)-1-c]
-		if ln.len == 0 {
-			continue
-		}
-		t := ln.next()
-		it := t.items[0]
-		t.items = t.items[1:]
-		ln.virtual = t.finish
-		t.finish += 1 / float64(max(1, it.Weight))
-		q.shrink(need, l, ln, 1)
-		return it, true
-	}
-	return Item{}, false
-}
-
-// Head returns the class of the next task of the need and when the oldest task of
-// that class was submitted.
-func (q *Queue) Head(need cornelwall.Need) (class cornelwall.Class, since time.Time, ok bool) {
-	l := q.needs[need]
-	if l == nil {
+}
+
+// Head returns the class of the next task of the need and the time by which its job
+// is ranked.
+func (q *Queue) Head(need cornelwall.Need) (class cornelwall.Class, rank time.Time, ok bool) {
+	ls := q.needs[need]
+	if ls == nil {
 		return 0, time.Time{}, false
 	}
-	for c := range l.lane {
-		class = cornelwall.Urgent - cornelwall.Class(c)
-		ln := &l.lane[class]
-		if ln.len == 0 {
-			continue
-		}
-		for _, t := range ln.teams {
-			if len(t.items) > 0 && (since.IsZero() || t.items[0].Since.Before(since)) {
-				since = t.items[0].Since
-			}
-		}
-		return class, since, true
+	l := ls.next().order[0].lots[0]
+	return l.Class, l.rank, true
+}
+
+// Remove drops the waiting tasks of a job and returns their number.
+func (q *Queue) Remove(job uint64) int {
+	n := 0
+	for _, l := range q.jobs[job] {
+		n += len(l.Tasks)
+		q.take(l)
+		q.open(q.profile(l.Profile))
+		q.drop(l.Profile)
 	}
-	return 0, time.Time{}, false
+	delete(q.jobs, job)
+	return n
 }
 
-// Remove drops the waiting tasks of a job and returns them.
-func (q *Queue) Remove(job uint64) []Item {
-	var removed []Item
-	for need, l := range q.needs {
-		for c := range l.lane {
-			ln := &l.lane[c]
-			for _, t := range ln.teams {
-				kept := t.items[:0:0]
-				for _, it := range t.items {
-					if it.Job == job {
-						removed = append(removed, it)
-					} else {
-						kept = append(kept, it)
-					}
-				}
-				n := len(t.items) - len(kept)
-				t.items = kept
-				q.shrink(need, l, ln, n)
+// Expect changes the expected run time of the waiting tasks of a job.
+func (q *Queue) Expect(job uint64, each time.Duration) {
+	for _, l := range q.jobs[job] {
+		q.take(l)
+		l.Each = each
+		q.put(l)
+	}
+}
+
+// Ahead returns the slot time that goes before the end of a new lot, its own included,
+// if nothing else comes: all work of higher classes, the work of its team that is
+// ranked before it, and of the other teams as much as their weight gives them while
+// the team's own is done.
+func (q *Queue) Ahead(l Lot) time.Duration {
+	own := time.Duration(len(l.Tasks)) * l.Each
+	ls := q.needs[l.Need]
+	if ls == nil {
+		return own
+	}
+	sum := time.Duration(0)
+	for c := l.Class + 1; int(c) < len(ls.lane); c++ {
+		sum += ls.lane[c].work
+	}
+	rank := l.Since.Add(time.Duration(sizeShare * float64(own)))
+	ln := &ls.lane[l.Class]
+	if t := ln.teams[l.Team]; t != nil {
+		for _, have := range t.lots {
+			if !have.rank.After(rank) {
+				own += have.work()
 			}
 		}
 	}
-	return removed
+	weight := float64(max(1, l.Weight))
+	for name, t := range ln.teams {
+		if name != l.Team {
+			sum += min(t.work, time.Duration(float64(own)*t.weight/weight))
+		}
+	}
+	return sum + own
 }
 
-func (q *Queue) shrink(need cornelwall.Need, l *lanes, ln *lane, n int) {
-	ln.len -= n
-	l.len -= n
-	q.len -= n
-	if l.len == 0 {
-		delete(q.needs, need)
+// lotHeap is the jobs of a team, the one that goes first on top.
+type lotHeap []*lot
+
+func (h lotHeap) Len() int { return len(h) }
+
+func (h lotHeap) Less(i, j int) bool {
+	if !h[i].rank.Equal(h[j].rank) {
+		return h[i].rank.Before(h[j].rank)
 	}
+	return h[i].Job < h[j].Job
 }
 
-// next returns the team with waiting tasks whose turn it is. Ties go by name, so that
-// the order does not depend on the order of a map.
-func (ln *lane) next() *team {
-	var best *team
-	var bestName string
-	for name, t := range ln.teams {
-		if len(t.items) == 0 {
-			continue
-		}
-		if best == nil || t.finish < best.finish || (t.finish == best.finish && name < bestName) {
-			best, bestName = t, name
-		}
+func (h lotHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *lotHeap) Push(x any) {
+	l := x.(*lot)
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+func (h *lotHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	last.index = -1
+	*h = old[:len(old)-1]
+	return last
+}
+
+// teamHeap is the teams of a lane with tasks that may start, the one whose turn it is
+// on top. Ties go by name, so that the order does not depend on the order of a map.
+type teamHeap []*team
+
+func (h teamHeap) Len() int { return len(h) }
+
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].finish != h[j].finish {
+		return h[i].finish < h[j].finish
+	}
+	return h[i].name < h[j].name
+}
+
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *teamHeap) Push(x any) {
+	t := x.(*team)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+func (h *teamHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	last.index = -1
+	*h = old[:len(old)-1]
+	return last
+}
+
+// heldHeap is the jobs of a profile that its limit holds back, in the order in which
+// they may go on.
+type heldHeap []*lot
+
+func (h heldHeap) Len() int { return len(h) }
+
+func (h heldHeap) Less(i, j int) bool {
+	if !h[i].rank.Equal(h[j].rank) {
+		return h[i].rank.Before(h[j].rank)
 	}
-	return best
+	return h[i].Job < h[j].Job
+}
+
+func (h heldHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].held, h[j].held = i, j
+}
+
+func (h *heldHeap) Push(x any) {
+	l := x.(*lot)
+	l.held = len(*h)
+	*h = append(*h, l)
+}
+
+func (h *heldHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	last.held = -1
+	*h = old[:len(old)-1]
+	return last
 }
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,187 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cornelwall"
+	"cornelwall/core/queue"
+)
+
+var start = time.Unix(1700000000, 0)
+
+func lot(job uint64, team string, n int) queue.Lot {
+	l := queue.Lot{Job: job, Class: cornelwall.Normal, Team: team, Profile: team, Weight: 1, Since: start, Each: time.Second}
+	for i := range n {
+		l.Tasks = append(l.Tasks, i)
+	}
+	return l
+}
+
+// pops returns the jobs of the next n tasks.
+func pops(q *queue.Queue, n int) string {
+	out := ""
+	for range n {
+		job, _, ok := q.Pop(cornelwall.Need{})
+		if !ok {
+			return out + "-"
+		}
+		out += fmt.Sprint(job)
+	}
+	return out
+}
+
+func TestOrder(t *testing.T) {
+	with := func(l queue.Lot, f func(*queue.Lot)) queue.Lot {
+		f(&l)
+		return l
+	}
+	for _, tc := range []struct {
+		name string
+		lots []queue.Lot
+		want string
+	}{
+		{"teams take turns", []queue.Lot{lot(1, "a", 3), lot(2, "b", 3)}, "121212"},
+		{"weights", []queue.Lot{lot(1, "a", 2), with(lot(2, "b", 4), func(l *queue.Lot) { l.Weight = 2 })}, "122122"},
+		{"small jobs of a team first", []queue.Lot{lot(1, "a", 40), lot(2, "a", 2)}, "22111"},
+		{"old jobs of a team first", []queue.Lot{lot(1, "a", 3), with(lot(2, "a", 1), func(l *queue.Lot) { l.Since = start.Add(time.Minute) })}, "1112"},
+		{"higher class first", []queue.Lot{lot(1, "a", 2), with(lot(2, "b", 2), func(l *queue.Lot) { l.Class = cornelwall.Urgent })}, "2211-"},
+		{"lower class does not starve", []queue.Lot{with(lot(1, "a", 2), func(l *queue.Lot) { l.Class = cornelwall.Batch }), lot(2, "b", 40)}, "2222222222222221222"},
+		{"limit of the profile", []queue.Lot{with(lot(1, "a", 3), func(l *queue.Lot) { l.Limit = 2 }), lot(2, "b", 1)}, "121-"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := queue.New()
+			for _, l := range tc.lots {
+				q.Push(l)
+			}
+			assert.Equal(t, pops(q, len(tc.want)), tc.want)
+		})
+	}
+}
+
+func TestReleaseOpensTheLimit(t *testing.T) {
+	q := queue.New()
+	l := lot(1, "a", 3)
+	l.Limit = 1
+	q.Push(l)
+	assert.Equal(t, q.Waiting(cornelwall.Need{}), 1)
+	assert.Equal(t, pops(q, 2), "1-")
+	q.Release("a")
+	assert.Equal(t, pops(q, 2), "1-")
+	assert.Equal(t, q.Len(), 1)
+}
+
+func TestAhead(t *testing.T) {
+	q := queue.New()
+	q.Push(lot(1, "a", 10))
+	q.Push(lot(2, "b", 3))
+	assert.Equal(t, q.Ahead(lot(3, "c", 2)), 6*time.Second)  // 2 own, 2 of a, 2 of b
+	assert.Equal(t, q.Ahead(lot(3, "b", 4)), 14*time.Second) // 4 own, 3 before it, 7 of a
+}
+
+// TestCounts makes random operations and compares the counts with a plain list.
+func TestCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New()
+		waiting := map[uint64]int{}
+		running := map[string]int{}
+		next := uint64(0)
+		teams := []string{"a", "b", "c"}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				l := lot(next, rapid.SampledFrom(teams).Draw(t, "team"), rapid.IntRange(1, 5).Draw(t, "tasks"))
+				l.Limit = map[string]int{"a": 0, "b": 2, "c": 7}[l.Team]
+				l.Class = cornelwall.Class(rapid.IntRange(0, 2).Draw(t, "class"))
+				q.Push(l)
+				waiting[next] = len(l.Tasks)
+			},
+			"pop": func(*rapid.T) {
+				if job, _, ok := q.Pop(cornelwall.Need{}); ok {
+					if waiting[job]--; waiting[job] < 0 {
+						t.Fatalf("job %d gave more tasks than it had", job)
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				job := rapid.Uint64Range(0, next).Draw(t, "job")
+				assert.Equal(t, q.Remove(job), waiting[job])
+				waiting[job] = 0
+			},
+			"release": func(t *rapid.T) {
+				team := rapid.SampledFrom(teams).Draw(t, "team")
+				if running[team] > 0 {
+					running[team]--
+					q.Release(team)
+				}
+			},
+			"expect": func(t *rapid.T) {
+				q.Expect(rapid.Uint64Range(0, next).Draw(t, "job"), time.Duration(rapid.IntRange(1, 9).Draw(t, "each"))*time.Second)
+			},
+			"": func(t *rapid.T) {
+				sum := 0
+				for _, n := range waiting {
+					sum += n
+				}
+				assert.Equal(t, q.Len(), sum)
+				assert.Equal(t, q.Profile("a")+q.Profile("b")+q.Profile("c"), sum)
+				assert.Assert(t, q.Waiting(cornelwall.Need{}) <= sum)
+			},
+		})
+	})
+}
+
+// BenchmarkPop starts tasks while 250 teams have jobs of 770 tasks each waiting.
+func BenchmarkPop(b *testing.B) {
+	for _, teams := range []int{10, 50, 250} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			q := queue.New()
+			for i := range teams {
+				q.Push(lot(uint64(i+1), fmt.Sprintf("team-%d", i), 770))
+			}
+			for b.Loop() {
+				job, task, _ := q.Pop(cornelwall.Need{})
+				l := lot(job, fmt.Sprintf("team-%d", job-1), 0)
+				l.Tasks = append(l.Tasks, task)
+				q.Push(l)
+			}
+		})
+	}
+}
+
+// BenchmarkRemove drops a job of 770 tasks and queues it again.
+func BenchmarkRemove(b *testing.B) {
+	for _, jobs := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			q := queue.New()
+			for i := range jobs {
+				q.Push(lot(uint64(i+1), fmt.Sprintf("team-%d", i%250), 770))
+			}
+			l := lot(1, "team-0", 770)
+			for b.Loop() {
+				q.Remove(1)
+				q.Push(l)
+			}
+		})
+	}
+}
+
+// BenchmarkAhead predicts the wait of a job.
+func BenchmarkAhead(b *testing.B) {
+	for _, jobs := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			q := queue.New()
+			for i := range jobs {
+				q.Push(lot(uint64(i+1), fmt.Sprintf("team-%d", i%250), 770))
+			}
+			l := lot(1e6, "team-0", 770)
+			for b.Loop() {
+				q.Ahead(l)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,23 @@
+package retry_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall/core/retry"
+)
+
+func TestBudget(t *testing.T) {
+	b := retry.NewBudget(0.5, 2)
+	assert.Assert(t, b.Take() && b.Take())
+	assert.Assert(t, !b.Take())
+	b.Started()
+	assert.Assert(t, !b.Take())
+	b.Started()
+	assert.Assert(t, b.Take())
+	for range 100 {
+		b.Started()
+	}
+	assert.Assert(t, b.Take() && b.Take() && !b.Take())
+}
--- /dev/null
+++ b/core/slot/ask.go
@@ -0,0 +1,231 @@
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	askWait     = 10 * time.Millisecond  // for the loans that an ask brings
+	payNear     = time.Millisecond       // of waiting, from which asking this data centre pays
+	payFar      = 10 * time.Millisecond  // and other data centres
+	payStanding = 150 * time.Millisecond // and standing in the queue of homes with nothing free
+	standing    = time.Second            // life of a want that stands
+	askPause    = 2 * time.Millisecond   // between two looks for peers with room
+)
+
+// askKey is a home and what it was asked for.
+type askKey struct {
+	to   cornelwall.Incarnation
+	need cornelwall.Need
+}
+
+// ask is a want that was sent.
+type ask struct {
+	count    int
+	until    time.Time
+	standing bool
+}
+
+// hint is what a home was last known to have free.
+type hint struct {
+	free int
+	at   time.Time
+}
+
+// asks holds the wants that were sent and what is known of the homes.
+type asks struct {
+	open  map[askKey]*ask
+	hints map[cornelwall.Incarnation]hint
+	next  map[cornelwall.Need]time.Time // no look for peers before
+}
+
+func newAsks() *asks {
+	return &asks{open: map[askKey]*ask{}, hints: map[cornelwall.Incarnation]hint{}, next: map[cornelwall.Need]time.Time{}}
+}
+
+// spoken returns how many waiting tasks of the need have a loan on its way to them.
+func (a *asks) spoken(now time.Time, need cornelwall.Need) int {
+	n := 0
+	for key, k := range a.open {
+		if key.need == need && !k.standing && now.Before(k.until) {
+			n += k.count
+		}
+	}
+	return n
+}
+
+// met takes a loan off what was asked for.
+func (a *asks) met(from cornelwall.Incarnation, need cornelwall.Need, n int) {
+	key := askKey{from, need}
+	k := a.open[key]
+	if k == nil {
+		return
+	}
+	if k.count -= n; k.count <= 0 {
+		delete(a.open, key)
+	}
+}
+
+// expire drops the asks that brought nothing.
+func (a *asks) expire(now time.Time) {
+	for key, k := range a.open {
+		if !now.Before(k.until) {
+			delete(a.open, key)
+		}
+	}
+}
+
+func (a *asks) lost(id cornelwall.Incarnation) {
+	delete(a.hints, id)
+	for key := range a.open {
+		if key.to == id {
+			delete(a.open, key)
+		}
+	}
+}
+
+// heard records what a home says to have free.
+func (a *asks) heard(now time.Time, from cornelwall.Incarnation, free int) {
+	a.hints[from] = hint{free: free, at: now}
+}
+
+// free returns how many tasks of the need a peer is thought to have room for.
+func (a *asks) free(p *cornelwall.PeerRoom, need cornelwall.Need) int {
+	if need.Kind() == cornelwall.Worker {
+		return units(p.Room.Workers, need)
+	}
+	if h, ok := a.hints[p.ID]; ok && h.at.After(p.At) {
+		return h.free
+	}
+	return p.Room.Free
+}
+
+// units returns how often the need fits into the room.
+func units(room, need cornelwall.Need) int {
+	n := 1 << 20
+	if need.Cores > 0 {
+		n = min(n, room.Cores/need.Cores)
+	}
+	if need.Memory > 0 {
+		n = min(n, room.Memory/need.Memory)
+	}
+	if need.Accelerators > 0 {
+		n = min(n, room.Accelerators/need.Accelerators)
+	}
+	return n
+}
+
+// lookAround asks peers for machines if that ends the wait of tasks sooner than the
+// machines at hand do: first those that have something free, the near ones before the
+// far ones; if the wait is long then all, to stand in their queues.
+func (s *Loans) lookAround(now time.Time, d cornelwall.Demand, need cornelwall.Need) {
+	if now.Before(s.asks.next[need]) {
+		return
+	}
+	short := d.Waiting(need) - s.asks.spoken(now, need)
+	each := d.Expected()
+	if s.wait(short, each, need) < payNear {
+		return
+	}
+	s.asks.next[need] = now.Add(askPause)
+	peers := s.inOrder(d.Peers(), need)
+	for i := range peers {
+		p := &peers[i]
+		pays := payNear
+		if p.ID.DataCentre != s.self.DataCentre {
+			pays = payFar
+		}
+		free := min(short, s.asks.free(p, need))
+		if free <= 0 || p.Leaving || s.wait(short, each, need) < pays || s.asks.open[askKey{p.ID, need}] != nil {
+			continue
+		}
+		s.ask(now, d, p, need, free, 0)
+		short -= free
+	}
+	if s.wait(short, each, need) > payStanding {
+		s.stand(now, d, peers, need, short)
+	}
+}
+
+// wait returns how long so many tasks wait for the machines at hand.
+func (s *Loans) wait(short int, each time.Duration, need cornelwall.Need) time.Duration {
+	if short <= 0 {
+		return 0
+	}
+	slots := s.using[need.Kind()]
+	if need.Kind() == cornelwall.Executor {
+		slots = max(slots, s.home.slots)
+	}
+	return time.Duration(float64(short) * float64(each) / float64(max(1, slots)))
+}
+
+// inOrder returns the peers, the near ones first, and those with the most free first.
+func (s *Loans) inOrder(peers []cornelwall.PeerRoom, need cornelwall.Need) []cornelwall.PeerRoom {
+	far := func(p *cornelwall.PeerRoom) int {
+		if p.ID.DataCentre == s.self.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(peers, func(p, q cornelwall.PeerRoom) int {
+		return cmp.Or(cmp.Compare(far(&p), far(&q)), cmp.Compare(s.asks.free(&q, need), s.asks.free(&p, need)), p.ID.Compare(q.ID))
+	})
+	return peers
+}
+
+// ask sends a want.
+func (s *Loans) ask(now time.Time, d cornelwall.Demand, p *cornelwall.PeerRoom, need cornelwall.Need, n int, life time.Duration) {
+	class, rank := d.Head(need)
+	d.Send(p.ID, cornelwall.Message{Want: &cornelwall.Want{
+		Need: need, Count: n, Class: class, Age: cornelwall.Duration(now.Sub(rank)),
+		Life: cornelwall.Duration(life), Free: s.home.free(),
+	}})
+	k := &ask{count: n, until: now.Add(askWait)}
+	if life > 0 {
+		k.until, k.standing = now.Add(life), true
+	} else {
+		s.asks.heard(now, p.ID, max(0, s.asks.free(p, need)-n))
+	}
+	s.asks.open[askKey{p.ID, need}] = k
+}
+
+// stand puts wants into the queues of all peers, each for the share of the tasks that
+// its machines are of all.
+func (s *Loans) stand(now time.Time, d cornelwall.Demand, peers []cornelwall.PeerRoom, need cornelwall.Need, short int) {
+	all := s.home.slots
+	for i := range peers {
+		all += peers[i].Room.Slots
+	}
+	for i := range peers {
+		p := &peers[i]
+		share := short
+		if need.Kind() == cornelwall.Executor {
+			share = short * p.Room.Slots / max(1, all)
+		}
+		k := s.asks.open[askKey{p.ID, need}]
+		stands := k != nil && (!k.standing || share < 2*k.count && k.until.Sub(now) > standing/2)
+		if share == 0 || p.Leaving || stands {
+			continue
+		}
+		s.ask(now, d, p, need, share, standing)
+	}
+}
+
+// withdraw takes back the standing wants of needs that nothing waits for any longer.
+func (s *Loans) withdraw(now time.Time, d cornelwall.Demand) {
+	var gone []askKey
+	for key, k := range s.asks.open {
+		if k.standing && d.Waiting(key.need) == 0 {
+			gone = append(gone, key)
+		}
+	}
+	slices.SortFunc(gone, func(a, b askKey) int { return cmp.Or(a.to.Compare(b.to), compareNeeds(a.need, b.need)) })
+	for _, key := range gone {
+		delete(s.asks.open, key)
+		d.Send(key.to, cornelwall.Message{Want: &cornelwall.Want{Need: key.need, Free: s.home.free()}})
+	}
+}
--- a/core/slot/home.go
+++ b/core/slot/home.go
@@ -1,50 +1,58 @@
-// Package slot shares out the machines among the entries.
-//
-// Each executor and worker has one home entry in its data centre. The home lends parts
-// of it (loans) to the entries whose tasks wait, itself included, and the borrower
-// starts tasks there itself and returns the loan when it has no more use for it. A
-// loan says nothing about safety: a machine that is lent twice refuses what is too
-// much as not run.
-//
-// # Usage
-//
-//	h := slot.NewHome(self)
-//	h.SetMachines(mine)
-//	h.Want(now, peer, want)
-//	for _, g := range h.Grant(now) { ... } // lend g.Loan to g.To
 package slot
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/health"
 )
 
-// Home lends the machines whose home this entry is.
-type Home struct {
-	machines map[string]*machine
-	order    []*machine // by name
-	wants    map[wantKey]*want
-}
+const (
+	adoptWait   = 100 * time.Millisecond // for the borrowers of a machine that changed its home
+	pressedLife = 500 * time.Millisecond // of a loan while others wait
+	unpressed   = 5 * time.Second        // and while nobody does
+	auditAfter  = 5 * time.Second        // without a change of a loan
+	forgetAfter = time.Minute            // of a loan that was returned
+	farHandicap = 100 * time.Millisecond // by which a want from another data centre is put off
+)
 
-// machine is a machine of this home.
-type machine struct {
-	vm     cornelwall.VM
-	used   cornelwall.Need // of a worker
-	slots  int             // lent of an executor
-	lent   map[loanKey]int
-	paused time.Time // no new loans before
+// home lends the machines whose home this entry is.
+type home struct {
+	self      cornelwall.Incarnation
+	health    *health.Table
+	machines  map[string]*machine
+	executors executorHeap
+	workers   []*machine // by name
+	loans     map[loanKey]*loan
+	wants     map[wantKey]*want
+	series    uint64
+	slots     int       // of all executors
+	lent      int       // of these slots
+	wake      time.Time // when the health of a machine changes by itself
+	racks     map[string]int
 }
 
-// loanKey tells the loans of a machine apart.
+// loanKey tells the loans apart.
 type loanKey struct {
-	to   cornelwall.Incarnation
-	need cornelwall.Need
+	to      cornelwall.Incarnation
+	machine string
+	need    cornelwall.Need
+}
+
+// loan is what an entry has of a machine.
+type loan struct {
+	series  uint64
+	total   uint64 // lent in the series
+	back    uint64 // returned
+	changed time.Time
 }
 
+func (l *loan) out() int { return int(l.total - l.back) }
+
 // wantKey tells the wants apart.
 type wantKey struct {
 	from cornelwall.Incarnation
@@ -53,186 +61,353 @@
 
 // want is what an entry waits for.
 type want struct {
+	key   wantKey
 	count int
 	class cornelwall.Class
-	since time.Time
+	rank  time.Time
+	until time.Time
 }
 
-// Grant is a loan to one entry.
-type Grant struct {
-	To   cornelwall.Incarnation
-	VM   cornelwall.VM
-	Loan cornelwall.Loan
+// grant is a loan that was just made.
+type grant struct {
+	to      cornelwall.Incarnation
+	machine string
+	need    cornelwall.Need
+	count   int
+	loan    *loan
+	pressed bool // others wait too
 }
 
-// NewHome returns a home without machines.
-func NewHome() *Home {
-	return &Home{machines: map[string]*machine{}, wants: map[wantKey]*want{}}
+func newHome(self cornelwall.Incarnation) *home {
+	return &home{
+		self: self, health: health.New(),
+		machines: map[string]*machine{}, loans: map[loanKey]*loan{}, wants: map[wantKey]*want{},
+		racks: map[string]int{},
+	}
 }
 
-// SetMachines replaces the machines of this home. Loans of machines that stay go on.
-func (h *Home) SetMachines(vms []cornelwall.VM) {
+// setMachines replaces the machines of this home and returns the names of those that
+// are new to it. Loans of machines that stay go on.
+func (h *home) setMachines(now time.Time, vms []cornelwall.VM) (fresh []string) {
 	next := make(map[string]*machine, len(vms))
-	h.order = h.order[:0]
 	for _, vm := range vms {
 		m := h.machines[vm.Name]
 		if m == nil {
-			m = &machine{lent: map[loanKey]int{}}
+			m = &machine{index: -1, adopt: now.Add(adoptWait)}
+			fresh = append(fresh, vm.Name)
 		}
 		m.vm = vm
 		next[vm.Name] = m
-		h.order = append(h.order, m)
 	}
-	slices.SortFunc(h.order, func(a, b *machine) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
+	for key := range h.loans {
+		if next[key.machine] == nil {
+			delete(h.loans, key)
+		}
+	}
 	h.machines = next
+	h.health.Keep(func(name string) bool { return next[name] != nil })
+	h.refresh(now)
+	slices.Sort(fresh)
+	return fresh
+}
+
+// ready lends machines at once that no other entry can have lent before.
+func (h *home) ready(now time.Time, names []string) {
+	for _, name := range names {
+		if m := h.machines[name]; m != nil {
+			m.adopt = time.Time{}
+		}
+	}
+	h.refresh(now)
+}
+
+// refresh works out again what each machine may run.
+func (h *home) refresh(now time.Time) {
+	h.executors, h.workers = h.executors[:0], h.workers[:0]
+	h.wake = time.Time{}
+	h.slots, h.lent = 0, 0
+	clear(h.racks)
+	for _, name := range slices.Sorted(maps.Keys(h.machines)) {
+		m := h.machines[name]
+		h.judge(now, m)
+		if m.vm.Kind == cornelwall.Executor {
+			h.lent += m.lent
+			h.slots += m.limit
+			m.index = len(h.executors)
+			h.executors = append(h.executors, m)
+		} else {
+			h.racks[m.vm.Rack] += m.lent
+			h.workers = append(h.workers, m)
+		}
+	}
+	heap.Init(&h.executors)
+}
+
+// judge sets how many tasks a machine may run, and plans to look again if that changes
+// by itself.
+func (h *home) judge(now time.Time, m *machine) {
+	most := m.vm.Slots
+	if m.vm.Kind == cornelwall.Worker {
+		most = max(1, m.vm.Room.Cores+m.vm.Room.Accelerators)
+	}
+	until := h.health.Until(now, m.vm.Name)
+	if m.adopt.After(now) && m.adopt.After(until) {
+		until = m.adopt
+	}
+	switch {
+	case m.vm.State != cornelwall.Live:
+		m.limit = 0
+	case !until.IsZero():
+		m.limit = 0
+		if h.wake.IsZero() || until.Before(h.wake) {
+			h.wake = until
+		}
+	default:
+		m.limit = h.health.Limit(now, m.vm.Name, most)
+	}
 }
 
-// Want replaces what an entry waits for.
-func (h *Home) Want(now time.Time, from cornelwall.Incarnation, w *cornelwall.Want) {
+// changed works out again what one machine may run.
+func (h *home) changed(now time.Time, m *machine) {
+	if m.vm.Kind == cornelwall.Executor {
+		h.slots -= m.limit
+	}
+	h.judge(now, m)
+	if m.vm.Kind == cornelwall.Executor {
+		h.slots += m.limit
+	}
+	if m.index >= 0 && m.vm.Kind == cornelwall.Executor {
+		heap.Fix(&h.executors, m.index)
+	}
+}
+
+// setWant replaces what an entry waits for.
+func (h *home) setWant(now time.Time, from cornelwall.Incarnation, w *cornelwall.Want) {
 	key := wantKey{from, w.Need}
 	if w.Count == 0 {
 		delete(h.wants, key)
 		return
 	}
-	h.wants[key] = &want{count: w.Count, class: w.Class, since: now.Add(-time.Duration(w.Age))}
+	rank := now.Add(-time.Duration(w.Age))
+	if from.DataCentre != h.self.DataCentre {
+		rank = rank.Add(farHandicap)
+	}
+	h.wants[key] = &want{key: key, count: w.Count, class: w.Class, rank: rank, until: now.Add(time.Duration(w.Life))}
 }
 
-// Grant lends what is free to those who wait, the highest class and the longest wait
-// first.
-func (h *Home) Grant(now time.Time) []Grant {
-	var grants []Grant
-	for _, key := range h.ranked() {
-		w := h.wants[key]
+// grants lends what is free to those who wait: the highest class first, and in it the
+// earliest rank.
+func (h *home) grants(now time.Time) []grant {
+	if !h.wake.IsZero() && !now.Before(h.wake) {
+		h.refresh(now)
+	}
+	if len(h.wants) == 0 {
+		return nil
+	}
+	var gs []grant
+	for _, w := range h.ranked() {
+		first := len(gs)
 		for w.count > 0 {
-			m := h.best(now, key.need)
+			m := h.best(w.key.need)
 			if m == nil {
 				break
 			}
-			m.lend(loanKey{key.from, key.need}, 1)
+			gs = h.lend(now, gs, first, w.key, m)
 			w.count--
-			grants = add(grants, key, m)
 		}
-		if w.count == 0 {
-			delete(h.wants, key)
+		if w.count == 0 || !w.until.After(now) {
+			delete(h.wants, w.key)
 		}
 	}
-	return grants
+	for i := range gs {
+		gs[i].pressed = h.pressed(gs[i].to, gs[i].need.Kind())
+	}
+	return gs
 }
 
-func add(grants []Grant, key wantKey, m *machine) []Grant {
-	for i := range grants {
-		g := &grants[i]
-		if g.To == key.from && g.Loan.Machine == m.vm.Name && g.Loan.Need == key.need {
-			g.Loan.Count++
-			return grants
+// pressed reports whether another entry waits for machines of the kind.
+func (h *home) pressed(but cornelwall.Incarnation, kind cornelwall.Kind) bool {
+	for key := range h.wants {
+		if key.from != but && key.need.Kind() == kind {
+			return true
 		}
 	}
-	return append(grants, Grant{To: key.from, VM: m.vm,
-		Loan: cornelwall.Loan{Machine: m.vm.Name, Need: key.need, Count: 1}})
-}
-
-// ranked returns the wants in the order in which they are met.
-func (h *Home) ranked() []wantKey {
-	return slices.SortedFunc(maps.Keys(h.wants), func(a, b wantKey) int {
-		p, q := h.wants[a], h.wants[b]
-		return cmp.Or(
-			cmp.Compare(q.class, p.class),
-			p.since.Compare(q.since),
-			a.from.Compare(b.from),
-			cmp.Compare(a.need.Cores, b.need.Cores),
-			cmp.Compare(a.need.Memory, b.need.Memory),
-			cmp.Compare(a.need.Accelerators, b.need.Accelerators))
-	})
+	return false
 }
 
-// best returns the machine with the most room for the need, or nil.
-func (h *Home) best(now time.Time, need cornelwall.Need) *machine {
-	var best *machine
-	for _, m := range h.order {
-		if m.fits(now, need) && (best == nil || m.free() > best.free()) {
-			best = m
+// lend lends one part of the machine. It joins the grant of the same want and machine,
+// which is among those from first on.
+func (h *home) lend(now time.Time, gs []grant, first int, key wantKey, m *machine) []grant {
+	l := h.loan(now, loanKey{key.from, m.vm.Name, key.need})
+	l.total++
+	l.changed = now
+	h.reserve(now, m, key.need, 1)
+	for i := first; i < len(gs); i++ {
+		if gs[i].machine == m.vm.Name {
+			gs[i].count++
+			return gs
 		}
 	}
-	return best
+	return append(gs, grant{to: key.from, machine: m.vm.Name, need: key.need, count: 1, loan: l})
 }
 
-func (m *machine) fits(now time.Time, need cornelwall.Need) bool {
-	if m.vm.State != cornelwall.Live || now.Before(m.paused) || m.vm.Kind != need.Kind() {
-		return false
+func (h *home) loan(now time.Time, key loanKey) *loan {
+	l := h.loans[key]
+	if l == nil {
+		h.series++
+		l = &loan{series: h.series, changed: now}
+		h.loans[key] = l
 	}
+	return l
+}
+
+func (h *home) reserve(now time.Time, m *machine, need cornelwall.Need, n int) {
+	m.reserve(now, need, n)
 	if m.vm.Kind == cornelwall.Executor {
-		return m.slots < m.vm.Slots
+		h.lent += n
+		heap.Fix(&h.executors, m.index)
+	} else {
+		h.racks[m.vm.Rack] += n
 	}
-	return need.Fits(cornelwall.Need{
-		Cores:        m.vm.Room.Cores - m.used.Cores,
-		Memory:       m.vm.Room.Memory - m.used.Memory,
-		Accelerators: m.vm.Room.Accelerators - m.used.Accelerators,
-	})
 }
 
-func (m *machine) free() int {
-	if m.vm.Kind == cornelwall.Executor {
-		return m.vm.Slots - m.slots
+// ranked returns the wants in the order in which they are met.
+func (h *home) ranked() []*want {
+	ws := make([]*want, 0, len(h.wants))
+	for _, w := range h.wants {
+		ws = append(ws, w)
 	}
-	return m.vm.Room.Cores - m.used.Cores
+	if len(ws) == 1 {
+		return ws
+	}
+	slices.SortFunc(ws, func(a, b *want) int {
+		return cmp.Or(
+			cmp.Compare(b.class, a.class),
+			a.rank.Compare(b.rank),
+			a.key.from.Compare(b.key.from),
+			cmp.Compare(a.key.need.Cores, b.key.need.Cores),
+			cmp.Compare(a.key.need.Memory, b.key.need.Memory),
+			cmp.Compare(a.key.need.Accelerators, b.key.need.Accelerators))
+	})
+	return ws
 }
 
-func (m *machine) lend(key loanKey, n int) {
-	m.lent[key] += n
-	if m.lent[key] == 0 {
-		delete(m.lent, key)
+// best returns the machine on which a task of the need is best placed, or nil.
+func (h *home) best(need cornelwall.Need) *machine {
+	if need.Kind() == cornelwall.Executor {
+		if len(h.executors) > 0 && h.executors[0].room() > 0 {
+			return h.executors[0]
+		}
+		return nil
 	}
-	if m.vm.Kind == cornelwall.Executor {
-		m.slots += n
-		return
+	var best *machine
+	for _, m := range h.workers {
+		if m.fits(need) && (best == nil || h.better(m, best, need)) {
+			best = m
+		}
 	}
-	m.used.Cores += n * key.need.Cores
-	m.used.Memory += n * key.need.Memory
-	m.used.Accelerators += n * key.need.Accelerators
+	return best
+}
+
+// better reports whether worker a is a better place than b: accelerators are kept for
+// those who need them, then the racks are loaded evenly, so that the loss of one takes
+// few tasks, then the worker with the least memory left over is filled up.
+func (h *home) better(a, b *machine, need cornelwall.Need) bool {
+	p, q := a.free(), b.free()
+	return cmp.Or(
+		cmp.Compare(p.Accelerators, q.Accelerators),
+		cmp.Compare(h.racks[a.vm.Rack], h.racks[b.vm.Rack]),
+		cmp.Compare(p.Memory, q.Memory),
+		cmp.Compare(a.vm.Name, b.vm.Name)) < 0
 }
 
-// Return takes back loans. It ignores what was not lent.
-func (h *Home) Return(from cornelwall.Incarnation, r *cornelwall.Return) {
+// giveBack takes parts back from a borrower. A message that was lost is made up by the
+// total of the next, and one that comes twice changes nothing.
+func (h *home) giveBack(now time.Time, from cornelwall.Incarnation, r *cornelwall.Return) {
 	m := h.machines[r.Machine]
+	l := h.loans[loanKey{from, r.Machine, r.Need}]
 	if m == nil {
 		return
 	}
-	key := loanKey{from, r.Need}
-	if n := min(r.Count, m.lent[key]); n > 0 {
-		m.lend(key, -n)
+	if r.Using > 0 && l == nil {
+		l = h.loan(now, loanKey{from, r.Machine, r.Need})
+		l.series, l.total = r.Series, uint64(r.Using)
+		h.reserve(now, m, r.Need, r.Using)
+	}
+	if l != nil && l.series == r.Series && r.Total > l.back {
+		n := min(r.Total, l.total) - l.back
+		l.back += n
+		l.changed = now
+		h.reserve(now, m, r.Need, -int(n))
 	}
 }
 
-// Pause stops new loans of a machine until the time given.
-func (h *Home) Pause(name string, until time.Time) {
-	if m := h.machines[name]; m != nil && until.After(m.paused) {
-		m.paused = until
+// report takes word of how starts on a machine ended.
+func (h *home) report(now time.Time, r *cornelwall.Return) {
+	m := h.machines[r.Machine]
+	if m == nil || r.Done+r.Fail+r.Busy+r.Lost == 0 {
+		return
+	}
+	if r.Done > 0 {
+		h.health.Done(r.Machine, r.Done, r.Pace)
+	}
+	if r.Fail > 0 {
+		h.health.Failed(now, r.Machine, r.Fail)
+	}
+	if r.Busy > 0 {
+		h.health.Busy(now, r.Machine)
+	}
+	if r.Lost > 0 {
+		h.health.Unreached(now, r.Machine)
 	}
+	h.changed(now, m)
 }
 
-// Reclaim takes back everything that was lent to an incarnation that is gone.
-func (h *Home) Reclaim(from cornelwall.Incarnation) {
-	for _, m := range h.order {
-		for key, n := range m.lent {
-			if key.to == from {
-				m.lend(key, -n)
-			}
+// reclaim takes back everything that was lent to an incarnation that is gone.
+func (h *home) reclaim(now time.Time, from cornelwall.Incarnation) {
+	for key, l := range h.loans {
+		if key.to != from {
+			continue
+		}
+		if m := h.machines[key.machine]; m != nil && l.out() > 0 {
+			h.reserve(now, m, key.need, -l.out())
 		}
+		delete(h.loans, key)
 	}
 	maps.DeleteFunc(h.wants, func(key wantKey, _ *want) bool { return key.from == from })
 }
 
-// Borrowers returns the incarnations that hold loans or wait for them, in a stable
-// order.
-func (h *Home) Borrowers() []cornelwall.Incarnation {
-	set := map[cornelwall.Incarnation]bool{}
-	for key := range h.wants {
-		set[key.from] = true
-	}
-	for _, m := range h.order {
-		for key := range m.lent {
-			set[key.to] = true
+// audits returns the loans to other entries that have not changed for long, so that
+// both sides can compare their totals, and forgets those that were returned long ago.
+func (h *home) audits(now time.Time) []grant {
+	var gs []grant
+	for key, l := range h.loans {
+		switch {
+		case l.out() == 0 && now.Sub(l.changed) > forgetAfter:
+			delete(h.loans, key)
+		case l.out() > 0 && key.to != h.self && now.Sub(l.changed) > auditAfter:
+			l.changed = now
+			gs = append(gs, grant{to: key.to, machine: key.machine, need: key.need, loan: l})
 		}
 	}
-	return slices.SortedFunc(maps.Keys(set), cornelwall.Incarnation.Compare)
+	slices.SortFunc(gs, func(a, b grant) int {
+		return cmp.Or(a.to.Compare(b.to), cmp.Compare(a.machine, b.machine), cmp.Compare(a.need.Cores, b.need.Cores),
+			cmp.Compare(a.need.Memory, b.need.Memory), cmp.Compare(a.need.Accelerators, b.need.Accelerators))
+	})
+	return gs
+}
+
+// free returns the number of slots that are free.
+func (h *home) free() int { return max(0, h.slots-h.lent) }
+
+// room returns what this home has.
+func (h *home) room() cornelwall.Room {
+	r := cornelwall.Room{Slots: h.slots, Free: h.free()}
+	for _, m := range h.workers {
+		free := m.free()
+		r.Workers.Cores += max(0, free.Cores)
+		r.Workers.Memory += max(0, free.Memory)
+		r.Workers.Accelerators += max(0, free.Accelerators)
+	}
+	return r
 }
--- a/event.go
+++ b/event.go
@@ -52,6 +52,12 @@
 	Undelivered struct{ Envelope Envelope }
 	// Machines is the current VM list.
 	Machines struct{ VMs []VM }
+	// Usage is what all tasks of a worker, those of others too, took up a time Lag ago.
+	Usage struct {
+		Machine string
+		Used    Need
+		Lag     time.Duration
+	}
 	// Watched is word from the platform's service: profiles that were read or have
 	// changed. An empty list says that the watch is alive. All is set if the list is
 	// everything that the service holds.
@@ -90,6 +96,7 @@
 func (Receive) isEvent()     {}
 func (Undelivered) isEvent() {}
 func (Machines) isEvent()    {}
+func (Usage) isEvent()       {}
 func (Watched) isEvent()     {}
 func (WatchLost) isEvent()   {}
 func (Stored) isEvent()      {}
--- a/message.go
+++ b/message.go
@@ -42,6 +42,7 @@
 	Want      *Want      `json:"want,omitempty"`
 	Loan      *Loan      `json:"loan,omitempty"`
 	Return    *Return    `json:"return,omitempty"`
+	Adopt     *Adopt     `json:"adopt,omitempty"`
 	Versions  *Versions  `json:"versions,omitempty"`
 	Catalog   *Profiles  `json:"catalog,omitempty"`
 	Ask       *Ask       `json:"ask,omitempty"`
@@ -66,6 +67,7 @@
 	count(m.Want != nil)
 	count(m.Loan != nil)
 	count(m.Return != nil)
+	count(m.Adopt != nil)
 	count(m.Versions != nil)
 	count(m.Catalog != nil)
 	count(m.Ask != nil)
@@ -84,7 +86,7 @@
 	case m.Want != nil:
 		return m.Want.Check()
 	case m.Loan != nil:
-		return checkRange("loan count", m.Loan.Count, 1, maxLoan)
+		return checkRange("loan count", m.Loan.Count, 0, maxLoan)
 	case m.Return != nil:
 		return checkRange("return count", m.Return.Count, 0, maxLoan)
 	case m.Catalog != nil:
@@ -104,6 +106,7 @@
 	Fresh   bool           `json:"fresh,omitempty"`   // the sender has fresh word of the platform
 	Watcher bool           `json:"watcher,omitempty"` // the sender watches the platform's service
 	Answer  bool           `json:"answer,omitempty"`  // sent in answer to a beat
+	Room    Room           `json:"room,omitzero"`     // of the machines whose home the sender is
 }
 
 // Wrong tells the sender that an envelope was meant for another life of this entry,
@@ -155,13 +158,15 @@
 	Answer Answer `json:"answer"`
 }
 
-// Want is how many tasks of one need wait at the sender for machines. It replaces
-// the sender's last word for the need.
+// Want is how many tasks of one need wait at the sender for machines of the receiver.
+// It replaces the sender's last word for the need.
 type Want struct {
 	Need  Need     `json:"need,omitzero"`
 	Count int      `json:"count"`
 	Class Class    `json:"class"`
-	Age   Duration `json:"age"` // of the oldest waiting task of that class
+	Age   Duration `json:"age"`            // of the job that goes first, less what its size costs it
+	Life  Duration `json:"life,omitempty"` // how long the want stands; 0: what is free now or nothing
+	Free  int      `json:"free,omitempty"` // slots that are free at the sender's own executors
 }
 
 // Check reports all that is wrong with the want.
@@ -170,22 +175,44 @@
 }
 
 // Loan gives the receiver the use of a part of a machine, Count times the need,
-// until it returns it.
+// until it returns it. Total and Back make a lost or doubled message harmless: they
+// are what the home has lent so far and what it has been given back, in a series.
+// A loan with Count 0 only repeats them.
 type Loan struct {
-	Machine string `json:"machine"`
-	Need    Need   `json:"need,omitzero"`
-	Count   int    `json:"count"`
+	Machine string   `json:"machine"`
+	Need    Need     `json:"need,omitzero"`
+	Count   int      `json:"count"`
+	Series  uint64   `json:"series"`
+	Total   uint64   `json:"total"`
+	Back    uint64   `json:"back"`
+	Life    Duration `json:"life"`           // for how long new tasks may start on it
+	Free    int      `json:"free,omitempty"` // slots that are still free at the home
 }
 
-// Return ends Count loans. Done and Fail tell the home how tasks on the machine
-// ended since the last word.
+// Return ends Count loans; Total is the number that the sender has returned in the
+// series. The other numbers tell the home how starts on the machine have ended since
+// the last word.
 type Return struct {
 	Machine  string `json:"machine"`
 	Need     Need   `json:"need,omitzero"`
 	Count    int    `json:"count"`
+	Series   uint64 `json:"series"`
+	Total    uint64 `json:"total"`
+	Using    int    `json:"using,omitempty"` // parts in use, in answer to an Adopt
 	Done     int    `json:"done,omitempty"`
-	Fail     int    `json:"fail,omitempty"`
+	Fail     int    `json:"fail,omitempty"` // failures that are not the job's own
+	Busy     int    `json:"busy,omitempty"` // starts that were refused
+	Lost     int    `json:"lost,omitempty"` // starts that met no connection
+	Pace     int    `json:"pace,omitempty"` // run times of the tasks done to the expected ones, in percent, summed up
 	Draining bool   `json:"draining,omitempty"`
+	Free     int    `json:"free,omitempty"` // slots that are free at the sender's own executors
+}
+
+// Adopt tells that the sender is the home of the machines from now on, and asks who
+// uses them. What the receiver holds of them continues as the series given.
+type Adopt struct {
+	Series   uint64   `json:"series"`
+	Machines []string `json:"machines"`
 }
 
 // Versions is the version of each profile that the sender has. The receiver sends
