--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -60,12 +60,12 @@
 }
 
 // Task returns the expected run time of a task of the profile. What the caller
-// declares counts only until a task of the profile was observed; 0 is not declared.
+// declares counts only until any task was observed; 0 is not declared.
 func (e *Estimates) Task(profile string, declared time.Duration) time.Duration {
-	switch m := e.profiles[profile]; {
-	case m != nil:
+	if m := e.profiles[profile]; m != nil {
 		return seconds(m.value)
-	case declared > 0:
+	}
+	if e.all.n == 0 && declared > 0 {
 		return declared
 	}
 	return e.Any()
@@ -79,6 +79,9 @@
 	return e.Task(profile, declared)
 }
 
+// Known reports whether any task was observed.
+func (e *Estimates) Known() bool { return e.all.n > 0 }
+
 // Any returns the expected run time of a task of which nothing is known.
 func (e *Estimates) Any() time.Duration {
 	if e.all.n == 0 {
--- a/core/node/admit.go
+++ b/core/node/admit.go
@@ -38,7 +38,8 @@
 	if left == 0 {
 		left = time.Duration(p.Deadline)
 	}
-	if late := n.ends(job, &p) - left; late > 0 {
+	wait, run := n.predict(job, &p)
+	if late := n.calibration.Correct(wait) + run - left; late > 0 && n.estimates.Known() {
 		return p, cornelwall.ReasonTooLate, comeBack(late)
 	}
 	return p, cornelwall.ReasonNone, 0
@@ -47,19 +48,34 @@
 // comeBack bounds the time after which to come back.
 func comeBack(d time.Duration) time.Duration { return min(maxBack, max(backSoon, d)) }
 
-// ends returns in how long a job would end by what was observed.
-func (n *Node) ends(job *cornelwall.Job, p *cornelwall.Profile) time.Duration {
+// predict returns how long the tasks of a job wait, and how long the last one then
+// runs, by what was observed.
+func (n *Node) predict(job *cornelwall.Job, p *cornelwall.Profile) (wait, run time.Duration) {
 	j := &owner.Job{Ticket: job.Ticket, Profile: job.Profile, Spec: job.Tasks, Since: n.now}
-	var last time.Duration
 	for _, l := range n.lots(j, p) {
-		wait := admit.Wait(n.queue.Ahead(l), n.slots(l.Need.Kind()))
+		wait = max(wait, admit.Wait(n.queue.Ahead(l), n.slots(l.Need.Kind())))
 		if p.Concurrency > 0 {
 			tasks := n.queue.Profile(p.Name) + len(l.Tasks)
 			wait = max(wait, admit.Wait(time.Duration(tasks)*l.Each, p.Concurrency))
 		}
-		last = max(last, wait+l.Each/2)
+		run = max(run, l.Each/2)
+	}
+	return wait, run
+}
+
+// compare tells the calibration how long a job has waited that ends now.
+func (n *Node) compare(j *owner.Job) {
+	p := n.progress[j.Ticket.Seq]
+	if p == nil {
+		return
+	}
+	waited := n.now.Sub(j.Since) - p.run
+	switch done := j.DoneTasks(); {
+	case j.Answer.Outcome == cornelwall.Done:
+		n.calibration.Observe(p.wait, waited)
+	case j.Answer.Reason == cornelwall.ReasonDeadline:
+		n.calibration.Observe(p.wait, waited*time.Duration(len(j.Tasks))/time.Duration(max(1, done)))
 	}
-	return last
 }
 
 // slots returns how many tasks this entry can run at once: as many as run now, or as
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -26,8 +26,11 @@
 	place cornelwall.Place
 }
 
-// progress is what the tasks of a job that are done have taken.
+// progress is what was predicted of a job, and what its tasks that are done have
+// taken.
 type progress struct {
+	wait time.Duration
+	run  time.Duration
 	done int
 	took time.Duration
 	next int // number of tasks done at which the queue hears of it again
@@ -245,14 +248,13 @@
 // observe notes how long a task of a job took, and now and then tells the queue what
 // to expect of its other tasks.
 func (n *Node) observe(j *owner.Job, took time.Duration) {
-	if j.Ended() || len(j.Tasks) <= minSiblings {
+	if j.Ended() {
 		return
 	}
 	seq := j.Ticket.Seq
 	p := n.progress[seq]
 	if p == nil {
-		p = &progress{next: minSiblings}
-		n.progress[seq] = p
+		return
 	}
 	p.done++
 	p.took += took
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -104,11 +104,12 @@
 	shapes   map[cornelwall.Need]bool // sizes of the machines
 	homes    []cornelwall.Incarnation // by which the machines were last dealt
 
-	estimates *admit.Estimates
-	judge     *health.Judge
-	budget    *retry.Budget
-	progress  map[uint64]*progress // by sequence number of the ticket
-	leased    map[uint64][]uint64  // starts on workers, by sequence number of the ticket
+	estimates   *admit.Estimates
+	calibration admit.Calibration
+	judge       *health.Judge
+	budget      *retry.Budget
+	progress    map[uint64]*progress // by sequence number of the ticket
+	leased      map[uint64][]uint64  // starts on workers, by sequence number of the ticket
 
 	attempts map[uint64]*attempt
 	forwards map[uint64]*forward
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -173,6 +173,8 @@
 	j := n.jobs.Add(job, digest, n.now, n.now.Add(left), expires)
 	n.timers.add(j.Deadline, job.Ticket.Seq)
 	n.join(j, w)
+	wait, run := n.predict(job, &p)
+	n.progress[job.Ticket.Seq] = &progress{wait: wait, run: run, next: minSiblings}
 	for _, l := range n.lots(j, &p) {
 		n.queue.Push(l)
 	}
@@ -256,6 +258,7 @@
 // waiting.
 func (n *Node) settle(j *owner.Job) {
 	n.queue.Remove(j.Ticket.Seq)
+	n.compare(j)
 	delete(n.progress, j.Ticket.Seq)
 	n.abandon(j)
 	for _, w := range j.Waiters {
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -73,6 +73,9 @@
 // Begun reports whether a task of the job has started.
 func (j *Job) Begun() bool { return j.running+j.done > 0 }
 
+// DoneTasks returns the number of tasks that are done.
+func (j *Job) DoneTasks() int { return j.done }
+
 // Begin marks a waiting task as started. It reports false if the task must not start.
 func (j *Job) Begin(i int) bool {
 	if j.Ended() || j.Tasks[i].State != Waiting {
--- a/core/slot/ask.go
+++ b/core/slot/ask.go
@@ -11,9 +11,11 @@
 const (
 	askWait     = 10 * time.Millisecond  // for the loans that an ask brings
 	payNear     = time.Millisecond       // of waiting, from which asking this data centre pays
-	payFar      = 10 * time.Millisecond  // and other data centres
-	payStanding = 150 * time.Millisecond // and standing in the queue of homes with nothing free
-	standing    = time.Second            // life of a want that stands
+	payFar      = 20 * time.Millisecond  // and other data centres
+	payStanding = 600 * time.Millisecond // and standing in the queue of homes with nothing free
+	standing    = 10 * time.Second       // life of a want that stands
+	maxStanding = 2                      // homes in whose queues the tasks of a need stand
+	minFree     = 4                      // slots that a home must have had free, as the word of it is old
 	askPause    = 2 * time.Millisecond   // between two looks for peers with room
 )
 
@@ -58,6 +60,17 @@
 	return n
 }
 
+// standing returns the number of homes in whose queues tasks of the need stand.
+func (a *asks) standing(need cornelwall.Need) int {
+	n := 0
+	for key, k := range a.open {
+		if key.need == need && k.standing {
+			n++
+		}
+	}
+	return n
+}
+
 // met takes a loan off what was asked for.
 func (a *asks) met(from cornelwall.Incarnation, need cornelwall.Need, n int) {
 	key := askKey{from, need}
@@ -121,7 +134,7 @@
 
 // lookAround asks peers for machines if that ends the wait of tasks sooner than the
 // machines at hand do: first those that have something free, the near ones before the
-// far ones; if the wait is long then all, to stand in their queues.
+// far ones; if the wait is long then a few others, to stand in their queues.
 func (s *Loans) lookAround(now time.Time, d cornelwall.Demand, need cornelwall.Need) {
 	if now.Before(s.asks.next[need]) {
 		return
@@ -135,22 +148,35 @@
 	peers := s.inOrder(d.Peers(), need)
 	for i := range peers {
 		p := &peers[i]
-		pays := payNear
-		if p.ID.DataCentre != s.self.DataCentre {
-			pays = payFar
-		}
-		free := min(short, s.asks.free(p, need))
-		if free <= 0 || p.Leaving || s.wait(short, each, need) < pays || s.asks.open[askKey{p.ID, need}] != nil {
+		free := s.asks.free(p, need)
+		if free < s.leastFree(need) || s.wait(short, each, need) < s.pays(p) || s.asks.open[askKey{p.ID, need}] != nil {
 			continue
 		}
-		s.ask(now, d, p, need, free, 0)
-		short -= free
+		n := min(short, free)
+		s.ask(now, d, p, need, n, 0)
+		short -= n
 	}
 	if s.wait(short, each, need) > payStanding {
 		s.stand(now, d, peers, need, short)
 	}
 }
 
+// leastFree returns how much a peer must have free to be asked.
+func (s *Loans) leastFree(need cornelwall.Need) int {
+	if need.Kind() == cornelwall.Worker {
+		return 1
+	}
+	return minFree
+}
+
+// pays returns the wait from which asking a peer pays.
+func (s *Loans) pays(p *cornelwall.PeerRoom) time.Duration {
+	if p.ID.DataCentre == s.self.DataCentre {
+		return payNear
+	}
+	return payFar
+}
+
 // wait returns how long so many tasks wait for the machines at hand.
 func (s *Loans) wait(short int, each time.Duration, need cornelwall.Need) time.Duration {
 	if short <= 0 {
@@ -163,7 +189,7 @@
 	return time.Duration(float64(short) * float64(each) / float64(max(1, slots)))
 }
 
-// inOrder returns the peers, the near ones first, and those with the most free first.
+// inOrder returns the peers that stay, the near ones first, and those with the most free first.
 func (s *Loans) inOrder(peers []cornelwall.PeerRoom, need cornelwall.Need) []cornelwall.PeerRoom {
 	far := func(p *cornelwall.PeerRoom) int {
 		if p.ID.DataCentre == s.self.DataCentre {
@@ -171,6 +197,7 @@
 		}
 		return 1
 	}
+	peers = slices.DeleteFunc(peers, func(p cornelwall.PeerRoom) bool { return p.Leaving })
 	slices.SortFunc(peers, func(p, q cornelwall.PeerRoom) int {
 		return cmp.Or(cmp.Compare(far(&p), far(&q)), cmp.Compare(s.asks.free(&q, need), s.asks.free(&p, need)), p.ID.Compare(q.ID))
 	})
@@ -193,25 +220,24 @@
 	s.asks.open[askKey{p.ID, need}] = k
 }
 
-// stand puts wants into the queues of all peers, each for the share of the tasks that
-// its machines are of all.
+// stand puts wants into the queues of a few peers, each for the share of the tasks
+// that its machines are of all.
 func (s *Loans) stand(now time.Time, d cornelwall.Demand, peers []cornelwall.PeerRoom, need cornelwall.Need, short int) {
 	all := s.home.slots
 	for i := range peers {
 		all += peers[i].Room.Slots
 	}
+	left := maxStanding - s.asks.standing(need)
 	for i := range peers {
-		p := &peers[i]
 		share := short
 		if need.Kind() == cornelwall.Executor {
-			share = short * p.Room.Slots / max(1, all)
+			share = short * peers[i].Room.Slots / max(1, all)
 		}
-		k := s.asks.open[askKey{p.ID, need}]
-		stands := k != nil && (!k.standing || share < 2*k.count && k.until.Sub(now) > standing/2)
-		if share == 0 || p.Leaving || stands {
+		if left <= 0 || share == 0 || s.asks.open[askKey{peers[i].ID, need}] != nil {
 			continue
 		}
-		s.ask(now, d, p, need, share, standing)
+		s.ask(now, d, &peers[i], need, share, standing)
+		left--
 	}
 }
 
--- a/core/slot/loans.go
+++ b/core/slot/loans.go
@@ -39,8 +39,9 @@
 	live     map[string]bool
 	using    map[cornelwall.Kind]int // parts in use
 	adopting []string                // machines that are new here
-	again    []repeat
-	idleAt   time.Time // when an idle part goes back
+	answers  []repeat                // due at once
+	again    []repeat                // due with a heartbeat
+	idleAt   time.Time               // when an idle part goes back
 }
 
 // repeat is a message to say again, as it may not have arrived.
@@ -49,6 +50,7 @@
 	place cornelwall.Place
 	loan  bool
 	adopt *cornelwall.Adopt
+	after time.Time // of a message that did not arrive: only once the peer was heard since
 }
 
 var _ cornelwall.Placer = (*Loans)(nil)
@@ -93,7 +95,7 @@
 func (s *Loans) lent(now time.Time, from cornelwall.Incarnation, l *cornelwall.Loan) {
 	p := s.borrower.credit(now, from, l)
 	if l.Count == 0 && p.returned > l.Back {
-		s.again = append(s.again, repeat{to: from, place: p.place})
+		s.answers = append(s.answers, repeat{to: from, place: p.place})
 	}
 }
 
@@ -101,7 +103,7 @@
 func (s *Loans) adopted(now time.Time, from cornelwall.Incarnation, a *cornelwall.Adopt) {
 	for _, name := range a.Machines {
 		for _, p := range s.borrower.adopt(now, from, name, a.Series) {
-			s.again = append(s.again, repeat{to: from, place: p.place})
+			s.answers = append(s.answers, repeat{to: from, place: p.place})
 		}
 	}
 }
@@ -113,11 +115,11 @@
 		delete(s.asks.open, askKey{to, m.Want.Need})
 		s.asks.heard(now, to, 0)
 	case m.Loan != nil:
-		s.again = append(s.again, repeat{to: to, place: cornelwall.Place{Machine: m.Loan.Machine, Need: m.Loan.Need}, loan: true})
+		s.again = append(s.again, repeat{to: to, place: cornelwall.Place{Machine: m.Loan.Machine, Need: m.Loan.Need}, loan: true, after: now})
 	case m.Return != nil:
-		s.again = append(s.again, repeat{to: to, place: cornelwall.Place{Machine: m.Return.Machine, Need: m.Return.Need}})
+		s.again = append(s.again, repeat{to: to, place: cornelwall.Place{Machine: m.Return.Machine, Need: m.Return.Need}, after: now})
 	case m.Adopt != nil:
-		s.again = append(s.again, repeat{to: to, adopt: m.Adopt})
+		s.again = append(s.again, repeat{to: to, adopt: m.Adopt, after: now})
 	}
 }
 
@@ -182,7 +184,10 @@
 
 // Place starts waiting tasks on what is held, lends, and asks for more.
 func (s *Loans) Place(now time.Time, d cornelwall.Demand) {
-	s.repeat(d)
+	for _, a := range s.answers {
+		s.say(d, a)
+	}
+	s.answers = nil
 	s.adopt(now, d)
 	s.asks.expire(now)
 	needs := d.Needs()
@@ -301,25 +306,41 @@
 	d.Send(p.home, cornelwall.Message{Return: &r})
 }
 
-// repeat says again what may not have arrived.
-func (s *Loans) repeat(d cornelwall.Demand) {
-	again := s.again
-	s.again = nil
-	for _, a := range again {
-		switch {
-		case a.adopt != nil:
-			d.Send(a.to, cornelwall.Message{Adopt: a.adopt})
-		case a.loan:
-			if l := s.home.loans[loanKey{a.to, a.place.Machine, a.place.Need}]; l != nil {
-				m := loanOf(&grant{machine: a.place.Machine, need: a.place.Need, loan: l, pressed: true})
-				d.Send(a.to, cornelwall.Message{Loan: m})
-			}
-		default:
-			if p := s.borrower.parts[a.place]; p != nil && p.home == a.to {
-				d.Send(a.to, cornelwall.Message{Return: &cornelwall.Return{Machine: a.place.Machine, Need: a.place.Need,
-					Series: p.series, Total: p.returned, Using: int(p.seen - p.returned)}})
-			}
+// repeatDue says again what may not have arrived, to the peers that were heard since.
+func (s *Loans) repeatDue(d cornelwall.Demand) {
+	if len(s.again) == 0 {
+		return
+	}
+	heard := map[cornelwall.Incarnation]time.Time{}
+	for _, p := range d.Peers() {
+		heard[p.ID] = p.At
+	}
+	s.again = slices.DeleteFunc(s.again, func(a repeat) bool {
+		at, alive := heard[a.to]
+		if alive && at.After(a.after) {
+			s.say(d, a)
+			return true
 		}
+		return !alive
+	})
+}
+
+// say sends a message with the totals of now.
+func (s *Loans) say(d cornelwall.Demand, a repeat) {
+	if a.adopt != nil {
+		d.Send(a.to, cornelwall.Message{Adopt: a.adopt})
+		return
+	}
+	if a.loan {
+		if l := s.home.loans[loanKey{a.to, a.place.Machine, a.place.Need}]; l != nil {
+			m := loanOf(&grant{machine: a.place.Machine, need: a.place.Need, loan: l, pressed: true})
+			d.Send(a.to, cornelwall.Message{Loan: m})
+		}
+		return
+	}
+	if p := s.borrower.parts[a.place]; p != nil && p.home == a.to {
+		d.Send(a.to, cornelwall.Message{Return: &cornelwall.Return{Machine: a.place.Machine, Need: a.place.Need,
+			Series: p.series, Total: p.returned, Using: int(p.seen - p.returned)}})
 	}
 }
 
@@ -351,6 +372,7 @@
 	for _, g := range s.home.audits(now) {
 		d.Send(g.to, cornelwall.Message{Loan: loanOf(&g)})
 	}
+	s.repeatDue(d)
 	s.borrower.forget(now)
 	s.home.health.Compare()
 	s.home.refresh(now)
--- a/standin/measure/arrival.go
+++ b/standin/measure/arrival.go
@@ -21,7 +21,7 @@
 	spreadTask = 0.25 // of the logarithm of the task times in a job
 	straggling = 0.005
 	stragglerX = 6.0
-	wrongBy    = 10.0             // declared sizes, both ways
+	wrongBy    = 10.0             // declared sizes of a job, both ways
 	deadline   = 10 * time.Second // of urgent and normal profiles
 	batchLimit = 40 * time.Second // deadline of batch profiles
 	burstEvery = 5 * time.Second
@@ -135,6 +135,7 @@
 func draw(r *rand.Rand) Arrival {
 	n := int(math.Exp(r.Float64() * math.Log(maxJob)))
 	base := float64(medianTask) * math.Exp(spreadJob*r.NormFloat64())
+	wrong := math.Pow(wrongBy, 2*r.Float64()-1)
 	var a Arrival
 	for range n {
 		d := base * math.Exp(spreadTask*r.NormFloat64())
@@ -143,7 +144,6 @@
 		}
 		took := min(max(time.Duration(d), shortest), longest)
 		a.Tasks = append(a.Tasks, took)
-		wrong := math.Pow(wrongBy, 2*r.Float64()-1)
 		a.Sizes = append(a.Sizes, time.Duration(float64(took)*wrong))
 	}
 	return a
--- a/standin/measure/executor.go
+++ b/standin/measure/executor.go
@@ -82,8 +82,10 @@
 	if x.slow {
 		took *= slowFactor
 	}
+	begin := r.world.Now.Sub(r.start)
 	r.world.Do(took, func() {
 		x.used--
+		job.served += max(0, min(begin+took, arriving)-max(begin, warmUp))
 		end(res)
 	})
 }
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -67,10 +67,10 @@
 func Markdown(w io.Writer, rs []Result) error {
 	gs := groups(rs)
 	var b strings.Builder
-	b.WriteString("| site | case | load | policy | mean/ideal | p50/ideal | p99/ideal | mean s | slowdown mean | slowdown p99 | ideal slowdown mean | goodput |\n")
-	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	b.WriteString("| site | case | load | policy | mean/ideal | p50/ideal | p99/ideal | mean s | slowdown mean | slowdown p99 | ideal slowdown mean | goodput | slots busy |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, g := range gs {
-		fmt.Fprintf(&b, "| %s | %s | %.2f | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
+		fmt.Fprintf(&b, "| %s | %s | %.2f | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
 			g.first.Site, g.first.Case.Name, g.first.Case.Load, g.first.Policy,
 			g.cell("%.3f", (*Result).Ratio),
 			g.cell("%.2f", func(r *Result) float64 { return r.Response.P50 / r.Ideal.P50 }),
@@ -79,7 +79,8 @@
 			g.cell("%.2f", func(r *Result) float64 { return r.Slowdown.Mean }),
 			g.cell("%.1f", func(r *Result) float64 { return r.Slowdown.P99 }),
 			g.cell("%.2f", func(r *Result) float64 { return r.IdealSlo.Mean }),
-			g.cell("%.3f", func(r *Result) float64 { return r.Goodput }))
+			g.cell("%.3f", func(r *Result) float64 { return r.Goodput }),
+			g.cell("%.3f", func(r *Result) float64 { return r.Busy }))
 	}
 	b.WriteString("\n| site | case | load | policy | waste of task messages | refused starts | unused loans | wants in vain | repeats | messages between entries per task | jobs | refused | failed | late | no answer | refusal p99 s | eaten of tasks | doubled | refusals and failures by reason | retries by reason |\n")
 	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
--- a/standin/measure/result.go
+++ b/standin/measure/result.go
@@ -43,7 +43,8 @@
 	IdealSlo Spread // the same under the ideal dispatcher
 
 	Tasks     int     // starts that ran
-	Goodput   float64 // work done in time to the capacity of the healthy slots
+	Goodput   float64 // work done for jobs that ended in time to the capacity of the healthy slots
+	Busy      float64 // all work done to the same
 	RefuseP99 float64 // seconds until a refusal, without the client's way
 	Eaten     int     // tasks that ran on the failing executor
 	Doubled   int     // tasks that were started twice
@@ -73,12 +74,13 @@
 	}
 	ends := ideal(as, slots)
 	var own, best, slow, bestSlow, refuse []float64
-	var good time.Duration
+	var good, busy time.Duration
 	for i, j := range r.jobs {
 		took := j.ended - j.At
 		inTime := j.answer.Outcome == cornelwall.Done && took <= limits[j.Profile]+2*r.site.Client
-		if inTime && j.ended >= warmUp && j.ended < arriving {
-			good += j.Work()
+		busy += j.served
+		if inTime {
+			good += j.served
 		}
 		if j.At < warmUp || j.Cancel > 0 {
 			continue
@@ -107,6 +109,7 @@
 	res.Response, res.Ideal = spread(own), spread(best)
 	res.Slowdown, res.IdealSlo = spread(slow), spread(bestSlow)
 	res.RefuseP99 = spread(refuse).P99
-	res.Goodput = good.Seconds() / (float64(slots) * (arriving - warmUp).Seconds())
+	capacity := float64(slots) * (arriving - warmUp).Seconds()
+	res.Goodput, res.Busy = good.Seconds()/capacity, busy.Seconds()/capacity
 	return res
 }
--- a/standin/measure/run.go
+++ b/standin/measure/run.go
@@ -48,6 +48,7 @@
 	started []bool
 	ended   time.Duration // at the client, since the first arrival; 0 is not yet
 	answer  cornelwall.Answer
+	served  time.Duration // work done for it between the warm-up and the last arrival
 }
 
 // run is one run on its way.
