Waits by what keeps coming; a want of a lower class starves nobody; jobs given up early

Cause: at 110 % a tenth of the work was lost on jobs that missed their deadline: their wait was predicted from what waits now, without what keeps coming, and jobs longer than expected ran on to the deadline.

--- a/core/node/admit.go
+++ b/core/node/admit.go
@@ -12,6 +12,17 @@
 // maxBack bounds the time after which a refused caller may come back.
 const maxBack = 30 * time.Second
 
+const (
+	// sunk is the share of a job that must be done for it not to be given up.
+	sunk = 0.3
+	// doubt is the share of a predicted wait that counts before a job is turned away,
+	// as predictions are often too long.
+	doubt = 0.8
+)
+
+// doubted returns the part of a predicted wait that counts.
+func doubted(wait time.Duration) time.Duration { return time.Duration(doubt * float64(wait)) }
+
 // admit decides whether a new job may wait here. The ticket's team must be the
 // profile's. Back is the time after which to come back, for a refusal.
 func (n *Node) admit(job *cornelwall.Job) (p cornelwall.Profile, reason cornelwall.Reason, back time.Duration) {
@@ -39,7 +50,7 @@
 		left = time.Duration(p.Deadline)
 	}
 	wait, run := n.predict(job, &p)
-	if late := n.calibration.Correct(wait) + run - left; late > 0 && n.estimates.Known() {
+	if late := doubted(n.calibration.Correct(wait)) + run - left; late > 0 && n.estimates.Known() {
 		return p, cornelwall.ReasonTooLate, comeBack(late)
 	}
 	return p, cornelwall.ReasonNone, 0
@@ -52,8 +63,12 @@
 // runs, by what was observed.
 func (n *Node) predict(job *cornelwall.Job, p *cornelwall.Profile) (wait, run time.Duration) {
 	j := &owner.Job{Ticket: job.Ticket, Profile: job.Profile, Spec: job.Tasks, Since: n.now}
-	for _, l := range n.lots(j, p) {
-		wait = max(wait, admit.Wait(n.queue.Ahead(l), n.slots(l.Need.Kind())))
+	return n.predictLots(n.lots(j, p), p)
+}
+
+func (n *Node) predictLots(lots []queue.Lot, p *cornelwall.Profile) (wait, run time.Duration) {
+	for _, l := range lots {
+		wait = max(wait, n.wait(&l))
 		if p.Concurrency > 0 {
 			tasks := n.queue.Profile(p.Name) + len(l.Tasks)
 			wait = max(wait, admit.Wait(time.Duration(tasks)*l.Each, p.Concurrency))
@@ -63,6 +78,40 @@
 	return wait, run
 }
 
+// wait returns how long a lot waits. What waits now is not all: of the work that keeps
+// coming, other teams bring most, so that the team has at least its share of the
+// machines, and no more than others leave it.
+func (n *Node) wait(l *queue.Lot) time.Duration {
+	slots := n.slots(l.Need.Kind())
+	o := n.queue.Ahead(*l)
+	own := max(float64(slots)*o.Share, float64(slots+n.freeElsewhere(l.Need.Kind()))-n.inflow.Rate(n.now))
+	return max(admit.Wait(o.Ahead, slots), admit.Wait(o.Team, int(own)))
+}
+
+// freeElsewhere returns how many slots other homes have free by their last word.
+func (n *Node) freeElsewhere(kind cornelwall.Kind) int {
+	free := 0
+	if kind == cornelwall.Executor {
+		for _, p := range n.members.Alive(n.now) {
+			free += p.Room.Free
+		}
+	}
+	return free
+}
+
+// giveUp ends a job early of which so much more is known now that it cannot end in
+// time, unless much of it is done. What it would have used goes to jobs that can.
+func (n *Node) giveUp(j *owner.Job) {
+	if j.Ended() || float64(j.DoneTasks()) > sunk*float64(len(j.Tasks)) {
+		return
+	}
+	p, _ := n.catalog.Last(j.Profile)
+	wait, run := n.predictLots(n.queue.Lots(j.Ticket.Seq), &p)
+	if n.now.Add(doubted(wait) + run).After(j.Deadline) {
+		n.finish(j, cornelwall.ReasonTooLate, comeBack(wait))
+	}
+}
+
 // compare tells the calibration how long a job has waited that ends now.
 func (n *Node) compare(j *owner.Job) {
 	p := n.progress[j.Ticket.Seq]
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -236,7 +236,7 @@
 	n.budget.Started()
 	if r.Outcome == cornelwall.Done {
 		n.estimates.Observe(a.job.Profile, r.Took)
-		n.observe(a.job, r.Took)
+		defer n.observe(a.job, r.Took)
 	} else {
 		n.count(r.Reason, false)
 	}
@@ -259,8 +259,9 @@
 	p.done++
 	p.took += took
 	if p.done == p.next {
-		p.next *= 4
+		p.next *= 2
 		n.queue.Expect(seq, p.took/time.Duration(p.done))
+		n.giveUp(j)
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -106,6 +106,7 @@
 
 	estimates   *admit.Estimates
 	calibration admit.Calibration
+	inflow      admit.Inflow
 	judge       *health.Judge
 	budget      *retry.Budget
 	progress    map[uint64]*progress // by sequence number of the ticket
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -176,6 +176,7 @@
 	wait, run := n.predict(job, &p)
 	n.progress[job.Ticket.Seq] = &progress{wait: wait, run: run, next: minSiblings}
 	for _, l := range n.lots(j, &p) {
+		n.inflow.Add(n.now, time.Duration(len(l.Tasks))*l.Each)
 		n.queue.Push(l)
 	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -297,10 +297,9 @@
 	return t
 }
 
-// next returns the lane whose turn it is: the highest class, but for a share of the
-// starts the lowest that waits.
-func (ls *lanes) next() *lane {
-	var high, low *lane
+// ends returns the lanes of the highest and of the lowest class that wait; the lowest
+// is nil if there is only one.
+func (ls *lanes) ends() (high, low *lane) {
 	for c := range ls.lane {
 		ln := &ls.lane[len(ls.lane)-1-c]
 		if len(ln.order) == 0 {
@@ -312,6 +311,13 @@
 			low = ln
 		}
 	}
+	return high, low
+}
+
+// next returns the lane whose turn it is: the highest class, but for a share of the
+// starts the lowest that waits.
+func (ls *lanes) next() *lane {
+	high, low := ls.ends()
 	if low != nil && ls.pops%lowShare == lowShare-1 {
 		return low
 	}
@@ -354,14 +360,16 @@
 	}
 }
 
-// Head returns the class of the next task of the need and the time by which its job
-// is ranked.
+// Head returns the highest class that waits for the need and the time by which its
+// next job is ranked. It does not depend on whose turn it is, as an entry that stood in
+// the queue of a home for a lower class would wait for a turn that never comes.
 func (q *Queue) Head(need cornelwall.Need) (class cornelwall.Class, rank time.Time, ok bool) {
 	ls := q.needs[need]
 	if ls == nil {
 		return 0, time.Time{}, false
 	}
-	l := ls.next().order[0].lots[0]
+	high, _ := ls.ends()
+	l := high.order[0].lots[0]
 	return l.Class, l.rank, true
 }
 
@@ -378,6 +386,15 @@
 	return n
 }
 
+// Lots returns what waits of a job.
+func (q *Queue) Lots(job uint64) []Lot {
+	var ls []Lot
+	for _, l := range q.jobs[job] {
+		ls = append(ls, l.Lot)
+	}
+	return ls
+}
+
 // Expect changes the expected run time of the waiting tasks of a job.
 func (q *Queue) Expect(job uint64, each time.Duration) {
 	for _, l := range q.jobs[job] {
@@ -387,15 +404,21 @@
 	}
 }
 
-// Ahead returns the slot time that goes before the end of a new lot, its own included,
-// if nothing else comes: all work of higher classes, the work of its team that is
-// ranked before it, and of the other teams as much as their weight gives them while
-// the team's own is done.
-func (q *Queue) Ahead(l Lot) time.Duration {
+// Outlook is what a lot has before it.
+type Outlook struct {
+	Ahead time.Duration // slot time that goes before its end, its own included, if nothing else comes
+	Team  time.Duration // of that, of its own team
+	Share float64       // of the machines that its team gets at least, while others wait
+}
+
+// Ahead returns the outlook of a lot: all work of higher classes goes before it, the
+// work of its team that is ranked before it, and of the other teams as much as their
+// weight gives them while the team's own is done.
+func (q *Queue) Ahead(l Lot) Outlook {
 	own := time.Duration(len(l.Tasks)) * l.Each
 	ls := q.needs[l.Need]
 	if ls == nil {
-		return own
+		return Outlook{Ahead: own, Team: own, Share: 1}
 	}
 	sum := time.Duration(0)
 	for c := l.Class + 1; int(c) < len(ls.lane); c++ {
@@ -405,18 +428,20 @@
 	ln := &ls.lane[l.Class]
 	if t := ln.teams[l.Team]; t != nil {
 		for _, have := range t.lots {
-			if !have.rank.After(rank) {
+			if have.Job != l.Job && !have.rank.After(rank) {
 				own += have.work()
 			}
 		}
 	}
 	weight := float64(max(1, l.Weight))
-	for name, t := range ln.teams {
-		if name != l.Team {
+	all := weight
+	for _, t := range ln.order {
+		if t.name != l.Team {
 			sum += min(t.work, time.Duration(float64(own)*t.weight/weight))
+			all += t.weight
 		}
 	}
-	return sum + own
+	return Outlook{Ahead: sum + own, Team: own, Share: weight / all}
 }
 
 // lotHeap is the jobs of a team, the one that goes first on top.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// TestHeadIsTheHighestClass checks it after each start, those of lower classes too.
+func TestHeadIsTheHighestClass(t *testing.T) {
+	q := queue.New()
+	low := lot(1, "a", 5)
+	low.Class = cornelwall.Batch
+	q.Push(low)
+	q.Push(lot(2, "b", 40))
+	for range 40 {
+		class, _, _ := q.Head(cornelwall.Need{})
+		assert.Equal(t, class, cornelwall.Normal)
+		q.Pop(cornelwall.Need{})
+	}
+}
+
 func TestReleaseOpensTheLimit(t *testing.T) {
 	q := queue.New()
 	l := lot(1, "a", 3)
@@ -79,8 +93,8 @@
 	q := queue.New()
 	q.Push(lot(1, "a", 10))
 	q.Push(lot(2, "b", 3))
-	assert.Equal(t, q.Ahead(lot(3, "c", 2)), 6*time.Second)  // 2 own, 2 of a, 2 of b
-	assert.Equal(t, q.Ahead(lot(3, "b", 4)), 14*time.Second) // 4 own, 3 before it, 7 of a
+	assert.Equal(t, q.Ahead(lot(3, "c", 2)).Ahead, 6*time.Second)  // 2 own, 2 of a, 2 of b
+	assert.Equal(t, q.Ahead(lot(3, "b", 4)).Ahead, 14*time.Second) // 4 own, 3 before it, 7 of a
 }
 
 // TestCounts makes random operations and compares the counts with a plain list.
--- a/core/slot/home.go
+++ b/core/slot/home.go
@@ -17,6 +17,7 @@
 	unpressed   = 5 * time.Second        // and while nobody does
 	auditAfter  = 5 * time.Second        // without a change of a loan
 	forgetAfter = time.Minute            // of a loan that was returned
+	classAge    = 5 * time.Second        // of waiting that a class is worth
 	farHandicap = 100 * time.Millisecond // by which a want from another data centre is put off
 )
 
@@ -63,8 +64,7 @@
 type want struct {
 	key   wantKey
 	count int
-	class cornelwall.Class
-	rank  time.Time
+	rank  time.Time // the earliest goes first
 	until time.Time
 }
 
@@ -188,15 +188,15 @@
 		delete(h.wants, key)
 		return
 	}
-	rank := now.Add(-time.Duration(w.Age))
+	rank := now.Add(-time.Duration(w.Age) - time.Duration(w.Class)*classAge)
 	if from.DataCentre != h.self.DataCentre {
 		rank = rank.Add(farHandicap)
 	}
-	h.wants[key] = &want{key: key, count: w.Count, class: w.Class, rank: rank, until: now.Add(time.Duration(w.Life))}
+	h.wants[key] = &want{key: key, count: w.Count, rank: rank, until: now.Add(time.Duration(w.Life))}
 }
 
-// grants lends what is free to those who wait: the highest class first, and in it the
-// earliest rank.
+// grants lends what is free to those who wait, the earliest rank first. A higher class
+// is worth some seconds of waiting, so that it goes first but starves nobody.
 func (h *home) grants(now time.Time) []grant {
 	if !h.wake.IsZero() && !now.Before(h.wake) {
 		h.refresh(now)
@@ -282,7 +282,6 @@
 	}
 	slices.SortFunc(ws, func(a, b *want) int {
 		return cmp.Or(
-			cmp.Compare(b.class, a.class),
 			a.rank.Compare(b.rank),
 			a.key.from.Compare(b.key.from),
 			cmp.Compare(a.key.need.Cores, b.key.need.Cores),
