--- a/core/node/admit.go
+++ b/core/node/admit.go
@@ -123,7 +123,7 @@
 	case j.Answer.Outcome == cornelwall.Done:
 		n.calibration.Observe(p.wait, waited)
 	case j.Answer.Reason == cornelwall.ReasonDeadline:
-		n.calibration.Observe(p.wait, waited*time.Duration(len(j.Tasks))/time.Duration(max(1, done)))
+		n.calibration.Observe(p.wait, waited*time.Duration(p.tasks)/time.Duration(max(1, done)))
 	}
 }
 
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -29,11 +29,12 @@
 // progress is what was predicted of a job, and what its tasks that are done have
 // taken.
 type progress struct {
-	wait time.Duration
-	run  time.Duration
-	done int
-	took time.Duration
-	next int // number of tasks done at which the queue hears of it again
+	tasks int // of the job
+	wait  time.Duration
+	run   time.Duration
+	done  int
+	took  time.Duration
+	next  int // number of tasks done at which the queue hears of it again
 }
 
 // drainSign is a machine's word, or a peer's, that it takes no new tasks.
@@ -58,7 +59,7 @@
 		n.mark(name)
 	}
 	n.shapes = shapes(n.machines)
-	n.members.SetMachines(vms)
+	n.members.SetMachines(n.now, vms)
 	n.homes = nil
 	n.rehome()
 }
@@ -164,6 +165,9 @@
 			return false
 		}
 		j := n.jobs.Get(seq)
+		if j == nil {
+			continue
+		}
 		if n.tooLate(j) {
 			n.queue.Release(j.Profile)
 			n.finish(j, cornelwall.ReasonTooLate, backSoon)
@@ -269,7 +273,9 @@
 // it at once, as the place has gone back to its home.
 func (n *Node) retry(a *attempt, r cornelwall.Result) {
 	n.count(r.Reason, true)
-	a.job.Unstart(a.index)
+	if a.job.Unstart(a.index) {
+		n.jobs.Settle(a.job)
+	}
 	if a.job.Ended() {
 		return
 	}
--- /dev/null
+++ b/core/node/fuzz/events_test.go
@@ -0,0 +1,465 @@
+package fuzz
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cornelwall"
+	"cornelwall/io/operator"
+)
+
+// TestMain makes every run of `go test` the same unless the flags say otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var profiles = []cornelwall.Profile{
+	{Name: "holds", Team: "bookings", Class: cornelwall.Urgent, Queue: 30},
+	{Name: "prices", Team: "orders", Class: cornelwall.Normal, Stale: cornelwall.Refuse},
+}
+
+// driver draws what happens next.
+type driver struct {
+	*rig
+	t   *rapid.T
+	ops []*operation
+}
+
+// TestEvents mixes all events and faults.
+func TestEvents(t *testing.T) {
+	total := map[cornelwall.Outcome]int{}
+	accepts := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		d := run(rt, tamper{}, everything)
+		if d.failure != "" {
+			rt.Fatal(d.failure)
+		}
+		for o, n := range d.replies {
+			total[o] += n
+		}
+		accepts += d.accepts
+	})
+	t.Logf("replies %v, profile changes accepted %d", total, accepts)
+}
+
+// TestPlannedStops restarts entries by planned stops under load. Nothing else fails, so
+// that no answer may be unknown and no request cut off.
+func TestPlannedStops(t *testing.T) {
+	stops, total := 0, map[cornelwall.Outcome]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		d := run(rt, tamper{}, planned)
+		if d.failure != "" {
+			rt.Fatal(d.failure)
+		}
+		stops += d.stops
+		for o, n := range d.replies {
+			total[o] += n
+		}
+	})
+	t.Logf("planned stops %d, replies %v", stops, total)
+}
+
+// run plays one random history, then heals everything and checks what is left.
+func run(t *rapid.T, tm tamper, actions []action) *driver {
+	d := &driver{rig: newRig(rapid.Uint64().Draw(t, "seed"), tm), t: t}
+	d.calm = &actions[0] == &planned[0]
+	for range rapid.IntRange(10, 60).Draw(t, "steps") {
+		a := actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]
+		a.do(d)
+		d.pass(rapid.IntRange(0, 600).Draw(t, "ms"))
+		if d.failure != "" {
+			return d
+		}
+	}
+	d.quiet()
+	return d
+}
+
+// pass lets time pass and looks at the profiles of every entry.
+func (d *driver) pass(ms int) {
+	d.w.Advance(time.Duration(ms) * time.Millisecond)
+	for _, e := range d.entries {
+		if e.up() {
+			d.w.Post(e.host, cornelwall.Catalog{})
+		}
+	}
+	d.w.Advance(0)
+	d.overdue()
+}
+
+// quiet heals every fault, waits, and asks every entry about every ticket.
+func (d *driver) quiet() {
+	d.net = network{delay: time.Millisecond, cuts: map[[2]string]bool{}}
+	d.w.Store.Down, d.w.Store.Delay, d.listLag = false, time.Millisecond, 0
+	for _, m := range d.machines {
+		m.mode = good
+	}
+	for _, e := range d.entries {
+		e.cut = false
+		d.thaw(e)
+		d.restart(e)
+	}
+	for range 100 {
+		d.pass(400)
+	}
+	for _, op := range d.ops {
+		for _, e := range d.entries {
+			if !op.ticket.IsZero() {
+				d.send(e, &request{kind: fetch, op: op, ticket: op.ticket})
+			}
+		}
+	}
+	for range 60 {
+		d.pass(400)
+	}
+	d.converged()
+}
+
+// action is one kind of event, drawn as often as it stands in a list.
+type action struct {
+	name string
+	do   func(d *driver)
+}
+
+var traffic = []action{
+	{"draw", (*driver).draw}, {"submit", (*driver).submitTicket}, {"submit", (*driver).submitTicket},
+	{"submit key", (*driver).submitKey}, {"submit bare", (*driver).submitBare},
+	{"resubmit", (*driver).resubmit}, {"resubmit", (*driver).resubmit}, {"fetch", (*driver).fetch},
+}
+
+var planned = slices.Concat(traffic, []action{{"stop", (*driver).stop}, {"restart", (*driver).restartOne}})
+
+var everything = slices.Concat(traffic, planned, []action{
+	{"cancel wave", (*driver).cancelWave}, {"gone", (*driver).gone},
+	{"kill", (*driver).kill}, {"restart", (*driver).restartOne}, {"freeze", (*driver).freeze}, {"thaw", (*driver).thawOne},
+	{"cut", (*driver).cutPair}, {"cut data centres", (*driver).cutCentres}, {"cut platform", (*driver).cutPlatform},
+	{"heal", (*driver).heal}, {"lossy", (*driver).lossy}, {"store", (*driver).storeFault}, {"lag", (*driver).lag},
+	{"machine", (*driver).machine}, {"machine", (*driver).machine}, {"leave", (*driver).leave},
+	{"operator", (*driver).operator}, {"operators race", (*driver).race}, {"retire", (*driver).retire},
+	{"store restored", (*driver).restore}, {"long wait", func(d *driver) { d.pass(8000) }},
+})
+
+func (d *driver) entry() *entry {
+	return d.entries[rapid.IntRange(0, len(d.entries)-1).Draw(d.t, "entry")]
+}
+
+// draw asks for tickets.
+func (d *driver) draw() {
+	e, p := d.entry(), rapid.SampledFrom(profiles).Draw(d.t, "profile")
+	if e.up() {
+		d.nextReq++
+		d.draws[d.nextReq] = p.Name
+		d.w.Post(e.host, cornelwall.Draw{Req: d.nextReq, Profile: p.Name, N: 4})
+	}
+}
+
+func (d *driver) operation(profile string) *operation {
+	op := &operation{id: len(d.ops), profile: profile, tasks: rapid.IntRange(1, 6).Draw(d.t, "tasks"), deadline: 20 * time.Second}
+	if !d.calm {
+		op.deadline = time.Duration(rapid.IntRange(50, 8000).Draw(d.t, "deadline")) * time.Millisecond
+	}
+	if rapid.IntRange(0, 3).Draw(d.t, "worker") == 0 {
+		op.need = cornelwall.Need{Cores: 1}
+	}
+	d.ops = append(d.ops, op)
+	return op
+}
+
+func (d *driver) submitTicket() {
+	if len(d.pool) == 0 {
+		d.draw()
+		d.w.Advance(0)
+	}
+	if len(d.pool) == 0 {
+		return
+	}
+	t := d.pool[0]
+	d.pool = d.pool[1:]
+	op := d.operation(t.profile)
+	op.ticket = t.ticket
+	d.submit(op, false)
+}
+
+func (d *driver) submitKey() {
+	op := d.operation(rapid.SampledFrom(profiles).Draw(d.t, "profile").Name)
+	op.key = fmt.Sprintf("key-%d", op.id)
+	d.submit(op, false)
+}
+
+func (d *driver) submitBare() {
+	d.submit(d.operation(rapid.SampledFrom(profiles).Draw(d.t, "profile").Name), false)
+}
+
+// submit sends an operation to an entry or two at once.
+func (d *driver) submit(op *operation, changed bool) {
+	n := 1
+	if op.key != "" || !op.ticket.IsZero() {
+		n = rapid.IntRange(1, 2).Draw(d.t, "entries")
+	}
+	for range n {
+		e := d.entry()
+		q := &request{kind: submit, op: op, changed: changed, ticket: op.ticket}
+		if op.key != "" {
+			q.ticket = cornelwall.Ticket{}
+		}
+		d.send(e, q)
+	}
+}
+
+// send hands a request to an entry that answers.
+func (d *driver) send(e *entry, q *request) {
+	if !e.up() {
+		return
+	}
+	req := d.ask(e.host, q)
+	var ev cornelwall.Event
+	switch q.kind {
+	case submit:
+		ev = cornelwall.Submit{Req: req, Job: d.job(q), Key: q.op.key}
+	case fetch, wait:
+		ev = cornelwall.Fetch{Req: req, Ticket: q.ticket, Wait: q.kind == wait}
+	case cancel:
+		ev = cornelwall.Cancel{Req: req, Ticket: q.ticket}
+	}
+	d.w.Post(e.host, ev)
+}
+
+func (d *driver) job(q *request) *cornelwall.Job {
+	job := &cornelwall.Job{Profile: q.op.profile, Ticket: q.ticket, Left: cornelwall.Duration(q.op.deadline)}
+	for i := range q.op.tasks {
+		job.Tasks = append(job.Tasks, cornelwall.Task{Body: []byte(q.op.body(i, q.changed)), Need: q.op.need})
+	}
+	return job
+}
+
+// any returns an operation that can be asked about.
+func (d *driver) any() *operation {
+	if len(d.ops) == 0 {
+		return nil
+	}
+	op := d.ops[rapid.IntRange(0, len(d.ops)-1).Draw(d.t, "operation")]
+	if op.ticket.IsZero() && op.key == "" {
+		return nil
+	}
+	return op
+}
+
+// resubmit sends an operation again, at times with other content. An operation that was
+// answered as not run is sent under a new ticket or key, as a caller would.
+func (d *driver) resubmit() {
+	op := d.any()
+	if op == nil {
+		return
+	}
+	a := d.outcome[op.ticket]
+	if a.Outcome == cornelwall.NotRun && len(d.pool) > 0 && rapid.Bool().Draw(d.t, "new ticket") {
+		if i := slices.IndexFunc(d.pool, func(t drawn) bool { return t.profile == op.profile }); i >= 0 {
+			again := *op
+			again.key, again.ticket, again.changed = "", d.pool[i].ticket, false
+			d.pool = slices.Delete(d.pool, i, i+1)
+			d.ops = append(d.ops, &again)
+			if !op.changed {
+				d.submit(&again, false)
+			}
+			return
+		}
+	}
+	changed := rapid.IntRange(0, 5).Draw(d.t, "changed") == 0
+	op.changed = op.changed || changed
+	d.submit(op, changed)
+}
+
+func (d *driver) fetch() {
+	if op := d.any(); op != nil && !op.ticket.IsZero() {
+		k := rapid.SampledFrom([]kind{fetch, wait}).Draw(d.t, "kind")
+		d.ask1(op, k)
+	}
+}
+
+func (d *driver) ask1(op *operation, k kind) {
+	d.send(d.entry(), &request{kind: k, op: op, ticket: op.ticket})
+}
+
+func (d *driver) cancelWave() {
+	for _, op := range d.ops {
+		if !op.ticket.IsZero() && rapid.Bool().Draw(d.t, "cancel") {
+			d.ask1(op, cancel)
+		}
+	}
+}
+
+// gone takes away callers that wait at an entry.
+func (d *driver) gone() {
+	e := d.entry()
+	if !e.up() {
+		return
+	}
+	for req := range d.pending[e.host] {
+		d.w.Post(e.host, cornelwall.Gone{Req: req})
+	}
+	d.w.Advance(0)
+	clear(d.pending[e.host])
+}
+
+func (d *driver) kill() {
+	e := d.entry()
+	e.host.Dead = true
+	clear(d.pending[e.host])
+}
+
+func (d *driver) restartOne() { d.restart(d.entry()) }
+
+// restart starts a new life of an entry that is dead.
+func (d *driver) restart(e *entry) {
+	if e.host.Dead {
+		d.boot(e)
+	}
+}
+
+func (d *driver) stop() {
+	e := d.entry()
+	up := 0
+	for _, o := range d.entries {
+		if o.up() {
+			up++
+		}
+	}
+	if e.up() && up > 2 {
+		d.w.Post(e.host, cornelwall.Stop{})
+	}
+}
+
+func (d *driver) freeze() { d.w.Freeze(d.entry().host) }
+
+func (d *driver) thawOne() { d.thaw(d.entry()) }
+
+func (d *driver) thaw(e *entry) {
+	if e.host.Frozen {
+		e.thawed = d.w.Now
+		d.w.Thaw(e.host)
+	}
+}
+
+func (d *driver) cutPair() { d.net.cuts[pair(d.entry().id.Entry, d.entry().id.Entry)] = true }
+
+func (d *driver) cutCentres() { d.net.cuts[pair(dataCentres[0], dataCentres[1])] = true }
+
+func (d *driver) cutPlatform() { d.entry().cut = true }
+
+func (d *driver) heal() {
+	clear(d.net.cuts)
+	for _, e := range d.entries {
+		if e.cut {
+			e.cut, e.thawed = false, d.w.Now
+		}
+	}
+}
+
+func (d *driver) lossy() {
+	d.net.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(d.t, "loss")
+	d.net.double = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(d.t, "double")
+	d.net.delay = time.Duration(rapid.SampledFrom([]int{1, 20, 300}).Draw(d.t, "delay")) * time.Millisecond
+}
+
+func (d *driver) storeFault() {
+	s := d.w.Store
+	s.Down = rapid.Bool().Draw(d.t, "down")
+	s.LoseAnswers = rapid.IntRange(0, 3).Draw(d.t, "lose")
+	s.Delay = time.Duration(rapid.IntRange(0, int(maxStoreLag/time.Millisecond)).Draw(d.t, "delay")) * time.Millisecond
+}
+
+func (d *driver) lag() {
+	d.listLag = time.Duration(rapid.IntRange(0, int(maxListLag/time.Millisecond)).Draw(d.t, "lag")) * time.Millisecond
+}
+
+func (d *driver) machineName() string {
+	names := make([]string, 0, len(d.machines))
+	for name := range d.machines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return rapid.SampledFrom(names).Draw(d.t, "machine")
+}
+
+func (d *driver) machine() {
+	d.machines[d.machineName()].mode = mode(rapid.IntRange(0, int(modes)-1).Draw(d.t, "mode"))
+}
+
+// leave makes a machine leave, or come back.
+func (d *driver) leave() {
+	name := d.machineName()
+	m := d.machines[name]
+	if m.left.IsZero() {
+		m.left, m.silent = d.w.Now, rapid.Bool().Draw(d.t, "silent")
+		d.setState(name, cornelwall.Leaving)
+		return
+	}
+	m.left = time.Time{}
+	d.setState(name, cornelwall.Live)
+}
+
+func (d *driver) changed(name string) cornelwall.Profile {
+	i := slices.IndexFunc(profiles, func(p cornelwall.Profile) bool { return p.Name == name })
+	p := profiles[i]
+	p.Queue = rapid.IntRange(5, 100).Draw(d.t, "queue")
+	return p
+}
+
+// operator changes a profile, with faults of the store.
+func (d *driver) operator() {
+	name := rapid.SampledFrom(profiles).Draw(d.t, "profile").Name
+	c := d.changer(d.entry())
+	s := c.Store.(*store)
+	s.lose, s.vanish = rapid.IntRange(0, 1).Draw(d.t, "lose"), rapid.IntRange(0, 1).Draw(d.t, "vanish")
+	d.accept(c.Apply(background, d.changed(name), operator.Terms{}))
+}
+
+// race lets an operator change a profile between the read and the write of another.
+func (d *driver) race() {
+	name := rapid.SampledFrom(profiles).Draw(d.t, "profile").Name
+	first, second := d.changed(name), d.changed(name)
+	a, b := d.entry(), d.entry()
+	c := d.changer(a)
+	s := c.Store.(*store)
+	s.lose = rapid.IntRange(0, 1).Draw(d.t, "lose")
+	s.between = func() { d.accept(d.changer(b).Apply(background, second, operator.Terms{})) }
+	d.accept(c.Apply(background, first, operator.Terms{}))
+}
+
+// retire makes and retires a profile of its own, and tries to make it again.
+func (d *driver) retire() {
+	c := d.changer(d.entry())
+	p := cornelwall.Profile{Name: fmt.Sprintf("trial-%d", rapid.IntRange(0, 2).Draw(d.t, "name")), Team: "bookings"}
+	d.accept(c.Apply(background, p, operator.Terms{}))
+	if rapid.Bool().Draw(d.t, "retire") {
+		d.accept(c.Retire(background, p.Name, operator.Terms{}))
+	}
+}
+
+// restore takes the store back to an older state.
+func (d *driver) restore() {
+	if rapid.IntRange(0, 4).Draw(d.t, "restore") > 0 {
+		return
+	}
+	old := d.w.Store.Snapshot()
+	d.operator()
+	d.pass(1000)
+	d.restored = true
+	d.w.Store.Restore(old)
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -39,7 +39,12 @@
 	StaleAfter time.Duration // without word of the platform
 	ClaimLife  time.Duration // of a caller's key
 	ClaimRate  float64       // claims per second at this entry
-	MaxJobs    int           // records held at once
+	MaxJobs    int           // jobs held at once, those that have ended too
+	MaxRefuse  int           // refusals held at once
+	MaxResults int           // bytes of results held at once
+	ListLag    time.Duration // by which the VM list may be late
+	MaxInherit int           // bytes of answers of closed incarnations
+	HeirWait   time.Duration // for an heir to turn up at a planned stop
 
 	// Placer makes the placer; nil places by loans.
 	Placer func(self cornelwall.Incarnation) cornelwall.Placer
@@ -56,6 +61,11 @@
 	setDefault(&c.ClaimLife, time.Hour)
 	setDefault(&c.ClaimRate, 20)
 	setDefault(&c.MaxJobs, 200000)
+	setDefault(&c.MaxRefuse, 1<<20)
+	setDefault(&c.MaxResults, 64<<20)
+	setDefault(&c.ListLag, time.Minute)
+	setDefault(&c.MaxInherit, 256<<20)
+	setDefault(&c.HeirWait, 20*time.Second)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -116,12 +126,15 @@
 	forwards map[uint64]*forward
 	inspects map[uint64]*inspect
 	asked    map[uint64]askedBack // local requests that wait for an owned job
-	resend   []cornelwall.Send
+	seeks    map[cornelwall.Incarnation]*seeking
+	resends  map[resendKey]*resend
+	wakeAt   time.Time // of the next message to send again; zero is none
 	nextID   uint64
 	nextBeat time.Time
 
 	watching bool
-	freshAt  time.Time
+	freshAt  time.Time // of the last word of the platform, through peers too
+	toldAt   time.Time // of the platform's last word to this entry itself
 	leaving  bool
 	handover handover
 }
@@ -141,12 +154,12 @@
 		start:    now,
 		now:      now,
 		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
-		jobs:     owner.NewTable(),
+		jobs:     owner.NewTable(cfg.TicketLife, cfg.MaxRefuse, cfg.MaxResults),
 		queue:    queue.New(),
 		placer:   cfg.Placer(cfg.Self),
-		members:  member.NewTable(cfg.Self, cfg.Away),
+		members:  member.NewTable(cfg.Self, member.Limits{Away: cfg.Away, ListLag: cfg.ListLag, Keep: cfg.TicketLife}),
 		catalog:  catalog.New(),
-		heirs:    heir.NewKeeper(cfg.TicketLife),
+		heirs:    heir.NewKeeper(cfg.TicketLife, cfg.MaxInherit),
 		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
 		machines: map[string]cornelwall.VM{},
 		draining: map[string]drainSign{},
@@ -160,6 +173,8 @@
 		attempts: map[uint64]*attempt{},
 		forwards: map[uint64]*forward{},
 		inspects: map[uint64]*inspect{},
+		seeks:    map[cornelwall.Incarnation]*seeking{},
+		resends:  map[resendKey]*resend{},
 		asked:    map[uint64]askedBack{},
 		nextBeat: now,
 	}
@@ -174,14 +189,32 @@
 	if at := n.placer.Next(); !at.IsZero() && at.Before(next) {
 		next = at
 	}
+	if !n.wakeAt.IsZero() {
+		next = minTime(next, n.wakeAt)
+	}
 	return next
 }
 
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Step takes one event and returns what follows from it.
 func (n *Node) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if now.Before(n.now) {
+		now = n.now // a clock without a monotonic reading was set back
+	}
+	frozen := now.Sub(n.now) >= n.cfg.Away
 	n.now, n.out = now, nil
+	if frozen {
+		n.thawForwards()
+	}
 	n.expire() // first, so that a frozen process does not act on what is past
 	n.take(ev)
+	n.sendAgain()
 	n.beat()
 	n.placer.Place(now, demand{n})
 	n.advanceStop()
@@ -220,8 +253,10 @@
 		n.inspect(ev)
 	case cornelwall.Catalog:
 		n.emit(cornelwall.ReplyCatalog{Req: ev.Req, Profiles: n.catalog.All()})
+	case cornelwall.Describe:
+		n.emit(cornelwall.ReplyStatus{Req: ev.Req, Status: n.status()})
 	case cornelwall.Stop:
-		n.stop()
+		n.stop(ev.Left)
 	case cornelwall.Tick:
 	}
 }
--- a/event.go
+++ b/event.go
@@ -81,10 +81,13 @@
 	}
 	// Catalog asks for all profiles in force at this entry.
 	Catalog struct{ Req uint64 }
+	// Describe asks how the entry stands.
+	Describe struct{ Req uint64 }
 	// Tick says that time has passed.
 	Tick struct{}
-	// Stop asks for a planned stop.
-	Stop struct{}
+	// Stop asks for a planned stop. Jobs that are open after the time left end without
+	// an answer; 0 is no limit.
+	Stop struct{ Left time.Duration }
 )
 
 func (Draw) isEvent()        {}
@@ -102,5 +105,6 @@
 func (Stored) isEvent()      {}
 func (Inspect) isEvent()     {}
 func (Catalog) isEvent()     {}
+func (Describe) isEvent()    {}
 func (Tick) isEvent()        {}
 func (Stop) isEvent()        {}
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +17,7 @@
 	Down        bool                 `json:"down"`
 	Delay       cornelwall.Duration  `json:"delay,omitempty"` // of each call
 	LoseAnswers int                  `json:"loseanswers"`     // writes that take effect without an answer
+	LoseSwaps   int                  `json:"loseswaps"`       // of the writes, swaps that do so
 	VMs         bool                 `json:"vms"`             // Down and Delay are for the VM list too
 	Lag         *cornelwall.Duration `json:"lag,omitempty"`   // of the VM list; left out it stays
 }
@@ -39,13 +42,17 @@
 }
 
 // loses reports whether the answer of this write is to be lost.
-func (f *faults) loses() bool {
+func (f *faults) loses(swap bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fault.LoseAnswers <= 0 {
+	switch {
+	case swap && f.fault.LoseSwaps > 0:
+		f.fault.LoseSwaps--
+	case f.fault.LoseAnswers > 0:
+		f.fault.LoseAnswers--
+	default:
 		return false
 	}
-	f.fault.LoseAnswers--
 	return true
 }
 
@@ -69,6 +76,12 @@
 func (f *faults) on(kind string, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		f.count(kind)
+		// The server notices that a caller has gone only once the body is read.
+		body, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return err
+		}
+		c.Request().Body = io.NopCloser(bytes.NewReader(body))
 		if kind == kindVMs && !f.get().VMs {
 			return next(c)
 		}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -12,7 +12,10 @@
 package worker
 
 import (
+	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -90,6 +93,23 @@
 // Set replaces the control.
 func (w *Worker) Set(control task.Control) { w.state.Set(control) }
 
+// Drain refuses new tasks and waits until the end of each task is told, its lease
+// has lapsed or ctx ends.
+func (w *Worker) Drain(ctx context.Context) {
+	w.state.Drain()
+	w.mu.Lock()
+	leases := slices.Collect(maps.Values(w.leases))
+	w.mu.Unlock()
+	for _, l := range leases {
+		select {
+		case <-l.told:
+		case <-l.cancelled:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close stops all tasks and waits for their ends.
 func (w *Worker) Close() {
 	w.mu.Lock()
@@ -119,11 +139,11 @@
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
 	if control, _ := w.state.Control(); control.Drain {
-		return refuse(c, "draining")
+		return w.refuse(c, "draining")
 	}
 	id, ok := w.grant(req)
 	if !ok {
-		return refuse(c, "busy")
+		return w.refuse(c, "busy")
 	}
 	if task.Parse(req.Body).ReadAndClose {
 		panic(http.ErrAbortHandler)
@@ -145,7 +165,7 @@
 	l.timer = time.AfterFunc(l.ttl, func() { w.lapse(id) })
 	w.leases[id] = l
 	w.usage.add(now, req.Need, w.cfg.Lag)
-	w.state.Count(req.Ticket.String(), req.Index)
+	w.state.Count(req.Ticket.String(), req.Index, l.task)
 	w.wg.Go(func() { w.work(l) })
 	return id, true
 }
@@ -173,7 +193,12 @@
 	if control, _ := w.state.Control(); control.Drain {
 		c.Response().Header().Set(executor.HeaderDraining, "true")
 	}
-	return c.JSON(http.StatusOK, l.wait(c.Request().Context()))
+	status := l.wait(c.Request().Context())
+	err := c.JSON(http.StatusOK, status)
+	if err == nil && status.State != product.Running {
+		l.tell.Do(func() { close(l.told) })
+	}
+	return err
 }
 
 func (w *Worker) stop(c echo.Context) error {
@@ -205,7 +230,8 @@
 	return c.JSON(http.StatusOK, product.Usage{Used: w.usage.at(at), At: at})
 }
 
-func refuse(c echo.Context, reason string) error {
+func (w *Worker) refuse(c echo.Context, reason string) error {
+	w.state.Refuse(reason)
 	c.Response().Header().Set(executor.HeaderNotRun, reason)
 	if reason == "draining" {
 		c.Response().Header().Set(executor.HeaderDraining, "true")
