--- a/cmd/cornelwall/cli_test.go
+++ b/cmd/cornelwall/cli_test.go
@@ -162,6 +162,8 @@
 		{exitInput, `profile "checks"`, []string{"show", "checks"}},
 		{exitOK, "holds  3        retired", []string{"list", "--retired"}},
 		{exitInput, "token is wrong", []string{"list", "--token", "another"}},
+		{exitOK, "holds  3", []string{"list", "--retired", "--token", "", "--token-file", write(t, "token", testToken+"\n")}},
+		{exitInput, "--token is missing", []string{"list", "--token", ""}},
 		{exitUnreachable, "entry did not answer", []string{"list", "--entry", "http://127.0.0.1:1"}},
 		{exitInput, `command "aply" is unknown`, []string{"aply"}},
 		{exitInput, `not defined: -dryrun`, []string{"apply", "--dryrun", v1}},
