--- a/core/node/node.go
+++ b/core/node/node.go
@@ -14,12 +14,15 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/admit"
 	"cornelwall/core/catalog"
 	"cornelwall/core/claim"
+	"cornelwall/core/health"
 	"cornelwall/core/heir"
 	"cornelwall/core/member"
 	"cornelwall/core/owner"
 	"cornelwall/core/queue"
+	"cornelwall/core/retry"
 	"cornelwall/core/slot"
 	"cornelwall/core/ticket"
 )
@@ -42,6 +45,9 @@
 	ListLag    time.Duration // by which the VM list may be late
 	MaxInherit int           // bytes of answers of closed incarnations
 	HeirWait   time.Duration // for an heir to turn up at a planned stop
+
+	// Placer makes the placer; nil places by loans.
+	Placer func(self cornelwall.Incarnation) cornelwall.Placer
 }
 
 const minSecretLen = 16 // bytes
@@ -97,19 +103,28 @@
 	minter   *ticket.Minter
 	jobs     *owner.Table
 	queue    *queue.Queue
-	home     *slot.Home
-	pool     *slot.Pool
+	placer   cornelwall.Placer
 	members  *member.Table
 	catalog  *catalog.Catalog
 	heirs    *heir.Keeper
 	claims   *claim.Table
 	timers   timers
 	machines map[string]cornelwall.VM
+	draining map[string]drainSign
+	shapes   map[cornelwall.Need]bool // sizes of the machines
+	homes    []cornelwall.Incarnation // by which the machines were last dealt
+
+	estimates   *admit.Estimates
+	calibration admit.Calibration
+	inflow      admit.Inflow
+	judge       *health.Judge
+	budget      *retry.Budget
+	progress    map[uint64]*progress // by sequence number of the ticket
+	leased      map[uint64][]uint64  // starts on workers, by sequence number of the ticket
 
 	attempts map[uint64]*attempt
 	forwards map[uint64]*forward
 	inspects map[uint64]*inspect
-	lastWant map[cornelwall.Need]sentWant
 	asked    map[uint64]askedBack // local requests that wait for an owned job
 	seeks    map[cornelwall.Incarnation]*seeking
 	resends  map[resendKey]*resend
@@ -131,6 +146,9 @@
 	if err := cfg.Check(); err != nil {
 		panic(err)
 	}
+	if cfg.Placer == nil {
+		cfg.Placer = func(self cornelwall.Incarnation) cornelwall.Placer { return slot.New(self) }
+	}
 	return &Node{
 		cfg:      cfg,
 		start:    now,
@@ -138,19 +156,25 @@
 		minter:   ticket.NewMinter(cfg.Self, cfg.Secret, now),
 		jobs:     owner.NewTable(cfg.TicketLife, cfg.MaxRefuse, cfg.MaxResults),
 		queue:    queue.New(),
-		home:     slot.NewHome(),
-		pool:     slot.NewPool(),
+		placer:   cfg.Placer(cfg.Self),
 		members:  member.NewTable(cfg.Self, member.Limits{Away: cfg.Away, ListLag: cfg.ListLag, Keep: cfg.TicketLife}),
 		catalog:  catalog.New(),
 		heirs:    heir.NewKeeper(cfg.TicketLife, cfg.MaxInherit),
 		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
 		machines: map[string]cornelwall.VM{},
+		draining: map[string]drainSign{},
+
+		estimates: admit.NewEstimates(),
+		judge:     health.NewJudge(),
+		budget:    retry.NewBudget(retry.Share, retry.Burst),
+		progress:  map[uint64]*progress{},
+		leased:    map[uint64][]uint64{},
+
 		attempts: map[uint64]*attempt{},
 		forwards: map[uint64]*forward{},
 		inspects: map[uint64]*inspect{},
 		seeks:    map[cornelwall.Incarnation]*seeking{},
 		resends:  map[resendKey]*resend{},
-		lastWant: map[cornelwall.Need]sentWant{},
 		asked:    map[uint64]askedBack{},
 		nextBeat: now,
 	}
@@ -162,12 +186,12 @@
 	if at, ok := n.timers.next(); ok && at.Before(next) {
 		next = at
 	}
+	if at := n.placer.Next(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	if !n.wakeAt.IsZero() {
 		next = minTime(next, n.wakeAt)
 	}
-	if n.queue.Len() > 0 {
-		next = minTime(next, n.now.Add(pauseBusy))
-	}
 	return next
 }
 
@@ -192,7 +216,7 @@
 	n.take(ev)
 	n.sendAgain()
 	n.beat()
-	n.dispatch()
+	n.placer.Place(now, demand{n})
 	n.advanceStop()
 	return n.out
 }
@@ -217,6 +241,8 @@
 		n.undelivered(&ev.Envelope)
 	case cornelwall.Machines:
 		n.setMachines(ev.VMs)
+	case cornelwall.Usage:
+		n.placer.Usage(n.now, ev.Machine, ev.Used, ev.Lag)
 	case cornelwall.Watched:
 		n.watched(ev)
 	case cornelwall.WatchLost:
--- a/core/node/submit.go
+++ b/core/node/submit.go
@@ -47,6 +47,8 @@
 	cornelwall.ReasonNoProfile: "no such profile is in force; list the profiles and use one of them",
 	cornelwall.ReasonStopping:  "the entry is stopping; take a new ticket or key to another entry",
 	cornelwall.ReasonStale:     "the entry has no fresh word of the profiles; come back later or use another data centre",
+	cornelwall.ReasonTooLate:   "the job would end after its deadline; come back later or give it more time",
+	cornelwall.ReasonRetries:   "too many machines refused the tasks of the job; come back later",
 	cornelwall.ReasonQueueFull: "the queue of the profile is full; come back later",
 	cornelwall.ReasonOverload:  "the entry holds as much work as it can; come back later",
 	cornelwall.ReasonNeverFits: "no machine is large enough for a task of the job; make the task smaller",
@@ -221,8 +223,11 @@
 	j := n.jobs.Add(job, digest, n.now, deadline, expires)
 	n.timers.add(j.Deadline, job.Ticket.Seq)
 	n.join(j, w)
-	for i := range job.Tasks {
-		n.queue.Push(n.item(j, i, p))
+	wait, run := n.predict(job, p)
+	n.progress[job.Ticket.Seq] = &progress{tasks: len(job.Tasks), wait: wait, run: run, next: minSiblings}
+	for _, l := range n.lots(j, p) {
+		n.inflow.Add(n.now, time.Duration(len(l.Tasks))*l.Each)
+		n.queue.Push(l)
 	}
 }
 
@@ -319,6 +324,8 @@
 // waiting.
 func (n *Node) settle(j *owner.Job) {
 	n.queue.Remove(j.Ticket.Seq)
+	n.compare(j)
+	delete(n.progress, j.Ticket.Seq)
 	n.abandon(j)
 	if !j.Answer.Final && j.Answer.Back == 0 {
 		j.Answer.Back = cornelwall.Duration(backLater)
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -78,6 +78,12 @@
 // Running returns the number of tasks that have started and not ended.
 func (j *Job) Running() int { return j.running }
 
+// Begun reports whether a task of the job has started.
+func (j *Job) Begun() bool { return j.running+j.done > 0 }
+
+// DoneTasks returns the number of tasks that are done.
+func (j *Job) DoneTasks() int { return j.done }
+
 // Begin marks a waiting task as started. It reports false if the task must not start.
 func (j *Job) Begin(i int) bool {
 	if j.ended || j.Tasks[i].State != Waiting {
