--- a/core/node/admit.go
+++ b/core/node/admit.go
@@ -4,21 +4,28 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/admit"
 	"cornelwall/core/owner"
 	"cornelwall/core/queue"
 )
 
-// item returns task i of a job as the queue holds it.
-func (n *Node) item(j *owner.Job, i int, p *cornelwall.Profile) queue.Item {
-	return queue.Item{
-		Job: j.Ticket.Seq, Task: i, Need: j.Spec[i].Need,
-		Class: p.Class, Team: p.Team, Weight: p.Quota, Since: j.Since,
-	}
-}
+// maxBack bounds the time after which a refused caller may come back.
+const maxBack = 30 * time.Second
+
+const (
+	// sunk is the share of a job that must be done for it not to be given up.
+	sunk = 0.3
+	// doubt is the share of a predicted wait that counts before a job is turned away,
+	// as predictions are often too long.
+	doubt = 0.8
+)
+
+// doubted returns the part of a predicted wait that counts.
+func doubted(wait time.Duration) time.Duration { return time.Duration(doubt * float64(wait)) }
 
 // admit decides whether a new job may wait here. The ticket's team must be the
-// profile's.
-func (n *Node) admit(job *cornelwall.Job) (cornelwall.Profile, cornelwall.Reason, time.Duration) {
+// profile's. Back is the time after which to come back, for a refusal.
+func (n *Node) admit(job *cornelwall.Job) (p cornelwall.Profile, reason cornelwall.Reason, back time.Duration) {
 	p, ok := n.catalog.Get(job.Profile)
 	switch {
 	case !ok:
@@ -30,26 +37,177 @@
 	case p.Stale == cornelwall.Refuse && n.stale():
 		return p, cornelwall.ReasonStale, backLater
 	case n.jobs.Len() >= n.cfg.MaxJobs:
-		return p, cornelwall.ReasonOverload, backSoon
-	case n.queue.Len()+len(job.Tasks) > p.Queue:
-		return p, cornelwall.ReasonQueueFull, backSoon
+		return p, cornelwall.ReasonOverload, backLater
+	case !n.fitsAnywhere(job.Tasks):
+		return p, cornelwall.ReasonNeverFits, 0
 	}
-	for i := range job.Tasks {
-		if !n.fitsAnywhere(job.Tasks[i].Need) {
-			return p, cornelwall.ReasonNeverFits, 0
-		}
+	if over := n.queue.Profile(p.Name) + len(job.Tasks) - p.Queue; over > 0 {
+		each := n.estimates.Task(p.Name, declared(job.Tasks))
+		return p, cornelwall.ReasonQueueFull, comeBack(admit.Wait(time.Duration(over)*each, n.slots(cornelwall.Executor)))
+	}
+	left := time.Duration(job.Left)
+	if left == 0 {
+		left = time.Duration(p.Deadline)
+	}
+	wait, run := n.predict(job, &p)
+	if late := doubted(n.calibration.Correct(wait)) + run - left; late > 0 && n.estimates.Known() {
+		return p, cornelwall.ReasonTooLate, comeBack(late)
 	}
 	return p, cornelwall.ReasonNone, 0
 }
 
-// fitsAnywhere reports whether a machine of the VM list, free or not, is large enough.
+// comeBack bounds the time after which to come back.
+func comeBack(d time.Duration) time.Duration { return min(maxBack, max(backSoon, d)) }
+
+// predict returns how long the tasks of a job wait, and how long the last one then
+// runs, by what was observed.
+func (n *Node) predict(job *cornelwall.Job, p *cornelwall.Profile) (wait, run time.Duration) {
+	j := &owner.Job{Ticket: job.Ticket, Profile: job.Profile, Spec: job.Tasks, Since: n.now}
+	return n.predictLots(n.lots(j, p), p)
+}
+
+func (n *Node) predictLots(lots []queue.Lot, p *cornelwall.Profile) (wait, run time.Duration) {
+	for _, l := range lots {
+		wait = max(wait, n.wait(&l))
+		if p.Concurrency > 0 {
+			tasks := n.queue.Profile(p.Name) + len(l.Tasks)
+			wait = max(wait, admit.Wait(time.Duration(tasks)*l.Each, p.Concurrency))
+		}
+		run = max(run, l.Each/2)
+	}
+	return wait, run
+}
+
+// wait returns how long a lot waits. What waits now is not all: of the work that keeps
+// coming, other teams bring most, so that the team has at least its share of the
+// machines, and no more than others leave it.
+func (n *Node) wait(l *queue.Lot) time.Duration {
+	slots := n.slots(l.Need.Kind())
+	o := n.queue.Ahead(*l)
+	own := max(float64(slots)*o.Share, float64(slots+n.freeElsewhere(l.Need.Kind()))-n.inflow.Rate(n.now))
+	return max(admit.Wait(o.Ahead, slots), admit.Wait(o.Team, int(own)))
+}
+
+// freeElsewhere returns how many slots other homes have free by their last word.
+func (n *Node) freeElsewhere(kind cornelwall.Kind) int {
+	free := 0
+	if kind == cornelwall.Executor {
+		for _, p := range n.members.Alive(n.now) {
+			free += p.Room.Free
+		}
+	}
+	return free
+}
+
+// giveUp ends a job early of which so much more is known now that it cannot end in
+// time, unless much of it is done. What it would have used goes to jobs that can.
+func (n *Node) giveUp(j *owner.Job) {
+	if j.Ended() || float64(j.DoneTasks()) > sunk*float64(len(j.Tasks)) {
+		return
+	}
+	p, _ := n.catalog.Last(j.Profile)
+	wait, run := n.predictLots(n.queue.Lots(j.Ticket.Seq), &p)
+	if n.now.Add(doubted(wait) + run).After(j.Deadline) {
+		n.finish(j, cornelwall.ReasonTooLate, comeBack(wait))
+	}
+}
+
+// compare tells the calibration how long a job has waited that ends now.
+func (n *Node) compare(j *owner.Job) {
+	p := n.progress[j.Ticket.Seq]
+	if p == nil {
+		return
+	}
+	waited := n.now.Sub(j.Since) - p.run
+	switch done := j.DoneTasks(); {
+	case j.Answer.Outcome == cornelwall.Done:
+		n.calibration.Observe(p.wait, waited)
+	case j.Answer.Reason == cornelwall.ReasonDeadline:
+		n.calibration.Observe(p.wait, waited*time.Duration(p.tasks)/time.Duration(max(1, done)))
+	}
+}
+
+// slots returns how many tasks this entry can run at once: as many as run now, or as
+// its own machines take, if these are more.
+func (n *Node) slots(kind cornelwall.Kind) int {
+	own := 1
+	if kind == cornelwall.Executor {
+		own = n.placer.Room().Slots
+	}
+	return max(own, len(n.attempts))
+}
+
+// lots returns the tasks of a job by their needs.
+func (n *Node) lots(j *owner.Job, p *cornelwall.Profile) []queue.Lot {
+	var ls []queue.Lot
+	byNeed := map[cornelwall.Need]int{}
+	for i := range j.Spec {
+		need := j.Spec[i].Need
+		k, ok := byNeed[need]
+		if !ok {
+			k = len(ls)
+			byNeed[need] = k
+			ls = append(ls, n.lot(j, p, need))
+		}
+		ls[k].Tasks = append(ls[k].Tasks, i)
+	}
+	return ls
+}
+
+// declared returns the mean run time that the caller declares.
+func declared(tasks []cornelwall.Task) time.Duration {
+	var sum time.Duration
+	for i := range tasks {
+		sum += time.Duration(tasks[i].Size)
+	}
+	return sum / time.Duration(max(1, len(tasks)))
+}
+
+// tooLate reports whether a job of which nothing has started can no longer end in
+// time, so that starting it would only take machines from others.
+func (n *Node) tooLate(j *owner.Job) bool {
+	return !j.Begun() && j.Deadline.Sub(n.now) < n.estimates.Task(j.Profile, 0)/2
+}
+
+// shapes returns the different sizes of the machines.
+func shapes(machines map[string]cornelwall.VM) map[cornelwall.Need]bool {
+	set := map[cornelwall.Need]bool{}
+	for _, vm := range machines {
+		if vm.Kind == cornelwall.Executor {
+			set[cornelwall.Need{}] = true
+		} else {
+			set[vm.Room] = true
+		}
+	}
+	return set
+}
+
+// fitsAnywhere reports whether each task fits a machine of the VM list, free or not.
 // Before the first list any need might fit.
-func (n *Node) fitsAnywhere(need cornelwall.Need) bool {
-	if len(n.machines) == 0 {
+func (n *Node) fitsAnywhere(tasks []cornelwall.Task) bool {
+	if len(n.shapes) == 0 {
 		return true
 	}
-	for _, vm := range n.machines {
-		if vm.Kind == need.Kind() && (vm.Kind == cornelwall.Executor || need.Fits(vm.Room)) {
+	checked := map[cornelwall.Need]bool{}
+	for i := range tasks {
+		need := tasks[i].Need
+		if checked[need] {
+			continue
+		}
+		if !n.fits(need) {
+			return false
+		}
+		checked[need] = true
+	}
+	return true
+}
+
+func (n *Node) fits(need cornelwall.Need) bool {
+	if need.Kind() == cornelwall.Executor {
+		return n.shapes[cornelwall.Need{}]
+	}
+	for room := range n.shapes {
+		if room != (cornelwall.Need{}) && need.Fits(room) {
 			return true
 		}
 	}
