--- a/core/node/node.go
+++ b/core/node/node.go
@@ -87,8 +87,8 @@
 	if c.Away < 2*c.Beat {
 		errs = append(errs, fmt.Errorf("away %s is less than two beats of %s; use more", c.Away, c.Beat))
 	}
-	if c.ClaimLife < c.TicketLife {
-		errs = append(errs, fmt.Errorf("claim life %s is shorter than ticket life %s; use more", c.ClaimLife, c.TicketLife))
+	if c.ClaimLife < 2*c.TicketLife {
+		errs = append(errs, fmt.Errorf("claim life %s is less than two ticket lives of %s; use more", c.ClaimLife, c.TicketLife))
 	}
 	return errors.Join(errs...)
 }
