--- a/core/node/fuzz/events_test.go
+++ b/core/node/fuzz/events_test.go
@@ -175,7 +175,7 @@
 func (d *driver) operation(profile string) *operation {
 	op := &operation{id: len(d.ops), born: d.w.Now, profile: profile, tasks: rapid.IntRange(1, 6).Draw(d.t, "tasks"), deadline: 20 * time.Second}
 	if !d.calm {
-		op.deadline = time.Duration(rapid.IntRange(50, 8000).Draw(d.t, "deadline")) * time.Millisecond
+		op.deadline = time.Duration(rapid.SampledFrom([]int{100, 700, 2000, 4000, 8000}).Draw(d.t, "deadline")) * time.Millisecond
 	}
 	if rapid.IntRange(0, 3).Draw(d.t, "worker") == 0 {
 		op.need = cornelwall.Need{Cores: 1}
