An entry in a file of its own; addresses that no entry can reach are refused

Cause: build had grown to seventy lines and left listeners open when a later one failed; an entry that listens on any address told the others 0.0.0.0.

Shown: go test -race ./cmd/... (TestBuildFails, TestReadSettings, TestPlannedStop).

--- /dev/null
+++ b/cmd/cornelwall/entry.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"cornelwall"
+	"cornelwall/core/control"
+	"cornelwall/core/kernel"
+	"cornelwall/core/node"
+	"cornelwall/io/caller"
+	"cornelwall/io/endpoint"
+	"cornelwall/io/executor"
+	"cornelwall/io/operator"
+	"cornelwall/io/peer"
+	"cornelwall/io/platform"
+	"cornelwall/io/worker"
+)
+
+// entry is the parts of an entry.
+type entry struct {
+	settings  settings
+	self      cornelwall.Incarnation
+	log       logr.Logger
+	kernel    *kernel.Kernel
+	loop      *control.Loop
+	store     *platform.Client
+	peers     *server
+	callers   *server
+	operators *server
+	closers   []func() // of idle connections and listeners
+}
+
+// build opens the listeners and connects the services.
+func build(s settings, log logr.Logger) (*entry, error) {
+	clock := cornelwall.SystemClock{}
+	e := &entry{
+		settings: s,
+		self:     cornelwall.Incarnation{DataCentre: s.DataCentre, Entry: s.Name, Life: drawLife(clock.Now())},
+	}
+	e.log = log.WithValues("entry", e.self)
+	e.kernel = kernel.New(e.log)
+	peers := http.NewServeMux() // gets its handler once the loop is there
+	var err error
+	if e.peers, err = e.listen("peers", s.Peers, maxPeerConns, peers); err != nil {
+		return nil, err
+	}
+	core := node.New(node.Config{Self: e.self, Addr: e.advertised(), Secret: []byte(s.Secret)}, clock.Now())
+	e.loop = control.New(core, clock, e.log)
+	e.connect(peers)
+	e.callers, err = e.listen("callers", s.Callers, maxCallerConns, caller.New(e.loop))
+	if err == nil {
+		e.operators, err = e.listen("operators", s.Operators, maxOperatorConns, e.operatorHandler())
+	}
+	if err != nil {
+		e.close()
+		return nil, err
+	}
+	e.kernel.Add("peer-listener", e.peers)
+	e.kernel.Add("operator-listener", e.operators)
+	e.kernel.Add("caller-listener", e.callers) // ends first, while its requests still reach everything
+	e.log.Info("serving", "callers", e.callers.addr(), "peers", e.peers.addr(), "operators", e.operators.addr())
+	return e, nil
+}
+
+// listen opens the address of a flag.
+func (e *entry) listen(flag string, addr netip.AddrPort, conns int, h http.Handler) (*server, error) {
+	s, err := listen(listenConfig{Addr: addr, Conns: conns, Log: e.log}, h)
+	if err != nil {
+		return nil, fmt.Errorf("--%s: %w", flag, err)
+	}
+	e.closers = append(e.closers, s.close)
+	return s, nil
+}
+
+// advertised returns the address that the other entries are told.
+func (e *entry) advertised() netip.AddrPort {
+	if e.settings.Advertise.IsValid() {
+		return e.settings.Advertise
+	}
+	return e.peers.addr()
+}
+
+// connect makes the services that carry out the core's commands.
+func (e *entry) connect(mux *http.ServeMux) {
+	s := &e.settings
+	peers := peer.New(peer.Config{Self: e.self, Token: s.Secret, Timeout: s.PeerTimeout}, e.loop, e.log)
+	mux.Handle(peers.Handler())
+	executors, workers := executor.New(executor.Config{}), worker.New(worker.Config{})
+	endpoints := endpoint.New(e.loop, map[cornelwall.Kind]cornelwall.BackEnd{
+		cornelwall.Executor: executors,
+		cornelwall.Worker:   workers,
+	})
+	e.store = platform.New(platform.Config{Endpoints: s.Store, Timeout: s.PlatformTimeout})
+	list := platform.NewVMList(platform.ListConfig{URL: s.Machine, Timeout: s.PlatformTimeout, Log: e.log})
+	service := platform.NewService(platform.Settings{
+		Store: e.store, List: list,
+		Prefix: operator.Prefix, Decode: operator.Decode,
+		ListPoll: s.ListPoll, Timeout: s.PlatformTimeout,
+	}, e.loop, e.log)
+	e.loop.Connect(peers, endpoints, service)
+	e.kernel.Add(cornelwall.ServiceControl, e.loop)
+	e.kernel.Add(cornelwall.ServicePeers, peers)
+	e.kernel.Add(cornelwall.ServiceEndpoints, endpoints)
+	e.kernel.Add(cornelwall.ServicePlatform, service)
+	e.closers = append(e.closers, executors.Close, workers.Close, e.store.Close, list.Close)
+}
+
+func (e *entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		metrics.WritePrometheus(w, true)
+		e.loop.WriteMetrics(r.Context(), w)
+	})
+	mux.Handle("/", operator.New(e.loop, e.store, e.settings.Token, drawChange, e.log))
+	return mux
+}
+
+// close closes what is left open.
+func (e *entry) close() {
+	for _, f := range e.closers {
+		f()
+	}
+}
+
+// run serves until ctx ends, then makes a planned stop.
+func (e *entry) run(ctx context.Context) error {
+	kctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- e.kernel.Run(kctx) }()
+	defer e.close()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	e.leave()
+	cancel()
+	return <-ended
+}
+
+// leave makes the planned stop of the core. Callers are served until it is complete, and
+// at least for as long as the balancer needs to see that the entry is not ready.
+func (e *entry) leave() {
+	e.callers.leave(time.Now().Add(e.settings.StopTimeout))
+	e.loop.Post(cornelwall.Stop{Left: e.settings.StopTimeout * 3 / 4}) // the rest is for the handover
+	limit, least := time.NewTimer(e.settings.StopTimeout), time.NewTimer(e.settings.Linger)
+	defer limit.Stop()
+	defer least.Stop()
+	select {
+	case <-e.loop.Stopped():
+	case <-e.loop.Done(): // a service has failed meanwhile
+		return
+	case <-limit.C:
+		e.log.Info("stop-timeout", "remedy", "raise --stop-timeout above the longest deadline")
+		return
+	}
+	select {
+	case <-least.C:
+	case <-e.loop.Done():
+	}
+}
--- a/cmd/cornelwall/entry_test.go
+++ b/cmd/cornelwall/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -200,3 +201,23 @@
 		assert.Equal(t, resp.StatusCode, status)
 	}
 }
+
+// TestBuildFails opens a listener on an address that is taken: the error names the flag,
+// and what was opened before is closed.
+func TestBuildFails(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	listenAny := func(addr string) net.Listener {
+		l, err := net.Listen("tcp", addr)
+		assert.NilError(t, err)
+		return l
+	}
+	taken, free := listenAny("127.0.0.1:0"), listenAny("127.0.0.1:0")
+	defer func() { assert.Check(t, taken.Close()) }()
+	assert.NilError(t, free.Close())
+	_, err := build(settings{
+		Name: "a", DataCentre: "ikeja", Secret: testSecret,
+		Peers: netip.MustParseAddrPort(free.Addr().String()), Callers: netip.MustParseAddrPort(taken.Addr().String()),
+	}, logr.Discard())
+	assert.ErrorContains(t, err, "--callers")
+	assert.NilError(t, listenAny(free.Addr().String()).Close())
+}
--- a/cmd/cornelwall/server.go
+++ b/cmd/cornelwall/server.go
@@ -143,5 +143,11 @@
 	return s.http.Close()
 }
 
+// close closes the listener of a server that does not run.
+func (s *server) close() {
+	s.cut()
+	_ = s.listener.Close() // closed already if the server has run
+}
+
 // Done is closed once Run has returned.
 func (s *server) Done() <-chan struct{} { return s.done }
--- a/cmd/cornelwall/settings.go
+++ b/cmd/cornelwall/settings.go
@@ -122,6 +122,12 @@
 // check reports all that is wrong with the settings.
 func (s *settings) check() error {
 	errs := []error{cornelwall.CheckName("--name", s.Name), cornelwall.CheckName("--dc", s.DataCentre)}
+	if s.Peers.Addr().IsUnspecified() && !s.Advertise.IsValid() {
+		errs = append(errs, fmt.Errorf("--peers %s is no address that other entries reach; set --advertise to one", s.Peers))
+	}
+	if s.Advertise.IsValid() && s.Advertise.Addr().IsUnspecified() {
+		errs = append(errs, fmt.Errorf("--advertise %s is no address that other entries reach; use ip:port", s.Advertise))
+	}
 	if len(s.Store) == 0 {
 		errs = append(errs, errors.New("--store is missing; set the URL of the key-value service"))
 	}
--- a/cmd/cornelwall/settings_test.go
+++ b/cmd/cornelwall/settings_test.go
@@ -25,6 +25,8 @@
 		{"right", nil, nil},
 		{"several", []string{"--name", "A_1", "--peers", "here", "--linger", "2m", "--peer-timeout", "0s"},
 			[]string{"--name", "--peers", "--linger", "--peer-timeout"}},
+		{"any address", []string{"--peers", "0.0.0.0:7001"}, []string{"set --advertise"}},
+		{"any address told", []string{"--peers", "[::]:7001", "--advertise", "[::]:7001"}, []string{"--advertise [::]:7001"}},
 		{"secret twice", []string{"--secret", "secret-of-all-entries"}, []string{"--secret and --secret-file"}},
 		{"no such file", []string{"--token", "", "--token-file", file + "2"}, []string{"--token-file cannot be read", "--token has 0"}},
 		{"short secret", []string{"--secret-file", "", "--secret", "abc"}, []string{"--secret has 3 characters"}},
