--- a/cmd/cornelwall/entry_test.go
+++ b/cmd/cornelwall/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -221,3 +222,28 @@
 	assert.ErrorContains(t, err, "--callers")
 	assert.NilError(t, listenAny(free.Addr().String()).Close())
 }
+
+// TestServerLimits sends headers that are too large.
+func TestServerLimits(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	s, err := listen(listenConfig{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Conns: 1, Log: logr.Discard()},
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = s.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-s.Done()
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for size, status := range map[int]int{maxHeaderBytes / 2: 200, 2 * maxHeaderBytes: 431} {
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.addr().String(), nil)
+		assert.NilError(t, err)
+		r.Header.Set("X", strings.Repeat("x", size))
+		resp, err := client.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, status)
+	}
+}
