Test of two entries that stop at once

Cause: of 15 mutants of the stop, membership and forwards, one passed all tests of core/node, core/heir and core/member: a stopping entry that takes over a table.

Change: TestStoppingPair, which fails on that mutant and passes without it.

Not rejected: the stopping entry does not tell who its heirs are; the heirs tell it themselves, so that this is a second way only.

--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -223,3 +223,37 @@
 		})
 	}
 }
+
+// TestStoppingPair stops two entries at once while the third restarts, and loses the
+// heartbeats in which they tell it. Neither may be an heir of the other: it would end with
+// the table.
+func TestStoppingPair(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.took = 200 * time.Millisecond
+	c.hosts["dc0-e2"].Dead = true
+	c.Advance(2 * away)
+	a, b := c.draw("dc0-e0"), c.draw("dc0-e1")
+	for _, tk := range []cornelwall.Ticket{a, b} {
+		c.submit(tk.Owner.Entry, tk, 1)
+	}
+	c.Advance(50 * time.Millisecond) // the tasks run
+	c.Post(c.hosts["dc0-e0"], cornelwall.Stop{})
+	c.Post(c.hosts["dc0-e1"], cornelwall.Stop{})
+	told := c.Now.Add(900 * time.Millisecond)
+	c.Link = func(_, _ cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+		if c.Now.Before(told) && has(e, func(m *cornelwall.Message) bool { return m.Beat != nil }) {
+			return fake.Fate{}
+		}
+		if has(e, func(m *cornelwall.Message) bool { return m.Inherit != nil }) {
+			return fake.Fate{Delays: []time.Duration{100 * time.Millisecond}} // after both have closed
+		}
+		return arrives
+	}
+	c.Advance(2 * time.Second)
+	c.start("dc0-e2")
+	c.Advance(5 * time.Second)
+	assert.Assert(t, c.hosts["dc0-e0"].Dead && c.hosts["dc0-e1"].Dead)
+	for _, tk := range []cornelwall.Ticket{a, b} {
+		assert.Equal(t, c.answer(c.fetch("dc0-e2", tk), time.Second).Outcome, cornelwall.Done)
+	}
+}
