--- a/cmd/cornelwall/entry_test.go
+++ b/cmd/cornelwall/entry_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +37,19 @@
 	client   *http.Client
 	platform *platform.Platform
 	url      string
+	log      *safeBuffer
+}
+
+// safeBuffer is a log that several goroutines write.
+type safeBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
 }
 
 // running is an entry that runs.
@@ -46,7 +61,7 @@
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, client: &http.Client{Transport: &http.Transport{}}, platform: platform.New(platform.Config{})}
+	s := &system{t: t, client: &http.Client{Transport: &http.Transport{}}, platform: platform.New(platform.Config{}), log: &safeBuffer{}}
 	server := httptest.NewServer(s.platform)
 	s.url = server.URL
 	x := executor.New(executor.Config{})
@@ -72,7 +87,7 @@
 		Store: []string{s.url}, Machine: s.url + "/vms", Secret: testSecret, Token: testToken,
 		ListPoll: 20 * time.Millisecond, PlatformTimeout: time.Second, PeerTimeout: time.Second,
 		StopTimeout: 20 * time.Second, Linger: 300 * time.Millisecond,
-	}, logr.Discard())
+	}, logr.FromSlogHandler(slog.NewTextHandler(s.log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	assert.NilError(s.t, err)
 	s.platform.PutVM(cornelwall.VM{Name: name, Kind: cornelwall.Entry, DataCentre: "ikeja", Addr: e.peers.addr()})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -174,6 +189,9 @@
 		s.platform.RemoveVM("b")
 		a.stop() // with no other entry to hand over to
 		assert.NilError(t, <-a.ended)
+		logged := s.log.text.String()
+		assert.Assert(t, strings.Contains(logged, "msg=handed-over"))
+		assert.Assert(t, !strings.Contains(logged, testSecret) && !strings.Contains(logged, testToken), "a secret is logged")
 	})
 }
 
