--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -30,6 +30,7 @@
 const (
 	defaultTTL  = 10 * time.Second
 	stopTimeout = time.Second
+	grantWait   = time.Second // for the answer to a start that was given up
 	renewPause  = 50 * time.Millisecond
 )
 
@@ -132,8 +133,7 @@
 	if err != nil {
 		return cornelwall.Result{Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonConnect}
 	}
-	// A start whose answer is lost ends when its lease lapses, without an owner.
-	startCtx, cancel := context.WithTimeout(ctx, b.ttl)
+	startCtx, cancel := b.startContext(ctx)
 	defer cancel()
 	resp, sent, err := b.client.Do(startCtx, vm.Addr, vm.Conns, post("/leases", body))
 	result := executor.Judge(resp, http.StatusCreated, sent, err, ctx.Err() != nil)
@@ -149,6 +149,18 @@
 	return ended
 }
 
+// startContext bounds the wait for the answer to a start. It outlives ctx by a little: a
+// lease that is granted just then must be known to be stopped. A start whose answer is
+// lost ends when its lease lapses, without an owner.
+func (b *BackEnd) startContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.ttl)
+	unwatch := context.AfterFunc(ctx, func() { time.AfterFunc(grantWait, cancel) })
+	return startCtx, func() {
+		unwatch()
+		cancel()
+	}
+}
+
 // follow renews the lease until the task ends, the lease may have lapsed or ctx ends.
 func (b *BackEnd) follow(ctx context.Context, vm cornelwall.VM, id string) cornelwall.Result {
 	path := "/leases/" + url.PathEscape(id)
