--- /dev/null
+++ b/io/endpoint/endpoint_test.go
@@ -0,0 +1,73 @@
+package endpoint_test
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/io/endpoint"
+)
+
+// inbox takes events for a core.
+type inbox chan cornelwall.Event
+
+func (b inbox) Post(ev cornelwall.Event) { b <- ev }
+
+// backEnd tells its starts and ends them when it is told to or given up.
+type backEnd struct {
+	started chan cornelwall.Start
+	end     chan cornelwall.Result
+}
+
+func (b backEnd) Run(ctx context.Context, _ cornelwall.VM, s cornelwall.Start) cornelwall.Result {
+	b.started <- s
+	select {
+	case r := <-b.end:
+		return r
+	case <-ctx.Done():
+		return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost}
+	}
+}
+
+// TestEndpoints starts tasks that end by themselves, are abandoned, or are cut short by the
+// end of the process. Each start is reported once, and none begins after the end.
+func TestEndpoints(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	b := backEnd{started: make(chan cornelwall.Start, 4), end: make(chan cornelwall.Result)}
+	events := make(inbox, 4)
+	e := endpoint.New(events, map[cornelwall.Kind]cornelwall.BackEnd{cornelwall.Worker: b})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = e.Run(ctx) }()
+	start := func(attempt uint64) {
+		e.Act(cornelwall.Run{VM: cornelwall.VM{Kind: cornelwall.Worker}, Start: cornelwall.Start{Attempt: attempt}})
+	}
+	ended := func() (uint64, cornelwall.Outcome) {
+		ev := (<-events).(cornelwall.Ended)
+		return ev.Attempt, ev.Result.Outcome
+	}
+	check := func(attempt uint64, outcome cornelwall.Outcome) {
+		t.Helper()
+		a, o := ended()
+		assert.Equal(t, a, attempt)
+		assert.Equal(t, o, outcome)
+	}
+	start(1)
+	<-b.started
+	b.end <- cornelwall.Result{Outcome: cornelwall.Done}
+	check(1, cornelwall.Done)
+	start(2)
+	<-b.started
+	e.Act(cornelwall.Abandon{Attempt: 1}) // has ended
+	e.Act(cornelwall.Abandon{Attempt: 2})
+	check(2, cornelwall.Unknown)
+	start(3)
+	<-b.started
+	cancel()
+	check(3, cornelwall.Unknown)
+	<-e.Done()
+	start(4)
+	assert.Equal(t, len(b.started), 0)
+}
