--- a/client/client_test.go
+++ b/client/client_test.go
@@ -36,6 +36,13 @@
 	return c.now
 }
 
+// limitTo calls end after so many waits from now on.
+func (c *clock) limitTo(waits int, end context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waits, c.limit, c.end = nil, waits, end
+}
+
 func (c *clock) Wait(ctx context.Context, d time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
