--- a/command.go
+++ b/command.go
@@ -18,13 +18,13 @@
 	Left    time.Duration // time left to the job's deadline
 }
 
-// Force is the version of a profile that is in force at an entry.
+// Force tells which version of a profile is in force at one entry.
 type Force struct {
 	Entry   Incarnation `json:"entry"`
 	Version uint64      `json:"version"`
 	Retired bool        `json:"retired,omitempty"`
 	Stale   bool        `json:"stale,omitempty"`   // no fresh word of the platform
-	Missing bool        `json:"missing,omitempty"` // the entry has not answered
+	Missing bool        `json:"missing,omitempty"` // the entry did not answer; Version is not known
 }
 
 type (
--- a/profile.go
+++ b/profile.go
@@ -17,7 +17,7 @@
 const (
 	// Batch work goes last.
 	Batch Class = iota
-	// Normal work is the default.
+	// Normal work is the default of profiles that people write; see NewProfile.
 	Normal
 	// Urgent work goes first.
 	Urgent
