--- a/cmd/cornelwall/cli_test.go
+++ b/cmd/cornelwall/cli_test.go
@@ -188,6 +188,10 @@
 	expect(t, exitUnknown, "whether the change was accepted is not known", "profile", "apply", "--timeout", "600ms", other)
 	r.lose.Store(0)
 	expect(t, exitOK, "checks  1", "profile", "show", "checks")
+
+	t.Setenv("CORNELWALL_OPERATOR_ENTRIES", "http://127.0.0.1:1,"+os.Getenv("CORNELWALL_OPERATOR_ENTRIES"))
+	expect(t, exitOK, "retire  2        accepted", "profile", "retire", "checks")
+	expect(t, exitOK, "checks  2        retired", "profile", "list", "--retired")
 }
 
 func TestJobCommands(t *testing.T) {
