Operators' API: misspelt conditions are refused; the token's length does not show

A change with ?expcet=1 was made without any condition. Unknown parameters of the query are now problems like unknown fields. The token is compared by hash, as a comparison of slices of unequal length ends early.

Shown by TestChanges, whose new case failed before (200); go test -race ./io/operator ./io/web ./cmd/cornelwall.

--- a/io/operator/apply.go
+++ b/io/operator/apply.go
@@ -121,7 +121,7 @@
 // readTerms reads the conditions of a change from the query and reports all that is
 // wrong with them.
 func readTerms(c echo.Context) (Terms, error) {
-	var errs []error
+	errs := []error{web.CheckQuery(c, "expect", "create", "change")}
 	t := Terms{Change: c.QueryParam("change")}
 	if s := c.QueryParam("expect"); s != "" {
 		var err error
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
 
@@ -36,13 +37,13 @@
 type handler struct {
 	core    Core
 	changer *Changer
-	token   string
+	want    [sha256.Size]byte // hash of the right header, so that not even its length shows in the time
 	log     logr.Logger
 }
 
 // New returns the handler of the API.
 func New(core Core, store cornelwall.Store, token string, draw func() string, log logr.Logger) http.Handler {
-	h := &handler{core: core, token: token, log: log}
+	h := &handler{core: core, want: sha256.Sum256([]byte("Bearer " + token)), log: log}
 	h.changer = &Changer{Store: store, Known: h.known, Draw: draw}
 	e := web.New()
 	g := e.Group("/v1", h.authorise)
@@ -56,8 +57,8 @@
 
 func (h *handler) authorise(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		got := c.Request().Header.Get("Authorization")
-		if subtle.ConstantTimeCompare([]byte(got), []byte("Bearer "+h.token)) != 1 {
+		got := sha256.Sum256([]byte(c.Request().Header.Get("Authorization")))
+		if subtle.ConstantTimeCompare(got[:], h.want[:]) != 1 {
 			authFailures.Inc()
 			h.log.Info("operator-refused", "from", c.Request().RemoteAddr, "method", c.Request().Method, "path", c.Path())
 			return cornelwall.ErrAuth
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -142,6 +142,7 @@
 		{"its identity with other content", "PUT", "/v1/profiles/holds?expect=1&change=c2", holds, 400, "choose a new identity"},
 		{"identity without a version", "PUT", "/v1/profiles/holds?change=c9", holds, 400, "set one"},
 		{"lost race", "PUT", "/v1/profiles/holds?expect=1", holds, 409, "is at version 2, not 1"},
+		{"misspelt condition", "PUT", "/v1/profiles/holds?expcet=1", holds, 400, `parameter \"expcet\" is unknown; use expect, create, change`},
 		{"terms that exclude each other", "PUT", "/v1/profiles/holds?expect=1&create=true", holds, 400, "use one"},
 		{"no version", "DELETE", "/v1/profiles/holds?expect=latest", "", 400, "is not a version"},
 		{"retire", "DELETE", "/v1/profiles/holds?expect=2&change=c3", "", 200, `"retired":true`},
@@ -207,6 +208,7 @@
 		{"?wait=1ms", []uint64{1}, 200, 2, false},
 		{"?version=1", []uint64{1}, 200, 1, true},
 		{"?wait=forever", []uint64{1}, 400, 0, false},
+		{"?wiat=30s", []uint64{1}, 400, 0, false},
 		{"?version=x", []uint64{1}, 400, 0, false},
 	} {
 		r.core.peer = tt.peer
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -63,6 +63,9 @@
 
 // readWait reads the query of a status request.
 func readWait(c echo.Context) (wait time.Duration, version uint64, err error) {
+	if err := web.CheckQuery(c, "wait", "version"); err != nil {
+		return 0, 0, web.InputError(err)
+	}
 	if s := c.QueryParam("wait"); s != "" {
 		wait, err = time.ParseDuration(s)
 		if err != nil || wait < 0 || wait > maxWait {
--- a/io/web/decode.go
+++ b/io/web/decode.go
@@ -37,6 +37,18 @@
 	return nil
 }
 
+// CheckQuery reports the parameters of the query that are not among the known ones, as a
+// misspelt one would change the meaning of the request unseen.
+func CheckQuery(c echo.Context, known ...string) error {
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(c.QueryParams())) {
+		if !slices.Contains(known, name) {
+			errs = append(errs, fmt.Errorf("parameter %q is unknown; use %s", name, strings.Join(known, ", ")))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // unmarshal reads exactly one JSON value.
 func unmarshal(body []byte, v any) error {
 	dec := json.NewDecoder(bytes.NewReader(body))
