Client: jobs spread over the entries

Every client drew from the first entry of its list, so that clients with one list made that entry the owner of all jobs. Draws now begin at a random entry and go to the entries in turn; a background draw that fails goes on to the next.

TestSpreads failed before. TestFetchAndCancel had a data race of its own (a counter written by two connections), seen once in twenty runs; it counts atomically now. Shown by go test -race -count=25 ./client.

--- a/client/client.go
+++ b/client/client.go
@@ -26,6 +26,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strings"
@@ -51,6 +52,10 @@
 	Timeout time.Duration // of one request; a job may take several
 	HTTP    *http.Client  // to send requests with
 	Clock   Clock         // to wait with
+
+	// Pick returns the index of the entry to try first, of n. It is random if it is not
+	// set, so that many clients spread over the entries.
+	Pick func(n int) int
 }
 
 // check fills in the defaults and reports all that is wrong with the settings.
@@ -79,6 +84,9 @@
 	if c.Timeout < 0 {
 		errs = append(errs, fmt.Errorf("Timeout %s is negative; use a duration such as 30s", c.Timeout))
 	}
+	if c.Pick == nil {
+		c.Pick = rand.IntN
+	}
 	if c.Clock == nil {
 		c.Clock = systemClock{}
 	}
@@ -113,6 +121,7 @@
 	for _, e := range cfg.Entries {
 		c.entries = append(c.entries, strings.TrimSuffix(e, "/"))
 	}
+	c.next = cfg.Pick(len(c.entries))
 	if c.http == nil {
 		c.http = &http.Client{Transport: newTransport()}
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,6 +136,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	k := &clock{now: time.Unix(1700000000, 0), limit: limit, end: end}
 	cfg.Profile, cfg.Clock = "seat-holds", k
+	cfg.Pick = func(int) int { return 0 }
 	c, err := client.New(cfg)
 	assert.NilError(t, err)
 	t.Cleanup(func() {
@@ -310,18 +313,29 @@
 	assert.Assert(t, e.draws <= jobs/4, "%d draws", e.draws)
 }
 
+// TestSpreads checks that the draws, and with them the jobs, go to the entries in turn.
+func TestSpreads(t *testing.T) {
+	es := []*entry{newEntry(t, "e1", says(done)), newEntry(t, "e2", says(done)), newEntry(t, "e3", says(done))}
+	c, _, ctx := newClient(t, client.Config{Entries: []string{es[0].URL, es[1].URL, es[2].URL}}, 10)
+	for i := range 6 {
+		ts, err := c.Draw(ctx, 1)
+		assert.NilError(t, err)
+		assert.Equal(t, ts[0].Owner.Entry, fmt.Sprint("e", 1+i%3))
+	}
+}
+
 func TestFetchAndCancel(t *testing.T) {
 	tk := cornelwall.Ticket{Seq: 1, Team: "bookings", Owner: cornelwall.Incarnation{DataCentre: "ikeja", Entry: "e1", Life: 1}}
-	calls := 0
+	var calls atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		assert.Equal(t, r.URL.Path, "/v1/jobs/"+tk.String())
 		a := cornelwall.Answer{Ticket: tk}
-		switch calls++; {
+		switch n := calls.Add(1); {
 		case r.Method == http.MethodDelete:
 			a.Outcome, a.Reason, a.Final = cornelwall.NotRun, cornelwall.ReasonCancelled, true
-		case calls == 1:
+		case n == 1:
 			panic(http.ErrAbortHandler)
-		case calls == 3:
+		case n == 3:
 			a.Outcome, a.Final = cornelwall.Done, true
 		}
 		_ = json.NewEncoder(w).Encode(a)
--- a/client/model_test.go
+++ b/client/model_test.go
@@ -109,6 +109,7 @@
 		s := &system{rng: rand.New(rand.NewPCG(seed, 0)), jobs: map[cornelwall.Ticket]cornelwall.Answer{},
 			closed: map[cornelwall.Incarnation]bool{}, starts: map[string]int{}}
 		cfg := client.Config{Profile: "holds", HTTP: &http.Client{Transport: s}, Ahead: 1,
+			Pick:    func(int) int { return 0 },
 			Retries: rapid.IntRange(0, 3).Draw(t, "retries")}
 		for i := range 3 {
 			s.alive = append(s.alive, cornelwall.Incarnation{DataCentre: "ikeja", Entry: fmt.Sprint("e", i), Life: 1})
--- a/client/tickets.go
+++ b/client/tickets.go
@@ -76,6 +76,7 @@
 		return nil, 0, fmt.Errorf("entry %s gave no tickets: %w", entry, err)
 	}
 	var hs []held
+	c.after(entry) // the next draw goes elsewhere, so that the entries share the jobs
 	for _, t := range out.Tickets {
 		hs = append(hs, held{ticket: t, entry: entry, drawn: c.cfg.Clock.Now()})
 	}
@@ -171,8 +172,10 @@
 		if n <= 0 {
 			continue
 		}
-		hs, _, err := c.drawAt(ctx, c.first(), n)
+		entry := c.first()
+		hs, _, err := c.drawAt(ctx, entry, n)
 		if err != nil {
+			c.after(entry)
 			continue
 		}
 		c.mu.Lock()
