--- a/core/member/member.go
+++ b/core/member/member.go
@@ -56,6 +56,8 @@
 	Watcher     bool
 	Fresh       bool
 	Digest      uint64
+	Room        cornelwall.Room
+	RoomAt      time.Time // of the word of Room
 	Probe       uint64    // number that another life has to echo; 0 is none
 	Beaten      time.Time // when a heartbeat was sent to it last
 	heard       time.Time
@@ -175,6 +177,7 @@
 	}
 	p.heard = now
 	p.Leaving, p.Watcher, p.Fresh, p.Digest = b.Leaving, b.Watcher, b.Fresh, b.Digest
+	p.Room, p.RoomAt = b.Room, now
 	if b.Addr.IsValid() {
 		p.Addr = b.Addr
 	}
--- a/io/worker/worker_test.go
+++ b/io/worker/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -90,6 +91,30 @@
 	assert.Equal(t, w.Leases(), 0)
 }
 
+// TestEndOfContextDuringTheStart ends the context while the worker has the start and has
+// not answered yet. The lease that it then grants is stopped.
+func TestEndOfContextDuringTheStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "POST /leases":
+			cancel()
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write([]byte(`{"lease":"l1"}`))
+		case "DELETE /leases/l1":
+			stopped <- r.URL.Path
+		}
+	}))
+	defer server.Close()
+	b := worker.New(worker.Config{})
+	defer b.Close()
+	vm := cornelwall.VM{Addr: netip.MustParseAddrPort(server.Listener.Addr().String()), Conns: 8}
+	got := b.Run(ctx, vm, start("x", 2))
+	assert.Equal(t, got.Outcome, cornelwall.Unknown)
+	assert.Equal(t, len(stopped), 1)
+}
+
 func TestLostLeaseLapses(t *testing.T) {
 	w, b, vm := run(t, 100*time.Millisecond)
 	w.Set(task.Control{Hang: true})
