Tasks behind stragglers look for machines elsewhere

Cause: an entry asked other data centres for machines only if the wait that it expected, from the run times observed, was long enough. With every slot at hand held by stragglers the expected wait of one task stayed under it for ever: in the scenario late-answer 16 of 17 tasks had started after 3 minutes, with 16 slots of the other data centre idle. Change: a job that has waited 200 ms past its rank counts as waiting for as long as it has waited. TestStragglersHoldADataCentre failed before (pending) and passes now. Not measured: what it does to the messages per task at high load.

--- a/core/slot/ask.go
+++ b/core/slot/ask.go
@@ -15,6 +15,7 @@
 	payStanding = 600 * time.Millisecond // and standing in the queue of homes with nothing free
 	standing    = 10 * time.Second       // life of a want that stands
 	maxStanding = 2                      // homes in whose queues the tasks of a need stand
+	heldUp      = 200 * time.Millisecond // of waiting past its rank, from which a job waits for stragglers
 	minFree     = 4                      // slots that a home must have had free, as the word of it is old
 	askPause    = 2 * time.Millisecond   // between two looks for peers with room
 )
@@ -141,7 +142,7 @@
 	}
 	short := d.Waiting(need) - s.asks.spoken(now, need)
 	each := d.Expected()
-	if s.wait(short, each, need) < payNear {
+	if s.waits(now, d, short, each, need) < payNear {
 		return
 	}
 	s.asks.next[need] = now.Add(askPause)
@@ -149,14 +150,14 @@
 	for i := range peers {
 		p := &peers[i]
 		free := s.asks.free(p, need)
-		if free < s.leastFree(need) || s.wait(short, each, need) < s.pays(p) || s.asks.open[askKey{p.ID, need}] != nil {
+		if free < s.leastFree(need) || s.waits(now, d, short, each, need) < s.pays(p) || s.asks.open[askKey{p.ID, need}] != nil {
 			continue
 		}
 		n := min(short, free)
 		s.ask(now, d, p, need, n, 0)
 		short -= n
 	}
-	if s.wait(short, each, need) > payStanding {
+	if s.waits(now, d, short, each, need) > payStanding {
 		s.stand(now, d, peers, need, short)
 	}
 }
@@ -189,6 +190,17 @@
 	return time.Duration(float64(short) * float64(each) / float64(max(1, slots)))
 }
 
+// waits returns how long so many tasks wait: as long as is expected, or as the next job
+// has waited already if the machines at hand are held by stragglers.
+func (s *Loans) waits(now time.Time, d cornelwall.Demand, short int, each time.Duration, need cornelwall.Need) time.Duration {
+	expected := s.wait(short, each, need)
+	_, rank := d.Head(need)
+	if waited := now.Sub(rank); short > 0 && waited >= heldUp {
+		return max(expected, waited)
+	}
+	return expected
+}
+
 // inOrder returns the peers that stay, the near ones first, and those with the most free first.
 func (s *Loans) inOrder(peers []cornelwall.PeerRoom, need cornelwall.Need) []cornelwall.PeerRoom {
 	far := func(p *cornelwall.PeerRoom) int {
