Scenarios of failing and of dead machines apart

Cause: an executor that failed everything is let back slowly, so that the tasks that hang do not all start at once; the scenario waited for all of them.

--- a/standin/prove/machine_test.go
+++ b/standin/prove/machine_test.go
@@ -154,18 +154,22 @@
 	return s.allDone(ctx, "after", 10, 8)
 }
 
-// badMachines runs jobs with an executor that fails everything, one that dies with
-// tasks, and a worker that dies with leases.
-func badMachines(ctx context.Context, s *stage) error {
+// failingExecutor runs jobs with an executor that fails everything for a while.
+func failingExecutor(ctx context.Context, s *stage) error {
 	if err := local.Set(ctx, s.Executors[0], task.Control{FailAll: true}); err != nil {
 		return err
 	}
-	if _, err := s.runAll(ctx, "failing", 20, 4); err != nil {
+	if _, err := s.runAll(ctx, "failing", 40, 4); err != nil {
 		return err
 	}
 	if err := local.Set(ctx, s.Executors[0], released); err != nil {
 		return err
 	}
+	return s.allDone(ctx, "after", 10, 8)
+}
+
+// deadMachines ends an executor that has tasks, and a worker that has leases.
+func deadMachines(ctx context.Context, s *stage) error {
 	if err := s.dies(ctx, s.Executors[0], job("on-dead-executor", 16)); err != nil {
 		return err
 	}
