--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -55,10 +55,18 @@
 	},
 	{
 		name: "no-handover", always: true, scenario: "rolling-restart", want: "unknown",
-		edits: []edit{{"core/node/stop.go", "	n.chooseHeirs()\n	for _, t := range h.heirs {", `
-	h.done = true
-	n.emit(cornelwall.Stopped{})
-	for _, t := range h.heirs {`}},
+		edits: []edit{{"core/node/stop.go",
+			"	if h.handed.IsZero() {\n		n.chooseHeirs()", "	h.handed = n.now\n	if h.handed.IsZero() {\n		n.chooseHeirs()"}},
+	},
+	{
+		name: "drain-sign-forgotten", scenario: "leaving-signed", want: "starts were sent",
+		edits: []edit{{"core/node/dispatch.go",
+			"	for name := range n.draining {\n		n.mark(name)", "	for name := range n.draining {\n		_ = name"}},
+	},
+	{
+		name: "leaving-ignored", scenario: "leaving-listed", want: "starts were sent",
+		edits: []edit{{"core/node/dispatch.go",
+			"if vm.Kind != cornelwall.Entry {", "if vm.State = cornelwall.Live; vm.Kind != cornelwall.Entry {"}},
 	},
 	{
 		name: "stop-does-not-wait", scenario: "rolling-restart", want: "want done",
