--- /dev/null
+++ b/core/node/policy_test.go
@@ -0,0 +1,186 @@
+package node_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/node"
+	"cornelwall/standin/fake"
+)
+
+// site is one entry with executors, and what it answered.
+type site struct {
+	*fake.World
+	host    *fake.Host
+	vms     []cornelwall.VM
+	ran     map[string]int // tasks by machine
+	answers map[uint64]cornelwall.Answer
+	req     uint64
+}
+
+func newSite(tb testing.TB, executors int, profile cornelwall.Profile, work func(machine string) (time.Duration, cornelwall.Result)) *site {
+	tb.Helper()
+	now := time.Unix(1700000000, 0)
+	s := &site{World: fake.NewWorld(now), ran: map[string]int{}, answers: map[uint64]cornelwall.Answer{}}
+	s.Work = func(_ *fake.Host, r cornelwall.Run) (time.Duration, cornelwall.Result) {
+		s.ran[r.VM.Name]++
+		return work(r.VM.Name)
+	}
+	s.Replied = func(_ *fake.Host, cmd cornelwall.Command) {
+		if r, ok := cmd.(cornelwall.Reply); ok {
+			s.answers[r.Req] = r.Answer
+		}
+	}
+	self := cornelwall.Incarnation{DataCentre: "ikeja", Entry: "e0", Life: 1}
+	addr := netip.MustParseAddrPort("127.0.0.1:7001")
+	for i := range executors {
+		s.vms = append(s.vms, cornelwall.VM{Name: fmt.Sprintf("x%d", i), Kind: cornelwall.Executor, DataCentre: "ikeja",
+			Addr: netip.MustParseAddrPort("127.0.0.2:80"), Slots: 8})
+	}
+	s.host = s.Add(node.New(node.Config{Self: self, Addr: addr, Secret: []byte("0123456789abcdef")}, now), self, addr)
+	profile.Name, profile.Team, profile.Version = "holds", "bookings", 1
+	profile.Normalise()
+	s.Post(s.host, cornelwall.Machines{VMs: s.vms})
+	s.Post(s.host, cornelwall.Watched{Profiles: []cornelwall.Profile{profile}, All: true})
+	s.Advance(2 * time.Second)
+	return s
+}
+
+// submit submits a job and returns the number of the request.
+func (s *site) submit(tasks int, need cornelwall.Need) uint64 {
+	s.req++
+	job := &cornelwall.Job{Profile: "holds"}
+	for range tasks {
+		job.Tasks = append(job.Tasks, cornelwall.Task{Need: need})
+	}
+	s.Post(s.host, cornelwall.Submit{Req: s.req, Job: job})
+	s.Advance(0)
+	return s.req
+}
+
+func done(took time.Duration) func(string) (time.Duration, cornelwall.Result) {
+	return func(string) (time.Duration, cornelwall.Result) {
+		return took, cornelwall.Result{Outcome: cornelwall.Done}
+	}
+}
+
+func TestDrainSignOutlivesALaggingList(t *testing.T) {
+	s := newSite(t, 2, cornelwall.Profile{}, func(name string) (time.Duration, cornelwall.Result) {
+		return 10 * time.Millisecond, cornelwall.Result{Outcome: cornelwall.Done, Draining: name == "x0"}
+	})
+	s.submit(16, cornelwall.Need{})
+	s.Advance(time.Second)
+	before := s.ran["x0"]
+	assert.Assert(t, before > 0)
+	s.Post(s.host, cornelwall.Machines{VMs: s.vms}) // which does not know yet
+	s.submit(40, cornelwall.Need{})
+	s.Advance(time.Second)
+	assert.Equal(t, s.ran["x0"], before)
+	assert.Equal(t, s.answers[2].Outcome, cornelwall.Done)
+}
+
+func TestNeverFitsIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t, 1, cornelwall.Profile{}, done(time.Millisecond))
+	req := s.submit(1, cornelwall.Need{Cores: 1})
+	assert.Equal(t, s.answers[req].Outcome, cornelwall.NotRun)
+	assert.Equal(t, s.answers[req].Reason, cornelwall.ReasonNeverFits)
+}
+
+func TestTooLateIsRefusedAtOnceByObservedTimes(t *testing.T) {
+	s := newSite(t, 1, cornelwall.Profile{Deadline: cornelwall.Duration(2 * time.Second)}, done(500*time.Millisecond))
+	s.submit(8, cornelwall.Need{})
+	s.Advance(time.Second)
+	first, second := s.submit(14, cornelwall.Need{}), s.submit(40, cornelwall.Need{})
+	a := s.answers[second]
+	assert.Equal(t, a.Outcome, cornelwall.NotRun)
+	assert.Equal(t, a.Reason, cornelwall.ReasonTooLate)
+	assert.Assert(t, time.Duration(a.Back) > 100*time.Millisecond, "back %s", a.Back)
+	s.Advance(2 * time.Second)
+	assert.Equal(t, s.answers[first].Outcome, cornelwall.Done)
+}
+
+func TestQueueLimitIsTheProfilesOwn(t *testing.T) {
+	s := newSite(t, 1, cornelwall.Profile{Queue: 10}, done(10*time.Millisecond))
+	s.submit(8, cornelwall.Need{})
+	ok, full := s.submit(10, cornelwall.Need{}), s.submit(1, cornelwall.Need{})
+	assert.Equal(t, s.answers[full].Reason, cornelwall.ReasonQueueFull)
+	s.Advance(time.Second)
+	assert.Equal(t, s.answers[ok].Outcome, cornelwall.Done)
+}
+
+func TestConcurrencyLimit(t *testing.T) {
+	running, most := 0, 0
+	s := newSite(t, 2, cornelwall.Profile{Concurrency: 3}, done(10*time.Millisecond))
+	s.Begin = func(h *fake.Host, r cornelwall.Run) {
+		running++
+		most = max(most, running)
+		s.Do(10*time.Millisecond, func() { running-- })
+		s.After(10*time.Millisecond, h, cornelwall.Ended{Attempt: r.Start.Attempt, Result: cornelwall.Result{Outcome: cornelwall.Done}})
+	}
+	req := s.submit(20, cornelwall.Need{})
+	s.Advance(time.Second)
+	assert.Equal(t, s.answers[req].Outcome, cornelwall.Done)
+	assert.Equal(t, most, 3)
+}
+
+func TestFailingExecutorEatsFewTasks(t *testing.T) {
+	s := newSite(t, 4, cornelwall.Profile{}, func(name string) (time.Duration, cornelwall.Result) {
+		if name == "x1" {
+			return time.Millisecond, cornelwall.Result{Outcome: cornelwall.Failed, Reason: cornelwall.ReasonTask}
+		}
+		return 20 * time.Millisecond, cornelwall.Result{Outcome: cornelwall.Done}
+	})
+	for range 2000 {
+		s.submit(1, cornelwall.Need{})
+		s.Advance(5 * time.Millisecond)
+	}
+	s.Advance(time.Second)
+	assert.Assert(t, s.ran["x1"] < 10, "%v", s.ran)
+}
+
+func TestDeadExecutorCostsNoJob(t *testing.T) {
+	s := newSite(t, 2, cornelwall.Profile{}, func(name string) (time.Duration, cornelwall.Result) {
+		if name == "x1" {
+			return 50 * time.Millisecond, cornelwall.Result{Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonConnect}
+		}
+		return 10 * time.Millisecond, cornelwall.Result{Outcome: cornelwall.Done}
+	})
+	req := s.submit(40, cornelwall.Need{})
+	s.Advance(900 * time.Millisecond)
+	assert.Equal(t, s.answers[req].Outcome, cornelwall.Done)
+	assert.Equal(t, s.ran["x1"], 8, "a dead machine was tried again before its time")
+}
+
+// BenchmarkJob runs one job from its submission to its answer.
+func BenchmarkJob(b *testing.B) {
+	for _, executors := range []int{60, 120, 240} {
+		for _, tasks := range []int{1, 100, 770} {
+			b.Run(fmt.Sprintf("executors=%d/tasks=%d", executors, tasks), func(b *testing.B) {
+				s := newSite(b, executors, cornelwall.Profile{}, done(10*time.Millisecond))
+				for b.Loop() {
+					s.submit(tasks, cornelwall.Need{})
+					s.Advance(10 * time.Millisecond)
+					clear(s.answers)
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tasks), "ns/task")
+			})
+		}
+	}
+}
+
+// BenchmarkBeat is the cost of a heartbeat's work at an entry with so many executors.
+func BenchmarkBeat(b *testing.B) {
+	for _, executors := range []int{60, 120, 240} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			s := newSite(b, executors, cornelwall.Profile{}, done(time.Millisecond))
+			for b.Loop() {
+				s.Advance(500 * time.Millisecond)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/slot/loans_test.go
@@ -0,0 +1,294 @@
+package slot_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cornelwall"
+	"cornelwall/core/slot"
+)
+
+var start = time.Unix(1700000000, 0)
+
+// entry is a placer with its waiting tasks and the tasks that run.
+type entry struct {
+	*slot.Loans
+	id      cornelwall.Incarnation
+	waiting int
+	running []cornelwall.Place
+	net     *net
+}
+
+// net carries messages between entries, and loses and doubles them.
+type net struct {
+	now     time.Time
+	entries []*entry
+	queue   []sent
+	fate    func() int // copies of a message that arrive; -1 loses it and says so
+}
+
+type sent struct {
+	from, to *entry
+	m        cornelwall.Message
+}
+
+func (e *entry) Needs() []cornelwall.Need {
+	if e.waiting == 0 {
+		return nil
+	}
+	return []cornelwall.Need{{}}
+}
+func (e *entry) Waiting(cornelwall.Need) int { return e.waiting }
+func (e *entry) Head(cornelwall.Need) (cornelwall.Class, time.Time) {
+	return cornelwall.Normal, e.net.now
+}
+func (e *entry) Expected() time.Duration { return 300 * time.Millisecond }
+
+func (e *entry) Begin(p cornelwall.Place) bool {
+	if e.waiting == 0 {
+		return false
+	}
+	e.waiting--
+	e.running = append(e.running, p)
+	return true
+}
+
+func (e *entry) Peers() []cornelwall.PeerRoom {
+	var ps []cornelwall.PeerRoom
+	for _, p := range e.net.entries {
+		if p != e {
+			ps = append(ps, cornelwall.PeerRoom{ID: p.id, Room: p.Room(), At: e.net.now})
+		}
+	}
+	return ps
+}
+
+func (e *entry) Send(to cornelwall.Incarnation, m cornelwall.Message) {
+	for _, p := range e.net.entries {
+		if p.id == to {
+			e.net.queue = append(e.net.queue, sent{e, p, m})
+		}
+	}
+}
+
+// deliver delivers all messages and lets every entry place.
+func (n *net) deliver() {
+	for len(n.queue) > 0 {
+		s := n.queue[0]
+		n.queue = n.queue[1:]
+		copies := n.fate()
+		if copies < 0 {
+			s.from.Undelivered(n.now, s.to.id, &s.m)
+		}
+		for range copies {
+			s.to.Receive(n.now, s.from.id, &s.m)
+			s.to.Place(n.now, s.to)
+		}
+	}
+}
+
+// pass lets time pass in steps, with heartbeats.
+func (n *net) pass(d time.Duration) {
+	const step = 500 * time.Millisecond
+	for t := time.Duration(0); t < d; t += step {
+		n.now = n.now.Add(step)
+		for _, e := range n.entries {
+			e.Beat(n.now, e)
+			e.Place(n.now, e)
+			n.deliver()
+		}
+	}
+}
+
+func (e *entry) end(i int) {
+	p := e.running[i]
+	e.running = append(e.running[:i], e.running[i+1:]...)
+	e.Ended(e.net.now, p, cornelwall.Report{Started: true})
+	e.Place(e.net.now, e)
+	e.net.deliver()
+}
+
+// machines returns n executors of 8 slots.
+func machines(n int) []cornelwall.VM {
+	var vms []cornelwall.VM
+	for i := range n {
+		vms = append(vms, cornelwall.VM{Name: fmt.Sprintf("x%d", i), Kind: cornelwall.Executor, DataCentre: "ikeja", Slots: 8})
+	}
+	return vms
+}
+
+// newNet returns entries that each are the home of some executors.
+func newNet(entries, each int) *net {
+	n := &net{now: start, fate: func() int { return 1 }}
+	for i := range entries {
+		id := cornelwall.Incarnation{DataCentre: "ikeja", Entry: fmt.Sprintf("e%d", i), Life: 1}
+		n.entries = append(n.entries, &entry{Loans: slot.New(id), id: id, net: n})
+	}
+	vms := machines(entries * each)
+	all := map[string]cornelwall.VM{}
+	for _, vm := range vms {
+		all[vm.Name] = vm
+	}
+	for i, e := range n.entries {
+		e.Machines(n.now, all, vms[i*each:(i+1)*each])
+	}
+	n.pass(time.Second)
+	return n
+}
+
+// TestNoSlotIsLostForEver runs tasks over a network that loses and doubles messages,
+// with and without telling, and checks that every slot is free again in the end.
+func TestNoSlotIsLostForEver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNet(3, 2)
+		n.fate = func() int { return rapid.SampledFrom([]int{1, 1, 1, 0, 2, -1}).Draw(t, "fate") }
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			e := n.entries[rapid.IntRange(0, 2).Draw(t, "entry")]
+			if len(e.running) > 0 && rapid.Bool().Draw(t, "end") {
+				e.end(rapid.IntRange(0, len(e.running)-1).Draw(t, "task"))
+				continue
+			}
+			e.waiting += rapid.IntRange(1, 40).Draw(t, "tasks")
+			e.Place(n.now, e)
+			n.deliver()
+		}
+		n.fate = func() int { return 1 }
+		for range 100 {
+			for _, e := range n.entries {
+				for len(e.running) > 0 {
+					e.end(0)
+				}
+			}
+			n.pass(time.Second)
+		}
+		for _, e := range n.entries {
+			assert.Equal(t, e.waiting, 0)
+			assert.Equal(t, e.Room().Free, 16, "slots of %s are not free again", e.id.Entry)
+		}
+	})
+}
+
+// TestBorrowing runs more tasks than the own slots and checks that a peer lends.
+func TestBorrowing(t *testing.T) {
+	n := newNet(2, 2)
+	e := n.entries[0]
+	e.waiting = 28
+	e.Place(n.now, e)
+	n.deliver()
+	assert.Equal(t, len(e.running), 28)
+	assert.Equal(t, n.entries[1].Room().Free, 4)
+	for len(e.running) > 0 {
+		e.end(0)
+	}
+	n.pass(time.Second)
+	assert.Equal(t, n.entries[1].Room().Free, 16)
+}
+
+// TestNewHomeAdopts moves all machines to another home while tasks run on them. The new
+// home does not lend the slots that are in use.
+func TestNewHomeAdopts(t *testing.T) {
+	n := newNet(2, 2)
+	a, b := n.entries[0], n.entries[1]
+	a.waiting = 12
+	a.Place(n.now, a)
+	assert.Equal(t, len(a.running), 12)
+	vms := machines(4)
+	all := map[string]cornelwall.VM{}
+	for _, vm := range vms {
+		all[vm.Name] = vm
+	}
+	a.Machines(n.now, all, nil)
+	b.Machines(n.now, all, vms)
+	n.pass(time.Second)
+	assert.Equal(t, b.Room().Free, 4*8-12)
+	for len(a.running) > 0 {
+		a.end(0)
+	}
+	n.pass(time.Second)
+	assert.Equal(t, b.Room().Free, 4*8)
+}
+
+// TestBorrowerGone takes back what an entry held that is gone.
+func TestBorrowerGone(t *testing.T) {
+	n := newNet(2, 2)
+	a, b := n.entries[0], n.entries[1]
+	a.waiting = 28
+	a.Place(n.now, a)
+	n.deliver()
+	assert.Equal(t, b.Room().Free, 4)
+	b.Lost(n.now, a.id)
+	assert.Equal(t, b.Room().Free, 16)
+}
+
+// TestLateUsageReports checks that reports never free what was lent since they were
+// made, and that what others use is kept free.
+func TestLateUsageReports(t *testing.T) {
+	id := cornelwall.Incarnation{DataCentre: "ikeja", Entry: "e0", Life: 1}
+	n := &net{now: start, fate: func() int { return 1 }}
+	w := &workerEntry{entry: entry{Loans: slot.New(id), id: id, net: n}, need: cornelwall.Need{Cores: 4}}
+	vm := cornelwall.VM{Name: "w0", Kind: cornelwall.Worker, DataCentre: "ikeja", Room: cornelwall.Need{Cores: 16, Memory: 64}}
+	w.Machines(start, map[string]cornelwall.VM{"w0": vm}, []cornelwall.VM{vm})
+	w.Place(start, w)
+	place := func(after time.Duration, tasks int) int {
+		w.waiting, w.running = tasks, nil
+		w.Place(start.Add(after), w)
+		return len(w.running)
+	}
+	assert.Equal(t, place(time.Second, 2), 2)
+	// The report was made before the two started: 4 cores are used by others.
+	w.Usage(start.Add(2*time.Second), "w0", cornelwall.Need{Cores: 4}, 1500*time.Millisecond)
+	assert.Equal(t, place(2*time.Second, 9), 1)
+	// One that was made while the first two ran shows no others.
+	w.Usage(start.Add(3*time.Second), "w0", cornelwall.Need{Cores: 8}, 1500*time.Millisecond)
+	assert.Equal(t, place(3*time.Second, 9), 1)
+	assert.Equal(t, place(4*time.Second, 9), 0)
+}
+
+// workerEntry wants workers.
+type workerEntry struct {
+	entry
+	need cornelwall.Need
+}
+
+func (e *workerEntry) Needs() []cornelwall.Need {
+	if e.waiting == 0 {
+		return nil
+	}
+	return []cornelwall.Need{e.need}
+}
+
+// BenchmarkPlace starts and ends a task at a home with so many executors of which all
+// slots but one are taken.
+func BenchmarkPlace(b *testing.B) {
+	for _, executors := range []int{30, 60, 120, 240} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			n := newNet(1, executors)
+			e := n.entries[0]
+			e.waiting = executors*8 - 1
+			e.Place(n.now, e)
+			for b.Loop() {
+				e.waiting++
+				e.Place(n.now, e)
+				p := e.running[len(e.running)-1]
+				e.running = e.running[:len(e.running)-1]
+				e.Ended(n.now, p, cornelwall.Report{Started: true})
+			}
+		})
+	}
+}
+
+// BenchmarkRefresh does what a heartbeat asks of a home.
+func BenchmarkRefresh(b *testing.B) {
+	for _, executors := range []int{30, 60, 120, 240} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			n := newNet(1, executors)
+			for b.Loop() {
+				n.entries[0].Beat(n.now, n.entries[0])
+			}
+		})
+	}
+}
