The usage of workers is polled by their home

Cause: placing on workers took reports of usage, but nothing read them. Change: the command Poll each second for the workers of a home; the endpoints read the usage, one reading of a worker at a time, and post it with its lag.

--- a/command.go
+++ b/command.go
@@ -61,6 +61,8 @@
 	}
 	// Abandon asks a worker to stop a task whose job was given up.
 	Abandon struct{ Attempt uint64 }
+	// Poll asks a worker what its tasks take up. The host reports it with Usage.
+	Poll struct{ VM VM }
 	// Send hands a message to a peer. To.Life is 0 if it is not known yet; only a
 	// Beat or an Ask may be sent so.
 	Send struct {
@@ -104,6 +106,7 @@
 func (ReplyStatus) isCommand()  {}
 func (Run) isCommand()          {}
 func (Abandon) isCommand()      {}
+func (Poll) isCommand()         {}
 func (Send) isCommand()         {}
 func (StoreGet) isCommand()     {}
 func (StoreSwap) isCommand()    {}
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -181,7 +181,7 @@
 		l.answer(cmd.Req, cmd)
 	case cornelwall.Send:
 		l.peers.Act(cmd)
-	case cornelwall.Run, cornelwall.Abandon:
+	case cornelwall.Run, cornelwall.Abandon, cornelwall.Poll:
 		l.endpoints.Act(cmd)
 	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
 		l.platform.Act(cmd)
--- a/core/node/dispatch.go
+++ b/core/node/dispatch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -14,6 +15,7 @@
 
 const (
 	maxRetries  = 50              // starts of one task that did not happen
+	pollEvery   = time.Second     // between two looks at the usage of a worker
 	drainLife   = 5 * time.Minute // of a machine's word that it drains, against a VM list that lags
 	homesWait   = time.Second     // after the start, for the other homes to be heard of
 	minSiblings = 3               // tasks of a job done before they tell what to expect of the others
@@ -100,9 +102,24 @@
 			mine = append(mine, vm)
 		}
 	}
+	slices.SortFunc(mine, func(a, b cornelwall.VM) int { return cmp.Compare(a.Name, b.Name) })
+	n.mine = mine
 	n.placer.Machines(n.now, n.machines, mine)
 }
 
+// pollUsage asks the workers of this home what their tasks take up.
+func (n *Node) pollUsage() {
+	if n.now.Before(n.nextPoll) {
+		return
+	}
+	n.nextPoll = n.now.Add(pollEvery)
+	for _, vm := range n.mine {
+		if vm.Kind == cornelwall.Worker {
+			n.emit(cornelwall.Poll{VM: vm})
+		}
+	}
+}
+
 // homesKnown reports whether every other entry of this data centre was heard of, or has
 // had the time to be. Before, an entry that starts would lend what others have lent.
 func (n *Node) homesKnown() bool {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -115,6 +115,8 @@
 	machines map[string]cornelwall.VM
 	draining map[string]drainSign
 	shapes   map[cornelwall.Need]bool // sizes of the machines
+	mine     []cornelwall.VM          // whose home this entry is, by name
+	nextPoll time.Time                // of their usage
 	homes    []cornelwall.Incarnation // by which the machines were last dealt
 
 	estimates   *admit.Estimates
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -171,6 +171,7 @@
 	}
 	n.rehome()
 	n.placer.Beat(n.now, demand{n})
+	n.pollUsage()
 	n.electWatcher()
 	n.checkForwards()
 	n.endInspects()
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -17,7 +17,9 @@
 	"cornelwall"
 )
 
-// Endpoints carries out Run and Abandon commands.
+const pollTimeout = 2 * time.Second
+
+// Endpoints carries out Run, Abandon and Poll commands.
 type Endpoints struct {
 	post     cornelwall.Poster
 	backEnds map[cornelwall.Kind]cornelwall.BackEnd
@@ -26,6 +28,7 @@
 	mu      sync.Mutex
 	closed  bool
 	cancels map[uint64]context.CancelFunc
+	polls   map[string]bool // workers whose usage is being read
 	done    chan struct{}
 }
 
@@ -34,6 +37,7 @@
 	return &Endpoints{
 		post: post, backEnds: backEnds,
 		cancels: map[uint64]context.CancelFunc{},
+		polls:   map[string]bool{},
 		done:    make(chan struct{}),
 	}
 }
@@ -50,7 +54,31 @@
 		if cancel != nil {
 			cancel()
 		}
+	case cornelwall.Poll:
+		e.poll(cmd.VM)
+	}
+}
+
+// poll reads the usage of a worker, unless the last reading has not ended.
+func (e *Endpoints) poll(vm cornelwall.VM) {
+	reader, ok := e.backEnds[vm.Kind].(cornelwall.UsageReader)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !ok || e.closed || e.polls[vm.Name] {
+		return
 	}
+	e.polls[vm.Name] = true
+	e.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+		used, lag, err := reader.ReadUsage(ctx, vm)
+		cancel()
+		e.mu.Lock()
+		delete(e.polls, vm.Name)
+		e.mu.Unlock()
+		if err == nil {
+			e.post.Post(cornelwall.Usage{Machine: vm.Name, Used: used, Lag: lag})
+		}
+	})
 }
 
 func (e *Endpoints) run(cmd cornelwall.Run) {
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -210,20 +210,28 @@
 	_, _, _ = b.client.Do(ctx, vm.Addr, vm.Conns, http1.Request{Method: http.MethodDelete, Path: path})
 }
 
+var _ cornelwall.UsageReader = (*BackEnd)(nil)
+
 // Usage returns what the tasks of the worker took up a while ago.
 func (b *BackEnd) Usage(ctx context.Context, vm cornelwall.VM) (cornelwall.Need, error) {
+	used, _, err := b.ReadUsage(ctx, vm)
+	return used, err
+}
+
+// ReadUsage returns what the tasks of the worker took up, and how long ago by its clock.
+func (b *BackEnd) ReadUsage(ctx context.Context, vm cornelwall.VM) (cornelwall.Need, time.Duration, error) {
 	resp, _, err := b.client.Do(ctx, vm.Addr, vm.Conns, http1.Request{Method: http.MethodGet, Path: "/usage"})
 	if err != nil {
-		return cornelwall.Need{}, err
+		return cornelwall.Need{}, 0, err
 	}
 	var usage Usage
 	if resp.Status != http.StatusOK {
-		return cornelwall.Need{}, merry.Errorf("usage of worker %q answered status %d; check the worker", vm.Name, resp.Status)
+		return cornelwall.Need{}, 0, merry.Errorf("usage of worker %q answered status %d; check the worker", vm.Name, resp.Status)
 	}
 	if err := json.Unmarshal(resp.Body, &usage); err != nil {
-		return cornelwall.Need{}, merry.Errorf("usage of worker %q is not valid: %w", vm.Name, err)
+		return cornelwall.Need{}, 0, merry.Errorf("usage of worker %q is not valid: %w", vm.Name, err)
 	}
-	return usage.Used, usage.Used.Check()
+	return usage.Used, max(0, b.clock.Now().Sub(usage.At)), usage.Used.Check()
 }
 
 func post(path string, body []byte) http1.Request {
--- a/store.go
+++ b/store.go
@@ -1,6 +1,9 @@
 package cornelwall
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Pair is one key of the platform's service with its value.
 type Pair struct {
@@ -45,3 +48,10 @@
 	// not start. Ending ctx gives up waiting; the task may go on.
 	Run(ctx context.Context, vm VM, start Start) Result
 }
+
+// UsageReader is a [BackEnd] whose machines report what all their tasks take up.
+type UsageReader interface {
+	// ReadUsage returns what the tasks took up, and how long ago that was measured. The
+	// error tells that the machine did not answer, or not with a usage.
+	ReadUsage(ctx context.Context, vm VM) (used Need, lag time.Duration, err error)
+}
