Measurement: the ideal spared what was turned away

Cause: the ideal dispatcher serves jobs that the measured one turns away, which made the ratio better the more was refused. Change: a second ratio against the ideal on the jobs done alone.

--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -67,12 +67,13 @@
 func Markdown(w io.Writer, rs []Result) error {
 	gs := groups(rs)
 	var b strings.Builder
-	b.WriteString("| site | case | load | policy | mean/ideal | p50/ideal | p99/ideal | mean s | slowdown mean | slowdown p99 | ideal slowdown mean | goodput | slots busy |\n")
-	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	b.WriteString("| site | case | load | policy | mean/ideal | mean/ideal of the jobs done alone | p50/ideal | p99/ideal | mean s | slowdown mean | slowdown p99 | ideal slowdown mean | goodput | slots busy |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, g := range gs {
-		fmt.Fprintf(&b, "| %s | %s | %.2f | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
+		fmt.Fprintf(&b, "| %s | %s | %.2f | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
 			g.first.Site, g.first.Case.Name, g.first.Case.Load, g.first.Policy,
 			g.cell("%.3f", (*Result).Ratio),
+			g.cell("%.3f", (*Result).RatioAlone),
 			g.cell("%.2f", func(r *Result) float64 { return r.Response.P50 / r.Ideal.P50 }),
 			g.cell("%.2f", func(r *Result) float64 { return r.Response.P99 / r.Ideal.P99 }),
 			g.cell("%.3f", func(r *Result) float64 { return r.Response.Mean }),
@@ -129,7 +130,7 @@
 func CSV(w io.Writer, rs []Result) error {
 	c := csv.NewWriter(w)
 	rows := [][]string{{"site", "case", "load", "policy", "seed", "jobs", "done", "refused", "failed", "late", "open",
-		"mean", "p50", "p99", "ideal mean", "ideal p50", "ideal p99", "slowdown mean", "slowdown p50", "slowdown p99",
+		"mean", "p50", "p99", "ideal mean", "ideal p50", "ideal p99", "alone mean", "alone p50", "alone p99", "slowdown mean", "slowdown p50", "slowdown p99",
 		"goodput", "tasks", "waste per task message", "eaten", "doubled"}}
 	ms := func(seconds float64) string {
 		return fmt.Sprintf("%.1f", seconds*float64(time.Second/time.Millisecond))
@@ -140,7 +141,7 @@
 		for _, n := range []int{r.Jobs, r.Done, r.Refused, r.Failed, r.Late, r.Open} {
 			row = append(row, fmt.Sprint(n))
 		}
-		for _, s := range []Spread{r.Response, r.Ideal} {
+		for _, s := range []Spread{r.Response, r.Ideal, r.Alone} {
 			row = append(row, ms(s.Mean), ms(s.P50), ms(s.P99))
 		}
 		for _, v := range []float64{r.Slowdown.Mean, r.Slowdown.P50, r.Slowdown.P99, r.Goodput} {
--- a/standin/measure/result.go
+++ b/standin/measure/result.go
@@ -39,6 +39,7 @@
 	Open     int    // of them, without an answer
 	Response Spread // of the jobs done, in seconds
 	Ideal    Spread // of the same jobs under the ideal dispatcher
+	Alone    Spread // of the same jobs under the ideal dispatcher without the jobs that were turned away or failed
 	Slowdown Spread // response to the longest task of the job
 	IdealSlo Spread // the same under the ideal dispatcher
 
@@ -62,6 +63,28 @@
 // Ratio returns the mean response to that of the ideal dispatcher.
 func (r *Result) Ratio() float64 { return r.Response.Mean / r.Ideal.Mean }
 
+// RatioAlone returns the mean response to that of the ideal dispatcher which is spared
+// the jobs that this one turned away or failed.
+func (r *Result) RatioAlone() float64 { return r.Response.Mean / r.Alone.Mean }
+
+// doneAlone returns the response times of the jobs done after the warm-up under the
+// ideal dispatcher, without the jobs that were not done.
+func (r *run) doneAlone(slots int) []float64 {
+	var as []Arrival
+	for _, j := range r.jobs {
+		if j.answer.Outcome == cornelwall.Done || j.Cancel > 0 {
+			as = append(as, *j.Arrival)
+		}
+	}
+	var times []float64
+	for i, end := range ideal(as, slots) {
+		if as[i].At >= warmUp && as[i].Cancel == 0 {
+			times = append(times, (end - as[i].At).Seconds())
+		}
+	}
+	return times
+}
+
 // result works out the figures.
 func (r *run) result(as []Arrival, slots int, policy Policy, seed uint64) Result {
 	r.ledger.finish()
@@ -107,6 +130,7 @@
 		bestSlow = append(bestSlow, (ends[i]-j.At).Seconds()/j.Longest().Seconds())
 	}
 	res.Response, res.Ideal = spread(own), spread(best)
+	res.Alone = spread(r.doneAlone(slots))
 	res.Slowdown, res.IdealSlo = spread(slow), spread(bestSlow)
 	res.RefuseP99 = spread(refuse).P99
 	capacity := float64(slots) * (arriving - warmUp).Seconds()
