The VM list is read only when it has changed

Cause: every entry read the whole list each second; at 3,800 machines that alone is more than the 7 KB/s that a node may spend on control. Ruled out: passing the list from entry to entry, since a cut-off entry needs its own and the list's HTTP interface has versions. Change: the client names the ETag that it has. Shown by TestVMListUnchanged: five reads of a list with two changes take three transfers.

--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -179,6 +180,33 @@
 	assert.Equal(t, len(got), 0)
 }
 
+// TestVMListUnchanged reads a list that is sent only when it has changed.
+func TestVMListUnchanged(t *testing.T) {
+	version, sent := "a", 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", version)
+		if r.Header.Get("If-None-Match") == version {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent++
+		_, _ = fmt.Fprintf(w, `{"vms":[{"name":%q,"kind":"entry","state":"live","dc":"ikeja","addr":"127.0.0.1:1"}]}`, version)
+	}))
+	defer server.Close()
+	l := platform.NewVMList(platform.ListConfig{URL: server.URL, Log: logr.Discard()})
+	defer l.Close()
+	for _, tt := range []struct {
+		version string
+		sent    int
+	}{{"a", 1}, {"a", 1}, {"b", 2}, {"b", 2}, {"a", 3}} {
+		version = tt.version
+		vms, err := l.List(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, vms[0].Name, tt.version)
+		assert.Equal(t, sent, tt.sent)
+	}
+}
+
 func TestVMListNotValid(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, `{"vms":[{"name":"a","kind":"submarine"},7]}`)
--- a/io/platform/vmlist.go
+++ b/io/platform/vmlist.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,10 +20,15 @@
 	Log     logr.Logger
 }
 
-// VMList implements [cornelwall.VMList] by GET of one URL.
+// VMList implements [cornelwall.VMList] by GET of one URL. It names the version that it
+// has (ETag), so that a list which has not changed is not sent again.
 type VMList struct {
 	cfg  ListConfig
 	http *http.Client
+
+	mu   sync.Mutex
+	etag string // of vms; empty if there is none
+	vms  []cornelwall.VM
 }
 
 var _ cornelwall.VMList = (*VMList)(nil)
@@ -38,47 +44,64 @@
 // Close closes the idle connections.
 func (l *VMList) Close() { l.http.CloseIdleConnections() }
 
-// List returns all machines that are live or leaving. A machine that is not valid
-// is left out and logged. The error is of kind ErrStore.
+// List returns all machines that are live or leaving; the caller does not change them. A
+// machine that is not valid is left out and logged. The error is of kind ErrStore.
 func (l *VMList) List(ctx context.Context) ([]cornelwall.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
 	defer cancel()
-	raw, err := l.get(ctx)
-	if err != nil {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.refresh(ctx); err != nil {
 		return nil, storeError(l.cfg.URL, err)
 	}
-	vms := make([]cornelwall.VM, 0, len(raw))
-	for i, text := range raw {
-		var vm cornelwall.VM
-		err := json.Unmarshal(text, &vm)
-		if err == nil {
-			err = vm.Check()
-		}
-		if err != nil {
-			l.cfg.Log.Info("machine on the VM list is not valid", "index", i, "name", vm.Name, "error", err.Error())
-			continue
-		}
-		vms = append(vms, vm)
-	}
-	return vms, nil
+	return l.vms, nil
 }
 
-func (l *VMList) get(ctx context.Context) ([]json.RawMessage, error) {
+// refresh reads the list if it has changed. The caller holds mu.
+func (l *VMList) refresh(ctx context.Context) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, l.cfg.URL, nil)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if l.etag != "" {
+		r.Header.Set("If-None-Match", l.etag)
 	}
 	resp, err := l.http.Do(r)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	switch {
+	case resp.StatusCode == http.StatusNotModified && l.etag != "":
+		return nil
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
 	var list struct {
 		VMs []json.RawMessage `json:"vms"`
 	}
-	err = decode(resp.Body, maxAnswer, &list)
-	return list.VMs, err
+	if err := decode(resp.Body, maxAnswer, &list); err != nil {
+		return err
+	}
+	l.vms = l.valid(list.VMs)
+	l.etag = resp.Header.Get("ETag")
+	return nil
+}
+
+// valid returns the machines that are valid and logs the others.
+func (l *VMList) valid(raw []json.RawMessage) []cornelwall.VM {
+	vms := make([]cornelwall.VM, 0, len(raw))
+	for i, text := range raw {
+		var vm cornelwall.VM
+		err := json.Unmarshal(text, &vm)
+		if err == nil {
+			err = vm.Check()
+		}
+		if err != nil {
+			l.cfg.Log.Info("machine on the VM list is not valid", "index", i, "name", vm.Name, "error", err.Error())
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -15,9 +15,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
 	"cornelwall"
@@ -159,8 +162,18 @@
 	}
 }
 
+// list answers the VM list, or that it has not changed since the caller read it.
 func (p *Platform) list(c echo.Context) error {
-	return c.JSON(http.StatusOK, VMs{VMs: p.machines.seen()})
+	text, err := json.Marshal(VMs{VMs: p.machines.seen()})
+	if err != nil {
+		return err
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(text), 16))
+	c.Response().Header().Set("ETag", etag)
+	if c.Request().Header.Get("If-None-Match") == etag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSONBlob(http.StatusOK, text)
 }
 
 // send writes one message of a stream.
