--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -59,7 +59,7 @@
 			"	if h.handed.IsZero() {\n		n.chooseHeirs()", "	h.handed = n.now\n	if h.handed.IsZero() {\n		n.chooseHeirs()"}},
 	},
 	{
-		name: "drain-sign-forgotten", scenario: "leaving-signed", want: "starts were sent",
+		name: "drain-sign-forgotten", scenario: "leaving-signed", want: "after the sign",
 		edits: []edit{{"core/node/dispatch.go",
 			"	for name := range n.draining {\n		n.mark(name)", "	for name := range n.draining {\n		_ = name"}},
 	},
