--- a/core/node/policy_test.go
+++ b/core/node/policy_test.go
@@ -184,3 +184,20 @@
 		})
 	}
 }
+
+// TestBusyMachineIsTriedAgainSoon refuses the first start. The task waits for the end of
+// the pause of the only machine, not for the next heartbeat.
+func TestBusyMachineIsTriedAgainSoon(t *testing.T) {
+	refused := false
+	s := newSite(t, 1, cornelwall.Profile{}, func(string) (time.Duration, cornelwall.Result) {
+		if !refused {
+			refused = true
+			return time.Millisecond, cornelwall.Result{Outcome: cornelwall.NotRun, Reason: cornelwall.ReasonBusy}
+		}
+		return time.Millisecond, cornelwall.Result{Outcome: cornelwall.Done}
+	})
+	s.Advance(10 * time.Millisecond) // off the heartbeats
+	req := s.submit(1, cornelwall.Need{})
+	s.Advance(20 * time.Millisecond)
+	assert.Equal(t, s.answers[req].Outcome, cornelwall.Done)
+}
--- a/core/slot/loans.go
+++ b/core/slot/loans.go
@@ -42,6 +42,7 @@
 	answers  []repeat                // due at once
 	again    []repeat                // due with a heartbeat
 	idleAt   time.Time               // when an idle part goes back
+	short    bool                    // own tasks wait
 }
 
 // repeat is a message to say again, as it may not have arrived.
@@ -202,6 +203,7 @@
 	}
 	s.withdraw(now, d)
 	s.giveBack(now, d)
+	s.short = len(d.Needs()) > 0
 }
 
 // useIdle starts tasks on idle parts, but for the tasks that have a loan on its way.
@@ -386,7 +388,7 @@
 	for _, k := range s.asks.open {
 		next = earliest(next, k.until)
 	}
-	if len(s.home.wants) > 0 {
+	if s.short || len(s.home.wants) > 0 {
 		next = earliest(next, s.home.wake)
 	}
 	return next
