--- a/cmd/cornelwall/entry_test.go
+++ b/cmd/cornelwall/entry_test.go
@@ -5,9 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +37,19 @@
 	client   *http.Client
 	platform *platform.Platform
 	url      string
+	log      *safeBuffer
+}
+
+// safeBuffer is a log that several goroutines write.
+type safeBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
 }
 
 // running is an entry that runs.
@@ -44,7 +61,7 @@
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, client: &http.Client{Transport: &http.Transport{}}, platform: platform.New(platform.Config{})}
+	s := &system{t: t, client: &http.Client{Transport: &http.Transport{}}, platform: platform.New(platform.Config{}), log: &safeBuffer{}}
 	server := httptest.NewServer(s.platform)
 	s.url = server.URL
 	x := executor.New(executor.Config{})
@@ -70,7 +87,7 @@
 		Store: []string{s.url}, Machine: s.url + "/vms", Secret: testSecret, Token: testToken,
 		ListPoll: 20 * time.Millisecond, PlatformTimeout: time.Second, PeerTimeout: time.Second,
 		StopTimeout: 20 * time.Second, Linger: 300 * time.Millisecond,
-	}, logr.Discard())
+	}, logr.FromSlogHandler(slog.NewTextHandler(s.log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	assert.NilError(s.t, err)
 	s.platform.PutVM(cornelwall.VM{Name: name, Kind: cornelwall.Entry, DataCentre: "ikeja", Addr: e.peers.addr()})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -172,6 +189,9 @@
 		s.platform.RemoveVM("b")
 		a.stop() // with no other entry to hand over to
 		assert.NilError(t, <-a.ended)
+		logged := s.log.text.String()
+		assert.Assert(t, strings.Contains(logged, "msg=handed-over"))
+		assert.Assert(t, !strings.Contains(logged, testSecret) && !strings.Contains(logged, testToken), "a secret is logged")
 	})
 }
 
@@ -200,3 +220,48 @@
 		assert.Equal(t, resp.StatusCode, status)
 	}
 }
+
+// TestBuildFails opens a listener on an address that is taken: the error names the flag,
+// and what was opened before is closed.
+func TestBuildFails(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	listenAny := func(addr string) net.Listener {
+		l, err := net.Listen("tcp", addr)
+		assert.NilError(t, err)
+		return l
+	}
+	taken, free := listenAny("127.0.0.1:0"), listenAny("127.0.0.1:0")
+	defer func() { assert.Check(t, taken.Close()) }()
+	assert.NilError(t, free.Close())
+	_, err := build(settings{
+		Name: "a", DataCentre: "ikeja", Secret: testSecret,
+		Peers: netip.MustParseAddrPort(free.Addr().String()), Callers: netip.MustParseAddrPort(taken.Addr().String()),
+	}, logr.Discard())
+	assert.ErrorContains(t, err, "--callers")
+	assert.NilError(t, listenAny(free.Addr().String()).Close())
+}
+
+// TestServerLimits sends headers that are too large.
+func TestServerLimits(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	s, err := listen(listenConfig{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Conns: 1, Log: logr.Discard()},
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = s.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-s.Done()
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for size, status := range map[int]int{maxHeaderBytes / 2: 200, 2 * maxHeaderBytes: 431} {
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.addr().String(), nil)
+		assert.NilError(t, err)
+		r.Header.Set("X", strings.Repeat("x", size))
+		resp, err := client.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, status)
+	}
+}
