--- a/core/slot/ask.go
+++ b/core/slot/ask.go
@@ -16,7 +16,7 @@
 	standing    = 10 * time.Second       // life of a want that stands
 	maxStanding = 2                      // homes in whose queues the tasks of a need stand
 	heldUp      = 200 * time.Millisecond // of waiting past its rank, from which a job waits for stragglers
-	minFree     = 4                      // slots that a home must have had free, as the word of it is old
+	minFree     = 6                      // slots that a home must have had free, as the word of it is old
 	askPause    = 2 * time.Millisecond   // between two looks for peers with room
 )
 
