A small home is asked with fewer slots free

Cause: with six free slots needed to be asked, a home of a few slots never was, and an entry without machines of its own waited 600 ms until it stood in a queue (TestResubmissionCost of core/node/fuzz and TestBorrowingFromASmallHome failed first). Change: a quarter of the home's slots at most, and one if the entry has none itself.

--- a/core/slot/ask.go
+++ b/core/slot/ask.go
@@ -150,7 +150,7 @@
 	for i := range peers {
 		p := &peers[i]
 		free := s.asks.free(p, need)
-		if free < s.leastFree(need) || s.waits(now, d, short, each, need) < s.pays(p) || s.asks.open[askKey{p.ID, need}] != nil {
+		if free < s.leastFree(p, need) || s.waits(now, d, short, each, need) < s.pays(p) || s.asks.open[askKey{p.ID, need}] != nil {
 			continue
 		}
 		n := min(short, free)
@@ -162,12 +162,13 @@
 	}
 }
 
-// leastFree returns how much a peer must have free to be asked.
-func (s *Loans) leastFree(need cornelwall.Need) int {
-	if need.Kind() == cornelwall.Worker {
+// leastFree returns how much a peer must have free to be asked: less of a small home,
+// and anything if this entry has no machines itself.
+func (s *Loans) leastFree(p *cornelwall.PeerRoom, need cornelwall.Need) int {
+	if need.Kind() == cornelwall.Worker || s.home.slots == 0 {
 		return 1
 	}
-	return minFree
+	return max(1, min(minFree, p.Room.Slots/4))
 }
 
 // pays returns the wait from which asking a peer pays.
--- a/core/slot/loans_test.go
+++ b/core/slot/loans_test.go
@@ -188,6 +188,18 @@
 	assert.Equal(t, n.entries[1].Room().Free, 16)
 }
 
+// TestBorrowingFromASmallHome asks a home with a few slots, which never has many free.
+func TestBorrowingFromASmallHome(t *testing.T) {
+	n := newNet(2, 1)
+	e := n.entries[0]
+	n.entries[1].waiting = 5
+	n.entries[1].Place(n.now, n.entries[1])
+	e.waiting = 11
+	e.Place(n.now, e)
+	n.deliver()
+	assert.Equal(t, len(e.running), 11)
+}
+
 // TestNewHomeAdopts moves all machines to another home while tasks run on them. The new
 // home does not lend the slots that are in use.
 func TestNewHomeAdopts(t *testing.T) {
