A start on a machine that never answers is given up

Cause: the wait for a result had no end, so that an executor which hangs held its loan, a connection and a goroutine for ever. Ruled out: ending the wait at the deadline, as the task goes on and its slot is taken until it ends. Change: the wait ends a minute after the deadline of the job; the task is then unknown, and is not started again. TestHang failed before ("still waits an hour later") and passes now.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -17,7 +17,10 @@
 	"cornelwall"
 )
 
-const pollTimeout = 2 * time.Second
+const (
+	pollTimeout = 2 * time.Second
+	overrun     = time.Minute // past the deadline of its job, after which a start is given up
+)
 
 // Endpoints carries out Run, Abandon and Poll commands.
 type Endpoints struct {
@@ -81,13 +84,15 @@
 	})
 }
 
+// run starts a task and reports its result. It stops waiting long after the deadline, so
+// that a machine which never answers does not hold loans and connections for ever.
 func (e *Endpoints) run(cmd cornelwall.Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, cmd.Start.Left)+overrun)
 	e.cancels[cmd.Start.Attempt] = cancel
 	e.wg.Go(func() {
 		began := time.Now()
--- /dev/null
+++ b/io/endpoint/hang_test.go
@@ -0,0 +1,39 @@
+package endpoint_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/io/endpoint"
+)
+
+// TestHang starts a task on an executor that never answers. The start is given up, but
+// not before its deadline has long passed.
+func TestHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := backEnd{started: make(chan cornelwall.Start, 1), end: make(chan cornelwall.Result)}
+		events := make(inbox, 1)
+		e := endpoint.New(events, map[cornelwall.Kind]cornelwall.BackEnd{cornelwall.Executor: b})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = e.Run(ctx) }()
+		e.Act(cornelwall.Run{
+			VM:    cornelwall.VM{Kind: cornelwall.Executor},
+			Start: cornelwall.Start{Attempt: 1, Left: 10 * time.Second},
+		})
+		<-b.started
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Equal(t, len(events), 0, "given up %s after a deadline of 10 s", time.Minute)
+		time.Sleep(time.Hour)
+		synctest.Wait()
+		assert.Equal(t, len(events), 1, "still waits an hour later")
+		assert.Equal(t, (<-events).(cornelwall.Ended).Result.Outcome, cornelwall.Unknown)
+		cancel()
+		<-e.Done()
+	})
+}
