--- a/cmd/cornelwall/job.go
+++ b/cmd/cornelwall/job.go
@@ -14,7 +14,12 @@
 	"cornelwall/client"
 )
 
-const progressPause = 2 * time.Second // between two words on a long wait
+const (
+	progressPause = 2 * time.Second // between two words on a long wait
+
+	// anyProfile stands for the profile where a ticket tells all that is needed.
+	anyProfile = "any"
+)
 
 func jobCommand() *cli.Command {
 	return &cli.Command{
@@ -67,6 +72,16 @@
 	return t, nil
 }
 
+// namedJob returns the ticket given as an argument and a client of the callers' API.
+func namedJob(c *cli.Command) (cornelwall.Ticket, *client.Client, error) {
+	t, err := readTicket(c)
+	if err != nil {
+		return t, nil, err
+	}
+	cl, err := newClient(c, anyProfile)
+	return t, cl, err
+}
+
 // showAnswer prints an answer and returns the error that belongs to its outcome.
 func showAnswer(c *cli.Command, a cornelwall.Answer) error {
 	t := &table{head: []string{"TASK", "OUTCOME", "REASON", "ANSWER"}}
--- a/cmd/cornelwall/job_cancel.go
+++ b/cmd/cornelwall/job_cancel.go
@@ -29,11 +29,7 @@
 }
 
 func cancelJob(ctx context.Context, c *cli.Command) error {
-	t, err := readTicket(c)
-	if err != nil {
-		return err
-	}
-	cl, err := newClient(c, anyProfile)
+	t, cl, err := namedJob(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/cornelwall/job_show.go
+++ b/cmd/cornelwall/job_show.go
@@ -6,9 +6,6 @@
 	"github.com/urfave/cli/v3"
 )
 
-// anyProfile stands for the profile where a ticket tells all that is needed.
-const anyProfile = "any"
-
 func jobShowCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "show",
@@ -29,11 +26,7 @@
 }
 
 func showJob(ctx context.Context, c *cli.Command) error {
-	t, err := readTicket(c)
-	if err != nil {
-		return err
-	}
-	cl, err := newClient(c, anyProfile)
+	t, cl, err := namedJob(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/cornelwall/profile.go
+++ b/cmd/cornelwall/profile.go
@@ -55,6 +55,16 @@
 	return ns, nil
 }
 
+// namedProfiles returns the names given as arguments and a client of the operators' API.
+func namedProfiles(c *cli.Command, most int) ([]string, *operators, error) {
+	ns, err := profileNames(c, most)
+	if err != nil {
+		return nil, nil, err
+	}
+	o, err := newOperators(c)
+	return ns, o, err
+}
+
 // profileTable returns a table of profiles.
 func profileTable(ps ...cornelwall.Profile) *table {
 	t := &table{head: []string{"NAME", "VERSION", "STATE", "TEAM", "CLASS", "DEADLINE", "QUEUE", "CONCURRENCY", "QUOTA", "IDEMPOTENT", "STALE"}}
--- a/cmd/cornelwall/profile_apply.go
+++ b/cmd/cornelwall/profile_apply.go
@@ -100,6 +100,12 @@
 	if err != nil {
 		return err
 	}
+	return o.finish(ctx, c, plans)
+}
+
+// finish carries out the plans of a command as its flags --expect, --dry-run and --wait
+// say.
+func (o *operators) finish(ctx context.Context, c *cli.Command, plans []*plan) error {
 	if want := c.Uint64("expect"); c.IsSet("expect") && plans[0].old.Version != want {
 		return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d",
 			plans[0].Name, plans[0].old.Version, want))
@@ -107,7 +113,7 @@
 	if c.Bool("dry-run") {
 		return showPlans(c, plans)
 	}
-	err = o.carryOut(ctx, plans)
+	err := o.carryOut(ctx, plans)
 	if serr := showPlans(c, plans); err == nil {
 		err = serr
 	}
--- a/cmd/cornelwall/profile_retire.go
+++ b/cmd/cornelwall/profile_retire.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/urfave/cli/v3"
 
 	"cornelwall"
@@ -37,11 +36,7 @@
 	if c.IsSet("expect") {
 		most = 1
 	}
-	ns, err := profileNames(c, most)
-	if err != nil {
-		return err
-	}
-	o, err := newOperators(c)
+	ns, o, err := namedProfiles(c, most)
 	if err != nil {
 		return err
 	}
@@ -51,21 +46,7 @@
 	if err != nil {
 		return err
 	}
-	if want := c.Uint64("expect"); c.IsSet("expect") && plans[0].old.Version != want {
-		return merry.Wrap(cornelwall.ErrConflict, merry.AppendMessagef("profile %q is at version %d, not %d",
-			plans[0].Name, plans[0].old.Version, want))
-	}
-	if c.Bool("dry-run") {
-		return showPlans(c, plans)
-	}
-	err = o.carryOut(ctx, plans)
-	if serr := showPlans(c, plans); err == nil {
-		err = serr
-	}
-	if err == nil && c.Bool("wait") {
-		err = o.awaitAll(ctx, stderr(c), versionsOf(plans))
-	}
-	return err
+	return o.finish(ctx, c, plans)
 }
 
 // planRetire looks up the profiles. The error joins all names that do not exist.
--- a/cmd/cornelwall/profile_show.go
+++ b/cmd/cornelwall/profile_show.go
@@ -27,11 +27,7 @@
 }
 
 func showProfile(ctx context.Context, c *cli.Command) error {
-	ns, err := profileNames(c, 1)
-	if err != nil {
-		return err
-	}
-	o, err := newOperators(c)
+	ns, o, err := namedProfiles(c, 1)
 	if err != nil {
 		return err
 	}
--- a/cmd/cornelwall/profile_status.go
+++ b/cmd/cornelwall/profile_status.go
@@ -30,11 +30,7 @@
 }
 
 func showStatus(ctx context.Context, c *cli.Command) error {
-	ns, err := profileNames(c, 1)
-	if err != nil {
-		return err
-	}
-	o, err := newOperators(c)
+	ns, o, err := namedProfiles(c, 1)
 	if err != nil {
 		return err
 	}
--- a/cmd/cornelwall/profile_wait.go
+++ b/cmd/cornelwall/profile_wait.go
@@ -42,11 +42,7 @@
 	if c.IsSet("version") {
 		most = 1
 	}
-	ns, err := profileNames(c, most)
-	if err != nil {
-		return err
-	}
-	o, err := newOperators(c)
+	ns, o, err := namedProfiles(c, most)
 	if err != nil {
 		return err
 	}
