One heap for all priority queues; only answers are sent again

Cause: five heaps, three of them of one shape, stood in queue, slot, node, fake and measure; core/node/resend.go still joined returned loans, which the placer repeats itself since it carries totals.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -166,6 +166,7 @@
 		catalog:  catalog.New(),
 		heirs:    heir.NewKeeper(cfg.TicketLife, cfg.MaxInherit),
 		claims:   claim.NewTable(cfg.ClaimRate, cfg.ClaimRate),
+		timers:   newTimers(),
 		machines: map[string]cornelwall.VM{},
 		draining: map[string]drainSign{},
 
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -217,7 +217,7 @@
 		case m.Forward != nil:
 			n.forwardLost(e.To, m.Forward.Req)
 		case m.Back != nil:
-			n.resendLater(e.To, m)
+			n.resendLater(e.To, m.Back)
 		case m.Inherit != nil:
 			n.partLost(e.To, m.Inherit)
 		}
--- a/core/node/resend.go
+++ b/core/node/resend.go
@@ -12,32 +12,24 @@
 
 const maxResends = 6 // of one answer; the asker asks again
 
-// resendKey tells messages that are sent again apart.
+// resendKey tells answers that are sent again apart.
 type resendKey struct {
-	to      cornelwall.Incarnation
-	req     uint64 // of an answer
-	machine string // of a returned loan
-	need    cornelwall.Need
+	to  cornelwall.Incarnation
+	req uint64
 }
 
-// resend is a message that may not have arrived.
+// resend is an answer that may not have arrived.
 type resend struct {
-	message cornelwall.Message
-	at      time.Time // of the next send; zero once it was sent
-	last    time.Time // of the last loss
-	wait    time.Duration
-	tries   int
+	answer *cornelwall.Back
+	at     time.Time // of the next send; zero once it was sent
+	last   time.Time // of the last loss
+	wait   time.Duration
+	tries  int
 }
 
-// resendLater sends an answer or a returned loan again after a while. Answers are given
-// up after some tries; loans are not, since the home would count them as lent for good.
-func (n *Node) resendLater(to cornelwall.Incarnation, m cornelwall.Message) {
-	key := resendKey{to: to}
-	if m.Back != nil {
-		key.req = m.Back.Req
-	} else {
-		key.machine, key.need = m.Return.Machine, m.Return.Need
-	}
+// resendLater sends an answer to another entry again after a while, a few times.
+func (n *Node) resendLater(to cornelwall.Incarnation, b *cornelwall.Back) {
+	key := resendKey{to: to, req: b.Req}
 	r := n.resends[key]
 	if r == nil {
 		r = &resend{wait: firstRetry}
@@ -45,12 +37,10 @@
 	}
 	r.last = n.now
 	if !r.at.IsZero() {
-		r.message = joinReturns(r.message, m)
 		return
 	}
-	r.message = m
-	r.tries++
-	if m.Back != nil && r.tries > maxResends {
+	r.answer = b
+	if r.tries++; r.tries > maxResends {
 		delete(n.resends, key)
 		return
 	}
@@ -59,20 +49,8 @@
 	n.wake(r.at)
 }
 
-// joinReturns puts two returns of one loan that both wait into one message.
-func joinReturns(a, b cornelwall.Message) cornelwall.Message {
-	if a.Return == nil || b.Return == nil {
-		return a
-	}
-	sum := *a.Return
-	sum.Count += b.Return.Count
-	sum.Done += b.Return.Done
-	sum.Fail += b.Return.Fail
-	sum.Draining = sum.Draining || b.Return.Draining
-	return cornelwall.Message{Return: &sum}
-}
-
-// wake makes sure that messages are sent again at the time given.
+// wake makes sure that the node steps at the time given and looks at what is to be sent
+// again.
 func (n *Node) wake(at time.Time) {
 	if n.wakeAt.IsZero() || at.Before(n.wakeAt) {
 		n.wakeAt = at
@@ -97,7 +75,7 @@
 		default:
 			r.at = time.Time{}
 			n.count(cornelwall.ReasonPeer, true)
-			n.send(key.to, r.message)
+			n.send(key.to, cornelwall.Message{Back: r.answer})
 		}
 	}
 }
@@ -105,13 +83,11 @@
 // sortedResends returns the keys in a stable order.
 func (n *Node) sortedResends() []resendKey {
 	return slices.SortedFunc(maps.Keys(n.resends), func(a, b resendKey) int {
-		return cmp.Or(a.to.Compare(b.to), cmp.Compare(a.req, b.req), cmp.Compare(a.machine, b.machine),
-			cmp.Compare(a.need.Cores, b.need.Cores), cmp.Compare(a.need.Memory, b.need.Memory),
-			cmp.Compare(a.need.Accelerators, b.need.Accelerators))
+		return cmp.Or(a.to.Compare(b.to), cmp.Compare(a.req, b.req))
 	})
 }
 
-// forgetResends drops messages that have not come back, so that they have arrived.
+// forgetResends drops answers that have not come back, so that they have arrived.
 func (n *Node) forgetResends() {
 	for key, r := range n.resends {
 		if r.at.IsZero() && n.now.Sub(r.last) > 2*(n.cfg.Away+lastRetry) {
--- a/core/node/timers.go
+++ b/core/node/timers.go
@@ -1,8 +1,9 @@
 package node
 
 import (
-	"container/heap"
 	"time"
+
+	"cornelwall/core/heap"
 )
 
 // timer looks at a job again at a time.
@@ -12,43 +13,30 @@
 }
 
 // timers is a heap of timers, the earliest first.
-type timers struct{ heap timerHeap }
+type timers struct{ heap *heap.Heap[timer] }
+
+func newTimers() timers {
+	return timers{heap.New(func(a, b timer) bool {
+		if !a.at.Equal(b.at) {
+			return a.at.Before(b.at)
+		}
+		return a.seq < b.seq
+	}, nil)}
+}
 
-func (t *timers) add(at time.Time, seq uint64) { heap.Push(&t.heap, timer{at, seq}) }
+func (t *timers) add(at time.Time, seq uint64) { t.heap.Push(timer{at, seq}) }
 
 func (t *timers) next() (time.Time, bool) {
-	if len(t.heap) == 0 {
+	if t.heap.Len() == 0 {
 		return time.Time{}, false
 	}
-	return t.heap[0].at, true
+	return t.heap.Top().at, true
 }
 
 // due removes and returns the next timer that is not after now.
 func (t *timers) due(now time.Time) (uint64, bool) {
-	if len(t.heap) == 0 || t.heap[0].at.After(now) {
+	if t.heap.Len() == 0 || t.heap.Top().at.After(now) {
 		return 0, false
 	}
-	return heap.Pop(&t.heap).(timer).seq, true
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-
-func (h timerHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	return t.heap.Pop().seq, true
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -20,11 +20,11 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/heap"
 )
 
 const (
@@ -58,6 +58,14 @@
 	held  int // in the heap of its profile; -1 if all is open
 }
 
+// earlier reports whether a goes before b.
+func earlier(a, b *lot) bool {
+	if !a.rank.Equal(b.rank) {
+		return a.rank.Before(b.rank)
+	}
+	return a.Job < b.Job
+}
+
 // work returns the expected slot time of the tasks that may start.
 func (l *lot) work() time.Duration { return time.Duration(l.open) * l.Each }
 
@@ -73,9 +81,9 @@
 type profile struct {
 	limit   int // 0 is none
 	running int
-	len     int      // waiting tasks
-	open    int      // of them, those that may start
-	held    heldHeap // lots with tasks that may not
+	len     int              // waiting tasks
+	open    int              // of them, those that may start
+	held    *heap.Heap[*lot] // those with tasks that may not, in the order in which they may go on
 }
 
 // room returns how many more tasks may be open.
@@ -93,11 +101,20 @@
 	pops int
 }
 
+func newLanes() *lanes {
+	ls := &lanes{}
+	for c := range ls.lane {
+		ls.lane[c].teams = map[string]*team{}
+		ls.lane[c].order = heap.New(sooner, func(t *team) *int { return &t.index })
+	}
+	return ls
+}
+
 // lane holds the waiting tasks of one class.
 type lane struct {
 	teams   map[string]*team
-	order   teamHeap // teams with tasks that may start
-	virtual float64  // virtual time of the last pop
+	order   *heap.Heap[*team] // those with tasks that may start, the one whose turn it is on top
+	virtual float64           // virtual time of the last pop
 	work    time.Duration
 }
 
@@ -105,13 +122,22 @@
 type team struct {
 	name   string
 	lane   *lane
-	lots   lotHeap
+	lots   *heap.Heap[*lot]
 	finish float64 // virtual time
 	weight float64
 	work   time.Duration // of the lots
 	index  int           // in the order of the lane; -1 without lots
 }
 
+// sooner reports whether it is the turn of a before that of b. Ties go by name, so that
+// the order does not depend on the order of a map.
+func sooner(a, b *team) bool {
+	if a.finish != b.finish {
+		return a.finish < b.finish
+	}
+	return a.name < b.name
+}
+
 // New returns an empty queue.
 func New() *Queue {
 	return &Queue{needs: map[cornelwall.Need]*lanes{}, jobs: map[uint64][]*lot{}, profiles: map[string]*profile{}}
@@ -180,7 +206,7 @@
 	l.open = p.room(len(l.Tasks))
 	p.open += l.open
 	if l.open < len(l.Tasks) {
-		heap.Push(&p.held, l)
+		p.held.Push(l)
 	}
 	if l.open > 0 {
 		q.offer(l)
@@ -194,7 +220,7 @@
 	p.len -= len(l.Tasks)
 	p.open -= l.open
 	if l.held >= 0 {
-		heap.Remove(&p.held, l.held)
+		p.held.Remove(l)
 	}
 	if l.open > 0 {
 		q.withhold(l)
@@ -213,8 +239,8 @@
 
 // open lets tasks start that the limit of their profile held back.
 func (q *Queue) open(p *profile) {
-	for len(p.held) > 0 && p.room(1) > 0 {
-		l := p.held[0]
+	for p.held.Len() > 0 && p.room(1) > 0 {
+		l := p.held.Top()
 		q.take(l)
 		q.put(l)
 	}
@@ -241,7 +267,7 @@
 func (q *Queue) profile(name string) *profile {
 	p := q.profiles[name]
 	if p == nil {
-		p = &profile{}
+		p = &profile{held: heap.New(earlier, func(l *lot) *int { return &l.held })}
 		q.profiles[name] = p
 	}
 	return p
@@ -251,7 +277,7 @@
 func (q *Queue) offer(l *lot) {
 	ls := q.needs[l.Need]
 	if ls == nil {
-		ls = &lanes{}
+		ls = newLanes()
 		q.needs[l.Need] = ls
 	}
 	ls.len += l.open
@@ -261,10 +287,10 @@
 	t.weight = float64(max(1, l.Weight))
 	t.work += l.work()
 	l.team = t
-	heap.Push(&t.lots, l)
+	t.lots.Push(l)
 	if t.index < 0 {
 		t.finish = max(t.finish, ln.virtual)
-		heap.Push(&ln.order, t)
+		ln.order.Push(t)
 	}
 }
 
@@ -275,9 +301,9 @@
 	t := l.team
 	t.work -= l.work()
 	t.lane.work -= l.work()
-	heap.Remove(&t.lots, l.index)
-	if len(t.lots) == 0 {
-		heap.Remove(&t.lane.order, t.index)
+	t.lots.Remove(l)
+	if t.lots.Len() == 0 {
+		t.lane.order.Remove(t)
 	}
 	if ls.len == 0 {
 		delete(q.needs, l.Need) // with nothing waiting, no team owes another anything
@@ -286,12 +312,9 @@
 
 // team returns the team of the name.
 func (ln *lane) team(name string) *team {
-	if ln.teams == nil {
-		ln.teams = map[string]*team{}
-	}
 	t := ln.teams[name]
 	if t == nil {
-		t = &team{name: name, lane: ln, index: -1}
+		t = &team{name: name, lane: ln, index: -1, lots: heap.New(earlier, func(l *lot) *int { return &l.index })}
 		ln.teams[name] = t
 	}
 	return t
@@ -302,7 +325,7 @@
 func (ls *lanes) ends() (high, low *lane) {
 	for c := range ls.lane {
 		ln := &ls.lane[len(ls.lane)-1-c]
-		if len(ln.order) == 0 {
+		if ln.order.Len() == 0 {
 			continue
 		}
 		if high == nil {
@@ -333,11 +356,11 @@
 	}
 	ln := ls.next()
 	ls.pops++
-	t := ln.order[0]
-	l := t.lots[0]
+	t := ln.order.Top()
+	l := t.lots.Top()
 	ln.virtual = t.finish
 	t.finish += l.Each.Seconds() / t.weight
-	heap.Fix(&ln.order, t.index)
+	ln.order.Fix(t)
 	q.take(l)
 	q.profile(l.Profile).running++
 	task = l.Tasks[0]
@@ -369,7 +392,7 @@
 		return 0, time.Time{}, false
 	}
 	high, _ := ls.ends()
-	l := high.order[0].lots[0]
+	l := high.order.Top().lots.Top()
 	return l.Class, l.rank, true
 }
 
@@ -427,7 +450,7 @@
 	rank := l.Since.Add(time.Duration(sizeShare * float64(own)))
 	ln := &ls.lane[l.Class]
 	if t := ln.teams[l.Team]; t != nil {
-		for _, have := range t.lots {
+		for _, have := range t.lots.All() {
 			if have.Job != l.Job && !have.rank.After(rank) {
 				own += have.work()
 			}
@@ -435,7 +458,7 @@
 	}
 	weight := float64(max(1, l.Weight))
 	all := weight
-	for _, t := range ln.order {
+	for _, t := range ln.order.All() {
 		if t.name != l.Team {
 			sum += min(t.work, time.Duration(float64(own)*t.weight/weight))
 			all += t.weight
@@ -443,98 +466,3 @@
 	}
 	return Outlook{Ahead: sum + own, Team: own, Share: weight / all}
 }
-
-// lotHeap is the jobs of a team, the one that goes first on top.
-type lotHeap []*lot
-
-func (h lotHeap) Len() int { return len(h) }
-
-func (h lotHeap) Less(i, j int) bool {
-	if !h[i].rank.Equal(h[j].rank) {
-		return h[i].rank.Before(h[j].rank)
-	}
-	return h[i].Job < h[j].Job
-}
-
-func (h lotHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *lotHeap) Push(x any) {
-	l := x.(*lot)
-	l.index = len(*h)
-	*h = append(*h, l)
-}
-
-func (h *lotHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	last.index = -1
-	*h = old[:len(old)-1]
-	return last
-}
-
-// teamHeap is the teams of a lane with tasks that may start, the one whose turn it is
-// on top. Ties go by name, so that the order does not depend on the order of a map.
-type teamHeap []*team
-
-func (h teamHeap) Len() int { return len(h) }
-
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].finish != h[j].finish {
-		return h[i].finish < h[j].finish
-	}
-	return h[i].name < h[j].name
-}
-
-func (h teamHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *teamHeap) Push(x any) {
-	t := x.(*team)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-func (h *teamHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	last.index = -1
-	*h = old[:len(old)-1]
-	return last
-}
-
-// heldHeap is the jobs of a profile that its limit holds back, in the order in which
-// they may go on.
-type heldHeap []*lot
-
-func (h heldHeap) Len() int { return len(h) }
-
-func (h heldHeap) Less(i, j int) bool {
-	if !h[i].rank.Equal(h[j].rank) {
-		return h[i].rank.Before(h[j].rank)
-	}
-	return h[i].Job < h[j].Job
-}
-
-func (h heldHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].held, h[j].held = i, j
-}
-
-func (h *heldHeap) Push(x any) {
-	l := x.(*lot)
-	l.held = len(*h)
-	*h = append(*h, l)
-}
-
-func (h *heldHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	last.held = -1
-	*h = old[:len(old)-1]
-	return last
-}
--- a/core/slot/home.go
+++ b/core/slot/home.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
 
 	"cornelwall"
 	"cornelwall/core/health"
+	"cornelwall/core/heap"
 )
 
 const (
@@ -26,8 +26,8 @@
 	self      cornelwall.Incarnation
 	health    *health.Table
 	machines  map[string]*machine
-	executors executorHeap
-	workers   []*machine // by name
+	executors *heap.Heap[*machine] // the one with the most room on top
+	workers   []*machine           // by name
 	loans     map[loanKey]*loan
 	wants     map[wantKey]*want
 	series    uint64
@@ -82,7 +82,7 @@
 	return &home{
 		self: self, health: health.New(),
 		machines: map[string]*machine{}, loans: map[loanKey]*loan{}, wants: map[wantKey]*want{},
-		racks: map[string]int{},
+		executors: newExecutors(), racks: map[string]int{},
 	}
 }
 
@@ -123,7 +123,7 @@
 
 // refresh works out again what each machine may run.
 func (h *home) refresh(now time.Time) {
-	h.executors, h.workers = h.executors[:0], h.workers[:0]
+	h.executors, h.workers = newExecutors(), h.workers[:0]
 	h.wake = time.Time{}
 	h.slots, h.lent = 0, 0
 	clear(h.racks)
@@ -133,14 +133,12 @@
 		if m.vm.Kind == cornelwall.Executor {
 			h.lent += m.lent
 			h.slots += m.limit
-			m.index = len(h.executors)
-			h.executors = append(h.executors, m)
+			h.executors.Push(m)
 		} else {
 			h.racks[m.vm.Rack] += m.lent
 			h.workers = append(h.workers, m)
 		}
 	}
-	heap.Init(&h.executors)
 }
 
 // judge sets how many tasks a machine may run, and plans to look again if that changes
@@ -177,7 +175,7 @@
 		h.slots += m.limit
 	}
 	if m.index >= 0 && m.vm.Kind == cornelwall.Executor {
-		heap.Fix(&h.executors, m.index)
+		h.executors.Fix(m)
 	}
 }
 
@@ -265,7 +263,7 @@
 	m.reserve(now, need, n)
 	if m.vm.Kind == cornelwall.Executor {
 		h.lent += n
-		heap.Fix(&h.executors, m.index)
+		h.executors.Fix(m)
 	} else {
 		h.racks[m.vm.Rack] += n
 	}
@@ -294,8 +292,8 @@
 // best returns the machine on which a task of the need is best placed, or nil.
 func (h *home) best(need cornelwall.Need) *machine {
 	if need.Kind() == cornelwall.Executor {
-		if len(h.executors) > 0 && h.executors[0].room() > 0 {
-			return h.executors[0]
+		if h.executors.Len() > 0 && h.executors.Top().room() > 0 {
+			return h.executors.Top()
 		}
 		return nil
 	}
--- a/core/slot/machine.go
+++ b/core/slot/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/heap"
 )
 
 // usageWindow is how long a worker's reservations are remembered, to compare them
@@ -83,33 +84,14 @@
 	}
 }
 
-// executorHeap is the executors of this home, the one with the most room on top.
-type executorHeap []*machine
-
-func (h executorHeap) Len() int { return len(h) }
-
-func (h executorHeap) Less(i, j int) bool {
-	if a, b := h[i].room(), h[j].room(); a != b {
-		return a > b
+// roomier reports whether a goes before b in the heap of executors.
+func roomier(a, b *machine) bool {
+	if x, y := a.room(), b.room(); x != y {
+		return x > y
 	}
-	return h[i].vm.Name < h[j].vm.Name
-}
-
-func (h executorHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *executorHeap) Push(x any) {
-	m := x.(*machine)
-	m.index = len(*h)
-	*h = append(*h, m)
+	return a.vm.Name < b.vm.Name
 }
 
-func (h *executorHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	last.index = -1
-	*h = old[:len(old)-1]
-	return last
+func newExecutors() *heap.Heap[*machine] {
+	return heap.New(roomier, func(m *machine) *int { return &m.index })
 }
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -12,11 +12,11 @@
 package fake
 
 import (
-	"container/heap"
 	"net/netip"
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/heap"
 )
 
 // World holds the hosts and what is on its way to them. All fates come from its
@@ -37,7 +37,7 @@
 	Messages  int // sent
 
 	hosts map[netip.AddrPort]*Host
-	queue eventHeap
+	queue *heap.Heap[scheduled]
 	seq   uint64
 }
 
@@ -63,7 +63,7 @@
 
 // NewWorld returns a world without hosts.
 func NewWorld(start time.Time) *World {
-	return &World{Now: start, Store: NewStore(), hosts: map[netip.AddrPort]*Host{}}
+	return &World{Now: start, Store: NewStore(), hosts: map[netip.AddrPort]*Host{}, queue: heap.New(sooner, nil)}
 }
 
 // Add puts a host at an address. The host that was there before is dead.
@@ -83,13 +83,13 @@
 // After hands an event to a host after a delay.
 func (w *World) After(d time.Duration, h *Host, ev cornelwall.Event) {
 	w.seq++
-	heap.Push(&w.queue, scheduled{at: w.Now.Add(d), seq: w.seq, host: h, ev: ev})
+	w.queue.Push(scheduled{at: w.Now.Add(d), seq: w.seq, host: h, ev: ev})
 }
 
 // Do calls f after a delay.
 func (w *World) Do(d time.Duration, f func()) {
 	w.seq++
-	heap.Push(&w.queue, scheduled{at: w.Now.Add(d), seq: w.seq, do: f})
+	w.queue.Push(scheduled{at: w.Now.Add(d), seq: w.seq, do: f})
 }
 
 // Freeze stops a host from acting; what comes to it waits.
@@ -109,8 +109,8 @@
 // Advance lets time pass.
 func (w *World) Advance(d time.Duration) {
 	end := w.Now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		s := heap.Pop(&w.queue).(scheduled)
+	for w.queue.Len() > 0 && !w.queue.Top().at.After(end) {
+		s := w.queue.Pop()
 		w.Now = s.at
 		if s.do != nil {
 			s.do()
@@ -211,24 +211,10 @@
 	do   func()
 }
 
-type eventHeap []scheduled
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
+// sooner reports whether a comes before b: at an earlier time, or planned earlier.
+func sooner(a, b scheduled) bool {
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
 	}
-	return h[i].seq < h[j].seq
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(scheduled)) }
-
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	return a.seq < b.seq
 }
--- a/standin/measure/ideal.go
+++ b/standin/measure/ideal.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
+
+	"cornelwall/core/heap"
 )
 
 // ideal returns when each job ends under the ideal dispatcher: one queue in the order
@@ -17,31 +18,21 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(as[i].At, as[j].At) })
-	free := make(durationHeap, slots) // when each slot is free
+	free := heap.New(func(a, b time.Duration) bool { return a < b }, nil) // when each slot is free
+	for range slots {
+		free.Push(0)
+	}
 	for _, i := range order {
 		a := &as[i]
 		for _, took := range a.Tasks {
-			begin := max(free[0], a.At)
+			begin := max(free.Top(), a.At)
 			if a.Cancel > 0 && begin >= a.Cancel {
 				break
 			}
-			free[0] = begin + took
-			heap.Fix(&free, 0)
+			free.Pop()
+			free.Push(begin + took)
 			ends[i] = max(ends[i], begin+took)
 		}
 	}
 	return ends
 }
-
-type durationHeap []time.Duration
-
-func (h durationHeap) Len() int           { return len(h) }
-func (h durationHeap) Less(i, j int) bool { return h[i] < h[j] }
-func (h durationHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *durationHeap) Push(x any)        { *h = append(*h, x.(time.Duration)) }
-func (h *durationHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
