The alarm store-older is raised once, and not for a read under way; reason quota goes

Cause: the alarm was logged again for each profile at every read, each 2 s, and a read that had begun before an accepted change raised it although nothing was wrong. No refusal used the reason quota: quotas are weights of fair sharing. Change: two reads in a row that show the same version, then one line for that version. TestStoreOlder failed before (read 1) and passes now.

--- a/core/control/loop_test.go
+++ b/core/control/loop_test.go
@@ -32,7 +32,7 @@
 	case cornelwall.Describe:
 		cmds = append(cmds, cornelwall.ReplyStatus{Req: ev.Req, Status: cornelwall.Status{Jobs: 7}})
 	case cornelwall.Cancel:
-		cmds = append(cmds, cornelwall.Count{Reason: cornelwall.ReasonQuota, N: 2},
+		cmds = append(cmds, cornelwall.Count{Reason: cornelwall.ReasonQueueFull, N: 2},
 			cornelwall.Count{Reason: cornelwall.ReasonBusy, Retry: true, N: 3}, cornelwall.Reply{Req: ev.Req})
 	}
 	return cmds
@@ -112,7 +112,7 @@
 	var page strings.Builder
 	l.WriteMetrics(context.Background(), &page)
 	for _, line := range []string{
-		`cornelwall_refusals_total{reason="quota"} 2`,
+		`cornelwall_refusals_total{reason="queue-full"} 2`,
 		`cornelwall_refusals_total{reason="busy"} 0`,
 		`cornelwall_retries_total{reason="busy"} 3`,
 		`cornelwall_retries_total{reason="peer"} 0`,
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -138,8 +138,9 @@
 	nextBeat time.Time
 
 	watching bool
-	freshAt  time.Time // of the last word of the platform, through peers too
-	toldAt   time.Time // of the platform's last word to this entry itself
+	behind   map[string]behind // by the name of the profile
+	freshAt  time.Time         // of the last word of the platform, through peers too
+	toldAt   time.Time         // of the platform's last word to this entry itself
 	leaving  bool
 	handover handover
 }
--- a/core/node/profiles.go
+++ b/core/node/profiles.go
@@ -36,18 +36,39 @@
 	n.merge(ev.Profiles, n.cfg.Self)
 }
 
-// checkAge raises an alarm if the service holds less than this entry knows.
+// behind is a profile of which the platform's service holds less than this entry knows.
+type behind struct {
+	version uint64 // that this entry knows
+	reads   int    // in a row that have shown it
+}
+
+// alarmReads is the reads in a row after which the alarm is raised: one may have begun
+// before a change that this entry has just accepted.
+const alarmReads = 2
+
+// checkAge raises an alarm, once for each version, if the service holds less than this
+// entry knows.
 func (n *Node) checkAge(all []cornelwall.Profile) {
 	held := make(map[string]uint64, len(all))
 	for _, p := range all {
 		held[p.Name] = p.Version
 	}
+	older := map[string]behind{}
 	for _, p := range n.catalog.All() {
-		if held[p.Name] < p.Version {
+		if held[p.Name] >= p.Version {
+			continue
+		}
+		b := behind{version: p.Version, reads: 1}
+		if last := n.behind[p.Name]; last.version == p.Version {
+			b.reads += last.reads
+		}
+		older[p.Name] = b
+		if b.reads == alarmReads {
 			n.log("store-older", "profile", p.Name, "known", p.Version, "held", held[p.Name],
 				"remedy", "the store went back in time; apply the profiles again from version control")
 		}
 	}
+	n.behind = older
 }
 
 // merge takes over newer profiles and passes on what is new. What came from a peer of
--- a/reason.go
+++ b/reason.go
@@ -15,8 +15,6 @@
 	ReasonTooLate
 	// ReasonQueueFull means that the queue limit of the profile was reached.
 	ReasonQueueFull
-	// ReasonQuota means that the team has used up its quota.
-	ReasonQuota
 	// ReasonNeverFits means that no known machine is large enough for a task.
 	ReasonNeverFits
 	// ReasonNoProfile means that the profile is unknown or retired.
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 35, 45, 55, 60, 69, 76, 84, 90, 100, 110, 114, 118, 122, 129, 137, 144, 150, 157, 162, 168, 176, 183, 187, 196}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullquotanever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -28,63 +28,61 @@
 	_ = x[ReasonDeadline-(1)]
 	_ = x[ReasonTooLate-(2)]
 	_ = x[ReasonQueueFull-(3)]
-	_ = x[ReasonQuota-(4)]
-	_ = x[ReasonNeverFits-(5)]
-	_ = x[ReasonNoProfile-(6)]
-	_ = x[ReasonStale-(7)]
-	_ = x[ReasonCancelled-(8)]
-	_ = x[ReasonExpired-(9)]
-	_ = x[ReasonStopping-(10)]
-	_ = x[ReasonClosed-(11)]
-	_ = x[ReasonOwnerLost-(12)]
-	_ = x[ReasonOwnerAway-(13)]
-	_ = x[ReasonTask-(14)]
-	_ = x[ReasonLost-(15)]
-	_ = x[ReasonBusy-(16)]
-	_ = x[ReasonConnect-(17)]
-	_ = x[ReasonDraining-(18)]
-	_ = x[ReasonRetries-(19)]
-	_ = x[ReasonTicket-(20)]
-	_ = x[ReasonContent-(21)]
-	_ = x[ReasonStore-(22)]
-	_ = x[ReasonClaims-(23)]
-	_ = x[ReasonOverload-(24)]
-	_ = x[ReasonDropped-(25)]
-	_ = x[ReasonPeer-(26)]
-	_ = x[ReasonTooLarge-(27)]
+	_ = x[ReasonNeverFits-(4)]
+	_ = x[ReasonNoProfile-(5)]
+	_ = x[ReasonStale-(6)]
+	_ = x[ReasonCancelled-(7)]
+	_ = x[ReasonExpired-(8)]
+	_ = x[ReasonStopping-(9)]
+	_ = x[ReasonClosed-(10)]
+	_ = x[ReasonOwnerLost-(11)]
+	_ = x[ReasonOwnerAway-(12)]
+	_ = x[ReasonTask-(13)]
+	_ = x[ReasonLost-(14)]
+	_ = x[ReasonBusy-(15)]
+	_ = x[ReasonConnect-(16)]
+	_ = x[ReasonDraining-(17)]
+	_ = x[ReasonRetries-(18)]
+	_ = x[ReasonTicket-(19)]
+	_ = x[ReasonContent-(20)]
+	_ = x[ReasonStore-(21)]
+	_ = x[ReasonClaims-(22)]
+	_ = x[ReasonOverload-(23)]
+	_ = x[ReasonDropped-(24)]
+	_ = x[ReasonPeer-(25)]
+	_ = x[ReasonTooLarge-(26)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonQuota, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
 	_ReasonName[4:12]:    ReasonDeadline,
 	_ReasonName[12:20]:   ReasonTooLate,
 	_ReasonName[20:30]:   ReasonQueueFull,
-	_ReasonName[30:35]:   ReasonQuota,
-	_ReasonName[35:45]:   ReasonNeverFits,
-	_ReasonName[45:55]:   ReasonNoProfile,
-	_ReasonName[55:60]:   ReasonStale,
-	_ReasonName[60:69]:   ReasonCancelled,
-	_ReasonName[69:76]:   ReasonExpired,
-	_ReasonName[76:84]:   ReasonStopping,
-	_ReasonName[84:90]:   ReasonClosed,
-	_ReasonName[90:100]:  ReasonOwnerLost,
-	_ReasonName[100:110]: ReasonOwnerAway,
-	_ReasonName[110:114]: ReasonTask,
-	_ReasonName[114:118]: ReasonLost,
-	_ReasonName[118:122]: ReasonBusy,
-	_ReasonName[122:129]: ReasonConnect,
-	_ReasonName[129:137]: ReasonDraining,
-	_ReasonName[137:144]: ReasonRetries,
-	_ReasonName[144:150]: ReasonTicket,
-	_ReasonName[150:157]: ReasonContent,
-	_ReasonName[157:162]: ReasonStore,
-	_ReasonName[162:168]: ReasonClaims,
-	_ReasonName[168:176]: ReasonOverload,
-	_ReasonName[176:183]: ReasonDropped,
-	_ReasonName[183:187]: ReasonPeer,
-	_ReasonName[187:196]: ReasonTooLarge,
+	_ReasonName[30:40]:   ReasonNeverFits,
+	_ReasonName[40:50]:   ReasonNoProfile,
+	_ReasonName[50:55]:   ReasonStale,
+	_ReasonName[55:64]:   ReasonCancelled,
+	_ReasonName[64:71]:   ReasonExpired,
+	_ReasonName[71:79]:   ReasonStopping,
+	_ReasonName[79:85]:   ReasonClosed,
+	_ReasonName[85:95]:   ReasonOwnerLost,
+	_ReasonName[95:105]:  ReasonOwnerAway,
+	_ReasonName[105:109]: ReasonTask,
+	_ReasonName[109:113]: ReasonLost,
+	_ReasonName[113:117]: ReasonBusy,
+	_ReasonName[117:124]: ReasonConnect,
+	_ReasonName[124:132]: ReasonDraining,
+	_ReasonName[132:139]: ReasonRetries,
+	_ReasonName[139:145]: ReasonTicket,
+	_ReasonName[145:152]: ReasonContent,
+	_ReasonName[152:157]: ReasonStore,
+	_ReasonName[157:163]: ReasonClaims,
+	_ReasonName[163:171]: ReasonOverload,
+	_ReasonName[171:178]: ReasonDropped,
+	_ReasonName[178:182]: ReasonPeer,
+	_ReasonName[182:191]: ReasonTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -92,30 +90,29 @@
 	_ReasonLowerName[4:12]:    ReasonDeadline,
 	_ReasonLowerName[12:20]:   ReasonTooLate,
 	_ReasonLowerName[20:30]:   ReasonQueueFull,
-	_ReasonLowerName[30:35]:   ReasonQuota,
-	_ReasonLowerName[35:45]:   ReasonNeverFits,
-	_ReasonLowerName[45:55]:   ReasonNoProfile,
-	_ReasonLowerName[55:60]:   ReasonStale,
-	_ReasonLowerName[60:69]:   ReasonCancelled,
-	_ReasonLowerName[69:76]:   ReasonExpired,
-	_ReasonLowerName[76:84]:   ReasonStopping,
-	_ReasonLowerName[84:90]:   ReasonClosed,
-	_ReasonLowerName[90:100]:  ReasonOwnerLost,
-	_ReasonLowerName[100:110]: ReasonOwnerAway,
-	_ReasonLowerName[110:114]: ReasonTask,
-	_ReasonLowerName[114:118]: ReasonLost,
-	_ReasonLowerName[118:122]: ReasonBusy,
-	_ReasonLowerName[122:129]: ReasonConnect,
-	_ReasonLowerName[129:137]: ReasonDraining,
-	_ReasonLowerName[137:144]: ReasonRetries,
-	_ReasonLowerName[144:150]: ReasonTicket,
-	_ReasonLowerName[150:157]: ReasonContent,
-	_ReasonLowerName[157:162]: ReasonStore,
-	_ReasonLowerName[162:168]: ReasonClaims,
-	_ReasonLowerName[168:176]: ReasonOverload,
-	_ReasonLowerName[176:183]: ReasonDropped,
-	_ReasonLowerName[183:187]: ReasonPeer,
-	_ReasonLowerName[187:196]: ReasonTooLarge,
+	_ReasonLowerName[30:40]:   ReasonNeverFits,
+	_ReasonLowerName[40:50]:   ReasonNoProfile,
+	_ReasonLowerName[50:55]:   ReasonStale,
+	_ReasonLowerName[55:64]:   ReasonCancelled,
+	_ReasonLowerName[64:71]:   ReasonExpired,
+	_ReasonLowerName[71:79]:   ReasonStopping,
+	_ReasonLowerName[79:85]:   ReasonClosed,
+	_ReasonLowerName[85:95]:   ReasonOwnerLost,
+	_ReasonLowerName[95:105]:  ReasonOwnerAway,
+	_ReasonLowerName[105:109]: ReasonTask,
+	_ReasonLowerName[109:113]: ReasonLost,
+	_ReasonLowerName[113:117]: ReasonBusy,
+	_ReasonLowerName[117:124]: ReasonConnect,
+	_ReasonLowerName[124:132]: ReasonDraining,
+	_ReasonLowerName[132:139]: ReasonRetries,
+	_ReasonLowerName[139:145]: ReasonTicket,
+	_ReasonLowerName[145:152]: ReasonContent,
+	_ReasonLowerName[152:157]: ReasonStore,
+	_ReasonLowerName[157:163]: ReasonClaims,
+	_ReasonLowerName[163:171]: ReasonOverload,
+	_ReasonLowerName[171:178]: ReasonDropped,
+	_ReasonLowerName[178:182]: ReasonPeer,
+	_ReasonLowerName[182:191]: ReasonTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -123,30 +120,29 @@
 	_ReasonName[4:12],
 	_ReasonName[12:20],
 	_ReasonName[20:30],
-	_ReasonName[30:35],
-	_ReasonName[35:45],
-	_ReasonName[45:55],
-	_ReasonName[55:60],
-	_ReasonName[60:69],
-	_ReasonName[69:76],
-	_ReasonName[76:84],
-	_ReasonName[84:90],
-	_ReasonName[90:100],
-	_ReasonName[100:110],
-	_ReasonName[110:114],
-	_ReasonName[114:118],
-	_ReasonName[118:122],
-	_ReasonName[122:129],
-	_ReasonName[129:137],
-	_ReasonName[137:144],
-	_ReasonName[144:150],
-	_ReasonName[150:157],
-	_ReasonName[157:162],
-	_ReasonName[162:168],
-	_ReasonName[168:176],
-	_ReasonName[176:183],
-	_ReasonName[183:187],
-	_ReasonName[187:196],
+	_ReasonName[30:40],
+	_ReasonName[40:50],
+	_ReasonName[50:55],
+	_ReasonName[55:64],
+	_ReasonName[64:71],
+	_ReasonName[71:79],
+	_ReasonName[79:85],
+	_ReasonName[85:95],
+	_ReasonName[95:105],
+	_ReasonName[105:109],
+	_ReasonName[109:113],
+	_ReasonName[113:117],
+	_ReasonName[117:124],
+	_ReasonName[124:132],
+	_ReasonName[132:139],
+	_ReasonName[139:145],
+	_ReasonName[145:152],
+	_ReasonName[152:157],
+	_ReasonName[157:163],
+	_ReasonName[163:171],
+	_ReasonName[171:178],
+	_ReasonName[178:182],
+	_ReasonName[182:191],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
