Files by concept: answers, keys, handover, lanes, grants, loans, forwards

Cause: submit.go, stop.go, message.go, queue.go and home.go had grown to around 400 lines and held several concepts each. Change: declarations moved as they were, none changed. go test ./core/... ./cmd/... ./io/... . passes; TestMutantsFit follows one moved line.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -34,41 +34,6 @@
 	lowShare = 16
 )
 
-// Lot is the waiting tasks of one need of one job.
-type Lot struct {
-	Job     uint64 // sequence number of the job's ticket
-	Need    cornelwall.Need
-	Class   cornelwall.Class
-	Team    string
-	Profile string
-	Limit   int           // tasks of the profile that may run at once; 0 is no limit
-	Weight  int           // of the team in fair sharing; at least 1
-	Since   time.Time     // when the job was submitted
-	Each    time.Duration // expected run time of a task
-	Tasks   []int         // indices in the job; the first goes first
-}
-
-// lot is a Lot in the queue.
-type lot struct {
-	Lot
-	rank  time.Time
-	open  int // tasks that the limit of the profile allows to start
-	team  *team
-	index int // in the heap of its team; -1 if nothing is open
-	held  int // in the heap of its profile; -1 if all is open
-}
-
-// earlier reports whether a goes before b.
-func earlier(a, b *lot) bool {
-	if !a.rank.Equal(b.rank) {
-		return a.rank.Before(b.rank)
-	}
-	return a.Job < b.Job
-}
-
-// work returns the expected slot time of the tasks that may start.
-func (l *lot) work() time.Duration { return time.Duration(l.open) * l.Each }
-
 // Queue holds the waiting tasks, apart by need.
 type Queue struct {
 	needs    map[cornelwall.Need]*lanes
@@ -94,50 +59,6 @@
 	return max(0, min(want, p.limit-p.running-p.open))
 }
 
-// lanes holds the waiting tasks of one need, a lane per class.
-type lanes struct {
-	lane [cornelwall.Urgent + 1]lane
-	len  int // without the blocked
-	pops int
-}
-
-func newLanes() *lanes {
-	ls := &lanes{}
-	for c := range ls.lane {
-		ls.lane[c].teams = map[string]*team{}
-		ls.lane[c].order = heap.New(sooner, func(t *team) *int { return &t.index })
-	}
-	return ls
-}
-
-// lane holds the waiting tasks of one class.
-type lane struct {
-	teams   map[string]*team
-	order   *heap.Heap[*team] // those with tasks that may start, the one whose turn it is on top
-	virtual float64           // virtual time of the last pop
-	work    time.Duration
-}
-
-// team holds the waiting jobs of one team in one lane.
-type team struct {
-	name   string
-	lane   *lane
-	lots   *heap.Heap[*lot]
-	finish float64 // virtual time
-	weight float64
-	work   time.Duration // of the lots
-	index  int           // in the order of the lane; -1 without lots
-}
-
-// sooner reports whether it is the turn of a before that of b. Ties go by name, so that
-// the order does not depend on the order of a map.
-func sooner(a, b *team) bool {
-	if a.finish != b.finish {
-		return a.finish < b.finish
-	}
-	return a.name < b.name
-}
-
 // New returns an empty queue.
 func New() *Queue {
 	return &Queue{needs: map[cornelwall.Need]*lanes{}, jobs: map[uint64][]*lot{}, profiles: map[string]*profile{}}
@@ -310,43 +231,6 @@
 	}
 }
 
-// team returns the team of the name.
-func (ln *lane) team(name string) *team {
-	t := ln.teams[name]
-	if t == nil {
-		t = &team{name: name, lane: ln, index: -1, lots: heap.New(earlier, func(l *lot) *int { return &l.index })}
-		ln.teams[name] = t
-	}
-	return t
-}
-
-// ends returns the lanes of the highest and of the lowest class that wait; the lowest
-// is nil if there is only one.
-func (ls *lanes) ends() (high, low *lane) {
-	for c := range ls.lane {
-		ln := &ls.lane[len(ls.lane)-1-c]
-		if ln.order.Len() == 0 {
-			continue
-		}
-		if high == nil {
-			high = ln
-		} else {
-			low = ln
-		}
-	}
-	return high, low
-}
-
-// next returns the lane whose turn it is: the highest class, but for a share of the
-// starts the lowest that waits.
-func (ls *lanes) next() *lane {
-	high, low := ls.ends()
-	if low != nil && ls.pops%lowShare == lowShare-1 {
-		return low
-	}
-	return high
-}
-
 // Pop removes and returns the next task of the need that may start. It runs until
 // Release is called for its profile.
 func (q *Queue) Pop(need cornelwall.Need) (job uint64, task int, ok bool) {
@@ -426,43 +310,3 @@
 		q.put(l)
 	}
 }
-
-// Outlook is what a lot has before it.
-type Outlook struct {
-	Ahead time.Duration // slot time that goes before its end, its own included, if nothing else comes
-	Team  time.Duration // of that, of its own team
-	Share float64       // of the machines that its team gets at least, while others wait
-}
-
-// Ahead returns the outlook of a lot: all work of higher classes goes before it, the
-// work of its team that is ranked before it, and of the other teams as much as their
-// weight gives them while the team's own is done.
-func (q *Queue) Ahead(l Lot) Outlook {
-	own := time.Duration(len(l.Tasks)) * l.Each
-	ls := q.needs[l.Need]
-	if ls == nil {
-		return Outlook{Ahead: own, Team: own, Share: 1}
-	}
-	sum := time.Duration(0)
-	for c := l.Class + 1; int(c) < len(ls.lane); c++ {
-		sum += ls.lane[c].work
-	}
-	rank := l.Since.Add(time.Duration(sizeShare * float64(own)))
-	ln := &ls.lane[l.Class]
-	if t := ln.teams[l.Team]; t != nil {
-		for _, have := range t.lots.All() {
-			if have.Job != l.Job && !have.rank.After(rank) {
-				own += have.work()
-			}
-		}
-	}
-	weight := float64(max(1, l.Weight))
-	all := weight
-	for _, t := range ln.order.All() {
-		if t.name != l.Team {
-			sum += min(t.work, time.Duration(float64(own)*t.weight/weight))
-			all += t.weight
-		}
-	}
-	return Outlook{Ahead: sum + own, Team: own, Share: weight / all}
-}
--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -98,7 +98,7 @@
 	},
 	{
 		name: "unclaimed-is-notrun", scenario: "platform-away", want: "answer is notrun",
-		edits: []edit{{"core/node/submit.go",
+		edits: []edit{{"core/node/keys.go",
 			"return cornelwall.Answer{Outcome: cornelwall.Unknown, Reason: reason, Back",
 			"return cornelwall.Answer{Outcome: cornelwall.NotRun, Final: true, Reason: reason, Back"}},
 	},
