Wants stand in queues of homes from three task times on, not only from 600 ms

Change: 600 ms, or three expected task times if that is less.

Conclusion: short tasks on small systems gain most; at the users' sizes the change is within the spread of the seeds.

--- a/core/slot/ask.go
+++ b/core/slot/ask.go
@@ -13,6 +13,7 @@
 	payNear     = time.Millisecond       // of waiting, from which asking this data centre pays
 	payFar      = 20 * time.Millisecond  // and other data centres
 	payStanding = 600 * time.Millisecond // and standing in the queue of homes with nothing free
+	payTasks    = 3                      // or as many task times, if that is less
 	standing    = 10 * time.Second       // life of a want that stands
 	maxStanding = 2                      // homes in whose queues the tasks of a need stand
 	heldUp      = 200 * time.Millisecond // of waiting past its rank, from which a job waits for stragglers
@@ -157,7 +158,7 @@
 		s.ask(now, d, p, need, n, 0)
 		short -= n
 	}
-	if s.waits(now, d, short, each, need) > payStanding {
+	if s.waits(now, d, short, each, need) > min(payStanding, payTasks*each) {
 		s.stand(now, d, peers, need, short)
 	}
 }
