--- a/client/model_test.go
+++ b/client/model_test.go
@@ -18,6 +18,7 @@
 
 	"cornelwall"
 	"cornelwall/client"
+	_ "cornelwall/standin/seeded"
 )
 
 // system is entries that keep the rules of tickets, on a network that fails.
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -1,25 +1,15 @@
 package catalog
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"cornelwall"
+	_ "cornelwall/standin/seeded"
 )
 
-// TestMain makes every run the same unless a seed is given.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
 func profile(version uint64, change string, queue int) cornelwall.Profile {
 	return cornelwall.Profile{Name: "holds", Team: "bookings", Version: version, Change: change, Queue: queue}
 }
--- a/core/heap/heap_test.go
+++ b/core/heap/heap_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"cornelwall/core/heap"
+	_ "cornelwall/standin/seeded"
 )
 
 type item struct{ rank, index int }
--- a/core/node/fuzz/events_test.go
+++ b/core/node/fuzz/events_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,21 +12,14 @@
 
 	"cornelwall"
 	"cornelwall/io/operator"
+	_ "cornelwall/standin/seeded"
 )
 
-// TestMain makes every run of `go test` the same unless the flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
+// init sets the number of histories; the command line may give another.
+func init() {
+	if err := flag.Set("rapid.checks", "150"); err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 var profiles = []cornelwall.Profile{
--- a/core/slot/loans_test.go
+++ b/core/slot/loans_test.go
@@ -10,6 +10,7 @@
 
 	"cornelwall"
 	"cornelwall/core/slot"
+	_ "cornelwall/standin/seeded"
 )
 
 var start = time.Unix(1700000000, 0)
--- a/io/operator/change_test.go
+++ b/io/operator/change_test.go
@@ -12,6 +12,7 @@
 
 	"cornelwall"
 	"cornelwall/io/operator"
+	_ "cornelwall/standin/seeded"
 )
 
 // racing is a key of the platform's service that fails in every way, and a history of
