--- a/client/client.go
+++ b/client/client.go
@@ -88,7 +88,7 @@
 		c.Pick = rand.IntN
 	}
 	if c.Clock == nil {
-		c.Clock = systemClock{}
+		c.Clock = cornelwall.SystemClock{}
 	}
 	return errors.Join(errs...)
 }
--- a/cmd/cornelwall/job.go
+++ b/cmd/cornelwall/job.go
@@ -110,7 +110,7 @@
 	began := time.Now()
 	go func() {
 		defer close(done)
-		for pause(ctx, progressPause) == nil {
+		for cornelwall.Wait(ctx, progressPause) == nil {
 			_, _ = fmt.Fprintf(w, "waiting for %s, %s so far\n", what, time.Since(began).Round(time.Second))
 		}
 	}()
--- a/cmd/cornelwall/operators.go
+++ b/cmd/cornelwall/operators.go
@@ -158,7 +158,7 @@
 func (o *operators) read(ctx context.Context, path string, out any) error {
 	var last error
 	for round := range readRounds {
-		if round > 0 && pause(ctx, roundPause) != nil {
+		if round > 0 && cornelwall.Wait(ctx, roundPause) != nil {
 			break
 		}
 		for _, entry := range o.entries {
@@ -227,7 +227,7 @@
 			maybe = maybe || !sure
 			last = err
 		}
-		if pause(ctx, roundPause) == nil {
+		if cornelwall.Wait(ctx, roundPause) == nil {
 			continue
 		}
 		if maybe {
@@ -249,14 +249,3 @@
 	}
 	return p, merry.Wrap(errChangeUnknown, merry.AppendMessage(refusal.Error()))
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/cmd/cornelwall/profile_wait.go
+++ b/cmd/cornelwall/profile_wait.go
@@ -85,7 +85,7 @@
 			}
 			told = line
 		}
-		if pause(ctx, roundPause) != nil {
+		if cornelwall.Wait(ctx, roundPause) != nil {
 			return merry.Wrap(errNotInForce, merry.AppendMessage(told))
 		}
 	}
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -55,7 +55,7 @@
 		if s.InForce || left <= 0 {
 			return c.JSON(http.StatusOK, s)
 		}
-		if err := sleep(ctx, min(left, waitPause)); err != nil {
+		if err := cornelwall.Wait(ctx, min(left, waitPause)); err != nil {
 			return err
 		}
 	}
@@ -103,15 +103,3 @@
 	s.InForce = len(s.Missing()) == 0
 	return s, nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -179,11 +179,11 @@
 		case errors.Is(err, cornelwall.ErrMissing) || err != nil && b.clock.Now().Sub(renewed) > b.ttl:
 			return cornelwall.Result{Outcome: cornelwall.Unknown, Reason: cornelwall.ReasonLost, Draining: draining}
 		case err != nil:
-			pause(ctx, renewPause)
+			_ = cornelwall.Wait(ctx, renewPause) // the next round sees the end of ctx
 		default:
 			renewed = sentAt
 			if b.clock.Now().Sub(sentAt) < renewPause {
-				pause(ctx, renewPause)
+				_ = cornelwall.Wait(ctx, renewPause) // the next round sees the end of ctx
 			}
 		}
 	}
@@ -251,12 +251,3 @@
 	h.Set("Content-Type", "application/json")
 	return http1.Request{Method: http.MethodPost, Path: path, Header: h, Body: body}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standin/drive/driver.go
+++ b/standin/drive/driver.go
@@ -208,14 +208,7 @@
 	if back == 0 {
 		back = pauseMin << min(try, 10)
 	}
-	timer := time.NewTimer(min(back, pauseMax))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return cornelwall.Wait(ctx, min(back, pauseMax))
 }
 
 // reached reports whether a request that failed may have reached an entry.
