--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -60,12 +60,12 @@
 	},
 	{
 		name: "drain-sign-forgotten", scenario: "leaving-signed", want: "after the sign",
-		edits: []edit{{"core/node/dispatch.go",
+		edits: []edit{{"core/node/machines.go",
 			"	for name := range n.draining {\n		n.mark(name)", "	for name := range n.draining {\n		_ = name"}},
 	},
 	{
 		name: "leaving-ignored", scenario: "leaving-listed", want: "starts were sent",
-		edits: []edit{{"core/node/dispatch.go",
+		edits: []edit{{"core/node/machines.go",
 			"if vm.Kind != cornelwall.Entry {", "if vm.State = cornelwall.Live; vm.Kind != cornelwall.Entry {"}},
 	},
 	{
