Scenario older-store tells a lowered version at once

Change: the wait ends with the alarm or with a lowered version; then both are checked, as strictly as before.

--- a/standin/prove/platform_test.go
+++ b/standin/prove/platform_test.go
@@ -192,9 +192,6 @@
 		}
 		return errors.New("no entry has logged store-older")
 	}
-	if err := local.Wait(ctx, alarm); err != nil {
-		return err
-	}
 	kept := func() error {
 		for i := range s.Entries {
 			if p, err := s.shown(ctx, i, profileName); err != nil || p.Version != 2 || p.Queue != 55 {
@@ -203,7 +200,13 @@
 		}
 		return nil
 	}
-	if err := kept(); err != nil {
+	noticed := func() error {
+		if kept() != nil {
+			return nil // which is told below
+		}
+		return alarm()
+	}
+	if err := errors.Join(local.Wait(ctx, noticed), kept(), alarm()); err != nil {
 		return err
 	}
 	if err := errors.Join(s.Entries[2].Kill(), s.restart(ctx, 2)); err != nil {
