--- /dev/null
+++ b/cmd/cornelwall/dispatch.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+
+	"cornelwall"
+	"cornelwall/core/control"
+	"cornelwall/core/dispatch"
+	"cornelwall/core/kernel"
+	"cornelwall/io/peer"
+	"cornelwall/platform"
+)
+
+const (
+	peerTimeout      = 250 * time.Millisecond // of one envelope; word that is older is of no use
+	dispatchLinger   = 2200 * time.Millisecond
+	maxMetricsConns  = 16
+	memoryShare      = 0.7 // of the VM's memory, above which the garbage collector works harder
+	settingsPollTime = time.Second
+)
+
+const dispatchHelp = `Runs one entry on a platform that leases endpoints and keeps what must last.
+
+The entry reads the settings file that the platform writes, announces itself in the
+platform's store, shares the endpoints listed there with the other entries, and takes
+jobs from clients. SIGTERM makes a planned stop: endpoints are handed on with what runs
+there, and clients are served until their jobs have ended. SIGHUP reads the settings
+file again; so does a change of the file.
+
+    CORNELWALL_NODE_FILE=/etc/cornelwall/local.toml \
+    CORNELWALL_SECRET=a-secret-of-16-or-more cornelwall dispatch
+
+docs/design/platform.md tells how it works, docs/OPERATIONS.md how to find the cause of
+a failed request in its logs.
+
+`
+
+func dispatchCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "dispatch",
+		Usage:       "run an entry on a platform that leases endpoints",
+		Description: dispatchHelp + exitHelp(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsEnv)},
+			&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries", Sources: env("SECRET")},
+			&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics page; 0 is none", Sources: env("METRICS_PORT")},
+			&cli.BoolFlag{Name: "verbose", Usage: "log what is only of use in a search for faults", Sources: env("VERBOSE")},
+		},
+		Action: runDispatch,
+	}
+}
+
+func runDispatch(ctx context.Context, c *cli.Command) error {
+	s, err := platform.ReadSettings(c.String("settings"))
+	secret := c.String("secret")
+	if len(secret) < minSecretLen {
+		err = errors.Join(err, fmt.Errorf("--secret has %d characters; use %d or more", len(secret), minSecretLen))
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	d, err := buildDispatcher(s, secret, c.Int("metrics-port"), newLog(c.Bool("verbose")))
+	if err != nil {
+		return err
+	}
+	d.path = c.String("settings")
+	return d.run(ctx)
+}
+
+// dispatcher is the parts of an entry on the platform.
+type dispatcher struct {
+	settings platform.Settings
+	path     string // of the settings file
+	log      logr.Logger
+	kernel   *kernel.Kernel
+	loop     *control.Loop
+	callers  *server
+	closers  []func()
+}
+
+// buildDispatcher opens the listeners and connects the services.
+func buildDispatcher(s platform.Settings, secret string, metricsPort int, log logr.Logger) (*dispatcher, error) {
+	if s.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMiB) * (1 << 20)))
+	}
+	clock := cornelwall.NewBootClock()
+	self := cornelwall.Incarnation{DataCentre: s.DataCentre, Entry: s.Name, Life: drawLife(time.Now())}
+	d := &dispatcher{settings: s, log: log.WithValues("entry", self)}
+	d.kernel = kernel.New(d.log)
+	core := dispatch.New(dispatch.Config{
+		Self: self, Addr: s.Peers, Seeds: s.Seeds,
+		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopTime: s.StopTime, Grace: s.Grace},
+	}, clock.Now())
+	d.loop = control.New(core, clock, d.log)
+	peers := peer.New(peer.Config{Self: self, Token: secret, Timeout: peerTimeout}, d.loop, d.log)
+	executors := platform.NewExecutors(d.loop, clock)
+	service := platform.New(s.Store, cornelwall.Member{ID: self, Addr: s.Peers}, d.loop, d.log)
+	d.loop.Connect(peers, executors, service)
+	d.kernel.Add(cornelwall.ServiceControl, d.loop)
+	d.kernel.Add(cornelwall.ServicePeers, peers)
+	d.kernel.Add(cornelwall.ServiceEndpoints, executors)
+	d.kernel.Add(cornelwall.ServicePlatform, service)
+	mux := http.NewServeMux()
+	mux.Handle(peers.Handler())
+	listeners := []struct {
+		name  string
+		addr  netip.AddrPort
+		conns int
+		h     http.Handler
+	}{
+		{"metrics", netip.AddrPortFrom(s.Peers.Addr(), uint16(metricsPort)), maxMetricsConns, d.metrics()},
+		{"peers", s.Peers, maxPeerConns, mux},
+		{"readiness", s.Ready, maxOperatorConns, service.Readiness()},
+		{"callers", s.Callers, maxCallerConns, platform.NewIngress(d.loop)},
+	}
+	for _, l := range listeners {
+		if l.addr.Port() == 0 {
+			continue
+		}
+		if err := d.listen(l.name, l.addr, l.conns, l.h); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	d.log.Info("serving", "callers", s.Callers, "peers", s.Peers, "dc", s.DataCentre)
+	return d, nil
+}
+
+// listen opens an address. The one of the callers is opened last, so that it ends first.
+func (d *dispatcher) listen(name string, addr netip.AddrPort, conns int, h http.Handler) error {
+	srv, err := listen(listenConfig{Addr: addr, Conns: conns, Log: d.log}, h)
+	if err != nil {
+		return fmt.Errorf("listener of %s: %w", name, err)
+	}
+	d.kernel.Add(name+"-listener", srv)
+	d.closers = append(d.closers, srv.close)
+	if name == "callers" {
+		d.callers = srv
+	}
+	return nil
+}
+
+func (d *dispatcher) metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		metrics.WritePrometheus(w, true)
+		d.loop.WriteMetrics(r.Context(), w)
+	})
+}
+
+func (d *dispatcher) close() {
+	for _, f := range d.closers {
+		f()
+	}
+}
+
+// run serves until ctx ends, then makes a planned stop.
+func (d *dispatcher) run(ctx context.Context) error {
+	kctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer d.close()
+	ended := make(chan error, 1)
+	go func() { ended <- d.kernel.Run(kctx) }()
+	reloaded := make(chan struct{})
+	go func() {
+		defer close(reloaded)
+		d.watchSettings(kctx)
+	}()
+	defer func() { <-reloaded }()
+	defer cancel()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	d.leave()
+	cancel()
+	return <-ended
+}
+
+// leave makes the planned stop. Callers are served until the core has nothing left, and
+// at least until the balancer has seen that the entry is not ready.
+func (d *dispatcher) leave() {
+	d.callers.leave(time.Now().Add(d.settings.Grace))
+	d.loop.Post(cornelwall.Stop{Left: d.settings.Grace})
+	least := time.NewTimer(dispatchLinger)
+	defer least.Stop()
+	select {
+	case <-least.C:
+	case <-d.loop.Done():
+		return
+	}
+	limit := time.NewTimer(d.settings.Grace - dispatchLinger)
+	defer limit.Stop()
+	select {
+	case <-d.loop.Stopped():
+	case <-d.loop.Done():
+	case <-limit.C:
+	}
+}
+
+// watchSettings reads the settings file again on SIGHUP and when it has changed. What
+// has changed there takes effect at the next start, as listeners and limits are fixed.
+func (d *dispatcher) watchSettings(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	poll := time.NewTicker(settingsPollTime)
+	defer poll.Stop()
+	last := modified(d.path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			d.reload("signal")
+		case <-poll.C:
+			if at := modified(d.path); at != last {
+				last = at
+				d.reload("file")
+			}
+		}
+	}
+}
+
+func modified(path string) string {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "" // the next reading tells
+	}
+	return info.ModTime().String() + strconv.FormatInt(info.Size(), 10)
+}
+
+func (d *dispatcher) reload(why string) {
+	s, err := platform.ReadSettings(d.path)
+	if err != nil {
+		d.log.Info("settings-invalid", "why", why, "err", err)
+		return
+	}
+	d.log.Info("settings-read", "why", why, "store", s.Store, "seeds", len(s.Seeds))
+}
--- a/cmd/cornelwall/main.go
+++ b/cmd/cornelwall/main.go
@@ -42,6 +42,7 @@
 ` + exitHelp(),
 		Commands: []*cli.Command{
 			serveCommand(),
+			dispatchCommand(),
 			profileCommand(),
 			jobCommand(),
 			ticketsCommand(),
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -179,11 +179,17 @@
 		l.answer(cmd.Req, cmd)
 	case cornelwall.ReplyStatus:
 		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyBatch:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyState:
+		l.answer(cmd.Req, cmd)
+	case cornelwall.ReplyWaiting:
+		l.answer(cmd.Req, cmd)
 	case cornelwall.Send:
 		l.peers.Act(cmd)
-	case cornelwall.Run, cornelwall.Abandon, cornelwall.Poll:
+	case cornelwall.Run, cornelwall.Abandon, cornelwall.Poll, cornelwall.Look, cornelwall.StartRun, cornelwall.StopRun:
 		l.endpoints.Act(cmd)
-	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
+	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch, cornelwall.SetReady, cornelwall.Withdrawn:
 		l.platform.Act(cmd)
 	case cornelwall.Count:
 		l.meters.count(cmd)
--- /dev/null
+++ b/core/dispatch/assign.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	nearCost   = 1.0  // ms, of a holder in the same data centre
+	farCost    = 4.0  // ms, of one in another
+	spreadCost = 8.0  // ms, by the number of places that are free
+	queueCost  = 25.0 // ms, of waiting where no place is free
+	missCost   = 40.0 // ms, of each time that a holder did not start a task of late
+)
+
+// view is what an owner believes a holder has free: its last word, less what was
+// assigned to it since.
+type view struct {
+	at      time.Time
+	vacancy cornelwall.Vacancy
+}
+
+func (v *view) set(now time.Time, vacancy cornelwall.Vacancy) {
+	v.at = now
+	v.vacancy = vacancy
+}
+
+// places returns how many tasks of the need fit.
+func (v *view) places(need cornelwall.Share) int {
+	n := 0
+	for _, free := range v.vacancy.Free {
+		if need.Cores > 0 {
+			n += free.Cores / need.Cores
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
+// deduct takes note of a task that is assigned. It fills the place that is left with the
+// least, as the holder does.
+func (v *view) deduct(need cornelwall.Share, estimate time.Duration) {
+	best := -1
+	for i, free := range v.vacancy.Free {
+		if need.Fits(free) && (best < 0 || free.Cores < v.vacancy.Free[best].Cores) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		v.vacancy.Free[best] = v.vacancy.Free[best].Minus(need)
+		return
+	}
+	v.vacancy.Queued += need.Cores * int(estimate.Milliseconds())
+	v.vacancy.Open++
+}
+
+// wait returns about how long a task of the need waits, in milliseconds.
+func (v *view) wait(need cornelwall.Share, estimate time.Duration) float64 {
+	if n := v.places(need); n > 0 && v.vacancy.Open == 0 {
+		return spreadCost / float64(n)
+	}
+	if v.vacancy.Total == 0 {
+		return 1e9
+	}
+	return queueCost + float64(v.vacancy.Queued+need.Cores*int(estimate.Milliseconds()))/float64(v.vacancy.Total)
+}
+
+// candidate is a holder that tasks may be assigned to.
+type candidate struct {
+	id   cornelwall.Incarnation
+	view *view
+	near float64
+}
+
+// candidates returns the holders that answer, in a stable order.
+func (c *Core) candidates() []candidate {
+	var list []candidate
+	if !c.leaving() {
+		own := view{at: c.now, vacancy: c.vacancy()}
+		list = append(list, candidate{c.cfg.Self, &own, 0})
+	}
+	for _, p := range c.sortedPeers() {
+		if !c.answers(p) || p.leaving || !p.open {
+			continue
+		}
+		near := farCost
+		if p.id.DataCentre == c.cfg.Self.DataCentre {
+			near = nearCost
+		}
+		list = append(list, candidate{p.id, &p.view, near})
+	}
+	return list
+}
+
+// assignIdle hands the tasks of a job that may start to holders.
+func (c *Core) assignIdle(j *job) {
+	if j.closing {
+		return
+	}
+	var holders []candidate
+	assigns := map[cornelwall.Incarnation]*cornelwall.Assign{}
+	var order []cornelwall.Incarnation
+	for _, t := range j.tasks {
+		if t.state != taskIdle || c.now.Before(t.next) || !j.ready(t.step) {
+			continue
+		}
+		if holders == nil {
+			if holders = c.candidates(); len(holders) == 0 {
+				return
+			}
+		}
+		s := &j.batch.Steps[t.step]
+		best := pick(holders, s, t)
+		if best == nil {
+			t.next = c.now.Add(retryPause)
+			continue
+		}
+		best.view.deduct(s.Need, s.Estimate)
+		t.state, t.holder, t.since, t.run = taskAssigned, best.id, c.now, c.newRun(t)
+		c.tasks[t.run] = t
+		if assigns[best.id] == nil {
+			assigns[best.id] = c.newAssign(j, best.id)
+			order = append(order, best.id)
+		}
+		assigns[best.id].Tasks = append(assigns[best.id].Tasks, cornelwall.AssignTask{
+			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, Limit: s.PerEndpoint, Avoid: t.avoid,
+		})
+	}
+	for _, id := range order {
+		c.send(id, cornelwall.Message{Assign: assigns[id]})
+	}
+}
+
+// pick returns the holder at which a task should start first, or nil.
+func pick(holders []candidate, s *cornelwall.Step, t *task) *candidate {
+	var best *candidate
+	var bestCost float64
+	for i := range holders {
+		h := &holders[i]
+		if h.view.vacancy.Total == 0 {
+			continue
+		}
+		cost := h.near + h.view.wait(s.Need, s.Estimate)
+		if h.id == t.holder {
+			cost += missCost * float64(t.misses)
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = h, cost
+		}
+	}
+	return best
+}
+
+func (c *Core) newAssign(j *job, to cornelwall.Incarnation) *cornelwall.Assign {
+	m := &cornelwall.Assign{
+		Service: j.queue.Service, Spec: j.batch.Spec, Class: j.queue.Priority,
+		Left: j.deadline.Sub(c.now), Due: j.due.Sub(c.now),
+	}
+	if p := c.peers[to]; p != nil {
+		m.Session = p.theirSession
+	}
+	return m
+}
+
+// ready reports whether all steps before one are done.
+func (j *job) ready(step int) bool {
+	for _, k := range j.batch.Steps[step].After {
+		if j.left[k] > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,216 @@
+// Package dispatch decides for one entry which tasks run on endpoints that are leased.
+//
+// Each endpoint has one holder, an entry that alone looks, starts and stops there, under
+// a fence that rises with each change of holder. The entry that took a batch from its
+// caller owns it: it assigns the tasks to holders, counts their failures and answers.
+// An entry is owner and holder at once.
+//
+// # Second runs
+//
+// A task runs again only once its last run is surely over. The holder knows that from
+// the endpoint's lists, or from the end of the lease on the endpoint's own clock. The
+// owner knows it from the holder, from the next holder of the endpoint (see
+// cornelwall.Taken), or because it has heard nothing of the holder for ownerPatience: by
+// then the holder has missed proof that the owner hears it and has stopped the run, or
+// its lease has ended.
+//
+// # Usage
+//
+//	core := dispatch.New(dispatch.Config{Self: self, Addr: addr, Limits: limits}, now)
+//	commands := core.Step(now, event)
+//
+// The files: jobs.go and assign.go are the owner, waiting.go, lease.go and orders.go the
+// holder; holders.go decides who holds an endpoint, peers.go who is alive, and health.go
+// which endpoints are fit.
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"cornelwall"
+)
+
+// Limits are what the platform promises of its endpoints.
+type Limits struct {
+	MaxLease time.Duration // a longer lease is cut to it
+	StopTime time.Duration // within which a stop or the end of a lease takes effect
+	Grace    time.Duration // of a planned stop
+}
+
+// Config is the settings of a core.
+type Config struct {
+	Self   cornelwall.Incarnation
+	Addr   netip.AddrPort   // of this entry, for others
+	Seeds  []netip.AddrPort // other entries to ask while the platform does not answer
+	Limits Limits
+}
+
+const (
+	tickEvery = 20 * time.Millisecond
+	never     = time.Hour
+)
+
+// Core is the decisions of one entry. It implements cornelwall.Core.
+type Core struct {
+	cfg     Config
+	now     time.Time
+	started time.Time
+	out     []cornelwall.Command
+	local   []cornelwall.Message // messages of the entry to itself
+	ticked  time.Time
+
+	peers     map[cornelwall.Incarnation]*peer
+	seeds     map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
+	platform  bool                         // it answers
+	membersAt time.Time                    // of the last list of members
+
+	declared  cornelwall.Declaration
+	endpoints map[string]*endpoint
+	listed    bool // a list of endpoints has come
+	fence     uint64
+
+	runs    map[cornelwall.RunID]*run // of tasks assigned to this entry
+	waiting []*run
+	stops   map[cornelwall.RunID]time.Time // runs that were withdrawn, which must not start
+	passed  map[cornelwall.RunID]passedRun
+	yielded []*lease // of endpoints that other entries have taken
+
+	jobs    map[string]*job
+	reqs    map[uint64]*job
+	tasks   map[cornelwall.RunID]*task // that are assigned
+	lastRun uint64
+
+	ready    bool
+	stopping time.Time // when a planned stop began
+	handed   bool      // all endpoints have been handed over
+	stopped  bool
+}
+
+// New returns a core that knows nothing yet.
+func New(cfg Config, now time.Time) *Core {
+	return &Core{
+		cfg: cfg, now: now, started: now, ticked: now,
+		peers:     map[cornelwall.Incarnation]*peer{},
+		seeds:     map[netip.AddrPort]time.Time{},
+		endpoints: map[string]*endpoint{},
+		runs:      map[cornelwall.RunID]*run{},
+		stops:     map[cornelwall.RunID]time.Time{},
+		passed:    map[cornelwall.RunID]passedRun{},
+		jobs:      map[string]*job{},
+		tasks:     map[cornelwall.RunID]*task{},
+		reqs:      map[uint64]*job{},
+	}
+}
+
+// Next returns when the core wants a Tick at the latest.
+func (c *Core) Next() time.Time { return c.ticked.Add(tickEvery) }
+
+// Step takes one event and returns the commands that follow from it.
+func (c *Core) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if now.Before(c.now) {
+		now = c.now
+	}
+	c.now = now
+	c.out = nil
+	if now.Sub(c.ticked) >= tickEvery {
+		c.tick()
+	}
+	c.handle(ev)
+	c.drainLocal()
+	c.startWaiting()
+	c.drainLocal()
+	c.tellRoom()
+	return c.out
+}
+
+func (c *Core) handle(ev cornelwall.Event) {
+	switch ev := ev.(type) {
+	case cornelwall.SubmitBatch:
+		c.submit(ev)
+	case cornelwall.CancelBatch:
+		c.cancel(ev)
+	case cornelwall.FetchBatch:
+		c.fetch(ev)
+	case cornelwall.CountWaiting:
+		c.countWaiting(ev)
+	case cornelwall.Gone:
+		c.callerGone(ev.Req)
+	case cornelwall.Receive:
+		c.receive(ev.Envelope)
+	case cornelwall.Undelivered:
+		c.undelivered(ev)
+	case cornelwall.Endpoints:
+		c.setEndpoints(ev.List)
+	case cornelwall.Members:
+		c.setMembers(ev.List)
+	case cornelwall.Declared:
+		c.declare(ev.Declaration)
+	case cornelwall.PlatformLost:
+		c.platformLost()
+	case cornelwall.Looked:
+		c.looked(ev)
+	case cornelwall.Ordered:
+		c.ordered(ev)
+	case cornelwall.Describe:
+		c.emit(cornelwall.ReplyStatus{Req: ev.Req, Status: c.status()})
+	case cornelwall.Stop:
+		c.stop()
+	}
+}
+
+// tick does what is due as time passes. It runs before any event that comes after a
+// pause of the process, so that no event is handled by what was true before it.
+func (c *Core) tick() {
+	if pause := c.now.Sub(c.ticked); pause > freezeAfter {
+		c.log("woke", "pause", pause)
+	}
+	c.ticked = c.now
+	c.checkPeers()
+	c.checkLeases()
+	c.checkJobs()
+	c.keepHolders()
+	c.dropStops()
+	c.pulse()
+	c.checkReady()
+	c.checkStop()
+}
+
+func (c *Core) emit(cmd cornelwall.Command) { c.out = append(c.out, cmd) }
+
+func (c *Core) log(event string, pairs ...any) {
+	c.emit(cornelwall.Log{Event: event, Pairs: pairs})
+}
+
+// send hands a message to an entry, this one included.
+func (c *Core) send(to cornelwall.Incarnation, m cornelwall.Message) {
+	if to == c.cfg.Self {
+		c.local = append(c.local, m)
+		return
+	}
+	if p := c.peers[to]; p != nil {
+		c.emit(cornelwall.Send{To: to, Addr: p.addr, Message: m})
+	}
+}
+
+func (c *Core) drainLocal() {
+	for len(c.local) > 0 {
+		m := c.local[0]
+		c.local = c.local[1:]
+		c.message(c.cfg.Self, &m)
+	}
+}
+
+func (c *Core) status() cornelwall.Status {
+	held := 0
+	for _, ep := range c.endpoints {
+		if ep.lease != nil {
+			held++
+		}
+	}
+	return cornelwall.Status{
+		Entry: c.cfg.Self, Machines: len(c.endpoints), Profiles: len(c.declared.Queues),
+		Peers: len(c.peers), Jobs: len(c.jobs), Waiting: len(c.waiting), Running: len(c.runs) - len(c.waiting),
+		Stale: !c.platform, Stopping: c.leaving(),
+	}
+}
--- /dev/null
+++ b/core/dispatch/holders.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cornelwall"
+)
+
+const (
+	settleTime  = 400 * time.Millisecond // after the start, for all entries to find each other
+	freeTime    = 150 * time.Millisecond // without a holder, after which an endpoint is taken
+	yieldTime   = time.Second            // after another entry has taken an endpoint
+	lostTime    = 3 * time.Second        // for which an endpoint that does not answer is left to others
+	absentTime  = 3 * time.Second        // off the platform's list, after which an endpoint is gone
+	keepTime    = time.Second            // for which an endpoint is held before it is handed on
+	handTimeout = 600 * time.Millisecond // for the next holder to take over
+	handsAtOnce = 4                      // endpoints that are handed on in one tick
+	fenceSpread = 1 << 10                // fences that one millisecond has
+)
+
+// endpoint is an executor on the platform's list.
+type endpoint struct {
+	cornelwall.Endpoint
+	seen      time.Time // on the list first
+	absent    time.Time // since when it has not been on the list; zero if it is
+	free      time.Time // since when it has had no holder; zero if it has one
+	yielded   time.Time // until when it is left to the entry that took it
+	lostUntil time.Time // until when it is left to others, as it does not answer this entry
+	lease     *lease    // of this entry
+	fit       fitness
+}
+
+func (c *Core) setEndpoints(list []cornelwall.Endpoint) {
+	c.listed = true
+	now := map[string]bool{}
+	for _, info := range list {
+		now[info.ID] = true
+		ep := c.endpoints[info.ID]
+		if ep == nil {
+			ep = &endpoint{seen: c.now, free: c.now}
+			c.endpoints[info.ID] = ep
+		}
+		if info.Leaving && !ep.Leaving && ep.lease != nil {
+			c.log("endpoint-leaves", "endpoint", info.ID)
+		}
+		ep.Endpoint, ep.absent = info, time.Time{}
+	}
+	for id, ep := range c.endpoints {
+		if !now[id] && ep.absent.IsZero() {
+			ep.absent = c.now
+		}
+	}
+}
+
+// sortedEndpoints returns the endpoints in a stable order.
+func (c *Core) sortedEndpoints() []*endpoint {
+	ids := slices.Sorted(maps.Keys(c.endpoints))
+	list := make([]*endpoint, len(ids))
+	for i, id := range ids {
+		list[i] = c.endpoints[id]
+	}
+	return list
+}
+
+// gone reports whether the platform has left the endpoint off its list for good.
+func (c *Core) gone(ep *endpoint) bool {
+	return !ep.absent.IsZero() && c.platform && c.now.Sub(ep.absent) > absentTime
+}
+
+// keepHolders takes endpoints that have no holder and hands on those that belong to
+// others.
+func (c *Core) keepHolders() {
+	hands := 0
+	for _, ep := range c.sortedEndpoints() {
+		switch {
+		case c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0):
+			c.release(ep)
+			delete(c.endpoints, ep.ID)
+			c.log("endpoint-gone", "endpoint", ep.ID)
+		case ep.lease != nil:
+			if hands < handsAtOnce && c.handOn(ep) {
+				hands++
+			}
+		default:
+			c.takeFree(ep)
+		}
+	}
+}
+
+// takeFree takes an endpoint that has had no holder for a while, if it is this entry's.
+func (c *Core) takeFree(ep *endpoint) {
+	if c.heldByPeer(ep) {
+		ep.free = time.Time{}
+		return
+	}
+	if ep.free.IsZero() {
+		ep.free = c.now
+	}
+	if c.now.Sub(c.started) < settleTime || c.now.Sub(ep.free) < freeTime || c.now.Before(ep.yielded) {
+		return
+	}
+	if c.leaving() || c.gone(ep) || c.wanted(ep) != c.cfg.Self {
+		return
+	}
+	c.take(ep, nil)
+}
+
+func (c *Core) heldByPeer(ep *endpoint) bool {
+	for _, p := range c.peers {
+		if p.holds[ep.ID] && c.alive(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted returns the entry that should hold the endpoint: one of its own data centre if
+// there is any, chosen by rendezvous hashing.
+func (c *Core) wanted(ep *endpoint) cornelwall.Incarnation {
+	var best cornelwall.Incarnation
+	var bestRank uint64
+	consider := func(id cornelwall.Incarnation) {
+		rank := xxhash.Sum64String(id.Entry+"/"+ep.ID) >> 1
+		if id.DataCentre == ep.DataCentre {
+			rank |= 1 << 63
+		}
+		if rank > bestRank {
+			best, bestRank = id, rank
+		}
+	}
+	if !c.leaving() && !c.now.Before(ep.lostUntil) {
+		consider(c.cfg.Self)
+	}
+	for _, p := range c.peers {
+		if c.alive(p) && !p.leaving && !p.lost[ep.ID] {
+			consider(p.id)
+		}
+	}
+	return best
+}
+
+// handOn offers an endpoint to the entry that should hold it.
+func (c *Core) handOn(ep *endpoint) bool {
+	l := ep.lease
+	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime {
+		return false
+	}
+	to := c.wanted(ep)
+	p := c.peers[to]
+	if p == nil || !c.answers(p) || p.number == 0 {
+		return false
+	}
+	m := &cornelwall.Handover{Endpoint: ep.ID, Fence: l.fence}
+	for _, r := range l.sortedRuns() {
+		m.Runs = append(m.Runs, cornelwall.HandoverRun{
+			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
+		})
+	}
+	l.phase, l.handTo, l.handAt = phaseHanding, to, c.now
+	c.log("endpoint-handed", "endpoint", ep.ID, "to", to, "fence", l.fence, "runs", len(m.Runs))
+	c.send(to, cornelwall.Message{Handover: m})
+	return true
+}
+
+// adopt takes over an endpoint whose holder offers it.
+func (c *Core) adopt(m *cornelwall.Handover) {
+	ep := c.endpoints[m.Endpoint]
+	c.fence = max(c.fence, m.Fence)
+	if ep == nil || ep.lease != nil || c.leaving() {
+		return // the holder keeps it and tries again
+	}
+	c.take(ep, m.Runs)
+}
+
+// nextFence returns a fence above all that this entry knows of. Entries that take an
+// endpoint in the same millisecond draw different ones.
+func (c *Core) nextFence() uint64 {
+	own := xxhash.Sum64String(c.cfg.Self.String()) % fenceSpread
+	fence := uint64(c.now.UnixMilli())*fenceSpread + own
+	for fence <= c.fence {
+		fence += fenceSpread
+	}
+	c.fence = fence
+	return fence
+}
+
+// taken takes word of the entry that holds an endpoint now.
+func (c *Core) taken(from cornelwall.Incarnation, m *cornelwall.Taken) {
+	kept := map[cornelwall.RunID]bool{}
+	for _, id := range m.Kept {
+		kept[id] = true
+	}
+	c.fence = max(c.fence, m.Fence)
+	if from != c.cfg.Self {
+		if p := c.peers[from]; p.holds != nil {
+			p.holds[m.Endpoint] = true
+		}
+		if ep := c.endpoints[m.Endpoint]; ep != nil && ep.lease != nil && ep.lease.fence < m.Fence {
+			c.handedOver(ep, from, kept)
+		}
+		c.endYielded(from, m, kept)
+	}
+	for i := range m.Ended {
+		c.over(&m.Ended[i])
+	}
+	c.endpointTaken(from, m, kept)
+}
--- /dev/null
+++ b/core/dispatch/lease.go
@@ -0,0 +1,434 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	leaseTime   = 600 * time.Millisecond // that a look or a start adds to a lease
+	lookWait    = 200 * time.Millisecond // for which a look waits for an end
+	lookLate    = 120 * time.Millisecond // after its wait, when a look is sent again
+	lookRetry   = 100 * time.Millisecond // between looks at an endpoint that does not answer
+	lookAgain   = 10 * time.Millisecond  // between looks that are sent to settle something
+	ackDelay    = 40 * time.Millisecond  // of ends at an endpoint that has become idle
+	looksAtOnce = 4
+	lostAfter   = 700 * time.Millisecond // without an answer, after which nothing starts there
+	stopRepeat  = 80 * time.Millisecond  // between two stops of one run
+	lapseSlack  = 30 * time.Millisecond
+	// An endpoint's clock may be slow by this share.
+	clockDrift = 0.02
+)
+
+// phase is how far a lease is.
+type phase int
+
+const (
+	phaseTaking  phase = iota // it is not known yet what runs there
+	phaseReady                // tasks may start
+	phaseLost                 // the endpoint does not answer
+	phaseHanding              // offered to the next holder
+	phaseYielded              // another entry holds the endpoint
+)
+
+// lease is this entry's hold on an endpoint.
+type lease struct {
+	ep    *endpoint
+	fence uint64
+	phase phase
+	since time.Time
+	boot  int64
+
+	clock   time.Duration // of the endpoint, at clockAt at the latest
+	clockAt time.Time     // zero: not known
+	until   time.Duration // latest end that any order gave the lease
+
+	looks    int // under way
+	lookedAt time.Time
+	answered time.Time // last answer to a look
+	acked    int64     // greatest number of the ends taken in
+	ackSent  int64
+	endedAt  time.Time // when the last end was taken in
+
+	runs      map[cornelwall.RunID]*run
+	used      cornelwall.Share
+	ended     []cornelwall.OverRun // found while taking
+	strangers map[cornelwall.RunID]time.Time
+
+	handTo cornelwall.Incarnation
+	handAt time.Time
+}
+
+// take begins to hold an endpoint. The runs given may go on; all others are stopped
+// before the lease is extended.
+func (c *Core) take(ep *endpoint, runs []cornelwall.HandoverRun) {
+	l := &lease{
+		ep: ep, fence: c.nextFence(), since: c.now, answered: c.now,
+		runs: map[cornelwall.RunID]*run{}, strangers: map[cornelwall.RunID]time.Time{},
+	}
+	ep.lease, ep.free = l, time.Time{}
+	for i := range runs {
+		h := &runs[i]
+		r := &run{id: h.RunID, owner: h.Owner, startAt: c.now.Add(-h.Age), settled: c.now.Add(-h.Age), state: runRunning}
+		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
+		c.runs[r.id] = r
+		l.add(r)
+	}
+	c.log("endpoint-taken", "endpoint", ep.ID, "fence", l.fence, "runs", len(runs))
+	c.look(l, 0)
+}
+
+func (l *lease) add(r *run) {
+	r.at = l
+	l.runs[r.id] = r
+	l.used = l.used.Plus(r.Need)
+}
+
+func (l *lease) remove(r *run) {
+	if _, ok := l.runs[r.id]; ok {
+		delete(l.runs, r.id)
+		l.used = l.used.Minus(r.Need)
+	}
+}
+
+func (l *lease) sortedRuns() []*run { return sortRuns(l.runs) }
+
+func (c *Core) sortedRuns() []*run { return sortRuns(c.runs) }
+
+func sortRuns(runs map[cornelwall.RunID]*run) []*run {
+	return slices.SortedFunc(maps.Values(runs), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.id.Task, b.id.Task), cmp.Compare(a.id.Run, b.id.Run))
+	})
+}
+
+// clockLow returns a time that the endpoint's clock has surely reached.
+func (l *lease) clockLow(now time.Time) time.Duration {
+	return l.clock + time.Duration(float64(now.Sub(l.clockAt))*(1-clockDrift))
+}
+
+// extend returns the end of a lease that begins now and notes it.
+func (l *lease) extend(now time.Time) time.Duration {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	until := l.clock + now.Sub(l.clockAt) + leaseTime
+	l.until = max(l.until, until)
+	return until
+}
+
+// stuck reports whether a stop has gone without effect, so that the lease must end.
+func (l *lease) stuck(now time.Time) bool {
+	for _, r := range l.runs {
+		if r.state == runStopping && now.Sub(r.stopAt) > stopRepeat+lookAgain {
+			return true
+		}
+	}
+	return false
+}
+
+// look asks an endpoint what runs there, and extends the lease if it may.
+func (c *Core) look(l *lease, wait time.Duration) {
+	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: l.acked, Wait: wait}
+	if (l.phase == phaseReady || l.phase == phaseHanding) && len(l.runs) > 0 && !l.stuck(c.now) {
+		cmd.Until = l.extend(c.now)
+	}
+	l.looks++
+	l.lookedAt, l.ackSent = c.now, l.acked
+	c.emit(cmd)
+}
+
+// looked takes the answer to a look.
+func (c *Core) looked(ev cornelwall.Looked) {
+	l := c.leaseOf(ev.Endpoint, ev.Fence)
+	if l == nil {
+		return
+	}
+	l.looks--
+	switch ev.Refusal {
+	case cornelwall.RefusedNone:
+	case cornelwall.RefusedFence:
+		c.yield(l)
+		return
+	case cornelwall.RefusedBoot:
+		c.bootChanged(l, 0)
+		return
+	default:
+		return // it is sent again in time
+	}
+	if l.boot != 0 && l.boot != ev.Boot {
+		c.bootChanged(l, ev.Boot)
+	}
+	l.boot, l.answered = ev.Boot, c.now
+	c.setClock(l, ev.Clock)
+	for i := range ev.Ended {
+		c.listedEnd(l, &ev.Ended[i])
+	}
+	c.compare(l, &ev)
+	c.advance(l)
+	c.keepLease(l)
+}
+
+func (c *Core) leaseOf(id string, fence uint64) *lease {
+	ep := c.endpoints[id]
+	if ep == nil || ep.lease == nil || ep.lease.fence != fence {
+		return nil
+	}
+	return ep.lease
+}
+
+// setClock takes the endpoint's clock. What an earlier holder did to the lease is not
+// known, so that at first it may last as long as any.
+func (c *Core) setClock(l *lease, clock time.Duration) {
+	if l.clockAt.IsZero() {
+		l.until = max(l.until, clock+c.cfg.Limits.MaxLease)
+	}
+	if clock >= l.clock || l.clockAt.IsZero() {
+		l.clock, l.clockAt = clock, c.now
+	}
+}
+
+// listedEnd takes an end that an endpoint lists.
+func (c *Core) listedEnd(l *lease, e *cornelwall.RunEnded) {
+	if e.Number <= l.acked {
+		return
+	}
+	l.acked, l.endedAt = e.Number, c.now
+	if r := c.runs[e.RunID]; r != nil && r.at == l {
+		c.endRun(r, e.How)
+		return
+	}
+	if l.phase == phaseTaking {
+		l.ended = append(l.ended, cornelwall.OverRun{RunID: e.RunID, How: e.How, Endpoint: l.ep.ID})
+	}
+}
+
+// compare matches the list of what runs with what should.
+func (c *Core) compare(l *lease, ev *cornelwall.Looked) {
+	running := map[cornelwall.RunID]bool{}
+	for _, s := range ev.Running {
+		running[s.RunID] = true
+		r := l.runs[s.RunID]
+		if r == nil {
+			c.stopStranger(l, s.RunID)
+			continue
+		}
+		if r.state == runStarting {
+			c.runBegan(r)
+		}
+	}
+	for id := range l.strangers {
+		if !running[id] {
+			delete(l.strangers, id)
+		}
+	}
+	for _, r := range l.sortedRuns() {
+		if !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent) {
+			how := cornelwall.RunLapsed
+			if r.state == runStopping {
+				how = cornelwall.RunStopped
+			}
+			c.endRun(r, how)
+		}
+	}
+}
+
+// stopStranger stops a run that this entry knows nothing of.
+func (c *Core) stopStranger(l *lease, id cornelwall.RunID) {
+	if at, ok := l.strangers[id]; ok && c.now.Sub(at) < stopRepeat {
+		return
+	}
+	l.strangers[id] = c.now
+	c.log("stranger-stopped", "endpoint", l.ep.ID, "task", id.Task, "run", id.Run)
+	c.emit(cornelwall.StopRun{Endpoint: l.ep.Endpoint, Fence: l.fence, Run: id})
+}
+
+// advance ends the taking of an endpoint once only known runs are left, and the loss of
+// one that answers again.
+func (c *Core) advance(l *lease) {
+	switch l.phase {
+	case phaseTaking:
+		if len(l.strangers) > 0 {
+			return
+		}
+		l.phase = phaseReady
+		m := &cornelwall.Taken{Endpoint: l.ep.ID, Fence: l.fence, Ended: l.ended}
+		l.ended = nil
+		for _, r := range l.sortedRuns() {
+			m.Kept = append(m.Kept, r.id)
+		}
+		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
+		for _, p := range c.sortedPeers() {
+			c.send(p.id, cornelwall.Message{Taken: m})
+		}
+		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
+	case phaseLost:
+		l.phase = phaseReady
+		c.log("endpoint-back", "endpoint", l.ep.ID)
+	}
+}
+
+// checkLeases looks again where it is time, and ends what has lapsed.
+func (c *Core) checkLeases() {
+	for _, ep := range c.sortedEndpoints() {
+		if ep.lease != nil {
+			c.keepLease(ep.lease)
+		}
+		if ep.lease != nil {
+			c.checkLapse(ep.lease)
+		}
+	}
+	c.checkYielded()
+}
+
+// keepLease sends the look that is due, if any.
+func (c *Core) keepLease(l *lease) {
+	since := c.now.Sub(l.lookedAt)
+	switch {
+	case l.looks >= looksAtOnce:
+	case l.phase == phaseTaking || l.phase == phaseLost:
+		if l.looks == 0 && since >= lookAgain && len(l.strangers) > 0 || since >= lookRetry {
+			c.look(l, 0)
+		}
+	case len(l.runs) > 0:
+		if l.looks == 0 || since >= lookWait+lookLate || c.now.Sub(l.answered) > lookWait+lookLate && since >= lookRetry {
+			c.look(l, lookWait)
+		} else if l.unsettled() && since >= lookAgain {
+			c.look(l, 0)
+		}
+	case l.acked > l.ackSent && l.looks == 0 && c.now.Sub(l.endedAt) >= ackDelay:
+		c.look(l, 0)
+	}
+	for _, r := range l.sortedRuns() {
+		if r.state == runStopping && c.now.Sub(r.stopSent) >= stopRepeat && !r.stopped {
+			c.sendStop(r)
+		}
+	}
+}
+
+// unsettled reports whether a run was stopped whose end only a new look can tell.
+func (l *lease) unsettled() bool {
+	for _, r := range l.runs {
+		if r.stopped && r.settled.After(l.lookedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLapse ends what ran under a lease that has surely ended.
+func (c *Core) checkLapse(l *lease) {
+	if l.phase == phaseHanding && c.now.Sub(l.handAt) > handTimeout {
+		l.phase = phaseReady
+		c.log("handover-timeout", "endpoint", l.ep.ID, "to", l.handTo)
+	}
+	if l.lapsed(c.now, c.cfg.Limits.StopTime) {
+		c.log("lease-lapsed", "endpoint", l.ep.ID, "runs", len(l.runs), "answered", c.now.Sub(l.answered))
+		for _, r := range l.sortedRuns() {
+			c.endRun(r, cornelwall.RunLapsed)
+		}
+	}
+	busy := len(l.runs) > 0 || l.phase == phaseTaking || l.phase == phaseLost
+	if !busy || c.now.Sub(l.answered) <= lostAfter || l.lookedAt.Before(l.answered) {
+		return
+	}
+	if l.phase == phaseReady {
+		l.phase = phaseLost
+		c.log("endpoint-lost", "endpoint", l.ep.ID, "answered", c.now.Sub(l.answered))
+	}
+	if len(l.runs) == 0 {
+		l.ep.lostUntil = c.now.Add(lostTime)
+		c.release(l.ep)
+	}
+}
+
+func (l *lease) lapsed(now time.Time, stop time.Duration) bool {
+	return len(l.runs) > 0 && !l.clockAt.IsZero() && l.clockLow(now) > l.until+stop+lapseSlack
+}
+
+// release gives an endpoint up on which nothing runs.
+func (c *Core) release(ep *endpoint) {
+	if ep.lease == nil {
+		return
+	}
+	c.log("endpoint-released", "endpoint", ep.ID, "fence", ep.lease.fence)
+	ep.lease, ep.free = nil, c.now
+}
+
+// bootChanged takes note that an endpoint has started anew: nothing runs there.
+func (c *Core) bootChanged(l *lease, boot int64) {
+	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
+	for _, r := range l.sortedRuns() {
+		c.endRun(r, cornelwall.RunLapsed)
+	}
+	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
+	clear(l.strangers)
+	l.phase = phaseTaking
+	c.look(l, 0)
+}
+
+// yield gives an endpoint up that another entry has taken. What runs there ends with the
+// lease, or once the new holder says so; if it was ever offered to an entry, that one may
+// have kept it, and its word decides.
+func (c *Core) yield(l *lease) {
+	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
+	l.phase = phaseYielded
+	l.ep.lease, l.ep.free, l.ep.yielded = nil, c.now, c.now.Add(yieldTime)
+	if !l.handTo.IsZero() {
+		c.passOn(l, l.handTo, nil)
+		return
+	}
+	if len(l.runs) > 0 {
+		c.yielded = append(c.yielded, l)
+	}
+}
+
+func (c *Core) checkYielded() {
+	c.yielded = slices.DeleteFunc(c.yielded, func(l *lease) bool {
+		if !l.lapsed(c.now, c.cfg.Limits.StopTime) {
+			return len(l.runs) == 0
+		}
+		for _, r := range l.sortedRuns() {
+			c.endRun(r, cornelwall.RunLapsed)
+		}
+		return true
+	})
+}
+
+// endYielded ends what the new holder of an endpoint has not kept.
+func (c *Core) endYielded(from cornelwall.Incarnation, m *cornelwall.Taken, kept map[cornelwall.RunID]bool) {
+	for _, l := range c.yielded {
+		if l.ep.ID == m.Endpoint && l.fence < m.Fence {
+			c.passOn(l, from, kept)
+		}
+	}
+}
+
+// handedOver ends the lease on an endpoint that another entry has taken.
+func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, kept map[cornelwall.RunID]bool) {
+	l := ep.lease
+	l.phase = phaseYielded
+	ep.lease = nil
+	c.passOn(l, from, kept)
+}
+
+// passOn leaves the runs that another entry has kept to it and ends the others. Without a
+// list, all may have been kept.
+func (c *Core) passOn(l *lease, to cornelwall.Incarnation, kept map[cornelwall.RunID]bool) {
+	for _, r := range l.sortedRuns() {
+		if kept != nil && !kept[r.id] {
+			c.endRun(r, cornelwall.RunLapsed)
+			continue
+		}
+		withdrawn := r.state == runStopping
+		l.remove(r)
+		delete(c.runs, r.id)
+		c.passed[r.id] = passedRun{to: to, at: c.now}
+		if withdrawn {
+			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}})
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/orders.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"cornelwall"
+)
+
+// start orders a run to start.
+func (c *Core) start(r *run, l *lease) {
+	r.state, r.startAt = runStarting, c.now
+	l.add(r)
+	c.emit(cornelwall.StartRun{
+		Endpoint: l.ep.Endpoint, Fence: l.fence, Run: r.id, Spec: r.spec, Until: l.extend(c.now),
+	})
+}
+
+// ordered takes the answer to a start or stop.
+func (c *Core) ordered(ev cornelwall.Ordered) {
+	r := c.runs[ev.Run]
+	l := c.leaseOf(ev.Endpoint, ev.Fence)
+	if l == nil {
+		return // what ran there is settled by the lease or the next holder
+	}
+	if ev.Clock > 0 {
+		c.setClock(l, ev.Clock)
+	}
+	switch {
+	case ev.Refusal == cornelwall.RefusedFence:
+		c.yield(l)
+	case ev.Refusal == cornelwall.RefusedBoot:
+		c.bootChanged(l, 0)
+	case r == nil || r.at != l:
+	case ev.Stop:
+		c.stopAnswered(r, ev.Refusal)
+	default:
+		c.startAnswered(r, ev.Refusal)
+	}
+}
+
+func (c *Core) startAnswered(r *run, refusal cornelwall.Refusal) {
+	fit := &r.at.ep.fit
+	switch refusal {
+	case cornelwall.RefusedNone:
+		fit.answered()
+		if r.settled.IsZero() {
+			r.settled = c.now
+		}
+		if r.state == runStarting {
+			c.runBegan(r)
+		}
+		c.keepLease(r.at)
+		return
+	case cornelwall.RefusedUnknown:
+		fit.silent(c.now)
+		c.log("start-unanswered", "task", r.id.Task, "run", r.id.Run, "endpoint", r.at.ep.ID)
+		c.stopRun(r)
+		return
+	case cornelwall.RefusedRoom:
+		fit.refused(c.now, roomPause)
+	case cornelwall.RefusedUnhealthy, cornelwall.RefusedInvalid:
+		fit.refused(c.now, unhealthyPause)
+	case cornelwall.RefusedConnect:
+		fit.silent(c.now)
+	}
+	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.at.ep.ID, "why", refusal)
+	c.endRun(r, cornelwall.RunUnstarted)
+}
+
+// runBegan tells the owner where its task runs.
+func (c *Core) runBegan(r *run) {
+	r.state = runRunning
+	m := &cornelwall.Began{Endpoint: r.at.ep.ID, Fence: r.at.fence, Runs: []cornelwall.RunID{r.id}}
+	c.send(r.owner, cornelwall.Message{Began: m})
+}
+
+// stopRun orders a run to stop. Its end comes with a look.
+func (c *Core) stopRun(r *run) {
+	if r.state == runStopping {
+		return
+	}
+	r.state, r.stopAt, r.settled = runStopping, c.now, time.Time{}
+	if r.at.phase != phaseYielded {
+		c.sendStop(r)
+	}
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopSent = c.now
+	c.emit(cornelwall.StopRun{Endpoint: r.at.ep.Endpoint, Fence: r.at.fence, Run: r.id})
+}
+
+func (c *Core) stopAnswered(r *run, refusal cornelwall.Refusal) {
+	if refusal != cornelwall.RefusedNone || r.state != runStopping || r.stopped {
+		return // it is sent again
+	}
+	r.stopped, r.settled = true, c.now
+	if r.at.looks < looksAtOnce {
+		c.look(r.at, 0)
+	}
+}
+
+// endRun takes note of the end of a run and tells its owner.
+func (c *Core) endRun(r *run, how cornelwall.RunEnd) {
+	l := r.at
+	l.remove(r)
+	delete(c.runs, r.id)
+	took := c.now.Sub(r.startAt)
+	l.ep.fit.ended(c.now, how, took, r.Estimate)
+	c.tellOver(r.owner, cornelwall.OverRun{RunID: r.id, How: how, Endpoint: l.ep.ID, Took: took})
+}
+
+func (c *Core) tellOver(to cornelwall.Incarnation, o cornelwall.OverRun) {
+	c.send(to, cornelwall.Message{Over: &cornelwall.Over{Runs: []cornelwall.OverRun{o}}})
+}
+
+// stepOf returns the part of a task's name that all tasks of its step share.
+func stepOf(task string) string {
+	if i := strings.LastIndexByte(task, '.'); i >= 0 {
+		return task[:i]
+	}
+	return task
+}
--- /dev/null
+++ b/core/dispatch/waiting.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	stopKept     = 15 * time.Second // for which a withdrawn run is remembered, longer than a message is late
+	defaultGuess = 200 * time.Millisecond
+)
+
+// runState is how far a run of a task is at its holder.
+type runState int
+
+const (
+	runWaiting runState = iota
+	runStarting
+	runRunning
+	runStopping
+)
+
+// run is one run of a task that this entry is to start as a holder.
+type run struct {
+	cornelwall.AssignTask
+	id      cornelwall.RunID
+	owner   cornelwall.Incarnation
+	service string
+	spec    string
+	class   int
+	due     time.Time // by which its batch should have ended
+	end     time.Time // deadline of its batch
+	came    time.Time
+
+	state    runState
+	at       *lease
+	startAt  time.Time
+	settled  time.Time // since when a look that does not list it proves its end
+	stopAt   time.Time // when it was first told to stop
+	stopSent time.Time
+	stopped  bool // the endpoint has taken the stop
+}
+
+// passedRun is a run that went on to the next holder of its endpoint.
+type passedRun struct {
+	to cornelwall.Incarnation
+	at time.Time
+}
+
+// assigned takes tasks of an owner. An owner that does not know the session has been
+// out of touch, and may have given the tasks to others since it sent this.
+func (c *Core) assigned(from cornelwall.Incarnation, m *cornelwall.Assign) {
+	p := c.peers[from]
+	valid := from == c.cfg.Self || p.open && p.session == m.Session
+	for i := range m.Tasks {
+		t := &m.Tasks[i]
+		if c.runs[t.RunID] != nil {
+			continue
+		}
+		if _, stopped := c.stops[t.RunID]; !valid || stopped || c.leaving() || !c.fitsSomewhere(m.Service, t) {
+			c.tellOver(from, cornelwall.OverRun{RunID: t.RunID, How: cornelwall.RunUnstarted})
+			continue
+		}
+		r := &run{
+			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class,
+			due: c.now.Add(m.Due), end: c.now.Add(m.Left), came: c.now,
+		}
+		if r.Estimate <= 0 {
+			r.Estimate = defaultGuess
+		}
+		c.runs[r.id] = r
+		c.waiting = append(c.waiting, r)
+	}
+}
+
+// fitsSomewhere reports whether an endpoint that this entry holds could ever run a task.
+func (c *Core) fitsSomewhere(service string, t *cornelwall.AssignTask) bool {
+	for _, ep := range c.endpoints {
+		if ep.lease != nil && ep.Service == service && t.Need.Fits(ep.Room) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
+			return true
+		}
+	}
+	return false
+}
+
+// withdraw takes tasks back for their owner.
+func (c *Core) withdraw(from cornelwall.Incarnation, m *cornelwall.Withdraw) {
+	for _, id := range m.Runs {
+		r := c.runs[id]
+		if r != nil {
+			if !m.Waiting || r.state == runWaiting {
+				c.withdrawRun(r, true)
+			}
+			continue
+		}
+		if passed, ok := c.passed[id]; ok {
+			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting}})
+			continue
+		}
+		c.stops[id] = c.now
+		c.tellOver(from, cornelwall.OverRun{RunID: id, How: cornelwall.RunUnstarted})
+	}
+}
+
+// withdrawRun drops a run that waits and stops one that has started.
+func (c *Core) withdrawRun(r *run, tell bool) {
+	switch r.state {
+	case runWaiting:
+		c.dropWaiting(r)
+		c.stops[r.id] = c.now
+		if tell {
+			c.tellOver(r.owner, cornelwall.OverRun{RunID: r.id, How: cornelwall.RunUnstarted})
+		}
+	case runStarting, runRunning:
+		c.stopRun(r)
+	}
+}
+
+func (c *Core) dropWaiting(r *run) {
+	delete(c.runs, r.id)
+	c.waiting = slices.DeleteFunc(c.waiting, func(w *run) bool { return w == r })
+}
+
+// returnWaiting gives all that waits back to its owners.
+func (c *Core) returnWaiting() {
+	for _, r := range slices.Clone(c.waiting) {
+		c.withdrawRun(r, true)
+	}
+}
+
+// dropStops forgets withdrawn runs of which no late message can come any more.
+func (c *Core) dropStops() {
+	for id, at := range c.stops {
+		if c.now.Sub(at) > stopKept {
+			delete(c.stops, id)
+		}
+	}
+	for id, p := range c.passed {
+		if c.now.Sub(p.at) > stopKept {
+			delete(c.passed, id)
+		}
+	}
+}
+
+// late reports whether a run can no longer end by the time that it is due.
+func (r *run) late(now time.Time) bool { return now.Add(r.Estimate).After(r.due) }
+
+// before orders waiting runs: those that can still be on time go first, by when they are
+// due; late ones follow in the order in which they came.
+func (r *run) before(s *run, now time.Time) int {
+	if rl, sl := r.late(now), s.late(now); rl != sl {
+		if rl {
+			return 1
+		}
+		return -1
+	} else if rl {
+		return cmp.Or(cmp.Compare(r.class, s.class), r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
+	}
+	return cmp.Or(r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
+}
+
+// startWaiting starts what fits on the endpoints that this entry holds.
+func (c *Core) startWaiting() {
+	if len(c.waiting) == 0 {
+		return
+	}
+	slices.SortFunc(c.waiting, func(a, b *run) int { return a.before(b, c.now) })
+	rest := c.waiting[:0]
+	for i, r := range c.waiting {
+		if l := c.choose(r); l != nil {
+			c.start(r, l)
+		} else {
+			rest = append(rest, c.waiting[i])
+		}
+	}
+	clear(c.waiting[len(rest):])
+	c.waiting = rest
+}
+
+// choose returns the lease whose endpoint is best for a run, or nil if none has room.
+// Among the endpoints that are fit the one is best that is left with the least.
+func (c *Core) choose(r *run) *lease {
+	var best *lease
+	var bestCost int
+	for _, ep := range c.sortedHeld() {
+		l := ep.lease
+		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Room.Minus(l.used)) {
+			continue
+		}
+		cost := ep.Room.Cores - l.used.Cores - r.Need.Cores + ep.fit.cost(r.Estimate)
+		if r.Avoid == ep.ID {
+			cost += avoidCost
+		}
+		if r.Rack != "" && !slices.Contains(ep.Labels, r.Rack) {
+			cost += rackCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = l, cost
+		}
+	}
+	return best
+}
+
+// allowed reports whether a run may start at an endpoint.
+func (c *Core) allowed(r *run, l *lease) bool {
+	if l.ep.Service != r.service || r.Requires != "" && !slices.Contains(l.ep.Labels, r.Requires) {
+		return false
+	}
+	if r.Limit == 0 {
+		return true
+	}
+	n := 0
+	for _, s := range l.runs {
+		if stepOf(s.id.Task) == stepOf(r.id.Task) {
+			n++
+		}
+	}
+	return n < r.Limit
+}
+
+// usable reports whether runs may start under a lease.
+func (c *Core) usable(l *lease) bool {
+	return l.phase == phaseReady && !l.ep.Leaving && !c.gone(l.ep) && !l.clockAt.IsZero() &&
+		!l.stuck(c.now) && l.ep.fit.usable(c.now, len(l.runs))
+}
+
+func (c *Core) sortedHeld() []*endpoint {
+	var list []*endpoint
+	for _, ep := range c.endpoints {
+		if ep.lease != nil {
+			list = append(list, ep)
+		}
+	}
+	slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// vacancy returns what this entry has free.
+func (c *Core) vacancy() cornelwall.Vacancy {
+	var v cornelwall.Vacancy
+	if c.leaving() {
+		return v
+	}
+	for _, ep := range c.sortedHeld() {
+		if !c.usable(ep.lease) {
+			continue
+		}
+		v.Total += ep.Room.Cores
+		if free := ep.Room.Minus(ep.lease.used); free.Cores > 0 && ep.fit.pace < slowPace {
+			v.Free = append(v.Free, free)
+		}
+	}
+	for _, r := range c.waiting {
+		v.Queued += r.Need.Cores * int(r.Estimate.Milliseconds())
+		v.Open++
+	}
+	return v
+}
--- /dev/null
+++ b/endpoint.go
@@ -0,0 +1,125 @@
+package cornelwall
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
+// Share is a part of an endpoint.
+type Share struct {
+	Cores        int `json:"cores"`                  // in thousandths of a core
+	Memory       int `json:"memory,omitempty"`       // MiB
+	Accelerators int `json:"accelerators,omitempty"` // whole ones
+}
+
+// Fits reports whether s fits into room.
+func (s Share) Fits(room Share) bool {
+	return s.Cores <= room.Cores && s.Memory <= room.Memory && s.Accelerators <= room.Accelerators
+}
+
+// Plus returns the sum of two shares.
+func (s Share) Plus(t Share) Share {
+	return Share{Cores: s.Cores + t.Cores, Memory: s.Memory + t.Memory, Accelerators: s.Accelerators + t.Accelerators}
+}
+
+// Minus returns what is left of s without t.
+func (s Share) Minus(t Share) Share {
+	return Share{Cores: s.Cores - t.Cores, Memory: s.Memory - t.Memory, Accelerators: s.Accelerators - t.Accelerators}
+}
+
+// Check reports all that is wrong with the share.
+func (s Share) Check() error {
+	if s.Cores < 0 || s.Memory < 0 || s.Accelerators < 0 {
+		return fmt.Errorf("share %+v is negative; use 0 or more cores, MiB of memory and accelerators", s)
+	}
+	return nil
+}
+
+// Endpoint is an executor that runs tasks under a lease, as the platform lists it.
+type Endpoint struct {
+	ID         string
+	Service    string
+	Addr       netip.AddrPort
+	DataCentre string
+	Room       Share    // all of it
+	Labels     []string // its kind and its rack
+	Leaving    bool     // it drains and takes no new tasks
+}
+
+// RunID names one run of one task. The number of a task's runs rises.
+type RunID struct {
+	Task string `json:"task"` // job, occurrence, step and index, joined by dots
+	Run  uint64 `json:"run"`
+}
+
+// Check reports all that is wrong with the name.
+func (r RunID) Check() error {
+	if r.Task == "" || r.Run == 0 {
+		return fmt.Errorf("run %q number %d is not valid; name a task and a number above 0", r.Task, r.Run)
+	}
+	return nil
+}
+
+//go:generate go tool enumer -type=RunEnd,Refusal -text -transform=kebab -trimprefix=Run,Refused -output=endpoint_gen.go
+
+// RunEnd is how a run of a task ended.
+type RunEnd int
+
+const (
+	// RunDone means that the task is done.
+	RunDone RunEnd = iota
+	// RunFailed means that the run failed, through its own fault or the endpoint's.
+	RunFailed
+	// RunStopped means that it was stopped on order.
+	RunStopped
+	// RunLapsed means that it ended with the lease or the life of its endpoint.
+	RunLapsed
+	// RunUnstarted means that it did not start and never will.
+	RunUnstarted
+)
+
+// Refusal is why an endpoint did not carry out an order.
+type Refusal int
+
+const (
+	// RefusedNone means that the order was carried out.
+	RefusedNone Refusal = iota
+	// RefusedFence means that another entry holds the endpoint under a higher fence.
+	RefusedFence
+	// RefusedOld means that the same or a higher run of the task has been there.
+	RefusedOld
+	// RefusedLate means that the deadline of the order had passed.
+	RefusedLate
+	// RefusedRoom means that the task does not fit into what is free.
+	RefusedRoom
+	// RefusedUnhealthy means that the endpoint is unhealthy and did nothing.
+	RefusedUnhealthy
+	// RefusedBoot means that the endpoint has started anew.
+	RefusedBoot
+	// RefusedInvalid means that the endpoint could not make sense of the order.
+	RefusedInvalid
+	// RefusedConnect means that the order was not sent, as no connection could be made.
+	RefusedConnect
+	// RefusedUnknown means that no answer came: the order may be carried out even later.
+	RefusedUnknown
+)
+
+// RunState is a run that an endpoint lists as running.
+type RunState struct{ RunID }
+
+// RunEnded is the end of a run that an endpoint lists until it is acknowledged.
+type RunEnded struct {
+	Number int64 // of the end, from 1 in each boot
+	RunID
+	How RunEnd
+}
+
+// CheckRuns reports all that is wrong with a list of names of runs.
+func CheckRuns(runs []RunID) error {
+	var errs []error
+	for _, r := range runs {
+		errs = append(errs, r.Check())
+	}
+	return errors.Join(errs...)
+}
--- a/event.go
+++ b/event.go
@@ -48,8 +48,12 @@
 	}
 	// Receive is what a peer sent.
 	Receive struct{ Envelope Envelope }
-	// Undelivered gives back an envelope that may not have arrived.
-	Undelivered struct{ Envelope Envelope }
+	// Undelivered gives back an envelope that may not have arrived. Refused says that the
+	// address takes no connections, so that nothing was sent and the process has ended.
+	Undelivered struct {
+		Envelope Envelope
+		Refused  bool
+	}
 	// Machines is the current VM list.
 	Machines struct{ VMs []VM }
 	// Usage is what all tasks of a worker, those of others too, took up a time Lag ago.
--- /dev/null
+++ b/gossip.go
@@ -0,0 +1,190 @@
+package cornelwall
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Member is an entry that announced itself.
+type Member struct {
+	ID   Incarnation    `json:"id"`
+	Addr netip.AddrPort `json:"addr"` // for other entries
+}
+
+// Check reports all that is wrong with the member.
+func (m Member) Check() error {
+	if !m.Addr.IsValid() {
+		return errors.Join(m.ID.Check(), errors.New("member has no address; announce ip:port"))
+	}
+	return m.ID.Check()
+}
+
+// Pulse is a heartbeat between entries that dispatch to leased endpoints.
+//
+// The receiver returns Number as Seen, which proves to the sender that its word arrives.
+// An entry that no longer gets such proof stops what it runs for the other one and draws
+// a new Session, so that no order from before can start anything.
+type Pulse struct {
+	Addr    netip.AddrPort `json:"addr"`
+	Number  uint64         `json:"number"`            // rises with each pulse of the sender to the receiver
+	Seen    uint64         `json:"seen"`              // greatest number of the receiver's pulses that arrived
+	Session uint64         `json:"session"`           // the receiver has to quote it to place tasks at the sender
+	Leaving bool           `json:"leaving,omitempty"` // the sender is stopping
+	Version uint64         `json:"version"`           // of the declaration in force
+	Fence   uint64         `json:"fence"`             // greatest fence that the sender knows of
+	Holds   []string       `json:"holds,omitempty"`   // endpoints that the sender holds
+	Lost    []string       `json:"lost,omitempty"`    // endpoints that do not answer the sender
+	Room    Vacancy        `json:"room"`
+	Ask     bool           `json:"ask,omitempty"`     // the sender cannot read the platform's list of members
+	Members []Member       `json:"members,omitempty"` // in answer to Ask
+	Waiting map[string]int `json:"waiting,omitempty"` // batches that have not begun, by queue
+}
+
+// Check reports all that is wrong with the pulse.
+func (p *Pulse) Check() error {
+	if !p.Addr.IsValid() {
+		return errors.New("pulse has no address; send ip:port of the peers' listener")
+	}
+	var errs []error
+	for _, m := range p.Members {
+		errs = append(errs, m.Check())
+	}
+	return errors.Join(errs...)
+}
+
+// Vacancy is what an entry has free on the endpoints that it holds.
+type Vacancy struct {
+	Total  int     `json:"total"`          // thousandths of cores of its usable endpoints
+	Free   []Share `json:"free,omitempty"` // of each usable endpoint that has any
+	Queued int     `json:"queued"`         // thousandths of cores times milliseconds that wait
+	Open   int     `json:"open"`           // tasks that wait
+}
+
+// Assign hands tasks of one batch to the holder of endpoints.
+type Assign struct {
+	Session uint64        `json:"session"`
+	Service string        `json:"service"`
+	Spec    string        `json:"spec"`
+	Left    time.Duration `json:"left"`  // to the deadline of the batch
+	Due     time.Duration `json:"due"`   // to the time by which it should have ended; may be negative
+	Class   int           `json:"class"` // priority of its queue
+	Tasks   []AssignTask  `json:"tasks"`
+}
+
+// AssignTask is one task of a Assign.
+type AssignTask struct {
+	RunID
+	Need     Share         `json:"need"`
+	Estimate time.Duration `json:"estimate,omitempty"`
+	Requires string        `json:"requires,omitempty"`
+	Rack     string        `json:"rack,omitempty"`
+	Limit    int           `json:"limit,omitempty"` // tasks of its step on one endpoint at once
+	Avoid    string        `json:"avoid,omitempty"` // endpoint that it failed on
+}
+
+// Check reports all that is wrong with the message.
+func (p *Assign) Check() error {
+	var errs []error
+	for i := range p.Tasks {
+		if err := errors.Join(p.Tasks[i].Check(), p.Tasks[i].Need.Check()); err != nil {
+			errs = append(errs, fmt.Errorf("tasks[%d]: %w", i, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Check reports all that is wrong with the task.
+func (t *AssignTask) Check() error { return t.RunID.Check() }
+
+// Withdraw takes tasks back. The holder stops them, and answers each with Over once it
+// surely does not run.
+type Withdraw struct {
+	Runs    []RunID `json:"runs"`
+	Waiting bool    `json:"waiting,omitempty"` // only those that have not started
+}
+
+// Over tells the owner of tasks how their runs ended.
+type Over struct {
+	Runs []OverRun `json:"runs"`
+}
+
+// OverRun is the end of one run.
+type OverRun struct {
+	RunID
+	How      RunEnd        `json:"how"`
+	Endpoint string        `json:"endpoint,omitempty"`
+	Took     time.Duration `json:"took,omitempty"`
+}
+
+// Check reports all that is wrong with the message.
+func (o *Over) Check() error {
+	var errs []error
+	for i := range o.Runs {
+		if !o.Runs[i].How.IsARunEnd() {
+			errs = append(errs, fmt.Errorf("runs[%d].how is %d; upgrade the older entry", i, o.Runs[i].How))
+		}
+		errs = append(errs, o.Runs[i].RunID.Check())
+	}
+	return errors.Join(errs...)
+}
+
+// Began tells the owner of tasks where they run.
+type Began struct {
+	Endpoint string  `json:"endpoint"`
+	Fence    uint64  `json:"fence"` // under which it is held
+	Runs     []RunID `json:"runs"`
+}
+
+// Taken tells that the sender holds the endpoint from now on and that nothing runs there
+// but Kept. Ended is what the endpoint lists as ended.
+type Taken struct {
+	Endpoint string    `json:"endpoint"`
+	Fence    uint64    `json:"fence"`
+	Kept     []RunID   `json:"kept,omitempty"`
+	Ended    []OverRun `json:"ended,omitempty"`
+}
+
+// Handover offers an endpoint with what runs there to its next holder.
+type Handover struct {
+	Endpoint string        `json:"endpoint"`
+	Fence    uint64        `json:"fence"`
+	Runs     []HandoverRun `json:"runs,omitempty"`
+}
+
+// HandoverRun is a run that goes on while its endpoint changes hands.
+type HandoverRun struct {
+	RunID
+	Owner    Incarnation   `json:"owner"`
+	Need     Share         `json:"need"`
+	Estimate time.Duration `json:"estimate"`
+	Age      time.Duration `json:"age"` // since it started
+}
+
+// Check reports all that is wrong with the message.
+func (h *Handover) Check() error {
+	var errs []error
+	for i := range h.Runs {
+		errs = append(errs, h.Runs[i].RunID.Check(), h.Runs[i].Owner.Check(), h.Runs[i].Need.Check())
+	}
+	return errors.Join(errs...)
+}
+
+// Declare carries a declaration, or asks for the receiver's if it has none.
+type Declare struct {
+	Declaration *Declaration `json:"declaration,omitempty"`
+}
+
+// Check reports all that is wrong with the message.
+func (d *Declare) Check() error {
+	if d.Declaration == nil {
+		return nil
+	}
+	return d.Declaration.Check()
+}
+
+// Revoke cancels a batch at whichever entry owns it.
+type Revoke struct {
+	ID string `json:"id"`
+}
--- a/io/peer/outbox.go
+++ b/io/peer/outbox.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,28 +21,35 @@
 	idleOutbox     = time.Minute
 )
 
+// boxKey names an outbox. Pulses have one of their own, so that a large envelope or a
+// connection that went silent does not hold them up.
+type boxKey struct {
+	addr  netip.AddrPort
+	pulse bool
+}
+
 // outbox holds what waits to be sent to one address. A goroutine of its own empties it,
 // so that a slow entry holds up no other.
 type outbox struct {
-	addr    netip.AddrPort
+	key     boxKey
 	client  *connect.Client[cornelwall.Envelope, Ack]
 	waiting []cornelwall.Send
 	bytes   int // of the messages that wait
 	wake    chan struct{}
 }
 
-// box returns the outbox of an address. The caller holds mu.
-func (p *Peers) box(addr netip.AddrPort) *outbox {
-	box := p.boxes[addr]
+// box returns the outbox of a key. The caller holds mu.
+func (p *Peers) box(key boxKey) *outbox {
+	box := p.boxes[key]
 	if box == nil {
 		box = &outbox{
-			addr: addr,
-			client: connect.NewClient[cornelwall.Envelope, Ack](p.client, "http://"+addr.String()+procedure,
+			key: key,
+			client: connect.NewClient[cornelwall.Envelope, Ack](p.client, "http://"+key.addr.String()+procedure,
 				connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelope), connect.WithInterceptors(p.auth()),
 				connect.WithAcceptCompression(gzip, nil, nil)),
 			wake: make(chan struct{}, 1),
 		}
-		p.boxes[addr] = box
+		p.boxes[key] = box
 		p.wg.Go(func() { p.drain(box) })
 	}
 	return box
@@ -150,7 +159,7 @@
 	if len(box.waiting) > 0 {
 		return false
 	}
-	delete(p.boxes, box.addr)
+	delete(p.boxes, box.key)
 	return true
 }
 
@@ -161,9 +170,11 @@
 	sentMessages.Add(len(e.Messages))
 	if _, err := box.client.CallUnary(ctx, connect.NewRequest(&e)); err != nil {
 		lostEnvelopes.Inc()
-		p.log.V(1).Info("undelivered", "to", e.To, "addr", box.addr, "messages", len(e.Messages), "err", err)
-		p.giveBack(e)
+		p.log.V(1).Info("undelivered", "to", e.To, "addr", box.key.addr, "messages", len(e.Messages), "err", err)
+		p.giveBack(e, errors.Is(err, syscall.ECONNREFUSED))
 	}
 }
 
-func (p *Peers) giveBack(e cornelwall.Envelope) { p.post.Post(cornelwall.Undelivered{Envelope: e}) }
+func (p *Peers) giveBack(e cornelwall.Envelope, refused bool) {
+	p.post.Post(cornelwall.Undelivered{Envelope: e, Refused: refused})
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -15,7 +15,6 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -61,7 +60,7 @@
 
 	mu      sync.Mutex
 	closed  bool
-	boxes   map[netip.AddrPort]*outbox
+	boxes   map[boxKey]*outbox
 	closing chan struct{} // outboxes send what they have and end
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -75,7 +74,7 @@
 	return &Peers{
 		cfg: cfg, post: post, log: log,
 		client:  newClient(),
-		boxes:   map[netip.AddrPort]*outbox{},
+		boxes:   map[boxKey]*outbox{},
 		closing: make(chan struct{}),
 		ctx:     ctx, cancel: cancel,
 		done: make(chan struct{}),
@@ -99,12 +98,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.box(s.Addr).add(s) {
+	if p.closed || p.box(boxKey{s.Addr, s.Message.Pulse != nil}).add(s) {
 		return
 	}
 	fullOutboxes.Inc()
 	e := cornelwall.Envelope{From: p.cfg.Self, To: s.To, Messages: []cornelwall.Message{s.Message}}
-	p.wg.Go(func() { p.giveBack(e) }) // the core is inside Step and must not be posted to from here
+	p.wg.Go(func() { p.giveBack(e, false) }) // the core is inside Step and must not be posted to from here
 }
 
 // auth adds the shared token to requests.
--- a/message.go
+++ b/message.go
@@ -55,11 +55,21 @@
 	Inherited *Inherited `json:"inherited,omitempty"`
 	Seek      *Seek      `json:"seek,omitempty"`
 	Sought    *Sought    `json:"sought,omitempty"`
+	Pulse     *Pulse     `json:"pulse,omitempty"`
+	Room      *Vacancy   `json:"room,omitempty"`
+	Assign    *Assign    `json:"assign,omitempty"`
+	Withdraw  *Withdraw  `json:"withdraw,omitempty"`
+	Over      *Over      `json:"over,omitempty"`
+	Began     *Began     `json:"began,omitempty"`
+	Taken     *Taken     `json:"taken,omitempty"`
+	Handover  *Handover  `json:"handover,omitempty"`
+	Declare   *Declare   `json:"declare,omitempty"`
+	Revoke    *Revoke    `json:"revoke,omitempty"`
 }
 
 // ForAnyLife reports whether the message may be sent to an entry whose life is not
 // known: it starts nothing and changes nothing.
-func (m *Message) ForAnyLife() bool { return m.Beat != nil || m.Ask != nil }
+func (m *Message) ForAnyLife() bool { return m.Beat != nil || m.Ask != nil || m.Pulse != nil }
 
 // Check reports all that is wrong with the message.
 func (m *Message) Check() error {
@@ -86,6 +96,16 @@
 	count(m.Inherited != nil)
 	count(m.Seek != nil)
 	count(m.Sought != nil)
+	count(m.Pulse != nil)
+	count(m.Room != nil)
+	count(m.Assign != nil)
+	count(m.Withdraw != nil)
+	count(m.Over != nil)
+	count(m.Began != nil)
+	count(m.Taken != nil)
+	count(m.Handover != nil)
+	count(m.Declare != nil)
+	count(m.Revoke != nil)
 	if n > 1 {
 		return fmt.Errorf("message has %d kinds; send exactly one", n)
 	}
@@ -116,6 +136,20 @@
 		return m.Seek.Of.Check()
 	case m.Sought != nil:
 		return errors.Join(m.Sought.Of.Check(), checkHeirs(m.Sought.Heirs))
+	case m.Pulse != nil:
+		return m.Pulse.Check()
+	case m.Assign != nil:
+		return m.Assign.Check()
+	case m.Withdraw != nil:
+		return CheckRuns(m.Withdraw.Runs)
+	case m.Over != nil:
+		return m.Over.Check()
+	case m.Began != nil:
+		return CheckRuns(m.Began.Runs)
+	case m.Handover != nil:
+		return m.Handover.Check()
+	case m.Declare != nil:
+		return m.Declare.Check()
 	}
 	return nil
 }
