--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -83,7 +83,6 @@
 
 	ready    bool
 	stopping time.Time // when a planned stop began
-	handed   bool      // all endpoints have been handed over
 	stopped  bool
 }
 
