--- a/batch.go
+++ b/batch.go
@@ -67,6 +67,13 @@
 	return time.Duration(max(q.Stretch, noStretch)*float64(work)) + q.Objective
 }
 
+// lateFactor is how many times its objective a batch may take before its answer is of
+// little use to the caller.
+const lateFactor = 3
+
+// Last returns the time after which the answer to a batch is of little use.
+func (q *Queue) Last(work time.Duration) time.Duration { return lateFactor * q.Stretched(work) }
+
 // Step is tasks of a batch that are alike.
 type Step struct {
 	Count       int           `json:"count"`
--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -41,12 +41,15 @@
 there, and clients are served until their jobs have ended. SIGHUP reads the settings
 file again; so does a change of the file.
 
-    CORNELWALL_NODE_FILE=/etc/cornelwall/local.toml \
-    CORNELWALL_SECRET=a-secret-of-16-or-more cornelwall dispatch
-
 docs/design/platform.md tells how it works, docs/OPERATIONS.md how to find the cause of
 a failed request in its logs.
 
+Examples:
+  CORNELWALL_NODE_FILE=/etc/cornelwall/local.toml \
+      CORNELWALL_SECRET=a-secret-of-16-or-more cornelwall dispatch
+  cornelwall dispatch --settings local.toml --secret a-secret-of-16-or-more \
+      --metrics-port 7990
+
 `
 
 func dispatchCommand() *cli.Command {
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	settleTime  = 400 * time.Millisecond // after the start, for all entries to find each other
-	freeTime    = 150 * time.Millisecond // without a holder, after which an endpoint is taken
+	settleTime  = 120 * time.Millisecond // after the start, for the entries that run to be heard
+	freeTime    = 60 * time.Millisecond  // without a holder, after which an endpoint is taken
 	yieldTime   = time.Second            // after another entry has taken an endpoint
 	lostTime    = 3 * time.Second        // for which an endpoint that does not answer is left to others
 	absentTime  = 3 * time.Second        // off the platform's list, after which an endpoint is gone
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -60,6 +60,7 @@
 	left     []int // tasks of each step that are not done
 	arrived  time.Time
 	due      time.Time
+	last     time.Time // after which its answer is of little use
 	deadline time.Time
 	chain    time.Duration // declared run time of its longest chain of steps
 	begun    bool          // a task may have run
@@ -139,7 +140,7 @@
 			j.tasks = append(j.tasks, &task{job: j, step: i, name: fmt.Sprintf("%s.0.%d.%d", j.id, i, n)})
 		}
 	}
-	j.due = c.now.Add(q.Stretched(j.chain))
+	j.due, j.last = c.now.Add(q.Stretched(j.chain)), c.now.Add(q.Last(j.chain))
 	return j
 }
 
@@ -149,7 +150,7 @@
 	if c.leaving() && c.now.Add(2*least).After(c.stopping.Add(c.cfg.Limits.Grace-stopMargin)) {
 		return cornelwall.ReasonStopping
 	}
-	if c.now.Add(least).After(j.deadline) {
+	if c.now.Add(least).After(earlier(j.deadline, j.last)) {
 		return cornelwall.ReasonTooLate
 	}
 	return cornelwall.ReasonNone
@@ -373,7 +374,7 @@
 		}
 		limit := j.deadline
 		if !j.begun {
-			limit = limit.Add(-time.Duration(leastWork * float64(j.chain)))
+			limit = earlier(j.deadline, j.last).Add(-time.Duration(leastWork * float64(j.chain)))
 		}
 		switch left := limit.Sub(c.now); {
 		case !j.begun && j.unassigned() && (left <= 0 || j.closing):
@@ -395,6 +396,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // unassigned reports whether no holder has a task of the job.
 func (j *job) unassigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -32,7 +32,7 @@
 	spec    string
 	class   int
 	due     time.Time // by which its batch should have ended
-	end     time.Time // deadline of its batch
+	last    time.Time // after which its answer is of little use
 	came    time.Time
 
 	state    runState
@@ -66,7 +66,7 @@
 		}
 		r := &run{
 			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class,
-			due: c.now.Add(m.Due), end: c.now.Add(m.Left), came: c.now,
+			due: c.now.Add(m.Due), last: c.now.Add(m.Last), came: c.now,
 		}
 		if r.Estimate <= 0 {
 			r.Estimate = defaultGuess
@@ -145,21 +145,31 @@
 	}
 }
 
-// late reports whether a run can no longer end by the time that it is due.
-func (r *run) late(now time.Time) bool { return now.Add(r.Estimate).After(r.due) }
+// standing is whether a waiting run can still end in time.
+type standing int
 
-// before orders waiting runs: those that can still be on time go first, by when they are
-// due; late ones follow in the order in which they came.
-func (r *run) before(s *run, now time.Time) int {
-	if rl, sl := r.late(now), s.late(now); rl != sl {
-		if rl {
-			return 1
-		}
-		return -1
-	} else if rl {
-		return cmp.Or(cmp.Compare(r.class, s.class), r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
+const (
+	onTime   standing = iota
+	late              // after it is due
+	hopeless          // when its answer is of little use
+)
+
+func (r *run) standing(now time.Time) standing {
+	switch end := now.Add(r.Estimate); {
+	case !end.After(r.due):
+		return onTime
+	case !end.After(r.last):
+		return late
 	}
-	return cmp.Or(r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
+	return hopeless
+}
+
+// before orders waiting runs: those that can still be on time go first, and among equals
+// those that are due first.
+func (r *run) before(s *run, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(r.standing(now), s.standing(now)),
+		r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
 }
 
 // startWaiting starts what fits on the endpoints that this entry holds.
--- a/gossip.go
+++ b/gossip.go
@@ -69,6 +69,7 @@
 	Spec    string        `json:"spec"`
 	Left    time.Duration `json:"left"`  // to the deadline of the batch
 	Due     time.Duration `json:"due"`   // to the time by which it should have ended; may be negative
+	Last    time.Duration `json:"last"`  // to the time after which its answer is of little use; may be negative
 	Class   int           `json:"class"` // priority of its queue
 	Tasks   []AssignTask  `json:"tasks"`
 }
