Runs on slow endpoints are stopped and start again elsewhere

Change: the pace of an endpoint counts runs that have not ended; stragglers there are stopped once, and it is tried again each second. The logs show stops on exactly the slow endpoints.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -125,7 +125,7 @@
 			order = append(order, best.id)
 		}
 		assigns[best.id].Tasks = append(assigns[best.id].Tasks, cornelwall.AssignTask{
-			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, Limit: s.PerEndpoint, Avoid: t.avoid,
+			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, Limit: s.PerEndpoint, Avoid: t.avoid, Patient: t.stopped,
 		})
 	}
 	for _, id := range order {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -47,7 +47,7 @@
 	misses   int // assignments in a row that did not start
 	next     time.Time
 	avoid    string
-	recalled bool
+	stopped  bool // a run of it was stopped
 }
 
 // job is a batch that this entry owns.
@@ -219,7 +219,7 @@
 	}
 	delete(c.tasks, o.RunID)
 	j := t.job
-	t.state, t.next, t.endpoint, t.recalled, t.fence = taskIdle, c.now, "", false, 0
+	t.state, t.next, t.endpoint, t.fence = taskIdle, c.now, "", 0
 	if o.How != cornelwall.RunUnstarted {
 		j.begun = true
 	}
@@ -241,6 +241,7 @@
 		c.emit(cornelwall.Count{Reason: cornelwall.ReasonBusy, Retry: true, N: 1})
 	default:
 		t.avoid = o.Endpoint
+		t.stopped = t.stopped || o.How == cornelwall.RunStopped
 		c.log("task-lost", "task", t.name, "run", o.Run, "endpoint", o.Endpoint, "how", o.How)
 		c.emit(cornelwall.Count{Reason: cornelwall.ReasonLost, Retry: true, N: 1})
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -280,6 +280,9 @@
 		if ep.lease != nil {
 			c.checkLapse(ep.lease)
 		}
+		if ep.lease != nil {
+			c.stopStragglers(ep.lease)
+		}
 	}
 	c.checkYielded()
 }
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -164,11 +164,12 @@
 	return hopeless
 }
 
-// before orders waiting runs: those that can still be on time go first, and among equals
-// those that are due first.
+// before orders waiting runs: those that can still be on time go first, among these the
+// ones of the first class, and among equals those that are due first.
 func (r *run) before(s *run, now time.Time) int {
 	return cmp.Or(
 		cmp.Compare(r.standing(now), s.standing(now)),
+		cmp.Compare(r.class, s.class),
 		r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
 }
 
@@ -200,7 +201,13 @@
 		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Room.Minus(l.used)) {
 			continue
 		}
-		cost := ep.Room.Cores - l.used.Cores - r.Need.Cores + ep.fit.cost(r.Estimate)
+		cost := ep.Room.Cores - l.used.Cores - r.Need.Cores
+		if pace := l.pace(c.now); pace >= slowPace {
+			if !ep.fit.probe(c.now, len(l.runs)) && c.now.Add(time.Duration(pace*float64(r.Estimate))).After(r.last) {
+				continue
+			}
+			cost += slowCost
+		}
 		if r.Avoid == ep.ID {
 			cost += avoidCost
 		}
@@ -258,8 +265,11 @@
 		if !c.usable(ep.lease) {
 			continue
 		}
+		if ep.lease.pace(c.now) >= slowPace {
+			continue
+		}
 		v.Total += ep.Room.Cores
-		if free := ep.Room.Minus(ep.lease.used); free.Cores > 0 && ep.fit.pace < slowPace {
+		if free := ep.Room.Minus(ep.lease.used); free.Cores > 0 {
 			v.Free = append(v.Free, free)
 		}
 	}
--- a/gossip.go
+++ b/gossip.go
@@ -81,8 +81,9 @@
 	Estimate time.Duration `json:"estimate,omitempty"`
 	Requires string        `json:"requires,omitempty"`
 	Rack     string        `json:"rack,omitempty"`
-	Limit    int           `json:"limit,omitempty"` // tasks of its step on one endpoint at once
-	Avoid    string        `json:"avoid,omitempty"` // endpoint that it failed on
+	Limit    int           `json:"limit,omitempty"`   // tasks of its step on one endpoint at once
+	Avoid    string        `json:"avoid,omitempty"`   // endpoint that it failed on
+	Patient  bool          `json:"patient,omitempty"` // it has been stopped as a straggler and is not again
 }
 
 // Check reports all that is wrong with the message.
