Waiting runs are ordered by what a unit of work brings

Kept for its reason: the last tasks of a batch that is mostly done are not left behind for the first of another.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -155,7 +155,7 @@
 
 func (c *Core) newAssign(j *job, to cornelwall.Incarnation) *cornelwall.Assign {
 	m := &cornelwall.Assign{
-		Service: j.queue.Service, Spec: j.batch.Spec, Class: j.queue.Priority,
+		Service: j.queue.Service, Spec: j.batch.Spec, Class: j.queue.Priority, Rest: j.rest(),
 		Left: j.deadline.Sub(c.now), Due: j.due.Sub(c.now), Last: j.last.Sub(c.now),
 	}
 	if p := c.peers[to]; p != nil {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -17,6 +17,7 @@
 	maxRetryPause = 160 * time.Millisecond
 	firstBack     = 500 * time.Millisecond // when a refused caller is to come back
 	spreadBack    = time.Second            // over which refused callers are spread
+	boostShare    = 0.5                    // of what was left, of which holders are told
 	leastWork     = 0.5                    // share of the declared run time that a task surely takes
 	runsPerMilli  = 1                      // numbers of runs that one millisecond has at first
 	runLead       = 10000                  // added to the number of a run that an endpoint finds too old
@@ -65,6 +66,7 @@
 	chain    time.Duration // declared run time of its longest chain of steps
 	begun    bool          // a task may have run
 	closing  bool          // it is about to be given up
+	told     float64       // share that was left when holders were told last
 }
 
 // declare takes a declaration if it is newer than the one in force.
@@ -125,7 +127,7 @@
 	}
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		arrived: c.now, deadline: c.now.Add(left - answerMargin), left: make([]int, len(ev.Batch.Steps)),
+		told: 1, arrived: c.now, deadline: c.now.Add(left - answerMargin), left: make([]int, len(ev.Batch.Steps)),
 	}
 	ends := make([]time.Duration, len(ev.Batch.Steps))
 	for i := range ev.Batch.Steps {
@@ -255,9 +257,47 @@
 		c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchDone})
 	default:
 		c.assignIdle(j)
+		c.boostWaiting(j)
 	}
 }
 
+// rest returns the share of the job's tasks that are not done.
+func (j *job) rest() float64 {
+	left := 0
+	for _, n := range j.left {
+		left += n
+	}
+	return float64(left) / float64(len(j.tasks))
+}
+
+// boostWaiting tells holders each time that half of what was left of a job is done.
+func (c *Core) boostWaiting(j *job) {
+	rest := j.rest()
+	if rest > boostShare*j.told {
+		return
+	}
+	j.told = rest
+	byHolder, order := j.byHolder(func(t *task) bool { return t.state == taskAssigned })
+	for _, id := range order {
+		c.send(id, cornelwall.Message{Boost: &cornelwall.Boost{Runs: byHolder[id], Rest: rest}})
+	}
+}
+
+// byHolder returns the runs of the tasks that match, by holder, and the holders in order.
+func (j *job) byHolder(match func(*task) bool) (runs map[cornelwall.Incarnation][]cornelwall.RunID, order []cornelwall.Incarnation) {
+	runs = map[cornelwall.Incarnation][]cornelwall.RunID{}
+	for _, t := range j.tasks {
+		if !match(t) {
+			continue
+		}
+		if runs[t.holder] == nil {
+			order = append(order, t.holder)
+		}
+		runs[t.holder] = append(runs[t.holder], t.run)
+	}
+	return runs, order
+}
+
 func (j *job) done() bool {
 	for _, n := range j.left {
 		if n > 0 {
@@ -283,21 +323,13 @@
 
 // withdrawTasks takes back the tasks of a job, or only those that have not begun.
 func (c *Core) withdrawTasks(j *job, waiting bool) {
-	byHolder := map[cornelwall.Incarnation][]cornelwall.RunID{}
-	var order []cornelwall.Incarnation
-	for _, t := range j.tasks {
-		if t.state != taskAssigned && t.state != taskBegun {
-			continue
-		}
-		if byHolder[t.holder] == nil {
-			order = append(order, t.holder)
-		}
-		byHolder[t.holder] = append(byHolder[t.holder], t.run)
+	byHolder, order := j.byHolder(func(t *task) bool { return t.state == taskAssigned || t.state == taskBegun })
+	for _, id := range order {
 		if !waiting {
-			delete(c.tasks, t.run)
+			for _, run := range byHolder[id] {
+				delete(c.tasks, run)
+			}
 		}
-	}
-	for _, id := range order {
 		c.send(id, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: byHolder[id], Waiting: waiting}})
 	}
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -173,6 +173,8 @@
 		c.peers[from].view.set(c.now, *m.Room)
 	case m.Assign != nil:
 		c.assigned(from, m.Assign)
+	case m.Boost != nil:
+		c.boost(m.Boost)
 	case m.Withdraw != nil:
 		c.withdraw(from, m.Withdraw)
 	case m.Over != nil:
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -11,6 +11,9 @@
 const (
 	stopKept     = 15 * time.Second // for which a withdrawn run is remembered, longer than a message is late
 	defaultGuess = 200 * time.Millisecond
+	classStep    = 0.25 // by which each class counts less than the one before
+	lateValue    = 0.2  // of an answer after it was due, to one in time
+	leastRest    = 0.02
 )
 
 // runState is how far a run of a task is at its holder.
@@ -31,6 +34,7 @@
 	service string
 	spec    string
 	class   int
+	rest    float64   // share of its batch that is not done
 	due     time.Time // by which its batch should have ended
 	last    time.Time // after which its answer is of little use
 	came    time.Time
@@ -65,7 +69,7 @@
 			continue
 		}
 		r := &run{
-			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class,
+			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class, rest: m.Rest,
 			due: c.now.Add(m.Due), last: c.now.Add(m.Last), came: c.now,
 		}
 		if r.Estimate <= 0 {
@@ -145,32 +149,39 @@
 	}
 }
 
-// standing is whether a waiting run can still end in time.
-type standing int
-
-const (
-	onTime   standing = iota
-	late              // after it is due
-	hopeless          // when its answer is of little use
-)
+// boost takes word of how much is left of a batch.
+func (c *Core) boost(m *cornelwall.Boost) {
+	for _, id := range m.Runs {
+		if r := c.runs[id]; r != nil {
+			r.rest = min(r.rest, m.Rest)
+		}
+	}
+}
 
-func (r *run) standing(now time.Time) standing {
+// value returns what a unit of work on a run brings now: more for a queue of the first
+// class, for a batch that is mostly done and for one that can still be on time, and
+// nothing once its answer would be of little use.
+func (r *run) value(now time.Time) float64 {
+	v := 1 / ((1 + classStep*float64(r.class)) * max(r.rest, leastRest))
 	switch end := now.Add(r.Estimate); {
 	case !end.After(r.due):
-		return onTime
+		return v
 	case !end.After(r.last):
-		return late
+		return lateValue * v
 	}
-	return hopeless
+	return 0
 }
 
-// before orders waiting runs: those that can still be on time go first, among these the
-// ones of the first class, and among equals those that are due first.
-func (r *run) before(s *run, now time.Time) int {
-	return cmp.Or(
-		cmp.Compare(r.standing(now), s.standing(now)),
-		cmp.Compare(r.class, s.class),
-		r.due.Compare(s.due), cmp.Compare(r.id.Task, s.id.Task))
+// sortWaiting puts the waiting runs that bring most first, and among equals those that
+// are due first.
+func (c *Core) sortWaiting() {
+	values := make(map[*run]float64, len(c.waiting))
+	for _, r := range c.waiting {
+		values[r] = r.value(c.now)
+	}
+	slices.SortFunc(c.waiting, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(values[b], values[a]), a.due.Compare(b.due), cmp.Compare(a.id.Task, b.id.Task))
+	})
 }
 
 // startWaiting starts what fits on the endpoints that this entry holds.
@@ -178,7 +189,7 @@
 	if len(c.waiting) == 0 {
 		return
 	}
-	slices.SortFunc(c.waiting, func(a, b *run) int { return a.before(b, c.now) })
+	c.sortWaiting()
 	rest := c.waiting[:0]
 	for i, r := range c.waiting {
 		if l := c.choose(r); l != nil {
--- a/gossip.go
+++ b/gossip.go
@@ -71,6 +71,7 @@
 	Due     time.Duration `json:"due"`   // to the time by which it should have ended; may be negative
 	Last    time.Duration `json:"last"`  // to the time after which its answer is of little use; may be negative
 	Class   int           `json:"class"` // priority of its queue
+	Rest    float64       `json:"rest"`  // share of the batch's work that is not done
 	Tasks   []AssignTask  `json:"tasks"`
 }
 
@@ -100,6 +101,13 @@
 // Check reports all that is wrong with the task.
 func (t *AssignTask) Check() error { return t.RunID.Check() }
 
+// Boost tells holders how much of a batch is left, as the last tasks of a batch that is
+// mostly done are worth more than the first of another.
+type Boost struct {
+	Runs []RunID `json:"runs"`
+	Rest float64 `json:"rest"`
+}
+
 // Withdraw takes tasks back. The holder stops them, and answers each with Over once it
 // surely does not run.
 type Withdraw struct {
--- a/message.go
+++ b/message.go
@@ -58,6 +58,7 @@
 	Pulse     *Pulse     `json:"pulse,omitempty"`
 	Room      *Vacancy   `json:"room,omitempty"`
 	Assign    *Assign    `json:"assign,omitempty"`
+	Boost     *Boost     `json:"boost,omitempty"`
 	Withdraw  *Withdraw  `json:"withdraw,omitempty"`
 	Over      *Over      `json:"over,omitempty"`
 	Began     *Began     `json:"began,omitempty"`
@@ -99,6 +100,7 @@
 	count(m.Pulse != nil)
 	count(m.Room != nil)
 	count(m.Assign != nil)
+	count(m.Boost != nil)
 	count(m.Withdraw != nil)
 	count(m.Over != nil)
 	count(m.Began != nil)
@@ -140,6 +142,8 @@
 		return m.Pulse.Check()
 	case m.Assign != nil:
 		return m.Assign.Check()
+	case m.Boost != nil:
+		return CheckRuns(m.Boost.Runs)
 	case m.Withdraw != nil:
 		return CheckRuns(m.Withdraw.Runs)
 	case m.Over != nil:
