--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -48,7 +48,7 @@
 
 const (
 	tickEvery = 20 * time.Millisecond
-	never     = time.Hour
+	loadEvery = time.Second
 )
 
 // Core is the decisions of one entry. It implements cornelwall.Core.
@@ -81,9 +81,10 @@
 	tasks   map[cornelwall.RunID]*task // that are assigned
 	lastRun uint64
 
-	ready    bool
-	stopping time.Time // when a planned stop began
-	stopped  bool
+	loadLogged time.Time
+	ready      bool
+	stopping   time.Time // when a planned stop began
+	stopped    bool
 }
 
 // New returns a core that knows nothing yet.
@@ -173,6 +174,36 @@
 	c.pulse()
 	c.checkReady()
 	c.checkStop()
+	c.logLoad()
+}
+
+// logLoad writes what this entry holds and how full it is, once in a while.
+func (c *Core) logLoad() {
+	if c.now.Sub(c.loadLogged) < loadEvery {
+		return
+	}
+	c.loadLogged = c.now
+	held, used := 0, 0
+	for _, ep := range c.endpoints {
+		if ep.lease != nil {
+			held++
+			used += ep.lease.used.Cores
+		}
+	}
+	v := c.vacancy()
+	c.log("load", "held", held, "millicores", v.Total, "used", used, "waiting", len(c.waiting),
+		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.answering(), "platform", c.platform)
+}
+
+// answering returns the number of peers that have been heard just now.
+func (c *Core) answering() int {
+	n := 0
+	for _, p := range c.peers {
+		if c.answers(p) {
+			n++
+		}
+	}
+	return n
 }
 
 func (c *Core) emit(cmd cornelwall.Command) { c.out = append(c.out, cmd) }
