--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -1,17 +1,18 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"cornelwall"
 )
 
 const (
-	nearCost   = 1.0  // ms, of a holder in the same data centre
-	farCost    = 4.0  // ms, of one in another
-	spreadCost = 8.0  // ms, by the number of places that are free
-	queueCost  = 25.0 // ms, of waiting where no place is free
-	missCost   = 40.0 // ms, of each time that a holder did not start a task of late
+	nearCost    = 1.0   // ms, of a holder in the same data centre
+	farCost     = 4.0   // ms, of one in another
+	spreadCost  = 8.0   // ms, by the number of places that are free
+	releaseTime = 150.0 // ms, after which a place that is taken becomes free
+	missCost    = 40.0  // ms, of each time that a holder did not start a task of late
 )
 
 // view is what an owner believes a holder has free: its last word, less what was
@@ -41,7 +42,7 @@
 
 // deduct takes note of a task that is assigned. It fills the place that is left with the
 // least, as the holder does.
-func (v *view) deduct(need cornelwall.Share, estimate time.Duration) {
+func (v *view) deduct(need cornelwall.Share, class int, estimate time.Duration) {
 	best := -1
 	for i, free := range v.vacancy.Free {
 		if need.Fits(free) && (best < 0 || free.Cores < v.vacancy.Free[best].Cores) {
@@ -52,19 +53,34 @@
 		v.vacancy.Free[best] = v.vacancy.Free[best].Minus(need)
 		return
 	}
-	v.vacancy.Queued += need.Cores * int(estimate.Milliseconds())
-	v.vacancy.Open++
+	v.vacancy.Queued = addQueued(v.vacancy.Queued, class, need, estimate)
 }
 
-// wait returns about how long a task of the need waits, in milliseconds.
-func (v *view) wait(need cornelwall.Share, estimate time.Duration) float64 {
-	if n := v.places(need); n > 0 && v.vacancy.Open == 0 {
+// addQueued adds a task to the work that waits by class.
+func addQueued(queued []int, class int, need cornelwall.Share, estimate time.Duration) []int {
+	if queued == nil {
+		queued = make([]int, cornelwall.Classes)
+	}
+	queued[min(max(class, 0), len(queued)-1)] += need.Cores * int(estimate.Milliseconds())
+	return queued
+}
+
+// wait returns about how long a task of the need waits, in milliseconds: until a place
+// becomes free, and until the tasks of its class and those before it have had theirs.
+func (v *view) wait(need cornelwall.Share, class int) float64 {
+	ahead := 0
+	for k, n := range v.vacancy.Queued {
+		if k <= class {
+			ahead += n
+		}
+	}
+	if n := v.places(need); n > 0 && ahead == 0 {
 		return spreadCost / float64(n)
 	}
 	if v.vacancy.Total == 0 {
-		return 1e9
+		return math.Inf(1)
 	}
-	return queueCost + float64(v.vacancy.Queued+need.Cores*int(estimate.Milliseconds()))/float64(v.vacancy.Total)
+	return (float64(need.Cores)*releaseTime + float64(ahead)) / float64(v.vacancy.Total)
 }
 
 // candidate is a holder that tasks may be assigned to.
@@ -117,7 +133,7 @@
 			t.next = c.now.Add(retryPause)
 			continue
 		}
-		best.view.deduct(s.Need, s.Estimate)
+		best.view.deduct(s.Need, j.queue.Priority, s.Estimate)
 		t.state, t.holder, t.since, t.run = taskAssigned, best.id, c.now, c.newRun(t)
 		c.tasks[t.run] = t
 		if assigns[best.id] == nil {
@@ -142,7 +158,7 @@
 		if h.view.vacancy.Total == 0 {
 			continue
 		}
-		cost := h.near + h.view.wait(s.Need, s.Estimate)
+		cost := h.near + h.view.wait(s.Need, t.job.queue.Priority)
 		if h.id == t.holder {
 			cost += missCost * float64(t.misses)
 		}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -285,8 +285,9 @@
 		}
 	}
 	for _, r := range c.waiting {
-		v.Queued += r.Need.Cores * int(r.Estimate.Milliseconds())
-		v.Open++
+		if r.value(c.now) > 0 {
+			v.Queued = addQueued(v.Queued, r.class, r.Need, r.Estimate)
+		}
 	}
 	return v
 }
--- a/gossip.go
+++ b/gossip.go
@@ -56,12 +56,15 @@
 
 // Vacancy is what an entry has free on the endpoints that it holds.
 type Vacancy struct {
-	Total  int     `json:"total"`          // thousandths of cores of its usable endpoints
-	Free   []Share `json:"free,omitempty"` // of each usable endpoint that has any
-	Queued int     `json:"queued"`         // thousandths of cores times milliseconds that wait
-	Open   int     `json:"open"`           // tasks that wait
+	Total  int     `json:"total"`            // thousandths of cores of its usable endpoints
+	Free   []Share `json:"free,omitempty"`   // of each usable endpoint that has any
+	Queued []int   `json:"queued,omitempty"` // by class: thousandths of cores times milliseconds that wait and can end in time
 }
 
+// Classes is the number of classes that are told apart in a Vacancy; lower ones count as
+// the last.
+const Classes = 4
+
 // Assign hands tasks of one batch to the holder of endpoints.
 type Assign struct {
 	Session uint64        `json:"session"`
