--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// expectedWait returns how long the tasks of a job wait for a place at the holder where
+// they wait least, or 0 if no holder is known.
+func (c *Core) expectedWait(j *job) time.Duration {
+	least := math.Inf(1)
+	for _, h := range c.candidates() {
+		if h.view.vacancy.Total > 0 {
+			least = min(least, h.view.wait(j.batch.Steps[0].Need, j.queue.Priority))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return time.Duration(least * float64(time.Millisecond))
+}
+
 // pick returns the holder at which a task should start first, or nil.
 func pick(holders []candidate, s *cornelwall.Step, t *task) *candidate {
 	var best *candidate
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -155,6 +155,9 @@
 	if c.now.Add(least).After(earlier(j.deadline, j.last)) {
 		return cornelwall.ReasonTooLate
 	}
+	if wait := c.expectedWait(j); c.now.Add(wait + j.chain).After(earlier(j.deadline, j.last)) {
+		return cornelwall.ReasonQueueFull
+	}
 	return cornelwall.ReasonNone
 }
 
