--- /dev/null
+++ b/core/dispatch/fuzz/histories_test.go
@@ -0,0 +1,300 @@
+package fuzz
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cornelwall"
+	"cornelwall/standin/fake"
+	_ "cornelwall/standin/seeded"
+)
+
+// init sets the number of histories; the command line may give another.
+func init() {
+	if err := flag.Set("rapid.checks", "120"); err != nil {
+		panic(err)
+	}
+}
+
+// action is one kind of event.
+type action func(r *rig)
+
+var traffic = []action{(*rig).submit, (*rig).submit, (*rig).submit, (*rig).submitWave}
+
+var planned = append([]action{(*rig).stop, (*rig).restartDown}, traffic...)
+
+var everything = append([]action{
+	(*rig).stop, (*rig).restartDown, (*rig).restartDown, (*rig).killOne, (*rig).powerOff, (*rig).freeze, (*rig).thaw,
+	(*rig).cutEntries, (*rig).cutOneWay, (*rig).cutEntry, (*rig).cutEndpoint, (*rig).cutEndpointOneWay, (*rig).heal, (*rig).heal,
+	(*rig).platformAway, (*rig).entryOffPlatform, (*rig).platformBack,
+	(*rig).endpointRestarts, (*rig).endpointDown, (*rig).endpointLate, (*rig).endpointSlow, (*rig).endpointFails,
+	(*rig).give, (*rig).declare,
+}, traffic...)
+
+// TestHistories mixes all events and faults: a task never runs twice at a time, and what
+// callers are told is true.
+func TestHistories(t *testing.T) {
+	total := map[cornelwall.BatchEnd]int{}
+	runs, again := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		r := play(rt, tamper{}, everything, true)
+		if r.failure != "" {
+			rt.Fatal(r.failure)
+		}
+		runs, again = runs+r.runs, again+r.again
+		for end, n := range r.answers {
+			total[end] += n
+		}
+	})
+	if again == 0 {
+		t.Error("no task ran a second time, so that nothing was tried")
+	}
+	t.Logf("runs %d, second ones %d, answers %v", runs, again, total)
+}
+
+// TestPlannedStops restarts entries by planned stops under load: no batch is given up or
+// refused, and nothing that runs is lost.
+func TestPlannedStops(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := play(rt, tamper{}, planned, false)
+		if r.failure != "" {
+			rt.Fatal(r.failure)
+		}
+		if n := r.answers[cornelwall.BatchGivenUp]; n > 0 {
+			rt.Fatalf("%d batches were given up around planned stops; answers %v", n, r.answers)
+		}
+		if r.again > 0 {
+			rt.Fatalf("%d tasks ran a second time around planned stops", r.again)
+		}
+	})
+}
+
+// TestMutants breaks one rule at a time. Each break must be told.
+func TestMutants(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		tamper tamper
+	}{
+		{"looks hide what runs", tamper{hideRunning: true}},
+		{"proof is forged", tamper{falseProof: true}},
+		{"late tasks quote a fresh session", tamper{oldSession: true}},
+		{"endpoints know no fence", tamper{noFence: true}},
+		{"endpoints start what is late", tamper{lateStarts: true}},
+		{"an undelivered task counts as not started", tamper{earlyOver: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range 4000 {
+				r := playSeed(uint64(seed), tc.tamper)
+				if r.failure != "" {
+					t.Logf("told in history %d: %s", seed, r.failure)
+					return
+				}
+			}
+			t.Error("not told in 4000 histories")
+		})
+	}
+}
+
+// play plays one random history and then heals everything.
+func play(t *rapid.T, tm tamper, actions []action, faults bool) *rig {
+	r := newRig(rapid.Uint64().Draw(t, "seed"), tm)
+	r.w.Advance(2 * time.Second)
+	for range rapid.IntRange(10, 60).Draw(t, "steps") {
+		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")](r)
+		r.w.Advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		if r.failure != "" {
+			return r
+		}
+	}
+	r.quiet(faults)
+	return r
+}
+
+// playSeed plays the history of a seed, without rapid.
+func playSeed(seed uint64, tm tamper) *rig {
+	r := newRig(seed, tm)
+	r.w.Advance(2 * time.Second)
+	for range 60 {
+		everything[r.rng.IntN(len(everything))](r)
+		r.w.Advance(time.Duration(r.rng.IntN(400)) * time.Millisecond)
+		if r.failure != "" {
+			return r
+		}
+	}
+	return r
+}
+
+// quiet heals every fault and waits: then a new batch must be done in time.
+func (r *rig) quiet(faults bool) {
+	r.heal()
+	r.platformBack()
+	clear(r.lateFrom)
+	clear(r.slow)
+	clear(r.failing)
+	for _, ep := range r.endpoints {
+		ep.Down = false
+	}
+	for _, e := range r.entries {
+		r.w.Thaw(e.host)
+	}
+	for range 10 {
+		r.restartDown()
+	}
+	r.w.Advance(25 * time.Second)
+	before := r.answers[cornelwall.BatchDone]
+	for range 5 {
+		r.submit()
+		r.w.Advance(500 * time.Millisecond)
+	}
+	r.w.Advance(5 * time.Second)
+	if done := r.answers[cornelwall.BatchDone] - before; faults && done != 5 {
+		r.fail("5 batches were sent after all faults had ended, %d were done: %v", done, r.answers)
+	}
+	if len(r.running) > 0 {
+		r.fail("%d tasks still run although nobody waits", len(r.running))
+	}
+}
+
+func (r *rig) any() *entry { return r.entries[r.rng.IntN(len(r.entries))] }
+
+func (r *rig) anyEndpoint() string { return r.endpoints[r.rng.IntN(len(r.endpoints))].ID }
+
+func (r *rig) submitWave() {
+	for range 8 {
+		r.submit()
+	}
+}
+
+// stop makes a planned stop of an entry, and starts it again once it is complete.
+func (r *rig) stop() {
+	for _, e := range r.entries {
+		if !e.up() || e.host.Frozen {
+			return // one at a time
+		}
+	}
+	e := r.any()
+	h := e.host
+	r.w.Post(h, cornelwall.Stop{})
+	r.w.Do(2200*time.Millisecond, func() { r.ended(e, h, 0) })
+}
+
+// ended waits until a stopping entry has no caller, as the process does, and ends it.
+func (r *rig) ended(e *entry, h *fake.Host, waited int) {
+	if e.host != h || h.Dead {
+		return
+	}
+	if len(e.reqs) > 0 && waited < 35 {
+		r.w.Do(100*time.Millisecond, func() { r.ended(e, h, waited+1) })
+		return
+	}
+	r.kill(e, false)
+	r.w.Do(300*time.Millisecond, func() {
+		if e.host == h {
+			r.start(e)
+		}
+	})
+}
+
+func (r *rig) restartDown() {
+	for _, e := range r.entries {
+		if !e.up() {
+			r.start(e)
+			return
+		}
+	}
+}
+
+func (r *rig) killOne() {
+	if e := r.any(); e.up() {
+		r.kill(e, false)
+	}
+}
+
+func (r *rig) powerOff() {
+	if e := r.any(); e.up() {
+		r.kill(e, true)
+	}
+}
+
+func (r *rig) freeze() { r.w.Freeze(r.any().host) }
+
+func (r *rig) thaw() {
+	for _, e := range r.entries {
+		if e.host.Frozen {
+			r.w.Thaw(e.host)
+			return
+		}
+	}
+}
+
+func (r *rig) cutEntries() {
+	a, b := r.any().name, r.any().name
+	r.cuts[[2]string{a, b}], r.cuts[[2]string{b, a}] = true, true
+}
+
+func (r *rig) cutOneWay() { r.cuts[[2]string{r.any().name, r.any().name}] = true }
+
+func (r *rig) cutEntry() {
+	a := r.any()
+	for _, b := range r.entries {
+		r.cuts[[2]string{a.name, b.name}], r.cuts[[2]string{b.name, a.name}] = true, true
+	}
+}
+
+func (r *rig) cutEndpoint() {
+	e, id := r.any().name, r.anyEndpoint()
+	r.cuts[[2]string{e, id}], r.cuts[[2]string{id, e}] = true, true
+}
+
+func (r *rig) cutEndpointOneWay() { r.cuts[[2]string{r.anyEndpoint(), r.any().name}] = true }
+
+func (r *rig) heal() { clear(r.cuts) }
+
+func (r *rig) platformAway() { r.platform = false }
+
+func (r *rig) entryOffPlatform() { r.any().cut = true }
+
+func (r *rig) platformBack() {
+	r.platform = true
+	for _, e := range r.entries {
+		e.cut = false
+	}
+}
+
+func (r *rig) endpointRestarts() { r.endpoint(r.anyEndpoint()).Restart(r.w.Now) }
+
+func (r *rig) endpointDown() {
+	ep := r.endpoint(r.anyEndpoint())
+	ep.Down = !ep.Down
+}
+
+func (r *rig) endpointLate() { r.lateFrom[r.anyEndpoint()] = 0.5 * float64(r.rng.IntN(2)) }
+
+func (r *rig) endpointSlow() { r.slow[r.anyEndpoint()] = float64(1 + 7*r.rng.IntN(2)) }
+
+func (r *rig) endpointFails() { r.failing[r.anyEndpoint()] = 0.9 * float64(r.rng.IntN(2)) }
+
+// give lets a client leave.
+func (r *rig) give() {
+	e := r.any()
+	for req, a := range e.reqs {
+		delete(e.reqs, req)
+		r.w.Post(a.life, cornelwall.Gone{Req: req})
+		return
+	}
+}
+
+func (r *rig) declare() { r.version++ }
+
+// TestSeed plays the history of one seed: -seed=7 -trace.
+func TestSeed(t *testing.T) {
+	if r := playSeed(*seed, tamper{}); r.failure != "" {
+		t.Fatal(r.failure)
+	}
+}
+
+var seed = flag.Uint64("seed", 1, "of the history that TestSeed plays")
--- /dev/null
+++ b/core/dispatch/fuzz/rig_test.go
@@ -0,0 +1,450 @@
+package fuzz
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/dispatch"
+	"cornelwall/standin/fake"
+	"cornelwall/standin/leased"
+)
+
+const (
+	entryCount    = 4 // in two data centres
+	endpointCount = 6
+	service       = "bookings"
+	host          = "holds.example"
+	prefix        = "/holds/"
+	resendAfter   = 1300 * time.Millisecond // of a client that got no answer
+	listEvery     = 500 * time.Millisecond
+	memberLife    = 1500 * time.Millisecond
+	orderTimeout  = 200 * time.Millisecond
+	minLate       = 2 * time.Second // of an order that is carried out late
+	maxLate       = 12 * time.Second
+)
+
+var trace = flag.Bool("trace", false, "print what the entries log")
+
+var room = cornelwall.Share{Cores: 16000, Memory: 65536}
+
+// tamper breaks one rule on purpose. A check that does not tell each of them is no check.
+type tamper struct {
+	hideRunning bool // looks do not list what runs
+	falseProof  bool // pulses say that all pulses of the receiver arrived
+	oldSession  bool // tasks carry the session of the moment in which they arrive
+	noFence     bool // endpoints take orders under any fence
+	lateStarts  bool // endpoints start what came after its lease
+	earlyOver   bool // an undelivered task counts as not started
+}
+
+type entry struct {
+	name  string
+	dc    string
+	addr  netip.AddrPort
+	host  *fake.Host
+	reqs  map[uint64]*attempt
+	left  time.Time // when its last announcement ended, if it is down
+	cut   bool      // from the platform
+	lives uint64
+}
+
+func (e *entry) up() bool { return e.host != nil && !e.host.Dead }
+
+// attempt is one request of a client for a batch.
+type attempt struct {
+	client *client
+	entry  *entry
+	life   *fake.Host
+	starts int // of the batch when it was sent
+}
+
+// client wants one batch done and sends it again until it has an answer.
+type client struct {
+	id       string
+	batch    *cornelwall.BatchJob
+	tries    int
+	starts   int
+	done     map[string]bool
+	answered bool
+	end      cornelwall.BatchEnd
+}
+
+type rig struct {
+	w         *fake.World
+	rng       *rand.Rand
+	tamper    tamper
+	entries   []*entry
+	endpoints []*leased.Endpoint
+	clients   map[string]*client
+	version   uint64
+	platform  bool
+
+	cuts     map[[2]string]bool // one way, by name of entry or endpoint
+	lateFrom map[string]float64 // share of the orders to an endpoint that are carried out late
+	slow     map[string]float64
+	failing  map[string]float64
+	nextReq  uint64
+	nextID   uint64
+
+	sessions map[[2]cornelwall.Incarnation]uint64 // granted, by holder and owner
+	numbers  map[[2]cornelwall.Incarnation]uint64 // of pulses, by sender and receiver
+
+	running  map[string]string // task to endpoint, while it runs
+	failure  string
+	runs     int
+	again    int // runs of a task beyond its first
+	answers  map[cornelwall.BatchEnd]int
+	lastEver map[string]int
+}
+
+func newRig(seed uint64, tm tamper) *rig {
+	r := &rig{
+		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
+		tamper: tm, clients: map[string]*client{}, version: 1, platform: true,
+		cuts: map[[2]string]bool{}, lateFrom: map[string]float64{}, slow: map[string]float64{}, failing: map[string]float64{},
+		sessions: map[[2]cornelwall.Incarnation]uint64{}, numbers: map[[2]cornelwall.Incarnation]uint64{},
+		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, lastEver: map[string]int{},
+	}
+	r.w.Link, r.w.Order, r.w.Replied = r.link, r.order, r.replied
+	for i := range endpointCount {
+		ep := leased.New(fmt.Sprintf("x%d", i), room, r.w.Now)
+		ep.Work = func(id cornelwall.RunID) leased.Work { return r.work(ep, id) }
+		ep.Need = func(string) cornelwall.Share { return cornelwall.Share{Cores: 6800} }
+		ep.Began = func(now time.Time, id cornelwall.RunID) { r.began(ep, id) }
+		ep.Over = func(_ time.Time, id cornelwall.RunID, how cornelwall.RunEnd) { r.over(ep, id, how) }
+		r.endpoints = append(r.endpoints, ep)
+	}
+	for i := range entryCount {
+		e := &entry{name: fmt.Sprintf("e%d", i), dc: fmt.Sprintf("dc%d", i%2), addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7001", i+1))}
+		r.entries = append(r.entries, e)
+		r.start(e)
+	}
+	r.tellLists()
+	return r
+}
+
+func (r *rig) start(e *entry) {
+	e.lives++
+	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Life: uint64(r.w.Now.UnixMilli())<<8 | e.lives}
+	core := dispatch.New(dispatch.Config{
+		Self: self, Addr: e.addr,
+		Limits: dispatch.Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second},
+	}, r.w.Now)
+	e.host, e.reqs = r.w.Add(core, self, e.addr), map[uint64]*attempt{}
+}
+
+// tellLists plays the platform: it hands the lists to all entries, again and again.
+func (r *rig) tellLists() {
+	r.w.Do(listEvery, r.tellLists)
+	var members []cornelwall.Member
+	for _, e := range r.entries {
+		if e.up() && !e.cut || r.w.Now.Sub(e.left) < memberLife {
+			members = append(members, cornelwall.Member{ID: e.host.Self, Addr: e.addr})
+		}
+	}
+	var list []cornelwall.Endpoint
+	for i, ep := range r.endpoints {
+		list = append(list, cornelwall.Endpoint{ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 80), DataCentre: fmt.Sprintf("dc%d", i%2), Room: room})
+	}
+	for _, e := range r.entries {
+		switch {
+		case !e.up():
+		case !r.platform || e.cut:
+			r.w.Post(e.host, cornelwall.PlatformLost{})
+		default:
+			r.w.Post(e.host, cornelwall.Members{List: members})
+			r.w.Post(e.host, cornelwall.Endpoints{List: list})
+			r.w.Post(e.host, cornelwall.Declared{Declaration: &cornelwall.Declaration{Version: r.version, Queues: []cornelwall.Queue{{
+				Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: 2 * time.Second, Objective: 60 * time.Millisecond, Stretch: 1.6,
+			}}}})
+		}
+	}
+}
+
+func (r *rig) isCut(from, to string) bool { return r.cuts[[2]string{from, to}] }
+
+// link delays envelopes, and holds up those that a cut catches: they arrive when it heals
+// or never.
+func (r *rig) link(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
+	r.forge(from, to, &e)
+	if r.isCut(from.Entry, to.Entry) {
+		fate := fake.Fate{Told: 250 * time.Millisecond, Refused: r.tamper.earlyOver}
+		if r.rng.IntN(2) == 0 {
+			fate.Delays = []time.Duration{time.Duration(r.rng.IntN(8000)) * time.Millisecond}
+			r.w.Do(fate.Delays[0], func() { r.renewSession(from, to, &e) })
+		}
+		return fate
+	}
+	return fake.Fate{Delays: []time.Duration{time.Duration(100+r.rng.IntN(2000)) * time.Microsecond}}
+}
+
+// forge breaks what an envelope says, and notes the sessions that it grants.
+func (r *rig) forge(from, to cornelwall.Incarnation, e *cornelwall.Envelope) {
+	for i := range e.Messages {
+		if p := e.Messages[i].Pulse; p != nil {
+			r.sessions[[2]cornelwall.Incarnation{from, to}] = p.Session
+			if r.tamper.falseProof {
+				p.Seen = r.numbers[[2]cornelwall.Incarnation{to, from}]
+			}
+			r.numbers[[2]cornelwall.Incarnation{from, to}] = p.Number
+		}
+	}
+}
+
+// renewSession makes tasks that arrive late look as if they were new.
+func (r *rig) renewSession(from, to cornelwall.Incarnation, e *cornelwall.Envelope) {
+	for i := range e.Messages {
+		if a := e.Messages[i].Assign; a != nil && r.tamper.oldSession {
+			a.Session = r.sessions[[2]cornelwall.Incarnation{to, from}]
+		}
+	}
+}
+
+// order carries an order to an endpoint and its answer back.
+func (r *rig) order(h *fake.Host, cmd cornelwall.Command) {
+	id, wait := target(cmd)
+	ep := r.endpoint(id)
+	there, back := r.delay(), r.delay()
+	if ep.Down || r.isCut(h.Self.Entry, id) || r.isCut(id, h.Self.Entry) && r.rng.IntN(2) == 0 {
+		r.w.After(orderTimeout+wait, h, unanswered(cmd, r.w.Now))
+		return
+	}
+	sent := r.w.Now
+	if r.rng.Float64() < r.lateFrom[id] {
+		r.w.After(orderTimeout+wait, h, unanswered(cmd, sent))
+		r.w.Do(minLate+time.Duration(r.rng.Int64N(int64(maxLate-minLate))), func() { r.carryOut(ep, cmd, sent) })
+		return
+	}
+	r.w.Do(there, func() { r.answerOrder(h, ep, cmd, sent, sent.Add(wait), back) })
+}
+
+// answerOrder answers an order now, or a look once there is an end or its wait is over.
+func (r *rig) answerOrder(h *fake.Host, ep *leased.Endpoint, cmd cornelwall.Command, sent, until time.Time, back time.Duration) {
+	ev := r.carryOut(ep, cmd, sent)
+	if look, ok := cmd.(cornelwall.Look); ok && !ep.Ends(r.w.Now, look.Acked) && r.w.Now.Before(until) {
+		r.w.Do(5*time.Millisecond, func() { r.answerOrder(h, ep, cmd, sent, until, back) })
+		return
+	}
+	if r.isCut(ep.ID, h.Self.Entry) {
+		ev = unanswered(cmd, sent)
+		back = orderTimeout
+	}
+	r.w.After(back, h, ev)
+}
+
+func (r *rig) carryOut(ep *leased.Endpoint, cmd cornelwall.Command, sent time.Time) cornelwall.Event {
+	now := r.w.Now
+	switch cmd := cmd.(type) {
+	case cornelwall.Look:
+		if r.tamper.noFence {
+			cmd.Fence = 1 << 62
+		}
+		l := ep.Look(now, cmd)
+		l.Sent = sent
+		if r.tamper.noFence {
+			l.Fence = cmd.Fence
+		}
+		if r.tamper.hideRunning {
+			l.Running = nil
+		}
+		return l
+	case cornelwall.StartRun:
+		if r.tamper.lateStarts {
+			cmd.Until = max(cmd.Until, ep.Clock(now)+500*time.Millisecond)
+		}
+		return cornelwall.Ordered{Endpoint: ep.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: ep.Start(now, cmd), Clock: ep.Clock(now)}
+	case cornelwall.StopRun:
+		return cornelwall.Ordered{Endpoint: ep.ID, Fence: cmd.Fence, Run: cmd.Run, Stop: true, Refusal: ep.Stop(now, cmd), Clock: ep.Clock(now)}
+	}
+	panic("no order")
+}
+
+func target(cmd cornelwall.Command) (id string, wait time.Duration) {
+	switch cmd := cmd.(type) {
+	case cornelwall.Look:
+		return cmd.Endpoint.ID, cmd.Wait
+	case cornelwall.StartRun:
+		return cmd.Endpoint.ID, 0
+	}
+	return cmd.(cornelwall.StopRun).Endpoint.ID, 0
+}
+
+func unanswered(cmd cornelwall.Command, sent time.Time) cornelwall.Event {
+	switch cmd := cmd.(type) {
+	case cornelwall.Look:
+		return cornelwall.Looked{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Sent: sent, Refusal: cornelwall.RefusedUnknown}
+	case cornelwall.StartRun:
+		return cornelwall.Ordered{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: cornelwall.RefusedUnknown}
+	}
+	stop := cmd.(cornelwall.StopRun)
+	return cornelwall.Ordered{Endpoint: stop.Endpoint.ID, Fence: stop.Fence, Run: stop.Run, Stop: true, Refusal: cornelwall.RefusedUnknown}
+}
+
+func (r *rig) endpoint(id string) *leased.Endpoint {
+	for _, ep := range r.endpoints {
+		if ep.ID == id {
+			return ep
+		}
+	}
+	panic("no endpoint " + id)
+}
+
+func (r *rig) delay() time.Duration { return time.Duration(200+r.rng.IntN(1500)) * time.Microsecond }
+
+func (r *rig) work(ep *leased.Endpoint, _ cornelwall.RunID) leased.Work {
+	took := float64(30+r.rng.IntN(300)) * float64(time.Millisecond)
+	if x := r.slow[ep.ID]; x > 0 {
+		took *= x
+	}
+	w := leased.Work{Took: time.Duration(took)}
+	if r.rng.Float64() < r.failing[ep.ID] {
+		w.How = cornelwall.RunFailed
+	}
+	return w
+}
+
+func (r *rig) fail(format string, args ...any) {
+	if r.failure == "" {
+		r.failure = r.w.Now.Format("05.000 ") + fmt.Sprintf(format, args...)
+	}
+}
+
+// began is the oracle: a task runs at one place at a time, and only while its client has
+// no final answer.
+func (r *rig) began(ep *leased.Endpoint, id cornelwall.RunID) {
+	for _, other := range r.endpoints {
+		if !other.Down {
+			other.Advance(r.w.Now)
+		}
+	}
+	if at, ok := r.running[id.Task]; ok {
+		r.fail("run %d of %s begins on %s while another runs on %s", id.Run, id.Task, ep.ID, at)
+	}
+	if *trace {
+		fmt.Println(r.w.Now.Format("05.0000"), ep.ID, "began", id)
+	}
+	r.running[id.Task] = ep.ID
+	r.runs++
+	r.lastEver[id.Task]++
+	if r.lastEver[id.Task] > 1 {
+		r.again++
+	}
+	c := r.clients[strings.SplitN(id.Task, ".", 2)[0]]
+	if c == nil {
+		r.fail("%s begins, and nobody asked for it", id.Task)
+		return
+	}
+	c.starts++
+	if c.answered && c.end == cornelwall.BatchRefused {
+		r.fail("%s begins after its client was told that it had not run", id.Task)
+	}
+}
+
+func (r *rig) over(ep *leased.Endpoint, id cornelwall.RunID, how cornelwall.RunEnd) {
+	if *trace {
+		fmt.Println(r.w.Now.Format("05.0000"), ep.ID, "over", id, how)
+	}
+	delete(r.running, id.Task)
+	if c := r.clients[strings.SplitN(id.Task, ".", 2)[0]]; c != nil && how == cornelwall.RunDone {
+		c.done[id.Task] = true
+	}
+}
+
+// submit sends a new batch.
+func (r *rig) submit() {
+	r.nextID++
+	c := &client{id: fmt.Sprintf("%016x", r.nextID), done: map[string]bool{}}
+	c.batch = &cornelwall.BatchJob{ID: c.id, Steps: []cornelwall.Step{{
+		Count: 1 + r.rng.IntN(6), Need: cornelwall.Share{Cores: 6800}, Estimate: 150 * time.Millisecond,
+	}}}
+	r.clients[c.id] = c
+	r.send(c)
+}
+
+// send hands a batch to any entry that is up.
+func (r *rig) send(c *client) {
+	e := r.entries[r.rng.IntN(len(r.entries))]
+	c.tries++
+	if !e.up() {
+		r.resend(c)
+		return
+	}
+	r.nextReq++
+	a := &attempt{client: c, entry: e, life: e.host, starts: c.starts}
+	e.reqs[r.nextReq] = a
+	req := r.nextReq
+	left := time.Duration(1500+r.rng.IntN(2000)) * time.Millisecond
+	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: prefix + c.id, Batch: c.batch, Left: left})
+	r.w.Do(left, func() { // the client's deadline
+		if e.reqs[req] == a {
+			delete(e.reqs, req)
+			r.w.Post(a.life, cornelwall.Gone{Req: req})
+			r.resend(c)
+		}
+	})
+}
+
+func (r *rig) resend(c *client) {
+	if c.tries < 4 {
+		r.w.Do(resendAfter, func() { r.send(c) })
+	}
+}
+
+// replied takes the answers of the cores and checks them.
+func (r *rig) replied(h *fake.Host, cmd cornelwall.Command) {
+	if l, ok := cmd.(cornelwall.Log); ok && *trace {
+		fmt.Println(r.w.Now.Format("05.0000"), h.Self.Entry, l.Event, l.Pairs)
+	}
+	reply, ok := cmd.(cornelwall.ReplyBatch)
+	if !ok {
+		return
+	}
+	for _, e := range r.entries {
+		a := e.reqs[reply.Req]
+		if a == nil || a.life != h {
+			continue
+		}
+		delete(e.reqs, reply.Req)
+		r.answered(a, reply.Answer)
+	}
+}
+
+func (r *rig) answered(a *attempt, answer cornelwall.BatchAnswer) {
+	c := a.client
+	r.answers[answer.End]++
+	switch answer.End {
+	case cornelwall.BatchGivenUp:
+		r.resend(c)
+		return
+	case cornelwall.BatchRefused:
+		if c.starts != a.starts {
+			r.fail("batch %s is refused as not run, and %d of its tasks have begun", c.id, c.starts-a.starts)
+		}
+	case cornelwall.BatchDone:
+		for _, ep := range r.endpoints {
+			ep.Advance(r.w.Now)
+		}
+		if len(c.done) < c.batch.Steps[0].Count {
+			r.fail("batch %s is answered as done with %d of %d tasks", c.id, len(c.done), c.batch.Steps[0].Count)
+		}
+	}
+	c.answered, c.end = true, answer.End
+}
+
+// drop ends the connections of the clients of an entry.
+func (r *rig) drop(e *entry) {
+	for req, a := range e.reqs {
+		delete(e.reqs, req)
+		r.resend(a.client)
+	}
+}
+
+func (r *rig) kill(e *entry, dark bool) {
+	e.host.Dead, e.host.Dark, e.left = true, dark, r.w.Now
+	r.drop(e)
+}
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -30,6 +30,8 @@
 	Work func(h *Host, r cornelwall.Run) (time.Duration, cornelwall.Result)
 	// Begin carries out a start in place of Work; it reports the end with After.
 	Begin func(h *Host, r cornelwall.Run)
+	// Order carries out looks, starts and stops at leased endpoints.
+	Order func(h *Host, cmd cornelwall.Command)
 	// Replied takes the replies, logs and counts of the cores.
 	Replied func(h *Host, cmd cornelwall.Command)
 
@@ -46,6 +48,8 @@
 type Fate struct {
 	Delays []time.Duration
 	Told   time.Duration // 0: the sender is not told
+	// Refused says that the sender is told that nobody listens there.
+	Refused bool
 }
 
 // Host runs one core.
@@ -55,6 +59,7 @@
 	Addr   netip.AddrPort
 	Frozen bool
 	Dead   bool
+	Dark   bool // dead without power: connections to it are not refused
 
 	held     []cornelwall.Event // events that came while frozen
 	tick     time.Time          // of the next tick on its way
@@ -166,6 +171,8 @@
 			after, result := w.Work(h, cmd)
 			result.Took = after
 			w.After(after, h, cornelwall.Ended{Attempt: cmd.Start.Attempt, Result: result})
+		case cornelwall.Look, cornelwall.StartRun, cornelwall.StopRun:
+			w.Order(h, cmd)
 		case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch:
 			w.Store.act(w, h, cmd)
 		default:
@@ -187,6 +194,7 @@
 	switch {
 	case to == nil || to.Dead:
 		fate = Fate{Told: time.Millisecond}
+		fate.Refused = to == nil || !to.Dark
 	case w.Link != nil:
 		fate = w.Link(h.Self, to.Self, e)
 	}
@@ -198,7 +206,7 @@
 		})
 	}
 	if fate.Told > 0 {
-		w.After(fate.Told, h, cornelwall.Undelivered{Envelope: e})
+		w.After(fate.Told, h, cornelwall.Undelivered{Envelope: e, Refused: fate.Refused})
 	}
 }
 
--- /dev/null
+++ b/standin/leased/endpoint.go
@@ -0,0 +1,200 @@
+// Package leased is a stand-in of an endpoint that runs tasks under a lease and fences.
+// It has no goroutine and no clock of its own, so that it serves tests under a virtual
+// clock as well as the HTTP stand-in of this package.
+//
+// # Usage
+//
+//	ep := leased.New("executor-1", room, now)
+//	refusal := ep.Start(now, cmd)
+//	looked := ep.Look(now, look)
+package leased
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	maxLease = time.Second
+	stopTime = 50 * time.Millisecond
+	// clockRate is how fast the endpoint's clock runs; the slowest that is allowed.
+	clockRate = 0.98
+)
+
+// Work is what a run takes and how it ends.
+type Work struct {
+	Took time.Duration
+	How  cornelwall.RunEnd
+}
+
+type state struct {
+	id   cornelwall.RunID
+	end  time.Time // of its work, or of its stop
+	how  cornelwall.RunEnd
+	need cornelwall.Share
+}
+
+// Endpoint holds what runs on one endpoint.
+type Endpoint struct {
+	ID   string
+	Room cornelwall.Share
+	// Work decides what a run takes.
+	Work func(cornelwall.RunID) Work
+	// Began and Over are told of each run that begins and ends.
+	Began func(now time.Time, id cornelwall.RunID)
+	Over  func(now time.Time, id cornelwall.RunID, how cornelwall.RunEnd)
+	// Need tells what a task takes up, as a start does not name it.
+	Need func(task string) cornelwall.Share
+	// Down endpoints answer nothing; what runs there goes on.
+	Down bool
+
+	born   time.Time
+	boot   int64
+	fence  uint64
+	until  time.Duration // end of the lease on its clock
+	runs   map[string]*state
+	least  map[string]uint64 // runs of a task up to this one are not started again
+	ended  []cornelwall.RunEnded
+	number int64
+}
+
+// New returns an endpoint that has just started.
+func New(id string, room cornelwall.Share, now time.Time) *Endpoint {
+	e := &Endpoint{ID: id, Room: room}
+	e.Restart(now)
+	return e
+}
+
+// Restart ends all runs and forgets everything, as a crash does.
+func (e *Endpoint) Restart(now time.Time) {
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		e.finish(now, e.runs[task], cornelwall.RunLapsed)
+	}
+	e.born, e.boot = now, now.UnixMilli()
+	e.fence, e.until, e.number = 0, 0, 0
+	e.runs, e.least, e.ended = map[string]*state{}, map[string]uint64{}, nil
+}
+
+// Clock returns the time on the endpoint's own clock.
+func (e *Endpoint) Clock(now time.Time) time.Duration {
+	return time.Duration(clockRate * float64(now.Sub(e.born)))
+}
+
+// Advance ends what has ended by now.
+func (e *Endpoint) Advance(now time.Time) {
+	lapse := e.born.Add(time.Duration(float64(e.until) / clockRate))
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		s := e.runs[task]
+		switch {
+		case !s.end.After(now) && !s.end.After(lapse):
+			e.finish(s.end, s, s.how)
+		case !lapse.After(now):
+			e.finish(lapse, s, cornelwall.RunLapsed)
+		}
+	}
+}
+
+func (e *Endpoint) finish(now time.Time, s *state, how cornelwall.RunEnd) {
+	delete(e.runs, s.id.Task)
+	e.least[s.id.Task] = max(e.least[s.id.Task], s.id.Run)
+	e.number++
+	e.ended = append(e.ended, cornelwall.RunEnded{Number: e.number, RunID: s.id, How: how})
+	if e.Over != nil {
+		e.Over(now, s.id, how)
+	}
+}
+
+// fenced takes the fence of an order and reports whether it is too low.
+func (e *Endpoint) fenced(fence uint64) bool {
+	if fence < e.fence {
+		return true
+	}
+	e.fence = fence
+	return false
+}
+
+func (e *Endpoint) extend(now time.Time, until time.Duration) {
+	e.until = max(e.until, min(until, e.Clock(now)+maxLease))
+}
+
+// Start carries out a start.
+func (e *Endpoint) Start(now time.Time, cmd cornelwall.StartRun) cornelwall.Refusal {
+	e.Advance(now)
+	if e.fenced(cmd.Fence) {
+		return cornelwall.RefusedFence
+	}
+	if cmd.Until <= e.Clock(now) {
+		return cornelwall.RefusedLate
+	}
+	e.extend(now, cmd.Until)
+	if s := e.runs[cmd.Run.Task]; s != nil && s.id == cmd.Run {
+		return cornelwall.RefusedNone
+	} else if s != nil || cmd.Run.Run <= e.least[cmd.Run.Task] {
+		return cornelwall.RefusedOld
+	}
+	need := e.Need(cmd.Run.Task)
+	used := need
+	for _, s := range e.runs {
+		used = used.Plus(s.need)
+	}
+	if !used.Fits(e.Room) {
+		return cornelwall.RefusedRoom
+	}
+	w := e.Work(cmd.Run)
+	e.runs[cmd.Run.Task] = &state{id: cmd.Run, end: now.Add(w.Took), how: w.How, need: need}
+	if e.Began != nil {
+		e.Began(now, cmd.Run)
+	}
+	return cornelwall.RefusedNone
+}
+
+// Stop carries out a stop. A run that is not there yet will not start.
+func (e *Endpoint) Stop(now time.Time, cmd cornelwall.StopRun) cornelwall.Refusal {
+	e.Advance(now)
+	if e.fenced(cmd.Fence) {
+		return cornelwall.RefusedFence
+	}
+	e.least[cmd.Run.Task] = max(e.least[cmd.Run.Task], cmd.Run.Run)
+	if s := e.runs[cmd.Run.Task]; s != nil && s.id == cmd.Run {
+		if end := now.Add(stopTime); end.Before(s.end) {
+			s.end, s.how = end, cornelwall.RunStopped
+		}
+	}
+	return cornelwall.RefusedNone
+}
+
+// Look extends the lease, forgets acknowledged ends and lists what runs and what ended.
+func (e *Endpoint) Look(now time.Time, cmd cornelwall.Look) cornelwall.Looked {
+	e.Advance(now)
+	l := cornelwall.Looked{Endpoint: e.ID, Fence: cmd.Fence, Boot: e.boot, Clock: e.Clock(now)}
+	if e.fenced(cmd.Fence) {
+		l.Refusal = cornelwall.RefusedFence
+		return l
+	}
+	e.extend(now, cmd.Until)
+	e.ended = slices.DeleteFunc(e.ended, func(x cornelwall.RunEnded) bool { return x.Number <= cmd.Acked })
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		l.Running = append(l.Running, cornelwall.RunState{RunID: e.runs[task].id})
+	}
+	l.Ended = slices.Clone(e.ended)
+	return l
+}
+
+// Ends reports whether there is an end that a look with this acknowledgement would list.
+func (e *Endpoint) Ends(now time.Time, acked int64) bool {
+	e.Advance(now)
+	return e.number > acked && len(e.ended) > 0 && e.ended[len(e.ended)-1].Number > acked
+}
+
+// Running returns what runs now.
+func (e *Endpoint) Running(now time.Time) []cornelwall.RunID {
+	e.Advance(now)
+	var ids []cornelwall.RunID
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		ids = append(ids, e.runs[task].id)
+	}
+	return ids
+}
