--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -75,6 +75,7 @@
 	waiting []*run
 	stops   map[cornelwall.RunID]time.Time // runs that were withdrawn, which must not start
 	passed  map[cornelwall.RunID]passedRun
+	ended   map[cornelwall.RunID]endedRun
 	yielded []*lease // of endpoints that other entries have taken
 
 	jobs    map[string]*job
@@ -98,6 +99,7 @@
 		runs:      map[cornelwall.RunID]*run{},
 		stops:     map[cornelwall.RunID]time.Time{},
 		passed:    map[cornelwall.RunID]passedRun{},
+		ended:     map[cornelwall.RunID]endedRun{},
 		jobs:      map[string]*job{},
 		tasks:     map[cornelwall.RunID]*task{},
 		reqs:      map[uint64]*job{},
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -108,7 +108,9 @@
 	delete(c.runs, r.id)
 	took := c.now.Sub(r.startAt)
 	l.ep.fit.ended(c.now, how, took, r.Estimate)
-	c.tellOver(r.owner, cornelwall.OverRun{RunID: r.id, How: how, Endpoint: l.ep.ID, Took: took})
+	over := cornelwall.OverRun{RunID: r.id, How: how, Endpoint: l.ep.ID, Took: took}
+	c.ended[r.id] = endedRun{over: over, at: c.now}
+	c.tellOver(r.owner, over)
 }
 
 func (c *Core) tellOver(to cornelwall.Incarnation, o cornelwall.OverRun) {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -54,6 +54,12 @@
 	at time.Time
 }
 
+// endedRun is the end of a run that has started, for an owner that has not heard of it.
+type endedRun struct {
+	over cornelwall.OverRun
+	at   time.Time
+}
+
 // assigned takes tasks of an owner. An owner that does not know the session has been
 // out of touch, and may have given the tasks to others since it sent this.
 func (c *Core) assigned(from cornelwall.Incarnation, m *cornelwall.Assign) {
@@ -104,6 +110,10 @@
 			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting}})
 			continue
 		}
+		if e, ok := c.ended[id]; ok {
+			c.tellOver(from, e.over)
+			continue
+		}
 		c.stops[id] = c.now
 		c.tellOver(from, cornelwall.OverRun{RunID: id, How: cornelwall.RunUnstarted})
 	}
@@ -142,6 +152,11 @@
 			delete(c.stops, id)
 		}
 	}
+	for id, e := range c.ended {
+		if c.now.Sub(e.at) > stopKept {
+			delete(c.ended, id)
+		}
+	}
 	for id, p := range c.passed {
 		if c.now.Sub(p.at) > stopKept {
 			delete(c.passed, id)
