An endpoint that was idle is not lost when the first look goes out

Cause (trace of the fuzz): silence was counted from the last answer, which is old on an idle endpoint, so that its first run made it count as lost for 100 ms and sent up to four looks. Now it counts from the first look without an answer.

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -53,6 +53,7 @@
 
 	looks    int // under way
 	lookedAt time.Time
+	asked    time.Time // first look that was sent since the last answer; zero if none
 	answered time.Time // last answer to a look
 	acked    int64     // greatest number of the ends taken in
 	ackSent  int64
@@ -140,6 +141,14 @@
 	return false
 }
 
+// silence returns how long looks have gone without an answer.
+func (l *lease) silence(now time.Time) time.Duration {
+	if l.asked.IsZero() {
+		return 0
+	}
+	return now.Sub(l.asked)
+}
+
 // look asks an endpoint what runs there, and extends the lease if it may.
 func (c *Core) look(l *lease, wait time.Duration) {
 	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: l.acked, Wait: wait}
@@ -148,6 +157,9 @@
 	}
 	l.looks++
 	l.lookedAt, l.ackSent = c.now, l.acked
+	if l.asked.IsZero() {
+		l.asked = c.now
+	}
 	c.emit(cmd)
 }
 
@@ -177,7 +189,7 @@
 	if l.boot != 0 && l.boot != ev.Boot {
 		c.restarted(l, ev.Boot)
 	}
-	l.boot, l.answered = ev.Boot, c.now
+	l.boot, l.answered, l.asked = ev.Boot, c.now, time.Time{}
 	c.setClock(l, ev.Clock)
 	for i := range ev.Ended {
 		c.listedEnd(l, &ev.Ended[i])
@@ -313,7 +325,7 @@
 			c.look(l, 0)
 		}
 	case len(l.runs) > 0:
-		if l.looks == 0 || since >= lookWait+lookLate || c.now.Sub(l.answered) > lookWait+lookLate && since >= lookRetry {
+		if l.looks == 0 || since >= lookWait+lookLate || l.silence(c.now) > lookWait+lookLate && since >= lookRetry {
 			c.look(l, lookWait)
 		} else if l.unsettled() && since >= lookAgain {
 			c.look(l, 0)
@@ -357,13 +369,12 @@
 			c.endRun(r, cornelwall.RunLapsed)
 		}
 	}
-	busy := len(l.runs) > 0 || l.phase == phaseTaking || l.phase == phaseLost
-	if !busy || c.now.Sub(l.answered) <= lostAfter || l.lookedAt.Before(l.answered) {
+	if l.silence(c.now) <= lostAfter {
 		return
 	}
 	if l.phase == phaseReady {
 		l.phase = phaseLost
-		c.log("endpoint-lost", "endpoint", l.ep.ID, "answered", c.now.Sub(l.answered))
+		c.log("endpoint-lost", "endpoint", l.ep.ID, "silent", l.silence(c.now))
 	}
 	if len(l.runs) == 0 {
 		l.ep.lostUntil = c.now.Add(lostTime)
