The next holder of an endpoint tells how runs ended that it did not keep

Cause (fuzz of planned stops): a run that was done at the moment of a handover was reported as lapsed by the old holder before the new one's word arrived, and its task ran again. TestPlannedStops now passes: no batch given up, no task run twice around planned stops.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -193,22 +193,18 @@
 
 // taken takes word of the entry that holds an endpoint now.
 func (c *Core) taken(from cornelwall.Incarnation, m *cornelwall.Taken) {
-	kept := map[cornelwall.RunID]bool{}
-	for _, id := range m.Kept {
-		kept[id] = true
-	}
 	c.fence = max(c.fence, m.Fence)
 	if from != c.cfg.Self {
 		if p := c.peers[from]; p.holds != nil {
 			p.holds[m.Endpoint] = true
 		}
 		if ep := c.endpoints[m.Endpoint]; ep != nil && ep.lease != nil && ep.lease.fence < m.Fence {
-			c.handedOver(ep, from, kept)
+			c.handedOver(ep, from, m)
 		}
-		c.endYielded(from, m, kept)
+		c.endYielded(from, m)
 	}
 	for i := range m.Ended {
 		c.over(&m.Ended[i])
 	}
-	c.endpointTaken(from, m, kept)
+	c.endpointTaken(from, m)
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -187,15 +187,15 @@
 }
 
 // endpointTaken takes word that an endpoint has a new holder, which keeps some runs.
-func (c *Core) endpointTaken(from cornelwall.Incarnation, m *cornelwall.Taken, kept map[cornelwall.RunID]bool) {
-	for id := range kept {
+func (c *Core) endpointTaken(from cornelwall.Incarnation, m *cornelwall.Taken) {
+	for _, id := range m.Kept {
 		if t := c.tasks[id]; t != nil && m.Fence > t.fence {
 			t.state, t.holder, t.endpoint, t.fence = taskBegun, from, m.Endpoint, m.Fence
 			t.job.begun = true
 		}
 	}
 	for _, t := range c.sortedTasks() {
-		if t.endpoint == m.Endpoint && t.fence < m.Fence && !kept[t.run] {
+		if t.endpoint == m.Endpoint && t.fence < m.Fence && !slices.Contains(m.Kept, t.run) {
 			c.over(&cornelwall.OverRun{RunID: t.run, How: cornelwall.RunLapsed, Endpoint: m.Endpoint})
 		}
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -225,13 +225,12 @@
 		return
 	}
 	l.acked, l.endedAt = e.Number, c.now
-	if r := c.runs[e.RunID]; r != nil && r.at == l {
-		c.endRun(r, e.How)
-		return
-	}
 	if l.phase == phaseTaking {
 		l.ended = append(l.ended, cornelwall.OverRun{RunID: e.RunID, How: e.How, Endpoint: l.ep.ID})
 	}
+	if r := c.runs[e.RunID]; r != nil && r.at == l {
+		c.endRun(r, e.How)
+	}
 }
 
 // compare matches the list of what runs with what should.
@@ -447,28 +446,28 @@
 }
 
 // endYielded ends what the new holder of an endpoint has not kept.
-func (c *Core) endYielded(from cornelwall.Incarnation, m *cornelwall.Taken, kept map[cornelwall.RunID]bool) {
+func (c *Core) endYielded(from cornelwall.Incarnation, m *cornelwall.Taken) {
 	for _, l := range c.yielded {
 		if l.ep.ID == m.Endpoint && l.fence < m.Fence {
-			c.passOn(l, from, kept)
+			c.passOn(l, from, m)
 		}
 	}
 }
 
 // handedOver ends the lease on an endpoint that another entry has taken.
-func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, kept map[cornelwall.RunID]bool) {
+func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
 	l := ep.lease
 	l.phase = phaseYielded
 	ep.lease = nil
-	c.passOn(l, from, kept)
+	c.passOn(l, from, m)
 }
 
-// passOn leaves the runs that another entry has kept to it and ends the others. Without a
-// list, all may have been kept.
-func (c *Core) passOn(l *lease, to cornelwall.Incarnation, kept map[cornelwall.RunID]bool) {
+// passOn leaves the runs that another entry has kept to it and ends the others as the
+// endpoint lists them. Without its word, all may have been kept.
+func (c *Core) passOn(l *lease, to cornelwall.Incarnation, m *cornelwall.Taken) {
 	for _, r := range l.sortedRuns() {
-		if kept != nil && !kept[r.id] {
-			c.endRun(r, cornelwall.RunLapsed)
+		if m != nil && !slices.Contains(m.Kept, r.id) {
+			c.endRun(r, m.End(r.id))
 			continue
 		}
 		withdrawn := r.state == runStopping
--- a/gossip.go
+++ b/gossip.go
@@ -159,6 +159,16 @@
 	Ended    []OverRun `json:"ended,omitempty"`
 }
 
+// End returns how a run ended that was not kept.
+func (t *Taken) End(id RunID) RunEnd {
+	for _, o := range t.Ended {
+		if o.RunID == id {
+			return o.How
+		}
+	}
+	return RunLapsed
+}
+
 // Handover offers an endpoint with what runs there to its next holder.
 type Handover struct {
 	Endpoint string        `json:"endpoint"`
