--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -26,8 +26,9 @@
 )
 
 const (
-	peerTimeout      = 250 * time.Millisecond // of one envelope; word that is older is of no use
-	dispatchLinger   = 2200 * time.Millisecond
+	peerTimeout      = 250 * time.Millisecond  // of one envelope; word that is older is of no use
+	dispatchLinger   = 2200 * time.Millisecond // for the balancer to ask twice
+	endTime          = 800 * time.Millisecond  // of the grace, for the listeners to end
 	maxMetricsConns  = 16
 	memoryShare      = 0.7 // of the VM's memory, above which the garbage collector works harder
 	settingsPollTime = time.Second
@@ -91,7 +92,7 @@
 	log      logr.Logger
 	kernel   *kernel.Kernel
 	loop     *control.Loop
-	callers  *server
+	servers  []*server
 	closers  []func()
 }
 
@@ -151,9 +152,7 @@
 	}
 	d.kernel.Add(name+"-listener", srv)
 	d.closers = append(d.closers, srv.close)
-	if name == "callers" {
-		d.callers = srv
-	}
+	d.servers = append(d.servers, srv)
 	return nil
 }
 
@@ -197,7 +196,9 @@
 // leave makes the planned stop. Callers are served until the core has nothing left, and
 // at least until the balancer has seen that the entry is not ready.
 func (d *dispatcher) leave() {
-	d.callers.leave(time.Now().Add(d.settings.Grace))
+	for _, srv := range d.servers {
+		srv.leave(time.Now().Add(dispatchLinger))
+	}
 	d.loop.Post(cornelwall.Stop{Left: d.settings.Grace})
 	least := time.NewTimer(dispatchLinger)
 	defer least.Stop()
@@ -206,7 +207,7 @@
 	case <-d.loop.Done():
 		return
 	}
-	limit := time.NewTimer(d.settings.Grace - dispatchLinger)
+	limit := time.NewTimer(d.settings.Grace - dispatchLinger - endTime)
 	defer limit.Stop()
 	select {
 	case <-d.loop.Stopped():
--- a/cmd/cornelwall/server.go
+++ b/cmd/cornelwall/server.go
@@ -24,8 +24,9 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	drainTimeout      = 5 * time.Second // for requests in flight
-	cutTimeout        = time.Second     // for the answers to requests that are cut short
+	drainTimeout      = 5 * time.Second        // for requests in flight
+	leastDrain        = 300 * time.Millisecond // of a server that has left
+	cutTimeout        = time.Second            // for the answers to requests that are cut short
 )
 
 var handlerPanics = metrics.NewCounter("cornelwall_http_panics_total")
@@ -100,7 +101,7 @@
 // drain returns how long the requests in flight may take once the server ends.
 func (s *server) drain() time.Duration {
 	if by := s.leaving.Load(); by != nil {
-		return max(drainTimeout, time.Until(*by))
+		return max(leastDrain, time.Until(*by))
 	}
 	return drainTimeout
 }
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -321,6 +321,9 @@
 func (r *rig) fail(format string, args ...any) {
 	if r.failure == "" {
 		r.failure = r.w.Now.Format("05.000 ") + fmt.Sprintf(format, args...)
+		if *trace {
+			fmt.Println("FAILED", r.failure)
+		}
 	}
 }
 
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -11,15 +11,17 @@
 )
 
 const (
-	settleTime  = 120 * time.Millisecond // after the start, for the entries that run to be heard
-	freeTime    = 60 * time.Millisecond  // without a holder, after which an endpoint is taken
-	yieldTime   = time.Second            // after another entry has taken an endpoint
-	lostTime    = 3 * time.Second        // for which an endpoint that does not answer is left to others
-	absentTime  = 3 * time.Second        // off the platform's list, after which an endpoint is gone
-	keepTime    = time.Second            // for which an endpoint is held before it is handed on
-	handTimeout = 600 * time.Millisecond // for the next holder to take over
-	handsAtOnce = 4                      // endpoints that are handed on in one tick
-	fenceSpread = 1 << 10                // fences that one millisecond has
+	settleTime  = 120 * time.Millisecond  // after the start, for the entries that run to be heard
+	freeTime    = 60 * time.Millisecond   // without a holder, after which an endpoint is taken
+	yieldTime   = time.Second             // after another entry has taken an endpoint
+	lostTime    = 3 * time.Second         // for which an endpoint that does not answer is left to others
+	absentTime  = 3 * time.Second         // off the platform's list, after which an endpoint is gone
+	keepTime    = time.Second             // for which an endpoint is held before it is handed on
+	handTimeout = 250 * time.Millisecond  // for the next holder to take over
+	offerLife   = 2500 * time.Millisecond // of an offer to an entry that died since
+	handPause   = time.Second             // between two offers of one endpoint
+	handsAtOnce = 4                       // endpoints that are handed on in one tick
+	fenceSpread = 1 << 10                 // fences that one millisecond has
 )
 
 // endpoint is an executor on the platform's list.
@@ -149,7 +151,7 @@
 // handOn offers an endpoint to the entry that should hold it.
 func (c *Core) handOn(ep *endpoint) bool {
 	l := ep.lease
-	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime {
+	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime || c.now.Sub(l.handAt) < handPause || c.offerOpen(l) {
 		return false
 	}
 	to := c.wanted(ep)
@@ -157,7 +159,7 @@
 	if p == nil || !c.answers(p) || p.number == 0 {
 		return false
 	}
-	m := &cornelwall.Handover{Endpoint: ep.ID, Fence: l.fence}
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence}
 	for _, r := range l.sortedRuns() {
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
 			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
@@ -170,13 +172,62 @@
 }
 
 // adopt takes over an endpoint whose holder offers it.
-func (c *Core) adopt(m *cornelwall.Handover) {
-	ep := c.endpoints[m.Endpoint]
+func (c *Core) adopt(from cornelwall.Incarnation, m *cornelwall.Handover) {
 	c.fence = max(c.fence, m.Fence)
-	if ep == nil || ep.lease != nil || c.leaving() {
-		return // the holder keeps it and tries again
+	c.addEndpoints([]cornelwall.Endpoint{m.Endpoint})
+	ep := c.endpoints[m.Endpoint.ID]
+	if l := ep.lease; l != nil && l.from == from && l.first > m.Fence {
+		return // sent again
+	}
+	if p := c.peers[from]; ep.lease != nil || c.leaving() || !p.open || p.session != m.Session {
+		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID}})
+		return
 	}
 	c.take(ep, m.Runs)
+	ep.lease.from = from
+}
+
+// declined goes on holding an endpoint that its next holder does not want.
+func (c *Core) declined(from cornelwall.Incarnation, id string) {
+	ep := c.endpoints[id]
+	if ep == nil || ep.lease == nil || ep.lease.handTo != from {
+		return
+	}
+	l := ep.lease
+	c.log("handover-declined", "endpoint", id, "by", from)
+	l.handTo = cornelwall.Incarnation{}
+	if l.phase == phaseHanding {
+		l.phase = phaseReady
+	}
+}
+
+// offerOpen reports whether an endpoint was offered to an entry that may still take it.
+func (c *Core) offerOpen(l *lease) bool {
+	if l.handTo.IsZero() {
+		return false
+	}
+	p := c.peers[l.handTo]
+	return p != nil && (!p.dead || c.now.Sub(p.heard) < offerLife)
+}
+
+// addEndpoints takes endpoints that another entry knows of.
+func (c *Core) addEndpoints(list []cornelwall.Endpoint) {
+	for _, info := range list {
+		if c.endpoints[info.ID] == nil {
+			c.endpoints[info.ID] = &endpoint{Endpoint: info, seen: c.now, free: c.now}
+		}
+	}
+}
+
+// known returns all endpoints in a stable order.
+func (c *Core) known() []cornelwall.Endpoint {
+	var list []cornelwall.Endpoint
+	for _, ep := range c.sortedEndpoints() {
+		if ep.absent.IsZero() {
+			list = append(list, ep.Endpoint)
+		}
+	}
+	return list
 }
 
 // nextFence returns a fence above all that this entry knows of. Entries that take an
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -64,7 +64,8 @@
 	ended     []cornelwall.OverRun // found while taking
 	strangers map[cornelwall.RunID]time.Time
 
-	handTo    cornelwall.Incarnation // to whom it was offered last
+	from      cornelwall.Incarnation // who handed it on; zero if it was taken
+	handTo    cornelwall.Incarnation // to whom it was offered, without an answer yet
 	handAt    time.Time
 	yieldedAt time.Time
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -21,6 +21,7 @@
 	forgetAfter   = 10 * time.Second        // of a peer that is dead
 	roomEvery     = 5 * time.Millisecond    // between two words of room to one peer
 	claimEvery    = 500 * time.Millisecond  // between looks at an endpoint that a peer claims as well
+	listEvery     = time.Second             // between two lists of endpoints to a peer that asks
 	pulsesKept    = 64                      // numbers of pulses whose time of sending is known
 )
 
@@ -52,6 +53,7 @@
 	ask      bool // it wants the members
 	pulsed   time.Time
 	roomTold time.Time
+	listTold time.Time
 	waiting  map[string]int
 	resend   []cornelwall.Message
 }
@@ -187,7 +189,11 @@
 	case m.Taken != nil:
 		c.taken(from, m.Taken)
 	case m.Handover != nil:
-		c.adopt(m.Handover)
+		c.adopt(from, m.Handover)
+	case m.Decline != nil:
+		c.declined(from, m.Decline.Endpoint)
+	case m.Known != nil:
+		c.addEndpoints(m.Known.Endpoints)
 	case m.Declare != nil && m.Declare.Declaration != nil:
 		c.declare(m.Declare.Declaration)
 	case m.Declare != nil:
@@ -225,6 +231,10 @@
 	if p.number == 0 || p.ask {
 		c.pulseTo(p)
 	}
+	if p.ask && c.now.Sub(p.listTold) > listEvery {
+		p.listTold = c.now
+		c.send(p.id, cornelwall.Message{Known: &cornelwall.Known{Endpoints: c.known()}})
+	}
 }
 
 // checkClaims looks at endpoints that a peer claims as well: the fence tells whose they
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -8,7 +8,7 @@
 	"cornelwall"
 )
 
-const stopMargin = 500 * time.Millisecond // before the end of the grace, when what is open is given up
+const stopMargin = 1200 * time.Millisecond // before the end of the grace, when what is open is given up
 
 // leaving reports whether a planned stop has begun.
 func (c *Core) leaving() bool { return !c.stopping.IsZero() }
--- a/endpoint.go
+++ b/endpoint.go
@@ -38,14 +38,22 @@
 
 // Endpoint is an executor that runs tasks under a lease, as the platform lists it.
 type Endpoint struct {
-	ID         string
-	Service    string
-	Addr       netip.AddrPort
-	DataCentre string
-	Room       Share    // all of it
-	Labels     []string // its kind and its rack
-	Leaving    bool     // it drains and takes no new tasks
-	Boot       int64    // its start in milliseconds since 1970, 0 if not known
+	ID         string         `json:"id"`
+	Service    string         `json:"service"`
+	Addr       netip.AddrPort `json:"addr"`
+	DataCentre string         `json:"dc"`
+	Room       Share          `json:"room"`              // all of it
+	Labels     []string       `json:"labels,omitempty"`  // its kind and its rack
+	Leaving    bool           `json:"leaving,omitempty"` // it drains and takes no new tasks
+	Boot       int64          `json:"boot,omitempty"`    // its start in milliseconds since 1970, 0 if not known
+}
+
+// Check reports all that is wrong with the endpoint.
+func (e *Endpoint) Check() error {
+	if e.ID == "" || e.Service == "" || !e.Addr.IsValid() {
+		return fmt.Errorf("endpoint %q of service %q has address %s; name all three", e.ID, e.Service, e.Addr)
+	}
+	return e.Room.Check()
 }
 
 // RunID names one run of one task. The number of a task's runs rises.
--- a/gossip.go
+++ b/gossip.go
@@ -171,11 +171,32 @@
 
 // Handover offers an endpoint with what runs there to its next holder.
 type Handover struct {
-	Endpoint string        `json:"endpoint"`
+	Session  uint64        `json:"session"` // as of an Assign
+	Endpoint Endpoint      `json:"endpoint"`
 	Fence    uint64        `json:"fence"`
 	Runs     []HandoverRun `json:"runs,omitempty"`
 }
 
+// Decline tells that the sender does not take over an endpoint.
+type Decline struct {
+	Endpoint string `json:"endpoint"`
+}
+
+// Known is the endpoints that the sender knows, for an entry that cannot read the
+// platform's list.
+type Known struct {
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Check reports all that is wrong with the message.
+func (k *Known) Check() error {
+	var errs []error
+	for i := range k.Endpoints {
+		errs = append(errs, k.Endpoints[i].Check())
+	}
+	return errors.Join(errs...)
+}
+
 // HandoverRun is a run that goes on while its endpoint changes hands.
 type HandoverRun struct {
 	RunID
@@ -187,7 +208,7 @@
 
 // Check reports all that is wrong with the message.
 func (h *Handover) Check() error {
-	var errs []error
+	errs := []error{h.Endpoint.Check()}
 	for i := range h.Runs {
 		errs = append(errs, h.Runs[i].RunID.Check(), h.Runs[i].Owner.Check(), h.Runs[i].Need.Check())
 	}
--- a/message.go
+++ b/message.go
@@ -64,6 +64,8 @@
 	Began     *Began     `json:"began,omitempty"`
 	Taken     *Taken     `json:"taken,omitempty"`
 	Handover  *Handover  `json:"handover,omitempty"`
+	Decline   *Decline   `json:"decline,omitempty"`
+	Known     *Known     `json:"known,omitempty"`
 	Declare   *Declare   `json:"declare,omitempty"`
 	Revoke    *Revoke    `json:"revoke,omitempty"`
 }
@@ -106,6 +108,8 @@
 	count(m.Began != nil)
 	count(m.Taken != nil)
 	count(m.Handover != nil)
+	count(m.Decline != nil)
+	count(m.Known != nil)
 	count(m.Declare != nil)
 	count(m.Revoke != nil)
 	if n > 1 {
@@ -152,6 +156,8 @@
 		return CheckRuns(m.Began.Runs)
 	case m.Handover != nil:
 		return m.Handover.Check()
+	case m.Known != nil:
+		return m.Known.Check()
 	case m.Declare != nil:
 		return m.Declare.Check()
 	}
