Late word of a new holder is told from fresh; owners without proof are stopped

Taken quotes the session; runs of owners without proof are stopped; an owner is told of its runs anew when its session changes; a look answers for its own fence only. A planned stop ends within its grace even if a listener does not.

--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -190,7 +190,15 @@
 	}
 	d.leave()
 	cancel()
-	return <-ended
+	limit := time.NewTimer(endTime)
+	defer limit.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-limit.C:
+		d.log.Info("ended-late", "remedy", "look for a peer or client that does not read")
+		return nil
+	}
 }
 
 // leave makes the planned stop. Callers are served until the core has nothing left, and
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -171,6 +171,7 @@
 	}
 	c.ticked = c.now
 	c.checkPeers()
+	c.stopUnproven()
 	c.checkLeases()
 	c.checkJobs()
 	c.keepHolders()
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -151,7 +151,7 @@
 // handOn offers an endpoint to the entry that should hold it.
 func (c *Core) handOn(ep *endpoint) bool {
 	l := ep.lease
-	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime || c.now.Sub(l.handAt) < handPause || c.offerOpen(l) {
+	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime || !c.leaving() && c.now.Sub(l.handAt) < handPause || c.offerOpen(l) {
 		return false
 	}
 	to := c.wanted(ep)
@@ -246,7 +246,11 @@
 func (c *Core) taken(from cornelwall.Incarnation, m *cornelwall.Taken) {
 	c.fence = max(c.fence, m.Fence)
 	if from != c.cfg.Self {
-		if p := c.peers[from]; p.holds != nil {
+		p := c.peers[from]
+		if p.session != m.Session {
+			return // late: the endpoint may have started anew since, and have forgotten the fence
+		}
+		if p.holds != nil {
 			p.holds[m.Endpoint] = true
 		}
 		if ep := c.endpoints[m.Endpoint]; ep != nil && ep.lease != nil && ep.lease.fence < m.Fence {
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -81,7 +81,7 @@
 	ep.lease, ep.free = l, time.Time{}
 	for i := range runs {
 		h := &runs[i]
-		r := &run{id: h.RunID, owner: h.Owner, startAt: c.now.Add(-h.Age), settled: c.now.Add(-h.Age), state: runRunning}
+		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settled: c.now.Add(-h.Age), state: runRunning}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
 		l.add(r)
@@ -196,7 +196,9 @@
 		c.listedEnd(l, &ev.Ended[i])
 	}
 	c.compare(l, &ev)
-	c.advance(l)
+	if ev.Fence == l.fence {
+		c.advance(l)
+	}
 	c.keepLease(l)
 }
 
@@ -290,7 +292,9 @@
 		}
 		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
 		for _, p := range c.sortedPeers() {
-			c.send(p.id, cornelwall.Message{Taken: m})
+			to := *m
+			to.Session = p.theirSession
+			c.send(p.id, cornelwall.Message{Taken: &to})
 		}
 		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
 	case phaseLost:
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -216,6 +216,7 @@
 	}
 	p.seen, p.heard, p.dead, p.expired = m.Number, c.now, false, false
 	p.leaving, p.version, p.ask = m.Leaving, m.Version, m.Ask
+	renewed := p.theirSession != m.Session
 	p.theirSession, p.waiting = m.Session, m.Waiting
 	p.holds, p.lost = set(m.Holds), set(m.Lost)
 	c.checkClaims(m.Holds)
@@ -225,6 +226,9 @@
 		p.proven = at
 	}
 	p.open = c.now.Sub(p.proven) <= proofLife
+	if renewed {
+		c.tellRunning(p.id) // word that a run has changed hands may have been too late for it
+	}
 	if p.version > c.declared.Version {
 		c.send(p.id, cornelwall.Message{Declare: &cornelwall.Declare{}})
 	}
@@ -298,6 +302,7 @@
 			p.expired = true
 			c.log("peer-silent", "peer", p.id, "age", c.now.Sub(p.heard))
 			p.resend = nil
+			c.closeSession(p)
 			c.holderGone(p.id)
 		}
 		if !p.listed && c.now.Sub(p.heard) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
@@ -314,6 +319,33 @@
 	}
 }
 
+// tellRunning tells an owner of all its runs here.
+func (c *Core) tellRunning(owner cornelwall.Incarnation) {
+	for _, r := range c.sortedRuns() {
+		if r.owner == owner && r.state == runRunning {
+			c.runBegan(r)
+		}
+	}
+}
+
+// stopUnproven stops the runs of owners that have not proved for long that they hear this
+// entry: they may have given them up.
+func (c *Core) stopUnproven() {
+	for _, r := range c.sortedRuns() {
+		if r.owner == c.cfg.Self || r.state == runStopping {
+			continue
+		}
+		last := r.came
+		if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(last) {
+			last = p.proven
+		}
+		if c.now.Sub(last) > proofLife {
+			c.log("owner-unproven", "task", r.id.Task, "run", r.id.Run, "owner", r.owner, "age", c.now.Sub(last))
+			c.withdrawRun(r, false)
+		}
+	}
+}
+
 // closeSession stops all that runs for an owner. What it sent before starts nothing more.
 func (c *Core) closeSession(p *peer) {
 	p.open = false
--- a/gossip.go
+++ b/gossip.go
@@ -153,6 +153,7 @@
 // Taken tells that the sender holds the endpoint from now on and that nothing runs there
 // but Kept. Ended is what the endpoint lists as ended.
 type Taken struct {
+	Session  uint64    `json:"session"` // as of an Assign
 	Endpoint string    `json:"endpoint"`
 	Fence    uint64    `json:"fence"`
 	Kept     []RunID   `json:"kept,omitempty"`
