--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -77,12 +77,16 @@
 	if err != nil {
 		return usageError(err)
 	}
-	d, err := buildDispatcher(s, secret, c.Int("metrics-port"), newLog(c.Bool("verbose")))
+	lines := newLineWriter(os.Stdout)
+	d, err := buildDispatcher(s, secret, c.Int("metrics-port"), newLog(lines, c.Bool("verbose")))
 	if err != nil {
 		return err
 	}
 	d.path = c.String("settings")
-	return d.run(ctx)
+	err = d.run(ctx)
+	d.log.Info("ended", "err", err)
+	lines.close()
+	return err
 }
 
 // dispatcher is the parts of an entry on the platform.
--- a/cmd/cornelwall/serve.go
+++ b/cmd/cornelwall/serve.go
@@ -4,11 +4,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"log/slog"
 	"os"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 )
 
@@ -27,21 +25,13 @@
 	if err != nil {
 		return usageError(err)
 	}
-	e, err := build(s, newLog(s.Verbose))
+	e, err := build(s, newLog(os.Stderr, s.Verbose))
 	if err != nil {
 		return err
 	}
 	return e.run(ctx)
 }
 
-func newLog(verbose bool) logr.Logger {
-	level := slog.LevelInfo
-	if verbose {
-		level = slog.LevelDebug
-	}
-	return logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-}
-
 const lifeRandomBits = 22
 
 // drawLife returns a unique number for one process life. It starts with the time, so that
--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -149,6 +149,7 @@
 		})
 	}
 	for _, id := range order {
+		c.log("assigned", "job", j.id, "to", id, "tasks", len(assigns[id].Tasks), "run", assigns[id].Tasks[0].Run)
 		c.send(id, cornelwall.Message{Assign: assigns[id]})
 	}
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -317,7 +317,7 @@
 	if a.End == cornelwall.BatchRefused || a.End == cornelwall.BatchGivenUp {
 		c.emit(cornelwall.Count{Reason: a.Reason, N: 1})
 	}
-	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "took", c.now.Sub(j.arrived), "late", c.now.Sub(j.due))
+	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.begun, "rest", j.rest(), "took", c.now.Sub(j.arrived), "late", c.now.Sub(j.due))
 	for _, req := range j.reqs {
 		delete(c.reqs, req)
 		c.emit(cornelwall.ReplyBatch{Req: req, Answer: a})
