--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -76,7 +76,8 @@
 	stops   map[cornelwall.RunID]time.Time // runs that were withdrawn, which must not start
 	passed  map[cornelwall.RunID]passedRun
 	ended   map[cornelwall.RunID]endedRun
-	yielded []*lease // of endpoints that other entries have taken
+	dropped time.Time // when old entries of these were dropped last
+	yielded []*lease  // of endpoints that other entries have taken
 
 	jobs    map[string]*job
 	reqs    map[uint64]*job
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -10,6 +10,7 @@
 
 const (
 	stopKept     = 15 * time.Second // for which a withdrawn run is remembered, longer than a message is late
+	dropEvery    = time.Second
 	defaultGuess = 200 * time.Millisecond
 	classStep    = 0.25 // by which each class counts less than the one before
 	lateValue    = 0.2  // of an answer after it was due, to one in time
@@ -147,6 +148,10 @@
 
 // dropStops forgets withdrawn runs of which no late message can come any more.
 func (c *Core) dropStops() {
+	if c.now.Sub(c.dropped) < dropEvery {
+		return
+	}
+	c.dropped = c.now
 	for id, at := range c.stops {
 		if c.now.Sub(at) > stopKept {
 			delete(c.stops, id)
