--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -190,7 +190,7 @@
 func (c *Core) endpointTaken(from cornelwall.Incarnation, m *cornelwall.Taken) {
 	for _, id := range m.Kept {
 		if t := c.tasks[id]; t != nil && m.Fence > t.fence {
-			t.state, t.holder, t.endpoint, t.fence = taskBegun, from, m.Endpoint, m.Fence
+			t.state, t.holder, t.endpoint, t.fence, t.since = taskBegun, from, m.Endpoint, m.Fence, c.now
 			t.job.begun = true
 		}
 	}
@@ -205,11 +205,12 @@
 	return slices.SortedFunc(maps.Values(c.tasks), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
 }
 
-// holderGone ends all runs at a holder that has been silent for so long that they are
-// over.
-func (c *Core) holderGone(id cornelwall.Incarnation) {
+// holderGone ends the runs at a holder that has been silent for so long that they are
+// over. A run that has only just come to it is given the same time, as the holder waits
+// that long for proof of the owner.
+func (c *Core) holderGone(p *peer) {
 	for _, t := range c.sortedTasks() {
-		if t.holder == id {
+		if t.holder == p.id && c.now.Sub(t.since) > ownerPatience {
 			t.job.begun = true
 			c.over(&cornelwall.OverRun{RunID: t.run, How: cornelwall.RunLapsed, Endpoint: t.endpoint})
 		}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -303,7 +303,9 @@
 			c.log("peer-silent", "peer", p.id, "age", c.now.Sub(p.heard))
 			p.resend = nil
 			c.closeSession(p)
-			c.holderGone(p.id)
+		}
+		if p.expired {
+			c.holderGone(p)
 		}
 		if !p.listed && c.now.Sub(p.heard) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
 			delete(c.peers, p.id)
