--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -19,8 +19,6 @@
 	spreadBack    = time.Second            // over which refused callers are spread
 	boostShare    = 0.5                    // of what was left, of which holders are told
 	leastWork     = 0.5                    // share of the declared run time that a task surely takes
-	runsPerMilli  = 1                      // numbers of runs that one millisecond has at first
-	runLead       = 10000                  // added to the number of a run that an endpoint finds too old
 )
 
 // taskState is how far a task is for its owner.
@@ -169,7 +167,7 @@
 // newRun returns the identity of a task's next run. Numbers rise over all entries, as
 // they begin with the time of day.
 func (c *Core) newRun(t *task) cornelwall.RunID {
-	c.lastRun = max(c.lastRun, uint64(c.now.UnixMilli())*runsPerMilli, t.run.Run) + 1
+	c.lastRun = max(c.lastRun, uint64(c.now.UnixMilli()), t.run.Run) + 1
 	return cornelwall.RunID{Task: t.name, Run: c.lastRun}
 }
 
--- a/leased.go
+++ b/leased.go
@@ -112,8 +112,6 @@
 		Fence    uint64
 		Run      RunID
 	}
-	// Forget says that an endpoint is no longer spoken to.
-	Forget struct{ Endpoint Endpoint }
 	// SetReady tells the balancer whether the entry takes requests.
 	SetReady struct{ Ready bool }
 	// Withdrawn takes the announcement of the entry back, as it is about to stop.
@@ -126,6 +124,5 @@
 func (Look) isCommand()         {}
 func (StartRun) isCommand()     {}
 func (StopRun) isCommand()      {}
-func (Forget) isCommand()       {}
 func (SetReady) isCommand()     {}
 func (Withdrawn) isCommand()    {}
