Reading the change again: dead fields go, what stood twice stands once

State that was written and never read goes (times of lists, of views and of endpoints, the time left in an Assign). The endpoints held are sorted once for all waiting runs instead of for each. The comment on what is sent again said more than is.

--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -46,7 +46,7 @@
 a failed request in its logs.
 
 Examples:
-  CORNELWALL_NODE_FILE=/etc/cornelwall/local.toml \
+  ` + platform.SettingsEnv + `=/etc/cornelwall/local.toml \
       CORNELWALL_SECRET=a-secret-of-16-or-more cornelwall dispatch
   cornelwall dispatch --settings local.toml --secret a-secret-of-16-or-more \
       --metrics-port 7990
@@ -130,7 +130,7 @@
 		conns int
 		h     http.Handler
 	}{
-		{"metrics", netip.AddrPortFrom(s.Peers.Addr(), uint16(metricsPort)), maxMetricsConns, d.metrics()},
+		{"metrics", netip.AddrPortFrom(s.Peers.Addr(), uint16(metricsPort)), maxMetricsConns, metricsHandler(d.loop)},
 		{"peers", s.Peers, maxPeerConns, mux},
 		{"readiness", s.Ready, maxOperatorConns, service.Readiness()},
 		{"callers", s.Callers, maxCallerConns, platform.NewIngress(d.loop)},
@@ -160,10 +160,11 @@
 	return nil
 }
 
-func (d *dispatcher) metrics() http.Handler {
+// metricsHandler serves the counters of the process and the state of the core.
+func metricsHandler(loop *control.Loop) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		metrics.WritePrometheus(w, true)
-		d.loop.WriteMetrics(r.Context(), w)
+		loop.WriteMetrics(r.Context(), w)
 	})
 }
 
--- a/cmd/cornelwall/entry.go
+++ b/cmd/cornelwall/entry.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"cornelwall"
@@ -114,10 +113,7 @@
 
 func (e *entry) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
-		metrics.WritePrometheus(w, true)
-		e.loop.WriteMetrics(r.Context(), w)
-	})
+	mux.Handle("GET /metrics", metricsHandler(e.loop))
 	mux.Handle("/", operator.New(e.loop, e.store, e.settings.Token, drawChange, e.log))
 	return mux
 }
--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -7,10 +7,14 @@
 	"cornelwall"
 )
 
-// wakeTime is how long nothing is assigned or started after a pause of the process. What came while
-// it lasted is read first: a caller may have left, and have sent its batch elsewhere.
+// wakeTime is how long nothing is assigned or started after a pause of the process. What
+// came while it lasted is read first: a caller may have left, and have sent its batch
+// elsewhere.
 const wakeTime = 100 * time.Millisecond
 
+// waking reports whether the process has paused just now.
+func (c *Core) waking() bool { return c.now.Sub(c.woke) < wakeTime }
+
 const (
 	nearCost    = 1.0   // ms, of a holder in the same data centre
 	farCost     = 4.0   // ms, of one in another
@@ -21,15 +25,7 @@
 
 // view is what an owner believes a holder has free: its last word, less what was
 // assigned to it since.
-type view struct {
-	at      time.Time
-	vacancy cornelwall.Vacancy
-}
-
-func (v *view) set(now time.Time, vacancy cornelwall.Vacancy) {
-	v.at = now
-	v.vacancy = vacancy
-}
+type view struct{ vacancy cornelwall.Vacancy }
 
 // places returns how many tasks of the need fit.
 func (v *view) places(need cornelwall.Share) int {
@@ -98,7 +94,7 @@
 func (c *Core) candidates() []candidate {
 	var list []candidate
 	if !c.leaving() {
-		own := view{at: c.now, vacancy: c.vacancy()}
+		own := view{vacancy: c.vacancy()}
 		list = append(list, candidate{c.cfg.Self, &own, 0})
 	}
 	for _, p := range c.sortedPeers() {
@@ -116,7 +112,7 @@
 
 // assignIdle hands the tasks of a job that may start to holders.
 func (c *Core) assignIdle(j *job) {
-	if j.closing || c.now.Sub(c.woke) < wakeTime {
+	if j.closing || c.waking() {
 		return
 	}
 	var holders []candidate
@@ -192,7 +188,7 @@
 func (c *Core) newAssign(j *job, to cornelwall.Incarnation) *cornelwall.Assign {
 	m := &cornelwall.Assign{
 		Service: j.queue.Service, Spec: j.batch.Spec, Class: j.queue.Priority, Rest: j.rest(),
-		Left: j.deadline.Sub(c.now), Due: j.due.Sub(c.now), Last: j.last.Sub(c.now),
+		Due: j.due.Sub(c.now), Last: j.last.Sub(c.now),
 	}
 	if p := c.peers[to]; p != nil {
 		m.Session = p.theirSession
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -61,14 +61,12 @@
 	ticked  time.Time
 	woke    time.Time // after the last pause of the process
 
-	peers     map[cornelwall.Incarnation]*peer
-	seeds     map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
-	platform  bool                         // it answers
-	membersAt time.Time                    // of the last list of members
+	peers    map[cornelwall.Incarnation]*peer
+	seeds    map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
+	platform bool                         // it answers
 
 	declared  cornelwall.Declaration
 	endpoints map[string]*endpoint
-	listed    bool // a list of endpoints has come
 	fence     uint64
 
 	runs    map[cornelwall.RunID]*run // of tasks assigned to this entry
@@ -189,15 +187,12 @@
 		return
 	}
 	c.loadLogged = c.now
-	held, used := 0, 0
-	for _, ep := range c.endpoints {
-		if ep.lease != nil {
-			held++
-			used += ep.lease.used.Cores
-		}
+	held, used := c.sortedHeld(), 0
+	for _, ep := range held {
+		used += ep.lease.used.Cores
 	}
 	v := c.vacancy()
-	c.log("load", "held", held, "millicores", v.Total, "used", used, "waiting", len(c.waiting),
+	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.waiting),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.answering(), "platform", c.platform)
 }
 
@@ -238,12 +233,6 @@
 }
 
 func (c *Core) status() cornelwall.Status {
-	held := 0
-	for _, ep := range c.endpoints {
-		if ep.lease != nil {
-			held++
-		}
-	}
 	return cornelwall.Status{
 		Entry: c.cfg.Self, Machines: len(c.endpoints), Profiles: len(c.declared.Queues),
 		Peers: len(c.peers), Jobs: len(c.jobs), Waiting: len(c.waiting), Running: len(c.runs) - len(c.waiting),
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -27,7 +27,6 @@
 // endpoint is an executor on the platform's list.
 type endpoint struct {
 	cornelwall.Endpoint
-	seen      time.Time // on the list first
 	absent    time.Time // since when it has not been on the list; zero if it is
 	free      time.Time // since when it has had no holder; zero if it has one
 	yielded   time.Time // until when it is left to the entry that took it
@@ -37,13 +36,12 @@
 }
 
 func (c *Core) setEndpoints(list []cornelwall.Endpoint) {
-	c.listed = true
 	now := map[string]bool{}
 	for _, info := range list {
 		now[info.ID] = true
 		ep := c.endpoints[info.ID]
 		if ep == nil {
-			ep = &endpoint{seen: c.now, free: c.now}
+			ep = &endpoint{free: c.now}
 			c.endpoints[info.ID] = ep
 		}
 		if info.Leaving && !ep.Leaving && ep.lease != nil {
@@ -151,7 +149,10 @@
 // handOn offers an endpoint to the entry that should hold it.
 func (c *Core) handOn(ep *endpoint) bool {
 	l := ep.lease
-	if l.phase != phaseReady || !c.leaving() && c.now.Sub(l.since) < keepTime || !c.leaving() && c.now.Sub(l.handAt) < handPause || c.offerOpen(l) {
+	if l.phase != phaseReady || c.offerOpen(l) {
+		return false
+	}
+	if !c.leaving() && (c.now.Sub(l.since) < keepTime || c.now.Sub(l.handAt) < handPause) {
 		return false
 	}
 	to := c.wanted(ep)
@@ -214,7 +215,7 @@
 func (c *Core) addEndpoints(list []cornelwall.Endpoint) {
 	for _, info := range list {
 		if c.endpoints[info.ID] == nil {
-			c.endpoints[info.ID] = &endpoint{Endpoint: info, seen: c.now, free: c.now}
+			c.endpoints[info.ID] = &endpoint{Endpoint: info, free: c.now}
 		}
 	}
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -107,9 +107,7 @@
 		return
 	}
 	j := c.newJob(q, &ev)
-	switch why := c.hopeless(j); why {
-	case cornelwall.ReasonNone:
-	default:
+	if why := c.hopeless(j); why != cornelwall.ReasonNone {
 		refuse(cornelwall.BatchRefused, why, "the batch cannot be done in time; come back later")
 		return
 	}
@@ -146,14 +144,14 @@
 
 // hopeless returns why a batch cannot be done in time, or ReasonNone.
 func (c *Core) hopeless(j *job) cornelwall.Reason {
-	least := time.Duration(leastWork * float64(j.chain))
+	least, end := j.leastTime(), j.usefulEnd()
 	if c.leaving() && c.now.Add(2*least).After(c.stopping.Add(c.cfg.Limits.Grace-stopMargin)) {
 		return cornelwall.ReasonStopping
 	}
-	if c.now.Add(least).After(earlier(j.deadline, j.last)) {
+	if c.now.Add(least).After(end) {
 		return cornelwall.ReasonTooLate
 	}
-	if wait := c.expectedWait(j); c.now.Add(wait + j.chain).After(earlier(j.deadline, j.last)) {
+	if wait := c.expectedWait(j); c.now.Add(wait + j.chain).After(end) {
 		return cornelwall.ReasonQueueFull
 	}
 	return cornelwall.ReasonNone
@@ -300,14 +298,7 @@
 	return runs, order
 }
 
-func (j *job) done() bool {
-	for _, n := range j.left {
-		if n > 0 {
-			return false
-		}
-	}
-	return true
-}
+func (j *job) done() bool { return j.rest() == 0 }
 
 // finish answers the callers of a job and stops what still runs of it.
 func (c *Core) finish(j *job, a cornelwall.BatchAnswer) {
@@ -409,10 +400,10 @@
 		}
 		limit := j.deadline
 		if !j.begun {
-			limit = earlier(j.deadline, j.last).Add(-time.Duration(leastWork * float64(j.chain)))
+			limit = j.usefulEnd().Add(-j.leastTime())
 		}
 		switch left := limit.Sub(c.now); {
-		case c.now.Sub(c.woke) < wakeTime:
+		case c.waking():
 		case !j.begun && j.unassigned() && (left <= 0 || j.closing):
 			c.finish(j, cornelwall.BatchAnswer{
 				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, Back: c.back(uint64(c.now.UnixMilli())),
@@ -423,22 +414,25 @@
 		case !j.begun && !j.closing && left <= withdrawTime:
 			j.closing = true
 			c.withdrawTasks(j, true)
-		case j.begun && j.closing:
-			j.closing = false
-			c.assignIdle(j)
 		default:
+			j.closing = j.closing && !j.begun // a task that had begun was not taken back
 			c.assignIdle(j)
 		}
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// usefulEnd returns the time after which nobody waits for the job or its answer is of
+// little use.
+func (j *job) usefulEnd() time.Time {
+	if j.last.Before(j.deadline) {
+		return j.last
 	}
-	return b
+	return j.deadline
 }
 
+// leastTime returns the time that the job surely takes.
+func (j *job) leastTime() time.Duration { return time.Duration(leastWork * float64(j.chain)) }
+
 // unassigned reports whether no holder has a task of the job.
 func (j *job) unassigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -134,7 +134,6 @@
 		c.platform = true
 		c.log("platform-back")
 	}
-	c.membersAt = c.now
 	for _, p := range c.peers {
 		p.listed = false
 	}
@@ -173,7 +172,7 @@
 func (c *Core) message(from cornelwall.Incarnation, m *cornelwall.Message) {
 	switch {
 	case m.Room != nil:
-		c.peers[from].view.set(c.now, *m.Room)
+		c.peers[from].view.vacancy = *m.Room
 	case m.Assign != nil:
 		c.assigned(from, m.Assign)
 	case m.Boost != nil:
@@ -220,7 +219,7 @@
 	p.theirSession, p.waiting = m.Session, m.Waiting
 	p.holds, p.lost = set(m.Holds), set(m.Lost)
 	c.checkClaims(m.Holds)
-	p.view.set(c.now, m.Room)
+	p.view.vacancy = m.Room
 	c.fence = max(c.fence, m.Fence)
 	if at := p.sent[m.Seen%pulsesKept]; m.Seen > 0 && p.number-m.Seen < pulsesKept && at.After(p.proven) {
 		p.proven = at
@@ -263,8 +262,8 @@
 	return m
 }
 
-// undelivered takes back what may not have arrived. Orders that took effect twice would
-// do no harm, so all but tasks and pulses are sent again.
+// undelivered takes back what may not have arrived. Tasks are withdrawn. What the other
+// side waits for is sent again, as it does no harm twice; the rest is lost.
 func (c *Core) undelivered(ev cornelwall.Undelivered) {
 	p := c.peers[ev.Envelope.To]
 	if p == nil {
@@ -393,25 +392,29 @@
 	p.number++
 	p.sent[p.number%pulsesKept] = c.now
 	p.pulsed = c.now
-	m := &cornelwall.Pulse{
-		Addr: c.cfg.Addr, Number: p.number, Seen: p.seen, Session: p.session,
-		Leaving: c.leaving(), Version: c.declared.Version, Fence: c.fence,
+	m := c.ownPulse()
+	m.Number, m.Seen, m.Session = p.number, p.seen, p.session
+	if p.ask {
+		m.Members = c.members()
+	}
+	c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: &m}})
+}
+
+// ownPulse returns what pulses say alike to all peers.
+func (c *Core) ownPulse() cornelwall.Pulse {
+	m := cornelwall.Pulse{
+		Addr: c.cfg.Addr, Leaving: c.leaving(), Version: c.declared.Version, Fence: c.fence,
 		Room: c.vacancy(), Ask: !c.platform, Waiting: c.waitingByQueue(),
 	}
-	for id, ep := range c.endpoints {
+	for _, ep := range c.sortedEndpoints() {
 		if ep.lease != nil {
-			m.Holds = append(m.Holds, id)
+			m.Holds = append(m.Holds, ep.ID)
 		}
 		if c.now.Before(ep.lostUntil) {
-			m.Lost = append(m.Lost, id)
+			m.Lost = append(m.Lost, ep.ID)
 		}
 	}
-	slices.Sort(m.Holds)
-	slices.Sort(m.Lost)
-	if p.ask {
-		m.Members = c.members()
-	}
-	c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: m}})
+	return m
 }
 
 func (c *Core) members() []cornelwall.Member {
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -27,10 +27,8 @@
 	for _, p := range c.sortedPeers() {
 		c.pulseTo(p)
 	}
-	for _, ep := range c.sortedEndpoints() {
-		if ep.lease != nil {
-			c.handOn(ep)
-		}
+	for _, ep := range c.sortedHeld() {
+		c.handOn(ep)
 	}
 }
 
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -152,21 +153,10 @@
 		return
 	}
 	c.dropped = c.now
-	for id, at := range c.stops {
-		if c.now.Sub(at) > stopKept {
-			delete(c.stops, id)
-		}
-	}
-	for id, e := range c.ended {
-		if c.now.Sub(e.at) > stopKept {
-			delete(c.ended, id)
-		}
-	}
-	for id, p := range c.passed {
-		if c.now.Sub(p.at) > stopKept {
-			delete(c.passed, id)
-		}
-	}
+	old := func(at time.Time) bool { return c.now.Sub(at) > stopKept }
+	maps.DeleteFunc(c.stops, func(_ cornelwall.RunID, at time.Time) bool { return old(at) })
+	maps.DeleteFunc(c.ended, func(_ cornelwall.RunID, e endedRun) bool { return old(e.at) })
+	maps.DeleteFunc(c.passed, func(_ cornelwall.RunID, p passedRun) bool { return old(p.at) })
 }
 
 // boost takes word of how much is left of a batch.
@@ -206,28 +196,29 @@
 
 // startWaiting starts what fits on the endpoints that this entry holds.
 func (c *Core) startWaiting() {
-	if len(c.waiting) == 0 || c.now.Sub(c.woke) < wakeTime {
+	if len(c.waiting) == 0 || c.waking() {
 		return
 	}
 	c.sortWaiting()
+	held := c.sortedHeld()
 	rest := c.waiting[:0]
-	for i, r := range c.waiting {
-		if l := c.choose(r); l != nil {
+	for _, r := range c.waiting {
+		if l := c.choose(r, held); l != nil {
 			c.start(r, l)
 		} else {
-			rest = append(rest, c.waiting[i])
+			rest = append(rest, r)
 		}
 	}
 	clear(c.waiting[len(rest):])
 	c.waiting = rest
 }
 
-// choose returns the lease whose endpoint is best for a run, or nil if none has room.
-// Among the endpoints that are fit the one is best that is left with the least.
-func (c *Core) choose(r *run) *lease {
+// choose returns the lease whose endpoint is best for a run, or nil if none of those held
+// has room. Among the endpoints that are fit the one is best that is left with the least.
+func (c *Core) choose(r *run, held []*endpoint) *lease {
 	var best *lease
 	var bestCost int
-	for _, ep := range c.sortedHeld() {
+	for _, ep := range held {
 		l := ep.lease
 		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Room.Minus(l.used)) {
 			continue
@@ -293,10 +284,7 @@
 		return v
 	}
 	for _, ep := range c.sortedHeld() {
-		if !c.usable(ep.lease) {
-			continue
-		}
-		if ep.lease.pace(c.now) >= slowPace {
+		if !c.usable(ep.lease) || ep.lease.pace(c.now) >= slowPace {
 			continue
 		}
 		v.Total += ep.Room.Cores
--- a/gossip.go
+++ b/gossip.go
@@ -70,7 +70,6 @@
 	Session uint64        `json:"session"`
 	Service string        `json:"service"`
 	Spec    string        `json:"spec"`
-	Left    time.Duration `json:"left"`  // to the deadline of the batch
 	Due     time.Duration `json:"due"`   // to the time by which it should have ended; may be negative
 	Last    time.Duration `json:"last"`  // to the time after which its answer is of little use; may be negative
 	Class   int           `json:"class"` // priority of its queue
