Endpoints and peers are kept in order; a handover leaves the ends since then unacknowledged

Cause of the processor time: each tick of 20 ms sorted all endpoints, peers and runs several times, asked each peer for each endpoint, worked a pulse out for each peer, and each event sorted all that waits. Endpoints and peers are now kept in order, the claims of peers are joined once, a pulse's common part is made once, and waiting runs are tried when something has changed, at least each tick.

Until the handover is settled only ends from before it are acknowledged.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -97,7 +97,7 @@
 		own := view{vacancy: c.vacancy()}
 		list = append(list, candidate{c.cfg.Self, &own, 0})
 	}
-	for _, p := range c.sortedPeers() {
+	for _, p := range c.byID {
 		if !c.answers(p) || p.leaving || !p.open {
 			continue
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -62,15 +62,18 @@
 	woke    time.Time // after the last pause of the process
 
 	peers    map[cornelwall.Incarnation]*peer
+	byID     []*peer                      // the same, in the order of their identities
 	seeds    map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
 	platform bool                         // it answers
 
 	declared  cornelwall.Declaration
 	endpoints map[string]*endpoint
+	byName    []*endpoint // the same, in the order of their names
 	fence     uint64
 
 	runs    map[cornelwall.RunID]*run // of tasks assigned to this entry
 	waiting []*run
+	changed bool                           // a waiting run may be able to start, or another may go first
 	stops   map[cornelwall.RunID]time.Time // runs that were withdrawn, which must not start
 	passed  map[cornelwall.RunID]passedRun
 	ended   map[cornelwall.RunID]endedRun
@@ -168,7 +171,7 @@
 		c.log("woke", "pause", pause)
 		c.woke = c.now
 	}
-	c.ticked = c.now
+	c.ticked, c.changed = c.now, true
 	c.checkPeers()
 	c.stopUnproven()
 	c.checkLeases()
@@ -187,7 +190,7 @@
 		return
 	}
 	c.loadLogged = c.now
-	held, used := c.sortedHeld(), 0
+	held, used := c.held(), 0
 	for _, ep := range held {
 		used += ep.lease.used.Cores
 	}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -79,12 +79,11 @@
 	if pace < slowPace || l.phase != phaseReady {
 		return
 	}
-	for _, r := range l.sortedRuns() {
+	for _, r := range runsThat(l.runs, func(r *run) bool {
+		return r.state == runRunning && !r.Patient && ratio(c.now.Sub(r.startAt), r.Estimate) >= slowPace
+	}) {
 		took := c.now.Sub(r.startAt)
 		left := time.Duration(pace*float64(r.Estimate)) - took
-		if r.state != runRunning || r.Patient || ratio(took, r.Estimate) < slowPace {
-			continue
-		}
 		if left > r.Estimate+stopGain || ratio(took, r.Estimate) > 2*slowPace {
 			c.log("straggler-stopped", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "took", took, "estimate", r.Estimate, "pace", pace)
 			l.ep.fit.paced(c.now, took, r.Estimate)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,8 +42,7 @@
 		now[info.ID] = true
 		ep := c.endpoints[info.ID]
 		if ep == nil {
-			ep = &endpoint{free: c.now}
-			c.endpoints[info.ID] = ep
+			ep = c.addEndpoint(info)
 		}
 		if info.Leaving && !ep.Leaving && ep.lease != nil {
 			c.log("endpoint-leaves", "endpoint", info.ID)
@@ -59,12 +59,31 @@
 	}
 }
 
-// sortedEndpoints returns the endpoints in a stable order.
-func (c *Core) sortedEndpoints() []*endpoint {
-	ids := slices.Sorted(maps.Keys(c.endpoints))
-	list := make([]*endpoint, len(ids))
-	for i, id := range ids {
-		list[i] = c.endpoints[id]
+// addEndpoint adds an endpoint that is not known yet.
+func (c *Core) addEndpoint(info cornelwall.Endpoint) *endpoint {
+	ep := &endpoint{Endpoint: info, free: c.now}
+	c.endpoints[info.ID] = ep
+	i, _ := slices.BinarySearchFunc(c.byName, info.ID, compareName)
+	c.byName = slices.Insert(c.byName, i, ep)
+	return ep
+}
+
+func (c *Core) dropEndpoint(ep *endpoint) {
+	delete(c.endpoints, ep.ID)
+	if i, ok := slices.BinarySearchFunc(c.byName, ep.ID, compareName); ok {
+		c.byName = slices.Delete(c.byName, i, i+1)
+	}
+}
+
+func compareName(ep *endpoint, id string) int { return cmp.Compare(ep.ID, id) }
+
+// held returns the endpoints that this entry holds, by name.
+func (c *Core) held() []*endpoint {
+	var list []*endpoint
+	for _, ep := range c.byName {
+		if ep.lease != nil {
+			list = append(list, ep)
+		}
 	}
 	return list
 }
@@ -77,26 +96,26 @@
 // keepHolders takes endpoints that have no holder and hands on those that belong to
 // others.
 func (c *Core) keepHolders() {
-	hands := 0
-	for _, ep := range c.sortedEndpoints() {
+	hands, claimed := 0, c.claimed()
+	for _, ep := range slices.Clone(c.byName) {
 		switch {
 		case c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0):
 			c.release(ep)
-			delete(c.endpoints, ep.ID)
+			c.dropEndpoint(ep)
 			c.log("endpoint-gone", "endpoint", ep.ID)
 		case ep.lease != nil:
 			if hands < handsAtOnce && c.handOn(ep) {
 				hands++
 			}
 		default:
-			c.takeFree(ep)
+			c.takeFree(ep, claimed[ep.ID])
 		}
 	}
 }
 
 // takeFree takes an endpoint that has had no holder for a while, if it is this entry's.
-func (c *Core) takeFree(ep *endpoint) {
-	if c.heldByPeer(ep) {
+func (c *Core) takeFree(ep *endpoint, claimed bool) {
+	if claimed {
 		ep.free = time.Time{}
 		return
 	}
@@ -112,13 +131,15 @@
 	c.take(ep, nil)
 }
 
-func (c *Core) heldByPeer(ep *endpoint) bool {
-	for _, p := range c.peers {
-		if p.holds[ep.ID] && c.alive(p) {
-			return true
+// claimed returns the names of the endpoints that other entries hold.
+func (c *Core) claimed() map[string]bool {
+	claimed := make(map[string]bool, len(c.endpoints))
+	for _, p := range c.byID {
+		if c.alive(p) {
+			maps.Copy(claimed, p.holds)
 		}
 	}
-	return false
+	return claimed
 }
 
 // wanted returns the entry that should hold the endpoint: one of its own data centre if
@@ -166,7 +187,7 @@
 			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
 		})
 	}
-	l.phase, l.handTo, l.handAt = phaseHanding, to, c.now
+	l.phase, l.handTo, l.handAt, l.handAcked = phaseHanding, to, c.now, l.acked
 	c.log("endpoint-handed", "endpoint", ep.ID, "to", to, "fence", l.fence, "runs", len(m.Runs))
 	c.send(to, cornelwall.Message{Handover: m})
 	return true
@@ -215,7 +236,7 @@
 func (c *Core) addEndpoints(list []cornelwall.Endpoint) {
 	for _, info := range list {
 		if c.endpoints[info.ID] == nil {
-			c.endpoints[info.ID] = &endpoint{Endpoint: info, free: c.now}
+			c.addEndpoint(info)
 		}
 	}
 }
@@ -223,7 +244,7 @@
 // known returns all endpoints in a stable order.
 func (c *Core) known() []cornelwall.Endpoint {
 	var list []cornelwall.Endpoint
-	for _, ep := range c.sortedEndpoints() {
+	for _, ep := range c.byName {
 		if ep.absent.IsZero() {
 			list = append(list, ep.Endpoint)
 		}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -345,7 +345,7 @@
 func (c *Core) cancel(ev cornelwall.CancelBatch) {
 	a := cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled}
 	c.revoke(ev.ID)
-	for _, p := range c.sortedPeers() {
+	for _, p := range c.byID {
 		c.send(p.id, cornelwall.Message{Revoke: &cornelwall.Revoke{ID: ev.ID}})
 	}
 	c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -67,6 +66,7 @@
 	from      cornelwall.Incarnation // who handed it on; zero if it was taken
 	handTo    cornelwall.Incarnation // to whom it was offered, without an answer yet
 	handAt    time.Time
+	handAcked int64 // greatest number of the ends taken in before it was offered
 	yieldedAt time.Time
 }
 
@@ -103,14 +103,20 @@
 	}
 }
 
-func (l *lease) sortedRuns() []*run { return sortRuns(l.runs) }
+func (l *lease) sortedRuns() []*run { return runsThat(l.runs, func(*run) bool { return true }) }
 
-func (c *Core) sortedRuns() []*run { return sortRuns(c.runs) }
-
-func sortRuns(runs map[cornelwall.RunID]*run) []*run {
-	return slices.SortedFunc(maps.Values(runs), func(a, b *run) int {
+// runsThat returns the runs that fit, in a stable order.
+func runsThat(runs map[cornelwall.RunID]*run, fits func(*run) bool) []*run {
+	var list []*run
+	for _, r := range runs {
+		if fits(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.id.Task, b.id.Task), cmp.Compare(a.id.Run, b.id.Run))
 	})
+	return list
 }
 
 // clockLow returns a time that the endpoint's clock has surely reached.
@@ -152,12 +158,16 @@
 
 // look asks an endpoint what runs there, and extends the lease if it may.
 func (c *Core) look(l *lease, wait time.Duration) {
-	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: l.acked, Wait: wait}
+	acked := l.acked
+	if l.phase == phaseHanding {
+		acked = l.handAcked // the next holder has to be told of the ends since
+	}
+	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: acked, Wait: wait}
 	if (l.phase == phaseReady || l.phase == phaseHanding) && len(l.runs) > 0 && !l.stuck(c.now) {
 		cmd.Until = l.extend(c.now)
 	}
 	l.looks++
-	l.lookedAt, l.ackSent = c.now, l.acked
+	l.lookedAt, l.ackSent = c.now, acked
 	if l.asked.IsZero() {
 		l.asked = c.now
 	}
@@ -255,14 +265,14 @@
 			delete(l.strangers, id)
 		}
 	}
-	for _, r := range l.sortedRuns() {
-		if !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent) {
-			how := cornelwall.RunLapsed
-			if r.state == runStopping {
-				how = cornelwall.RunStopped
-			}
-			c.endRun(r, how)
+	for _, r := range runsThat(l.runs, func(r *run) bool {
+		return !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent)
+	}) {
+		how := cornelwall.RunLapsed
+		if r.state == runStopping {
+			how = cornelwall.RunStopped
 		}
+		c.endRun(r, how)
 	}
 }
 
@@ -284,31 +294,29 @@
 		if len(l.strangers) > 0 {
 			return
 		}
-		l.phase = phaseReady
+		l.phase, c.changed = phaseReady, true
 		m := &cornelwall.Taken{Endpoint: l.ep.ID, Fence: l.fence, Ended: l.ended}
 		l.ended = nil
 		for _, r := range l.sortedRuns() {
 			m.Kept = append(m.Kept, r.id)
 		}
 		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
-		for _, p := range c.sortedPeers() {
+		for _, p := range c.byID {
 			to := *m
 			to.Session = p.theirSession
 			c.send(p.id, cornelwall.Message{Taken: &to})
 		}
 		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
 	case phaseLost:
-		l.phase = phaseReady
+		l.phase, c.changed = phaseReady, true
 		c.log("endpoint-back", "endpoint", l.ep.ID)
 	}
 }
 
 // checkLeases looks again where it is time, and ends what has lapsed.
 func (c *Core) checkLeases() {
-	for _, ep := range c.sortedEndpoints() {
-		if ep.lease != nil {
-			c.keepLease(ep.lease)
-		}
+	for _, ep := range c.held() {
+		c.keepLease(ep.lease)
 		if ep.lease != nil {
 			c.checkLapse(ep.lease)
 		}
@@ -340,10 +348,10 @@
 	if l.phase == phaseReady && len(l.strangers) > 0 && l.looks == 0 && since >= lookAgain {
 		c.look(l, 0)
 	}
-	for _, r := range l.sortedRuns() {
-		if r.state == runStopping && c.now.Sub(r.stopSent) >= stopRepeat && !r.stopped {
-			c.sendStop(r)
-		}
+	for _, r := range runsThat(l.runs, func(r *run) bool {
+		return r.state == runStopping && c.now.Sub(r.stopSent) >= stopRepeat && !r.stopped
+	}) {
+		c.sendStop(r)
 	}
 }
 
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -106,6 +106,7 @@
 	l := r.at
 	l.remove(r)
 	delete(c.runs, r.id)
+	c.changed = true
 	took := c.now.Sub(r.startAt)
 	l.ep.fit.ended(c.now, how, took, r.Estimate)
 	over := cornelwall.OverRun{RunID: r.id, How: how, Endpoint: l.ep.ID, Took: took}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -89,9 +88,19 @@
 	return false
 }
 
-// sortedPeers returns the peers in a stable order.
-func (c *Core) sortedPeers() []*peer {
-	return slices.SortedFunc(maps.Values(c.peers), func(p, q *peer) int { return p.id.Compare(q.id) })
+func comparePeer(p *peer, id cornelwall.Incarnation) int { return p.id.Compare(id) }
+
+func (c *Core) addPeer(p *peer) {
+	c.peers[p.id] = p
+	i, _ := slices.BinarySearchFunc(c.byID, p.id, comparePeer)
+	c.byID = slices.Insert(c.byID, i, p)
+}
+
+func (c *Core) dropPeer(p *peer) {
+	delete(c.peers, p.id)
+	if i, ok := slices.BinarySearchFunc(c.byID, p.id, comparePeer); ok {
+		c.byID = slices.Delete(c.byID, i, i+1)
+	}
 }
 
 // know returns the peer, new if need be, or nil if a later life of its entry is known.
@@ -113,7 +122,7 @@
 		c.died(p, "restarted")
 	}
 	p := &peer{id: m.ID, addr: m.Addr, session: uint64(c.now.UnixMilli())}
-	c.peers[m.ID] = p
+	c.addPeer(p)
 	c.log("peer-found", "peer", p.id, "addr", p.addr)
 	return p
 }
@@ -292,7 +301,7 @@
 
 // checkPeers finds peers that fell silent.
 func (c *Core) checkPeers() {
-	for _, p := range c.sortedPeers() {
+	for _, p := range slices.Clone(c.byID) {
 		if p.open && c.now.Sub(p.proven) > proofLife {
 			c.log("peer-unproven", "peer", p.id, "age", c.now.Sub(p.proven), "heard", c.now.Sub(p.heard))
 			c.closeSession(p)
@@ -307,7 +316,7 @@
 			c.holderGone(p)
 		}
 		if !p.listed && c.now.Sub(p.heard) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
-			delete(c.peers, p.id)
+			c.dropPeer(p)
 			continue
 		}
 		if len(p.resend) > 0 && !p.dead {
@@ -322,54 +331,54 @@
 
 // tellRunning tells an owner of all its runs here.
 func (c *Core) tellRunning(owner cornelwall.Incarnation) {
-	for _, r := range c.sortedRuns() {
-		if r.owner == owner && r.state == runRunning {
-			c.runBegan(r)
-		}
+	for _, r := range runsThat(c.runs, func(r *run) bool { return r.owner == owner && r.state == runRunning }) {
+		c.runBegan(r)
 	}
 }
 
 // stopUnproven stops the runs of owners that have not proved for long that they hear this
 // entry: they may have given them up.
 func (c *Core) stopUnproven() {
-	for _, r := range c.sortedRuns() {
-		if r.owner == c.cfg.Self || r.state == runStopping {
-			continue
-		}
-		last := r.came
-		if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(last) {
-			last = p.proven
-		}
-		if c.now.Sub(last) > proofLife {
-			c.log("owner-unproven", "task", r.id.Task, "run", r.id.Run, "owner", r.owner, "age", c.now.Sub(last))
-			c.withdrawRun(r, false)
-		}
+	for _, r := range runsThat(c.runs, func(r *run) bool {
+		return r.owner != c.cfg.Self && r.state != runStopping && c.now.Sub(c.lastProof(r)) > proofLife
+	}) {
+		c.log("owner-unproven", "task", r.id.Task, "run", r.id.Run, "owner", r.owner, "age", c.now.Sub(c.lastProof(r)))
+		c.withdrawRun(r, false)
+	}
+}
+
+// lastProof returns when the owner of a run last proved that it hears this entry. The
+// order to run it is such a proof.
+func (c *Core) lastProof(r *run) time.Time {
+	if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(r.came) {
+		return p.proven
 	}
+	return r.came
 }
 
 // closeSession stops all that runs for an owner. What it sent before starts nothing more.
 func (c *Core) closeSession(p *peer) {
 	p.open = false
 	p.session++
-	for _, r := range c.sortedRuns() {
-		if r.owner == p.id {
-			c.withdrawRun(r, false)
-		}
+	for _, r := range runsThat(c.runs, func(r *run) bool { return r.owner == p.id }) {
+		c.withdrawRun(r, false)
 	}
 }
 
 // pulse sends the pulses that are due.
 func (c *Core) pulse() {
 	every := max(pulseEvery, time.Duration(len(c.peers))*pulsePerPeer)
-	for _, p := range c.sortedPeers() {
+	var due []*peer
+	for _, p := range c.byID {
 		wait := every
 		if p.dead || !p.heard.IsZero() && c.now.Sub(p.heard) > awayAfter {
 			wait = seedEvery
 		}
 		if c.now.Sub(p.pulsed) >= wait {
-			c.pulseTo(p)
+			due = append(due, p)
 		}
 	}
+	c.pulseTo(due...)
 	if c.platform || c.hearsAnyone() {
 		return
 	}
@@ -385,19 +394,26 @@
 	}
 }
 
-func (c *Core) pulseTo(p *peer) {
-	if p.number == 0 {
-		p.number = uint64(c.now.UnixMilli()) // above that of any pulse to the address as a seed
+// pulseTo sends a pulse to each of the peers.
+func (c *Core) pulseTo(peers ...*peer) {
+	if len(peers) == 0 {
+		return
 	}
-	p.number++
-	p.sent[p.number%pulsesKept] = c.now
-	p.pulsed = c.now
-	m := c.ownPulse()
-	m.Number, m.Seen, m.Session = p.number, p.seen, p.session
-	if p.ask {
-		m.Members = c.members()
+	own := c.ownPulse()
+	for _, p := range peers {
+		if p.number == 0 {
+			p.number = uint64(c.now.UnixMilli()) // above that of any pulse to the address as a seed
+		}
+		p.number++
+		p.sent[p.number%pulsesKept] = c.now
+		p.pulsed = c.now
+		m := own
+		m.Number, m.Seen, m.Session = p.number, p.seen, p.session
+		if p.ask {
+			m.Members = c.members()
+		}
+		c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: &m}})
 	}
-	c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: &m}})
 }
 
 // ownPulse returns what pulses say alike to all peers.
@@ -406,7 +422,7 @@
 		Addr: c.cfg.Addr, Leaving: c.leaving(), Version: c.declared.Version, Fence: c.fence,
 		Room: c.vacancy(), Ask: !c.platform, Waiting: c.waitingByQueue(),
 	}
-	for _, ep := range c.sortedEndpoints() {
+	for _, ep := range c.byName {
 		if ep.lease != nil {
 			m.Holds = append(m.Holds, ep.ID)
 		}
@@ -419,7 +435,7 @@
 
 func (c *Core) members() []cornelwall.Member {
 	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr}}
-	for _, p := range c.sortedPeers() {
+	for _, p := range c.byID {
 		if c.alive(p) {
 			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr})
 		}
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -24,10 +24,8 @@
 	c.emit(cornelwall.Withdrawn{})
 	c.checkReady()
 	c.returnWaiting()
-	for _, p := range c.sortedPeers() {
-		c.pulseTo(p)
-	}
-	for _, ep := range c.sortedHeld() {
+	c.pulseTo(c.byID...)
+	for _, ep := range c.held() {
 		c.handOn(ep)
 	}
 }
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -85,6 +85,7 @@
 		}
 		c.runs[r.id] = r
 		c.waiting = append(c.waiting, r)
+		c.changed = true
 	}
 }
 
@@ -164,6 +165,7 @@
 	for _, id := range m.Runs {
 		if r := c.runs[id]; r != nil {
 			r.rest = min(r.rest, m.Rest)
+			c.changed = true
 		}
 	}
 }
@@ -196,11 +198,12 @@
 
 // startWaiting starts what fits on the endpoints that this entry holds.
 func (c *Core) startWaiting() {
-	if len(c.waiting) == 0 || c.waking() {
+	if len(c.waiting) == 0 || !c.changed || c.waking() {
 		return
 	}
+	c.changed = false
 	c.sortWaiting()
-	held := c.sortedHeld()
+	held := c.held()
 	rest := c.waiting[:0]
 	for _, r := range c.waiting {
 		if l := c.choose(r, held); l != nil {
@@ -266,24 +269,13 @@
 		!l.stuck(c.now) && l.ep.fit.usable(c.now, len(l.runs))
 }
 
-func (c *Core) sortedHeld() []*endpoint {
-	var list []*endpoint
-	for _, ep := range c.endpoints {
-		if ep.lease != nil {
-			list = append(list, ep)
-		}
-	}
-	slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	return list
-}
-
 // vacancy returns what this entry has free.
 func (c *Core) vacancy() cornelwall.Vacancy {
 	var v cornelwall.Vacancy
 	if c.leaving() {
 		return v
 	}
-	for _, ep := range c.sortedHeld() {
+	for _, ep := range c.held() {
 		if !c.usable(ep.lease) || ep.lease.pace(c.now) >= slowPace {
 			continue
 		}
