Give up at once what cannot end in time, and finish what has begun

And batches that had begun stood no higher in the queue than new ones until a task had ended, so that places went to ever new batches.

Change: a batch of which a task can no longer begin in time is given up at once, and what runs of it is stopped. The rest of a batch, by which the queue is ordered, counts tasks that have not begun, no longer those that are not done. On time is a batch whose last waiting task here is on time.

--- /dev/null
+++ b/core/dispatch/fuzz/load_test.go
@@ -0,0 +1,102 @@
+package fuzz
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+const (
+	taskTime  = 150 * time.Millisecond
+	loadTime  = 15 * time.Second
+	objective = 300 * time.Millisecond // of one step of taskTime: 1.6 times as long and 60 ms
+	maxTasks  = 6
+	patience  = 3 * time.Second // of the callers of a load
+)
+
+// load is what the callers of a load got.
+type load struct {
+	asked, inAim, late, unserved int
+	longest                      time.Duration // until a caller was told that it is not served
+	runs, used                   int           // of tasks in all, and for callers that were served
+	large, largeServed           int           // batches of the greatest size
+}
+
+func (l load) served() float64 { return float64(l.inAim+l.late) / float64(l.asked) }
+
+// playLoad sends batches at an even pace, so much work as share of what the endpoints can do.
+func playLoad(seed uint64, share float64) load {
+	r := newRig(seed, tamper{})
+	r.exact = true
+	r.w.Advance(2 * time.Second)
+	const places = 2 * endpointCount // tasks of 6.8 cores at once
+	var clients []*client
+	work, due := 0.0, float64(places)*share/taskTime.Seconds()/1000 // tasks a millisecond
+	for range loadTime / time.Millisecond {
+		for work += due; work >= 1; {
+			n := 1 + r.rng.IntN(maxTasks)
+			c := r.submitSized(n, patience)
+			c.once = true
+			clients = append(clients, c)
+			work -= float64(n)
+		}
+		r.w.Advance(time.Millisecond)
+	}
+	r.w.Advance(2 * patience)
+	var l load
+	for _, c := range clients {
+		took := c.endAt.Sub(c.sentAt)
+		l.asked++
+		n := c.batch.Steps[0].Count
+		if n == maxTasks {
+			l.large++
+		}
+		if c.end == cornelwall.BatchDone && took <= 3*objective {
+			l.used += n
+			if n == maxTasks {
+				l.largeServed++
+			}
+		}
+		switch {
+		case c.end == cornelwall.BatchDone && took <= objective:
+			l.inAim++
+		case c.end == cornelwall.BatchDone && took <= 3*objective:
+			l.late++
+		default:
+			l.unserved++
+			l.longest = max(l.longest, took)
+		}
+	}
+	l.runs = r.runs
+	return l
+}
+
+// TestLoad plays loads below and above what the endpoints can do and checks what callers
+// get. Below, nearly all are in time. Above, there is work for one caller in share: half as
+// many are to be in time and seven tenths to be served at all, two thirds of the work is to
+// be of use, large batches are not left out, and who is not served hears so by the time
+// after which an answer would be of little use.
+func TestLoad(t *testing.T) {
+	for _, share := range []float64{0.5, 0.8, 1.3, 2} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			t.Parallel()
+			l := playLoad(1, share)
+			t.Logf("%+v", l)
+			inAim, served := 0.9, 0.99
+			if share > 1 {
+				inAim, served = 0.5/share, 0.7/share
+			}
+			assert.Assert(t, float64(l.inAim) >= inAim*float64(l.asked), "in time: %+v", l)
+			assert.Assert(t, l.served() >= served, "served: %+v", l)
+			assert.Assert(t, 3*l.used >= 2*l.runs, "work of use: %+v", l)
+			assert.Assert(t, float64(l.largeServed) >= l.served()/2*float64(l.large), "large batches: %+v", l)
+			assert.Assert(t, l.longest <= 3*objective+tickSlack, "told late: %+v", l)
+		})
+	}
+}
+
+const tickSlack = 100 * time.Millisecond // of ticks and a withdrawal
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -74,6 +74,9 @@
 	tries    int
 	starts   int
 	done     map[string]bool
+	patience time.Duration
+	once     bool      // it does not send its batch again
+	sentAt   time.Time // first
 	answered bool
 	end      cornelwall.BatchEnd
 	endAt    time.Time // when it was answered
@@ -88,6 +91,7 @@
 	clients   map[string]*client
 	version   uint64
 	platform  bool
+	exact     bool // tasks take as long as they say
 
 	cuts     map[[2]string]bool // one way, by name of entry or endpoint
 	lateFrom map[string]float64 // share of the orders to an endpoint that are carried out late
@@ -310,6 +314,9 @@
 
 func (r *rig) work(ep *leased.Endpoint, _ cornelwall.RunID) leased.Work {
 	took := float64(30+r.rng.IntN(300)) * float64(time.Millisecond)
+	if r.exact {
+		took = float64(taskTime)
+	}
 	if x := r.slow[ep.ID]; x > 0 {
 		took *= x
 	}
@@ -373,13 +380,19 @@
 
 // submit sends a new batch.
 func (r *rig) submit() {
+	r.submitSized(1+r.rng.IntN(6), time.Duration(1500+r.rng.IntN(2000))*time.Millisecond)
+}
+
+// submitSized sends a new batch of so many tasks for a client that waits so long.
+func (r *rig) submitSized(tasks int, patience time.Duration) *client {
 	r.nextID++
-	c := &client{id: fmt.Sprintf("%016x", r.nextID), done: map[string]bool{}}
+	c := &client{id: fmt.Sprintf("%016x", r.nextID), done: map[string]bool{}, patience: patience, sentAt: r.w.Now}
 	c.batch = &cornelwall.BatchJob{ID: c.id, Steps: []cornelwall.Step{{
-		Count: 1 + r.rng.IntN(6), Need: cornelwall.Share{Cores: 6800}, Estimate: 150 * time.Millisecond,
+		Count: tasks, Need: cornelwall.Share{Cores: 6800}, Estimate: taskTime,
 	}}}
 	r.clients[c.id] = c
 	r.send(c)
+	return c
 }
 
 // send hands a batch to any entry that is up.
@@ -394,9 +407,8 @@
 	a := &attempt{client: c, entry: e, life: e.host, starts: c.starts}
 	e.reqs[r.nextReq] = a
 	req := r.nextReq
-	left := time.Duration(1500+r.rng.IntN(2000)) * time.Millisecond
-	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: prefix + c.id, Batch: c.batch, Left: left})
-	r.w.Do(left, func() { // the client's deadline
+	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: prefix + c.id, Batch: c.batch, Left: c.patience})
+	r.w.Do(c.patience, func() { // the client's deadline
 		if e.reqs[req] == a {
 			delete(e.reqs, req)
 			r.w.Post(a.life, cornelwall.Gone{Req: req})
@@ -406,7 +418,7 @@
 }
 
 func (r *rig) resend(c *client) {
-	if c.tries < 4 {
+	if c.tries < 4 && !c.once {
 		r.w.Do(resendAfter, func() { r.send(c) })
 	}
 }
@@ -435,8 +447,10 @@
 	r.answers[answer.End]++
 	switch answer.End {
 	case cornelwall.BatchGivenUp:
-		r.resend(c)
-		return
+		if !c.once {
+			r.resend(c)
+			return
+		}
 	case cornelwall.BatchRefused:
 		if c.starts != a.starts {
 			r.fail("batch %s is refused as not run, and %d of its tasks have begun", c.id, c.starts-a.starts)
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -179,6 +179,7 @@
 		t.state, t.endpoint, t.fence, t.since = taskBegun, m.Endpoint, m.Fence, c.now
 		t.holder, t.misses = from, 0
 		t.job.begun = true
+		c.boostWaiting(t.job)
 	}
 }
 
@@ -261,16 +262,18 @@
 	}
 }
 
-// rest returns the share of the job's tasks that are not done.
+// rest returns the share of the job's tasks that have not begun.
 func (j *job) rest() float64 {
 	left := 0
-	for _, n := range j.left {
-		left += n
+	for _, t := range j.tasks {
+		if t.state == taskIdle || t.state == taskAssigned {
+			left++
+		}
 	}
 	return float64(left) / float64(len(j.tasks))
 }
 
-// boostWaiting tells holders each time that half of what was left of a job is done.
+// boostWaiting tells holders each time that half of what was left of a job has begun.
 func (c *Core) boostWaiting(j *job) {
 	rest := j.rest()
 	if rest > boostShare*j.told {
@@ -298,7 +301,9 @@
 	return runs, order
 }
 
-func (j *job) done() bool { return j.rest() == 0 }
+func (j *job) done() bool {
+	return !slices.ContainsFunc(j.left, func(n int) bool { return n > 0 })
+}
 
 // finish answers the callers of a job and stops what still runs of it.
 func (c *Core) finish(j *job, a cornelwall.BatchAnswer) {
@@ -411,6 +416,8 @@
 			})
 		case left <= 0 && c.now.After(j.deadline):
 			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; nothing runs any longer"})
+		case j.begun && c.now.Add(j.leastWait()).After(j.usefulEnd()):
+			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; nothing runs any longer"})
 		case !j.begun && !j.closing && left <= withdrawTime:
 			j.closing = true
 			c.withdrawTasks(j, true)
@@ -433,6 +440,18 @@
 // leastTime returns the time that the job surely takes.
 func (j *job) leastTime() time.Duration { return time.Duration(leastWork * float64(j.chain)) }
 
+// leastWait returns the time that the tasks surely take which do not run yet, or a
+// negative one if all run that are left.
+func (j *job) leastWait() time.Duration {
+	least := -time.Hour
+	for _, t := range j.tasks {
+		if t.state == taskIdle || t.state == taskAssigned {
+			least = max(least, time.Duration(leastWork*float64(j.batch.Steps[t.step].Estimate)))
+		}
+	}
+	return least
+}
+
 // unassigned reports whether no holder has a task of the job.
 func (j *job) unassigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -36,7 +36,7 @@
 	service string
 	spec    string
 	class   int
-	rest    float64   // share of its batch that is not done
+	rest    float64   // share of its batch that has not begun
 	due     time.Time // by which its batch should have ended
 	last    time.Time // after which its answer is of little use
 	came    time.Time
@@ -170,9 +170,9 @@
 	}
 }
 
-// value returns what a unit of work on a run brings now: more for a queue of the first
-// class, for a batch that is mostly done and for one that can still be on time, and
-// nothing once its answer would be of little use.
+// value returns what a unit of work on a run brings that begins now: more for a queue of
+// the first class, for a batch of which little is left to begin and for one that can still
+// be on time, and nothing once its answer would be of little use.
 func (r *run) value(now time.Time) float64 {
 	v := 1 / ((1 + classStep*float64(r.class)) * max(r.rest, leastRest))
 	switch end := now.Add(r.Estimate); {
@@ -187,15 +187,32 @@
 // sortWaiting puts the waiting runs that bring most first, and among equals those that
 // are due first.
 func (c *Core) sortWaiting() {
-	values := make(map[*run]float64, len(c.waiting))
-	for _, r := range c.waiting {
-		values[r] = r.value(c.now)
-	}
+	values := c.waitingValues()
 	slices.SortFunc(c.waiting, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(values[b], values[a]), a.due.Compare(b.due), cmp.Compare(a.id.Task, b.id.Task))
 	})
 }
 
+// waitingValues returns the value of each waiting run. A batch is on time only if the last
+// of its tasks here is, so that a run counts as begun once its siblings have had their turn.
+func (c *Core) waitingValues() map[*run]float64 {
+	siblings := map[string]int{}
+	for _, r := range c.waiting {
+		siblings[stepOf(r.id.Task)]++
+	}
+	total := 0
+	for _, ep := range c.held() {
+		total += ep.Room.Cores
+	}
+	values := make(map[*run]float64, len(c.waiting))
+	for _, r := range c.waiting {
+		ahead := r.Need.Cores * (siblings[stepOf(r.id.Task)] - 1)
+		turn := time.Duration(float64(ahead) / float64(max(total, 1)) * float64(r.Estimate))
+		values[r] = r.value(c.now.Add(turn))
+	}
+	return values
+}
+
 // startWaiting starts what fits on the endpoints that this entry holds.
 func (c *Core) startWaiting() {
 	if len(c.waiting) == 0 || !c.changed || c.waking() {
--- a/gossip.go
+++ b/gossip.go
@@ -73,7 +73,7 @@
 	Due     time.Duration `json:"due"`   // to the time by which it should have ended; may be negative
 	Last    time.Duration `json:"last"`  // to the time after which its answer is of little use; may be negative
 	Class   int           `json:"class"` // priority of its queue
-	Rest    float64       `json:"rest"`  // share of the batch's work that is not done
+	Rest    float64       `json:"rest"`  // share of the batch's tasks that have not begun
 	Tasks   []AssignTask  `json:"tasks"`
 }
 
