Split the dispatcher's large files; send refusals of endpoints and cancels again

Cause of the rest: Decline and Revoke were not sent again when their envelope was lost. An offer without an answer stays open while the other entry lives, so that the endpoint was never offered again, not at a planned stop either; a lost Revoke left a batch running. Both are sent again. As a late Decline must not undo a later offer that was accepted, offers are numbered.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,9 +19,13 @@
 //	core := dispatch.New(dispatch.Config{Self: self, Addr: addr, Limits: limits}, now)
 //	commands := core.Step(now, event)
 //
-// The files: jobs.go and assign.go are the owner, waiting.go, lease.go and orders.go the
-// holder; holders.go decides who holds an endpoint, peers.go who is alive, and health.go
-// which endpoints are fit.
+// The files of the owner: jobs.go takes batches, assign.go chooses holders, tasks.go takes
+// word of runs and giveup.go answers. Those of the holder: waiting.go is its queue, lease.go
+// its hold on an endpoint, look.go compares what runs there, yield.go ends the hold and
+// orders.go starts and stops; holders.go decides who holds an endpoint and health.go which
+// endpoints are fit. Between entries: peers.go knows who is alive, pulses.go sends and takes
+// heartbeats, sessions.go stops what an owner has not proved to know and messages.go passes
+// on what comes.
 package dispatch
 
 import (
@@ -70,6 +74,7 @@
 	endpoints map[string]*endpoint
 	byName    []*endpoint // the same, in the order of their names
 	fence     uint64
+	offers    uint64 // of endpoints to other entries, counted
 
 	runs    map[cornelwall.RunID]*run // of tasks assigned to this entry
 	waiting []*run
--- /dev/null
+++ b/core/dispatch/giveup.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+// finish answers the callers of a job and stops what still runs of it.
+func (c *Core) finish(j *job, a cornelwall.BatchAnswer) {
+	delete(c.jobs, j.id)
+	c.withdrawTasks(j, false)
+	if a.End == cornelwall.BatchRefused || a.End == cornelwall.BatchGivenUp {
+		c.emit(cornelwall.Count{Reason: a.Reason, N: 1})
+	}
+	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.begun, "rest", j.rest(), "took", c.now.Sub(j.arrived), "late", c.now.Sub(j.due))
+	for _, req := range j.reqs {
+		delete(c.reqs, req)
+		c.emit(cornelwall.ReplyBatch{Req: req, Answer: a})
+	}
+}
+
+// withdrawTasks takes back the tasks of a job, or only those that have not begun.
+func (c *Core) withdrawTasks(j *job, waiting bool) {
+	byHolder, order := j.byHolder(func(t *task) bool { return t.state == taskAssigned || t.state == taskBegun })
+	for _, id := range order {
+		if !waiting {
+			for _, run := range byHolder[id] {
+				delete(c.tasks, run)
+			}
+		}
+		c.send(id, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: byHolder[id], Waiting: waiting}})
+	}
+}
+
+// callerGone takes note that a caller has left. A batch that nobody waits for is stopped,
+// since the caller may send it again elsewhere.
+func (c *Core) callerGone(req uint64) {
+	j := c.reqs[req]
+	if j == nil {
+		return
+	}
+	delete(c.reqs, req)
+	j.reqs = slices.DeleteFunc(j.reqs, func(r uint64) bool { return r == req })
+	if len(j.reqs) == 0 {
+		c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
+	}
+}
+
+// cancel gives up a batch at whichever entry owns it.
+func (c *Core) cancel(ev cornelwall.CancelBatch) {
+	a := cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled}
+	c.revoke(ev.ID)
+	for _, p := range c.byID {
+		c.send(p.id, cornelwall.Message{Revoke: &cornelwall.Revoke{ID: ev.ID}})
+	}
+	c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
+}
+
+func (c *Core) revoke(id string) {
+	if j := c.jobs[id]; j != nil {
+		c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
+	}
+}
+
+// checkJobs gives up what cannot be done any more, and assigns again what waits for it.
+func (c *Core) checkJobs() {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		limit := j.deadline
+		if !j.begun {
+			limit = j.usefulEnd().Add(-j.leastTime())
+		}
+		switch left := limit.Sub(c.now); {
+		case c.waking():
+		case !j.begun && j.unassigned() && (left <= 0 || j.closing):
+			c.finish(j, cornelwall.BatchAnswer{
+				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, Back: c.back(uint64(c.now.UnixMilli())),
+				Text: "the batch could not be done in time and has not run; come back later",
+			})
+		case left <= 0 && c.now.After(j.deadline):
+			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; nothing runs any longer"})
+		case j.begun && c.now.Add(j.leastWait()).After(j.usefulEnd()):
+			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; nothing runs any longer"})
+		case !j.begun && !j.closing && left <= withdrawTime:
+			j.closing = true
+			c.withdrawTasks(j, true)
+		default:
+			j.closing = j.closing && !j.begun // a task that had begun was not taken back
+			c.assignIdle(j)
+		}
+	}
+}
+
+// usefulEnd returns the time after which nobody waits for the job or its answer is of
+// little use.
+func (j *job) usefulEnd() time.Time {
+	if j.last.Before(j.deadline) {
+		return j.last
+	}
+	return j.deadline
+}
+
+// leastTime returns the time that the job surely takes.
+func (j *job) leastTime() time.Duration { return time.Duration(leastWork * float64(j.chain)) }
+
+// leastWait returns the time that the tasks surely take which do not run yet, or a
+// negative one if all run that are left.
+func (j *job) leastWait() time.Duration {
+	least := -time.Hour
+	for _, t := range j.tasks {
+		if t.state == taskIdle || t.state == taskAssigned {
+			least = max(least, time.Duration(leastWork*float64(j.batch.Steps[t.step].Estimate)))
+		}
+	}
+	return least
+}
+
+// unassigned reports whether no holder has a task of the job.
+func (j *job) unassigned() bool {
+	for _, t := range j.tasks {
+		if t.state != taskIdle {
+			return false
+		}
+	}
+	return true
+}
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -181,13 +181,14 @@
 	if p == nil || !c.answers(p) || p.number == 0 {
 		return false
 	}
-	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence}
+	c.offers++
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence, Offer: c.offers}
 	for _, r := range l.sortedRuns() {
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
 			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
 		})
 	}
-	l.phase, l.handTo, l.handAt, l.handAcked = phaseHanding, to, c.now, l.acked
+	l.phase, l.handTo, l.handAt, l.handAcked, l.offer = phaseHanding, to, c.now, l.acked, c.offers
 	c.log("endpoint-handed", "endpoint", ep.ID, "to", to, "fence", l.fence, "runs", len(m.Runs))
 	c.send(to, cornelwall.Message{Handover: m})
 	return true
@@ -202,7 +203,7 @@
 		return // sent again
 	}
 	if p := c.peers[from]; ep.lease != nil || c.leaving() || !p.open || p.session != m.Session {
-		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID}})
+		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
 	c.take(ep, m.Runs)
@@ -210,13 +211,13 @@
 }
 
 // declined goes on holding an endpoint that its next holder does not want.
-func (c *Core) declined(from cornelwall.Incarnation, id string) {
-	ep := c.endpoints[id]
-	if ep == nil || ep.lease == nil || ep.lease.handTo != from {
+func (c *Core) declined(from cornelwall.Incarnation, m *cornelwall.Decline) {
+	ep := c.endpoints[m.Endpoint]
+	if ep == nil || ep.lease == nil || ep.lease.handTo != from || ep.lease.offer != m.Offer {
 		return
 	}
 	l := ep.lease
-	c.log("handover-declined", "endpoint", id, "by", from)
+	c.log("handover-declined", "endpoint", ep.ID, "by", from)
 	l.handTo = cornelwall.Incarnation{}
 	if l.phase == phaseHanding {
 		l.phase = phaseReady
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -66,7 +66,8 @@
 	from      cornelwall.Incarnation // who handed it on; zero if it was taken
 	handTo    cornelwall.Incarnation // to whom it was offered, without an answer yet
 	handAt    time.Time
-	handAcked int64 // greatest number of the ends taken in before it was offered
+	offer     uint64 // number of the last offer
+	handAcked int64  // greatest number of the ends taken in before it was offered
 	yieldedAt time.Time
 }
 
@@ -156,62 +157,6 @@
 	return now.Sub(l.asked)
 }
 
-// look asks an endpoint what runs there, and extends the lease if it may.
-func (c *Core) look(l *lease, wait time.Duration) {
-	acked := l.acked
-	if l.phase == phaseHanding {
-		acked = l.handAcked // the next holder has to be told of the ends since
-	}
-	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: acked, Wait: wait}
-	if (l.phase == phaseReady || l.phase == phaseHanding) && len(l.runs) > 0 && !l.stuck(c.now) {
-		cmd.Until = l.extend(c.now)
-	}
-	l.looks++
-	l.lookedAt, l.ackSent = c.now, acked
-	if l.asked.IsZero() {
-		l.asked = c.now
-	}
-	c.emit(cmd)
-}
-
-// looked takes the answer to a look.
-func (c *Core) looked(ev cornelwall.Looked) {
-	l := c.leaseOf(ev.Endpoint, ev.Fence)
-	if l == nil {
-		return
-	}
-	l.looks--
-	switch ev.Refusal {
-	case cornelwall.RefusedNone:
-	case cornelwall.RefusedFence:
-		if ev.Fence == l.fence {
-			c.yield(l)
-		}
-		return
-	case cornelwall.RefusedBoot:
-		c.replaced(l)
-		return
-	default:
-		return // it is sent again in time
-	}
-	if ev.Boot < l.boot {
-		return // from before the endpoint started anew
-	}
-	if l.boot != 0 && l.boot != ev.Boot {
-		c.restarted(l, ev.Boot)
-	}
-	l.boot, l.answered, l.asked = ev.Boot, c.now, time.Time{}
-	c.setClock(l, ev.Clock)
-	for i := range ev.Ended {
-		c.listedEnd(l, &ev.Ended[i])
-	}
-	c.compare(l, &ev)
-	if ev.Fence == l.fence {
-		c.advance(l)
-	}
-	c.keepLease(l)
-}
-
 // leaseOf returns the lease under which an order with the fence was sent, if it holds.
 func (c *Core) leaseOf(id string, fence uint64) *lease {
 	ep := c.endpoints[id]
@@ -232,87 +177,6 @@
 	}
 }
 
-// listedEnd takes an end that an endpoint lists.
-func (c *Core) listedEnd(l *lease, e *cornelwall.RunEnded) {
-	if e.Number <= l.acked {
-		return
-	}
-	l.acked, l.endedAt = e.Number, c.now
-	if l.phase == phaseTaking {
-		l.ended = append(l.ended, cornelwall.OverRun{RunID: e.RunID, How: e.How, Endpoint: l.ep.ID})
-	}
-	if r := c.runs[e.RunID]; r != nil && r.at == l {
-		c.endRun(r, e.How)
-	}
-}
-
-// compare matches the list of what runs with what should.
-func (c *Core) compare(l *lease, ev *cornelwall.Looked) {
-	running := map[cornelwall.RunID]bool{}
-	for _, s := range ev.Running {
-		running[s.RunID] = true
-		r := l.runs[s.RunID]
-		if r == nil {
-			c.stopStranger(l, s.RunID)
-			continue
-		}
-		if r.state == runStarting {
-			c.runBegan(r)
-		}
-	}
-	for id := range l.strangers {
-		if !running[id] {
-			delete(l.strangers, id)
-		}
-	}
-	for _, r := range runsThat(l.runs, func(r *run) bool {
-		return !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent)
-	}) {
-		how := cornelwall.RunLapsed
-		if r.state == runStopping {
-			how = cornelwall.RunStopped
-		}
-		c.endRun(r, how)
-	}
-}
-
-// stopStranger stops a run that this entry knows nothing of.
-func (c *Core) stopStranger(l *lease, id cornelwall.RunID) {
-	if at, ok := l.strangers[id]; ok && c.now.Sub(at) < stopRepeat {
-		return
-	}
-	l.strangers[id] = c.now
-	c.log("stranger-stopped", "endpoint", l.ep.ID, "task", id.Task, "run", id.Run)
-	c.emit(cornelwall.StopRun{Endpoint: l.ep.Endpoint, Fence: l.fence, Run: id})
-}
-
-// advance ends the taking of an endpoint once only known runs are left, and the loss of
-// one that answers again.
-func (c *Core) advance(l *lease) {
-	switch l.phase {
-	case phaseTaking:
-		if len(l.strangers) > 0 {
-			return
-		}
-		l.phase, c.changed = phaseReady, true
-		m := &cornelwall.Taken{Endpoint: l.ep.ID, Fence: l.fence, Ended: l.ended}
-		l.ended = nil
-		for _, r := range l.sortedRuns() {
-			m.Kept = append(m.Kept, r.id)
-		}
-		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
-		for _, p := range c.byID {
-			to := *m
-			to.Session = p.theirSession
-			c.send(p.id, cornelwall.Message{Taken: &to})
-		}
-		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
-	case phaseLost:
-		l.phase, c.changed = phaseReady, true
-		c.log("endpoint-back", "endpoint", l.ep.ID)
-	}
-}
-
 // checkLeases looks again where it is time, and ends what has lapsed.
 func (c *Core) checkLeases() {
 	for _, ep := range c.held() {
@@ -397,98 +261,3 @@
 func (l *lease) lapsed(now time.Time, stop time.Duration) bool {
 	return len(l.runs) > 0 && !l.clockAt.IsZero() && l.clockLow(now) > l.until+stop+lapseSlack
 }
-
-// release gives an endpoint up on which nothing runs.
-func (c *Core) release(ep *endpoint) {
-	if ep.lease == nil {
-		return
-	}
-	c.log("endpoint-released", "endpoint", ep.ID, "fence", ep.lease.fence)
-	ep.lease, ep.free = nil, c.now
-}
-
-// restarted takes note that an endpoint has started anew under its name. What ran there
-// before is gone, but orders that were on their way may have reached the new boot: its
-// lists tell. It has seen no fence, so that it gets a new one, under which orders that
-// are still late are refused.
-func (c *Core) restarted(l *lease, boot int64) {
-	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
-	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
-	clear(l.strangers)
-	l.phase, l.fence = phaseTaking, c.nextFence()
-	c.look(l, 0)
-}
-
-// replaced takes note that another endpoint has the address of one: it is gone with all
-// that ran there.
-func (c *Core) replaced(l *lease) {
-	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
-	for _, r := range l.sortedRuns() {
-		c.endRun(r, cornelwall.RunLapsed)
-	}
-	l.ep.lostUntil = c.now.Add(lostTime)
-	c.release(l.ep)
-}
-
-// yield gives an endpoint up that another entry has taken. What runs there ends with the
-// lease, or once the new holder says so; if it was ever offered to an entry, that one may
-// have kept it, and its word decides.
-func (c *Core) yield(l *lease) {
-	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
-	l.phase, l.yieldedAt = phaseYielded, c.now
-	l.ep.lease, l.ep.free, l.ep.yielded = nil, c.now, c.now.Add(yieldTime)
-	if !l.handTo.IsZero() {
-		c.passOn(l, l.handTo, nil)
-		return
-	}
-	if len(l.runs) > 0 {
-		c.yielded = append(c.yielded, l)
-	}
-}
-
-func (c *Core) checkYielded() {
-	c.yielded = slices.DeleteFunc(c.yielded, func(l *lease) bool {
-		if !l.lapsed(c.now, c.cfg.Limits.StopTime) || c.now.Sub(l.yieldedAt) < yieldPatience {
-			return len(l.runs) == 0
-		}
-		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed)
-		}
-		return true
-	})
-}
-
-// endYielded ends what the new holder of an endpoint has not kept.
-func (c *Core) endYielded(from cornelwall.Incarnation, m *cornelwall.Taken) {
-	for _, l := range c.yielded {
-		if l.ep.ID == m.Endpoint && l.fence < m.Fence {
-			c.passOn(l, from, m)
-		}
-	}
-}
-
-// handedOver ends the lease on an endpoint that another entry has taken.
-func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
-	l := ep.lease
-	l.phase = phaseYielded
-	ep.lease = nil
-	c.passOn(l, from, m)
-}
-
-// passOn leaves the runs that another entry has kept to it and ends the others as the
-// endpoint lists them. Without its word, all may have been kept.
-func (c *Core) passOn(l *lease, to cornelwall.Incarnation, m *cornelwall.Taken) {
-	for _, r := range l.sortedRuns() {
-		if m != nil && !slices.Contains(m.Kept, r.id) {
-			c.endRun(r, m.End(r.id))
-			continue
-		}
-		withdrawn := r.state == runStopping
-		l.remove(r)
-		delete(c.runs, r.id)
-		c.passed[r.id] = passedRun{to: to, at: c.now}
-		if withdrawn {
-			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}})
-		}
-	}
-}
--- /dev/null
+++ b/core/dispatch/look.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+// look asks an endpoint what runs there, and extends the lease if it may.
+func (c *Core) look(l *lease, wait time.Duration) {
+	acked := l.acked
+	if l.phase == phaseHanding {
+		acked = l.handAcked // the next holder has to be told of the ends since
+	}
+	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: acked, Wait: wait}
+	if (l.phase == phaseReady || l.phase == phaseHanding) && len(l.runs) > 0 && !l.stuck(c.now) {
+		cmd.Until = l.extend(c.now)
+	}
+	l.looks++
+	l.lookedAt, l.ackSent = c.now, acked
+	if l.asked.IsZero() {
+		l.asked = c.now
+	}
+	c.emit(cmd)
+}
+
+// looked takes the answer to a look.
+func (c *Core) looked(ev cornelwall.Looked) {
+	l := c.leaseOf(ev.Endpoint, ev.Fence)
+	if l == nil {
+		return
+	}
+	l.looks--
+	switch ev.Refusal {
+	case cornelwall.RefusedNone:
+	case cornelwall.RefusedFence:
+		if ev.Fence == l.fence {
+			c.yield(l)
+		}
+		return
+	case cornelwall.RefusedBoot:
+		c.replaced(l)
+		return
+	default:
+		return // it is sent again in time
+	}
+	if ev.Boot < l.boot {
+		return // from before the endpoint started anew
+	}
+	if l.boot != 0 && l.boot != ev.Boot {
+		c.restarted(l, ev.Boot)
+	}
+	l.boot, l.answered, l.asked = ev.Boot, c.now, time.Time{}
+	c.setClock(l, ev.Clock)
+	for i := range ev.Ended {
+		c.listedEnd(l, &ev.Ended[i])
+	}
+	c.compare(l, &ev)
+	if ev.Fence == l.fence {
+		c.advance(l)
+	}
+	c.keepLease(l)
+}
+
+// listedEnd takes an end that an endpoint lists.
+func (c *Core) listedEnd(l *lease, e *cornelwall.RunEnded) {
+	if e.Number <= l.acked {
+		return
+	}
+	l.acked, l.endedAt = e.Number, c.now
+	if l.phase == phaseTaking {
+		l.ended = append(l.ended, cornelwall.OverRun{RunID: e.RunID, How: e.How, Endpoint: l.ep.ID})
+	}
+	if r := c.runs[e.RunID]; r != nil && r.at == l {
+		c.endRun(r, e.How)
+	}
+}
+
+// compare matches the list of what runs with what should.
+func (c *Core) compare(l *lease, ev *cornelwall.Looked) {
+	running := map[cornelwall.RunID]bool{}
+	for _, s := range ev.Running {
+		running[s.RunID] = true
+		r := l.runs[s.RunID]
+		if r == nil {
+			c.stopStranger(l, s.RunID)
+			continue
+		}
+		if r.state == runStarting {
+			c.runBegan(r)
+		}
+	}
+	for id := range l.strangers {
+		if !running[id] {
+			delete(l.strangers, id)
+		}
+	}
+	for _, r := range runsThat(l.runs, func(r *run) bool {
+		return !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent)
+	}) {
+		how := cornelwall.RunLapsed
+		if r.state == runStopping {
+			how = cornelwall.RunStopped
+		}
+		c.endRun(r, how)
+	}
+}
+
+// stopStranger stops a run that this entry knows nothing of.
+func (c *Core) stopStranger(l *lease, id cornelwall.RunID) {
+	if at, ok := l.strangers[id]; ok && c.now.Sub(at) < stopRepeat {
+		return
+	}
+	l.strangers[id] = c.now
+	c.log("stranger-stopped", "endpoint", l.ep.ID, "task", id.Task, "run", id.Run)
+	c.emit(cornelwall.StopRun{Endpoint: l.ep.Endpoint, Fence: l.fence, Run: id})
+}
+
+// advance ends the taking of an endpoint once only known runs are left, and the loss of
+// one that answers again.
+func (c *Core) advance(l *lease) {
+	switch l.phase {
+	case phaseTaking:
+		if len(l.strangers) > 0 {
+			return
+		}
+		l.phase, c.changed = phaseReady, true
+		m := &cornelwall.Taken{Endpoint: l.ep.ID, Fence: l.fence, Ended: l.ended}
+		l.ended = nil
+		for _, r := range l.sortedRuns() {
+			m.Kept = append(m.Kept, r.id)
+		}
+		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
+		for _, p := range c.byID {
+			to := *m
+			to.Session = p.theirSession
+			c.send(p.id, cornelwall.Message{Taken: &to})
+		}
+		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
+	case phaseLost:
+		l.phase, c.changed = phaseReady, true
+		c.log("endpoint-back", "endpoint", l.ep.ID)
+	}
+}
--- /dev/null
+++ b/core/dispatch/sessions.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+// tellRunning tells an owner of all its runs here.
+func (c *Core) tellRunning(owner cornelwall.Incarnation) {
+	for _, r := range runsThat(c.runs, func(r *run) bool { return r.owner == owner && r.state == runRunning }) {
+		c.runBegan(r)
+	}
+}
+
+// stopUnproven stops the runs of owners that have not proved for long that they hear this
+// entry: they may have given them up.
+func (c *Core) stopUnproven() {
+	for _, r := range runsThat(c.runs, func(r *run) bool {
+		return r.owner != c.cfg.Self && r.state != runStopping && c.now.Sub(c.lastProof(r)) > proofLife
+	}) {
+		c.log("owner-unproven", "task", r.id.Task, "run", r.id.Run, "owner", r.owner, "age", c.now.Sub(c.lastProof(r)))
+		c.withdrawRun(r, false)
+	}
+}
+
+// lastProof returns when the owner of a run last proved that it hears this entry. The
+// order to run it is such a proof.
+func (c *Core) lastProof(r *run) time.Time {
+	if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(r.came) {
+		return p.proven
+	}
+	return r.came
+}
+
+// closeSession stops all that runs for an owner. What it sent before starts nothing more.
+func (c *Core) closeSession(p *peer) {
+	p.open = false
+	p.session++
+	for _, r := range runsThat(c.runs, func(r *run) bool { return r.owner == p.id }) {
+		c.withdrawRun(r, false)
+	}
+}
--- /dev/null
+++ b/core/dispatch/undelivered_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestUndelivered sends again what another entry waits for. A task is withdrawn instead, as
+// it may have arrived. Room and pulses are old by then.
+func TestUndelivered(t *testing.T) {
+	run := cornelwall.RunID{Task: "a.0.0.0", Run: 1}
+	runs := []cornelwall.RunID{run}
+	for _, tc := range []struct {
+		name string
+		lost cornelwall.Message
+		want func(m *cornelwall.Message) bool // nil: nothing is sent again
+	}{
+		{"assign", cornelwall.Message{Assign: &cornelwall.Assign{Tasks: []cornelwall.AssignTask{{RunID: run}}}}, func(m *cornelwall.Message) bool { return m.Withdraw != nil }},
+		{"withdraw", cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: runs}}, func(m *cornelwall.Message) bool { return m.Withdraw != nil }},
+		{"over", cornelwall.Message{Over: &cornelwall.Over{}}, func(m *cornelwall.Message) bool { return m.Over != nil }},
+		{"began", cornelwall.Message{Began: &cornelwall.Began{Runs: runs}}, func(m *cornelwall.Message) bool { return m.Began != nil }},
+		{"taken", cornelwall.Message{Taken: &cornelwall.Taken{}}, func(m *cornelwall.Message) bool { return m.Taken != nil }},
+		{"handover", cornelwall.Message{Handover: &cornelwall.Handover{}}, func(m *cornelwall.Message) bool { return m.Handover != nil }},
+		{"decline", cornelwall.Message{Decline: &cornelwall.Decline{}}, func(m *cornelwall.Message) bool { return m.Decline != nil }},
+		{"revoke", cornelwall.Message{Revoke: &cornelwall.Revoke{}}, func(m *cornelwall.Message) bool { return m.Revoke != nil }},
+		{"room", cornelwall.Message{Room: &cornelwall.Vacancy{}}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+			self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+			other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+			addr := netip.MustParseAddrPort("10.0.0.1:7001")
+			c := New(Config{Self: self, Addr: addr}, now)
+			c.Step(now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{
+				{Pulse: &cornelwall.Pulse{Addr: addr, Number: 1}},
+			}}})
+			c.Step(now, cornelwall.Undelivered{Envelope: cornelwall.Envelope{From: self, To: other, Messages: []cornelwall.Message{tc.lost}}})
+			again := 0
+			for _, cmd := range c.Step(now.Add(tickEvery), cornelwall.Tick{}) {
+				s, ok := cmd.(cornelwall.Send)
+				if !ok || s.Message.Pulse != nil || s.Message.Room != nil && tc.want != nil { // room goes along
+					continue
+				}
+				again++
+				assert.Assert(t, tc.want != nil && tc.want(&s.Message), "%+v", s.Message)
+			}
+			assert.Equal(t, again, map[bool]int{true: 1}[tc.want != nil])
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/yield.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+// release gives an endpoint up on which nothing runs.
+func (c *Core) release(ep *endpoint) {
+	if ep.lease == nil {
+		return
+	}
+	c.log("endpoint-released", "endpoint", ep.ID, "fence", ep.lease.fence)
+	ep.lease, ep.free = nil, c.now
+}
+
+// restarted takes note that an endpoint has started anew under its name. What ran there
+// before is gone, but orders that were on their way may have reached the new boot: its
+// lists tell. It has seen no fence, so that it gets a new one, under which orders that
+// are still late are refused.
+func (c *Core) restarted(l *lease, boot int64) {
+	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
+	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
+	clear(l.strangers)
+	l.phase, l.fence = phaseTaking, c.nextFence()
+	c.look(l, 0)
+}
+
+// replaced takes note that another endpoint has the address of one: it is gone with all
+// that ran there.
+func (c *Core) replaced(l *lease) {
+	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
+	for _, r := range l.sortedRuns() {
+		c.endRun(r, cornelwall.RunLapsed)
+	}
+	l.ep.lostUntil = c.now.Add(lostTime)
+	c.release(l.ep)
+}
+
+// yield gives an endpoint up that another entry has taken. What runs there ends with the
+// lease, or once the new holder says so; if it was ever offered to an entry, that one may
+// have kept it, and its word decides.
+func (c *Core) yield(l *lease) {
+	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
+	l.phase, l.yieldedAt = phaseYielded, c.now
+	l.ep.lease, l.ep.free, l.ep.yielded = nil, c.now, c.now.Add(yieldTime)
+	if !l.handTo.IsZero() {
+		c.passOn(l, l.handTo, nil)
+		return
+	}
+	if len(l.runs) > 0 {
+		c.yielded = append(c.yielded, l)
+	}
+}
+
+func (c *Core) checkYielded() {
+	c.yielded = slices.DeleteFunc(c.yielded, func(l *lease) bool {
+		if !l.lapsed(c.now, c.cfg.Limits.StopTime) || c.now.Sub(l.yieldedAt) < yieldPatience {
+			return len(l.runs) == 0
+		}
+		for _, r := range l.sortedRuns() {
+			c.endRun(r, cornelwall.RunLapsed)
+		}
+		return true
+	})
+}
+
+// endYielded ends what the new holder of an endpoint has not kept.
+func (c *Core) endYielded(from cornelwall.Incarnation, m *cornelwall.Taken) {
+	for _, l := range c.yielded {
+		if l.ep.ID == m.Endpoint && l.fence < m.Fence {
+			c.passOn(l, from, m)
+		}
+	}
+}
+
+// handedOver ends the lease on an endpoint that another entry has taken.
+func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
+	l := ep.lease
+	l.phase = phaseYielded
+	ep.lease = nil
+	c.passOn(l, from, m)
+}
+
+// passOn leaves the runs that another entry has kept to it and ends the others as the
+// endpoint lists them. Without its word, all may have been kept.
+func (c *Core) passOn(l *lease, to cornelwall.Incarnation, m *cornelwall.Taken) {
+	for _, r := range l.sortedRuns() {
+		if m != nil && !slices.Contains(m.Kept, r.id) {
+			c.endRun(r, m.End(r.id))
+			continue
+		}
+		withdrawn := r.state == runStopping
+		l.remove(r)
+		delete(c.runs, r.id)
+		c.passed[r.id] = passedRun{to: to, at: c.now}
+		if withdrawn {
+			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}})
+		}
+	}
+}
--- a/gossip.go
+++ b/gossip.go
@@ -174,12 +174,14 @@
 	Session  uint64        `json:"session"` // as of an Assign
 	Endpoint Endpoint      `json:"endpoint"`
 	Fence    uint64        `json:"fence"`
+	Offer    uint64        `json:"offer"` // rises with each offer of the sender
 	Runs     []HandoverRun `json:"runs,omitempty"`
 }
 
 // Decline tells that the sender does not take over an endpoint.
 type Decline struct {
 	Endpoint string `json:"endpoint"`
+	Offer    uint64 `json:"offer"` // that is declined, as word of an earlier one may come late
 }
 
 // Known is the endpoints that the sender knows, for an entry that cannot read the
