--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"cornelwall"
+)
+
+// fleet is the size of a large installation.
+const (
+	fleetEntries   = 29
+	fleetEndpoints = 350
+)
+
+// newFleet returns the core of one of many entries, with what it knows of the others.
+func newFleet(b *testing.B) (c *Core, now time.Time, pulses []cornelwall.Event) {
+	now = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	id := func(i int) cornelwall.Incarnation {
+		return cornelwall.Incarnation{DataCentre: fmt.Sprint("dc", i%3), Entry: fmt.Sprintf("e%02d", i), Life: 1}
+	}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c = New(Config{Self: id(0), Addr: addr}, now)
+	var endpoints []cornelwall.Endpoint
+	for i := range fleetEndpoints {
+		endpoints = append(endpoints, cornelwall.Endpoint{ID: fmt.Sprintf("x%03d", i), Service: "s", Addr: addr, DataCentre: fmt.Sprint("dc", i%3), Room: cornelwall.Share{Cores: 16000}})
+	}
+	var members []cornelwall.Member
+	for i := range fleetEntries {
+		members = append(members, cornelwall.Member{ID: id(i), Addr: addr})
+	}
+	c.Step(now, cornelwall.Members{List: members})
+	c.Step(now, cornelwall.Endpoints{List: endpoints})
+	for i := 1; i < fleetEntries; i++ {
+		p := &cornelwall.Pulse{Addr: addr, Session: 1}
+		for k := i; k < fleetEndpoints; k += fleetEntries {
+			p.Holds = append(p.Holds, endpoints[k].ID)
+			p.Room.Free = append(p.Room.Free, cornelwall.Share{Cores: 9200})
+			p.Room.Total += 16000
+		}
+		pulses = append(pulses, cornelwall.Receive{Envelope: cornelwall.Envelope{From: id(i), To: id(0), Messages: []cornelwall.Message{{Pulse: p}}}})
+	}
+	return c, now, pulses
+}
+
+// BenchmarkSecond is one second of an idle entry: ticks, and the pulses of all others.
+func BenchmarkSecond(b *testing.B) {
+	c, now, pulses := newFleet(b)
+	number := uint64(0)
+	for b.Loop() {
+		for ms := range 1000 {
+			now = now.Add(time.Millisecond)
+			if ms%4 == 0 {
+				ev := pulses[ms/4%len(pulses)].(cornelwall.Receive)
+				number++
+				ev.Envelope.Messages[0].Pulse.Number = number
+				c.Step(now, ev)
+			} else if !now.Before(c.Next()) {
+				c.Step(now, cornelwall.Tick{})
+			}
+		}
+	}
+}
