--- a/command.go
+++ b/command.go
@@ -8,6 +8,12 @@
 // Command is something that the host does for the core.
 type Command interface{ isCommand() }
 
+// Replier is a command that ends a request.
+type Replier interface {
+	Command
+	Request() uint64
+}
+
 // Start is one start of one task.
 type Start struct {
 	Attempt uint64
@@ -114,3 +120,18 @@
 func (Count) isCommand()        {}
 func (Log) isCommand()          {}
 func (Stopped) isCommand()      {}
+
+// Request returns the request that is ended.
+func (r Reply) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyTickets) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyForce) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyCatalog) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyStatus) Request() uint64 { return r.Req }
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -169,22 +169,8 @@
 
 func (l *Loop) act(cmd cornelwall.Command) {
 	switch cmd := cmd.(type) {
-	case cornelwall.Reply:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyTickets:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyForce:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyCatalog:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyStatus:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyBatch:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyState:
-		l.answer(cmd.Req, cmd)
-	case cornelwall.ReplyWaiting:
-		l.answer(cmd.Req, cmd)
+	case cornelwall.Replier:
+		l.answer(cmd.Request(), cmd)
 	case cornelwall.Send:
 		l.peers.Act(cmd)
 	case cornelwall.Run, cornelwall.Abandon, cornelwall.Poll, cornelwall.Look, cornelwall.StartRun, cornelwall.StopRun:
--- a/leased.go
+++ b/leased.go
@@ -126,3 +126,12 @@
 func (StopRun) isCommand()      {}
 func (SetReady) isCommand()     {}
 func (Withdrawn) isCommand()    {}
+
+// Request returns the request that is ended.
+func (r ReplyBatch) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyState) Request() uint64 { return r.Req }
+
+// Request returns the request that is ended.
+func (r ReplyWaiting) Request() uint64 { return r.Req }
