--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -17,7 +17,7 @@
 
 const (
 	nearCost    = 1.0   // ms, of a holder in the same data centre
-	farCost     = 10.0  // ms, of one in another, where a cut between the two takes the task with it
+	farCost     = 4.0   // ms, of one in another
 	spreadCost  = 8.0   // ms, by the number of places that are free
 	releaseTime = 150.0 // ms, after which a place that is taken becomes free
 	missCost    = 40.0  // ms, of each time that a holder did not start a task of late
