--- a/batch.go
+++ b/batch.go
@@ -138,7 +138,7 @@
 	BatchRefused
 	// BatchUnknown means that there is no such queue.
 	BatchUnknown
-	// BatchGivenUp means that some tasks may have run and nothing runs any longer.
+	// BatchGivenUp means that some tasks may have run, and that what still runs is stopped.
 	BatchGivenUp
 	// BatchCancelled means that a caller has cancelled it.
 	BatchCancelled
--- a/core/dispatch/giveup.go
+++ b/core/dispatch/giveup.go
@@ -84,9 +84,9 @@
 				Text: "the batch could not be done in time and has not run; come back later",
 			})
 		case left <= 0 && c.now.After(j.deadline):
-			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; nothing runs any longer"})
+			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; what still runs is stopped"})
 		case j.begun && c.now.Add(j.leastWait()).After(j.usefulEnd()):
-			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; nothing runs any longer"})
+			c.finish(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; what still runs is stopped"})
 		case !j.begun && !j.closing && left <= withdrawTime:
 			j.closing = true
 			c.withdrawTasks(j, true)
