--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -79,7 +79,7 @@
 	})
 }
 
-const maxMutantHistories = 1000
+const maxMutantHistories = 100
 
 // TestMutants breaks one rule at a time. Each break must be told.
 func TestMutants(t *testing.T) {
