--- /dev/null
+++ b/core/dispatch/handover_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestHandoverLeavesEnds checks that an end that comes after an endpoint was offered is not
+// acknowledged before the offer is settled: the next holder has to be told of it. The owner
+// would else take a run that is done as lost.
+func TestHandoverLeavesEnds(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	next := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e2", Life: 1}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: self, Addr: addr, Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second}}, now)
+	var offer *cornelwall.Handover
+	var acked []int64
+	step := func(ev cornelwall.Event) {
+		for _, cmd := range c.Step(now, ev) {
+			switch cmd := cmd.(type) {
+			case cornelwall.Look:
+				acked = append(acked, cmd.Acked)
+			case cornelwall.Send:
+				if cmd.Message.Handover != nil {
+					offer = cmd.Message.Handover
+				}
+			}
+		}
+	}
+	receive := func(m cornelwall.Message) {
+		step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: next, To: self, Messages: []cornelwall.Message{m}}})
+	}
+
+	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
+	c.take(ep, nil)
+	l := ep.lease
+	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second})
+	assert.Equal(t, l.phase, phaseReady)
+	var ids []cornelwall.RunID
+	for _, name := range []string{"a.0.0.0", "a.0.0.1"} {
+		r := &run{id: cornelwall.RunID{Task: name, Run: 1}, owner: self, state: runRunning, came: now, startAt: now}
+		ids = append(ids, r.id)
+		c.runs[r.id] = r
+		l.add(r)
+	}
+	now = now.Add(tickEvery) // a look waits for an end
+	receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 1, Session: 7}})
+	step(cornelwall.Stop{})
+	assert.Assert(t, offer != nil && len(offer.Runs) == 2, "the endpoint is offered with its runs")
+
+	acked = nil
+	step(cornelwall.Looked{
+		Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second,
+		Running: []cornelwall.RunState{{RunID: ids[1]}},
+		Ended:   []cornelwall.RunEnded{{Number: 1, RunID: ids[0], How: cornelwall.RunDone}},
+	})
+	assert.DeepEqual(t, acked, []int64{0})
+
+	acked = nil
+	now = now.Add(tickEvery)
+	receive(cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: "x1", Offer: offer.Offer - 1}})
+	assert.Equal(t, l.phase, phaseHanding, "a late word of an earlier offer")
+	receive(cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: "x1", Offer: offer.Offer}})
+	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second, Running: []cornelwall.RunState{{RunID: ids[1]}}})
+	assert.DeepEqual(t, acked, []int64{1})
+}
