A withdrawal that is passed on is never answered as unstarted by an entry that knows nothing of it

That one never took the endpoint. When the owner withdrew a run the order was passed on to it, it knew nothing of the run and said that it had not started; the owner told its caller so. The run had been started 5 ms after its order timed out. Ruled out: lost word of the start (the holder was the owner), withdrawal by missing proof. The order now says that the run has started, and what is withdrawn is not kept by a late offer.

--- /dev/null
+++ b/core/dispatch/forwarded_test.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestForwardedWithdrawal offers an endpoint with a run to an entry that never takes it, and
+// lets the lease lapse. The owner then withdraws the run. Neither the holder nor the entry
+// that was offered it may say that the run has not started.
+func TestForwardedWithdrawal(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	owner := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e0", Life: 1}
+	holder := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	next := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	limits := Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second}
+	from := func(id cornelwall.Incarnation, m cornelwall.Message) cornelwall.Event {
+		return cornelwall.Receive{Envelope: cornelwall.Envelope{From: id, Messages: []cornelwall.Message{m}}}
+	}
+	pulse := func(n uint64) cornelwall.Message {
+		return cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: n, Session: 7}}
+	}
+
+	c := New(Config{Self: holder, Addr: addr, Limits: limits}, now)
+	c.Step(now, from(owner, pulse(1)))
+	c.Step(now, from(next, pulse(1)))
+	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
+	c.take(ep, nil)
+	l := ep.lease
+	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second})
+	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: owner, state: runStarting, came: now, startAt: now}
+	c.runs[r.id] = r
+	l.add(r)
+	c.Step(now, cornelwall.Stop{})
+	assert.Equal(t, l.handTo, next, "the endpoint is offered")
+
+	for end := now.Add(3 * time.Second); now.Before(end); {
+		now = now.Add(tickEvery)
+		c.Step(now, cornelwall.Tick{})
+	}
+	assert.Assert(t, c.runs[r.id] == nil, "the lease has lapsed")
+	var forwarded *cornelwall.Withdraw
+	for _, cmd := range c.Step(now, from(owner, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}})) {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.Withdraw != nil {
+			forwarded = s.Message.Withdraw
+		}
+	}
+	assert.Assert(t, forwarded != nil, "the entry that was offered the endpoint is asked")
+
+	c = New(Config{Self: next, Addr: addr, Limits: limits}, now)
+	c.Step(now, from(holder, pulse(1)))
+	for _, cmd := range c.Step(now, from(holder, cornelwall.Message{Withdraw: forwarded})) {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.Over != nil {
+			for _, o := range s.Message.Over.Runs {
+				assert.Assert(t, o.How != cornelwall.RunUnstarted, "it cannot know that the run has not started")
+			}
+		}
+	}
+	// A late offer must not keep the run that was withdrawn.
+	kept := c.keepable([]cornelwall.HandoverRun{{RunID: r.id, Owner: owner}})
+	assert.Equal(t, len(kept), 0)
+}
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -206,7 +206,7 @@
 		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
-	c.take(ep, m.Runs)
+	c.take(ep, c.keepable(m.Runs))
 	ep.lease.from = from
 }
 
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -71,6 +71,14 @@
 	yieldedAt time.Time
 }
 
+// keepable returns the runs that their owners have not withdrawn.
+func (c *Core) keepable(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
+	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
+		_, withdrawn := c.stops[h.RunID]
+		return withdrawn
+	})
+}
+
 // take begins to hold an endpoint. The runs given may go on; all others are stopped
 // before the lease is extended.
 func (c *Core) take(ep *endpoint, runs []cornelwall.HandoverRun) {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		if passed, ok := c.passed[id]; ok {
-			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting}})
+			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting, Started: true}})
 			continue
 		}
 		if e, ok := c.ended[id]; ok {
@@ -118,7 +118,9 @@
 			continue
 		}
 		c.stops[id] = c.now
-		c.tellOver(from, cornelwall.OverRun{RunID: id, How: cornelwall.RunUnstarted})
+		if !m.Started {
+			c.tellOver(from, cornelwall.OverRun{RunID: id, How: cornelwall.RunUnstarted})
+		}
 	}
 }
 
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -97,7 +97,7 @@
 		delete(c.runs, r.id)
 		c.passed[r.id] = passedRun{to: to, at: c.now}
 		if withdrawn {
-			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}})
+			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}, Started: true}})
 		}
 	}
 }
--- a/gossip.go
+++ b/gossip.go
@@ -115,6 +115,9 @@
 type Withdraw struct {
 	Runs    []RunID `json:"runs"`
 	Waiting bool    `json:"waiting,omitempty"` // only those that have not started
+	// Started says that the runs went on with an endpoint that was offered to the receiver.
+	// What it knows nothing of may have started all the same, and gets no answer.
+	Started bool `json:"started,omitempty"`
 }
 
 // Over tells the owner of tasks how their runs ended.
