--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -109,13 +109,13 @@
 	d := &dispatcher{settings: s, log: log.WithValues("entry", self)}
 	d.kernel = kernel.New(d.log)
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: s.Peers, Seeds: s.Seeds,
+		Self: self, Addr: s.Peers, Seeds: s.Seeds, Weight: s.Weight,
 		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopTime: s.StopTime, Grace: s.Grace},
 	}, clock.Now())
 	d.loop = control.New(core, clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Token: secret, Timeout: peerTimeout}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
-	service := platform.New(s.Store, cornelwall.Member{ID: self, Addr: s.Peers}, d.loop, d.log)
+	service := platform.New(s.Store, cornelwall.Member{ID: self, Addr: s.Peers, Weight: s.Weight}, d.loop, d.log)
 	d.loop.Connect(peers, executors, service)
 	d.kernel.Add(cornelwall.ServiceControl, d.loop)
 	d.kernel.Add(cornelwall.ServicePeers, peers)
--- a/command.go
+++ b/command.go
@@ -71,10 +71,14 @@
 	Poll struct{ VM VM }
 	// Send hands a message to a peer. To.Life is 0 if it is not known yet; only a
 	// Beat or an Ask may be sent so.
+	//
+	// Messages to one peer arrive in order, but for those that go apart, which nothing
+	// else holds up.
 	Send struct {
 		To      Incarnation
 		Addr    netip.AddrPort
 		Message Message
+		Apart   bool
 	}
 	// StoreGet reads a key of the platform's service.
 	StoreGet struct {
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -175,7 +175,7 @@
 		l.peers.Act(cmd)
 	case cornelwall.Run, cornelwall.Abandon, cornelwall.Poll, cornelwall.Look, cornelwall.StartRun, cornelwall.StopRun:
 		l.endpoints.Act(cmd)
-	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch, cornelwall.SetReady, cornelwall.Withdrawn:
+	case cornelwall.StoreGet, cornelwall.StoreSwap, cornelwall.Watch, cornelwall.ReadEndpoints, cornelwall.SetReady, cornelwall.Withdrawn:
 		l.platform.Act(cmd)
 	case cornelwall.Count:
 		l.meters.count(cmd)
--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -18,14 +18,17 @@
 const (
 	nearCost    = 1.0   // ms, of a holder in the same data centre
 	farCost     = 4.0   // ms, of one in another
-	spreadCost  = 8.0   // ms, by the number of places that are free
+	spreadCost  = 8.0   // ms, by the number of places that are free at another entry, as word of them is old
 	releaseTime = 150.0 // ms, after which a place that is taken becomes free
 	missCost    = 40.0  // ms, of each time that a holder did not start a task of late
 )
 
 // view is what an owner believes a holder has free: its last word, less what was
 // assigned to it since.
-type view struct{ vacancy cornelwall.Vacancy }
+type view struct {
+	vacancy cornelwall.Vacancy
+	exact   bool // it is of this entry itself
+}
 
 // places returns how many tasks of the need fit.
 func (v *view) places(need cornelwall.Share) int {
@@ -75,6 +78,9 @@
 		}
 	}
 	if n := v.places(need); n > 0 && ahead == 0 {
+		if v.exact {
+			return 0
+		}
 		return spreadCost / float64(n)
 	}
 	if v.vacancy.Total == 0 {
@@ -94,18 +100,18 @@
 func (c *Core) candidates() []candidate {
 	var list []candidate
 	if !c.leaving() {
-		own := view{vacancy: c.vacancy()}
-		list = append(list, candidate{c.cfg.Self, &own, 0})
+		own := view{vacancy: c.vacancy(), exact: true}
+		list = append(list, candidate{id: c.cfg.Self, view: &own})
 	}
 	for _, p := range c.byID {
-		if !c.answers(p) || p.leaving || !p.open {
+		if !c.linked(p) {
 			continue
 		}
 		near := farCost
 		if p.id.DataCentre == c.cfg.Self.DataCentre {
 			near = nearCost
 		}
-		list = append(list, candidate{p.id, &p.view, near})
+		list = append(list, candidate{id: p.id, view: &p.view, near: near})
 	}
 	return list
 }
@@ -129,6 +135,9 @@
 		}
 		s := &j.batch.Steps[t.step]
 		best := pick(holders, s, t)
+		if best == nil || best.view.places(s.Need) == 0 {
+			c.seek()
+		}
 		if best == nil {
 			t.next = c.now.Add(retryPause)
 			continue
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -32,11 +32,10 @@
 		members = append(members, cornelwall.Member{ID: id(i), Addr: addr})
 	}
 	c.Step(now, cornelwall.Members{List: members})
-	c.Step(now, cornelwall.Endpoints{List: endpoints})
+	c.Step(now, cornelwall.Endpoints{List: endpoints, Rev: 1})
 	for i := 1; i < fleetEntries; i++ {
 		p := &cornelwall.Pulse{Addr: addr, Session: 1}
 		for k := i; k < fleetEndpoints; k += fleetEntries {
-			p.Holds = append(p.Holds, endpoints[k].ID)
 			p.Room.Free = append(p.Room.Free, cornelwall.Share{Cores: 9200})
 			p.Room.Total += 16000
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,8 +23,9 @@
 // word of runs and giveup.go answers. Those of the holder: waiting.go is its queue, lease.go
 // its hold on an endpoint, look.go compares what runs there, yield.go ends the hold and
 // orders.go starts and stops; holders.go decides who holds an endpoint and health.go which
-// endpoints are fit. Between entries: peers.go knows who is alive, pulses.go sends and takes
-// heartbeats, sessions.go stops what an owner has not proved to know and messages.go passes
+// endpoints are fit. rendezvous.go ranks the entries for that and lists.go
+// passes on the platform's list of endpoints. Between entries: peers.go knows who is alive,
+// links.go which of them exchange heartbeats, pulses.go sends and takes these, sessions.go stops what an owner has not proved to know and messages.go passes
 // on what comes.
 package dispatch
 
@@ -47,6 +48,8 @@
 	Self   cornelwall.Incarnation
 	Addr   netip.AddrPort   // of this entry, for others
 	Seeds  []netip.AddrPort // other entries to ask while the platform does not answer
+	Weight int              // how much this entry can carry, to compare with others; 0 is 1
+	Links  int              // peers up to which all exchange pulses all the time; 0 is 8, negative none
 	Limits Limits
 }
 
@@ -65,16 +68,31 @@
 	ticked  time.Time
 	woke    time.Time // after the last pause of the process
 
+	hash     uint64 // of this entry's name
 	peers    map[cornelwall.Incarnation]*peer
 	byID     []*peer                      // the same, in the order of their identities
+	lives    map[entryName]*peer          // latest life of each entry
 	seeds    map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
 	platform bool                         // it answers
 
-	declared  cornelwall.Declaration
-	endpoints map[string]*endpoint
-	byName    []*endpoint // the same, in the order of their names
-	fence     uint64
-	offers    uint64 // of endpoints to other entries, counted
+	sought    time.Time // when a peer with room was sought last
+	salt      uint64    // of the next choice of such a peer
+	submitted time.Time // when the last batch came
+	lastNeed  cornelwall.Share
+
+	membersRead bool    // the platform's list of entries has been read
+	ranks       ranking // entries that may hold endpoints
+	ranked      time.Time
+
+	declared    cornelwall.Declaration
+	endpoints   map[string]*endpoint
+	byName      []*endpoint // the same, in the order of their names
+	heldNow     []*endpoint // that this entry holds, in the order of their names
+	mine        []*endpoint // that it should hold
+	goneChecked time.Time
+	fence       uint64
+	offers      uint64 // of endpoints to other entries, counted
+	lists
 
 	runs    map[cornelwall.RunID]*run // of tasks assigned to this entry
 	waiting []*run
@@ -98,9 +116,14 @@
 
 // New returns a core that knows nothing yet.
 func New(cfg Config, now time.Time) *Core {
+	cfg.Weight = max(cfg.Weight, 1)
+	if cfg.Links == 0 {
+		cfg.Links = allLinks
+	}
 	return &Core{
-		cfg: cfg, now: now, started: now, ticked: now,
+		cfg: cfg, now: now, started: now, ticked: now, hash: hashOf(cfg.Self.Entry),
 		peers:     map[cornelwall.Incarnation]*peer{},
+		lives:     map[entryName]*peer{},
 		seeds:     map[netip.AddrPort]time.Time{},
 		endpoints: map[string]*endpoint{},
 		runs:      map[cornelwall.RunID]*run{},
@@ -130,7 +153,7 @@
 	c.drainLocal()
 	c.startWaiting()
 	c.drainLocal()
-	c.tellRoom()
+	c.addPulses()
 	return c.out
 }
 
@@ -151,7 +174,7 @@
 	case cornelwall.Undelivered:
 		c.undelivered(ev)
 	case cornelwall.Endpoints:
-		c.setEndpoints(ev.List)
+		c.setEndpoints(ev)
 	case cornelwall.Members:
 		c.setMembers(ev.List)
 	case cornelwall.Declared:
@@ -182,7 +205,9 @@
 	c.checkLeases()
 	c.checkJobs()
 	c.keepHolders()
+	c.keepLists()
 	c.dropStops()
+	c.keepLinks()
 	c.pulse()
 	c.checkReady()
 	c.checkStop()
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -104,6 +104,9 @@
 	nextReq  uint64
 	nextID   uint64
 
+	links int   // as of the settings of a core
+	rev   int64 // of the platform's store
+
 	sessions map[[2]cornelwall.Incarnation]uint64 // granted, by holder and owner
 	numbers  map[[2]cornelwall.Incarnation]uint64 // of pulses, by sender and receiver
 
@@ -119,7 +122,7 @@
 func newRig(seed uint64, tm tamper) *rig {
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
-		tamper: tm, clients: map[string]*client{}, version: 1, platform: true, objective: patientObjective,
+		tamper: tm, links: -int(seed % 2), clients: map[string]*client{}, version: 1, platform: true, objective: patientObjective,
 		cuts: map[[2]string]bool{}, lateFrom: map[string]float64{}, slow: map[string]float64{}, failing: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, numbers: map[[2]cornelwall.Incarnation]uint64{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, lastEver: map[string]int{},
@@ -147,7 +150,7 @@
 	e.lives++
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Life: uint64(r.w.Now.UnixMilli())<<8 | e.lives}
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr,
+		Self: self, Addr: e.addr, Links: r.links,
 		Limits: dispatch.Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.Add(core, self, e.addr), map[uint64]*attempt{}
@@ -166,6 +169,7 @@
 	for i, ep := range r.endpoints {
 		list = append(list, cornelwall.Endpoint{ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 80), DataCentre: fmt.Sprintf("dc%d", i%2), Room: room, Boot: ep.Boot()})
 	}
+	r.rev++
 	for _, e := range r.entries {
 		switch {
 		case !e.up():
@@ -173,7 +177,7 @@
 			r.w.Post(e.host, cornelwall.PlatformLost{})
 		default:
 			r.w.Post(e.host, cornelwall.Members{List: members})
-			r.w.Post(e.host, cornelwall.Endpoints{List: list})
+			r.w.Post(e.host, cornelwall.Endpoints{List: list, Rev: r.rev})
 			r.w.Post(e.host, cornelwall.Declared{Declaration: &cornelwall.Declaration{Version: r.version, Queues: []cornelwall.Queue{{
 				Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: 2 * time.Second, Objective: r.objective, Stretch: 1.6,
 			}}}})
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -2,18 +2,17 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cornelwall"
 )
 
 const (
 	settleTime  = 120 * time.Millisecond  // after the start, for the entries that run to be heard
+	settleMost  = time.Second             // after which an entry takes endpoints whatever it has heard
 	freeTime    = 60 * time.Millisecond   // without a holder, after which an endpoint is taken
+	claimTime   = 1500 * time.Millisecond // for the holder to hand on what was claimed
 	yieldTime   = time.Second             // after another entry has taken an endpoint
 	lostTime    = 3 * time.Second         // for which an endpoint that does not answer is left to others
 	absentTime  = 3 * time.Second         // off the platform's list, after which an endpoint is gone
@@ -28,43 +27,27 @@
 // endpoint is an executor on the platform's list.
 type endpoint struct {
 	cornelwall.Endpoint
+	hash      uint64    // of its name
 	absent    time.Time // since when it has not been on the list; zero if it is
-	free      time.Time // since when it has had no holder; zero if it has one
-	yielded   time.Time // until when it is left to the entry that took it
+	changed   int64     // revision of the list that changed it last
 	lostUntil time.Time // until when it is left to others, as it does not answer this entry
+	yielded   time.Time // until when it is left to the entry that took it
 	lease     *lease    // of this entry
 	fit       fitness
-}
 
-func (c *Core) setEndpoints(list []cornelwall.Endpoint) {
-	now := map[string]bool{}
-	for _, info := range list {
-		now[info.ID] = true
-		ep := c.endpoints[info.ID]
-		if ep == nil {
-			ep = c.addEndpoint(info)
-		}
-		if info.Leaving && !ep.Leaving && ep.lease != nil {
-			c.log("endpoint-leaves", "endpoint", info.ID)
-		}
-		ep.Endpoint, ep.absent = info, time.Time{}
-		if l := ep.lease; l != nil && l.boot != 0 && info.Boot > l.boot {
-			c.restarted(l, info.Boot)
-		}
-	}
-	for id, ep := range c.endpoints {
-		if !now[id] && ep.absent.IsZero() {
-			ep.absent = c.now
-		}
-	}
+	best, other cornelwall.Incarnation // who should hold it, and who should but for this entry
+	believed    cornelwall.Incarnation // another entry that may hold it; zero if none does
+	free        time.Time              // since when this entry may take it
+	claimed     time.Time              // when the believed holder was asked for it
 }
 
 // addEndpoint adds an endpoint that is not known yet.
 func (c *Core) addEndpoint(info cornelwall.Endpoint) *endpoint {
-	ep := &endpoint{Endpoint: info, free: c.now}
+	ep := &endpoint{Endpoint: info, hash: hashOf(info.ID), free: c.now}
 	c.endpoints[info.ID] = ep
 	i, _ := slices.BinarySearchFunc(c.byName, info.ID, compareName)
 	c.byName = slices.Insert(c.byName, i, ep)
+	c.place(ep)
 	return ep
 }
 
@@ -73,98 +56,157 @@
 	if i, ok := slices.BinarySearchFunc(c.byName, ep.ID, compareName); ok {
 		c.byName = slices.Delete(c.byName, i, i+1)
 	}
+	c.mine = slices.DeleteFunc(c.mine, func(m *endpoint) bool { return m == ep })
 }
 
 func compareName(ep *endpoint, id string) int { return cmp.Compare(ep.ID, id) }
 
-// held returns the endpoints that this entry holds, by name.
-func (c *Core) held() []*endpoint {
-	var list []*endpoint
-	for _, ep := range c.byName {
-		if ep.lease != nil {
-			list = append(list, ep)
-		}
+// hold notes the lease on an endpoint, or that there is none.
+func (c *Core) hold(ep *endpoint, l *lease) {
+	ep.lease = l
+	c.heldNow = slices.DeleteFunc(c.heldNow, func(h *endpoint) bool { return h == ep })
+	if l != nil {
+		i, _ := slices.BinarySearchFunc(c.heldNow, ep.ID, compareName)
+		c.heldNow = slices.Insert(c.heldNow, i, ep)
 	}
-	return list
 }
 
+// held returns the endpoints that this entry holds, by name. The list may change with the
+// next lease.
+func (c *Core) held() []*endpoint { return c.heldNow }
+
 // gone reports whether the platform has left the endpoint off its list for good.
 func (c *Core) gone(ep *endpoint) bool {
 	return !ep.absent.IsZero() && c.platform && c.now.Sub(ep.absent) > absentTime
 }
 
+// rankMembers works out anew who should hold which endpoint if the entries that may have
+// changed.
+func (c *Core) rankMembers() {
+	all := make([]member, 0, len(c.byID)+1)
+	self := member{c.cfg.Self, c.hash, c.cfg.Weight}
+	placed := c.leaving()
+	for _, p := range c.byID {
+		if !placed && c.cfg.Self.Compare(p.id) < 0 {
+			all, placed = append(all, self), true
+		}
+		if c.alive(p) && !p.leaving {
+			all = append(all, member{p.id, p.hash, p.weight})
+		}
+	}
+	if !placed {
+		all = append(all, self)
+	}
+	if slices.Equal(all, c.ranks.all) {
+		return
+	}
+	c.ranks, c.ranked = newRanking(all), c.now
+	for _, ep := range c.byName {
+		c.place(ep)
+	}
+}
+
+// place works out who should hold an endpoint.
+func (c *Core) place(ep *endpoint) {
+	before := ep.best
+	ep.best, ep.other = c.ranks.holders(ep, c.cfg.Self)
+	switch {
+	case ep.best != c.cfg.Self:
+		c.mine = slices.DeleteFunc(c.mine, func(m *endpoint) bool { return m == ep })
+	case !slices.Contains(c.mine, ep):
+		c.mine = append(c.mine, ep)
+		ep.free, ep.claimed, ep.believed = c.now, time.Time{}, before
+		if before.IsZero() {
+			ep.believed = ep.other
+		}
+	}
+}
+
+// wanted returns the entry that should hold the endpoint: one of its own data centre if
+// there is any.
+func (c *Core) wanted(ep *endpoint) cornelwall.Incarnation {
+	if c.leaving() || c.now.Before(ep.lostUntil) {
+		return ep.other
+	}
+	return ep.best
+}
+
 // keepHolders takes endpoints that have no holder and hands on those that belong to
 // others.
 func (c *Core) keepHolders() {
-	hands, claimed := 0, c.claimed()
+	c.rankMembers()
+	hands := 0
+	for _, ep := range slices.Clone(c.heldNow) {
+		if hands < handsAtOnce && c.handOn(ep) {
+			hands++
+		}
+	}
+	claims := map[cornelwall.Incarnation][]string{}
+	for _, ep := range c.mine {
+		if ep.lease == nil {
+			c.takeFree(ep, claims)
+		}
+	}
+	for _, p := range c.byID {
+		if ids := claims[p.id]; ids != nil {
+			c.link(p)
+			c.send(p.id, cornelwall.Message{Claim: &cornelwall.Claim{Endpoints: ids}})
+		}
+	}
+	c.dropGone()
+}
+
+// dropGone forgets endpoints that are gone, from time to time.
+func (c *Core) dropGone() {
+	if c.now.Sub(c.goneChecked) < dropEvery {
+		return
+	}
+	c.goneChecked = c.now
 	for _, ep := range slices.Clone(c.byName) {
-		switch {
-		case c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0):
+		if c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0) {
 			c.release(ep)
 			c.dropEndpoint(ep)
 			c.log("endpoint-gone", "endpoint", ep.ID)
-		case ep.lease != nil:
-			if hands < handsAtOnce && c.handOn(ep) {
-				hands++
-			}
-		default:
-			c.takeFree(ep, claimed[ep.ID])
 		}
 	}
 }
 
-// takeFree takes an endpoint that has had no holder for a while, if it is this entry's.
-func (c *Core) takeFree(ep *endpoint, claimed bool) {
-	if claimed {
-		ep.free = time.Time{}
+// takeFree takes an endpoint that should be this entry's once nobody else holds it. The
+// entry that may is asked first; if it does not answer, its fence is outbid.
+func (c *Core) takeFree(ep *endpoint, claims map[cornelwall.Incarnation][]string) {
+	if c.leaving() || c.gone(ep) || c.now.Before(ep.yielded) || c.now.Before(ep.lostUntil) || !c.settled() {
 		return
 	}
-	if ep.free.IsZero() {
-		ep.free = c.now
-	}
-	if c.now.Sub(c.started) < settleTime || c.now.Sub(ep.free) < freeTime || c.now.Before(ep.yielded) {
-		return
+	if p := c.peers[ep.believed]; p != nil && c.alive(p) {
+		if ep.claimed.IsZero() {
+			ep.claimed = c.now
+			claims[p.id] = append(claims[p.id], ep.ID)
+		}
+		if c.now.Sub(ep.claimed) < claimTime {
+			return
+		}
 	}
-	if c.leaving() || c.gone(ep) || c.wanted(ep) != c.cfg.Self {
-		return
+	if c.now.Sub(ep.free) >= freeTime {
+		c.take(ep, nil)
 	}
-	c.take(ep, nil)
 }
 
-// claimed returns the names of the endpoints that other entries hold.
-func (c *Core) claimed() map[string]bool {
-	claimed := make(map[string]bool, len(c.endpoints))
-	for _, p := range c.byID {
-		if c.alive(p) {
-			maps.Copy(claimed, p.holds)
-		}
-	}
-	return claimed
+// settled reports whether this entry has had the time to learn of the others.
+func (c *Core) settled() bool {
+	up := c.now.Sub(c.started)
+	return up >= settleMost || up >= settleTime && c.membersRead && c.now.Sub(c.ranked) >= settleTime
 }
 
-// wanted returns the entry that should hold the endpoint: one of its own data centre if
-// there is any, chosen by rendezvous hashing.
-func (c *Core) wanted(ep *endpoint) cornelwall.Incarnation {
-	var best cornelwall.Incarnation
-	var bestRank uint64
-	consider := func(id cornelwall.Incarnation) {
-		rank := xxhash.Sum64String(id.Entry+"/"+ep.ID) >> 1
-		if id.DataCentre == ep.DataCentre {
-			rank |= 1 << 63
-		}
-		if rank > bestRank {
-			best, bestRank = id, rank
-		}
-	}
-	if !c.leaving() && !c.now.Before(ep.lostUntil) {
-		consider(c.cfg.Self)
-	}
-	for _, p := range c.peers {
-		if c.alive(p) && !p.leaving && !p.lost[ep.ID] {
-			consider(p.id)
+// claimed takes the claim of an entry on endpoints.
+func (c *Core) claimed(from cornelwall.Incarnation, m *cornelwall.Claim) {
+	for _, id := range m.Endpoints {
+		ep := c.endpoints[id]
+		if ep == nil || ep.lease == nil {
+			c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: id}})
+			continue
 		}
+		ep.lease.claimed = true
 	}
-	return best
 }
 
 // handOn offers an endpoint to the entry that should hold it.
@@ -173,12 +215,13 @@
 	if l.phase != phaseReady || c.offerOpen(l) {
 		return false
 	}
-	if !c.leaving() && (c.now.Sub(l.since) < keepTime || c.now.Sub(l.handAt) < handPause) {
-		return false
-	}
 	to := c.wanted(ep)
 	p := c.peers[to]
-	if p == nil || !c.answers(p) || p.number == 0 {
+	if p == nil || !c.leaving() && (!l.claimed && c.now.Sub(l.since) < keepTime || c.now.Sub(l.handAt) < handPause) {
+		return false
+	}
+	c.link(p)
+	if !c.answers(p) || p.number == 0 {
 		return false
 	}
 	c.offers++
@@ -197,12 +240,14 @@
 // adopt takes over an endpoint whose holder offers it.
 func (c *Core) adopt(from cornelwall.Incarnation, m *cornelwall.Handover) {
 	c.fence = max(c.fence, m.Fence)
-	c.addEndpoints([]cornelwall.Endpoint{m.Endpoint})
 	ep := c.endpoints[m.Endpoint.ID]
+	if ep == nil {
+		ep = c.addEndpoint(m.Endpoint)
+	}
 	if l := ep.lease; l != nil && l.from == from && l.first > m.Fence {
 		return // sent again
 	}
-	if p := c.peers[from]; ep.lease != nil || c.leaving() || !p.open || p.session != m.Session {
+	if p := c.peers[from]; ep.lease != nil || c.leaving() || c.now.Before(ep.lostUntil) || !p.open || p.session != m.Session {
 		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
@@ -210,13 +255,31 @@
 	ep.lease.from = from
 }
 
+// offerLost offers an endpoint that does not answer this entry to the next one, which may
+// reach it.
+func (c *Core) offerLost(ep *endpoint, fence uint64) {
+	p := c.peers[ep.other]
+	if p == nil || !c.answers(p) {
+		return
+	}
+	c.offers++
+	ep.believed = p.id
+	c.send(p.id, cornelwall.Message{Handover: &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: fence, Offer: c.offers}})
+}
+
 // declined goes on holding an endpoint that its next holder does not want.
 func (c *Core) declined(from cornelwall.Incarnation, m *cornelwall.Decline) {
 	ep := c.endpoints[m.Endpoint]
-	if ep == nil || ep.lease == nil || ep.lease.handTo != from || ep.lease.offer != m.Offer {
+	if ep == nil {
 		return
 	}
 	l := ep.lease
+	if l == nil && ep.believed == from {
+		ep.believed = cornelwall.Incarnation{} // nobody holds it
+	}
+	if l == nil || l.handTo != from || l.offer != m.Offer {
+		return
+	}
 	c.log("handover-declined", "endpoint", ep.ID, "by", from)
 	l.handTo = cornelwall.Incarnation{}
 	if l.phase == phaseHanding {
@@ -233,30 +296,10 @@
 	return p != nil && (!p.dead || c.now.Sub(p.heard) < offerLife)
 }
 
-// addEndpoints takes endpoints that another entry knows of.
-func (c *Core) addEndpoints(list []cornelwall.Endpoint) {
-	for _, info := range list {
-		if c.endpoints[info.ID] == nil {
-			c.addEndpoint(info)
-		}
-	}
-}
-
-// known returns all endpoints in a stable order.
-func (c *Core) known() []cornelwall.Endpoint {
-	var list []cornelwall.Endpoint
-	for _, ep := range c.byName {
-		if ep.absent.IsZero() {
-			list = append(list, ep.Endpoint)
-		}
-	}
-	return list
-}
-
 // nextFence returns a fence above all that this entry knows of. Entries that take an
 // endpoint in the same millisecond draw different ones.
 func (c *Core) nextFence() uint64 {
-	own := xxhash.Sum64String(c.cfg.Self.String()) % fenceSpread
+	own := c.hash % fenceSpread
 	fence := uint64(c.now.UnixMilli())*fenceSpread + own
 	for fence <= c.fence {
 		fence += fenceSpread
@@ -273,12 +316,13 @@
 		if p.session != m.Session {
 			return // late: the endpoint may have started anew since, and have forgotten the fence
 		}
-		if p.holds != nil {
-			p.holds[m.Endpoint] = true
-		}
-		if ep := c.endpoints[m.Endpoint]; ep != nil && ep.lease != nil && ep.lease.fence < m.Fence {
+		ep := c.endpoints[m.Endpoint]
+		if ep != nil && ep.lease != nil && ep.lease.fence < m.Fence {
 			c.handedOver(ep, from, m)
 		}
+		if ep != nil && ep.lease == nil {
+			ep.believed, ep.claimed = from, time.Time{}
+		}
 		c.endYielded(from, m)
 	}
 	for i := range m.Ended {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -109,6 +109,7 @@
 		return
 	}
 	c.jobs[j.id], c.reqs[ev.Req] = j, j
+	c.submitted, c.lastNeed = c.now, ev.Batch.Steps[0].Need
 	c.log("batch", "job", j.id, "queue", q.Name, "version", c.declared.Version, "tasks", len(j.tasks), "left", j.deadline.Sub(c.now), "due", j.due.Sub(c.now))
 	c.assignIdle(j)
 }
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -64,6 +64,7 @@
 	strangers map[cornelwall.RunID]time.Time
 
 	from      cornelwall.Incarnation // who handed it on; zero if it was taken
+	claimed   bool                   // another entry has asked for it
 	handTo    cornelwall.Incarnation // to whom it was offered, without an answer yet
 	handAt    time.Time
 	offer     uint64 // number of the last offer
@@ -87,7 +88,7 @@
 		ep: ep, first: fence, fence: fence, since: c.now, answered: c.now,
 		runs: map[cornelwall.RunID]*run{}, strangers: map[cornelwall.RunID]time.Time{},
 	}
-	ep.lease, ep.free = l, time.Time{}
+	c.hold(ep, l)
 	for i := range runs {
 		h := &runs[i]
 		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settled: c.now.Add(-h.Age), state: runRunning}
@@ -187,7 +188,7 @@
 
 // checkLeases looks again where it is time, and ends what has lapsed.
 func (c *Core) checkLeases() {
-	for _, ep := range c.held() {
+	for _, ep := range slices.Clone(c.held()) {
 		c.keepLease(ep.lease)
 		if ep.lease != nil {
 			c.checkLapse(ep.lease)
@@ -253,6 +254,11 @@
 			c.endRun(r, cornelwall.RunLapsed)
 		}
 	}
+	if l.silence(c.now) > lostAfter/2 {
+		if p := c.peers[l.ep.other]; p != nil {
+			c.link(p) // which may be offered the endpoint soon
+		}
+	}
 	if l.silence(c.now) <= lostAfter {
 		return
 	}
@@ -263,6 +269,7 @@
 	if len(l.runs) == 0 {
 		l.ep.lostUntil = c.now.Add(lostTime)
 		c.release(l.ep)
+		c.offerLost(l.ep, l.fence)
 	}
 }
 
--- /dev/null
+++ b/core/dispatch/links.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	allLinks  = 8           // peers up to which each pair of entries exchanges pulses all the time
+	linkTime  = time.Second // for which pulses go on after the last reason for them
+	maxLinks  = 8           // that are sought for room
+	seekEvery = 10 * time.Millisecond
+	spareRoom = 6               // tasks like the last, for which there should be room at once
+	fullLinks = 3               // full ones in this data centre, after which others are asked
+	busyTime  = 2 * time.Second // after the last batch, for which room is sought ahead
+)
+
+// A link is a pair of entries that exchange pulses. A small system keeps all of them. In a
+// larger one, an entry has a link to each peer that runs its tasks or whose tasks it runs,
+// to those that it hands an endpoint to, and to some that have room for more. What an entry
+// sends thus follows its work and not the number of entries.
+
+// wants reports whether this entry has reason to exchange pulses with a peer.
+func (c *Core) wants(p *peer) bool {
+	return len(c.peers) <= c.cfg.Links || !p.wanted.IsZero() && c.now.Sub(p.wanted) < linkTime
+}
+
+// linked reports whether tasks can be placed at a peer at once.
+func (c *Core) linked(p *peer) bool { return p.open && c.answers(p) && !p.leaving }
+
+// link makes or keeps a link.
+func (c *Core) link(p *peer) {
+	p.wanted = c.now
+	if !p.open && c.now.Sub(p.pulsed) >= pulseEvery {
+		c.pulseTo(p)
+	}
+}
+
+// keepLinks keeps the links that are in use.
+func (c *Core) keepLinks() {
+	if len(c.peers) <= c.cfg.Links {
+		return
+	}
+	use := func(id cornelwall.Incarnation) {
+		if p := c.peers[id]; p != nil {
+			p.wanted = c.now
+		}
+	}
+	for _, t := range c.tasks {
+		use(t.holder)
+	}
+	for _, r := range c.runs {
+		use(r.owner)
+	}
+	for _, ep := range c.held() {
+		use(ep.lease.handTo)
+	}
+	if c.short() {
+		c.seek()
+	}
+}
+
+// short reports whether there is less room at hand than the next batch may need, while
+// batches come.
+func (c *Core) short() bool {
+	if c.leaving() {
+		return false
+	}
+	if len(c.held()) > 0 && (c.submitted.IsZero() || c.now.Sub(c.submitted) > busyTime) {
+		return false
+	}
+	n := 0
+	for _, h := range c.candidates() {
+		n += h.view.places(c.lastNeed)
+	}
+	return n < spareRoom
+}
+
+// seek makes a link to one more peer, which may have room. The more a peer can carry, the
+// more often it is chosen. Other data centres are asked once this one is full.
+func (c *Core) seek() {
+	if len(c.peers) <= c.cfg.Links || c.now.Sub(c.sought) < seekEvery {
+		return
+	}
+	links, full := 0, 0
+	for _, p := range c.byID {
+		if !c.wants(p) {
+			continue
+		}
+		links++
+		if p.id.DataCentre == c.cfg.Self.DataCentre && c.linked(p) && p.view.places(c.lastNeed) == 0 {
+			full++
+		}
+	}
+	if links >= maxLinks {
+		return
+	}
+	c.sought = c.now
+	c.salt++
+	if p := c.pickPeer(full >= fullLinks); p != nil {
+		c.link(p)
+	}
+}
+
+// pickPeer returns a peer without a link, chosen at random by weight, or nil. Far asks for
+// one of another data centre.
+func (c *Core) pickPeer(far bool) *peer {
+	var best *peer
+	bestScore := math.Inf(-1)
+	for _, p := range c.byID {
+		if c.wants(p) || p.leaving || p.id.DataCentre == c.cfg.Self.DataCentre == far || !c.alive(p) {
+			continue
+		}
+		if score := score(p.hash, c.hash+c.salt, p.weight); score > bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best
+}
--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -132,6 +132,9 @@
 		}
 		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.since))
 		for _, p := range c.byID {
+			if !c.linked(p) && p.id != l.from && p.id != l.ep.believed {
+				continue // it has nothing there
+			}
 			to := *m
 			to.Session = p.theirSession
 			c.send(p.id, cornelwall.Message{Taken: &to})
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -24,8 +24,6 @@
 // message takes one message that is no pulse.
 func (c *Core) message(from cornelwall.Incarnation, m *cornelwall.Message) {
 	switch {
-	case m.Room != nil:
-		c.peers[from].view.vacancy = *m.Room
 	case m.Assign != nil:
 		c.assigned(from, m.Assign)
 	case m.Boost != nil:
@@ -44,8 +42,10 @@
 		c.adopt(from, m.Handover)
 	case m.Decline != nil:
 		c.declined(from, m.Decline)
+	case m.Claim != nil:
+		c.claimed(from, m.Claim)
 	case m.Known != nil:
-		c.addEndpoints(m.Known.Endpoints)
+		c.known(from, m.Known)
 	case m.Declare != nil && m.Declare.Declaration != nil:
 		c.declare(m.Declare.Declaration)
 	case m.Declare != nil:
@@ -79,7 +79,7 @@
 				runs = append(runs, m.Assign.Tasks[i].RunID)
 			}
 			p.resend = append(p.resend, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: runs}})
-		case m.Withdraw != nil || m.Over != nil || m.Began != nil || m.Taken != nil || m.Handover != nil || m.Decline != nil || m.Revoke != nil:
+		case m.Withdraw != nil || m.Over != nil || m.Began != nil || m.Taken != nil || m.Handover != nil || m.Decline != nil || m.Claim != nil || m.Revoke != nil:
 			p.resend = append(p.resend, m)
 		}
 	}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -9,18 +9,14 @@
 )
 
 const (
-	pulseEvery    = 100 * time.Millisecond
-	pulsePerPeer  = 4 * time.Millisecond // added to the time between pulses by each peer
 	seedEvery     = 500 * time.Millisecond
 	silentAfter   = 260 * time.Millisecond  // without a pulse a peer gets no new tasks
 	proofLife     = 450 * time.Millisecond  // without proof a holder stops the runs of an owner
 	ownerPatience = 1300 * time.Millisecond // without a pulse of a holder, what ran there is over
 	freezeAfter   = 300 * time.Millisecond  // between two ticks, worth a line in the log
-	awayAfter     = 2 * time.Second         // without a pulse a peer is dead, if the platform cannot tell
+	awayAfter     = 2 * time.Second         // without an answer a peer is dead, if the platform cannot tell
 	forgetAfter   = 10 * time.Second        // of a peer that is dead
-	roomEvery     = 5 * time.Millisecond    // between two words of room to one peer
-	claimEvery    = 500 * time.Millisecond  // between looks at an endpoint that a peer claims as well
-	listEvery     = time.Second             // between two lists of endpoints to a peer that asks
+	tellEvery     = time.Second             // between two lists of what is known to a peer that asks
 	pulsesKept    = 64                      // numbers of pulses whose time of sending is known
 )
 
@@ -28,16 +24,21 @@
 type peer struct {
 	id      cornelwall.Incarnation
 	addr    netip.AddrPort
-	listed  bool // by the platform
-	dead    bool // a later life of the entry is known, or its address refuses connections
+	weight  int
+	hash    uint64 // of its name
+	listed  bool   // by the platform
+	dead    bool   // a later life of the entry is known, or its address refuses connections
 	heard   time.Time
-	expired bool // what it ran for this entry is over
+	asked   time.Time // of the first pulse to it since it was heard last; zero if none
+	expired bool      // what it ran for this entry is over
 	leaving bool
+	alone   bool // it cannot read the platform
 	version uint64
-	holds   map[string]bool
-	lost    map[string]bool
 	view    view
 
+	wanted time.Time // when this entry last had reason to exchange pulses with it
+	keep   bool      // it wants the pulses of this entry
+
 	// This entry as a holder for the peer.
 	number  uint64 // of the last pulse to the peer
 	sent    [pulsesKept]time.Time
@@ -49,14 +50,18 @@
 	seen         uint64 // greatest number of its pulses
 	theirSession uint64
 
-	ask      bool // it wants the members
-	pulsed   time.Time
-	roomTold time.Time
-	listTold time.Time
-	waiting  map[string]int
-	resend   []cornelwall.Message
+	ask     bool // it has no list of endpoints
+	pulsed  time.Time
+	toldAll time.Time
+	waiting map[string]int
+	resend  []cornelwall.Message
 }
 
+// entryName names an entry over all its lives.
+type entryName struct{ dataCentre, entry string }
+
+func nameOf(id cornelwall.Incarnation) entryName { return entryName{id.DataCentre, id.Entry} }
+
 // answers reports whether the peer has been heard just now.
 func (c *Core) answers(p *peer) bool {
 	return !p.dead && !p.heard.IsZero() && c.now.Sub(p.heard) <= silentAfter
@@ -68,7 +73,7 @@
 		return false
 	}
 	silent := c.now.Sub(p.heard)
-	if !p.heard.IsZero() && silent <= proofLife {
+	if !p.heard.IsZero() && (silent <= proofLife || p.alone && silent <= awayAfter) {
 		return true
 	}
 	if c.platform {
@@ -76,7 +81,15 @@
 	}
 	// Without the platform, an entry that hears nobody is more likely to be cut off
 	// itself than all others are to be dead.
-	return p.listed && (silent <= awayAfter || !c.hearsAnyone())
+	return p.listed && (c.unanswered(p) <= awayAfter || !c.hearsAnyone())
+}
+
+// unanswered returns for how long pulses to a peer have gone without one of its own.
+func (c *Core) unanswered(p *peer) time.Duration {
+	if p.asked.IsZero() {
+		return 0
+	}
+	return c.now.Sub(p.asked)
 }
 
 func (c *Core) hearsAnyone() bool {
@@ -92,38 +105,52 @@
 
 func (c *Core) addPeer(p *peer) {
 	c.peers[p.id] = p
+	c.lives[nameOf(p.id)] = p
 	i, _ := slices.BinarySearchFunc(c.byID, p.id, comparePeer)
 	c.byID = slices.Insert(c.byID, i, p)
 }
 
 func (c *Core) dropPeer(p *peer) {
 	delete(c.peers, p.id)
+	if name := nameOf(p.id); c.lives[name] == p {
+		delete(c.lives, name)
+	}
 	if i, ok := slices.BinarySearchFunc(c.byID, p.id, comparePeer); ok {
 		c.byID = slices.Delete(c.byID, i, i+1)
 	}
 }
 
-// know returns the peer, new if need be, or nil if a later life of its entry is known.
-func (c *Core) know(m cornelwall.Member) *peer {
+// know returns the peer, new if need be, or nil if another life of its entry counts as the
+// later one. Lives are numbered by the time of day, which may have jumped back, so that the
+// platform's list goes before the numbers, and without the platform a life that is silent
+// gives way.
+func (c *Core) know(m cornelwall.Member, listed bool) *peer {
 	if m.ID.SameEntry(c.cfg.Self) {
 		return nil
 	}
-	if p := c.peers[m.ID]; p != nil {
-		p.addr = m.Addr
-		return p
-	}
-	for _, p := range c.peers {
-		if !p.id.SameEntry(m.ID) {
-			continue
-		}
-		if p.id.Life > m.ID.Life {
+	old := c.lives[nameOf(m.ID)]
+	if old == nil || old.id != m.ID {
+		if old != nil && !listed && !old.dead && old.id.Life > m.ID.Life && (c.platform || c.now.Sub(old.heard) <= awayAfter) {
 			return nil
 		}
-		c.died(p, "restarted")
+		if old != nil {
+			c.died(old, "restarted")
+		}
+		if p := c.peers[m.ID]; p != nil {
+			p.dead = false
+			c.lives[nameOf(m.ID)] = p
+		}
+	}
+	p := c.peers[m.ID]
+	if p == nil {
+		p = &peer{id: m.ID, hash: hashOf(m.ID.Entry), weight: 1, session: uint64(c.now.UnixMilli())}
+		c.addPeer(p)
+		c.log("peer-found", "peer", p.id, "addr", m.Addr)
+	}
+	p.addr = m.Addr
+	if m.Weight > 0 {
+		p.weight = m.Weight
 	}
-	p := &peer{id: m.ID, addr: m.Addr, session: uint64(c.now.UnixMilli())}
-	c.addPeer(p)
-	c.log("peer-found", "peer", p.id, "addr", p.addr)
 	return p
 }
 
@@ -146,17 +173,24 @@
 	for _, p := range c.peers {
 		p.listed = false
 	}
+	c.membersRead = true
 	for _, m := range list {
-		if p := c.know(m); p != nil {
+		if p := c.know(m, true); p != nil {
 			p.listed = true
 		}
 	}
 }
 
 func (c *Core) platformLost() {
-	if c.platform {
-		c.platform = false
-		c.log("platform-lost")
+	if !c.platform {
+		return
+	}
+	c.platform = false
+	c.log("platform-lost")
+	for _, p := range c.byID {
+		if !c.wants(p) {
+			p.asked = time.Time{} // from now on its answers count
+		}
 	}
 }
 
@@ -164,17 +198,17 @@
 func (c *Core) checkPeers() {
 	for _, p := range slices.Clone(c.byID) {
 		if p.open && c.now.Sub(p.proven) > proofLife {
-			c.log("peer-unproven", "peer", p.id, "age", c.now.Sub(p.proven), "heard", c.now.Sub(p.heard))
+			if c.wants(p) {
+				c.log("peer-unproven", "peer", p.id, "age", c.now.Sub(p.proven), "heard", c.now.Sub(p.heard))
+			}
 			c.closeSession(p)
 		}
 		if !p.expired && !p.heard.IsZero() && c.now.Sub(p.heard) > ownerPatience {
 			p.expired = true
-			c.log("peer-silent", "peer", p.id, "age", c.now.Sub(p.heard))
+			if c.wants(p) {
+				c.log("peer-silent", "peer", p.id, "age", c.now.Sub(p.heard))
+			}
 			p.resend = nil
-			c.closeSession(p)
-		}
-		if p.expired {
-			c.holderGone(p)
 		}
 		if !p.listed && c.now.Sub(p.heard) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
 			c.dropPeer(p)
@@ -188,4 +222,5 @@
 			}
 		}
 	}
+	c.checkHolders()
 }
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -1,26 +1,32 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cornelwall"
 )
 
+const (
+	pulseEvery = 100 * time.Millisecond
+	rideEvery  = 10 * time.Millisecond // between two pulses that go along with other messages
+	replyEvery = 20 * time.Millisecond // between two pulses in reply
+)
+
 // pulsed takes a pulse.
 func (c *Core) pulsed(from cornelwall.Incarnation, m *cornelwall.Pulse) {
 	for _, member := range m.Members {
-		c.know(member)
+		c.know(member, false)
 	}
-	p := c.know(cornelwall.Member{ID: from, Addr: m.Addr})
+	p := c.know(cornelwall.Member{ID: from, Addr: m.Addr, Weight: m.Weight}, false)
 	if p == nil || m.Number <= p.seen {
 		return // late, and no proof that the peer is alive now
 	}
-	p.seen, p.heard, p.dead, p.expired = m.Number, c.now, false, false
-	p.leaving, p.version, p.ask = m.Leaving, m.Version, m.Ask
+	first, wasOpen := p.number == 0, p.open
+	p.seen, p.heard, p.asked, p.dead, p.expired = m.Number, c.now, time.Time{}, false, false
+	p.leaving, p.version, p.ask, p.alone, p.keep = m.Leaving, m.Version, m.Ask, m.Alone, m.Keep
 	renewed := p.theirSession != m.Session
 	p.theirSession, p.waiting = m.Session, m.Waiting
-	p.holds, p.lost = set(m.Holds), set(m.Lost)
-	c.checkClaims(m.Holds)
 	p.view.vacancy = m.Room
 	c.fence = max(c.fence, m.Fence)
 	if at := p.sent[m.Seen%pulsesKept]; m.Seen > 0 && p.number-m.Seen < pulsesKept && at.After(p.proven) {
@@ -30,47 +36,32 @@
 	if renewed {
 		c.tellRunning(p.id) // word that a run has changed hands may have been too late for it
 	}
-	if p.version > c.declared.Version {
-		c.send(p.id, cornelwall.Message{Declare: &cornelwall.Declare{}})
-	}
-	if p.number == 0 || p.ask {
+	c.catchUp(p.id, p.version)
+	unsure := p.keep && (!wasOpen || !p.open) || p.alone // it needs a pulse to know that its word arrives
+	if first || p.ask || unsure && (p.open && !wasOpen || c.now.Sub(p.pulsed) >= replyEvery) {
 		c.pulseTo(p)
 	}
-	if p.ask && c.now.Sub(p.listTold) > listEvery {
-		p.listTold = c.now
-		c.send(p.id, cornelwall.Message{Known: &cornelwall.Known{Endpoints: c.known()}})
+	if p.ask {
+		c.tellAll(p)
 	}
 }
 
-// checkClaims looks at endpoints that a peer claims as well: the fence tells whose they
-// are.
-func (c *Core) checkClaims(ids []string) {
-	for _, id := range ids {
-		ep := c.endpoints[id]
-		if ep == nil || ep.lease == nil || ep.lease.phase != phaseReady {
-			continue
-		}
-		if l := ep.lease; l.looks == 0 && c.now.Sub(l.lookedAt) > claimEvery {
-			c.look(l, 0)
-		}
+// catchUp asks an entry for its declaration if it has a newer one.
+func (c *Core) catchUp(from cornelwall.Incarnation, version uint64) {
+	if version > c.declared.Version {
+		c.send(from, cornelwall.Message{Declare: &cornelwall.Declare{}})
 	}
 }
 
-func set(ids []string) map[string]bool {
-	m := make(map[string]bool, len(ids))
-	for _, id := range ids {
-		m[id] = true
-	}
-	return m
-}
-
 // pulse sends the pulses that are due.
 func (c *Core) pulse() {
-	every := max(pulseEvery, time.Duration(len(c.peers))*pulsePerPeer)
 	var due []*peer
 	for _, p := range c.byID {
-		wait := every
-		if p.dead || !p.heard.IsZero() && c.now.Sub(p.heard) > awayAfter {
+		if !c.wants(p) && !(p.keep && c.answers(p)) {
+			continue
+		}
+		wait := pulseEvery
+		if p.dead || c.unanswered(p) > awayAfter {
 			wait = seedEvery
 		}
 		if c.now.Sub(p.pulsed) >= wait {
@@ -78,6 +69,9 @@
 		}
 	}
 	c.pulseTo(due...)
+	if !c.platform {
+		c.probe()
+	}
 	if c.platform || c.hearsAnyone() {
 		return
 	}
@@ -87,12 +81,29 @@
 		}
 		c.seeds[addr] = c.now
 		c.emit(cornelwall.Send{
-			To: cornelwall.Incarnation{}, Addr: addr,
-			Message: cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: c.cfg.Addr, Number: uint64(c.now.UnixMilli()), Ask: true, Version: c.declared.Version}},
+			To: cornelwall.Incarnation{}, Addr: addr, Apart: true,
+			Message: cornelwall.Message{Pulse: &cornelwall.Pulse{
+				Addr: c.cfg.Addr, Weight: c.cfg.Weight, Number: uint64(c.now.UnixMilli()), Alone: true, Ask: c.listRev == 0, Version: c.declared.Version,
+			}},
 		})
 	}
 }
 
+// probe sends a pulse to the entry of this data centre that has waited longest for one.
+// Without the platform, only its answer can tell that it is alive. One goes out each tick,
+// however many entries there are.
+func (c *Core) probe() {
+	var next *peer
+	for _, p := range c.byID {
+		if p.id.DataCentre == c.cfg.Self.DataCentre && !p.dead && (next == nil || p.pulsed.Before(next.pulsed)) {
+			next = p
+		}
+	}
+	if next != nil && c.now.Sub(next.pulsed) >= pulseEvery {
+		c.pulseTo(next)
+	}
+}
+
 // pulseTo sends a pulse to each of the peers.
 func (c *Core) pulseTo(peers ...*peer) {
 	if len(peers) == 0 {
@@ -100,65 +111,66 @@
 	}
 	own := c.ownPulse()
 	for _, p := range peers {
-		if p.number == 0 {
-			p.number = uint64(c.now.UnixMilli()) // above that of any pulse to the address as a seed
-		}
-		p.number++
-		p.sent[p.number%pulsesKept] = c.now
-		p.pulsed = c.now
-		m := own
-		m.Number, m.Seen, m.Session = p.number, p.seen, p.session
-		if p.ask {
-			m.Members = c.members()
-		}
-		c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: &m}})
+		c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Apart: true, Message: cornelwall.Message{Pulse: c.nextPulse(own, p)}})
 	}
 }
 
+// nextPulse completes a pulse for a peer.
+func (c *Core) nextPulse(m cornelwall.Pulse, p *peer) *cornelwall.Pulse {
+	if p.number == 0 {
+		p.number = uint64(c.now.UnixMilli()) // above that of any pulse to the address as a seed
+	}
+	p.number++
+	p.sent[p.number%pulsesKept] = c.now
+	p.pulsed = c.now
+	if p.asked.IsZero() && (c.wants(p) || m.Alone) {
+		p.asked = c.now
+	}
+	m.Number, m.Seen, m.Session, m.Keep = p.number, p.seen, p.session, c.wants(p)
+	if p.ask {
+		m.Members = c.members()
+	}
+	return &m
+}
+
 // ownPulse returns what pulses say alike to all peers.
 func (c *Core) ownPulse() cornelwall.Pulse {
-	m := cornelwall.Pulse{
-		Addr: c.cfg.Addr, Leaving: c.leaving(), Version: c.declared.Version, Fence: c.fence,
-		Room: c.vacancy(), Ask: !c.platform, Waiting: c.waitingByQueue(),
-	}
-	for _, ep := range c.byName {
-		if ep.lease != nil {
-			m.Holds = append(m.Holds, ep.ID)
-		}
-		if c.now.Before(ep.lostUntil) {
-			m.Lost = append(m.Lost, ep.ID)
-		}
+	return cornelwall.Pulse{
+		Addr: c.cfg.Addr, Weight: c.cfg.Weight, Leaving: c.leaving(), Version: c.declared.Version, Fence: c.fence,
+		Room: c.vacancy(), Alone: !c.platform, Ask: c.listRev == 0, Waiting: c.waitingByQueue(),
 	}
-	return m
 }
 
 func (c *Core) members() []cornelwall.Member {
-	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr}}
+	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr, Weight: c.cfg.Weight}}
 	for _, p := range c.byID {
 		if c.alive(p) {
-			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr})
+			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr, Weight: p.weight})
 		}
 	}
 	return list
 }
 
-// tellRoom adds word of room to what is sent to peers anyway.
-func (c *Core) tellRoom() {
-	var room *cornelwall.Vacancy
+// addPulses puts a pulse before what is sent to a peer in this step, unless it has had one
+// just now: it carries proof and word of room.
+func (c *Core) addPulses() {
+	var pulses []cornelwall.Command
+	var own cornelwall.Pulse
 	for _, cmd := range c.out {
 		s, ok := cmd.(cornelwall.Send)
-		if !ok || s.Message.Pulse != nil {
+		if !ok || s.Message.Known != nil {
 			continue
 		}
 		p := c.peers[s.To]
-		if p == nil || c.now.Sub(p.roomTold) < roomEvery {
+		if p == nil || c.now.Sub(p.pulsed) < rideEvery {
 			continue
 		}
-		p.roomTold = c.now
-		if room == nil {
-			v := c.vacancy()
-			room = &v
+		if pulses == nil {
+			own = c.ownPulse()
 		}
-		c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Room: room}})
+		pulses = append(pulses, cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: c.nextPulse(own, p)}})
+	}
+	if len(pulses) > 0 {
+		c.out = slices.Concat(pulses, c.out)
 	}
 }
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -25,7 +25,8 @@
 	c.checkReady()
 	c.returnWaiting()
 	c.pulseTo(c.byID...)
-	for _, ep := range c.held() {
+	c.rankMembers()
+	for _, ep := range slices.Clone(c.held()) {
 		c.handOn(ep)
 	}
 }
@@ -60,13 +61,13 @@
 
 // hasRoom reports whether any holder that answers has endpoints.
 func (c *Core) hasRoom() bool {
-	for _, ep := range c.endpoints {
-		if ep.lease != nil && ep.lease.phase != phaseLost {
+	for _, ep := range c.held() {
+		if ep.lease.phase != phaseLost {
 			return true
 		}
 	}
-	for _, p := range c.peers {
-		if c.answers(p) && len(p.holds) > 0 {
+	for _, p := range c.byID {
+		if c.linked(p) && p.view.vacancy.Total > 0 {
 			return true
 		}
 	}
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -55,12 +55,14 @@
 	return list
 }
 
-// holderGone ends the runs at a holder that has been silent for so long that they are
-// over. A run that has only just come to it is given the same time, as the holder waits
-// that long for proof of the owner.
-func (c *Core) holderGone(p *peer) {
+// checkHolders takes the runs at holders that have been silent for long as over.
+func (c *Core) checkHolders() {
 	for _, t := range c.tasksThat(func(t *task) bool {
-		return t.holder == p.id && c.now.Sub(t.since) > ownerPatience
+		if t.holder == c.cfg.Self || c.now.Sub(t.since) <= ownerPatience {
+			return false
+		}
+		p := c.peers[t.holder]
+		return p == nil || p.expired
 	}) {
 		t.job.begun = true
 		c.over(&cornelwall.OverRun{RunID: t.run, How: cornelwall.RunLapsed, Endpoint: t.endpoint})
@@ -89,6 +91,7 @@
 		c.log("task-failed", "task", t.name, "run", o.Run, "endpoint", o.Endpoint, "fails", t.fails, "attempts", j.queue.Attempts, "took", o.Took)
 		c.emit(cornelwall.Count{Reason: cornelwall.ReasonTask, Retry: true, N: 1})
 	case cornelwall.RunUnstarted:
+		t.avoid = cmp.Or(o.Endpoint, t.avoid)
 		t.misses++
 		t.next = c.now.Add(min(retryPause<<min(t.misses, 10), maxRetryPause))
 		if t.misses == 1 {
--- a/core/dispatch/undelivered_test.go
+++ b/core/dispatch/undelivered_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestUndelivered sends again what another entry waits for. A task is withdrawn instead, as
-// it may have arrived. Room and pulses are old by then.
+// it may have arrived. Pulses are old by then.
 func TestUndelivered(t *testing.T) {
 	run := cornelwall.RunID{Task: "a.0.0.0", Run: 1}
 	runs := []cornelwall.RunID{run}
@@ -28,7 +28,8 @@
 		{"handover", cornelwall.Message{Handover: &cornelwall.Handover{}}, func(m *cornelwall.Message) bool { return m.Handover != nil }},
 		{"decline", cornelwall.Message{Decline: &cornelwall.Decline{}}, func(m *cornelwall.Message) bool { return m.Decline != nil }},
 		{"revoke", cornelwall.Message{Revoke: &cornelwall.Revoke{}}, func(m *cornelwall.Message) bool { return m.Revoke != nil }},
-		{"room", cornelwall.Message{Room: &cornelwall.Vacancy{}}, nil},
+		{"claim", cornelwall.Message{Claim: &cornelwall.Claim{}}, func(m *cornelwall.Message) bool { return m.Claim != nil }},
+		{"pulse", cornelwall.Message{Pulse: &cornelwall.Pulse{}}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
@@ -43,7 +44,7 @@
 			again := 0
 			for _, cmd := range c.Step(now.Add(tickEvery), cornelwall.Tick{}) {
 				s, ok := cmd.(cornelwall.Send)
-				if !ok || s.Message.Pulse != nil || s.Message.Room != nil && tc.want != nil { // room goes along
+				if !ok || s.Message.Pulse != nil { // one goes along
 					continue
 				}
 				again++
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -13,7 +13,8 @@
 		return
 	}
 	c.log("endpoint-released", "endpoint", ep.ID, "fence", ep.lease.fence)
-	ep.lease, ep.free = nil, c.now
+	c.hold(ep, nil)
+	ep.free = c.now
 }
 
 // restarted takes note that an endpoint has started anew under its name. What ran there
@@ -45,7 +46,8 @@
 func (c *Core) yield(l *lease) {
 	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
 	l.phase, l.yieldedAt = phaseYielded, c.now
-	l.ep.lease, l.ep.free, l.ep.yielded = nil, c.now, c.now.Add(yieldTime)
+	c.hold(l.ep, nil)
+	l.ep.free, l.ep.yielded = c.now, c.now.Add(yieldTime)
 	if !l.handTo.IsZero() {
 		c.passOn(l, l.handTo, nil)
 		return
@@ -80,7 +82,8 @@
 func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
 	l := ep.lease
 	l.phase = phaseYielded
-	ep.lease = nil
+	c.hold(ep, nil)
+	ep.free = c.now
 	c.passOn(l, from, m)
 }
 
--- a/gossip.go
+++ b/gossip.go
@@ -9,35 +9,43 @@
 
 // Member is an entry that announced itself.
 type Member struct {
-	ID   Incarnation    `json:"id"`
-	Addr netip.AddrPort `json:"addr"` // for other entries
+	ID     Incarnation    `json:"id"`
+	Addr   netip.AddrPort `json:"addr"`             // for other entries
+	Weight int            `json:"weight,omitempty"` // how much it can carry, to compare with others
 }
 
 // Check reports all that is wrong with the member.
 func (m Member) Check() error {
+	errs := []error{m.ID.Check()}
 	if !m.Addr.IsValid() {
-		return errors.Join(m.ID.Check(), errors.New("member has no address; announce ip:port"))
+		errs = append(errs, errors.New("member has no address; announce ip:port"))
 	}
-	return m.ID.Check()
+	if m.Weight < 0 {
+		errs = append(errs, fmt.Errorf("member has weight %d; announce 0 or more", m.Weight))
+	}
+	return errors.Join(errs...)
 }
 
-// Pulse is a heartbeat between entries that dispatch to leased endpoints.
+// Pulse is a heartbeat between entries that dispatch to leased endpoints. Pulses flow
+// between two entries while one of them wants it, see Keep, and go along with what is
+// sent anyway.
 //
 // The receiver returns Number as Seen, which proves to the sender that its word arrives.
 // An entry that no longer gets such proof stops what it runs for the other one and draws
 // a new Session, so that no order from before can start anything.
 type Pulse struct {
 	Addr    netip.AddrPort `json:"addr"`
+	Weight  int            `json:"weight,omitempty"`  // as of a Member
 	Number  uint64         `json:"number"`            // rises with each pulse of the sender to the receiver
 	Seen    uint64         `json:"seen"`              // greatest number of the receiver's pulses that arrived
 	Session uint64         `json:"session"`           // the receiver has to quote it to place tasks at the sender
+	Keep    bool           `json:"keep,omitempty"`    // the sender wants the receiver's pulses
 	Leaving bool           `json:"leaving,omitempty"` // the sender is stopping
 	Version uint64         `json:"version"`           // of the declaration in force
 	Fence   uint64         `json:"fence"`             // greatest fence that the sender knows of
-	Holds   []string       `json:"holds,omitempty"`   // endpoints that the sender holds
-	Lost    []string       `json:"lost,omitempty"`    // endpoints that do not answer the sender
 	Room    Vacancy        `json:"room"`
-	Ask     bool           `json:"ask,omitempty"`     // the sender cannot read the platform's list of members
+	Alone   bool           `json:"alone,omitempty"`   // the sender cannot read the platform
+	Ask     bool           `json:"ask,omitempty"`     // the sender has no list of endpoints
 	Members []Member       `json:"members,omitempty"` // in answer to Ask
 	Waiting map[string]int `json:"waiting,omitempty"` // batches that have not begun, by queue
 }
@@ -181,21 +189,34 @@
 	Runs     []HandoverRun `json:"runs,omitempty"`
 }
 
-// Decline tells that the sender does not take over an endpoint.
+// Decline tells that the sender does not take over an endpoint or, with offer 0, that it
+// does not hold one that was claimed.
 type Decline struct {
 	Endpoint string `json:"endpoint"`
 	Offer    uint64 `json:"offer"` // that is declined, as word of an earlier one may come late
 }
 
-// Known is the endpoints that the sender knows, for an entry that cannot read the
-// platform's list.
+// Claim asks the holder of endpoints to hand them on to the sender.
+type Claim struct {
+	Endpoints []string `json:"endpoints"`
+}
+
+// Known tells of the platform's list of endpoints. It holds what has changed between the
+// revisions From and Rev of the platform's store, or all if From is 0.
 type Known struct {
-	Endpoints []Endpoint `json:"endpoints"`
+	From      int64      `json:"from"`
+	Rev       int64      `json:"rev"`
+	Endpoints []Endpoint `json:"endpoints,omitempty"`
+	Gone      []string   `json:"gone,omitempty"` // that are no longer on the list
+	Version   uint64     `json:"version"`        // of the declaration in force
 }
 
 // Check reports all that is wrong with the message.
 func (k *Known) Check() error {
 	var errs []error
+	if k.From < 0 || k.Rev < k.From {
+		errs = append(errs, fmt.Errorf("known goes from revision %d to %d; send 0 or more, in order", k.From, k.Rev))
+	}
 	for i := range k.Endpoints {
 		errs = append(errs, k.Endpoints[i].Check())
 	}
--- a/io/peer/outbox.go
+++ b/io/peer/outbox.go
@@ -21,11 +21,11 @@
 	idleOutbox     = time.Minute
 )
 
-// boxKey names an outbox. Pulses have one of their own, so that a large envelope or a
-// connection that went silent does not hold them up.
+// boxKey names an outbox. What goes apart has one of its own, so that a large envelope or
+// a connection that went silent does not hold it up.
 type boxKey struct {
 	addr  netip.AddrPort
-	pulse bool
+	apart bool
 }
 
 // outbox holds what waits to be sent to one address. A goroutine of its own empties it,
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -98,7 +98,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.box(boxKey{s.Addr, s.Message.Pulse != nil}).add(s) {
+	if p.closed || p.box(boxKey{s.Addr, s.Apart}).add(s) {
 		return
 	}
 	fullOutboxes.Inc()
--- a/leased.go
+++ b/leased.go
@@ -28,8 +28,11 @@
 		Host string
 		Path string
 	}
-	// Endpoints is all endpoints that the platform lists.
-	Endpoints struct{ List []Endpoint }
+	// Endpoints is all endpoints that the platform lists, as of a revision of its store.
+	Endpoints struct {
+		List []Endpoint
+		Rev  int64
+	}
 	// Members is all entries that announced themselves with the platform.
 	Members struct{ List []Member }
 	// Declared is a declaration that was read from the platform.
@@ -110,20 +113,27 @@
 		Fence    uint64
 		Run      RunID
 	}
+	// ReadEndpoints tells how often the list of endpoints is to be read; Now asks for one
+	// reading at once.
+	ReadEndpoints struct {
+		Every time.Duration
+		Now   bool
+	}
 	// SetReady tells the balancer whether the entry takes requests.
 	SetReady struct{ Ready bool }
 	// Withdrawn takes the announcement of the entry back, as it is about to stop.
 	Withdrawn struct{}
 )
 
-func (ReplyBatch) isCommand()   {}
-func (ReplyState) isCommand()   {}
-func (ReplyWaiting) isCommand() {}
-func (Look) isCommand()         {}
-func (StartRun) isCommand()     {}
-func (StopRun) isCommand()      {}
-func (SetReady) isCommand()     {}
-func (Withdrawn) isCommand()    {}
+func (ReplyBatch) isCommand()    {}
+func (ReplyState) isCommand()    {}
+func (ReplyWaiting) isCommand()  {}
+func (Look) isCommand()          {}
+func (StartRun) isCommand()      {}
+func (StopRun) isCommand()       {}
+func (ReadEndpoints) isCommand() {}
+func (SetReady) isCommand()      {}
+func (Withdrawn) isCommand()     {}
 
 // Request returns the request that is ended.
 func (r ReplyBatch) Request() uint64 { return r.Req }
--- a/message.go
+++ b/message.go
@@ -56,7 +56,6 @@
 	Seek      *Seek      `json:"seek,omitempty"`
 	Sought    *Sought    `json:"sought,omitempty"`
 	Pulse     *Pulse     `json:"pulse,omitempty"`
-	Room      *Vacancy   `json:"room,omitempty"`
 	Assign    *Assign    `json:"assign,omitempty"`
 	Boost     *Boost     `json:"boost,omitempty"`
 	Withdraw  *Withdraw  `json:"withdraw,omitempty"`
@@ -65,6 +64,7 @@
 	Taken     *Taken     `json:"taken,omitempty"`
 	Handover  *Handover  `json:"handover,omitempty"`
 	Decline   *Decline   `json:"decline,omitempty"`
+	Claim     *Claim     `json:"claim,omitempty"`
 	Known     *Known     `json:"known,omitempty"`
 	Declare   *Declare   `json:"declare,omitempty"`
 	Revoke    *Revoke    `json:"revoke,omitempty"`
@@ -100,7 +100,6 @@
 	count(m.Seek != nil)
 	count(m.Sought != nil)
 	count(m.Pulse != nil)
-	count(m.Room != nil)
 	count(m.Assign != nil)
 	count(m.Boost != nil)
 	count(m.Withdraw != nil)
@@ -109,6 +108,7 @@
 	count(m.Taken != nil)
 	count(m.Handover != nil)
 	count(m.Decline != nil)
+	count(m.Claim != nil)
 	count(m.Known != nil)
 	count(m.Declare != nil)
 	count(m.Revoke != nil)
