--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -31,8 +31,8 @@
 func (l load) served() float64 { return float64(l.inAim+l.late) / float64(l.asked) }
 
 // playLoad sends batches at an even pace, so much work as share of what the endpoints can do.
-func playLoad(seed uint64, share float64) load {
-	r := newRig(seed, tamper{})
+func playLoad(seed uint64, share float64, links int) load {
+	r := newLinkedRig(seed, tamper{}, links)
 	r.exact, r.objective = true, margin
 	r.declare()
 	r.w.Advance(2 * time.Second)
@@ -84,10 +84,14 @@
 // be of use, large batches are not left out, and who is not served hears so by the time
 // after which an answer would be of little use.
 func TestLoad(t *testing.T) {
-	for _, share := range []float64{0.5, 0.8, 1.3, 2} {
-		t.Run(fmt.Sprint(share), func(t *testing.T) {
+	for _, tc := range []struct {
+		share float64
+		links int
+	}{{0.5, 0}, {0.8, 0}, {1.3, 0}, {2, 0}, {0.5, -1}, {0.8, -1}, {1.3, -1}, {2, -1}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
 			t.Parallel()
-			l := playLoad(1, share)
+			share := tc.share
+			l := playLoad(1, share, tc.links)
 			t.Logf("%+v", l)
 			inAim, served := 0.9, 0.99
 			if share > 1 {
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -119,10 +119,14 @@
 	lastEver map[string]int
 }
 
-func newRig(seed uint64, tm tamper) *rig {
+// newRig returns a system that keeps all links or, with every other seed, none but those
+// that are in use.
+func newRig(seed uint64, tm tamper) *rig { return newLinkedRig(seed, tm, -int(seed%2)) }
+
+func newLinkedRig(seed uint64, tm tamper, links int) *rig {
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
-		tamper: tm, links: -int(seed % 2), clients: map[string]*client{}, version: 1, platform: true, objective: patientObjective,
+		tamper: tm, links: links, clients: map[string]*client{}, version: 1, platform: true, objective: patientObjective,
 		cuts: map[[2]string]bool{}, lateFrom: map[string]float64{}, slow: map[string]float64{}, failing: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, numbers: map[[2]cornelwall.Incarnation]uint64{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, lastEver: map[string]int{},
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -116,9 +116,9 @@
 	case !slices.Contains(c.mine, ep):
 		c.mine = append(c.mine, ep)
 		ep.free, ep.claimed, ep.believed = c.now, time.Time{}, before
-		if before.IsZero() {
-			ep.believed = ep.other
-		}
+	}
+	if ep.best == c.cfg.Self && !c.settled() {
+		ep.believed = ep.other // which held it before this entry came
 	}
 }
 
@@ -201,11 +201,18 @@
 func (c *Core) claimed(from cornelwall.Incarnation, m *cornelwall.Claim) {
 	for _, id := range m.Endpoints {
 		ep := c.endpoints[id]
-		if ep == nil || ep.lease == nil {
+		switch {
+		case ep == nil:
 			c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: id}})
-			continue
+		case ep.lease == nil:
+			m := &cornelwall.Decline{Endpoint: id}
+			if p := c.peers[ep.believed]; p != nil && p.id != from && c.alive(p) {
+				m.Holder = &p.id
+			}
+			c.send(from, cornelwall.Message{Decline: m})
+		default:
+			ep.lease.claimed = true
 		}
-		ep.lease.claimed = true
 	}
 }
 
@@ -275,7 +282,10 @@
 	}
 	l := ep.lease
 	if l == nil && ep.believed == from {
-		ep.believed = cornelwall.Incarnation{} // nobody holds it
+		ep.believed, ep.claimed = cornelwall.Incarnation{}, time.Time{}
+		if m.Holder != nil && *m.Holder != c.cfg.Self {
+			ep.believed = *m.Holder
+		}
 	}
 	if l == nil || l.handTo != from || l.offer != m.Offer {
 		return
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -99,7 +99,12 @@
 	}
 	c.sought = c.now
 	c.salt++
-	if p := c.pickPeer(full >= fullLinks); p != nil {
+	far := full >= fullLinks
+	p := c.pickPeer(far)
+	if p == nil {
+		p = c.pickPeer(!far)
+	}
+	if p != nil {
 		c.link(p)
 	}
 }
--- a/gossip.go
+++ b/gossip.go
@@ -194,6 +194,8 @@
 type Decline struct {
 	Endpoint string `json:"endpoint"`
 	Offer    uint64 `json:"offer"` // that is declined, as word of an earlier one may come late
+	// Holder is who may hold an endpoint that was claimed, if the sender knows of any.
+	Holder *Incarnation `json:"holder,omitempty"`
 }
 
 // Claim asks the holder of endpoints to hand them on to the sender.
