--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -103,7 +103,7 @@
 		own := view{vacancy: c.vacancy(), exact: true}
 		list = append(list, candidate{id: c.cfg.Self, view: &own})
 	}
-	for _, p := range c.byID {
+	for _, p := range c.near {
 		if !c.linked(p) {
 			continue
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 
 const (
 	tickEvery = 20 * time.Millisecond
+	idleEvery = 60 * time.Millisecond // between ticks while there is neither a batch nor a run
 	loadEvery = time.Second
 )
 
@@ -72,6 +73,8 @@
 	peers    map[cornelwall.Incarnation]*peer
 	byID     []*peer                      // the same, in the order of their identities
 	lives    map[entryName]*peer          // latest life of each entry
+	near     []*peer                      // that pulses go to
+	surveyed time.Time                    // when all peers were looked at last
 	seeds    map[netip.AddrPort]time.Time // when a pulse was sent to a seed last
 	platform bool                         // it answers
 
@@ -137,7 +140,12 @@
 }
 
 // Next returns when the core wants a Tick at the latest.
-func (c *Core) Next() time.Time { return c.ticked.Add(tickEvery) }
+func (c *Core) Next() time.Time {
+	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.leaving() {
+		return c.ticked.Add(idleEvery)
+	}
+	return c.ticked.Add(tickEvery)
+}
 
 // Step takes one event and returns the commands that follow from it.
 func (c *Core) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -83,6 +83,18 @@
 // rankMembers works out anew who should hold which endpoint if the entries that may have
 // changed.
 func (c *Core) rankMembers() {
+	digest := c.hash
+	if c.leaving() {
+		digest = 0
+	}
+	for _, p := range c.byID {
+		if c.alive(p) && !p.leaving {
+			digest ^= p.key + uint64(p.weight)
+		}
+	}
+	if digest == c.ranks.digest {
+		return
+	}
 	all := make([]member, 0, len(c.byID)+1)
 	self := member{c.cfg.Self, c.hash, c.cfg.Weight}
 	placed := c.leaving()
@@ -97,10 +109,8 @@
 	if !placed {
 		all = append(all, self)
 	}
-	if slices.Equal(all, c.ranks.all) {
-		return
-	}
-	c.ranks, c.ranked = newRanking(all), c.now
+	c.ranks, c.ranked = newRanking(all, c.cfg.Self), c.now
+	c.ranks.digest = digest
 	for _, ep := range c.byName {
 		c.place(ep)
 	}
@@ -134,7 +144,6 @@
 // keepHolders takes endpoints that have no holder and hands on those that belong to
 // others.
 func (c *Core) keepHolders() {
-	c.rankMembers()
 	hands := 0
 	for _, ep := range slices.Clone(c.heldNow) {
 		if hands < handsAtOnce && c.handOn(ep) {
@@ -254,7 +263,7 @@
 	if l := ep.lease; l != nil && l.from == from && l.first > m.Fence {
 		return // sent again
 	}
-	if p := c.peers[from]; ep.lease != nil || c.leaving() || c.now.Before(ep.lostUntil) || !p.open || p.session != m.Session {
+	if p := c.peers[from]; ep.lease != nil || c.leaving() || c.now.Before(ep.lostUntil) || !c.proved(p) || p.session != m.Session {
 		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
@@ -340,3 +349,6 @@
 	}
 	c.endpointTaken(from, m)
 }
+
+// Held returns the number of endpoints that this entry holds.
+func (c *Core) Held() int { return len(c.heldNow) }
--- a/core/dispatch/lists.go
+++ b/core/dispatch/lists.go
@@ -48,7 +48,7 @@
 		}
 	}
 	c.noteRev(rev)
-	if c.ranks.reads(c.cfg.Self) {
+	if c.ranks.reader {
 		c.tellLists(changed)
 	}
 }
@@ -163,7 +163,7 @@
 	every := listEvery
 	spread := time.Duration(c.hash%spreadReads) * time.Millisecond
 	if c.listRev > 0 && len(c.ranks.byCentre[c.cfg.Self.DataCentre]) > fewReaders &&
-		!c.ranks.reads(c.cfg.Self) && c.now.Sub(c.heardOf) < toldLife+spread {
+		!c.ranks.reader && c.now.Sub(c.heardOf) < toldLife+spread {
 		every = spareEvery + spread
 	}
 	if every != c.every {
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -13,6 +13,7 @@
 	silentAfter   = 260 * time.Millisecond  // without a pulse a peer gets no new tasks
 	proofLife     = 450 * time.Millisecond  // without proof a holder stops the runs of an owner
 	ownerPatience = 1300 * time.Millisecond // without a pulse of a holder, what ran there is over
+	surveyEvery   = 100 * time.Millisecond  // between two looks at all peers
 	freezeAfter   = 300 * time.Millisecond  // between two ticks, worth a line in the log
 	awayAfter     = 2 * time.Second         // without an answer a peer is dead, if the platform cannot tell
 	forgetAfter   = 10 * time.Second        // of a peer that is dead
@@ -26,6 +27,7 @@
 	addr    netip.AddrPort
 	weight  int
 	hash    uint64 // of its name
+	key     uint64 // hash of its identity
 	listed  bool   // by the platform
 	dead    bool   // a later life of the entry is known, or its address refuses connections
 	heard   time.Time
@@ -38,6 +40,7 @@
 
 	wanted time.Time // when this entry last had reason to exchange pulses with it
 	keep   bool      // it wants the pulses of this entry
+	near   bool      // it is on the list of the peers that pulses go to
 
 	// This entry as a holder for the peer.
 	number  uint64 // of the last pulse to the peer
@@ -112,6 +115,8 @@
 
 func (c *Core) dropPeer(p *peer) {
 	delete(c.peers, p.id)
+	p.near = false
+	c.near = slices.DeleteFunc(c.near, func(n *peer) bool { return n == p })
 	if name := nameOf(p.id); c.lives[name] == p {
 		delete(c.lives, name)
 	}
@@ -143,7 +148,7 @@
 	}
 	p := c.peers[m.ID]
 	if p == nil {
-		p = &peer{id: m.ID, hash: hashOf(m.ID.Entry), weight: 1, session: uint64(c.now.UnixMilli())}
+		p = &peer{id: m.ID, hash: hashOf(m.ID.Entry), key: hashOf(m.ID.String()), weight: 1, session: uint64(c.now.UnixMilli())}
 		c.addPeer(p)
 		c.log("peer-found", "peer", p.id, "addr", m.Addr)
 	}
@@ -160,6 +165,7 @@
 		return
 	}
 	p.dead = true
+	c.surveyed = time.Time{} // its endpoints go to others
 	c.log("peer-dead", "peer", p.id, "why", why)
 	c.closeSession(p)
 }
@@ -173,7 +179,7 @@
 	for _, p := range c.peers {
 		p.listed = false
 	}
-	c.membersRead = true
+	c.membersRead, c.surveyed = true, time.Time{}
 	for _, m := range list {
 		if p := c.know(m, true); p != nil {
 			p.listed = true
@@ -196,6 +202,25 @@
 
 // checkPeers finds peers that fell silent.
 func (c *Core) checkPeers() {
+	if c.now.Sub(c.surveyed) >= surveyEvery {
+		c.survey()
+	}
+	for _, p := range c.near {
+		if len(p.resend) > 0 && !p.dead {
+			again := p.resend
+			p.resend = nil
+			for _, m := range again {
+				c.send(p.id, m)
+			}
+		}
+	}
+	c.checkHolders()
+}
+
+// survey looks at all peers. What must be seen sooner is checked where it is used.
+func (c *Core) survey() {
+	c.surveyed = c.now
+	c.near = c.near[:0]
 	for _, p := range slices.Clone(c.byID) {
 		if p.open && c.now.Sub(p.proven) > proofLife {
 			if c.wants(p) {
@@ -214,13 +239,17 @@
 			c.dropPeer(p)
 			continue
 		}
-		if len(p.resend) > 0 && !p.dead {
-			again := p.resend
-			p.resend = nil
-			for _, m := range again {
-				c.send(p.id, m)
-			}
+		if p.near = c.wants(p) || p.keep && c.answers(p) || len(p.resend) > 0; p.near {
+			c.near = append(c.near, p)
 		}
 	}
-	c.checkHolders()
+	c.rankMembers()
+}
+
+// approach puts a peer on the list of those that pulses go to.
+func (c *Core) approach(p *peer) {
+	if !p.near {
+		p.near = true
+		c.near = append(c.near, p)
+	}
 }
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -22,6 +22,9 @@
 	if p == nil || m.Number <= p.seen {
 		return // late, and no proof that the peer is alive now
 	}
+	if m.Keep {
+		c.approach(p)
+	}
 	first, wasOpen := p.number == 0, p.open
 	p.seen, p.heard, p.asked, p.dead, p.expired = m.Number, c.now, time.Time{}, false, false
 	p.leaving, p.version, p.ask, p.alone, p.keep = m.Leaving, m.Version, m.Ask, m.Alone, m.Keep
@@ -56,7 +59,7 @@
 // pulse sends the pulses that are due.
 func (c *Core) pulse() {
 	var due []*peer
-	for _, p := range c.byID {
+	for _, p := range c.near {
 		if !c.wants(p) && !(p.keep && c.answers(p)) {
 			continue
 		}
--- a/core/dispatch/rendezvous.go
+++ b/core/dispatch/rendezvous.go
@@ -37,13 +37,16 @@
 type ranking struct {
 	all      []member
 	byCentre map[string][]member
+	reader   bool   // this entry reads the list of endpoints
+	digest   uint64 // of all
 }
 
-func newRanking(all []member) ranking {
+func newRanking(all []member, self cornelwall.Incarnation) ranking {
 	r := ranking{all: all, byCentre: map[string][]member{}}
 	for _, m := range all {
 		r.byCentre[m.id.DataCentre] = append(r.byCentre[m.id.DataCentre], m)
 	}
+	r.reader = r.reads(self)
 	return r
 }
 
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// proved reports whether there is fresh proof that a peer hears this entry.
+func (c *Core) proved(p *peer) bool { return p.open && c.now.Sub(p.proven) <= proofLife }
+
 // lastProof returns when the owner of a run last proved that it hears this entry. The
 // order to run it is such a proof.
 func (c *Core) lastProof(r *run) time.Time {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -66,7 +66,7 @@
 // out of touch, and may have given the tasks to others since it sent this.
 func (c *Core) assigned(from cornelwall.Incarnation, m *cornelwall.Assign) {
 	p := c.peers[from]
-	valid := from == c.cfg.Self || p.open && p.session == m.Session
+	valid := from == c.cfg.Self || c.proved(p) && p.session == m.Session
 	for i := range m.Tasks {
 		t := &m.Tasks[i]
 		if c.runs[t.RunID] != nil {
