--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -130,6 +130,7 @@
 		}
 		if holders == nil {
 			if holders = c.candidates(); len(holders) == 0 {
+				c.seek()
 				return
 			}
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -91,6 +91,7 @@
 	endpoints   map[string]*endpoint
 	byName      []*endpoint // the same, in the order of their names
 	heldNow     []*endpoint // that this entry holds, in the order of their names
+	lostSome    bool        // it has ceased to hold some
 	mine        []*endpoint // that it should hold
 	goneChecked time.Time
 	fence       uint64
@@ -213,6 +214,10 @@
 	c.checkLeases()
 	c.checkJobs()
 	c.keepHolders()
+	if c.lostSome {
+		c.lostSome = false
+		c.returnUnfit()
+	}
 	c.keepLists()
 	c.dropStops()
 	c.keepLinks()
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -65,6 +65,7 @@
 func (c *Core) hold(ep *endpoint, l *lease) {
 	ep.lease = l
 	c.heldNow = slices.DeleteFunc(c.heldNow, func(h *endpoint) bool { return h == ep })
+	c.lostSome = c.lostSome || l == nil
 	if l != nil {
 		i, _ := slices.BinarySearchFunc(c.heldNow, ep.ID, compareName)
 		c.heldNow = slices.Insert(c.heldNow, i, ep)
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -68,7 +68,7 @@
 // batches come.
 func (c *Core) short() bool {
 	if c.leaving() {
-		return false
+		return len(c.jobs) > 0 && len(c.candidates()) == 0
 	}
 	if len(c.held()) > 0 && (c.submitted.IsZero() || c.now.Sub(c.submitted) > busyTime) {
 		return false
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -168,6 +168,7 @@
 	c.surveyed = time.Time{} // its endpoints go to others
 	c.log("peer-dead", "peer", p.id, "why", why)
 	c.closeSession(p)
+	c.stopRunsOf(p)
 }
 
 // setMembers takes the platform's list of entries.
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -36,10 +36,15 @@
 	return r.came
 }
 
-// closeSession stops all that runs for an owner. What it sent before starts nothing more.
+// closeSession lets nothing start any more that an owner sent before. What runs for it is
+// stopped once its own proof is too old.
 func (c *Core) closeSession(p *peer) {
 	p.open = false
 	p.session++
+}
+
+// stopRunsOf stops all that runs for an owner.
+func (c *Core) stopRunsOf(p *peer) {
 	for _, r := range runsThat(c.runs, func(r *run) bool { return r.owner == p.id }) {
 		c.withdrawRun(r, false)
 	}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -89,10 +89,19 @@
 	}
 }
 
+// returnUnfit gives back what waits for endpoints that this entry does not hold any more.
+func (c *Core) returnUnfit() {
+	for _, r := range slices.Clone(c.waiting) {
+		if !c.fitsSomewhere(r.service, &r.AssignTask) {
+			c.withdrawRun(r, true)
+		}
+	}
+}
+
 // fitsSomewhere reports whether an endpoint that this entry holds could ever run a task.
 func (c *Core) fitsSomewhere(service string, t *cornelwall.AssignTask) bool {
-	for _, ep := range c.endpoints {
-		if ep.lease != nil && ep.Service == service && t.Need.Fits(ep.Room) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
+	for _, ep := range c.heldNow {
+		if ep.Service == service && t.Need.Fits(ep.Room) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
 			return true
 		}
 	}
