Lives of entries and boots of endpoints are not ordered by the time of day

Cause: a restarted entry whose clock had jumped back had the lower number and was ignored until its old life was forgotten, 10 s; an endpoint that restarted so was never heard again under the lease; the platform counted as lost after a jump forward; a fence drawn by a clock that is behind was refused until the clock caught up. The platform's list now decides which life counts, boots are compared for equality, and a refused fence is outbid.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -22,6 +22,7 @@
 	handPause   = time.Second             // between two offers of one endpoint
 	handsAtOnce = 4                       // endpoints that are handed on in one tick
 	fenceSpread = 1 << 10                 // fences that one millisecond has
+	fenceJump   = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
 )
 
 // endpoint is an executor on the platform's list.
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -39,12 +39,13 @@
 
 // lease is this entry's hold on an endpoint.
 type lease struct {
-	ep    *endpoint
-	first uint64 // fence with which it was taken
-	fence uint64
-	phase phase
-	since time.Time
-	boot  int64
+	ep     *endpoint
+	first  uint64 // fence with which it was taken
+	fence  uint64
+	phase  phase
+	since  time.Time
+	boot   int64     // names a life of the endpoint: a time of day, which may jump and tells no order
+	bootAt time.Time // when that life was noticed
 
 	clock   time.Duration // of the endpoint, at clockAt at the latest
 	clockAt time.Time     // zero: not known
--- a/core/dispatch/lists.go
+++ b/core/dispatch/lists.go
@@ -68,7 +68,7 @@
 		c.log("endpoint-leaves", "endpoint", info.ID)
 	}
 	ep.Endpoint, ep.absent, ep.changed = *info, time.Time{}, rev
-	if l := ep.lease; l != nil && l.boot != 0 && info.Boot > l.boot {
+	if l := ep.lease; l != nil && l.boot != 0 && info.Boot != 0 && info.Boot != l.boot {
 		c.restarted(l, info.Boot)
 	}
 	return true
--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -44,10 +44,10 @@
 	default:
 		return // it is sent again in time
 	}
-	if ev.Boot < l.boot {
-		return // from before the endpoint started anew
-	}
 	if l.boot != 0 && l.boot != ev.Boot {
+		if ev.Sent.Before(l.bootAt) {
+			return // it may be from before the endpoint started anew
+		}
 		c.restarted(l, ev.Boot)
 	}
 	l.boot, l.answered, l.asked = ev.Boot, c.now, time.Time{}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -30,6 +30,7 @@
 	key     uint64 // hash of its identity
 	listed  bool   // by the platform
 	dead    bool   // a later life of the entry is known, or its address refuses connections
+	former  bool   // the platform has listed a later life
 	heard   time.Time
 	asked   time.Time // of the first pulse to it since it was heard last; zero if none
 	expired bool      // what it ran for this entry is over
@@ -133,16 +134,20 @@
 	if m.ID.SameEntry(c.cfg.Self) {
 		return nil
 	}
+	if p := c.peers[m.ID]; p != nil && p.former && !listed {
+		return nil
+	}
 	old := c.lives[nameOf(m.ID)]
 	if old == nil || old.id != m.ID {
 		if old != nil && !listed && !old.dead && old.id.Life > m.ID.Life && (c.platform || c.now.Sub(old.heard) <= awayAfter) {
 			return nil
 		}
 		if old != nil {
+			old.former = listed
 			c.died(old, "restarted")
 		}
 		if p := c.peers[m.ID]; p != nil {
-			p.dead = false
+			p.dead, p.former = false, false
 			c.lives[nameOf(m.ID)] = p
 		}
 	}
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -23,6 +23,7 @@
 // are still late are refused.
 func (c *Core) restarted(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
+	l.bootAt = c.now
 	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
@@ -45,6 +46,9 @@
 // have kept it, and its word decides.
 func (c *Core) yield(l *lease) {
 	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
+	if l.phase == phaseTaking {
+		c.fence += fenceJump // the clock of an earlier holder may be ahead
+	}
 	l.phase, l.yieldedAt = phaseYielded, c.now
 	c.hold(l.ep, nil)
 	l.ep.free, l.ep.yielded = c.now, c.now.Add(yieldTime)
