A task that was placed for a free place comes back if that is taken

Cause: the word of room is up to 100 ms old and a task that lost the race for a place waited at the holder for another, while other holders had room.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -21,6 +21,7 @@
 	spreadCost  = 8.0   // ms, by the number of places that are free at another entry, as word of them is old
 	releaseTime = 150.0 // ms, after which a place that is taken becomes free
 	missCost    = 40.0  // ms, of each time that a holder did not start a task of late
+	maxEager    = 2     // times that a task may come back for want of room before it waits where it is
 )
 
 // view is what an owner believes a holder has free: its last word, less what was
@@ -143,6 +144,7 @@
 			t.next = c.now.Add(retryPause)
 			continue
 		}
+		eager := best.id != c.cfg.Self && t.misses < maxEager && best.view.places(s.Need) > 0
 		best.view.deduct(s.Need, j.queue.Priority, s.Estimate)
 		t.state, t.holder, t.since, t.run = taskAssigned, best.id, c.now, c.newRun(t)
 		c.tasks[t.run] = t
@@ -151,7 +153,7 @@
 			order = append(order, best.id)
 		}
 		assigns[best.id].Tasks = append(assigns[best.id].Tasks, cornelwall.AssignTask{
-			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, Limit: s.PerEndpoint, Avoid: t.avoid, Patient: t.stopped,
+			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, Limit: s.PerEndpoint, Avoid: t.avoid, Patient: t.stopped, Eager: eager,
 		})
 	}
 	for _, id := range order {
--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -32,7 +32,11 @@
 
 // playLoad sends batches at an even pace, so much work as share of what the endpoints can do.
 func playLoad(seed uint64, share float64, links int) load {
-	r := newLinkedRig(seed, tamper{}, links)
+	return playSizedLoad(seed, share, links, small)
+}
+
+func playSizedLoad(seed uint64, share float64, links int, sz size) load {
+	r := newSizedRig(seed, tamper{}, links, sz)
 	r.exact, r.objective = true, margin
 	r.declare()
 	r.w.Advance(2 * time.Second)
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -242,6 +242,16 @@
 	}
 	clear(c.waiting[len(rest):])
 	c.waiting = rest
+	c.returnEager()
+}
+
+// returnEager gives back tasks whose owners expected them to start at once.
+func (c *Core) returnEager() {
+	for _, r := range slices.Clone(c.waiting) {
+		if r.Eager {
+			c.withdrawRun(r, true)
+		}
+	}
 }
 
 // choose returns the lease whose endpoint is best for a run, or nil if none of those held
--- a/gossip.go
+++ b/gossip.go
@@ -95,6 +95,7 @@
 	Limit    int           `json:"limit,omitempty"`   // tasks of its step on one endpoint at once
 	Avoid    string        `json:"avoid,omitempty"`   // endpoint that it failed on
 	Patient  bool          `json:"patient,omitempty"` // it has been stopped as a straggler and is not again
+	Eager    bool          `json:"eager,omitempty"`   // it comes back if it cannot start at once, as another holder has room
 }
 
 // Check reports all that is wrong with the message.
