Requests to endpoints, entries and the store are written and read by one goroutine; ends of an idle endpoint wait for its next run

Cause: the transport of net/http wakes two goroutines for each request; an entry of a large system makes about 100 requests a second. TestGuardSealsEveryLaterConnection tested how that transport was kept from a second connection; a request now has one connection by construction, and TestClosedWhileIdle and TestTimeout check what callers rely on. Idempotency-Key need not be removed any more, as nothing here sends a request again.

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -14,7 +14,7 @@
 	lookLate    = 120 * time.Millisecond // after its wait, when a look is sent again
 	lookRetry   = 100 * time.Millisecond // between looks at an endpoint that does not answer
 	lookAgain   = 10 * time.Millisecond  // between looks that are sent to settle something
-	ackDelay    = 40 * time.Millisecond  // of ends at an endpoint that has become idle
+	ackDelay    = 500 * time.Millisecond // of ends at an endpoint that has become idle; mostly the next run comes first
 	looksAtOnce = 4
 	lostAfter   = 700 * time.Millisecond // without an answer, after which nothing starts there
 	stopRepeat  = 80 * time.Millisecond  // between two stops of one run
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -1,82 +1,73 @@
 package http1
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"net"
-	"net/http/httptrace"
-	"sync"
+	"net/netip"
+	"syscall"
+	"time"
 )
 
-var errSealed = errors.New("connection takes no more writes")
+const (
+	writeBuffer = 4 << 10 // bytes
+	readBuffer  = 4 << 10 // bytes
+)
+
+// past is a deadline that ends every read and write at once.
+var past = time.Unix(1, 0)
 
-// conn counts its writes and can be sealed against further ones.
+// conn is one connection. One request at a time is on it.
 type conn struct {
 	net.Conn
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+	r     *bufio.Reader
+	w     *bufio.Writer
+	wrote bool      // the request under way has been written, at least in part
+	idle  time.Time // since when it has been idle
 }
 
-// Write counts before it writes, so that a write under way counts as done.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	if c.sealed {
-		c.mu.Unlock()
-		return 0, errSealed
+func dial(ctx context.Context, limit time.Duration, addr netip.AddrPort) (*conn, error) {
+	d := net.Dialer{Timeout: limit}
+	nc, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
 	}
-	c.writes++
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
-func (c *conn) count() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
-}
-
-func (c *conn) seal() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sealed = true
-	return c.writes
-}
-
-// guard ties one request to one connection.
-type guard struct {
-	mu     sync.Mutex
-	conn   *conn
-	base   uint64 // writes on conn before the request
-	sealed bool
-	blind  bool // the connection cannot tell its writes
+	c := &conn{Conn: nc}
+	c.r, c.w = bufio.NewReaderSize(nc, readBuffer), bufio.NewWriterSize(c, writeBuffer)
+	return c, nil
 }
 
-func (g *guard) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: g.gotConn}
+// Write takes note of whether the kernel has taken any byte.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.wrote = c.wrote || n > 0
+	return n, err
 }
 
-// gotConn runs before the request is written. Any connection after the first, or
-// after the request was given up, is sealed: the request fails there unwritten.
-func (g *guard) gotConn(info httptrace.GotConnInfo) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c, ok := info.Conn.(*conn)
+// usable reports whether the other side has neither closed the idle connection nor said
+// anything on it.
+func (c *conn) usable() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		g.blind = true
-		return
+		return false
 	}
-	if g.conn != nil || g.sealed {
-		c.seal()
-		return
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
 	}
-	g.conn, g.base = c, c.count()
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, err := syscall.Read(int(fd), b[:])
+		quiet = n < 0 && errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
 }
 
-// seal stops all further writes of the request and reports whether there may have
-// been any.
-func (g *guard) seal() (sent bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.sealed = true
-	return g.blind || g.conn != nil && g.conn.seal() != g.base
-}
+// interrupt ends what goes on on the connection.
+func (c *conn) interrupt() { _ = c.SetDeadline(past) } // an error means that it is closed
--- /dev/null
+++ b/io/http1/plain.go
@@ -0,0 +1,38 @@
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+)
+
+// Plain is a client for libraries that make requests of net/http. It follows no redirects
+// and holds whole answers in memory.
+type Plain struct{ client *Client }
+
+// NewPlain returns a client with the settings.
+func NewPlain(cfg Config) *Plain { return &Plain{client: New(cfg)} }
+
+// Do sends the request at most once. The address in its URL is an IP and a port.
+func (p *Plain) Do(r *http.Request) (*http.Response, error) {
+	addr, err := netip.ParseAddrPort(r.URL.Host)
+	if err != nil {
+		return nil, fmt.Errorf("request to %q: use ip:port: %w", r.URL.Host, err)
+	}
+	pool := p.client.enter(poolKey{addr: addr})
+	defer p.client.leave(pool)
+	got, _, err := p.client.exchange(r.Context(), pool, addr, r)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", r.Method, r.URL, err)
+	}
+	return &http.Response{
+		Status: http.StatusText(got.Status), StatusCode: got.Status,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: got.Header, Body: io.NopCloser(bytes.NewReader(got.Body)), ContentLength: int64(len(got.Body)), Request: r,
+	}, nil
+}
+
+// CloseIdleConnections closes the connections, those in use after their requests.
+func (p *Plain) CloseIdleConnections() { p.client.Close() }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -23,12 +23,14 @@
 	"github.com/go-logr/logr"
 
 	"cornelwall"
+	"cornelwall/io/http1"
 )
 
 const (
 	procedure    = "/cornelwall.Peer/Deliver"
 	maxEnvelope  = 32 << 20 // bytes
 	flushTimeout = time.Second
+	idleConns    = 2 // kept to one entry
 	bearerPrefix = "Bearer "
 	gzip         = "gzip" // turned off: it costs more than the small messages win
 )
@@ -56,7 +58,7 @@
 	cfg    Config
 	post   cornelwall.Poster
 	log    logr.Logger
-	client *http.Client
+	client *http1.Plain
 
 	mu      sync.Mutex
 	closed  bool
@@ -73,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Peers{
 		cfg: cfg, post: post, log: log,
-		client:  newClient(),
+		client:  http1.NewPlain(http1.Config{Idle: idleConns, Dial: cfg.Timeout}),
 		boxes:   map[boxKey]*outbox{},
 		closing: make(chan struct{}),
 		ctx:     ctx, cancel: cancel,
@@ -81,14 +83,6 @@
 	}
 }
 
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     idleOutbox,
-		DisableCompression:  true,
-	}}
-}
-
 // Act queues a message. If the outbox is full, the message goes back to the core. After
 // Run has ended nothing is sent.
 func (p *Peers) Act(cmd cornelwall.Command) {
