--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -110,3 +110,25 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.Assert(t, !sent)
 }
+
+// TestConnectionIsKept makes a second request after the deadline of the first has passed. It
+// goes over the same connection.
+func TestConnectionIsKept(t *testing.T) {
+	var from [2]string
+	n := 0
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		from[n] = r.RemoteAddr
+		n++
+	}))
+	defer server.Close()
+	c := New(Config{})
+	defer c.Close()
+	for range from {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, _, err := c.Do(ctx, netip.MustParseAddrPort(server.Listener.Addr().String()), 0, Request{Method: http.MethodGet, Path: "/"})
+		assert.NilError(t, err)
+		<-ctx.Done()
+		cancel()
+	}
+	assert.Equal(t, from[0], from[1])
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -48,7 +48,7 @@
 // usable reports whether the other side has neither closed the idle connection nor said
 // anything on it.
 func (c *conn) usable() bool {
-	if c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil { // that of the last request may have passed
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
