An entry that the platform drops from its list is asked before its endpoints go to others; messages by kind at 60 and 150 entries

Cause: where heartbeats flow only with work, the list alone told who is alive; a platform that revokes the leases of a third of the entries and turns them away would have had their endpoints taken, and what runs there stopped, until they were heard as alone a second later.

--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/io/peer"
 )
 
 // cost is what an entry does in a second, in the mean of all entries.
@@ -32,6 +39,76 @@
 	}
 }
 
+// traffics counts messages and their bytes by kind. A nil map counts nothing.
+type traffics map[string]*struct{ messages, bytes float64 }
+
+func (t traffics) add(e *cornelwall.Envelope) {
+	for i := range e.Messages {
+		if t == nil {
+			return
+		}
+		v := reflect.ValueOf(e.Messages[i])
+		for k := range v.NumField() {
+			if v.Field(k).IsNil() {
+				continue
+			}
+			name := v.Type().Field(k).Name
+			if t[name] == nil {
+				t[name] = &struct{ messages, bytes float64 }{}
+			}
+			b, err := peer.NewCodec().Marshal(&e.Messages[i])
+			if err != nil {
+				panic(err) // these types can be encoded
+			}
+			t[name].messages++
+			t[name].bytes += float64(len(b))
+		}
+	}
+}
+
+// table returns the counts for each entry and second.
+func (t traffics) table(per float64) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(t)) {
+		fmt.Fprintf(&b, "%s %.2f messages %.0f bytes; ", name, t[name].messages/per, t[name].bytes/per)
+	}
+	return b.String()
+}
+
+// TestFleetTraffic sends every entry the same work in a small and in a large system. What it
+// sends to others may not grow.
+func TestFleetTraffic(t *testing.T) {
+	const (
+		seconds = 2
+		batches = 9 // for each entry and second
+		growth  = 1.3
+	)
+	var first float64
+	for _, n := range []int{60, 150} {
+		r := fleetOf(n)
+		r.exact, r.objective = true, margin
+		r.declare()
+		r.w.Advance(time.Second)
+		r.sent = traffics{}
+		for range seconds * batches * 10 {
+			for range n / 10 {
+				r.submitSized(1+r.rng.IntN(maxTasks), patience).once = true
+			}
+			r.w.Advance(time.Second / batches / 10)
+		}
+		total := 0.0
+		for _, k := range r.sent {
+			total += k.messages
+		}
+		total /= float64(n) * seconds
+		t.Logf("%d entries: %.1f messages of an entry and second: %s", n, total, r.sent.table(float64(n)*seconds))
+		if first == 0 {
+			first = total
+		}
+		assert.Assert(t, total <= growth*first, "%.1f messages at %d entries, %.1f at 60", total, n, first)
+	}
+}
+
 // held checks that each endpoint has one holder.
 func (r *rig) held() int {
 	n := 0
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -111,9 +111,10 @@
 
 	links     int // as of the settings of a core
 	size      size
-	listReads int   // of the list of endpoints
-	orders    int   // to endpoints
-	rev       int64 // of the platform's store
+	listReads int      // of the list of endpoints
+	orders    int      // to endpoints
+	sent      traffics // between entries, if counted
+	rev       int64    // of the platform's store
 
 	sessions map[[2]cornelwall.Incarnation]uint64 // granted, by holder and owner
 	numbers  map[[2]cornelwall.Incarnation]uint64 // of pulses, by sender and receiver
@@ -217,6 +218,7 @@
 // or never.
 func (r *rig) link(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Fate {
 	r.forge(from, to, &e)
+	r.sent.add(&e)
 	if r.isCut(from.Entry, to.Entry) {
 		fate := fake.Fate{Told: 250 * time.Millisecond, Refused: r.tamper.earlyOver}
 		if r.rng.IntN(2) == 0 {
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -15,6 +15,7 @@
 	ownerPatience = 1300 * time.Millisecond // without a pulse of a holder, what ran there is over
 	surveyEvery   = 100 * time.Millisecond  // between two looks at all peers
 	freezeAfter   = 300 * time.Millisecond  // between two ticks, worth a line in the log
+	unlistedTime  = time.Second             // for which an entry that the platform has dropped may show that it lives
 	awayAfter     = 2 * time.Second         // without an answer a peer is dead, if the platform cannot tell
 	forgetAfter   = 10 * time.Second        // of a peer that is dead
 	tellEvery     = time.Second             // between two lists of what is known to a peer that asks
@@ -23,21 +24,22 @@
 
 // peer is one incarnation of another entry.
 type peer struct {
-	id      cornelwall.Incarnation
-	addr    netip.AddrPort
-	weight  int
-	hash    uint64 // of its name
-	key     uint64 // hash of its identity
-	listed  bool   // by the platform
-	dead    bool   // a later life of the entry is known, or its address refuses connections
-	former  bool   // the platform has listed a later life
-	heard   time.Time
-	asked   time.Time // of the first pulse to it since it was heard last; zero if none
-	expired bool      // what it ran for this entry is over
-	leaving bool
-	alone   bool // it cannot read the platform
-	version uint64
-	view    view
+	id       cornelwall.Incarnation
+	addr     netip.AddrPort
+	weight   int
+	hash     uint64    // of its name
+	key      uint64    // hash of its identity
+	listed   bool      // by the platform
+	unlisted time.Time // when it was dropped from the platform's list
+	dead     bool      // a later life of the entry is known, or its address refuses connections
+	former   bool      // the platform has listed a later life
+	heard    time.Time
+	asked    time.Time // of the first pulse to it since it was heard last; zero if none
+	expired  bool      // what it ran for this entry is over
+	leaving  bool
+	alone    bool // it cannot read the platform
+	version  uint64
+	view     view
 
 	wanted time.Time // when this entry last had reason to exchange pulses with it
 	keep   bool      // it wants the pulses of this entry
@@ -81,7 +83,8 @@
 		return true
 	}
 	if c.platform {
-		return p.listed
+		// An entry that the platform has just dropped may live on; it was asked.
+		return p.listed || c.now.Sub(p.unlisted) <= unlistedTime && c.unanswered(p) <= proofLife
 	}
 	// Without the platform, an entry that hears nobody is more likely to be cut off
 	// itself than all others are to be dead.
@@ -182,7 +185,9 @@
 		c.platform = true
 		c.log("platform-back")
 	}
-	for _, p := range c.peers {
+	before := slices.Clone(c.byID)
+	before = slices.DeleteFunc(before, func(p *peer) bool { return !p.listed })
+	for _, p := range before {
 		p.listed = false
 	}
 	c.membersRead, c.surveyed = true, time.Time{}
@@ -191,6 +196,15 @@
 			p.listed = true
 		}
 	}
+	for _, p := range before {
+		if p.listed || p.dead {
+			continue
+		}
+		p.unlisted = c.now
+		if p.id.DataCentre == c.cfg.Self.DataCentre {
+			c.link(p)
+		}
+	}
 }
 
 func (c *Core) platformLost() {
@@ -241,7 +255,7 @@
 			}
 			p.resend = nil
 		}
-		if !p.listed && c.now.Sub(p.heard) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
+		if !p.listed && c.now.Sub(p.heard) > forgetAfter && c.now.Sub(p.unlisted) > forgetAfter && (p.expired || p.heard.IsZero()) && c.platform {
 			c.dropPeer(p)
 			continue
 		}
--- /dev/null
+++ b/core/dispatch/unlisted_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestDroppedFromList drops an entry from the platform's list, as when the platform revokes
+// its lease. It is asked, and its endpoints go to others only if it does not answer.
+func TestDroppedFromList(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	for _, answers := range []bool{true, false} {
+		now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+		c := New(Config{Self: self, Addr: addr, Links: -1}, now)
+		asked := false
+		step := func(ev cornelwall.Event) {
+			for _, cmd := range c.Step(now, ev) {
+				if s, ok := cmd.(cornelwall.Send); ok && s.To == other && s.Message.Pulse != nil {
+					asked = true
+				}
+			}
+		}
+		step(cornelwall.Members{List: []cornelwall.Member{{ID: other, Addr: addr}}})
+		now = now.Add(5 * time.Second) // without a link
+		step(cornelwall.Tick{})
+		step(cornelwall.Members{})
+		assert.Assert(t, asked)
+		assert.Assert(t, c.alive(c.peers[other]))
+		for i := range 10 {
+			now = now.Add(100 * time.Millisecond)
+			if answers {
+				step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{
+					{Pulse: &cornelwall.Pulse{Addr: addr, Number: uint64(i + 1), Session: 1, Alone: true}},
+				}}})
+			} else {
+				step(cornelwall.Tick{})
+			}
+		}
+		assert.Equal(t, c.alive(c.peers[other]), answers)
+	}
+}
