--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -92,7 +92,11 @@
 		share float64
 		links int
 	}{{0.5, 0}, {0.8, 0}, {1.3, 0}, {2, 0}, {0.5, -1}, {0.8, -1}, {1.3, -1}, {2, -1}} {
-		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+		links := "all links"
+		if tc.links < 0 {
+			links = "links on demand"
+		}
+		t.Run(fmt.Sprintf("%v of the room, %s", tc.share, links), func(t *testing.T) {
 			t.Parallel()
 			share := tc.share
 			l := playLoad(1, share, tc.links)
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -10,7 +10,7 @@
 
 const (
 	leaseTime   = 600 * time.Millisecond // that a look or a start adds to a lease
-	lookWait    = 200 * time.Millisecond // for which a look waits for an end
+	lookWait    = 300 * time.Millisecond // for which a look waits for an end
 	lookLate    = 120 * time.Millisecond // after its wait, when a look is sent again
 	lookRetry   = 100 * time.Millisecond // between looks at an endpoint that does not answer
 	lookAgain   = 10 * time.Millisecond  // between looks that are sent to settle something
