--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -62,10 +63,10 @@
 
 // addQueued adds a task to the work that waits by class.
 func addQueued(queued []int, class int, need cornelwall.Share, estimate time.Duration) []int {
-	if queued == nil {
-		queued = make([]int, cornelwall.Classes)
+	if len(queued) < cornelwall.Classes { // none, or word of another version
+		queued = append(slices.Clone(queued), make([]int, cornelwall.Classes-len(queued))...)
 	}
-	queued[min(max(class, 0), len(queued)-1)] += need.Cores * int(estimate.Milliseconds())
+	queued[min(max(class, 0), cornelwall.Classes-1)] += need.Cores * int(estimate.Milliseconds())
 	return queued
 }
 
--- /dev/null
+++ b/core/dispatch/lists_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestWordOfTheList takes the platform's list and word of other entries about it, in any
+// order. What is newer holds: an endpoint that has left does not come back by older word, and
+// word that leaves a gap is not taken but asks for a reading.
+func TestWordOfTheList(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	ep := func(id string, leaving bool) cornelwall.Endpoint {
+		return cornelwall.Endpoint{ID: id, Service: "s", Addr: addr, DataCentre: "dc0", Leaving: leaving}
+	}
+	list := func(rev int64, eps ...cornelwall.Endpoint) cornelwall.Event {
+		return cornelwall.Endpoints{List: eps, Rev: rev}
+	}
+	word := func(k cornelwall.Known) cornelwall.Event {
+		return cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{{Known: &k}}}}
+	}
+	for _, tc := range []struct {
+		name    string
+		events  []cornelwall.Event
+		there   []string // on the list and not leaving
+		reading bool     // one is asked for at once
+	}{
+		{"a list", []cornelwall.Event{list(5, ep("x1", false), ep("x2", true))}, []string{"x1"}, false},
+		{"word of a change", []cornelwall.Event{list(5, ep("x1", false)), word(cornelwall.Known{From: 4, Rev: 7, Endpoints: []cornelwall.Endpoint{ep("x2", false)}})}, []string{"x1", "x2"}, false},
+		{"word that one is gone", []cornelwall.Event{list(5, ep("x1", false)), word(cornelwall.Known{From: 5, Rev: 7, Gone: []string{"x1"}})}, nil, false},
+		{"older word", []cornelwall.Event{list(5, ep("x1", false)), list(9), word(cornelwall.Known{From: 4, Rev: 7, Endpoints: []cornelwall.Endpoint{ep("x1", false)}})}, nil, false},
+		{"older word of one that leaves", []cornelwall.Event{list(9, ep("x1", true)), word(cornelwall.Known{From: 4, Rev: 7, Endpoints: []cornelwall.Endpoint{ep("x1", false)}})}, nil, false},
+		{"an older list", []cornelwall.Event{list(9), list(5, ep("x1", false))}, nil, false},
+		{"all of an entry that cannot read", []cornelwall.Event{list(9), word(cornelwall.Known{Rev: 12, Endpoints: []cornelwall.Endpoint{ep("x1", false)}})}, nil, false},
+		{"all, to one without a list", []cornelwall.Event{word(cornelwall.Known{Rev: 12, Endpoints: []cornelwall.Endpoint{ep("x1", false)}})}, []string{"x1"}, false},
+		{"a gap", []cornelwall.Event{list(5, ep("x1", false)), word(cornelwall.Known{From: 7, Rev: 9, Gone: []string{"x1"}})}, []string{"x1"}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+			c := New(Config{Self: self, Addr: addr}, now)
+			c.Step(now, cornelwall.Members{List: []cornelwall.Member{{ID: other, Addr: addr}}})
+			reading := false
+			for _, ev := range tc.events {
+				for _, cmd := range c.Step(now, ev) {
+					read, ok := cmd.(cornelwall.ReadEndpoints)
+					reading = reading || ok && read.Now
+				}
+			}
+			var there []string
+			for _, ep := range c.byName {
+				if ep.absent.IsZero() && !ep.Leaving {
+					there = append(there, ep.ID)
+				}
+			}
+			assert.DeepEqual(t, there, tc.there)
+			assert.Equal(t, reading, tc.reading)
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/strange_test.go
@@ -0,0 +1,17 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"cornelwall"
+)
+
+// TestQueuedWithoutClasses takes word of a peer that tells its queue by fewer classes than
+// there are.
+func TestQueuedWithoutClasses(t *testing.T) {
+	for _, queued := range [][]int{nil, {}, {1}, {1, 2, 3, 4, 5}} {
+		v := view{vacancy: cornelwall.Vacancy{Total: 16000, Queued: queued}}
+		v.deduct(cornelwall.Share{Cores: 8000}, cornelwall.Classes+1, time.Second)
+	}
+}
