--- /dev/null
+++ b/core/dispatch/claim_test.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestClaim starts an entry that should hold an endpoint which another one may hold. It takes
+// the endpoint soon if that one is silent or says that it does not hold it, and late if it
+// answers without a word of the endpoint.
+func TestClaim(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	for _, tc := range []struct {
+		name             string
+		answers, decline bool
+		least, most      time.Duration // until it is taken
+	}{
+		{"silent", false, false, settleTime, settleTime + silentAfter + 300*time.Millisecond},
+		{"declines", true, true, settleTime, settleTime + 300*time.Millisecond},
+		{"answers", true, false, claimTime, claimTime + 500*time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			began := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+			now := began
+			c := New(Config{Self: self, Addr: addr, Links: -1, Weight: 1 << 40}, now)
+			number := uint64(0)
+			var taken time.Duration
+			var step func(ev cornelwall.Event)
+			step = func(ev cornelwall.Event) {
+				for _, cmd := range c.Step(now, ev) {
+					if _, ok := cmd.(cornelwall.Look); ok && taken == 0 {
+						taken = now.Sub(began)
+					}
+					s, ok := cmd.(cornelwall.Send)
+					if !ok || !tc.answers {
+						continue
+					}
+					var m cornelwall.Message
+					switch {
+					case s.Message.Pulse != nil:
+						number++
+						m.Pulse = &cornelwall.Pulse{Addr: addr, Number: number, Session: 1, Seen: s.Message.Pulse.Number}
+					case s.Message.Claim != nil && tc.decline:
+						m.Decline = &cornelwall.Decline{Endpoint: "x1"}
+					default:
+						continue
+					}
+					step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{m}}})
+				}
+			}
+			step(cornelwall.Members{List: []cornelwall.Member{{ID: other, Addr: addr}}})
+			step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}}}})
+			for range 3 * int(time.Second/tickEvery) {
+				now = now.Add(tickEvery)
+				step(cornelwall.Tick{})
+			}
+			assert.Assert(t, taken >= tc.least && taken <= tc.most, "taken after %s, want %s to %s", taken, tc.least, tc.most)
+		})
+	}
+}
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -183,7 +183,8 @@
 }
 
 // takeFree takes an endpoint that should be this entry's once nobody else holds it. The
-// entry that may is asked first; if it does not answer, its fence is outbid.
+// entry that may is asked first. If it is silent, as after a loss of power, or does not hand
+// the endpoint on, its fence is outbid.
 func (c *Core) takeFree(ep *endpoint, claims map[cornelwall.Incarnation][]string) {
 	if c.leaving() || c.gone(ep) || c.now.Before(ep.yielded) || c.now.Before(ep.lostUntil) || !c.settled() {
 		return
@@ -193,7 +194,7 @@
 			ep.claimed = c.now
 			claims[p.id] = append(claims[p.id], ep.ID)
 		}
-		if c.now.Sub(ep.claimed) < claimTime {
+		if c.now.Sub(ep.claimed) < claimTime && c.unanswered(p) <= silentAfter {
 			return
 		}
 	}
