--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -9,20 +9,22 @@
 )
 
 const (
-	settleTime  = 120 * time.Millisecond  // after the start, for the entries that run to be heard
-	settleMost  = time.Second             // after which an entry takes endpoints whatever it has heard
-	freeTime    = 60 * time.Millisecond   // without a holder, after which an endpoint is taken
-	claimTime   = 1500 * time.Millisecond // for the holder to hand on what was claimed
-	yieldTime   = time.Second             // after another entry has taken an endpoint
-	lostTime    = 3 * time.Second         // for which an endpoint that does not answer is left to others
-	absentTime  = 3 * time.Second         // off the platform's list, after which an endpoint is gone
-	keepTime    = time.Second             // for which an endpoint is held before it is handed on
-	handTimeout = 250 * time.Millisecond  // for the next holder to take over
-	offerLife   = 2500 * time.Millisecond // of an offer to an entry that died since
-	handPause   = time.Second             // between two offers of one endpoint
-	handsAtOnce = 4                       // endpoints that are handed on in one tick
-	fenceSpread = 1 << 10                 // fences that one millisecond has
-	fenceJump   = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
+	settleTime   = 120 * time.Millisecond  // after the start, for the entries that run to be heard
+	quietTime    = 40 * time.Millisecond   // without a change of the entries, for the same
+	settleMost   = time.Second             // after which an entry takes endpoints whatever it has heard
+	freeTime     = 60 * time.Millisecond   // without a holder, after which an endpoint is taken
+	claimTime    = 1500 * time.Millisecond // for the holder to hand on what was claimed
+	claimSilence = 200 * time.Millisecond  // without an answer, after which a claim is given up
+	yieldTime    = time.Second             // after another entry has taken an endpoint
+	lostTime     = 3 * time.Second         // for which an endpoint that does not answer is left to others
+	absentTime   = 3 * time.Second         // off the platform's list, after which an endpoint is gone
+	keepTime     = time.Second             // for which an endpoint is held before it is handed on
+	handTimeout  = 250 * time.Millisecond  // for the next holder to take over
+	offerLife    = 2500 * time.Millisecond // of an offer to an entry that died since
+	handPause    = time.Second             // between two offers of one endpoint
+	handsAtOnce  = 4                       // endpoints that are handed on in one tick
+	fenceSpread  = 1 << 10                 // fences that one millisecond has
+	fenceJump    = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
 )
 
 // endpoint is an executor on the platform's list.
@@ -194,7 +196,7 @@
 			ep.claimed = c.now
 			claims[p.id] = append(claims[p.id], ep.ID)
 		}
-		if c.now.Sub(ep.claimed) < claimTime && c.unanswered(p) <= silentAfter {
+		if c.now.Sub(ep.claimed) < claimTime && c.unanswered(p) <= claimSilence {
 			return
 		}
 	}
@@ -206,7 +208,7 @@
 // settled reports whether this entry has had the time to learn of the others.
 func (c *Core) settled() bool {
 	up := c.now.Sub(c.started)
-	return up >= settleMost || up >= settleTime && c.membersRead && c.now.Sub(c.ranked) >= settleTime
+	return up >= settleMost || up >= settleTime && c.membersRead && c.now.Sub(c.ranked) >= quietTime
 }
 
 // claimed takes the claim of an entry on endpoints.
