--- a/core/dispatch/claim_test.go
+++ b/core/dispatch/claim_test.go
@@ -65,3 +65,31 @@
 		})
 	}
 }
+
+// TestFirstMessageFollowsPulse sends a claim to an entry that may not know the sender. On the
+// connection that carries it a pulse goes first, although one has gone on its own.
+func TestFirstMessageFollowsPulse(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	c := New(Config{Self: self, Addr: addr, Links: -1, Weight: 1 << 40}, now)
+	c.Step(now, cornelwall.Members{List: []cornelwall.Member{{ID: other, Addr: addr}}})
+	c.Step(now, cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0"}}})
+	for range 20 {
+		now = now.Add(tickEvery)
+		pulsed := false
+		for _, cmd := range c.Step(now, cornelwall.Tick{}) {
+			s, ok := cmd.(cornelwall.Send)
+			if !ok || s.Apart {
+				continue
+			}
+			pulsed = pulsed || s.Message.Pulse != nil
+			if s.Message.Claim != nil {
+				assert.Assert(t, pulsed)
+				return
+			}
+		}
+	}
+	t.Fatal("nothing is claimed")
+}
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -154,23 +154,26 @@
 	return list
 }
 
-// addPulses puts a pulse before what is sent to a peer in this step, unless it has had one
-// just now: it carries proof and word of room.
+// addPulses puts a pulse before what is sent to a peer in this step: it carries proof and
+// word of room. A peer that knows this entry needs none if it has had one just now; another
+// would not take what comes before the first pulse.
 func (c *Core) addPulses() {
 	var pulses []cornelwall.Command
 	var own cornelwall.Pulse
+	var added map[*peer]bool
 	for _, cmd := range c.out {
 		s, ok := cmd.(cornelwall.Send)
-		if !ok || s.Message.Known != nil {
+		if !ok || s.Apart || s.Message.Known != nil {
 			continue
 		}
 		p := c.peers[s.To]
-		if p == nil || c.now.Sub(p.pulsed) < rideEvery {
+		if p == nil || added[p] || p.open && c.now.Sub(p.pulsed) < rideEvery {
 			continue
 		}
 		if pulses == nil {
-			own = c.ownPulse()
+			own, added = c.ownPulse(), map[*peer]bool{}
 		}
+		added[p] = true
 		pulses = append(pulses, cornelwall.Send{To: p.id, Addr: p.addr, Message: cornelwall.Message{Pulse: c.nextPulse(own, p)}})
 	}
 	if len(pulses) > 0 {
