--- /dev/null
+++ b/core/dispatch/endpoints.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	lostTime   = 3 * time.Second // for which an endpoint that does not answer is left to others
+	absentTime = 3 * time.Second // off the platform's list, after which an endpoint is gone
+)
+
+// endpoint is an executor on the platform's list.
+type endpoint struct {
+	cornelwall.Endpoint
+	hash      uint64    // of its name
+	absent    time.Time // since when it has not been on the list; zero if it is
+	changed   int64     // revision of the list that changed it last
+	lostUntil time.Time // until when it is left to others, as it does not answer this entry
+	yielded   time.Time // until when it is left to the entry that took it
+	lease     *lease    // of this entry
+	fit       fitness
+
+	best, other cornelwall.Incarnation // who should hold it, and who should but for this entry
+	believed    cornelwall.Incarnation // another entry that may hold it; zero if none does
+	free        time.Time              // since when this entry may take it
+	claimed     time.Time              // when the believed holder was asked for it
+}
+
+// addEndpoint adds an endpoint that is not known yet.
+func (c *Core) addEndpoint(info cornelwall.Endpoint) *endpoint {
+	ep := &endpoint{Endpoint: info, hash: hashOf(info.ID), free: c.now}
+	c.endpoints[info.ID] = ep
+	i, _ := slices.BinarySearchFunc(c.byName, info.ID, compareName)
+	c.byName = slices.Insert(c.byName, i, ep)
+	c.place(ep)
+	return ep
+}
+
+func (c *Core) dropEndpoint(ep *endpoint) {
+	delete(c.endpoints, ep.ID)
+	if i, ok := slices.BinarySearchFunc(c.byName, ep.ID, compareName); ok {
+		c.byName = slices.Delete(c.byName, i, i+1)
+	}
+	c.mine = slices.DeleteFunc(c.mine, func(m *endpoint) bool { return m == ep })
+}
+
+func compareName(ep *endpoint, id string) int { return cmp.Compare(ep.ID, id) }
+
+// hold notes the lease on an endpoint, or that there is none.
+func (c *Core) hold(ep *endpoint, l *lease) {
+	ep.lease = l
+	c.heldNow = slices.DeleteFunc(c.heldNow, func(h *endpoint) bool { return h == ep })
+	c.lostSome = c.lostSome || l == nil
+	if l != nil {
+		i, _ := slices.BinarySearchFunc(c.heldNow, ep.ID, compareName)
+		c.heldNow = slices.Insert(c.heldNow, i, ep)
+	}
+}
+
+// held returns the endpoints that this entry holds, by name. The list may change with the
+// next lease.
+func (c *Core) held() []*endpoint { return c.heldNow }
+
+// gone reports whether the platform has left the endpoint off its list for good.
+func (c *Core) gone(ep *endpoint) bool {
+	return !ep.absent.IsZero() && c.platform && c.now.Sub(ep.absent) > absentTime
+}
+
+// Held returns the number of endpoints that this entry holds.
+func (c *Core) Held() int { return len(c.heldNow) }
+
+// dropGone forgets endpoints that are gone, from time to time.
+func (c *Core) dropGone() {
+	if c.now.Sub(c.goneChecked) < dropEvery {
+		return
+	}
+	c.goneChecked = c.now
+	for _, ep := range slices.Clone(c.byName) {
+		if c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0) {
+			c.release(ep)
+			c.dropEndpoint(ep)
+			c.log("endpoint-gone", "endpoint", ep.ID)
+		}
+	}
+}
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,81 +8,15 @@
 )
 
 const (
-	settleTime   = 120 * time.Millisecond  // after the start, for the entries that run to be heard
-	quietTime    = 40 * time.Millisecond   // without a change of the entries, for the same
-	settleMost   = time.Second             // after which an entry takes endpoints whatever it has heard
-	freeTime     = 60 * time.Millisecond   // without a holder, after which an endpoint is taken
-	claimTime    = 1500 * time.Millisecond // for the holder to hand on what was claimed
-	claimSilence = 200 * time.Millisecond  // without an answer, after which a claim is given up
-	yieldTime    = time.Second             // after another entry has taken an endpoint
-	lostTime     = 3 * time.Second         // for which an endpoint that does not answer is left to others
-	absentTime   = 3 * time.Second         // off the platform's list, after which an endpoint is gone
-	keepTime     = time.Second             // for which an endpoint is held before it is handed on
-	handTimeout  = 250 * time.Millisecond  // for the next holder to take over
-	offerLife    = 2500 * time.Millisecond // of an offer to an entry that died since
-	handPause    = time.Second             // between two offers of one endpoint
-	handsAtOnce  = 4                       // endpoints that are handed on in one tick
-	fenceSpread  = 1 << 10                 // fences that one millisecond has
-	fenceJump    = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
+	keepTime    = time.Second             // for which an endpoint is held before it is handed on
+	handTimeout = 250 * time.Millisecond  // for the next holder to take over
+	offerLife   = 2500 * time.Millisecond // of an offer to an entry that died since
+	handPause   = time.Second             // between two offers of one endpoint
+	handsAtOnce = 4                       // endpoints that are handed on in one tick
+	fenceSpread = 1 << 10                 // fences that one millisecond has
+	fenceJump   = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
 )
 
-// endpoint is an executor on the platform's list.
-type endpoint struct {
-	cornelwall.Endpoint
-	hash      uint64    // of its name
-	absent    time.Time // since when it has not been on the list; zero if it is
-	changed   int64     // revision of the list that changed it last
-	lostUntil time.Time // until when it is left to others, as it does not answer this entry
-	yielded   time.Time // until when it is left to the entry that took it
-	lease     *lease    // of this entry
-	fit       fitness
-
-	best, other cornelwall.Incarnation // who should hold it, and who should but for this entry
-	believed    cornelwall.Incarnation // another entry that may hold it; zero if none does
-	free        time.Time              // since when this entry may take it
-	claimed     time.Time              // when the believed holder was asked for it
-}
-
-// addEndpoint adds an endpoint that is not known yet.
-func (c *Core) addEndpoint(info cornelwall.Endpoint) *endpoint {
-	ep := &endpoint{Endpoint: info, hash: hashOf(info.ID), free: c.now}
-	c.endpoints[info.ID] = ep
-	i, _ := slices.BinarySearchFunc(c.byName, info.ID, compareName)
-	c.byName = slices.Insert(c.byName, i, ep)
-	c.place(ep)
-	return ep
-}
-
-func (c *Core) dropEndpoint(ep *endpoint) {
-	delete(c.endpoints, ep.ID)
-	if i, ok := slices.BinarySearchFunc(c.byName, ep.ID, compareName); ok {
-		c.byName = slices.Delete(c.byName, i, i+1)
-	}
-	c.mine = slices.DeleteFunc(c.mine, func(m *endpoint) bool { return m == ep })
-}
-
-func compareName(ep *endpoint, id string) int { return cmp.Compare(ep.ID, id) }
-
-// hold notes the lease on an endpoint, or that there is none.
-func (c *Core) hold(ep *endpoint, l *lease) {
-	ep.lease = l
-	c.heldNow = slices.DeleteFunc(c.heldNow, func(h *endpoint) bool { return h == ep })
-	c.lostSome = c.lostSome || l == nil
-	if l != nil {
-		i, _ := slices.BinarySearchFunc(c.heldNow, ep.ID, compareName)
-		c.heldNow = slices.Insert(c.heldNow, i, ep)
-	}
-}
-
-// held returns the endpoints that this entry holds, by name. The list may change with the
-// next lease.
-func (c *Core) held() []*endpoint { return c.heldNow }
-
-// gone reports whether the platform has left the endpoint off its list for good.
-func (c *Core) gone(ep *endpoint) bool {
-	return !ep.absent.IsZero() && c.platform && c.now.Sub(ep.absent) > absentTime
-}
-
 // rankMembers works out anew who should hold which endpoint if the entries that may have
 // changed.
 func (c *Core) rankMembers() {
@@ -169,67 +102,6 @@
 	c.dropGone()
 }
 
-// dropGone forgets endpoints that are gone, from time to time.
-func (c *Core) dropGone() {
-	if c.now.Sub(c.goneChecked) < dropEvery {
-		return
-	}
-	c.goneChecked = c.now
-	for _, ep := range slices.Clone(c.byName) {
-		if c.gone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0) {
-			c.release(ep)
-			c.dropEndpoint(ep)
-			c.log("endpoint-gone", "endpoint", ep.ID)
-		}
-	}
-}
-
-// takeFree takes an endpoint that should be this entry's once nobody else holds it. The
-// entry that may is asked first. If it is silent, as after a loss of power, or does not hand
-// the endpoint on, its fence is outbid.
-func (c *Core) takeFree(ep *endpoint, claims map[cornelwall.Incarnation][]string) {
-	if c.leaving() || c.gone(ep) || c.now.Before(ep.yielded) || c.now.Before(ep.lostUntil) || !c.settled() {
-		return
-	}
-	if p := c.peers[ep.believed]; p != nil && c.alive(p) {
-		if ep.claimed.IsZero() {
-			ep.claimed = c.now
-			claims[p.id] = append(claims[p.id], ep.ID)
-		}
-		if c.now.Sub(ep.claimed) < claimTime && c.unanswered(p) <= claimSilence {
-			return
-		}
-	}
-	if c.now.Sub(ep.free) >= freeTime {
-		c.take(ep, nil)
-	}
-}
-
-// settled reports whether this entry has had the time to learn of the others.
-func (c *Core) settled() bool {
-	up := c.now.Sub(c.started)
-	return up >= settleMost || up >= settleTime && c.membersRead && c.now.Sub(c.ranked) >= quietTime
-}
-
-// claimed takes the claim of an entry on endpoints.
-func (c *Core) claimed(from cornelwall.Incarnation, m *cornelwall.Claim) {
-	for _, id := range m.Endpoints {
-		ep := c.endpoints[id]
-		switch {
-		case ep == nil:
-			c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: id}})
-		case ep.lease == nil:
-			m := &cornelwall.Decline{Endpoint: id}
-			if p := c.peers[ep.believed]; p != nil && p.id != from && c.alive(p) {
-				m.Holder = &p.id
-			}
-			c.send(from, cornelwall.Message{Decline: m})
-		default:
-			ep.lease.claimed = true
-		}
-	}
-}
-
 // handOn offers an endpoint to the entry that should hold it.
 func (c *Core) handOn(ep *endpoint) bool {
 	l := ep.lease
@@ -354,6 +226,3 @@
 	}
 	c.endpointTaken(from, m)
 }
-
-// Held returns the number of endpoints that this entry holds.
-func (c *Core) Held() int { return len(c.heldNow) }
