--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -22,12 +22,12 @@
 // The files of the owner: jobs.go takes batches, assign.go chooses holders, tasks.go takes
 // word of runs and giveup.go answers. Those of the holder: waiting.go is its queue, lease.go
 // its hold on an endpoint, look.go compares what runs there, yield.go ends the hold and
-// orders.go starts and stops; endpoints.go is what is known of endpoints, holders.go decides who
-// holds which and hands them on, claims.go takes those that this entry should hold and health.go
-// tells which are fit. rendezvous.go ranks the entries for that and lists.go
-// passes on the platform's list of endpoints. Between entries: peers.go knows who is alive,
-// links.go which of them exchange heartbeats, pulses.go sends and takes these, sessions.go stops what an owner has not proved to know and messages.go passes
-// on what comes.
+// orders.go starts and stops. Endpoints: endpoints.go is what is known of them, lists.go reads
+// the platform's list or hears of it, rendezvous.go ranks the entries, holders.go decides who
+// holds which and hands them on, claims.go takes those that this entry should hold and
+// health.go tells which are fit. Between entries: peers.go knows who is alive, links.go which
+// of them exchange heartbeats, pulses.go sends and takes these, sessions.go stops what an owner
+// has not proved to know and messages.go passes on what comes.
 package dispatch
 
 import (
--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -138,7 +138,7 @@
 				r.kill(r.entries[i*10], true)
 			}
 		})
-		t.Log(fmt.Sprintf("%d entries: at rest %.2f, after a tenth died %.2f", n, idle, loss))
+		t.Logf("%d entries: at rest %.2f, after a tenth died %.2f", n, idle, loss)
 		assert.Equal(t, r.held(), len(r.endpoints), "at %d entries, after a tenth died", n)
 		if n == 30 {
 			first = idle
