--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -105,7 +105,7 @@
 		own := view{vacancy: c.vacancy(), exact: true}
 		list = append(list, candidate{id: c.cfg.Self, view: &own})
 	}
-	for _, p := range c.near {
+	for _, p := range c.links {
 		if !c.linked(p) {
 			continue
 		}
--- a/core/dispatch/claims.go
+++ b/core/dispatch/claims.go
@@ -14,6 +14,7 @@
 	claimTime    = 1500 * time.Millisecond // for the holder to hand on what was claimed
 	claimSilence = 200 * time.Millisecond  // without an answer, after which a claim is given up
 	yieldTime    = time.Second             // after another entry has taken an endpoint
+	maxRedirects = 3                       // of one claim, as entries may point at each other
 )
 
 // takeFree takes an endpoint that should be this entry's once nobody else holds it. The
--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -28,6 +28,7 @@
 	believed    cornelwall.Incarnation // another entry that may hold it; zero if none does
 	free        time.Time              // since when this entry may take it
 	claimed     time.Time              // when the believed holder was asked for it
+	redirects   int                    // of the claim to yet another entry
 }
 
 // addEndpoint adds an endpoint that is not known yet.
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -62,7 +62,7 @@
 		c.mine = slices.DeleteFunc(c.mine, func(m *endpoint) bool { return m == ep })
 	case !slices.Contains(c.mine, ep):
 		c.mine = append(c.mine, ep)
-		ep.free, ep.claimed, ep.believed = c.now, time.Time{}, before
+		ep.free, ep.claimed, ep.believed, ep.redirects = c.now, time.Time{}, before, 0
 	}
 	if ep.best == c.cfg.Self && !c.settled() {
 		ep.believed = ep.other // which held it before this entry came
@@ -169,7 +169,8 @@
 	l := ep.lease
 	if l == nil && ep.believed == from {
 		ep.believed, ep.claimed = cornelwall.Incarnation{}, time.Time{}
-		if m.Holder != nil && *m.Holder != c.cfg.Self {
+		if m.Holder != nil && *m.Holder != c.cfg.Self && ep.redirects < maxRedirects {
+			ep.redirects++
 			ep.believed = *m.Holder
 		}
 	}
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -33,7 +33,7 @@
 // link makes or keeps a link.
 func (c *Core) link(p *peer) {
 	p.wanted = c.now
-	c.approach(p)
+	c.addLink(p)
 	if !p.open && c.now.Sub(p.pulsed) >= pulseEvery {
 		c.pulseTo(p)
 	}
@@ -47,7 +47,7 @@
 	use := func(id cornelwall.Incarnation) {
 		if p := c.peers[id]; p != nil {
 			p.wanted = c.now
-			c.approach(p)
+			c.addLink(p)
 		}
 	}
 	for _, t := range c.tasks {
@@ -87,7 +87,7 @@
 		return
 	}
 	links, full := 0, 0
-	for _, p := range c.near {
+	for _, p := range c.links {
 		if !c.wants(p) {
 			continue
 		}
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -67,7 +67,7 @@
 	if ev.Refused {
 		c.died(p, "refused")
 	}
-	c.approach(p) // for what is sent again
+	c.addLink(p) // for what is sent again
 	for _, m := range ev.Envelope.Messages {
 		switch {
 		case m.Assign != nil && ev.Refused:
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -41,9 +41,9 @@
 	version  uint64
 	view     view
 
-	wanted time.Time // when this entry last had reason to exchange pulses with it
-	keep   bool      // it wants the pulses of this entry
-	near   bool      // it is on the list of the peers that pulses go to
+	wanted  time.Time // when this entry last had reason to exchange pulses with it
+	keep    bool      // it wants the pulses of this entry
+	onLinks bool      // it is on the list of the peers that pulses go to
 
 	// This entry as a holder for the peer.
 	number  uint64 // of the last pulse to the peer
@@ -119,8 +119,8 @@
 
 func (c *Core) dropPeer(p *peer) {
 	delete(c.peers, p.id)
-	p.near = false
-	c.near = slices.DeleteFunc(c.near, func(n *peer) bool { return n == p })
+	p.onLinks = false
+	c.links = slices.DeleteFunc(c.links, func(n *peer) bool { return n == p })
 	if name := nameOf(p.id); c.lives[name] == p {
 		delete(c.lives, name)
 	}
@@ -225,7 +225,7 @@
 	if c.now.Sub(c.surveyed) >= surveyEvery {
 		c.survey()
 	}
-	for _, p := range c.near {
+	for _, p := range c.links {
 		if len(p.resend) > 0 && !p.dead {
 			again := p.resend
 			p.resend = nil
@@ -240,7 +240,7 @@
 // survey looks at all peers. What must be seen sooner is checked where it is used.
 func (c *Core) survey() {
 	c.surveyed = c.now
-	c.near = c.near[:0]
+	c.links = c.links[:0]
 	for _, p := range slices.Clone(c.byID) {
 		if p.open && c.now.Sub(p.proven) > proofLife {
 			if c.wants(p) {
@@ -259,17 +259,17 @@
 			c.dropPeer(p)
 			continue
 		}
-		if p.near = c.wants(p) || p.keep && c.answers(p) || len(p.resend) > 0; p.near {
-			c.near = append(c.near, p)
+		if p.onLinks = c.wants(p) || p.keep && c.answers(p) || len(p.resend) > 0; p.onLinks {
+			c.links = append(c.links, p)
 		}
 	}
 	c.rankMembers()
 }
 
-// approach puts a peer on the list of those that pulses go to.
-func (c *Core) approach(p *peer) {
-	if !p.near {
-		p.near = true
-		c.near = append(c.near, p)
+// addLink puts a peer on the list of those that pulses go to.
+func (c *Core) addLink(p *peer) {
+	if !p.onLinks {
+		p.onLinks = true
+		c.links = append(c.links, p)
 	}
 }
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -23,7 +23,7 @@
 		return // late, and no proof that the peer is alive now
 	}
 	if m.Keep {
-		c.approach(p)
+		c.addLink(p)
 	}
 	first, wasOpen := p.number == 0, p.open
 	p.seen, p.heard, p.asked, p.dead, p.expired = m.Number, c.now, time.Time{}, false, false
@@ -59,7 +59,7 @@
 // pulse sends the pulses that are due.
 func (c *Core) pulse() {
 	var due []*peer
-	for _, p := range c.near {
+	for _, p := range c.links {
 		if !c.wants(p) && !(p.keep && c.answers(p)) {
 			continue
 		}
