The order to run a task is a proof as of when it may have been sent

The order counts as 250 ms old, the time that an envelope may take, and the holder asks for proof at once. TestOrderIsAShortProof fails without.

--- /dev/null
+++ b/core/dispatch/proof_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestOrderIsAShortProof places a task over a link that was idle. The holder asks for proof
+// at once. Without it, it stops the run so early that the run is over, also by the end of the
+// lease alone, before its owner may give it up: the order may have been under way for a while.
+func TestOrderIsAShortProof(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	owner := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: self, Addr: addr, Links: -1, Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond}}, now)
+	receive := func(m cornelwall.Message) []cornelwall.Command {
+		return c.Step(now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: owner, To: self, Messages: []cornelwall.Message{m}}})
+	}
+	receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 1, Session: 7}})
+	p := c.peers[owner]
+	receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 2, Session: 7, Seen: p.number}})
+	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
+	c.take(ep, nil)
+	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Sent: now, Boot: 1, Clock: time.Second})
+
+	for end := now.Add(proofLife - 30*time.Millisecond); now.Before(end); { // the link rests
+		now = now.Add(tickEvery)
+		c.Step(now, cornelwall.Tick{})
+	}
+	sent := now.Add(-orderAge)
+	asked := false
+	for _, cmd := range receive(cornelwall.Message{Assign: &cornelwall.Assign{
+		Session: p.session, Service: "s", Last: 9 * time.Second, Due: 9 * time.Second,
+		Tasks: []cornelwall.AssignTask{{RunID: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, Need: cornelwall.Share{Cores: 8000}, Estimate: 5 * time.Second}},
+	}}) {
+		s, ok := cmd.(cornelwall.Send)
+		asked = asked || ok && s.Message.Pulse != nil && s.Message.Pulse.Keep
+	}
+	assert.Assert(t, asked, "it asks for proof")
+	assert.Equal(t, len(ep.lease.runs), 1)
+	var stopped time.Time
+	for range 100 {
+		now = now.Add(tickEvery)
+		for _, cmd := range c.Step(now, cornelwall.Tick{}) {
+			if _, ok := cmd.(cornelwall.StopRun); ok && stopped.IsZero() {
+				stopped = now
+			}
+		}
+	}
+	assert.Assert(t, !stopped.IsZero())
+	over := stopped.Add(stopRepeat + lookAgain + leaseTime + c.cfg.Limits.StopTime)
+	assert.Assert(t, over.Before(sent.Add(ownerPatience)), "over %s after the order may have been sent", over.Sub(sent))
+}
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -27,13 +27,19 @@
 // proved reports whether there is fresh proof that a peer hears this entry.
 func (c *Core) proved(p *peer) bool { return p.open && c.now.Sub(p.proven) <= proofLife }
 
+// orderAge is how long the order to run a task may have been on its way: as long as another
+// entry waits for the answer to what it sends.
+const orderAge = 250 * time.Millisecond
+
 // lastProof returns when the owner of a run last proved that it hears this entry. The
-// order to run it is such a proof.
+// order to run it is such a proof, as of when it may have been sent: from then on its owner
+// waits before it gives the run up.
 func (c *Core) lastProof(r *run) time.Time {
-	if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(r.came) {
+	sent := r.came.Add(-orderAge)
+	if p := c.peers[r.owner]; p != nil && !p.dead && p.proven.After(sent) {
 		return p.proven
 	}
-	return r.came
+	return sent
 }
 
 // closeSession lets nothing start any more that an owner sent before. What runs for it is
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -67,6 +67,10 @@
 func (c *Core) assigned(from cornelwall.Incarnation, m *cornelwall.Assign) {
 	p := c.peers[from]
 	valid := from == c.cfg.Self || c.proved(p) && p.session == m.Session
+	if valid && from != c.cfg.Self && c.now.Sub(p.proven) > pulseEvery {
+		c.link(p)
+		c.pulseTo(p) // the link was idle, and its proof is about to lapse
+	}
 	for i := range m.Tasks {
 		t := &m.Tasks[i]
 		if c.runs[t.RunID] != nil {
