The owner of a run hears who holds it after a handover, also without a link

An owner whose link to the next holder was idle heard nothing, took the run as over once the former holder had been gone for 1.3 s, and started it again beside the first. TestOwnerHearsOfMove fails without.

--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -140,6 +140,9 @@
 			c.send(p.id, cornelwall.Message{Taken: &to})
 		}
 		c.send(c.cfg.Self, cornelwall.Message{Taken: m})
+		for _, r := range runsThat(l.runs, func(r *run) bool { return r.state == runRunning }) {
+			c.runBegan(r) // its owner may have no link to this entry
+		}
 	case phaseLost:
 		l.phase, c.changed = phaseReady, true
 		c.log("endpoint-back", "endpoint", l.ep.ID)
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -36,7 +36,7 @@
 		p.proven = at
 	}
 	p.open = c.now.Sub(p.proven) <= proofLife
-	if renewed {
+	if renewed || p.open && !wasOpen {
 		c.tellRunning(p.id) // word that a run has changed hands may have been too late for it
 	}
 	c.catchUp(p.id, p.version)
