Reading the change again: a listed endpoint is compared whole, and only another boot on the list restarts it

Noting the list by difference had left out changes of labels, service and data centre, and judged the boot when only another field had changed, while the list may lag behind the endpoint (TestListedEndpointChanges, four of five failed before). Answers through the plain client carry their status with its number again (TestPlainStatus).

--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// held checks that each endpoint has one holder.
+// held returns how many endpoints the entries that are up hold, all together.
 func (r *rig) held() int {
 	n := 0
 	for _, e := range r.entries {
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -17,6 +17,9 @@
 	fenceJump   = 3000 * fenceSpread      // added when an endpoint knows a higher fence: three seconds
 )
 
+// mayHold reports whether a peer is one of the entries that endpoints go to.
+func (c *Core) mayHold(p *peer) bool { return c.alive(p) && !p.leaving }
+
 // rankMembers works out anew who should hold which endpoint if the entries that may have
 // changed.
 func (c *Core) rankMembers() {
@@ -25,7 +28,7 @@
 		digest = 0
 	}
 	for _, p := range c.byID {
-		if c.alive(p) && !p.leaving {
+		if c.mayHold(p) {
 			digest ^= p.key + uint64(p.weight)
 		}
 	}
@@ -39,7 +42,7 @@
 		if !placed && c.cfg.Self.Compare(p.id) < 0 {
 			all, placed = append(all, self), true
 		}
-		if c.alive(p) && !p.leaving {
+		if c.mayHold(p) {
 			all = append(all, member{p.id, p.hash, p.weight})
 		}
 	}
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -117,11 +117,11 @@
 	var best *peer
 	bestScore := math.Inf(-1)
 	for _, p := range c.byID {
-		if c.wants(p) || p.leaving || p.id.DataCentre == c.cfg.Self.DataCentre == far || !c.alive(p) {
+		if c.wants(p) || p.id.DataCentre == c.cfg.Self.DataCentre == far || !c.mayHold(p) {
 			continue
 		}
-		if score := score(p.hash, c.hash+c.salt, p.weight); score > bestScore {
-			best, bestScore = p, score
+		if s := score(p.hash, c.hash+c.salt, p.weight); s > bestScore {
+			best, bestScore = p, s
 		}
 	}
 	return best
--- a/core/dispatch/lists.go
+++ b/core/dispatch/lists.go
@@ -60,15 +60,19 @@
 	if isNew {
 		ep = c.addEndpoint(*info)
 	}
-	changed := isNew || !ep.absent.IsZero() || ep.Leaving != info.Leaving || ep.Boot != info.Boot || ep.Addr != info.Addr || ep.Room != info.Room
-	if !changed {
+	if !isNew && ep.absent.IsZero() && ep.Equal(info) {
 		return false
 	}
+	moved := ep.DataCentre != info.DataCentre
+	rebooted := ep.Boot != info.Boot // the list may lag behind what the endpoint itself has said
 	if info.Leaving && !ep.Leaving && ep.lease != nil {
 		c.log("endpoint-leaves", "endpoint", info.ID)
 	}
 	ep.Endpoint, ep.absent, ep.changed = *info, time.Time{}, rev
-	if l := ep.lease; l != nil && l.boot != 0 && info.Boot != 0 && info.Boot != l.boot {
+	if moved {
+		c.place(ep)
+	}
+	if l := ep.lease; rebooted && l != nil && l.boot != 0 && info.Boot != 0 && info.Boot != l.boot {
 		c.restarted(l, info.Boot)
 	}
 	return true
--- a/core/dispatch/lists_test.go
+++ b/core/dispatch/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -64,3 +65,37 @@
 		})
 	}
 }
+
+// TestListedEndpointChanges takes lists in which one field of an endpoint differs. Each is
+// noted; only another boot on the list ends what runs there, as the list may lag behind what
+// the endpoint itself has said.
+func TestListedEndpointChanges(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	first := cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Labels: []string{"r1"}, Boot: 5}
+	for _, tc := range []struct {
+		name      string
+		change    func(e *cornelwall.Endpoint)
+		restarted bool
+	}{
+		{"service", func(e *cornelwall.Endpoint) { e.Service = "t" }, false},
+		{"labels", func(e *cornelwall.Endpoint) { e.Labels = []string{"r2"} }, false},
+		{"data centre", func(e *cornelwall.Endpoint) { e.DataCentre = "dc1" }, false},
+		{"leaving", func(e *cornelwall.Endpoint) { e.Leaving = true }, false},
+		{"boot", func(e *cornelwall.Endpoint) { e.Boot = 4 }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+			c := New(Config{Self: self, Addr: addr}, now)
+			c.Step(now, cornelwall.Endpoints{List: []cornelwall.Endpoint{first}, Rev: 1})
+			ep := c.endpoints["x1"]
+			c.take(ep, nil)
+			c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Sent: now, Boot: 9, Clock: time.Second})
+			changed := first
+			tc.change(&changed)
+			c.Step(now, cornelwall.Endpoints{List: []cornelwall.Endpoint{changed}, Rev: 2})
+			assert.Assert(t, reflect.DeepEqual(ep.Endpoint, changed), "%+v", ep.Endpoint)
+			assert.Equal(t, ep.lease.phase == phaseTaking, tc.restarted)
+		})
+	}
+}
--- a/endpoint.go
+++ b/endpoint.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 )
 
 // Share is a part of an endpoint.
@@ -56,6 +57,12 @@
 	return e.Room.Check()
 }
 
+// Equal reports whether both say the same of an endpoint.
+func (e *Endpoint) Equal(o *Endpoint) bool {
+	return e.ID == o.ID && e.Service == o.Service && e.Addr == o.Addr && e.DataCentre == o.DataCentre && e.Room == o.Room &&
+		slices.Equal(e.Labels, o.Labels) && e.Leaving == o.Leaving && e.Boot == o.Boot
+}
+
 // RunID names one run of one task. The number of a task's runs rises.
 type RunID struct {
 	Task string `json:"task"` // job, occurrence, step and index, joined by dots
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -132,3 +132,17 @@
 	}
 	assert.Equal(t, from[0], from[1])
 }
+
+// TestPlainStatus reads the status as net/http writes it, with its number.
+func TestPlainStatus(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer server.Close()
+	p := NewPlain(Config{})
+	defer p.CloseIdleConnections()
+	r, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	assert.NilError(t, err)
+	resp, err := p.Do(r)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Status, "503 Service Unavailable")
+	assert.NilError(t, resp.Body.Close())
+}
--- a/io/http1/plain.go
+++ b/io/http1/plain.go
@@ -28,7 +28,7 @@
 		return nil, fmt.Errorf("%s %s: %w", r.Method, r.URL, err)
 	}
 	return &http.Response{
-		Status: http.StatusText(got.Status), StatusCode: got.Status,
+		Status: fmt.Sprintf("%d %s", got.Status, http.StatusText(got.Status)), StatusCode: got.Status,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: got.Header, Body: io.NopCloser(bytes.NewReader(got.Body)), ContentLength: int64(len(got.Body)), Request: r,
 	}, nil
