--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -25,6 +25,8 @@
 const (
 	eventBuffer = 4096
 	maxBatch    = 256 // events between two looks at the clock
+	slowBatch   = 50 * time.Millisecond
+	slowEvery   = time.Second // between two lines of slow batches
 )
 
 // Loop owns a core.
@@ -42,6 +44,7 @@
 	mu      sync.Mutex
 	waiting map[uint64]chan cornelwall.Command
 	meters  meters
+	slowAt  time.Time // when a slow batch was logged last
 
 	stopped chan struct{} // the planned stop is complete
 	once    sync.Once
@@ -146,16 +149,31 @@
 // batch handles an event and those that have come after it.
 func (l *Loop) batch(ev cornelwall.Event) {
 	now := l.clock.Now()
-	defer func() { l.meters.batch.Update(l.clock.Now().Sub(now).Seconds()) }()
 	l.step(now, ev)
-	for range maxBatch {
+	n := 1
+	for more := true; more && n <= maxBatch; {
 		select {
 		case ev := <-l.events:
 			l.step(now, ev)
+			n++
 		default:
-			return
+			more = false
 		}
 	}
+	l.noteBatch(now, n)
+}
+
+// noteBatch measures a batch that began at a time. A slow one, as the process got little
+// of the processor, is logged once in a while.
+func (l *Loop) noteBatch(began time.Time, events int) {
+	now := l.clock.Now()
+	took := now.Sub(began)
+	l.meters.batch.Update(took.Seconds())
+	if took < slowBatch || now.Sub(l.slowAt) < slowEvery {
+		return
+	}
+	l.slowAt = now
+	l.log.Info("slow-batch", "events", events, "took", took, "waiting", len(l.events))
 }
 
 func (l *Loop) step(now time.Time, ev cornelwall.Event) {
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -252,7 +252,7 @@
 	if l.lapsed(c.now, c.cfg.Limits.StopTime) {
 		c.log("lease-lapsed", "endpoint", l.ep.ID, "runs", len(l.runs), "answered", c.now.Sub(l.answered))
 		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed)
+			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
 		}
 	}
 	if l.silence(c.now) > lostAfter/2 {
--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -72,7 +72,7 @@
 		l.ended = append(l.ended, cornelwall.OverRun{RunID: e.RunID, How: e.How, Endpoint: l.ep.ID})
 	}
 	if r := c.runs[e.RunID]; r != nil && r.at == l {
-		c.endRun(r, e.How)
+		c.endRun(r, e.How, endListed)
 	}
 }
 
@@ -102,7 +102,7 @@
 		if r.state == runStopping {
 			how = cornelwall.RunStopped
 		}
-		c.endRun(r, how)
+		c.endRun(r, how, endNotListed)
 	}
 }
 
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -65,7 +65,7 @@
 		fit.silent(c.now)
 	}
 	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.at.ep.ID, "why", refusal)
-	c.endRun(r, cornelwall.RunUnstarted)
+	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
 
 // runBegan tells the owner where its task runs.
@@ -101,9 +101,14 @@
 	}
 }
 
-// endRun takes note of the end of a run and tells its owner.
-func (c *Core) endRun(r *run, how cornelwall.RunEnd) {
+// endRun takes note of the end of a run and tells its owner. An end that the endpoint itself
+// has not told is logged with what it was concluded from.
+func (c *Core) endRun(r *run, how cornelwall.RunEnd, cause endCause) {
 	l := r.at
+	if cause != endListed && cause != endRefused {
+		c.log("run-over", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "how", how, "cause", cause,
+			"owner", r.owner, "started", c.now.Sub(r.startAt), "answered", c.now.Sub(l.answered))
+	}
 	l.remove(r)
 	delete(c.runs, r.id)
 	c.changed = true
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -101,7 +101,7 @@
 	default:
 		t.avoid = o.Endpoint
 		t.stopped = t.stopped || o.How == cornelwall.RunStopped
-		c.log("task-lost", "task", t.name, "run", o.Run, "endpoint", o.Endpoint, "how", o.How)
+		c.log("task-lost", "task", t.name, "run", o.Run, "endpoint", o.Endpoint, "how", o.How, "holder", t.holder)
 		c.emit(cornelwall.Count{Reason: cornelwall.ReasonLost, Retry: true, N: 1})
 	}
 	if c.jobs[j.id] != j {
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -35,7 +35,7 @@
 func (c *Core) replaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
 	for _, r := range l.sortedRuns() {
-		c.endRun(r, cornelwall.RunLapsed)
+		c.endRun(r, cornelwall.RunLapsed, endReplaced)
 	}
 	l.ep.lostUntil = c.now.Add(lostTime)
 	c.release(l.ep)
@@ -67,7 +67,7 @@
 			return len(l.runs) == 0
 		}
 		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed)
+			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
 		}
 		return true
 	})
@@ -96,7 +96,7 @@
 func (c *Core) passOn(l *lease, to cornelwall.Incarnation, m *cornelwall.Taken) {
 	for _, r := range l.sortedRuns() {
 		if m != nil && !slices.Contains(m.Kept, r.id) {
-			c.endRun(r, m.End(r.id))
+			c.endRun(r, m.End(r.id), endNotKept)
 			continue
 		}
 		withdrawn := r.state == runStopping
