Each event is handled at its own reading of the clock

Cause: the control loop read the clock once for a batch of up to 256 events. An entry with a fifth of a core takes 80 ms and more over one, during which answers come that tell of what happened since. They were handled at a time before it, so that a start counted as proved before it was carried out, the clock of an endpoint as read earlier than it was, and a pause in the middle of a batch went unnoticed by the events after it. Why it works: an event is taken from the channel before the clock is read, so that its time is never before its posting.

--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -24,7 +24,7 @@
 
 const (
 	eventBuffer = 4096
-	maxBatch    = 256 // events between two looks at the clock
+	maxBatch    = 256 // events between two settings of the timer
 	slowBatch   = 50 * time.Millisecond
 	slowEvery   = time.Second // between two lines of slow batches
 )
@@ -146,21 +146,22 @@
 	}
 }
 
-// batch handles an event and those that have come after it.
+// batch handles an event and those that have come after it. Each has its own reading of the
+// clock: a batch can take long, and an event may tell of what happened since it began.
 func (l *Loop) batch(ev cornelwall.Event) {
-	now := l.clock.Now()
-	l.step(now, ev)
+	began := l.clock.Now()
+	l.step(began, ev)
 	n := 1
 	for more := true; more && n <= maxBatch; {
 		select {
 		case ev := <-l.events:
-			l.step(now, ev)
+			l.step(l.clock.Now(), ev)
 			n++
 		default:
 			more = false
 		}
 	}
-	l.noteBatch(now, n)
+	l.noteBatch(began, n)
 }
 
 // noteBatch measures a batch that began at a time. A slow one, as the process got little
