A look proves the end of a run by its place in the order of looks, not by times

Cause: a holder took a run as over if a look did not list it whose sending, read from the clock by the goroutine that sends, was later than the time of the event that brought the start's answer. These are two readings of the clock by two goroutines, and a look that was ordered before the start was carried out could count as later. The owner started the task again, and the next look found the first run as a stranger and stopped it. Why it works: the core numbers its looks as it orders them. A look that is ordered after the start's answer was taken in is sent after the start was carried out, whatever the clocks say. The same holds for looks from before a restart of an endpoint.

--- a/core/dispatch/boots_test.go
+++ b/core/dispatch/boots_test.go
@@ -21,23 +21,24 @@
 	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
 	c.take(ep, nil)
 	l := ep.lease
-	answer := func(sent time.Time, boot int64) {
-		c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: sent, Boot: boot, Clock: time.Second})
+	answer := func(number uint64, boot int64) {
+		c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: number, Boot: boot, Clock: time.Second})
 	}
-	answer(now, 5000)
+	answer(l.lastLook, 5000)
 	assert.Equal(t, l.phase, phaseReady)
-	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: self, state: runRunning, came: now, startAt: now, settled: now}
+	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: self, state: runRunning, came: now, startAt: now, settledBy: l.lastLook + 1}
 	r.Estimate = time.Second
 	c.runs[r.id] = r
 	l.add(r)
-	before := now
+	before := l.lastLook
+	c.look(l, 0)
 	now = now.Add(100 * time.Millisecond)
-	answer(now, 2600)
+	answer(l.lastLook, 2600)
 	assert.Equal(t, l.boot, int64(2600))
 	now = now.Add(10 * time.Millisecond)
 	answer(before, 5000)
 	assert.Equal(t, l.boot, int64(2600), "an answer to a look from before")
-	answer(now, 2600)
+	answer(l.lastLook, 2600)
 	assert.Equal(t, l.phase, phaseReady)
 	assert.Equal(t, len(l.runs), 0, "what ran there is gone")
 }
@@ -63,7 +64,7 @@
 			if look.Fence < known {
 				refusal = cornelwall.RefusedFence
 			}
-			c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Sent: now, Boot: 1, Clock: time.Second, Refusal: refusal})
+			c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Number: look.Number, Boot: 1, Clock: time.Second, Refusal: refusal})
 		}
 	}
 	assert.Equal(t, tries, 2)
--- a/core/dispatch/forwarded_test.go
+++ b/core/dispatch/forwarded_test.go
@@ -33,7 +33,7 @@
 	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
 	c.take(ep, nil)
 	l := ep.lease
-	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second})
+	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second})
 	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: owner, state: runStarting, came: now, startAt: now}
 	c.runs[r.id] = r
 	l.add(r)
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -265,43 +265,42 @@
 	ep := r.endpoint(id)
 	there, back := r.delay(), r.delay()
 	if ep.Down || r.isCut(h.Self.Entry, id) || r.isCut(id, h.Self.Entry) && r.rng.IntN(2) == 0 {
-		r.w.After(orderTimeout+wait, h, unanswered(cmd, r.w.Now))
+		r.w.After(orderTimeout+wait, h, unanswered(cmd))
 		return
 	}
-	sent := r.w.Now
 	if r.rng.Float64() < r.lateFrom[id] {
-		r.w.After(orderTimeout+wait, h, unanswered(cmd, sent))
+		r.w.After(orderTimeout+wait, h, unanswered(cmd))
 		boot := ep.Boot()
 		r.w.Do(minLate+time.Duration(r.rng.Int64N(int64(maxLate-minLate))), func() {
 			if ep.Boot() == boot { // a crash ends what waits at the endpoint
-				r.carryOut(ep, cmd, sent)
+				r.carryOut(ep, cmd)
 			}
 		})
 		return
 	}
-	r.w.Do(there, func() { r.answerOrder(h, ep, cmd, sent, sent.Add(wait), back) })
+	until := r.w.Now.Add(wait)
+	r.w.Do(there, func() { r.answerOrder(h, ep, cmd, until, back) })
 }
 
 // answerOrder answers an order now, or a look once there is an end or its wait is over.
-func (r *rig) answerOrder(h *fake.Host, ep *leased.Endpoint, cmd cornelwall.Command, sent, until time.Time, back time.Duration) {
-	ev := r.carryOut(ep, cmd, sent)
+func (r *rig) answerOrder(h *fake.Host, ep *leased.Endpoint, cmd cornelwall.Command, until time.Time, back time.Duration) {
+	ev := r.carryOut(ep, cmd)
 	if look, ok := cmd.(cornelwall.Look); ok && !ep.Ends(r.w.Now, look.Acked) && r.w.Now.Before(until) {
-		r.w.Do(5*time.Millisecond, func() { r.answerOrder(h, ep, cmd, sent, until, back) })
+		r.w.Do(5*time.Millisecond, func() { r.answerOrder(h, ep, cmd, until, back) })
 		return
 	}
 	if r.isCut(ep.ID, h.Self.Entry) {
-		ev = unanswered(cmd, sent)
+		ev = unanswered(cmd)
 		back = orderTimeout
 	}
 	r.w.After(back, h, ev)
 }
 
-func (r *rig) carryOut(ep *leased.Endpoint, cmd cornelwall.Command, sent time.Time) cornelwall.Event {
+func (r *rig) carryOut(ep *leased.Endpoint, cmd cornelwall.Command) cornelwall.Event {
 	now := r.w.Now
 	switch cmd := cmd.(type) {
 	case cornelwall.Look:
 		l := ep.Look(now, cmd)
-		l.Sent = sent
 		if r.tamper.hideRunning {
 			l.Running = nil
 		}
@@ -327,10 +326,10 @@
 	return cmd.(cornelwall.StopRun).Endpoint.ID, 0
 }
 
-func unanswered(cmd cornelwall.Command, sent time.Time) cornelwall.Event {
+func unanswered(cmd cornelwall.Command) cornelwall.Event {
 	switch cmd := cmd.(type) {
 	case cornelwall.Look:
-		return cornelwall.Looked{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Sent: sent, Refusal: cornelwall.RefusedUnknown}
+		return cornelwall.Looked{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Number: cmd.Number, Refusal: cornelwall.RefusedUnknown}
 	case cornelwall.StartRun:
 		return cornelwall.Ordered{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: cornelwall.RefusedUnknown}
 	}
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -40,7 +40,7 @@
 	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
 	c.take(ep, nil)
 	l := ep.lease
-	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second})
+	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second})
 	assert.Equal(t, l.phase, phaseReady)
 	var ids []cornelwall.RunID
 	for _, name := range []string{"a.0.0.0", "a.0.0.1"} {
@@ -56,7 +56,7 @@
 
 	acked = nil
 	step(cornelwall.Looked{
-		Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second,
+		Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second,
 		Running: []cornelwall.RunState{{RunID: ids[1]}},
 		Ended:   []cornelwall.RunEnded{{Number: 1, RunID: ids[0], How: cornelwall.RunDone}},
 	})
@@ -67,6 +67,6 @@
 	receive(cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: "x1", Offer: offer.Offer - 1}})
 	assert.Equal(t, l.phase, phaseHanding, "a late word of an earlier offer")
 	receive(cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: "x1", Offer: offer.Offer}})
-	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Sent: now, Boot: 1, Clock: time.Second, Running: []cornelwall.RunState{{RunID: ids[1]}}})
+	step(cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second, Running: []cornelwall.RunState{{RunID: ids[1]}}})
 	assert.DeepEqual(t, acked, []int64{1})
 }
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -39,19 +39,20 @@
 
 // lease is this entry's hold on an endpoint.
 type lease struct {
-	ep     *endpoint
-	first  uint64 // fence with which it was taken
-	fence  uint64
-	phase  phase
-	since  time.Time
-	boot   int64     // names a life of the endpoint: a time of day, which may jump and tells no order
-	bootAt time.Time // when that life was noticed
+	ep      *endpoint
+	first   uint64 // fence with which it was taken
+	fence   uint64
+	phase   phase
+	since   time.Time
+	boot    int64  // names a life of the endpoint: a time of day, which may jump and tells no order
+	oldLook uint64 // number of the last look that may have been answered by an earlier life
 
 	clock   time.Duration // of the endpoint, at clockAt at the latest
 	clockAt time.Time     // zero: not known
 	until   time.Duration // latest end that any order gave the lease
 
-	looks    int // under way
+	looks    int    // under way
+	lastLook uint64 // number of the last look
 	lookedAt time.Time
 	asked    time.Time // first look that was sent since the last answer; zero if none
 	answered time.Time // last answer to a look
@@ -92,7 +93,7 @@
 	c.hold(ep, l)
 	for i := range runs {
 		h := &runs[i]
-		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settled: c.now.Add(-h.Age), state: runRunning}
+		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
 		l.add(r)
@@ -232,7 +233,7 @@
 // unsettled reports whether a run was stopped whose end only a new look can tell.
 func (l *lease) unsettled() bool {
 	for _, r := range l.runs {
-		if r.stopped && r.settled.After(l.lookedAt) {
+		if r.stopped && r.settledBy > l.lastLook {
 			return true
 		}
 	}
--- a/core/dispatch/lists_test.go
+++ b/core/dispatch/lists_test.go
@@ -90,7 +90,7 @@
 			c.Step(now, cornelwall.Endpoints{List: []cornelwall.Endpoint{first}, Rev: 1})
 			ep := c.endpoints["x1"]
 			c.take(ep, nil)
-			c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Sent: now, Boot: 9, Clock: time.Second})
+			c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Number: ep.lease.lastLook, Boot: 9, Clock: time.Second})
 			changed := first
 			tc.change(&changed)
 			c.Step(now, cornelwall.Endpoints{List: []cornelwall.Endpoint{changed}, Rev: 2})
--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -12,7 +12,8 @@
 	if l.phase == phaseHanding {
 		acked = l.handAcked // the next holder has to be told of the ends since
 	}
-	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Acked: acked, Wait: wait}
+	l.lastLook++
+	cmd := cornelwall.Look{Endpoint: l.ep.Endpoint, Fence: l.fence, Number: l.lastLook, Acked: acked, Wait: wait}
 	if (l.phase == phaseReady || l.phase == phaseHanding) && len(l.runs) > 0 && !l.stuck(c.now) {
 		cmd.Until = l.extend(c.now)
 	}
@@ -45,7 +46,7 @@
 		return // it is sent again in time
 	}
 	if l.boot != 0 && l.boot != ev.Boot {
-		if ev.Sent.Before(l.bootAt) {
+		if ev.Number <= l.oldLook {
 			return // it may be from before the endpoint started anew
 		}
 		c.restarted(l, ev.Boot)
@@ -96,7 +97,7 @@
 		}
 	}
 	for _, r := range runsThat(l.runs, func(r *run) bool {
-		return !running[r.id] && !r.settled.IsZero() && r.settled.Before(ev.Sent)
+		return !running[r.id] && r.settledBy > 0 && ev.Number >= r.settledBy
 	}) {
 		how := cornelwall.RunLapsed
 		if r.state == runStopping {
--- a/core/dispatch/looks_test.go
+++ b/core/dispatch/looks_test.go
@@ -17,12 +17,12 @@
 	owner := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
 	for _, tc := range []struct {
 		name  string
-		out   time.Duration // after the step that emitted the look, when it is sent
+		late  time.Duration // of the look's answer
 		after bool          // it is emitted after the start's answer was taken in
 		over  bool
 	}{
-		{"sent at the time of the step", 0, false, false},
-		{"sent later, while its batch goes on", 12 * time.Millisecond, false, false},
+		{"answered at once", 0, false, false},
+		{"answered later", 12 * time.Millisecond, false, false},
 		{"emitted after the answer", 12 * time.Millisecond, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -52,7 +52,8 @@
 				step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: owner, To: self, Messages: []cornelwall.Message{m}}})
 			}
 			listed := func(look cornelwall.Look, running ...cornelwall.RunID) {
-				ev := cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Sent: now.Add(tc.out), Boot: 1, Clock: time.Second}
+				now = now.Add(tc.late)
+				ev := cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Number: look.Number, Boot: 1, Clock: time.Second}
 				for _, id := range running {
 					ev.Running = append(ev.Running, cornelwall.RunState{RunID: id})
 				}
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"cornelwall"
 )
@@ -44,8 +43,8 @@
 	switch refusal {
 	case cornelwall.RefusedNone:
 		fit.answered()
-		if r.settled.IsZero() {
-			r.settled = c.now
+		if r.settledBy == 0 {
+			r.settledBy = r.at.lastLook + 1
 		}
 		if r.state == runStarting {
 			c.runBegan(r)
@@ -80,7 +79,7 @@
 	if r.state == runStopping {
 		return
 	}
-	r.state, r.stopAt, r.settled = runStopping, c.now, time.Time{}
+	r.state, r.stopAt, r.settledBy = runStopping, c.now, 0
 	if r.at.phase != phaseYielded {
 		c.sendStop(r)
 	}
@@ -95,7 +94,7 @@
 	if refusal != cornelwall.RefusedNone || r.state != runStopping || r.stopped {
 		return // it is sent again
 	}
-	r.stopped, r.settled = true, c.now
+	r.stopped, r.settledBy = true, r.at.lastLook+1
 	if r.at.looks < looksAtOnce {
 		c.look(r.at, 0)
 	}
--- a/core/dispatch/proof_test.go
+++ b/core/dispatch/proof_test.go
@@ -27,7 +27,7 @@
 	receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 2, Session: 7, Seen: p.number}})
 	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
 	c.take(ep, nil)
-	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Sent: now, Boot: 1, Clock: time.Second})
+	c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: ep.lease.fence, Number: ep.lease.lastLook, Boot: 1, Clock: time.Second})
 
 	for end := now.Add(proofLife - 30*time.Millisecond); now.Before(end); { // the link rests
 		now = now.Add(tickEvery)
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -41,13 +41,13 @@
 	last    time.Time // after which its answer is of little use
 	came    time.Time
 
-	state    runState
-	at       *lease
-	startAt  time.Time
-	settled  time.Time // since when a look that does not list it proves its end
-	stopAt   time.Time // when it was first told to stop
-	stopSent time.Time
-	stopped  bool // the endpoint has taken the stop
+	state     runState
+	at        *lease
+	startAt   time.Time
+	settledBy uint64    // number of the first look that proves its end by not listing it; 0 if none does
+	stopAt    time.Time // when it was first told to stop
+	stopSent  time.Time
+	stopped   bool // the endpoint has taken the stop
 }
 
 // passedRun is a run that went on to the next holder of its endpoint.
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -23,7 +23,7 @@
 // are still late are refused.
 func (c *Core) restarted(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
-	l.bootAt = c.now
+	l.oldLook = l.lastLook
 	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
--- a/leased.go
+++ b/leased.go
@@ -43,7 +43,7 @@
 	Looked struct {
 		Endpoint string
 		Fence    uint64
-		Sent     time.Time
+		Number   uint64 // of the Look
 		Refusal  Refusal
 		Boot     int64         // start of the endpoint in milliseconds since 1970
 		Clock    time.Duration // steady clock of the endpoint as it answered
@@ -95,6 +95,7 @@
 	Look struct {
 		Endpoint Endpoint
 		Fence    uint64
+		Number   uint64        // of the looks at the endpoint, in the order in which they were ordered
 		Until    time.Duration // new end of the lease on the endpoint's clock; 0 extends nothing
 		Acked    int64         // greatest number of the ends that were taken in
 		Wait     time.Duration // for an end to come
--- a/standin/leased/endpoint.go
+++ b/standin/leased/endpoint.go
@@ -174,7 +174,7 @@
 // Look extends the lease, forgets acknowledged ends and lists what runs and what ended.
 func (e *Endpoint) Look(now time.Time, cmd cornelwall.Look) cornelwall.Looked {
 	e.Advance(now)
-	l := cornelwall.Looked{Endpoint: e.ID, Fence: cmd.Fence, Boot: e.boot, Clock: e.Clock(now)}
+	l := cornelwall.Looked{Endpoint: e.ID, Fence: cmd.Fence, Number: cmd.Number, Boot: e.boot, Clock: e.Clock(now)}
 	if e.fenced(cmd.Fence) {
 		l.Refusal = cornelwall.RefusedFence
 		return l
