--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"cornelwall"
 )
@@ -44,8 +43,8 @@
 	switch refusal {
 	case cornelwall.RefusedNone:
 		fit.answered()
-		if r.settled.IsZero() {
-			r.settled = c.now
+		if r.settledBy == 0 {
+			r.settledBy = r.at.lastLook + 1
 		}
 		if r.state == runStarting {
 			c.runBegan(r)
@@ -65,7 +64,7 @@
 		fit.silent(c.now)
 	}
 	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.at.ep.ID, "why", refusal)
-	c.endRun(r, cornelwall.RunUnstarted)
+	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
 
 // runBegan tells the owner where its task runs.
@@ -80,7 +79,7 @@
 	if r.state == runStopping {
 		return
 	}
-	r.state, r.stopAt, r.settled = runStopping, c.now, time.Time{}
+	r.state, r.stopAt, r.settledBy = runStopping, c.now, 0
 	if r.at.phase != phaseYielded {
 		c.sendStop(r)
 	}
@@ -95,15 +94,20 @@
 	if refusal != cornelwall.RefusedNone || r.state != runStopping || r.stopped {
 		return // it is sent again
 	}
-	r.stopped, r.settled = true, c.now
+	r.stopped, r.settledBy = true, r.at.lastLook+1
 	if r.at.looks < looksAtOnce {
 		c.look(r.at, 0)
 	}
 }
 
-// endRun takes note of the end of a run and tells its owner.
-func (c *Core) endRun(r *run, how cornelwall.RunEnd) {
+// endRun takes note of the end of a run and tells its owner. An end that the endpoint itself
+// has not told is logged with what it was concluded from.
+func (c *Core) endRun(r *run, how cornelwall.RunEnd, cause endCause) {
 	l := r.at
+	if cause != endListed && cause != endRefused {
+		c.log("run-over", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "how", how, "cause", cause,
+			"owner", r.owner, "started", c.now.Sub(r.startAt), "answered", c.now.Sub(l.answered))
+	}
 	l.remove(r)
 	delete(c.runs, r.id)
 	c.changed = true
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -23,7 +23,7 @@
 // are still late are refused.
 func (c *Core) restarted(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
-	l.bootAt = c.now
+	l.oldLook = l.lastLook
 	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
@@ -35,7 +35,7 @@
 func (c *Core) replaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
 	for _, r := range l.sortedRuns() {
-		c.endRun(r, cornelwall.RunLapsed)
+		c.endRun(r, cornelwall.RunLapsed, endReplaced)
 	}
 	l.ep.lostUntil = c.now.Add(lostTime)
 	c.release(l.ep)
@@ -67,7 +67,7 @@
 			return len(l.runs) == 0
 		}
 		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed)
+			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
 		}
 		return true
 	})
@@ -96,7 +96,7 @@
 func (c *Core) passOn(l *lease, to cornelwall.Incarnation, m *cornelwall.Taken) {
 	for _, r := range l.sortedRuns() {
 		if m != nil && !slices.Contains(m.Kept, r.id) {
-			c.endRun(r, m.End(r.id))
+			c.endRun(r, m.End(r.id), endNotKept)
 			continue
 		}
 		withdrawn := r.state == runStopping
