--- /dev/null
+++ b/core/dispatch/stage_test.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/standin/leased"
+)
+
+const (
+	stageStep    = time.Millisecond // that a message, an order and an answer take
+	stageTimeout = 200 * time.Millisecond
+)
+
+// stage plays entries against stand-ins of endpoints, without chance. A task that runs twice
+// at once fails the test.
+type stage struct {
+	t         *testing.T
+	now       time.Time
+	cores     map[cornelwall.Incarnation]*Core
+	order     []cornelwall.Incarnation
+	endpoints map[string]*leased.Endpoint
+	running   map[string]cornelwall.RunID
+	began     []cornelwall.RunID
+	later     []stageEvent
+	logs      []string
+	// late returns how much longer a message is on its way.
+	late func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
+	// lost reports whether an order is carried out and its answer lost.
+	lost func(from cornelwall.Incarnation, cmd cornelwall.Command) bool
+}
+
+type stageEvent struct {
+	at time.Time
+	do func()
+}
+
+func newStage(t *testing.T) *stage {
+	return &stage{
+		t: t, now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC),
+		cores: map[cornelwall.Incarnation]*Core{}, endpoints: map[string]*leased.Endpoint{}, running: map[string]cornelwall.RunID{},
+		late: func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 0 },
+		lost: func(cornelwall.Incarnation, cornelwall.Command) bool { return false },
+	}
+}
+
+func (s *stage) addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7001)
+}
+
+func (s *stage) entry(id cornelwall.Incarnation) {
+	s.cores[id] = New(Config{
+		Self: id, Addr: s.addr(len(s.order)),
+		Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second},
+	}, s.now)
+	s.order = append(s.order, id)
+	var list []cornelwall.Member
+	for i, id := range s.order {
+		list = append(list, cornelwall.Member{ID: id, Addr: s.addr(i)})
+	}
+	for _, id := range s.order {
+		s.step(id, cornelwall.Members{List: list})
+	}
+	s.step(id, cornelwall.Declared{Declaration: &cornelwall.Declaration{Version: 1, Queues: []cornelwall.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Attempts: 2, Timeout: 9 * time.Second, Stretch: 40},
+	}}})
+}
+
+// endpoint adds a stand-in whose runs take long, and tells all entries.
+func (s *stage) endpoint(info cornelwall.Endpoint) *leased.Endpoint {
+	ep := leased.New(info.ID, info.Room, s.now)
+	ep.Work = func(cornelwall.RunID) leased.Work { return leased.Work{Took: 5 * time.Second} }
+	ep.Need = func(string) cornelwall.Share { return cornelwall.Share{Cores: 8000} }
+	ep.Began = func(now time.Time, id cornelwall.RunID) {
+		if other, ok := s.running[id.Task]; ok {
+			s.t.Errorf("%s: run %d of %s begins at %s while run %d runs", now.Format("05.000"), id.Run, id.Task, ep.ID, other.Run)
+		}
+		s.running[id.Task] = id
+		s.began = append(s.began, id)
+	}
+	ep.Over = func(_ time.Time, id cornelwall.RunID, _ cornelwall.RunEnd) {
+		if s.running[id.Task] == id {
+			delete(s.running, id.Task)
+		}
+	}
+	s.endpoints[info.ID] = ep
+	return ep
+}
+
+func (s *stage) after(d time.Duration, do func()) {
+	s.later = append(s.later, stageEvent{s.now.Add(d), do})
+}
+
+// pass lets time pass.
+func (s *stage) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(stageStep)
+		for _, ep := range s.endpoints {
+			ep.Advance(s.now)
+		}
+		for i := 0; i < len(s.later); i++ {
+			if e := s.later[i]; !e.at.After(s.now) {
+				s.later = slices.Delete(s.later, i, i+1)
+				i = -1 // what is due may have grown
+				e.do()
+			}
+		}
+		if s.now.Sub(end)%(5*stageStep) == 0 {
+			for _, id := range s.order {
+				s.step(id, cornelwall.Tick{})
+			}
+		}
+	}
+}
+
+func (s *stage) step(id cornelwall.Incarnation, ev cornelwall.Event) {
+	for _, cmd := range s.cores[id].Step(s.now, ev) {
+		switch cmd := cmd.(type) {
+		case cornelwall.Send:
+			if s.cores[cmd.To] == nil {
+				continue
+			}
+			m := cmd.Message
+			s.after(stageStep+s.late(id, cmd.To, &m), func() {
+				s.step(cmd.To, cornelwall.Receive{Envelope: cornelwall.Envelope{From: id, To: cmd.To, Messages: []cornelwall.Message{m}}})
+			})
+		case cornelwall.Look, cornelwall.StartRun, cornelwall.StopRun:
+			sent, lost := s.now, s.lost(id, cmd)
+			s.after(stageStep, func() { s.carryOut(id, cmd, sent, lost) })
+		case cornelwall.Log:
+			s.logs = append(s.logs, cmd.Event)
+		}
+	}
+}
+
+func (s *stage) carryOut(id cornelwall.Incarnation, cmd cornelwall.Command, sent time.Time, lost bool) {
+	var ev cornelwall.Event
+	wait := stageTimeout
+	switch cmd := cmd.(type) {
+	case cornelwall.Look:
+		ep := s.endpoints[cmd.Endpoint.ID]
+		l := ep.Look(s.now, cmd)
+		if l.Refusal == cornelwall.RefusedNone && !lost && !ep.Ends(s.now, cmd.Acked) && s.now.Sub(sent) < cmd.Wait {
+			s.after(5*stageStep, func() { s.carryOut(id, cmd, sent, lost) })
+			return
+		}
+		if lost {
+			l = cornelwall.Looked{Endpoint: l.Endpoint, Fence: l.Fence, Number: l.Number, Refusal: cornelwall.RefusedUnknown}
+		}
+		ev, wait = l, wait+cmd.Wait
+	case cornelwall.StartRun:
+		ep := s.endpoints[cmd.Endpoint.ID]
+		o := cornelwall.Ordered{Endpoint: ep.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: ep.Start(s.now, cmd), Clock: ep.Clock(s.now)}
+		if lost {
+			o.Refusal, o.Clock = cornelwall.RefusedUnknown, 0
+		}
+		ev = o
+	case cornelwall.StopRun:
+		ep := s.endpoints[cmd.Endpoint.ID]
+		o := cornelwall.Ordered{Endpoint: ep.ID, Fence: cmd.Fence, Run: cmd.Run, Stop: true, Refusal: ep.Stop(s.now, cmd), Clock: ep.Clock(s.now)}
+		if lost {
+			o.Refusal, o.Clock = cornelwall.RefusedUnknown, 0
+		}
+		ev = o
+	}
+	if !lost {
+		wait = stageStep
+	}
+	s.after(wait, func() { s.step(id, ev) })
+}
+
+// TestRunUnknownToNextHolderStartsTwice lets a next holder stop a run that it was not told of.
+func TestRunUnknownToNextHolderStartsTwice(t *testing.T) {
+	s := newStage(t)
+	owner := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e1", Life: 1}
+	next := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	var list []cornelwall.Endpoint
+	for i, id := range []string{"x1", "x2"} {
+		info := cornelwall.Endpoint{ID: id, Service: "s", Addr: s.addr(100 + i), DataCentre: "dc0", Room: cornelwall.Share{Cores: 8000}}
+		list = append(list, info)
+		s.endpoint(info)
+	}
+	tell := func() {
+		for _, id := range s.order {
+			s.step(id, stageList(list))
+		}
+	}
+	s.entry(owner)
+	tell()
+	s.pass(1500 * time.Millisecond)
+	assert.Assert(t, len(s.cores[owner].held()) == 2)
+
+	started, looked := false, false
+	s.late = func(_, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration {
+		if m.Handover != nil && to == next && m.Handover.Endpoint.ID == "x1" {
+			return handTimeout + 190*time.Millisecond
+		}
+		return 0
+	}
+	s.lost = func(from cornelwall.Incarnation, cmd cornelwall.Command) bool {
+		switch cmd := cmd.(type) {
+		case cornelwall.StartRun:
+			first := !started
+			started = true
+			return first
+		case cornelwall.Look:
+			first := from == next && cmd.Endpoint.ID == "x1" && !looked
+			looked = looked || first
+			return first || from == owner && started
+		}
+		return false
+	}
+	s.entry(next)
+	tell()
+	for range 2000 {
+		if slices.Contains(s.logs, "handover-timeout") {
+			break
+		}
+		s.pass(5 * time.Millisecond)
+	}
+	s.step(owner, cornelwall.SubmitBatch{Req: 1, Host: "h", Path: "/q/1", Left: 9 * time.Second, Batch: &cornelwall.BatchJob{
+		ID: "00000000000000ab", Steps: []cornelwall.Step{{Count: 1, Need: cornelwall.Share{Cores: 8000}, Estimate: 3 * time.Second}},
+	}})
+	s.pass(2 * time.Second)
+	assert.Equal(t, len(s.began), 2, "the task runs again once its first run is over")
+}
+
+func stageList(list []cornelwall.Endpoint) cornelwall.Event {
+	return cornelwall.Endpoints{List: list, Rev: 1}
+}
