A link whose proof has lapsed always draws a new session

What callers may see: a task that runs twice. A heartbeat that came after the proof of a link had lapsed, and before the next survey, closed the link without a new session. Once the owner heard the holder again, an order from before the silence counted as fresh, though its owner may have given the task to another holder after 1.3 s. Evidence: TestLateOrderAfterOneWayCut failed (the late order starts a run). Why it works: the proof is checked before a heartbeat is taken in, by the same function that the survey uses; a link that lapsed opens under another session only.

--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -242,12 +242,7 @@
 	c.surveyed = c.now
 	c.links = c.links[:0]
 	for _, p := range slices.Clone(c.byID) {
-		if p.open && c.now.Sub(p.proven) > proofLife {
-			if c.wants(p) {
-				c.log("peer-unproven", "peer", p.id, "age", c.now.Sub(p.proven), "heard", c.now.Sub(p.heard))
-			}
-			c.closeSession(p)
-		}
+		c.checkProof(p)
 		if !p.expired && !p.heard.IsZero() && c.now.Sub(p.heard) > ownerPatience {
 			p.expired = true
 			if c.wants(p) {
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -25,6 +25,7 @@
 	if m.Keep {
 		c.addLink(p)
 	}
+	c.checkProof(p)
 	first, wasOpen := p.number == 0, p.open
 	p.seen, p.heard, p.asked, p.dead, p.expired = m.Number, c.now, time.Time{}, false, false
 	p.leaving, p.version, p.ask, p.alone, p.keep = m.Leaving, m.Version, m.Ask, m.Alone, m.Keep
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -42,6 +42,17 @@
 	return sent
 }
 
+// checkProof closes the session of a peer whose proof is too old.
+func (c *Core) checkProof(p *peer) {
+	if !p.open || c.now.Sub(p.proven) <= proofLife {
+		return
+	}
+	if c.wants(p) {
+		c.log("peer-unproven", "peer", p.id, "age", c.now.Sub(p.proven), "heard", c.now.Sub(p.heard))
+	}
+	c.closeSession(p)
+}
+
 // closeSession lets nothing start any more that an owner sent before. What runs for it is
 // stopped once its own proof is too old.
 func (c *Core) closeSession(p *peer) {
