After a restart of an endpoint only a look under the new fence ends a run

What callers may see: a task that runs twice, if an order can outlive a crash of its endpoint (a question in docs/design/platform.md). The first answer of the new boot came to a look under the old fence. It ended a run whose start had got no answer and whose stop the old boot had taken; the new boot would still have taken that start, as it had not seen a higher fence. Why it works: what an earlier boot has said settles nothing by itself; the run ends by the first look that shows the new boot the new fence.

--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -18,15 +18,20 @@
 }
 
 // restarted takes note that an endpoint has started anew under its name. What ran there
-// before is gone, but orders that were on their way may have reached the new boot: its
-// lists tell. It has seen no fence, so that it gets a new one, under which orders that
-// are still late are refused.
+// before is gone, but orders that were on their way may have reached the new boot, or may
+// still reach it: the next look shows it a new fence, under which it refuses these, and its list
+// tells what has started.
 func (c *Core) restarted(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
 	l.oldLook = l.lastLook
 	l.boot, l.acked, l.ackSent, l.until, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
+	for _, r := range l.runs {
+		if r.settledBy > 0 {
+			r.settledBy = l.lastLook + 1
+		}
+	}
 	c.look(l, 0)
 }
 
