The clock in the answer to an order tells of a restart that was not noticed

What callers may see: a task that runs twice. An idle endpoint is not looked at, so that its restart may go unnoticed. The deadline of the next start was on the old clock; the new boot cut it to its longest lease of 1 s, while the holder counted 600 ms and took the run as lapsed 300 ms too early. Evidence: TestLapseOfUnnoticedBoot failed (over 720 ms after the last order, where 1,020 ms are needed). Why it works: an endpoint cannot answer an order with a clock below what its clock had surely reached as the order was sent. An answer that does comes from another boot, whose lease may last as long as any.

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -24,6 +24,7 @@
 	yieldPatience = lookWait + 2*lookLate + leaseTime
 	// An endpoint's clock may be slow by this share.
 	clockDrift = 0.02
+	clockGrain = time.Millisecond // in which endpoints tell their clocks
 )
 
 // phase is how far a lease is.
@@ -133,7 +134,11 @@
 
 // clockLow returns a time that the endpoint's clock has surely reached.
 func (l *lease) clockLow(now time.Time) time.Duration {
-	return l.clock + time.Duration(float64(now.Sub(l.clockAt))*(1-clockDrift))
+	since := now.Sub(l.clockAt)
+	if since < 0 {
+		return l.clock + since
+	}
+	return l.clock + time.Duration(float64(since)*(1-clockDrift))
 }
 
 // extend returns the end of a lease that begins now and notes it.
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -23,6 +23,7 @@
 		return // what ran there is settled by the lease or the next holder
 	}
 	if ev.Clock > 0 && ev.Fence == l.fence {
+		c.checkClock(l, r, &ev)
 		c.setClock(l, ev.Clock)
 	}
 	switch {
@@ -38,6 +39,20 @@
 	}
 }
 
+// checkClock notices by its clock that an endpoint has started anew before it took an order.
+func (c *Core) checkClock(l *lease, r *run, ev *cornelwall.Ordered) {
+	if r == nil || r.at != l || l.clockAt.IsZero() {
+		return
+	}
+	sent := r.startAt
+	if ev.Stop {
+		sent = r.stopAt
+	}
+	if ev.Clock < l.clockLow(sent)-clockGrain {
+		c.restarted(l, 0)
+	}
+}
+
 func (c *Core) startAnswered(r *run, refusal cornelwall.Refusal) {
 	fit := &r.at.ep.fit
 	switch refusal {
--- a/core/dispatch/proofs_test.go
+++ b/core/dispatch/proofs_test.go
@@ -114,3 +114,17 @@
 	h.look(h.l.fence, 2, 15*time.Millisecond)
 	assert.DeepEqual(t, h.over, []cornelwall.OverRun{{RunID: h.run, How: cornelwall.RunStopped, Endpoint: "x1", Took: 220 * time.Millisecond}})
 }
+
+// TestLapseOfUnnoticedBoot: a new boot cuts a deadline on the old clock to its longest lease.
+func TestLapseOfUnnoticedBoot(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 10*time.Millisecond)
+	for range 100 {
+		if len(h.over) == 0 {
+			h.pass(tickEvery)
+		}
+	}
+	lease := time.Duration(float64(h.c.cfg.Limits.MaxLease) / (1 - clockDrift))
+	assert.Equal(t, len(h.over), 1)
+	assert.Assert(t, h.now.Sub(h.last) >= lease, "over %s after an order that may have extended the lease by %s", h.now.Sub(h.last), lease)
+}
