Only an order of now tells that another endpoint has the address

What callers may see: a task that runs twice, if an endpoint may start anew at another address under its name. An order from before, which went to the old address and met another endpoint there, ended all that ran at the new one. Evidence: TestOldAddressOfMovedEndpoint failed (the run is said to be over). Why it works: the answer is taken only under the fence in force, which changes with each boot, as a refusal for the fence is. An older start that was refused so ends by itself as unstarted.

--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -40,7 +40,9 @@
 		}
 		return
 	case cornelwall.RefusedBoot:
-		c.replaced(l)
+		if ev.Fence == l.fence { // else it went to where the endpoint was before it started anew
+			c.replaced(l)
+		}
 		return
 	default:
 		return // it is sent again in time
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -29,7 +29,7 @@
 	switch {
 	case ev.Refusal == cornelwall.RefusedFence && ev.Fence == l.fence:
 		c.yield(l)
-	case ev.Refusal == cornelwall.RefusedBoot:
+	case ev.Refusal == cornelwall.RefusedBoot && ev.Fence == l.fence:
 		c.replaced(l)
 	case r == nil || r.at != l:
 	case ev.Stop:
--- a/core/dispatch/proofs_test.go
+++ b/core/dispatch/proofs_test.go
@@ -128,3 +128,16 @@
 	assert.Equal(t, len(h.over), 1)
 	assert.Assert(t, h.now.Sub(h.last) >= lease, "over %s after an order that may have extended the lease by %s", h.now.Sub(h.last), lease)
 }
+
+// TestOldAddressOfMovedEndpoint: another endpoint at its old address tells nothing of the runs at the new one.
+func TestOldAddressOfMovedEndpoint(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	moved := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	moved.Boot = 2
+	h.step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{moved}})
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.look(h.l.fence, 2, 500*time.Millisecond, h.run) // it ran on with a start that was late
+	h.step(cornelwall.Looked{Endpoint: "x1", Fence: h.l.first, Number: 1, Refusal: cornelwall.RefusedBoot})
+	assert.Equal(t, len(h.over), 0)
+}
