A run that came back is no longer passed on

Two entries passed the withdrawal of a run, which had gone from the one to the other and back, to each other for up to 15 s; the owner heard nothing meanwhile. Evidence: TestWithdrawalOfReturnedRun failed (passed back).

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -97,6 +97,7 @@
 		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
+		delete(c.passed, r.id) // it has come back
 		l.add(r)
 	}
 	c.log("endpoint-taken", "endpoint", ep.ID, "fence", l.fence, "runs", len(runs))
--- /dev/null
+++ b/core/dispatch/returned_test.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestWithdrawalOfReturnedRun: two entries must not pass a withdrawal to each other for ever.
+func TestWithdrawalOfReturnedRun(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	next := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e3", Life: 1}
+	var forwarded []cornelwall.RunID
+	from := func(id cornelwall.Incarnation, m cornelwall.Message) {
+		for _, cmd := range h.c.Step(h.now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: id, Messages: []cornelwall.Message{m}}}) {
+			if s, ok := cmd.(cornelwall.Send); ok && s.Message.Withdraw != nil {
+				forwarded = append(forwarded, s.Message.Withdraw.Runs...)
+			}
+		}
+	}
+	from(next, cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: h.addr, Number: 1, Session: 8}})
+	p := h.c.peers[next]
+	from(next, cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: h.addr, Number: 2, Session: 8, Seen: p.number}})
+	fence := h.l.fence + fenceSpread
+	from(next, cornelwall.Message{Taken: &cornelwall.Taken{Session: p.session, Endpoint: "x1", Fence: fence, Kept: []cornelwall.RunID{h.run}}})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	from(next, cornelwall.Message{Handover: &cornelwall.Handover{
+		Session: p.session, Endpoint: h.info(h.addr), Fence: fence, Offer: 1,
+		Runs: []cornelwall.HandoverRun{{RunID: h.run, Owner: h.owner, Need: cornelwall.Share{Cores: 8000}, Estimate: 5 * time.Second}},
+	}})
+	h.l = h.c.endpoints["x1"].lease
+	assert.Assert(t, h.l != nil && len(h.l.runs) == 1, "it is handed back")
+	h.step(cornelwall.Looked{
+		Endpoint: "x1", Fence: h.l.fence, Number: h.l.lastLook, Boot: 1, Clock: 31 * time.Second,
+		Ended: []cornelwall.RunEnded{{Number: 1, RunID: h.run, How: cornelwall.RunDone}},
+	})
+	assert.Equal(t, len(h.over), 1)
+	from(h.owner, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}}})
+	assert.Equal(t, len(forwarded), 0, "passed back to an entry that has passed it on to this one")
+}
