--- /dev/null
+++ b/core/control/batch_test.go
@@ -0,0 +1,67 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/control"
+)
+
+// handClock shows the time to which it was set. Only one goroutine may use it at a time.
+type handClock struct {
+	cornelwall.SystemClock
+	now time.Time
+}
+
+func (c *handClock) Now() time.Time { return c.now }
+
+// slowCore takes a while over each event, during which the next one comes.
+type slowCore struct {
+	clock   *handClock
+	loop    *control.Loop
+	events  int
+	posted  []time.Time
+	handled []time.Time
+	done    func()
+}
+
+func (c *slowCore) Next() time.Time { return c.clock.now.Add(time.Hour) }
+
+func (c *slowCore) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	if _, ok := ev.(cornelwall.Undelivered); !ok {
+		return nil
+	}
+	c.handled = append(c.handled, now)
+	c.clock.now = c.clock.now.Add(80 * time.Millisecond)
+	if len(c.posted) == c.events {
+		c.done()
+		return nil
+	}
+	c.post()
+	return nil
+}
+
+func (c *slowCore) post() {
+	c.posted = append(c.posted, c.clock.now)
+	c.loop.Post(cornelwall.Undelivered{})
+}
+
+// TestNoEventIsHandledAtATimeBeforeItCame lets each event come while the one before is handled.
+func TestNoEventIsHandledAtATimeBeforeItCame(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := &handClock{now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)}
+	core := &slowCore{clock: clock, events: 300, done: cancel} // more than a batch
+	core.loop = control.New(core, clock, logr.Discard())
+	core.post()
+	assert.NilError(t, core.loop.Run(ctx))
+	assert.Equal(t, len(core.handled), core.events)
+	for i, at := range core.handled {
+		assert.Assert(t, !at.Before(core.posted[i]), "event %d is handled at a time %s before it came", i, core.posted[i].Sub(at))
+	}
+}
