--- /dev/null
+++ b/core/dispatch/looks_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestLookSentBeforeStartsAnswerEndsNoRun answers looks at an endpoint that had not carried out the second start yet.
+func TestLookSentBeforeStartsAnswerEndsNoRun(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	owner := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	for _, tc := range []struct {
+		name  string
+		out   time.Duration // after the step that emitted the look, when it is sent
+		after bool          // it is emitted after the start's answer was taken in
+		over  bool
+	}{
+		{"sent at the time of the step", 0, false, false},
+		{"sent later, while its batch goes on", 12 * time.Millisecond, false, false},
+		{"emitted after the answer", 12 * time.Millisecond, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+			c := New(Config{Self: self, Addr: addr, Links: -1, Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond}}, now)
+			var starts []cornelwall.StartRun
+			var looks []cornelwall.Look
+			over := map[cornelwall.RunID]cornelwall.RunEnd{}
+			collect := func(cmds []cornelwall.Command) {
+				for _, cmd := range cmds {
+					switch cmd := cmd.(type) {
+					case cornelwall.StartRun:
+						starts = append(starts, cmd)
+					case cornelwall.Look:
+						looks = append(looks, cmd)
+					case cornelwall.Send:
+						if cmd.Message.Over != nil {
+							for _, o := range cmd.Message.Over.Runs {
+								over[o.RunID] = o.How
+							}
+						}
+					}
+				}
+			}
+			step := func(ev cornelwall.Event) { collect(c.Step(now, ev)) }
+			receive := func(m cornelwall.Message) {
+				step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: owner, To: self, Messages: []cornelwall.Message{m}}})
+			}
+			listed := func(look cornelwall.Look, running ...cornelwall.RunID) {
+				ev := cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Sent: now.Add(tc.out), Boot: 1, Clock: time.Second}
+				for _, id := range running {
+					ev.Running = append(ev.Running, cornelwall.RunState{RunID: id})
+				}
+				step(ev)
+			}
+			begun := func(start cornelwall.StartRun) {
+				step(cornelwall.Ordered{Endpoint: "x1", Fence: start.Fence, Run: start.Run, Clock: time.Second})
+			}
+
+			receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 1, Session: 7}})
+			p := c.peers[owner]
+			receive(cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: addr, Number: 2, Session: 7, Seen: p.number}})
+			c.take(c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}}), nil)
+			collect(c.out)
+			assert.Equal(t, len(looks), 1)
+			listed(looks[0])
+			now = now.Add(tickEvery)
+			var tasks []cornelwall.AssignTask
+			for _, name := range []string{"a.0.0.0", "a.0.0.1"} {
+				tasks = append(tasks, cornelwall.AssignTask{RunID: cornelwall.RunID{Task: name, Run: 1}, Need: cornelwall.Share{Cores: 6800}, Estimate: 5 * time.Second})
+			}
+			receive(cornelwall.Message{Assign: &cornelwall.Assign{Session: p.session, Service: "s", Last: 9 * time.Second, Due: 9 * time.Second, Tasks: tasks}})
+			assert.Equal(t, len(starts), 2)
+			first, second := starts[0], starts[1]
+
+			looks = nil
+			begun(first)
+			assert.Equal(t, len(looks), 1, "the start's answer leads to a look")
+			if tc.after {
+				begun(second)
+				listed(looks[0], first.Run, second.Run)
+				assert.Equal(t, len(looks), 2)
+				listed(looks[1], first.Run)
+			} else {
+				begun(second)
+				listed(looks[0], first.Run)
+			}
+			want := map[cornelwall.RunID]cornelwall.RunEnd{}
+			if tc.over {
+				want[second.Run] = cornelwall.RunLapsed
+			}
+			assert.DeepEqual(t, over, want)
+			assert.Equal(t, c.runs[second.Run] == nil, tc.over, "whether the run is gone")
+		})
+	}
+}
