--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -39,6 +39,13 @@
 	func(r *rig) { r.w.Advance(time.Second) },
 }
 
+var slows = []action{
+	(*rig).submitWave, (*rig).submitWave, (*rig).submit, (*rig).entrySlow, (*rig).entrySlow, (*rig).entrySlow, (*rig).entryPauses, (*rig).entryPauses, (*rig).entriesQuick,
+	(*rig).endpointSlow,
+}
+
+var slowsAndFaults = append(slices.Concat(slows, slows), everything...)
+
 var everything = append([]action{
 	(*rig).stop, (*rig).restartDown, (*rig).restartDown, (*rig).killOne, (*rig).powerOff, (*rig).freeze, (*rig).thaw,
 	(*rig).cutEntries, (*rig).cutOneWay, (*rig).cutEntry, (*rig).cutEndpoint, (*rig).cutEndpointOneWay, (*rig).heal, (*rig).heal,
@@ -68,6 +75,19 @@
 	t.Logf("runs %d, second ones %d, answers %v", runs, again, total)
 }
 
+// TestSlowEntries plays entries that take long over their events, alone and with all other faults.
+func TestSlowEntries(t *testing.T) {
+	for name, actions := range map[string][]action{"alone": slows, "with faults": slowsAndFaults} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) {
+				if r := play(rt, tamper{}, actions, true); r.failure != "" {
+					rt.Fatal(r.failure)
+				}
+			})
+		})
+	}
+}
+
 // TestPlannedStops restarts entries by planned stops under load: no batch is given up or
 // refused, and nothing that runs is lost.
 func TestPlannedStops(t *testing.T) {
@@ -95,6 +115,7 @@
 		{"endpoints know no fence", tamper{noFence: true}, everything, 100},
 		{"endpoints start what is late", tamper{lateStarts: true}, lates, 560},
 		{"an undelivered task counts as not started", tamper{earlyOver: true}, cuts, 100},
+		{"events get the time of their batch", tamper{staleTime: true}, slows, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -152,6 +173,7 @@
 	for _, e := range r.entries {
 		r.w.Thaw(e.host)
 	}
+	r.entriesQuick()
 	for range 10 {
 		r.restartDown()
 	}
@@ -304,6 +326,29 @@
 
 func (r *rig) declare() { r.version++ }
 
+// entrySlow makes an entry take up to so long for an event, in the mean.
+func (r *rig) entrySlow() {
+	e := r.any()
+	e.slow, e.each = true, []time.Duration{200 * time.Microsecond, time.Millisecond, 4 * time.Millisecond, 10 * time.Millisecond}[r.rng.IntN(4)]
+	r.setSlow(e)
+}
+
+// entryPauses makes a slow entry pause with its next event.
+func (r *rig) entryPauses() {
+	for _, e := range r.entries {
+		if e.slow && r.rng.IntN(2) == 0 {
+			e.pause = time.Duration(30+r.rng.IntN(270)) * time.Millisecond
+		}
+	}
+}
+
+func (r *rig) entriesQuick() {
+	for _, e := range r.entries {
+		e.slow, e.pause = false, 0
+		r.setSlow(e)
+	}
+}
+
 // regressions are seeds of histories that once failed.
 var regressions = []uint64{
 	12,   // a frozen entry woke and assigned batches whose callers had left
@@ -343,6 +388,12 @@
 		if r := playSeed(s, tamper{}, planned); r.lostWork() != "" {
 			t.Errorf("seed %d, planned stops: %s", s, r.lostWork())
 		}
+		if r := playSeed(s, tamper{staleTime: *stale}, slows); r.failure != "" {
+			t.Errorf("seed %d, slow entries: %s", s, r.failure)
+		}
+		if r := playSeed(s, tamper{staleTime: *stale}, slowsAndFaults); r.failure != "" {
+			t.Errorf("seed %d, slow entries and faults: %s", s, r.failure)
+		}
 	}
 }
 
@@ -367,5 +418,6 @@
 
 var (
 	seed  = flag.Uint64("seed", 1, "of the first history that TestSeeds plays")
+	stale = flag.Bool("stale", false, "give the events of a batch of a slow entry the time of its beginning")
 	seeds = flag.Uint64("seeds", 30, "number of histories that TestSeeds plays")
 )
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -45,6 +45,7 @@
 	noFence     bool // endpoints take orders under any fence
 	lateStarts  bool // endpoints start what came after its lease
 	earlyOver   bool // an undelivered task counts as not started
+	staleTime   bool // the events of a batch get the time of its beginning
 }
 
 type entry struct {
@@ -58,6 +59,9 @@
 	lives uint64
 	read  time.Duration // between readings of the list of endpoints, as ordered by the core
 	next  time.Time     // when it is read next
+	slow  bool          // it takes time for each event
+	each  time.Duration // that it takes for an event, in the mean
+	pause time.Duration // that it makes before or while it handles its next event
 }
 
 // size is how large a system is.
@@ -177,6 +181,25 @@
 		Limits: dispatch.Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.Add(core, self, e.addr), map[uint64]*attempt{}
+	e.host.StaleTime = r.tamper.staleTime
+	r.setSlow(e)
+}
+
+// setSlow hands an entry's slowness to its host.
+func (r *rig) setSlow(e *entry) {
+	e.host.Slow = nil
+	if !e.slow {
+		return
+	}
+	e.host.Slow = func() fake.Delay {
+		d := fake.Delay{During: time.Duration(r.rng.Int64N(int64(2*e.each + 1)))}
+		if e.pause > 0 && r.rng.IntN(2) == 0 {
+			d.Before, e.pause = e.pause, 0
+		} else {
+			d.During, e.pause = d.During+e.pause, 0
+		}
+		return d
+	}
 }
 
 // tellLists plays the platform: it hands the lists to all entries, again and again.
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -61,11 +61,34 @@
 	Dead   bool
 	Dark   bool // dead without power: connections to it are not refused
 
+	// Slow makes the host take time for each event. Those that come meanwhile queue. Nil is at once.
+	Slow func() Delay
+	// StaleTime gives all events of a batch the time of its beginning.
+	StaleTime bool
+
+	loop
 	held     []cornelwall.Event // events that came while frozen
 	tick     time.Time          // of the next tick on its way
 	watching bool
 }
 
+// Delay is what a host takes for an event: before it reads the clock, and then until its
+// commands leave.
+type Delay struct{ Before, During time.Duration }
+
+// maxBatch is how many events a slow host handles at most, beyond the first, before it looks at its timer.
+const maxBatch = 256
+
+// loop is what a slow host is about to do.
+type loop struct {
+	busy   bool
+	queue  []cornelwall.Event
+	began  time.Time // of the batch
+	batch  int       // events of it
+	due    bool      // a tick came while it was busy
+	resume func()    // once it is thawed
+}
+
 // NewWorld returns a world without hosts.
 func NewWorld(start time.Time) *World {
 	return &World{Now: start, Store: NewStore(), hosts: map[netip.AddrPort]*Host{}, queue: heap.New(sooner, nil)}
@@ -103,6 +126,10 @@
 // Thaw lets a frozen host go on.
 func (w *World) Thaw(h *Host) {
 	h.Frozen = false
+	if resume := h.resume; resume != nil {
+		h.resume = nil
+		resume()
+	}
 	held := h.held
 	h.held = nil
 	for _, ev := range held {
@@ -136,10 +163,89 @@
 		}
 		return
 	}
-	if _, ok := ev.(cornelwall.Tick); ok && !h.tick.After(w.Now) {
+	_, tick := ev.(cornelwall.Tick)
+	if tick && !h.tick.After(w.Now) {
 		h.tick = time.Time{}
 	}
-	w.act(h, h.Core.Step(w.Now, ev))
+	switch {
+	case h.Slow == nil && !h.busy:
+		w.act(h, h.Core.Step(w.Now, ev))
+		w.schedule(h)
+		return
+	case tick:
+		h.due = true
+	default:
+		h.queue = append(h.queue, ev)
+	}
+	if !h.busy {
+		h.busy, h.began, h.batch = true, w.Now, 0
+		w.next(h)
+	}
+}
+
+// next lets a slow host handle an event: it ends a batch before it looks at its timer.
+func (w *World) next(h *Host) {
+	if !w.runs(h, func() { w.next(h) }) {
+		return
+	}
+	var ev cornelwall.Event
+	switch {
+	case len(h.queue) > 0 && (h.batch > 0 || !h.due) && h.batch <= maxBatch:
+		h.batch++
+		ev, h.queue = h.queue[0], h.queue[1:]
+	case h.batch > 0:
+		w.schedule(h)
+		h.began, h.batch = w.Now, 0
+		w.next(h)
+		return
+	case h.due:
+		h.due = false
+		ev = cornelwall.Tick{}
+	default:
+		h.busy = false
+		return
+	}
+	var d Delay
+	if h.Slow != nil {
+		d = h.Slow()
+	}
+	w.Do(d.Before, func() { w.step(h, ev, d.During) })
+}
+
+// step lets a slow host handle an event and sends its commands after a while.
+func (w *World) step(h *Host, ev cornelwall.Event, during time.Duration) {
+	if !w.runs(h, func() { w.step(h, ev, during) }) {
+		return
+	}
+	now := w.Now
+	if h.StaleTime && h.batch > 0 {
+		now = h.began
+	}
+	cmds := h.Core.Step(now, ev)
+	w.Do(during, func() { w.leave(h, cmds) })
+}
+
+func (w *World) leave(h *Host, cmds []cornelwall.Command) {
+	if !w.runs(h, func() { w.leave(h, cmds) }) {
+		return
+	}
+	w.act(h, cmds)
+	if h.batch == 0 {
+		w.schedule(h)
+	}
+	w.next(h)
+}
+
+// runs reports whether a host may go on. One that is frozen goes on later.
+func (w *World) runs(h *Host, resume func()) bool {
+	if h.Frozen && !h.Dead {
+		h.resume = resume
+	}
+	return !h.Frozen && !h.Dead
+}
+
+// schedule sets the timer of a host.
+func (w *World) schedule(h *Host) {
 	next := h.Core.Next()
 	if h.tick.IsZero() || next.Before(h.tick) {
 		h.tick = next
