--- a/core/dispatch/looks_test.go
+++ b/core/dispatch/looks_test.go
@@ -99,3 +99,46 @@
 		})
 	}
 }
+
+// TestLookSentBeforeRestartWasNoticedIsNoRestart answers a look of the old life after one of the new, within one batch.
+func TestLookSentBeforeRestartWasNoticedIsNoRestart(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: self, Addr: addr, Links: -1, Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond}}, now)
+	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 16000}})
+	looks := func(cmds []cornelwall.Command) (found []cornelwall.Look) {
+		for _, cmd := range cmds {
+			if look, ok := cmd.(cornelwall.Look); ok {
+				found = append(found, look)
+			}
+		}
+		return found
+	}
+	answer := func(look cornelwall.Look, boot int64) {
+		c.Step(now, cornelwall.Looked{Endpoint: "x1", Fence: look.Fence, Sent: now.Add(12 * time.Millisecond), Boot: boot, Clock: time.Second})
+	}
+	c.take(ep, nil)
+	first := looks(c.out)
+	assert.Equal(t, len(first), 1)
+	answer(first[0], 1000)
+	assert.Equal(t, ep.lease.phase, phaseReady)
+
+	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: self, state: runStarting, came: now, startAt: now}
+	r.Estimate = time.Second
+	c.runs[r.id] = r
+	ep.lease.add(r)
+	var sent []cornelwall.Look
+	for range 40 { // until a second look is sent, the first having no answer
+		if len(sent) == 2 {
+			break
+		}
+		now = now.Add(tickEvery)
+		sent = append(sent, looks(c.Step(now, cornelwall.Tick{}))...)
+	}
+	assert.Equal(t, len(sent), 2)
+	answer(sent[1], 2000)
+	assert.Equal(t, ep.lease.boot, int64(2000))
+	answer(sent[0], 1000)
+	assert.Equal(t, ep.lease.boot, int64(2000), "an answer to a look from before")
+}
