--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -401,9 +401,11 @@
 // failure could not be traced.
 func TestSameHistory(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4, 5, 6, 7, 8, 63, 70, 150} { // the last three once differed
-		a, b := playSeed(seed, tamper{}, everything), playSeed(seed, tamper{}, everything)
-		if a.w.Messages != b.w.Messages || a.runs != b.runs || a.orders != b.orders {
-			t.Errorf("seed %d: %d messages, %d runs, %d orders, then %d, %d, %d", seed, a.w.Messages, a.runs, a.orders, b.w.Messages, b.runs, b.orders)
+		for name, actions := range map[string][]action{"everything": everything, "slow entries": slowsAndFaults} {
+			a, b := playSeed(seed, tamper{}, actions), playSeed(seed, tamper{}, actions)
+			if a.w.Messages != b.w.Messages || a.runs != b.runs || a.orders != b.orders {
+				t.Errorf("seed %d, %s: %d messages, %d runs, %d orders, then %d, %d, %d", seed, name, a.w.Messages, a.runs, a.orders, b.w.Messages, b.runs, b.orders)
+			}
 		}
 	}
 }
