--- /dev/null
+++ b/core/dispatch/left_test.go
@@ -0,0 +1,340 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/control"
+)
+
+// resendAfter is how long after its attempt a caller without an answer sends its batch elsewhere.
+const resendAfter = 1300 * time.Millisecond
+
+var testAddr = netip.MustParseAddrPort("10.0.0.1:7001")
+
+// handClock is a clock that tests move.
+type handClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *handClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *handClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// slowCore takes time for each event.
+type slowCore struct {
+	*Core
+	clock *handClock
+	cost  func(cornelwall.Event) time.Duration
+}
+
+func (s *slowCore) Step(now time.Time, ev cornelwall.Event) []cornelwall.Command {
+	s.clock.advance(s.cost(ev))
+	return s.Core.Step(now, ev)
+}
+
+// startTimes notes when starts are ordered.
+type startTimes struct {
+	clock *handClock
+	at    []time.Time
+}
+
+func (s *startTimes) Act(cmd cornelwall.Command) {
+	if _, ok := cmd.(cornelwall.StartRun); ok {
+		s.at = append(s.at, s.clock.Now())
+	}
+}
+
+// startsOf lets a loop handle the events that wait for it and returns when it ordered starts.
+func startsOf(t *testing.T, c *Core, clock *handClock, cost func(cornelwall.Event) time.Duration, events []cornelwall.Event) []time.Time {
+	t.Helper()
+	l := control.New(&slowCore{Core: c, clock: clock, cost: cost}, clock, logr.Discard())
+	starts := &startTimes{clock: clock}
+	l.Connect(&startTimes{clock: clock}, starts, &startTimes{clock: clock})
+	for _, ev := range events {
+		l.Post(ev)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = l.Run(ctx) }()
+	_, err := l.Ask(ctx, func(req uint64) cornelwall.Event { return cornelwall.Describe{Req: req} })
+	cancel()
+	<-l.Done()
+	assert.NilError(t, err)
+	return starts.at
+}
+
+// newUnreadyOwner returns an entry that has taken x1 and does not know yet what runs there.
+func newUnreadyOwner(now time.Time) (*Core, *lease) {
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	c := New(Config{Self: self, Addr: testAddr, Limits: Limits{MaxLease: time.Second, StopTime: 50 * time.Millisecond, Grace: 6 * time.Second}}, now)
+	c.Step(now, cornelwall.Declared{Declaration: &cornelwall.Declaration{Version: 1, Queues: []cornelwall.Queue{{
+		Name: "holds", Host: "h", Prefix: "/", Service: "s", Attempts: 2, Timeout: 20 * time.Second, Objective: 20 * time.Second,
+	}}}})
+	ep := c.addEndpoint(cornelwall.Endpoint{ID: "x1", Service: "s", Addr: testAddr, DataCentre: "dc0", Room: cornelwall.Share{Cores: 8000}})
+	c.take(ep, nil)
+	return c, ep.lease
+}
+
+// ready returns the answer to the first look at x1, where nothing runs.
+func ready(l *lease, now time.Time) cornelwall.Event {
+	return cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second}
+}
+
+// newOwner returns an entry that holds x1 and has a link to another entry.
+func newOwner(now time.Time, other cornelwall.Incarnation) *Core {
+	c, l := newUnreadyOwner(now)
+	c.Step(now, ready(l, now))
+	meet(c, now, other, cornelwall.Vacancy{})
+	return c
+}
+
+// meet opens a link to another entry.
+func meet(c *Core, now time.Time, other cornelwall.Incarnation, v cornelwall.Vacancy) {
+	c.Step(now, word(other, cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: testAddr, Number: 1, Session: 7, Room: v}}))
+	c.Step(now, word(other, cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: testAddr, Number: 2, Session: 7, Room: v, Seen: c.peers[other].number}}))
+}
+
+func word(from cornelwall.Incarnation, m cornelwall.Message) cornelwall.Event {
+	return cornelwall.Receive{Envelope: cornelwall.Envelope{From: from, Messages: []cornelwall.Message{m}}}
+}
+
+func submission(steps ...cornelwall.Step) cornelwall.SubmitBatch {
+	return cornelwall.SubmitBatch{Req: 1, Host: "h", Path: "/x", Left: 10 * time.Second, Batch: &cornelwall.BatchJob{ID: "00000000000000aa", Steps: steps}}
+}
+
+var wholeStep = cornelwall.Step{Count: 1, Need: cornelwall.Share{Cores: 8000}, Estimate: 500 * time.Millisecond}
+
+// TestFreezeAmongEventsStartsNothingForCallerThatLeft lets what came during a freeze be handled after it.
+func TestFreezeAmongEventsStartsNothingForCallerThatLeft(t *testing.T) {
+	clock := &handClock{now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)}
+	c := newOwner(clock.now, cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1})
+	first := submission(wholeStep)
+	c.Step(clock.now, first)
+	l := c.endpoints["x1"].lease
+	assert.Equal(t, len(l.runs), 1)
+	r := l.sortedRuns()[0]
+	c.Step(clock.now, cornelwall.Ordered{Endpoint: "x1", Fence: l.fence, Run: r.id, Clock: time.Second})
+	second := submission(wholeStep)
+	second.Req, second.Batch = 2, &cornelwall.BatchJob{ID: "00000000000000bb", Steps: []cornelwall.Step{wholeStep}}
+	c.Step(clock.now, second)
+	assert.Equal(t, len(c.waiting), 1)
+
+	const freeze = 2 * time.Second
+	cost := func(ev cornelwall.Event) time.Duration {
+		if _, ok := ev.(cornelwall.CountWaiting); ok {
+			return freeze
+		}
+		return 0
+	}
+	starts := startsOf(t, c, clock, cost, []cornelwall.Event{
+		cornelwall.CountWaiting{Req: 9},
+		cornelwall.Looked{
+			Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second + freeze,
+			Ended: []cornelwall.RunEnded{{Number: 1, RunID: r.id, How: cornelwall.RunDone}},
+		},
+		cornelwall.Gone{Req: 2},
+	})
+	assert.Equal(t, len(starts), 0, "a start is ordered %s after the freeze began, before it is read that the caller has left", freeze)
+}
+
+// assigns notes the runs that are assigned to other entries.
+type assigns chan cornelwall.RunID
+
+func (a assigns) Act(cmd cornelwall.Command) {
+	if s, ok := cmd.(cornelwall.Send); ok && s.Message.Assign != nil {
+		a <- s.Message.Assign.Tasks[0].RunID
+	}
+}
+
+// TestBacklogOfEventsStartsNothingForCallerThatLeft lets a caller leave while the events of 1.4 s wait.
+func TestBacklogOfEventsStartsNothingForCallerThatLeft(t *testing.T) {
+	clock := &handClock{now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	c, l := newUnreadyOwner(clock.now)
+	meet(c, clock.now, other, cornelwall.Vacancy{Total: 8000, Free: []cornelwall.Share{{Cores: 8000}}})
+	clock.advance(tickEvery)
+	c.Step(clock.now, cornelwall.Tick{})
+
+	blocked, release := make(chan struct{}), make(chan struct{})
+	loop := control.New(&slowCore{Core: c, clock: clock, cost: func(ev cornelwall.Event) time.Duration {
+		switch ev.(type) {
+		case cornelwall.CountWaiting:
+			close(blocked)
+			<-release
+		case cornelwall.Receive:
+			return time.Millisecond
+		}
+		return 0
+	}}, clock, logr.Discard())
+	starts, assigned := &startTimes{clock: clock}, make(assigns, 1)
+	loop.Connect(assigned, starts, &startTimes{clock: clock})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = loop.Run(ctx) }()
+
+	caller, leave := context.WithCancel(ctx)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := loop.Ask(caller, func(req uint64) cornelwall.Event {
+			after := wholeStep
+			after.After = []int{0}
+			ev := submission(wholeStep, after)
+			ev.Req = req
+			return ev
+		})
+		answered <- err
+	}()
+	var run cornelwall.RunID
+	select {
+	case run = <-assigned:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the first task is not assigned")
+	}
+	loop.Post(cornelwall.CountWaiting{Req: 1 << 40})
+	<-blocked
+	left := clock.Now()
+	loop.Post(ready(l, left))
+	for n := range 1400 {
+		loop.Post(word(other, cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: testAddr, Number: uint64(3 + n), Session: 7}}))
+	}
+	loop.Post(word(other, cornelwall.Message{Over: &cornelwall.Over{Runs: []cornelwall.OverRun{{RunID: run, How: cornelwall.RunDone, Endpoint: "x2"}}}}))
+	leave()
+	assert.Assert(t, <-answered != nil)
+	close(release)
+	_, err := loop.Ask(ctx, func(req uint64) cornelwall.Event { return cornelwall.Describe{Req: req} })
+	assert.NilError(t, err)
+	cancel()
+	<-loop.Done()
+	for _, at := range starts.at {
+		assert.Assert(t, at.Sub(left) < resendAfter, "a start is ordered %s after its caller has left", at.Sub(left))
+	}
+}
+
+// TestRunThatItsOwnerDoesNotKnowIsWithdrawn ends a batch before the word of the new holder of its run.
+func TestRunThatItsOwnerDoesNotKnowIsWithdrawn(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	former := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	next := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e3", Life: 1}
+	c := newOwner(now, former)
+	meet(c, now, next, cornelwall.Vacancy{})
+	c.Step(now, submission(wholeStep))
+	run := c.jobs["00000000000000aa"].tasks[0].run
+	began := func(from cornelwall.Incarnation, fence uint64) []cornelwall.Command {
+		return c.Step(now, word(from, cornelwall.Message{Began: &cornelwall.Began{Endpoint: "x2", Fence: fence, Runs: []cornelwall.RunID{run}}}))
+	}
+	began(former, 1)
+	assert.Assert(t, withdrawn(c.Step(now, cornelwall.Gone{Req: 1}), former, run))
+	c.Step(now, cornelwall.Undelivered{Refused: true, Envelope: cornelwall.Envelope{To: former, Messages: []cornelwall.Message{
+		{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{run}}},
+	}}})
+	now = now.Add(tickEvery)
+	cmds := began(next, 2)
+	for range 10 {
+		now = now.Add(tickEvery)
+		cmds = append(cmds, c.Step(now, cornelwall.Tick{})...)
+	}
+	assert.Assert(t, withdrawn(cmds, next, run), "the new holder runs on what nobody waits for, as its owner answers its pulses")
+}
+
+func withdrawn(cmds []cornelwall.Command, to cornelwall.Incarnation, run cornelwall.RunID) bool {
+	for _, cmd := range cmds {
+		s, ok := cmd.(cornelwall.Send)
+		if !ok || s.To != to || s.Message.Withdraw == nil {
+			continue
+		}
+		for _, id := range s.Message.Withdraw.Runs {
+			if id == run {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestStoppingRunIsNotOfferedToNextHolder withdraws a run at a holder that then hands its endpoint on.
+func TestStoppingRunIsNotOfferedToNextHolder(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	owner := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e2", Life: 1}
+	c := newOwner(now, owner)
+	l := c.endpoints["x1"].lease
+	r := &run{id: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, owner: owner, state: runRunning, came: now, startAt: now}
+	c.runs[r.id] = r
+	l.add(r)
+	c.Step(now, word(owner, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}}}))
+	assert.Equal(t, r.state, runStopping)
+	offered := false
+	for _, cmd := range c.Step(now, cornelwall.Stop{}) {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.Handover != nil {
+			offered = true
+			assert.Equal(t, len(s.Message.Handover.Runs), 0, "the next holder keeps a run that its owner has withdrawn")
+		}
+	}
+	assert.Assert(t, offered)
+}
+
+// TestLookFromBeforeTheStartWasAnsweredEndsNoRun hears of a start late, and then of a look that was sent before that.
+func TestLookFromBeforeTheStartWasAnsweredEndsNoRun(t *testing.T) {
+	clock := &handClock{now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)}
+	c := newOwner(clock.now, cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1})
+	c.Step(clock.now, submission(wholeStep))
+	l := c.endpoints["x1"].lease
+	id := l.sortedRuns()[0].id
+	const slow = 10 * time.Millisecond
+	startsOf(t, c, clock, func(ev cornelwall.Event) time.Duration {
+		if _, ok := ev.(cornelwall.CountWaiting); ok {
+			return slow
+		}
+		return 0
+	}, []cornelwall.Event{
+		cornelwall.CountWaiting{Req: 9},
+		cornelwall.Ordered{Endpoint: "x1", Fence: l.fence, Run: id, Clock: time.Second},
+		cornelwall.Looked{Endpoint: "x1", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: time.Second},
+	})
+	assert.Assert(t, c.runs[id] != nil, "a run that has just started counts as over, and its task runs again")
+}
+
+// TestOrderThatWasReadLateIsOverBeforeItsBatchComesAgain kills an owner whose order is read after 420 ms.
+func TestOrderThatWasReadLateIsOverBeforeItsBatchComesAgain(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	owner := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	c := newOwner(now, owner)
+	killed := now // after it has sent the order
+	for end := now.Add(proofLife - 30*time.Millisecond); now.Before(end); {
+		now = now.Add(tickEvery)
+		c.Step(now, cornelwall.Tick{})
+	}
+	c.Step(now, word(owner, cornelwall.Message{Assign: &cornelwall.Assign{
+		Session: c.peers[owner].session, Service: "s", Last: 9 * time.Second, Due: 9 * time.Second,
+		Tasks: []cornelwall.AssignTask{{RunID: cornelwall.RunID{Task: "a.0.0.0", Run: 1}, Need: cornelwall.Share{Cores: 8000}, Estimate: 5 * time.Second}},
+	}}))
+	if len(c.endpoints["x1"].lease.runs) == 0 {
+		return // it is not taken
+	}
+	for range 100 {
+		now = now.Add(tickEvery)
+		for _, cmd := range c.Step(now, cornelwall.Tick{}) {
+			if _, ok := cmd.(cornelwall.StopRun); ok {
+				over := now.Add(stopRepeat + lookAgain + leaseTime + c.cfg.Limits.StopTime)
+				assert.Assert(t, over.Sub(killed) < resendAfter, "over %s after its owner was killed, if the endpoint hears no stop", over.Sub(killed))
+				return
+			}
+		}
+	}
+	t.Fatal("the run is not stopped")
+}
