A run that its owner does not know is withdrawn

What callers may see: a task that runs on after its batch was answered, and again when the batch is sent again. The withdrawal of a run went to a holder that had handed it on and ended. The next holder told the owner where the run is, and the owner ignored what it did not know; its heartbeats only say that it hears.

--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -14,11 +14,17 @@
 	return cornelwall.RunID{Task: t.name, Run: c.lastRun}
 }
 
-// began takes word of where tasks run.
+// began takes word of where tasks run. Runs that nobody waits for any more are withdrawn: an
+// earlier withdrawal may have gone to a holder that has ended since.
 func (c *Core) began(from cornelwall.Incarnation, m *cornelwall.Began) {
+	var unknown []cornelwall.RunID
 	for _, id := range m.Runs {
 		t := c.tasks[id]
-		if t == nil || m.Fence < t.fence {
+		if t == nil {
+			unknown = append(unknown, id)
+			continue
+		}
+		if m.Fence < t.fence {
 			continue
 		}
 		t.state, t.endpoint, t.fence, t.since = taskBegun, m.Endpoint, m.Fence, c.now
@@ -26,6 +32,9 @@
 		t.job.begun = true
 		c.boostWaiting(t.job)
 	}
+	if unknown != nil {
+		c.send(from, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: unknown, Started: true}})
+	}
 }
 
 // endpointTaken takes word that an endpoint has a new holder, which keeps some runs.
