A run that is being stopped is not offered to the next holder

What callers may see: as above. A withdrawn run was offered as one to keep, so that the next holder extended its lease until the withdrawal had been passed on. What is not offered it stops before it extends the lease. The runs of TestHandoverLeavesEnds had no estimate, so that they were stopped as stragglers (20 ms to an estimate of 1 ms) before the offer; they have one now, and the test checks the same.

--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -45,6 +45,7 @@
 	var ids []cornelwall.RunID
 	for _, name := range []string{"a.0.0.0", "a.0.0.1"} {
 		r := &run{id: cornelwall.RunID{Task: name, Run: 1}, owner: self, state: runRunning, came: now, startAt: now}
+		r.Estimate = 5 * time.Second
 		ids = append(ids, r.id)
 		c.runs[r.id] = r
 		l.add(r)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -123,6 +123,9 @@
 	c.offers++
 	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence, Offer: c.offers}
 	for _, r := range l.sortedRuns() {
+		if r.state == runStopping {
+			continue // the next holder stops what it is not offered
+		}
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
 			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
 		})
