An order that may have been read late counts as no newer than its owner's proof allows

What callers may see: a task that runs twice. An order counts as a proof of its owner as of 250 ms before it was read. A holder whose events wait may read it later than that; if its owner had been killed, the run was over 1.38 s after that, and the caller sends its batch again after 1.3 s. Why it works: the owner lived when it took in the pulse that it proved; an order counts as 70 ms newer than that at most, so that its run is over 1,292 ms later by the lease alone.

--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -31,6 +31,11 @@
 // entry waits for the answer to what it sends.
 const orderAge = 250 * time.Millisecond
 
+// orderLead is by how much an order counts as sent later than the last proof of its owner at
+// most: what ownerPatience leaves once a run whose owner is silent has surely ended, also by its
+// lease alone.
+const orderLead = 70 * time.Millisecond
+
 // lastProof returns when the owner of a run last proved that it hears this entry. The
 // order to run it is such a proof, as of when it may have been sent: from then on its owner
 // waits before it gives the run up.
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -71,6 +71,12 @@
 		c.link(p)
 		c.pulseTo(p) // the link was idle, and its proof is about to lapse
 	}
+	came := c.now
+	if from != c.cfg.Self && valid {
+		if latest := p.proven.Add(orderLead + orderAge); latest.Before(came) {
+			came = latest // it may have been read late
+		}
+	}
 	for i := range m.Tasks {
 		t := &m.Tasks[i]
 		if c.runs[t.RunID] != nil {
@@ -82,7 +88,7 @@
 		}
 		r := &run{
 			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class, rest: m.Rest,
-			due: c.now.Add(m.Due), last: c.now.Add(m.Last), came: c.now,
+			due: c.now.Add(m.Due), last: c.now.Add(m.Last), came: came,
 		}
 		if r.Estimate <= 0 {
 			r.Estimate = defaultGuess
