A batch that is sent again waits for the runs that are being stopped

What callers may see: a task that runs twice. A batch whose caller had left was stopped and forgotten; sent again to the same entry, it began at once, beside the runs that were not over yet. Evidence: TestResentBatchWaitsForRunsThatAreBeingStopped failed (the task runs again while its first run is being stopped). Why it works: the owner keeps the withdrawn runs of a batch until it hears that they are over, or for as long as it waits for a silent holder. Such a batch counts as begun, so that it is never refused as not run.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -120,7 +120,7 @@
 
 // assignIdle hands the tasks of a job that may start to holders.
 func (c *Core) assignIdle(j *job) {
-	if j.closing || c.waking() {
+	if j.closing || c.waking() || c.endings.batch[j.id] > 0 {
 		return
 	}
 	var holders []candidate
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 //	commands := core.Step(now, event)
 //
 // The files of the owner: jobs.go takes batches, assign.go chooses holders, tasks.go takes
-// word of runs and giveup.go answers. Those of the holder: waiting.go is its queue, lease.go
+// word of runs and giveup.go answers, and ending.go waits for what was withdrawn. Those of the holder: waiting.go is its queue, lease.go
 // its hold on an endpoint, look.go compares what runs there, yield.go ends the hold and
 // orders.go starts and stops. Endpoints: endpoints.go is what is known of them, lists.go reads
 // the platform's list or hears of it, rendezvous.go ranks the entries, holders.go decides who
@@ -111,6 +111,7 @@
 	jobs    map[string]*job
 	reqs    map[uint64]*job
 	tasks   map[cornelwall.RunID]*task // that are assigned
+	endings endings
 	lastRun uint64
 
 	loadLogged time.Time
@@ -138,6 +139,7 @@
 		jobs:      map[string]*job{},
 		tasks:     map[cornelwall.RunID]*task{},
 		reqs:      map[uint64]*job{},
+		endings:   newEndings(),
 	}
 }
 
@@ -221,6 +223,7 @@
 	}
 	c.keepLists()
 	c.dropStops()
+	c.dropEndings()
 	c.keepLinks()
 	c.pulse()
 	c.checkReady()
--- a/core/dispatch/giveup.go
+++ b/core/dispatch/giveup.go
@@ -29,6 +29,7 @@
 		if !waiting {
 			for _, run := range byHolder[id] {
 				delete(c.tasks, run)
+				c.awaitEnd(run, j.id)
 			}
 		}
 		c.send(id, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: byHolder[id], Waiting: waiting}})
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -121,7 +121,7 @@
 	}
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		told: 1, arrived: c.now, deadline: c.now.Add(left - answerMargin), left: make([]int, len(ev.Batch.Steps)),
+		told: 1, arrived: c.now, begun: c.endings.batch[ev.Batch.ID] > 0, deadline: c.now.Add(left - answerMargin), left: make([]int, len(ev.Batch.Steps)),
 	}
 	ends := make([]time.Duration, len(ev.Batch.Steps))
 	for i := range ev.Batch.Steps {
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -82,6 +82,7 @@
 func (c *Core) over(o *cornelwall.OverRun) {
 	t := c.tasks[o.RunID]
 	if t == nil {
+		c.runEnded(o.RunID)
 		return
 	}
 	delete(c.tasks, o.RunID)
