The core hears first of callers that have left

What callers may see: a task that runs twice. The word that a caller has left waited behind up to 4,096 events. An entry that lags by more than 1.3 s went on starting tasks of a batch that its caller had sent to another entry meanwhile. Why it works: before each event the loop tells the core of all callers that have left, and it drops a batch that still waits when its caller has left.

--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -43,6 +43,8 @@
 	nextReq atomic.Uint64
 	mu      sync.Mutex
 	waiting map[uint64]chan cornelwall.Command
+	left    []uint64    // requests whose callers have left, of which the core is told first
+	anyLeft atomic.Bool // there are such requests
 	meters  meters
 	slowAt  time.Time // when a slow batch was logged last
 
@@ -102,8 +104,7 @@
 	case cmd := <-ch:
 		return cmd, nil
 	case <-ctx.Done():
-		l.forget(req)
-		l.Post(cornelwall.Gone{Req: req})
+		l.leave(req)
 		return nil, ctx.Err()
 	case <-l.done:
 		l.forget(req)
@@ -116,6 +117,42 @@
 	}
 }
 
+// leave tells the core that the caller of a request has left, before what waits already: it
+// may send the same elsewhere. The word comes again in its turn, in case the request itself
+// still waits.
+func (l *Loop) leave(req uint64) {
+	l.mu.Lock()
+	delete(l.waiting, req)
+	l.left = append(l.left, req)
+	l.mu.Unlock()
+	l.anyLeft.Store(true)
+	l.Post(cornelwall.Gone{Req: req})
+}
+
+// takeLeft returns the requests whose callers have left since the last call.
+func (l *Loop) takeLeft() []uint64 {
+	if !l.anyLeft.Swap(false) {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := l.left
+	l.left = nil
+	return left
+}
+
+// awaited reports whether an event is to be handled: nobody waits any more for a batch whose
+// caller has left before.
+func (l *Loop) awaited(ev cornelwall.Event) bool {
+	s, ok := ev.(cornelwall.SubmitBatch)
+	if !ok {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting[s.Req] != nil
+}
+
 func (l *Loop) forget(req uint64) {
 	l.mu.Lock()
 	delete(l.waiting, req)
@@ -140,7 +177,7 @@
 		case ev := <-l.events:
 			l.batch(ev)
 		case <-timer.C:
-			l.step(l.clock.Now(), cornelwall.Tick{})
+			l.handle(l.clock.Now(), cornelwall.Tick{})
 		}
 		timer.Reset(max(0, l.core.Next().Sub(l.clock.Now())))
 	}
@@ -150,12 +187,12 @@
 // clock: a batch can take long, and an event may tell of what happened since it began.
 func (l *Loop) batch(ev cornelwall.Event) {
 	began := l.clock.Now()
-	l.step(began, ev)
+	l.handle(began, ev)
 	n := 1
 	for more := true; more && n <= maxBatch; {
 		select {
 		case ev := <-l.events:
-			l.step(l.clock.Now(), ev)
+			l.handle(l.clock.Now(), ev)
 			n++
 		default:
 			more = false
@@ -177,6 +214,16 @@
 	l.log.Info("slow-batch", "events", events, "took", took, "waiting", len(l.events))
 }
 
+// handle hands an event to the core.
+func (l *Loop) handle(now time.Time, ev cornelwall.Event) {
+	for _, req := range l.takeLeft() {
+		l.step(now, cornelwall.Gone{Req: req})
+	}
+	if l.awaited(ev) {
+		l.step(now, ev)
+	}
+}
+
 func (l *Loop) step(now time.Time, ev cornelwall.Event) {
 	l.meters.events.Inc()
 	cmds := l.core.Step(now, ev)
