--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -388,6 +388,15 @@
 	}
 }
 
+// TestBacklogAfterFreeze plays entries that woke and take longer than wakeTime over what had come meanwhile.
+func TestBacklogAfterFreeze(t *testing.T) {
+	for _, s := range []uint64{1372, 1716, 1721} {
+		if r := playSeed(s, tamper{}, slowsAndFaults); r.failure != "" {
+			t.Errorf("seed %d: %s", s, r.failure)
+		}
+	}
+}
+
 // TestSeeds plays the histories of some seeds: -seed=7 -seeds=1 -trace.
 func TestSeeds(t *testing.T) {
 	for s := *seed; s < *seed+*seeds; s++ {
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -13,6 +13,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -175,7 +176,7 @@
 	case tick:
 		h.due = true
 	default:
-		h.queue = append(h.queue, ev)
+		h.enqueue(ev)
 	}
 	if !h.busy {
 		h.busy, h.began, h.batch = true, w.Now, 0
@@ -183,6 +184,21 @@
 	}
 }
 
+// enqueue adds an event to those that wait. As in the real loop, word that a caller has left
+// comes first, and a batch that still waits then is dropped.
+func (l *loop) enqueue(ev cornelwall.Event) {
+	gone, ok := ev.(cornelwall.Gone)
+	if !ok {
+		l.queue = append(l.queue, ev)
+		return
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(ev cornelwall.Event) bool {
+		s, ok := ev.(cornelwall.SubmitBatch)
+		return ok && s.Req == gone.Req
+	})
+	l.queue = slices.Insert(l.queue, 0, ev)
+}
+
 // next lets a slow host handle an event: it ends a batch before it looks at its timer.
 func (w *World) next(h *Host) {
 	if !w.runs(h, func() { w.next(h) }) {
