An endpoint is taken over only where both entries know it at the same place

An entry whose list lags was offered the endpoint with its runs, asked at the old address, met another endpoint there and told the owners that the runs were over, which went on under the entry that had offered them. Its fence was the one in force, so that does not help. Evidence: TestOldAddressOfOfferedEndpoint failed (the run is said to be over). Why it works: the entry declines; the lists meet within a second or so, and the offer comes again.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -143,7 +143,8 @@
 	if l := ep.lease; l != nil && l.from == from && l.first > m.Fence {
 		return // sent again
 	}
-	if p := c.peers[from]; ep.lease != nil || c.leaving() || c.now.Before(ep.lostUntil) || !c.proved(p) || p.session != m.Session {
+	moved := len(m.Runs) > 0 && ep.Addr != m.Endpoint.Addr // the list of one of the two lags behind
+	if p := c.peers[from]; ep.lease != nil || moved || c.leaving() || c.now.Before(ep.lostUntil) || !c.proved(p) || p.session != m.Session {
 		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
--- /dev/null
+++ b/core/dispatch/others_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// other is a third entry that a holding meets.
+type other struct {
+	h      *holding
+	id     cornelwall.Incarnation
+	number uint64
+	got    []cornelwall.Message
+	looks  []cornelwall.Look
+	stops  []cornelwall.StopRun
+}
+
+func (h *holding) meet() *other {
+	o := &other{h: h, id: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e3", Life: 1}}
+	o.pulse()
+	o.pulse()
+	return o
+}
+
+func (o *other) pulse() {
+	o.number++
+	m := cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: o.h.addr, Number: o.number, Session: 8}}
+	if p := o.h.c.peers[o.id]; p != nil {
+		m.Pulse.Seen = p.number
+	}
+	o.send(m)
+}
+
+func (o *other) send(m cornelwall.Message) {
+	o.step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: o.id, Messages: []cornelwall.Message{m}}})
+}
+
+func (o *other) step(ev cornelwall.Event) {
+	for _, cmd := range o.h.c.Step(o.h.now, ev) {
+		switch cmd := cmd.(type) {
+		case cornelwall.Send:
+			if cmd.To == o.id {
+				o.got = append(o.got, cmd.Message)
+			}
+			if cmd.To == o.h.owner && cmd.Message.Over != nil {
+				o.h.over = append(o.h.over, cmd.Message.Over.Runs...)
+			}
+		case cornelwall.Look:
+			o.looks = append(o.looks, cmd)
+		case cornelwall.StopRun:
+			o.stops = append(o.stops, cmd)
+		}
+	}
+}
+
+// pass lets time pass while both the owner and the other entry hear this one.
+func (o *other) pass(d time.Duration) {
+	for end := o.h.now.Add(d); o.h.now.Before(end); {
+		o.h.now = o.h.now.Add(tickEvery)
+		o.step(cornelwall.Tick{})
+		o.h.pulse(o.h.c.peers[o.h.owner].number)
+		o.pulse()
+	}
+}
+
+func (o *other) handover(info cornelwall.Endpoint, fence uint64, run cornelwall.RunID) {
+	o.send(cornelwall.Message{Handover: &cornelwall.Handover{
+		Session: o.h.c.peers[o.id].session, Endpoint: info, Fence: fence, Offer: 1,
+		Runs: []cornelwall.HandoverRun{{RunID: run, Owner: o.h.owner, Need: cornelwall.Share{Cores: 8000}, Estimate: 5 * time.Second}},
+	}})
+}
+
+// TestOldAddressOfOfferedEndpoint: an entry that asks at the old address of an endpoint tells nothing of its runs.
+func TestOldAddressOfOfferedEndpoint(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	old := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	old.ID = "x2"
+	h.c.addEndpoint(old)
+	moved := old
+	moved.Addr, moved.Boot = netip.MustParseAddrPort("10.0.0.3:7001"), 2
+	o.looks = nil
+	o.handover(moved, 5, run)
+	for _, look := range o.looks {
+		if look.Endpoint.Addr == old.Addr {
+			h.step(cornelwall.Looked{Endpoint: "x2", Fence: look.Fence, Number: look.Number, Refusal: cornelwall.RefusedBoot})
+		}
+	}
+	assert.Equal(t, len(h.over), 0, "a run at the new address is said to be over")
+}
