A look from before a restart tells nothing, also while the new boot has no name yet

Since a restart may be told by a clock, without the name of the new boot. An answer of the earlier boot that came then was taken as the new one's: its clock, and the numbers of its ends. The next look acknowledged these to the new boot, which forgot ends that nobody had taken in, so that runs that were done would count as lapsed and start again. Why it works: looks up to the last before the restart are left aside whatever is known of the boot.

--- a/core/dispatch/look.go
+++ b/core/dispatch/look.go
@@ -47,11 +47,13 @@
 	default:
 		return // it is sent again in time
 	}
-	if l.boot != 0 && l.boot != ev.Boot {
+	if l.boot != ev.Boot {
 		if ev.Number <= l.oldLook {
 			return // it may be from before the endpoint started anew
 		}
-		c.restarted(l, ev.Boot)
+		if l.boot != 0 {
+			c.restarted(l, ev.Boot)
+		}
 	}
 	l.boot, l.answered, l.asked = ev.Boot, c.now, time.Time{}
 	c.setClock(l, ev.Clock)
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -94,3 +94,25 @@
 	}
 	assert.Equal(t, len(h.over), 0, "a run at the new address is said to be over")
 }
+
+// TestLookOfEarlierBootAfterClockTold: what an earlier boot listed is not acknowledged to the new one.
+func TestLookOfEarlierBootAfterClockTold(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	o.pass(40 * time.Millisecond)
+	early := h.l.lastLook
+	assert.Assert(t, early > 1, "a look is under way")
+	fence := h.l.fence
+	h.ordered(false, cornelwall.RefusedNone, 10*time.Millisecond)
+	assert.Assert(t, h.l.fence > fence, "the clock tells of the restart")
+	o.looks = nil
+	o.step(cornelwall.Looked{
+		Endpoint: "x1", Fence: fence, Number: early, Boot: 1, Clock: 30050 * time.Millisecond,
+		Ended: []cornelwall.RunEnded{{Number: 9, RunID: cornelwall.RunID{Task: "z.0.0.0", Run: 1}, How: cornelwall.RunDone}},
+	})
+	o.pass(4 * lookRetry)
+	assert.Assert(t, len(o.looks) > 0)
+	for _, look := range o.looks {
+		assert.Equal(t, look.Acked, int64(0), "the new boot forgets ends that nobody has taken in")
+	}
+}
