A stop that an earlier boot took is sent again to the new one

A run whose start came late, to the new boot, was then never stopped: the lease was no longer extended and ended with all that ran there.

--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -116,3 +116,21 @@
 		assert.Equal(t, look.Acked, int64(0), "the new boot forgets ends that nobody has taken in")
 	}
 }
+
+// TestStopIsSentAgainToNewBoot: a stop that an earlier boot took has no effect on a run that came late.
+func TestStopIsSentAgainToNewBoot(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	fence := h.l.fence
+	h.pass(200 * time.Millisecond)
+	h.ordered(false, cornelwall.RefusedUnknown, 0)
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.look(fence, 2, 5*time.Millisecond, h.run) // the start came late, to the new boot
+	assert.Assert(t, h.l.fence > fence)
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.look(h.l.fence, 2, 15*time.Millisecond, h.run)
+	o.pass(2 * stopRepeat)
+	assert.Assert(t, len(o.stops) > 0, "nothing stops the run but the end of the lease, with all that runs there")
+	assert.Equal(t, o.stops[0].Fence, h.l.fence)
+}
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -28,6 +28,7 @@
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
 	for _, r := range l.runs {
+		r.stopped = false
 		if r.settledBy > 0 {
 			r.settledBy = l.lastLook + 1
 		}
