A refusal for the fence or the name goes before the clock in it

Since a low clock in a refusal for the fence counted as a restart: instead of yielding, the entry drew a higher fence, took the endpoint back from its new holder and stopped what ran there. The clock in a refusal for the name is that of another endpoint. Evidence: TestClockDoesNotOutbidNewHolder failed.

--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -22,15 +22,19 @@
 	if l == nil {
 		return // what ran there is settled by the lease or the next holder
 	}
-	if ev.Clock > 0 && ev.Fence == l.fence {
+	switch {
+	case ev.Fence != l.fence:
+	case ev.Refusal == cornelwall.RefusedFence:
+		c.yield(l)
+		return
+	case ev.Refusal == cornelwall.RefusedBoot:
+		c.replaced(l)
+		return
+	case ev.Clock > 0:
 		c.checkClock(l, r, &ev)
 		c.setClock(l, ev.Clock)
 	}
 	switch {
-	case ev.Refusal == cornelwall.RefusedFence && ev.Fence == l.fence:
-		c.yield(l)
-	case ev.Refusal == cornelwall.RefusedBoot && ev.Fence == l.fence:
-		c.replaced(l)
 	case r == nil || r.at != l:
 	case ev.Stop:
 		c.stopAnswered(r, ev.Refusal)
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -134,3 +134,10 @@
 	assert.Assert(t, len(o.stops) > 0, "nothing stops the run but the end of the lease, with all that runs there")
 	assert.Equal(t, o.stops[0].Fence, h.l.fence)
 }
+
+// TestClockDoesNotOutbidNewHolder: an endpoint that refuses the fence has another holder, whatever its clock shows.
+func TestClockDoesNotOutbidNewHolder(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedFence, 10*time.Millisecond)
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil, "the endpoint is taken back from its new holder")
+}
