A withdrawal does not go back to where it came from

Two entries that have each left a run to the other, and where neither took it, still passed it on without a pause for 15 s. What is left: nobody answers, as nobody knows; and three entries could still do it in a ring.

--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -141,3 +141,20 @@
 	h.ordered(false, cornelwall.RefusedFence, 10*time.Millisecond)
 	assert.Assert(t, h.c.endpoints["x1"].lease == nil, "the endpoint is taken back from its new holder")
 }
+
+// TestWithdrawalOfRunThatNobodyHas: two entries that have each left a run to the other do not pass its withdrawal to and fro.
+func TestWithdrawalOfRunThatNobodyHas(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	fence := h.l.fence + fenceSpread
+	o.send(cornelwall.Message{Taken: &cornelwall.Taken{
+		Session: h.c.peers[o.id].session, Endpoint: "x1", Fence: fence, Kept: []cornelwall.RunID{h.run},
+	}})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	o.got = nil
+	o.send(cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}, Started: true}})
+	for _, m := range o.got {
+		assert.Assert(t, m.Withdraw == nil, "passed back to the entry that it came from")
+	}
+}
