A run that was left to the next holder is over once that one says that it has not kept it

What callers saw: a batch that hangs until its deadline. A holder that learns by a refusal of its fence that an endpoint is taken leaves its runs to the entry to which it offered it, also those that began after the offer. The word of the next holder, which stops these, came then and was not compared with them. Since that entry does not answer for them either, so that nobody did. Evidence: TestRunThatNextHolderDidNotKeepIsOver failed (the owner is told nothing in 10 s). Why it works: whoever took the endpoint under a higher fence has stopped what it has not kept.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -226,6 +226,7 @@
 		}
 		c.endYielded(from, m)
 	}
+	c.endPassed(m)
 	for i := range m.Ended {
 		c.over(&m.Ended[i])
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -127,12 +127,14 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.id.Task, b.id.Task), cmp.Compare(a.id.Run, b.id.Run))
-	})
+	slices.SortFunc(list, func(a, b *run) int { return compareRun(a.id, b.id) })
 	return list
 }
 
+func compareRun(a, b cornelwall.RunID) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+}
+
 // clockLow returns a time that the endpoint's clock has surely reached.
 func (l *lease) clockLow(now time.Time) time.Duration {
 	since := now.Sub(l.clockAt)
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -158,3 +158,17 @@
 		assert.Assert(t, m.Withdraw == nil, "passed back to the entry that it came from")
 	}
 }
+
+// TestRunThatNextHolderDidNotKeepIsOver: the fence is refused first, and the next holder's word comes then.
+func TestRunThatNextHolderDidNotKeepIsOver(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	o := h.meet()
+	h.l.handTo, h.l.handAt, h.l.offer = o.id, h.now, 1 // offered before the run began, without an answer yet
+	fence := h.l.fence + fenceSpread
+	h.step(cornelwall.Looked{Endpoint: "x1", Fence: h.l.fence, Number: h.l.lastLook, Refusal: cornelwall.RefusedFence})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	o.send(cornelwall.Message{Taken: &cornelwall.Taken{Session: h.c.peers[o.id].session, Endpoint: "x1", Fence: fence}})
+	o.pass(10 * time.Second)
+	assert.Equal(t, len(h.over), 1, "its owner never hears of it")
+}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -52,8 +52,11 @@
 
 // passedRun is a run that went on to the next holder of its endpoint.
 type passedRun struct {
-	to cornelwall.Incarnation
-	at time.Time
+	to       cornelwall.Incarnation
+	at       time.Time
+	owner    cornelwall.Incarnation
+	endpoint string
+	fence    uint64 // of this entry; a holder with a higher one tells whether it has kept the run
 }
 
 // endedRun is the end of a run that has started, for an owner that has not heard of it.
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -88,6 +89,21 @@
 	}
 }
 
+// endPassed ends what was left to another entry without its word, and which the holder of the
+// endpoint has not kept.
+func (c *Core) endPassed(m *cornelwall.Taken) {
+	for _, id := range slices.SortedFunc(maps.Keys(c.passed), compareRun) {
+		p := c.passed[id]
+		if p.endpoint != m.Endpoint || p.fence >= m.Fence || slices.Contains(m.Kept, id) {
+			continue
+		}
+		over := cornelwall.OverRun{RunID: id, How: m.End(id), Endpoint: m.Endpoint}
+		delete(c.passed, id)
+		c.ended[id] = endedRun{over: over, at: c.now}
+		c.tellOver(p.owner, over)
+	}
+}
+
 // handedOver ends the lease on an endpoint that another entry has taken.
 func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
 	l := ep.lease
@@ -108,7 +124,7 @@
 		withdrawn := r.state == runStopping
 		l.remove(r)
 		delete(c.runs, r.id)
-		c.passed[r.id] = passedRun{to: to, at: c.now}
+		c.passed[r.id] = passedRun{to: to, at: c.now, owner: r.owner, endpoint: l.ep.ID, fence: l.fence}
 		if withdrawn {
 			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}, Started: true}})
 		}
