A start that is refused for its fence has not started

What callers saw: a task that waits for over a second, or for the deadline of its batch. A start that was refused as another entry had taken the endpoint went the way of the runs there: to the end of the lease, or to the entry to which the endpoint was offered, which knows nothing of it. Evidence: TestStartRefusedForItsFenceIsUnstarted failed, without an offer and with one. Why it works: an endpoint that answers so has not carried out the start, and no order is sent twice.

--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -25,6 +25,9 @@
 	switch {
 	case ev.Fence != l.fence:
 	case ev.Refusal == cornelwall.RefusedFence:
+		if r != nil && r.at == l && !ev.Stop {
+			c.startAnswered(r, ev.Refusal)
+		}
 		c.yield(l)
 		return
 	case ev.Refusal == cornelwall.RefusedBoot:
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -172,3 +172,18 @@
 	o.pass(10 * time.Second)
 	assert.Equal(t, len(h.over), 1, "its owner never hears of it")
 }
+
+// TestStartRefusedForItsFenceIsUnstarted: it need not wait for the word of the next holder, which knows nothing of it.
+func TestStartRefusedForItsFenceIsUnstarted(t *testing.T) {
+	for _, offered := range []bool{false, true} {
+		h := newHolding(t)
+		o := h.meet()
+		if offered {
+			h.l.handTo, h.l.handAt, h.l.offer = o.id, h.now, 1
+		}
+		h.ordered(false, cornelwall.RefusedFence, 30*time.Second)
+		assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+		assert.Equal(t, len(h.over), 1, "offered: %t", offered)
+		assert.Equal(t, h.over[0].How, cornelwall.RunUnstarted)
+	}
+}
