An endpoint that never answers again keeps no run and no lease for ever

A lease whose clock is not known never lapses: that of an endpoint that was handed over and has not answered since, and that of one whose restart the platform's list has told. Its runs stayed, with the endpoint, long after it was off the list. Evidence: the three tests failed. What this entry held itself is over. Of what it was handed it says nothing, as the entry before may hold it still.

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -264,6 +264,9 @@
 			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
 		}
 	}
+	if l.clockAt.IsZero() && l.silence(c.now) > stopKept+2*c.cfg.Limits.MaxLease {
+		c.dropUnreached(l)
+	}
 	if l.silence(c.now) > lostAfter/2 {
 		if p := c.peers[l.ep.other]; p != nil {
 			c.link(p) // which may be offered the endpoint soon
@@ -283,6 +286,22 @@
 	}
 }
 
+// dropUnreached gives up the runs at an endpoint that has been silent for so long that no order
+// can be late any more. Its clock is not known, so that its lease tells nothing. Of runs that
+// were handed to this entry, which never reached them, it says nothing.
+func (c *Core) dropUnreached(l *lease) {
+	c.log("endpoint-unreached", "endpoint", l.ep.ID, "runs", len(l.runs), "silent", l.silence(c.now))
+	for _, r := range l.sortedRuns() {
+		if l.boot != 0 {
+			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
+			continue
+		}
+		l.remove(r)
+		delete(c.runs, r.id)
+		c.stops[r.id] = c.now
+	}
+}
+
 func (l *lease) lapsed(now time.Time, stop time.Duration) bool {
 	return len(l.runs) > 0 && !l.clockAt.IsZero() && l.clockLow(now) > l.until+stop+lapseSlack
 }
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -187,3 +187,47 @@
 		assert.Equal(t, h.over[0].How, cornelwall.RunUnstarted)
 	}
 }
+
+// TestAdoptedRunOfSilentEndpointEnds: an endpoint that never answers its next holder keeps no run for ever.
+func TestAdoptedRunOfSilentEndpointEnds(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	info := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	info.ID = "x2"
+	h.c.addEndpoint(info)
+	o.handover(info, 5, run)
+	assert.Assert(t, h.c.runs[run] != nil)
+	o.pass(time.Minute)
+	assert.Assert(t, h.c.runs[run] == nil, "kept for ever, with the endpoint")
+}
+
+// TestAdoptedRunOfYieldedEndpointEnds: as above, for one that a third entry has taken meanwhile.
+func TestAdoptedRunOfYieldedEndpointEnds(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	info := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	info.ID = "x2"
+	h.c.addEndpoint(info)
+	o.handover(info, 5, run)
+	l := h.c.endpoints["x2"].lease
+	o.step(cornelwall.Looked{Endpoint: "x2", Fence: l.fence, Number: l.lastLook, Refusal: cornelwall.RefusedFence})
+	assert.Equal(t, l.phase, phaseYielded)
+	o.pass(time.Minute)
+	assert.Assert(t, h.c.runs[run] == nil, "kept for ever")
+}
+
+// TestRestartedEndpointThatIsSilentEnds: as above, after the platform's list has told of a restart.
+func TestRestartedEndpointThatIsSilentEnds(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	h.step(cornelwall.Members{List: []cornelwall.Member{{ID: h.owner, Addr: h.addr}}})
+	info := h.info(h.addr)
+	info.Boot = 2
+	h.step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{info}})
+	h.step(cornelwall.Endpoints{Rev: 2})
+	h.pass(time.Minute)
+	assert.Assert(t, h.c.runs[h.run] == nil, "kept for ever, with the endpoint")
+	assert.Assert(t, h.c.endpoints["x1"] == nil, "it is off the list for long")
+}
