KNOWN-RED: a start that met a new boot unnoticed, without any answer, lapses too early

If that answer is lost and the endpoint silent from then on, the holder counts 600 ms on the old clock, where the new boot gave the order its longest lease of 1 s: over 720 ms after the last order, where 1,020 ms are needed. The owner's wait of 1.3 s counts on 600 ms as well.

--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -231,3 +231,16 @@
 	assert.Assert(t, h.c.runs[h.run] == nil, "kept for ever, with the endpoint")
 	assert.Assert(t, h.c.endpoints["x1"] == nil, "it is off the list for long")
 }
+
+// TestLapseOfUnnoticedBootThatIsSilent: as TestLapseOfUnnoticedBoot, without any answer.
+func TestLapseOfUnnoticedBootThatIsSilent(t *testing.T) {
+	h := newHolding(t)
+	for range 100 {
+		if len(h.over) == 0 {
+			h.pass(tickEvery)
+		}
+	}
+	lease := time.Duration(float64(h.c.cfg.Limits.MaxLease) / (1 - clockDrift))
+	assert.Equal(t, len(h.over), 1)
+	assert.Assert(t, h.now.Sub(h.last) >= lease, "over %s after an order that may have extended the lease by %s", h.now.Sub(h.last), lease)
+}
