--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -244,3 +244,51 @@
 	assert.Equal(t, len(h.over), 1)
 	assert.Assert(t, h.now.Sub(h.last) >= lease, "over %s after an order that may have extended the lease by %s", h.now.Sub(h.last), lease)
 }
+
+// TestStopAtOldAddressOfMovedEndpoint: as TestOldAddressOfMovedEndpoint, for the answer to an order.
+func TestStopAtOldAddressOfMovedEndpoint(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	moved := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	moved.Boot = 2
+	h.step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{moved}})
+	h.look(h.l.fence, 2, 500*time.Millisecond, h.run)
+	h.step(cornelwall.Ordered{Endpoint: "x1", Fence: h.l.first, Run: h.run, Stop: true, Refusal: cornelwall.RefusedBoot})
+	assert.Equal(t, len(h.over), 0)
+}
+
+// TestLookSentBeforeStopsAnswerEndsNoRun: the start may be carried out between the look and the stop.
+func TestLookSentBeforeStopsAnswerEndsNoRun(t *testing.T) {
+	h := newHolding(t)
+	h.pass(200 * time.Millisecond)
+	h.ordered(false, cornelwall.RefusedUnknown, 0)
+	early := h.l.lastLook
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	looked := cornelwall.Looked{Endpoint: "x1", Fence: h.l.fence, Number: early, Boot: 1, Clock: 30200 * time.Millisecond}
+	h.step(looked)
+	assert.Equal(t, len(h.over), 0, "said to be over by a look from before the stop")
+	looked.Number++
+	h.step(looked)
+	assert.Equal(t, len(h.over), 1)
+}
+
+// TestOvertakenAnswerIsNoRestart: the answer to a start comes after one to a later look.
+func TestOvertakenAnswerIsNoRestart(t *testing.T) {
+	h := newHolding(t)
+	fence := h.l.fence
+	h.pass(300 * time.Millisecond)
+	h.look(fence, 1, 30300*time.Millisecond, h.run)
+	h.ordered(false, cornelwall.RefusedNone, 30001*time.Millisecond)
+	assert.Equal(t, h.l.fence, fence, "the endpoint is taken anew")
+}
+
+// TestStopTellsOfRestart: its answer shows a clock that is past the start and short of the stop.
+func TestStopTellsOfRestart(t *testing.T) {
+	h := newHolding(t)
+	fence := h.l.fence
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	h.pass(400 * time.Millisecond)
+	h.receive(cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}}})
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	assert.Assert(t, h.l.fence > fence)
+}
