--- /dev/null
+++ b/core/dispatch/others_test.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// other is a third entry that a holding meets.
+type other struct {
+	h      *holding
+	id     cornelwall.Incarnation
+	number uint64
+	got    []cornelwall.Message
+	looks  []cornelwall.Look
+	stops  []cornelwall.StopRun
+}
+
+func (h *holding) meet() *other {
+	o := &other{h: h, id: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e3", Life: 1}}
+	o.pulse()
+	o.pulse()
+	return o
+}
+
+func (o *other) pulse() {
+	o.number++
+	m := cornelwall.Message{Pulse: &cornelwall.Pulse{Addr: o.h.addr, Number: o.number, Session: 8}}
+	if p := o.h.c.peers[o.id]; p != nil {
+		m.Pulse.Seen = p.number
+	}
+	o.send(m)
+}
+
+func (o *other) send(m cornelwall.Message) {
+	o.step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: o.id, Messages: []cornelwall.Message{m}}})
+}
+
+func (o *other) step(ev cornelwall.Event) {
+	for _, cmd := range o.h.c.Step(o.h.now, ev) {
+		switch cmd := cmd.(type) {
+		case cornelwall.Send:
+			if cmd.To == o.id {
+				o.got = append(o.got, cmd.Message)
+			}
+			if cmd.To == o.h.owner && cmd.Message.Over != nil {
+				o.h.over = append(o.h.over, cmd.Message.Over.Runs...)
+			}
+		case cornelwall.Look:
+			o.looks = append(o.looks, cmd)
+		case cornelwall.StopRun:
+			o.stops = append(o.stops, cmd)
+		}
+	}
+}
+
+// pass lets time pass while both the owner and the other entry hear this one.
+func (o *other) pass(d time.Duration) {
+	for end := o.h.now.Add(d); o.h.now.Before(end); {
+		o.h.now = o.h.now.Add(tickEvery)
+		o.step(cornelwall.Tick{})
+		o.h.pulse(o.h.c.peers[o.h.owner].number)
+		o.pulse()
+	}
+}
+
+func (o *other) handover(info cornelwall.Endpoint, fence uint64, run cornelwall.RunID) {
+	o.send(cornelwall.Message{Handover: &cornelwall.Handover{
+		Session: o.h.c.peers[o.id].session, Endpoint: info, Fence: fence, Offer: 1,
+		Runs: []cornelwall.HandoverRun{{RunID: run, Owner: o.h.owner, Need: cornelwall.Share{Cores: 8000}, Estimate: 5 * time.Second}},
+	}})
+}
+
+// TestOldAddressOfOfferedEndpoint: an entry that asks at the old address of an endpoint tells nothing of its runs.
+func TestOldAddressOfOfferedEndpoint(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	old := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	old.ID = "x2"
+	h.c.addEndpoint(old)
+	moved := old
+	moved.Addr, moved.Boot = netip.MustParseAddrPort("10.0.0.3:7001"), 2
+	o.looks = nil
+	o.handover(moved, 5, run)
+	for _, look := range o.looks {
+		if look.Endpoint.Addr == old.Addr {
+			h.step(cornelwall.Looked{Endpoint: "x2", Fence: look.Fence, Number: look.Number, Refusal: cornelwall.RefusedBoot})
+		}
+	}
+	assert.Equal(t, len(h.over), 0, "a run at the new address is said to be over")
+}
+
+// TestLookOfEarlierBootAfterClockTold: what an earlier boot listed is not acknowledged to the new one.
+func TestLookOfEarlierBootAfterClockTold(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	o.pass(40 * time.Millisecond)
+	early := h.l.lastLook
+	assert.Assert(t, early > 1, "a look is under way")
+	fence := h.l.fence
+	h.ordered(false, cornelwall.RefusedNone, 10*time.Millisecond)
+	assert.Assert(t, h.l.fence > fence, "the clock tells of the restart")
+	o.looks = nil
+	o.step(cornelwall.Looked{
+		Endpoint: "x1", Fence: fence, Number: early, Boot: 1, Clock: 30050 * time.Millisecond,
+		Ended: []cornelwall.RunEnded{{Number: 9, RunID: cornelwall.RunID{Task: "z.0.0.0", Run: 1}, How: cornelwall.RunDone}},
+	})
+	o.pass(4 * lookRetry)
+	assert.Assert(t, len(o.looks) > 0)
+	for _, look := range o.looks {
+		assert.Equal(t, look.Acked, int64(0), "the new boot forgets ends that nobody has taken in")
+	}
+}
+
+// TestStopIsSentAgainToNewBoot: a stop that an earlier boot took has no effect on a run that came late.
+func TestStopIsSentAgainToNewBoot(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	fence := h.l.fence
+	h.pass(200 * time.Millisecond)
+	h.ordered(false, cornelwall.RefusedUnknown, 0)
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.look(fence, 2, 5*time.Millisecond, h.run) // the start came late, to the new boot
+	assert.Assert(t, h.l.fence > fence)
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.look(h.l.fence, 2, 15*time.Millisecond, h.run)
+	o.pass(2 * stopRepeat)
+	assert.Assert(t, len(o.stops) > 0, "nothing stops the run but the end of the lease, with all that runs there")
+	assert.Equal(t, o.stops[0].Fence, h.l.fence)
+}
+
+// TestClockDoesNotOutbidNewHolder: an endpoint that refuses the fence has another holder, whatever its clock shows.
+func TestClockDoesNotOutbidNewHolder(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedFence, 10*time.Millisecond)
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil, "the endpoint is taken back from its new holder")
+}
+
+// TestWithdrawalOfRunThatNobodyHas: two entries that have each left a run to the other do not pass its withdrawal to and fro.
+func TestWithdrawalOfRunThatNobodyHas(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	fence := h.l.fence + fenceSpread
+	o.send(cornelwall.Message{Taken: &cornelwall.Taken{
+		Session: h.c.peers[o.id].session, Endpoint: "x1", Fence: fence, Kept: []cornelwall.RunID{h.run},
+	}})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	o.got = nil
+	o.send(cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}, Started: true}})
+	for _, m := range o.got {
+		assert.Assert(t, m.Withdraw == nil, "passed back to the entry that it came from")
+	}
+}
+
+// TestRunThatNextHolderDidNotKeepIsOver: the fence is refused first, and the next holder's word comes then.
+func TestRunThatNextHolderDidNotKeepIsOver(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	o := h.meet()
+	h.l.handTo, h.l.handAt, h.l.offer = o.id, h.now, 1 // offered before the run began, without an answer yet
+	fence := h.l.fence + fenceSpread
+	h.step(cornelwall.Looked{Endpoint: "x1", Fence: h.l.fence, Number: h.l.lastLook, Refusal: cornelwall.RefusedFence})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	o.send(cornelwall.Message{Taken: &cornelwall.Taken{Session: h.c.peers[o.id].session, Endpoint: "x1", Fence: fence}})
+	o.pass(10 * time.Second)
+	assert.Equal(t, len(h.over), 1, "its owner never hears of it")
+}
+
+// TestStartRefusedForItsFenceIsUnstarted: it need not wait for the word of the next holder, which knows nothing of it.
+func TestStartRefusedForItsFenceIsUnstarted(t *testing.T) {
+	for _, offered := range []bool{false, true} {
+		h := newHolding(t)
+		o := h.meet()
+		if offered {
+			h.l.handTo, h.l.handAt, h.l.offer = o.id, h.now, 1
+		}
+		h.ordered(false, cornelwall.RefusedFence, 30*time.Second)
+		assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+		assert.Equal(t, len(h.over), 1, "offered: %t", offered)
+		assert.Equal(t, h.over[0].How, cornelwall.RunUnstarted)
+	}
+}
+
+// TestAdoptedRunOfSilentEndpointEnds: an endpoint that never answers its next holder keeps no run for ever.
+func TestAdoptedRunOfSilentEndpointEnds(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	info := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	info.ID = "x2"
+	h.c.addEndpoint(info)
+	o.handover(info, 5, run)
+	assert.Assert(t, h.c.runs[run] != nil)
+	o.pass(time.Minute)
+	assert.Assert(t, h.c.runs[run] == nil, "kept for ever, with the endpoint")
+}
+
+// TestAdoptedRunOfYieldedEndpointEnds: as above, for one that a third entry has taken meanwhile.
+func TestAdoptedRunOfYieldedEndpointEnds(t *testing.T) {
+	h := newHolding(t)
+	o := h.meet()
+	run := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	info := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	info.ID = "x2"
+	h.c.addEndpoint(info)
+	o.handover(info, 5, run)
+	l := h.c.endpoints["x2"].lease
+	o.step(cornelwall.Looked{Endpoint: "x2", Fence: l.fence, Number: l.lastLook, Refusal: cornelwall.RefusedFence})
+	assert.Equal(t, l.phase, phaseYielded)
+	o.pass(time.Minute)
+	assert.Assert(t, h.c.runs[run] == nil, "kept for ever")
+}
+
+// TestRestartedEndpointThatIsSilentEnds: as above, after the platform's list has told of a restart.
+func TestRestartedEndpointThatIsSilentEnds(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	h.step(cornelwall.Members{List: []cornelwall.Member{{ID: h.owner, Addr: h.addr}}})
+	info := h.info(h.addr)
+	info.Boot = 2
+	h.step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{info}})
+	h.step(cornelwall.Endpoints{Rev: 2})
+	h.pass(time.Minute)
+	assert.Assert(t, h.c.runs[h.run] == nil, "kept for ever, with the endpoint")
+	assert.Assert(t, h.c.endpoints["x1"] == nil, "it is off the list for long")
+}
+
+// TestLapseOfUnnoticedBootThatIsSilent: as TestLapseOfUnnoticedBoot, without any answer.
+func TestLapseOfUnnoticedBootThatIsSilent(t *testing.T) {
+	h := newHolding(t)
+	for range 100 {
+		if len(h.over) == 0 {
+			h.pass(tickEvery)
+		}
+	}
+	lease := time.Duration(float64(h.c.cfg.Limits.MaxLease) / (1 - clockDrift))
+	assert.Equal(t, len(h.over), 1)
+	assert.Assert(t, h.now.Sub(h.last) >= lease, "over %s after an order that may have extended the lease by %s", h.now.Sub(h.last), lease)
+}
+
+// TestStopAtOldAddressOfMovedEndpoint: as TestOldAddressOfMovedEndpoint, for the answer to an order.
+func TestStopAtOldAddressOfMovedEndpoint(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	moved := h.info(netip.MustParseAddrPort("10.0.0.2:7001"))
+	moved.Boot = 2
+	h.step(cornelwall.Endpoints{Rev: 1, List: []cornelwall.Endpoint{moved}})
+	h.look(h.l.fence, 2, 500*time.Millisecond, h.run)
+	h.step(cornelwall.Ordered{Endpoint: "x1", Fence: h.l.first, Run: h.run, Stop: true, Refusal: cornelwall.RefusedBoot})
+	assert.Equal(t, len(h.over), 0)
+}
+
+// TestLookSentBeforeStopsAnswerEndsNoRun: the start may be carried out between the look and the stop.
+func TestLookSentBeforeStopsAnswerEndsNoRun(t *testing.T) {
+	h := newHolding(t)
+	h.pass(200 * time.Millisecond)
+	h.ordered(false, cornelwall.RefusedUnknown, 0)
+	early := h.l.lastLook
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	looked := cornelwall.Looked{Endpoint: "x1", Fence: h.l.fence, Number: early, Boot: 1, Clock: 30200 * time.Millisecond}
+	h.step(looked)
+	assert.Equal(t, len(h.over), 0, "said to be over by a look from before the stop")
+	looked.Number++
+	h.step(looked)
+	assert.Equal(t, len(h.over), 1)
+}
+
+// TestOvertakenAnswerIsNoRestart: the answer to a start comes after one to a later look.
+func TestOvertakenAnswerIsNoRestart(t *testing.T) {
+	h := newHolding(t)
+	fence := h.l.fence
+	h.pass(300 * time.Millisecond)
+	h.look(fence, 1, 30300*time.Millisecond, h.run)
+	h.ordered(false, cornelwall.RefusedNone, 30001*time.Millisecond)
+	assert.Equal(t, h.l.fence, fence, "the endpoint is taken anew")
+}
+
+// TestStopTellsOfRestart: its answer shows a clock that is past the start and short of the stop.
+func TestStopTellsOfRestart(t *testing.T) {
+	h := newHolding(t)
+	fence := h.l.fence
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	h.pass(400 * time.Millisecond)
+	h.receive(cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}}})
+	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
+	assert.Assert(t, h.l.fence > fence)
+}
