An owner that may hold its run itself is not told that it has not started

Only a withdrawal that was passed on goes unanswered now. Evidence: TestOwnerThatMayHoldItsRunIsNotToldUnstarted failed.

--- a/core/dispatch/returned_test.go
+++ b/core/dispatch/returned_test.go
@@ -42,3 +42,15 @@
 	from(h.owner, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}}})
 	assert.Equal(t, len(forwarded), 0, "passed back to an entry that has passed it on to this one")
 }
+
+// TestOwnerThatMayHoldItsRunIsNotToldUnstarted withdraws a run by its owner, to which it was left as the next holder.
+func TestOwnerThatMayHoldItsRunIsNotToldUnstarted(t *testing.T) {
+	h := newHolding(t)
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	h.receive(cornelwall.Message{Taken: &cornelwall.Taken{
+		Session: h.c.peers[h.owner].session, Endpoint: "x1", Fence: h.l.fence + fenceSpread, Kept: []cornelwall.RunID{h.run},
+	}})
+	assert.Assert(t, h.c.endpoints["x1"].lease == nil)
+	h.receive(cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{h.run}}})
+	assert.Equal(t, len(h.over), 0)
+}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -131,7 +131,7 @@
 			}
 			continue
 		}
-		if passed, ok := c.passed[id]; ok && passed.to != from {
+		if passed, ok := c.passed[id]; ok && !(m.Started && passed.to == from) {
 			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting, Started: true}})
 			continue
 		}
