A handover is no proof that the owner of a run hears its holder

What callers may see: a task that runs twice, on a cut between an owner and both holders of an endpoint that changes hands. The next holder counted the time without proof from the handover on, as if the owner had just ordered the run; the owner counts from when it heard the first holder. Evidence: TestHandoverIsNoProofOfOwner failed: by the end of the lease alone a run is over up to 1.65 s after its owner heard of it last, which gives it up after 1.3 s. Why it works: the offer tells how long the owner has not proved anything, and a run whose proof is too old by the time an envelope takes is not kept, so that the lease is not extended before it is stopped. An entry of the code before sends no such time, which counts as none.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -124,7 +124,7 @@
 	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence, Offer: c.offers}
 	for _, r := range l.sortedRuns() {
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
-			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
+			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt), Unproven: c.unproven(r),
 		})
 	}
 	l.phase, l.handTo, l.handAt, l.handAcked, l.offer = phaseHanding, to, c.now, l.acked, c.offers
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -292,3 +292,68 @@
 	h.ordered(true, cornelwall.RefusedNone, 30200*time.Millisecond)
 	assert.Assert(t, h.l.fence > fence)
 }
+
+// TestHandoverIsNoProofOfOwner: a run that changes hands is over, also by the end of the lease alone, before its owner may
+// give it up, which has heard neither of its holders.
+func TestHandoverIsNoProofOfOwner(t *testing.T) {
+	for _, quiet := range []time.Duration{100 * time.Millisecond, 180 * time.Millisecond, proofLife - tickEvery} {
+		t.Run(quiet.String(), func(t *testing.T) { testHandoverIsNoProof(t, quiet) })
+	}
+}
+
+// testHandoverIsNoProof hands a run on whose owner has been quiet for a while.
+func testHandoverIsNoProof(t *testing.T, quiet time.Duration) {
+	h := newHolding(t)
+	o := h.meet()
+	h.ordered(false, cornelwall.RefusedNone, 30*time.Second)
+	owner := h.c.peers[h.owner]
+	proven := owner.proven
+	owner.leaving = true // so that the endpoint is not offered to it
+	offer := func() *cornelwall.Handover {
+		for _, m := range o.got {
+			if m.Handover != nil {
+				return m.Handover
+			}
+		}
+		return nil
+	}
+	for h.now.Sub(proven) < quiet {
+		h.now = h.now.Add(tickEvery)
+		o.step(cornelwall.Tick{})
+		o.pulse()
+	}
+	o.step(cornelwall.Stop{})
+	assert.Assert(t, offer() != nil, "the endpoint is offered with its run")
+
+	next := newHolding(t)
+	next.now = h.now.Add(orderAge)
+	next.c.peers[next.owner].proven = time.Time{} // it has never proved anything here
+	for next.c.now.Before(next.now) {
+		next.c.Step(next.c.now.Add(tickEvery), cornelwall.Tick{})
+	}
+	m := *offer()
+	from := next.meet()
+	m.Session, m.Endpoint.ID, m.Runs[0].RunID.Task = next.c.peers[from.id].session, "x2", "b.0.0.0"
+	from.send(cornelwall.Message{Handover: &m})
+	run := m.Runs[0].RunID
+	l := next.c.endpoints["x2"].lease
+	if next.c.runs[run] == nil { // then the endpoint is told to stop it, and nothing extends its lease before
+		from.looks = nil
+		from.step(cornelwall.Looked{Endpoint: "x2", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: 30 * time.Second, Running: []cornelwall.RunState{{RunID: run}}})
+		from.pass(time.Second)
+		assert.Equal(t, from.stops[0].Run, run)
+		for _, look := range from.looks {
+			assert.Assert(t, look.Endpoint.ID != "x2" || look.Until == 0)
+		}
+		return
+	}
+	from.step(cornelwall.Looked{Endpoint: "x2", Fence: l.fence, Number: l.lastLook, Boot: 1, Clock: 30 * time.Second, Running: []cornelwall.RunState{{RunID: run}}})
+	for range 100 {
+		if next.c.runs[run].state != runStopping {
+			next.now = next.now.Add(tickEvery)
+			from.step(cornelwall.Tick{})
+		}
+	}
+	over := next.now.Add(stopRepeat + lookAgain + leaseTime + next.c.cfg.Limits.StopTime)
+	assert.Assert(t, over.Before(proven.Add(ownerPatience)), "over %s after its owner may have heard of it last", over.Sub(proven))
+}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -39,7 +39,7 @@
 	rest    float64   // share of its batch that has not begun
 	due     time.Time // by which its batch should have ended
 	last    time.Time // after which its answer is of little use
-	came    time.Time
+	came    time.Time // or when its owner had last proved that it hears this entry or the holder before
 
 	state     runState
 	at        *lease
