--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -127,7 +127,7 @@
 			continue // the next holder stops what it is not offered
 		}
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
-			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
+			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt), Unproven: c.unproven(r),
 		})
 	}
 	l.phase, l.handTo, l.handAt, l.handAcked, l.offer = phaseHanding, to, c.now, l.acked, c.offers
@@ -146,7 +146,8 @@
 	if l := ep.lease; l != nil && l.from == from && l.first > m.Fence {
 		return // sent again
 	}
-	if p := c.peers[from]; ep.lease != nil || c.leaving() || c.now.Before(ep.lostUntil) || !c.proved(p) || p.session != m.Session {
+	moved := len(m.Runs) > 0 && ep.Addr != m.Endpoint.Addr // the list of one of the two lags behind
+	if p := c.peers[from]; ep.lease != nil || moved || c.leaving() || c.now.Before(ep.lostUntil) || !c.proved(p) || p.session != m.Session {
 		c.send(from, cornelwall.Message{Decline: &cornelwall.Decline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
@@ -228,6 +229,7 @@
 		}
 		c.endYielded(from, m)
 	}
+	c.endPassed(m)
 	for i := range m.Ended {
 		c.over(&m.Ended[i])
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -75,11 +75,12 @@
 	yieldedAt time.Time
 }
 
-// keepable returns the runs that their owners have not withdrawn.
+// keepable returns the runs that their owners have not withdrawn and know to run.
 func (c *Core) keepable(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
 		_, withdrawn := c.stops[h.RunID]
-		return withdrawn
+		p := c.peers[h.Owner]
+		return withdrawn || h.Unproven+orderAge > proofLife && (p == nil || !c.proved(p))
 	})
 }
 
@@ -94,7 +95,7 @@
 	c.hold(ep, l)
 	for i := range runs {
 		h := &runs[i]
-		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
+		r := &run{id: h.RunID, owner: h.Owner, came: c.now.Add(-h.Unproven), startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
 		delete(c.passed, r.id) // it has come back
@@ -127,12 +128,14 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.id.Task, b.id.Task), cmp.Compare(a.id.Run, b.id.Run))
-	})
+	slices.SortFunc(list, func(a, b *run) int { return compareRun(a.id, b.id) })
 	return list
 }
 
+func compareRun(a, b cornelwall.RunID) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+}
+
 // clockLow returns a time that the endpoint's clock has surely reached.
 func (l *lease) clockLow(now time.Time) time.Duration {
 	since := now.Sub(l.clockAt)
@@ -262,6 +265,9 @@
 			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
 		}
 	}
+	if l.clockAt.IsZero() && l.silence(c.now) > stopKept+2*c.cfg.Limits.MaxLease {
+		c.dropUnreached(l)
+	}
 	if l.silence(c.now) > lostAfter/2 {
 		if p := c.peers[l.ep.other]; p != nil {
 			c.link(p) // which may be offered the endpoint soon
@@ -281,6 +287,22 @@
 	}
 }
 
+// dropUnreached gives up the runs at an endpoint that has been silent for so long that no order
+// can be late any more. Its clock is not known, so that its lease tells nothing. Of runs that
+// were handed to this entry, which never reached them, it says nothing.
+func (c *Core) dropUnreached(l *lease) {
+	c.log("endpoint-unreached", "endpoint", l.ep.ID, "runs", len(l.runs), "silent", l.silence(c.now))
+	for _, r := range l.sortedRuns() {
+		if l.boot != 0 {
+			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
+			continue
+		}
+		l.remove(r)
+		delete(c.runs, r.id)
+		c.stops[r.id] = c.now
+	}
+}
+
 func (l *lease) lapsed(now time.Time, stop time.Duration) bool {
 	return len(l.runs) > 0 && !l.clockAt.IsZero() && l.clockLow(now) > l.until+stop+lapseSlack
 }
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -37,9 +38,10 @@
 	spec    string
 	class   int
 	rest    float64   // share of its batch that has not begun
+	count   int       // tasks of its batch, here and elsewhere
 	due     time.Time // by which its batch should have ended
 	last    time.Time // after which its answer is of little use
-	came    time.Time
+	came    time.Time // or when its owner had last proved that it hears this entry or the holder before
 
 	state     runState
 	at        *lease
@@ -52,8 +54,11 @@
 
 // passedRun is a run that went on to the next holder of its endpoint.
 type passedRun struct {
-	to cornelwall.Incarnation
-	at time.Time
+	to       cornelwall.Incarnation
+	at       time.Time
+	owner    cornelwall.Incarnation
+	endpoint string
+	fence    uint64 // of this entry; a holder with a higher one tells whether it has kept the run
 }
 
 // endedRun is the end of a run that has started, for an owner that has not heard of it.
@@ -87,7 +92,7 @@
 			continue
 		}
 		r := &run{
-			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class, rest: m.Rest,
+			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class, rest: m.Rest, count: m.Count,
 			due: c.now.Add(m.Due), last: c.now.Add(m.Last), came: came,
 		}
 		if r.Estimate <= 0 {
@@ -128,7 +133,7 @@
 			}
 			continue
 		}
-		if passed, ok := c.passed[id]; ok {
+		if passed, ok := c.passed[id]; ok && !(m.Started && passed.to == from) {
 			c.send(passed.to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{id}, Waiting: m.Waiting, Started: true}})
 			continue
 		}
@@ -214,8 +219,12 @@
 	})
 }
 
+// left returns how many tasks of the run's batch have not begun, here and elsewhere.
+func (r *run) left() int { return int(math.Round(r.rest * float64(r.count))) }
+
 // waitingValues returns the value of each waiting run. A batch is on time only if the last
-// of its tasks here is, so that a run counts as begun once its siblings have had their turn.
+// of its tasks is, so that a run counts as begun once its siblings here have had their turn,
+// and one more place has become free if others wait elsewhere, which need one too.
 func (c *Core) waitingValues() map[*run]float64 {
 	siblings := map[string]int{}
 	for _, r := range c.waiting {
@@ -227,8 +236,12 @@
 	}
 	values := make(map[*run]float64, len(c.waiting))
 	for _, r := range c.waiting {
-		ahead := r.Need.Cores * (siblings[stepOf(r.id.Task)] - 1)
-		turn := time.Duration(float64(ahead) / float64(max(total, 1)) * float64(r.Estimate))
+		here := siblings[stepOf(r.id.Task)]
+		ahead := here - 1
+		if r.left() > here {
+			ahead = here
+		}
+		turn := time.Duration(float64(r.Need.Cores*ahead) / float64(max(total, 1)) * float64(r.Estimate))
 		values[r] = r.value(c.now.Add(turn))
 	}
 	return values
--- a/core/dispatch/yield.go
+++ b/core/dispatch/yield.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	clear(l.strangers)
 	l.phase, l.fence = phaseTaking, c.nextFence()
 	for _, r := range l.runs {
+		r.stopped = false
 		if r.settledBy > 0 {
 			r.settledBy = l.lastLook + 1
 		}
@@ -68,6 +70,9 @@
 
 func (c *Core) checkYielded() {
 	c.yielded = slices.DeleteFunc(c.yielded, func(l *lease) bool {
+		if l.clockAt.IsZero() && c.now.Sub(l.yieldedAt) > stopKept+2*c.cfg.Limits.MaxLease {
+			c.dropUnreached(l)
+		}
 		if !l.lapsed(c.now, c.cfg.Limits.StopTime) || c.now.Sub(l.yieldedAt) < yieldPatience {
 			return len(l.runs) == 0
 		}
@@ -87,6 +92,21 @@
 	}
 }
 
+// endPassed ends what was left to another entry without its word, and which the holder of the
+// endpoint has not kept.
+func (c *Core) endPassed(m *cornelwall.Taken) {
+	for _, id := range slices.SortedFunc(maps.Keys(c.passed), compareRun) {
+		p := c.passed[id]
+		if p.endpoint != m.Endpoint || p.fence >= m.Fence || slices.Contains(m.Kept, id) {
+			continue
+		}
+		over := cornelwall.OverRun{RunID: id, How: m.End(id), Endpoint: m.Endpoint}
+		delete(c.passed, id)
+		c.ended[id] = endedRun{over: over, at: c.now}
+		c.tellOver(p.owner, over)
+	}
+}
+
 // handedOver ends the lease on an endpoint that another entry has taken.
 func (c *Core) handedOver(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Taken) {
 	l := ep.lease
@@ -107,7 +127,7 @@
 		withdrawn := r.state == runStopping
 		l.remove(r)
 		delete(c.runs, r.id)
-		c.passed[r.id] = passedRun{to: to, at: c.now}
+		c.passed[r.id] = passedRun{to: to, at: c.now, owner: r.owner, endpoint: l.ep.ID, fence: l.fence}
 		if withdrawn {
 			c.send(to, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: []cornelwall.RunID{r.id}, Started: true}})
 		}
--- a/gossip.go
+++ b/gossip.go
@@ -82,6 +82,7 @@
 	Last    time.Duration `json:"last"`  // to the time after which its answer is of little use; may be negative
 	Class   int           `json:"class"` // priority of its queue
 	Rest    float64       `json:"rest"`  // share of the batch's tasks that have not begun
+	Count   int           `json:"count"` // tasks of the batch, those for other holders included
 	Tasks   []AssignTask  `json:"tasks"`
 }
 
@@ -233,6 +234,8 @@
 	Need     Share         `json:"need"`
 	Estimate time.Duration `json:"estimate"`
 	Age      time.Duration `json:"age"` // since it started
+	// Unproven is for how long its owner has not proved that it hears its holder.
+	Unproven time.Duration `json:"unproven,omitempty"`
 }
 
 // Check reports all that is wrong with the message.
