--- a/core/dispatch/ends.go
+++ b/core/dispatch/cause.go
@@ -1,6 +1,6 @@
 package dispatch
 
-//go:generate go tool enumer -type=endCause -transform=kebab -trimprefix=end -output=ends_gen.go
+//go:generate go tool enumer -type=endCause -transform=kebab -trimprefix=end -output=cause_gen.go
 
 // endCause is what a holder concluded the end of a run from.
 type endCause int
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,8 +20,9 @@
 //	commands := core.Step(now, event)
 //
 // The files of the owner: jobs.go takes batches, assign.go chooses holders, tasks.go takes
-// word of runs and giveup.go answers, and ending.go waits for what was withdrawn. Those of the holder: waiting.go is its queue, lease.go
-// its hold on an endpoint, look.go compares what runs there, yield.go ends the hold and
+// word of runs, giveup.go answers, and ending.go waits for what was withdrawn. Those of the
+// holder: waiting.go is its queue, lease.go its hold on an endpoint, look.go compares what
+// runs there, cause.go names what an end is concluded from, yield.go ends the hold and
 // orders.go starts and stops. Endpoints: endpoints.go is what is known of them, lists.go reads
 // the platform's list or hears of it, rendezvous.go ranks the entries, holders.go decides who
 // holds which and hands them on, claims.go takes those that this entry should hold and
