Revert "A handover is no proof that the owner of a run hears its holder"

Its test stays, in KNOWN-RED: the hole needs an owner that is cut off from both holders of an endpoint that changes hands, while the endpoint hears no stop.

--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -127,7 +127,7 @@
 			continue // the next holder stops what it is not offered
 		}
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
-			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt), Unproven: c.unproven(r),
+			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startAt),
 		})
 	}
 	l.phase, l.handTo, l.handAt, l.handAcked, l.offer = phaseHanding, to, c.now, l.acked, c.offers
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -75,12 +75,11 @@
 	yieldedAt time.Time
 }
 
-// keepable returns the runs that their owners have not withdrawn and know to run.
+// keepable returns the runs that their owners have not withdrawn.
 func (c *Core) keepable(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
 		_, withdrawn := c.stops[h.RunID]
-		p := c.peers[h.Owner]
-		return withdrawn || h.Unproven+orderAge > proofLife && (p == nil || !c.proved(p))
+		return withdrawn
 	})
 }
 
@@ -95,7 +94,7 @@
 	c.hold(ep, l)
 	for i := range runs {
 		h := &runs[i]
-		r := &run{id: h.RunID, owner: h.Owner, came: c.now.Add(-h.Unproven), startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
+		r := &run{id: h.RunID, owner: h.Owner, came: c.now, startAt: c.now.Add(-h.Age), settledBy: 1, state: runRunning}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
 		delete(c.passed, r.id) // it has come back
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -47,14 +47,6 @@
 	return sent
 }
 
-// unproven returns for how long the owner of a run has not proved that it hears this entry.
-func (c *Core) unproven(r *run) time.Duration {
-	if r.owner == c.cfg.Self {
-		return 0
-	}
-	return c.now.Sub(c.lastProof(r))
-}
-
 // checkProof closes the session of a peer whose proof is too old.
 func (c *Core) checkProof(p *peer) {
 	if !p.open || c.now.Sub(p.proven) <= proofLife {
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -41,7 +41,7 @@
 	count   int       // tasks of its batch, here and elsewhere
 	due     time.Time // by which its batch should have ended
 	last    time.Time // after which its answer is of little use
-	came    time.Time // or when its owner had last proved that it hears this entry or the holder before
+	came    time.Time
 
 	state     runState
 	at        *lease
--- a/gossip.go
+++ b/gossip.go
@@ -234,8 +234,6 @@
 	Need     Share         `json:"need"`
 	Estimate time.Duration `json:"estimate"`
 	Age      time.Duration `json:"age"` // since it started
-	// Unproven is for how long its owner has not proved that it hears its holder.
-	Unproven time.Duration `json:"unproven,omitempty"`
 }
 
 // Check reports all that is wrong with the message.
