A holder whose proof is about to lapse is answered at once

Over a link that was idle the holder asks for proof as it takes the order, but the owner answered in its turn, up to 100 ms later, and the run had been stopped by then: work that is lost without any fault. The pulse now asks for an answer, and the answer asks for none. TestProofIsAnsweredAtOnce.

--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -111,9 +111,9 @@
 		from    uint64 // first history to play
 	}{
 		{"looks hide what runs", tamper{hideRunning: true}, everything, 0},
-		{"proof is forged", tamper{falseProof: true}, cuts, 700},
+		{"proof is forged", tamper{falseProof: true}, cuts, 0},
 		{"late tasks quote a fresh session", tamper{oldSession: true}, cuts, 0},
-		{"endpoints know no fence", tamper{noFence: true}, everything, 200},
+		{"endpoints know no fence", tamper{noFence: true}, everything, 0},
 		{"endpoints start what is late", tamper{lateStarts: true}, lates, 0},
 		{"an undelivered task counts as not started", tamper{earlyOver: true}, cuts, 400},
 		{"events get the time of their batch", tamper{staleTime: true}, slows, 0},
@@ -365,7 +365,8 @@
 
 // plannedRegressions are seeds of histories of planned stops that once failed.
 var plannedRegressions = []uint64{
-	7235, // an end that came after a handover was acknowledged and never told
+	7235,  // an end that came after a handover was acknowledged and never told
+	50027, // the proof of a link that had been idle lapsed before its owner was asked for one
 }
 
 func TestRegressions(t *testing.T) {
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -43,6 +43,7 @@
 
 	wanted  time.Time // when this entry last had reason to exchange pulses with it
 	keep    bool      // it wants the pulses of this entry
+	prove   bool      // the next pulse to it asks for one at once
 	onLinks bool      // it is on the list of the peers that pulses go to
 
 	// This entry as a holder for the peer.
--- a/core/dispatch/proof_test.go
+++ b/core/dispatch/proof_test.go
@@ -57,3 +57,35 @@
 	over := stopped.Add(stopRepeat + lookAgain + leaseTime + c.cfg.Limits.StopTime)
 	assert.Assert(t, over.Before(sent.Add(ownerPatience)), "over %s after the order may have been sent", over.Sub(sent))
 }
+
+// TestProofIsAnsweredAtOnce lets an entry ask for proof just after it has had a pulse.
+func TestProofIsAnsweredAtOnce(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Life: 1}
+	other := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Life: 1}
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: self, Addr: addr, Links: -1}, now)
+	number := uint64(0)
+	answers := func(prove bool) (n int, asked bool) {
+		number++
+		m := cornelwall.Pulse{Addr: addr, Number: number, Session: 7, Keep: true, Prove: prove}
+		if p := c.peers[other]; p != nil {
+			m.Seen = p.number
+		}
+		for _, cmd := range c.Step(now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{{Pulse: &m}}}}) {
+			if s, ok := cmd.(cornelwall.Send); ok && s.Message.Pulse != nil {
+				n++
+				asked = asked || s.Message.Pulse.Prove
+				assert.Equal(t, s.Message.Pulse.Seen, number)
+			}
+		}
+		return n, asked
+	}
+	answers(false)
+	answers(false)
+	n, _ := answers(false)
+	assert.Equal(t, n, 0, "an open link answers in its turn")
+	n, asked := answers(true)
+	assert.Equal(t, n, 1)
+	assert.Assert(t, !asked, "an answer asks for none")
+}
--- a/core/dispatch/pulses.go
+++ b/core/dispatch/pulses.go
@@ -42,7 +42,7 @@
 	}
 	c.catchUp(p.id, p.version)
 	unsure := p.keep && (!wasOpen || !p.open) || p.alone // it needs a pulse to know that its word arrives
-	if first || p.ask || unsure && (p.open && !wasOpen || c.now.Sub(p.pulsed) >= replyEvery) {
+	if first || p.ask || m.Prove || unsure && (p.open && !wasOpen || c.now.Sub(p.pulsed) >= replyEvery) {
 		c.pulseTo(p)
 	}
 	if p.ask {
@@ -131,6 +131,7 @@
 		p.asked = c.now
 	}
 	m.Number, m.Seen, m.Session, m.Keep = p.number, p.seen, p.session, c.wants(p)
+	m.Prove, p.prove = p.prove, false
 	if p.ask {
 		m.Members = c.members()
 	}
--- a/core/dispatch/waiting.go
+++ b/core/dispatch/waiting.go
@@ -74,6 +74,7 @@
 	valid := from == c.cfg.Self || c.proved(p) && p.session == m.Session
 	if valid && from != c.cfg.Self && c.now.Sub(p.proven) > pulseEvery {
 		c.link(p)
+		p.prove = true
 		c.pulseTo(p) // the link was idle, and its proof is about to lapse
 	}
 	came := c.now
--- a/gossip.go
+++ b/gossip.go
@@ -40,6 +40,7 @@
 	Seen    uint64         `json:"seen"`              // greatest number of the receiver's pulses that arrived
 	Session uint64         `json:"session"`           // the receiver has to quote it to place tasks at the sender
 	Keep    bool           `json:"keep,omitempty"`    // the sender wants the receiver's pulses
+	Prove   bool           `json:"prove,omitempty"`   // the sender needs a pulse at once, as its proof is about to lapse
 	Leaving bool           `json:"leaving,omitempty"` // the sender is stopping
 	Version uint64         `json:"version"`           // of the declaration in force
 	Fence   uint64         `json:"fence"`             // greatest fence that the sender knows of
