--- a/cmd/cornelwall/main.go
+++ b/cmd/cornelwall/main.go
@@ -46,6 +46,7 @@
 			profileCommand(),
 			jobCommand(),
 			ticketsCommand(),
+			explainCommand(),
 			checkCommand(),
 			versionCommand(),
 		},
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,13 +16,56 @@
 	if a.End == cornelwall.BatchRefused || a.End == cornelwall.BatchGivenUp {
 		c.emit(cornelwall.CountReason{Reason: a.Reason, N: 1})
 	}
-	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.started, "rest", j.remaining(), "took", c.now.Sub(j.submittedAt), "late", c.now.Sub(j.due))
+	c.logEnd(j, a)
 	for _, req := range j.reqs {
 		delete(c.jobsByReq, req)
 		c.emit(cornelwall.ReplyBatch{Req: req, Answer: a})
 	}
 }
 
+// logEnd logs the answer to a job, and how the task went that held it up: how long it waited before
+// its last start, and how long its last run took where.
+func (c *Core) logEnd(j *job, a cornelwall.BatchAnswer) {
+	failed, lost := 0, 0
+	for _, t := range j.tasks {
+		failed += t.failures
+		lost += t.runsLost
+	}
+	t := j.lastTask()
+	startedAt := c.now
+	if t.state == taskRunning || t.state == taskDone {
+		startedAt = t.lastRun.startedAt
+	}
+	took := t.lastRun.took
+	if t.state == taskRunning {
+		took = c.now.Sub(startedAt)
+	}
+	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.started, "rest", j.remaining(),
+		"took", c.now.Sub(j.submittedAt), "late", c.now.Sub(j.due), "waited", startedAt.Sub(j.submittedAt), "ran", took,
+		"estimate", j.batch.Steps[t.step].Estimate, "endpoint", t.lastRun.endpoint, "failed", failed, "lost", lost)
+}
+
+// lastTask returns the task that holds its job up: one that waits, else one that runs, else the one
+// that ended last.
+func (j *job) lastTask() *task {
+	rank := func(t *task) int {
+		switch t.state {
+		case taskRunning:
+			return 1
+		case taskDone:
+			return 0
+		}
+		return 2
+	}
+	last := j.tasks[0]
+	for _, t := range j.tasks[1:] {
+		if cmp.Or(cmp.Compare(rank(t), rank(last)), t.changedAt.Compare(last.changedAt)) > 0 {
+			last = t
+		}
+	}
+	return last
+}
+
 // withdrawTasks withdraws the assigned tasks of a job, or only those that have not started.
 func (c *Core) withdrawTasks(j *job, onlyWaiting bool) {
 	byHolder, order := j.runsByHolder(func(t *task) bool { return t.state == taskAssigned || t.state == taskRunning })
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -45,6 +45,24 @@
 	avoidEndpoint string    // where its last run went wrong
 	wasStopped    bool      // a run of it was stopped, for any reason; later runs aren't stopped as stragglers
 	returnIfBusy  bool      // its holder returns it unless it can start at once
+	lastRun       lastRun
+	runsLost      int // runs that ended neither by themselves nor before they started
+}
+
+// lastRun describes the last run of a task that has started, for the log.
+type lastRun struct {
+	endpoint  string
+	startedAt time.Time
+	took      time.Duration // 0 if it has not ended
+}
+
+// end records the end of the run. Its holder reports how long it took, unless it is silent.
+func (r *lastRun) end(now time.Time, result *cornelwall.RunResult) {
+	r.took = result.Took
+	if r.took == 0 {
+		r.took = now.Sub(r.startedAt)
+	}
+	r.endpoint, r.startedAt = result.Endpoint, now.Add(-r.took)
 }
 
 // job is a batch that this entry owns.
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -29,6 +29,7 @@
 		}
 		t.state, t.endpoint, t.fence, t.changedAt = taskRunning, m.Endpoint, m.Fence, c.now
 		t.holder, t.missedStarts = from, 0
+		t.lastRun = lastRun{endpoint: m.Endpoint, startedAt: c.now}
 		t.job.started = true
 		c.sendProgress(t.job)
 	}
@@ -89,9 +90,10 @@
 	}
 	delete(c.tasksByRun, result.RunID)
 	j := t.job
-	t.state, t.retryAt, t.endpoint, t.fence = taskIdle, c.now, "", 0
+	t.state, t.changedAt, t.retryAt, t.endpoint, t.fence = taskIdle, c.now, c.now, "", 0
 	if result.End != cornelwall.RunUnstarted {
 		j.started = true
+		t.lastRun.end(c.now, result)
 	}
 	switch result.End {
 	case cornelwall.RunDone:
@@ -113,6 +115,7 @@
 	default:
 		t.avoidEndpoint = result.Endpoint
 		t.wasStopped = t.wasStopped || result.End == cornelwall.RunStopped
+		t.runsLost++
 		c.log("task-lost", "task", t.name, "run", result.Run, "endpoint", result.Endpoint, "how", result.End, "holder", t.holder)
 		c.emit(cornelwall.CountReason{Reason: cornelwall.ReasonLost, Retry: true, N: 1})
 	}
