Acquire endpoints without delay after a loss of all entries

Cause: fences follow the time of day, and each refused acquisition raised all later ones by three seconds. Now the raise follows the refused fence and doubles while one endpoint refuses again, and an endpoint that no live entry may hold is tried again at once.

--- a/core/dispatch/endpointrestart_test.go
+++ b/core/dispatch/endpointrestart_test.go
@@ -47,14 +47,36 @@
 // clock of its last holder was ahead. The first fence is refused, and the second must be high
 // enough.
 func TestAcquisitionRetriesAboveHigherFence(t *testing.T) {
+	attempts, took := acquireAboveFence(t, 2400*time.Millisecond)
+	assert.Equal(t, attempts, 2)
+	assert.Assert(t, took <= maxSettleTime+retakeDelay, "%s", took)
+}
+
+// TestAcquisitionAfterLossOfAllEntriesIsNotDelayed acquires an endpoint whose fence is far ahead, and
+// which no other entry holds, as all of them have restarted. Batches wait meanwhile, so that the
+// acquisition must not be put off by retakeDelay each time that a fence is refused.
+func TestAcquisitionAfterLossOfAllEntriesIsNotDelayed(t *testing.T) {
+	_, took := acquireAboveFence(t, 40*time.Second)
+	assert.Assert(t, took <= maxSettleTime+retakeDelay/2, "%s", took)
+}
+
+// acquireAboveFence starts an entry alone with an endpoint that has seen the fence of a clock that
+// is ahead by the given time. It returns the number of acquisitions until the endpoint was ready,
+// and the time that they took since the start.
+func acquireAboveFence(t *testing.T, ahead time.Duration) (attempts int, took time.Duration) {
+	t.Helper()
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}
 	addr := netip.MustParseAddrPort("10.0.0.1:7001")
 	c := New(Config{Self: self, Addr: addr}, now)
-	seenFence := uint64(now.Add(2400*time.Millisecond).UnixMilli()) * fencesPerMilli
+	start := now
+	seenFence := uint64(now.Add(ahead).UnixMilli()) * fencesPerMilli
 	c.Step(now, cornelwall.EndpointsListed{Revision: 1, List: []cornelwall.Endpoint{{ID: "x1", Service: "s", Addr: addr, DataCentre: "dc0", Capacity: cornelwall.Resources{Cores: 16000}}}})
-	attempts := 0
-	for end := now.Add(maxSettleTime + 2*retakeDelay); now.Before(end) && c.Held() == 0 || attempts < 2; {
+	isReady := func() bool {
+		l := c.endpoints["x1"].lease
+		return l != nil && l.phase == phaseReady
+	}
+	for end := now.Add(time.Minute); now.Before(end) && !isReady(); {
 		now = now.Add(tickInterval)
 		for _, cmd := range c.Step(now, cornelwall.Tick{}) {
 			poll, ok := cmd.(cornelwall.PollEndpoint)
@@ -69,6 +91,6 @@
 			c.Step(now, cornelwall.PollResult{Endpoint: "x1", Fence: poll.Fence, Seq: poll.Seq, Boot: 1, Clock: time.Second, Refusal: refusal})
 		}
 	}
-	assert.Equal(t, attempts, 2)
-	assert.Equal(t, c.endpoints["x1"].lease.phase, phaseReady)
+	assert.Assert(t, isReady())
+	return attempts, now.Sub(start)
 }
--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -29,6 +29,7 @@
 	freeSince            time.Time              // when it was added, its lease here ended or this entry became preferred; see freeDelay
 	requestedAt          time.Time              // when the presumed holder was asked to hand it over
 	redirects            int                    // times that the request was referred to another entry
+	refusedFences        int                    // acquisitions in a row that it has refused because of their fences
 }
 
 // addEndpoint adds an endpoint that is not known yet.
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -15,6 +15,8 @@
 	maxOffersPerTick = 4                       // endpoints that are offered in one tick
 	fencesPerMilli   = 1 << 10                 // fences per millisecond
 	fenceJump        = 3000 * fencesPerMilli   // added when an endpoint has seen a higher fence: as many as three seconds have
+	// maxFenceDoublings is how often fenceJump doubles while an endpoint refuses one fence after the other.
+	maxFenceDoublings = 5
 )
 
 // isEligible reports whether a peer may be a holder of endpoints.
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -54,12 +54,13 @@
 // them, and its report decides.
 func (c *Core) handleFencedOut(l *lease) {
 	c.log("endpoint-yielded", "endpoint", l.ep.ID, "fence", l.fence, "runs", len(l.runs))
-	if l.phase == phaseAcquiring {
-		c.highestFence += fenceJump // the clock of the earlier holder may be ahead
-	}
+	wasAcquiring := l.phase == phaseAcquiring
 	l.phase, l.supersededAt = phaseSuperseded, c.now
 	c.setLease(l.ep, nil)
 	l.ep.freeSince, l.ep.retakeAt = c.now, c.now.Add(retakeDelay)
+	if wasAcquiring {
+		c.raiseFence(l)
+	}
 	if !l.offeredTo.IsZero() {
 		c.transferRuns(l, l.offeredTo, nil)
 		return
@@ -69,6 +70,18 @@
 	}
 }
 
+// raiseFence raises the fences to come above the one of an acquisition that was refused: the clock of
+// an earlier holder may be ahead. Unless another entry may hold the endpoint, such as after a
+// restart of all entries, it is acquired again without retakeDelay.
+func (c *Core) raiseFence(l *lease) {
+	ep := l.ep
+	c.highestFence = max(c.highestFence, l.fence+fenceJump<<min(ep.refusedFences, maxFenceDoublings))
+	ep.refusedFences++
+	if p := c.peers[ep.presumedHolder]; (p == nil || !c.isAlive(p)) && ep.refusedFences <= maxFenceDoublings {
+		ep.retakeAt = c.now
+	}
+}
+
 // expireSuperseded ends the runs of superseded leases that have expired, once the next holders have
 // had the time to take them over. If the clock of the endpoint is not known, it drops them after
 // maxOrderLifetime instead.
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -132,7 +132,7 @@
 		if len(l.orphans) > 0 {
 			return
 		}
-		l.phase, c.backlogChanged = phaseReady, true
+		l.phase, l.ep.refusedFences, c.backlogChanged = phaseReady, 0, true
 		m := &cornelwall.EndpointAcquired{Endpoint: l.ep.ID, Fence: l.fence, Ended: l.endedRuns}
 		l.endedRuns = nil
 		for _, r := range l.sortedRuns() {
