A lapse after an undetected restart waits for the longest lease

An endpoint that restarts and answers nothing may carry out a start under its new clock, which cuts the lease to the longest one. A run whose start got no answer counts as lapsed only after that.

--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -51,9 +51,10 @@
 	boot          int64  // identifies the endpoint's start; a time of day, which may jump and gives no order
 	lastStalePoll uint64 // number of the last poll that the endpoint may have answered before its last restart
 
-	clock     time.Duration // reading of the endpoint's clock, taken at clockAt or before
-	clockAt   time.Time     // zero if no reading is known
-	latestEnd time.Duration // latest end of the lease by any order, on the endpoint's clock
+	clock      time.Duration // reading of the endpoint's clock, taken at clockAt or before
+	clockAt    time.Time     // zero if no reading is known
+	latestEnd  time.Duration // latest end of the lease by any order, on the endpoint's clock
+	extendedAt time.Time     // when the last order that extends the lease was sent
 
 	openPolls       int    // polls under way
 	lastPoll        uint64 // number of the last poll
@@ -97,7 +98,7 @@
 	c.setLease(ep, l)
 	for i := range runs {
 		h := &runs[i]
-		r := &run{id: h.RunID, owner: h.Owner, receivedAt: c.now, startedAt: c.now.Add(-h.Age), endProofPoll: 1, state: runRunning}
+		r := &run{id: h.RunID, owner: h.Owner, receivedAt: c.now, startedAt: c.now.Add(-h.Age), endProofPoll: 1, state: runRunning, startAnswered: true}
 		r.AssignTask = cornelwall.AssignTask{RunID: h.RunID, Need: h.Need, Estimate: h.Estimate}
 		c.runs[r.id] = r
 		delete(c.transferredRuns, r.id) // in case this entry handed it over before
@@ -154,7 +155,7 @@
 		return 0
 	}
 	until := l.clock + now.Sub(l.clockAt) + leaseTTL
-	l.latestEnd = max(l.latestEnd, until)
+	l.latestEnd, l.extendedAt = max(l.latestEnd, until), now
 	return until
 }
 
@@ -270,10 +271,7 @@
 		c.transferRuns(l, l.offeredTo, nil) // that entry may have taken over and extended the lease
 	}
 	if l.hasExpired(c.now, c.cfg.Limits.StopDelay) {
-		c.log("lease-lapsed", "endpoint", l.ep.ID, "runs", len(l.runs), "answered", c.now.Sub(l.answeredAt))
-		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
-		}
+		c.endLapsedRuns(l)
 	}
 	if l.clockAt.IsZero() && l.unansweredFor(c.now) > c.maxOrderLifetime() {
 		c.dropUnreachableRuns(l)
@@ -297,6 +295,24 @@
 	}
 }
 
+// endLapsedRuns ends the runs of a lease that has expired. The endpoint may have restarted without an
+// answer since, and may carry out a start under its new clock, on which the lease that the start
+// asks for is not over and is cut to the longest one. A run whose start got no answer is therefore
+// kept until that has ended too.
+func (c *Core) endLapsedRuns(l *lease) {
+	lapsed := filterRuns(l.runs, func(r *run) bool {
+		longest := time.Duration(float64(c.cfg.Limits.MaxLease)/(1-clockDrift)) + c.cfg.Limits.StopDelay + expiryMargin
+		return r.startAnswered || c.now.Sub(l.extendedAt) >= longest
+	})
+	if len(lapsed) == 0 {
+		return
+	}
+	c.log("lease-lapsed", "endpoint", l.ep.ID, "runs", len(lapsed), "answered", c.now.Sub(l.answeredAt))
+	for _, r := range lapsed {
+		c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
+	}
+}
+
 // maxOrderLifetime bounds the time from sending an order to the end of the run that it starts: how
 // long the order may be in transit, and how long the run may then last.
 func (c *Core) maxOrderLifetime() time.Duration { return withdrawalRetention + 2*c.cfg.Limits.MaxLease }
--- a/core/dispatch/lease_test.go
+++ b/core/dispatch/lease_test.go
@@ -36,12 +36,18 @@
 	h.lease = h.c.endpoints["x1"].lease
 	h.answerPoll(h.lease.fence, 1, 30*time.Second)
 	assert.Equal(t, h.lease.phase, phaseReady)
+	h.assign(t)
+	return h
+}
+
+// assign assigns h.run, which starts at once.
+func (h *testHolder) assign(t *testing.T) {
+	t.Helper()
 	h.receive(cornelwall.Message{Assign: &cornelwall.Assign{
-		Session: p.session, Service: "s", UsefulFor: 9 * time.Second, DueIn: 9 * time.Second,
+		Session: h.c.peers[h.owner].session, Service: "s", UsefulFor: 9 * time.Second, DueIn: 9 * time.Second,
 		Tasks: []cornelwall.AssignTask{{RunID: h.run, Need: cornelwall.Resources{Cores: 8000}, Estimate: 5 * time.Second}},
 	}})
 	assert.Equal(t, len(h.lease.runs), 1, "the start is not ordered")
-	return h
 }
 
 func (h *testHolder) endpointInfo(addr netip.AddrPort) cornelwall.Endpoint {
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -93,10 +93,8 @@
 		if !l.hasExpired(c.now, c.cfg.Limits.StopDelay) || c.now.Sub(l.supersededAt) < takeoverTimeout {
 			return len(l.runs) == 0
 		}
-		for _, r := range l.sortedRuns() {
-			c.endRun(r, cornelwall.RunLapsed, endLeaseOver)
-		}
-		return true
+		c.endLapsedRuns(l)
+		return len(l.runs) == 0
 	})
 }
 
--- a/core/dispatch/leaseend_test.go
+++ b/core/dispatch/leaseend_test.go
@@ -254,6 +254,24 @@
 	h.checkLapseAfterLongestLease(t)
 }
 
+// TestLapseAfterUndetectedRestartOfUsedEndpointWaitsForLongestLease is the same for an endpoint that
+// this entry has used before, so that it knows how far the lease was extended.
+func TestLapseAfterUndetectedRestartOfUsedEndpointWaitsForLongestLease(t *testing.T) {
+	h := newTestHolder(t)
+	h.answerOrder(false, cornelwall.RefusedNone, 30*time.Second)
+	h.step(cornelwall.PollResult{
+		Endpoint: "x1", Fence: h.lease.fence, Seq: h.lease.lastPoll, Boot: 1, Clock: 30*time.Second + 10*time.Millisecond,
+		Ended: []cornelwall.RunEnded{{Seq: 1, RunID: h.run, End: cornelwall.RunDone}},
+	})
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		h.answerPoll(h.lease.fence, 1, h.lease.clock+100*time.Millisecond)
+	}
+	h.results, h.run.Run = nil, 2
+	h.assign(t)
+	h.checkLapseAfterLongestLease(t)
+}
+
 // TestStopRefusedAtOldAddressEndsNoRun is TestPollRefusedAtOldAddressEndsNoRun for the answer to a
 // stop.
 func TestStopRefusedAtOldAddressEndsNoRun(t *testing.T) {
