A start without an answer is given up after the usual time of answers

Cause: such a start kept its task for the 200 ms of an order, and paused its whole endpoint for 200 ms to 2 s, also while the endpoint answered everything else. Change: the time-out follows the answers observed, as that of TCP does, from 40 to 200 ms, not counting time in which the process did not run; one unanswered start does not pause an endpoint that answers other orders; a run that the endpoint lists goes on although its start got no answer. The run is stopped as before, and is over only when the endpoint confirms it.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -124,7 +124,8 @@
 	transferredRuns  map[cornelwall.RunID]transferredRun
 	endedRuns        map[cornelwall.RunID]endedRun
 	lastPrune        time.Time // last removal of old entries from these maps
-	supersededLeases []*lease  // leases on endpoints that other entries have acquired
+	startReplies     replyTimes
+	supersededLeases []*lease // leases on endpoints that other entries have acquired
 
 	jobs          map[string]*job
 	jobsByReq     map[uint64]*job
--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -146,3 +146,20 @@
 		})
 	}
 }
+
+// TestLoadWithLateOrders runs a load below the capacity while endpoints leave some orders unanswered
+// and carry them out seconds later. A batch has several tasks, so that a start without an answer
+// must neither hold its task for long nor take its endpoint out of use.
+func TestLoadWithLateOrders(t *testing.T) {
+	r := newSizedRig(1, mutation{}, 0, size{entries: 4, endpoints: 12, dataCentres: 2})
+	r.exactRunTimes, r.objective = true, objectiveMargin
+	r.changeQueueConfig()
+	r.w.Advance(2 * time.Second)
+	for _, ep := range r.endpoints {
+		r.lateOrderShare[ep.ID] = 0.05
+	}
+	l := r.playLoad(0.5)
+	t.Logf("%+v", l)
+	assert.Assert(t, float64(l.onTime) >= 0.9*float64(l.submitted), "on time: %+v", l)
+	assert.Assert(t, l.served() >= 0.95, "served: %+v", l)
+}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -33,6 +33,7 @@
 	pausedUntil    time.Time     // no run starts before
 	quarantine     time.Duration // last backoff after failed runs
 	silenceBackoff time.Duration // last backoff after a start without an answer
+	unanswered     int           // starts without an answer in a row
 	probing        bool          // only one run at a time until one succeeds
 	slowdown       float64       // moving average of run time / estimate; 0 if not known
 	slowdownAt     time.Time     // last update of slowdown
@@ -116,13 +117,23 @@
 	h.slowdown, h.slowdownAt = smoothSlowdown(h.slowdown, slowdownOf(took, estimate)), now
 }
 
-func (h *endpointHealth) recordAnswer() { h.silenceBackoff = 0 }
+// recordAnswer records that the endpoint has answered a start.
+func (h *endpointHealth) recordAnswer() { h.silenceBackoff, h.unanswered = 0, 0 }
 
 // recordSilence records a start that got no answer or no connection.
 func (h *endpointHealth) recordSilence(now time.Time) {
 	h.silenceBackoff = min(max(2*h.silenceBackoff, minSilenceBackoff), maxSilenceBackoff)
 	h.pausedUntil = now.Add(h.silenceBackoff)
 	h.probing = true
+	h.unanswered++
+}
+
+// recordContact records that the endpoint has answered an order other than a start. If a single
+// start before it got no answer, only that order was lost, and the endpoint is used as before.
+func (h *endpointHealth) recordContact(now time.Time) {
+	if h.unanswered == 1 && h.failures < quarantineFailures && h.quarantine == 0 {
+		h.pausedUntil, h.probing = now, false
+	}
 }
 
 // recordRefusal records that the endpoint refused a start.
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -211,6 +211,7 @@
 			c.checkLease(ep.lease)
 		}
 		if ep.lease != nil {
+			c.abandonUnansweredStarts(ep.lease)
 			c.stopStragglers(ep.lease)
 		}
 	}
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"cornelwall"
 )
@@ -73,6 +74,7 @@
 	switch refusal {
 	case cornelwall.RefusedNone:
 		health.recordAnswer()
+		c.startReplies.record(c.now.Sub(r.startedAt))
 		if r.endProofPoll == 0 {
 			r.endProofPoll = r.lease.lastPoll + 1
 		}
@@ -82,9 +84,7 @@
 		c.pollIfDue(r.lease)
 		return
 	case cornelwall.RefusedUnknown:
-		health.recordSilence(c.now)
-		c.log("start-unanswered", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID)
-		c.stopRun(r)
+		c.abandonStart(r)
 		return
 	case cornelwall.RefusedRoom:
 		health.recordRefusal(c.now, fullBackoff)
@@ -97,6 +97,32 @@
 	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
 
+// abandonStart stops a run whose start got no answer, as the endpoint may still carry it out. A run
+// that the endpoint has listed meanwhile goes on.
+func (c *Core) abandonStart(r *run) {
+	if r.state != runStarting {
+		if r.state == runRunning && r.endProofPoll == 0 {
+			r.endProofPoll = r.lease.lastPoll + 1
+		}
+		return
+	}
+	r.lease.ep.health.recordSilence(c.now)
+	c.log("start-unanswered", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "after", c.now.Sub(r.startedAt))
+	c.stopRun(r)
+}
+
+// abandonUnansweredStarts stops the runs of a lease whose starts have got no answer within the time
+// that answers usually take. Time in which this process did not run does not count.
+func (c *Core) abandonUnansweredStarts(l *lease) {
+	limit := c.startReplies.timeout()
+	for _, r := range filterRuns(l.runs, func(r *run) bool { return r.state == runStarting }) {
+		r.unansweredTicks++
+		if time.Duration(r.unansweredTicks-1)*tickInterval > limit {
+			c.abandonStart(r)
+		}
+	}
+}
+
 // reportStarted reports to the owner where its task runs.
 func (c *Core) reportStarted(r *run) {
 	r.state = runRunning
@@ -125,6 +151,7 @@
 	if refusal != cornelwall.RefusedNone || r.state != runStopping || r.stopAcked {
 		return // a stop without an answer is sent again by pollIfDue
 	}
+	r.lease.ep.health.recordContact(c.now)
 	r.stopAcked, r.endProofPoll = true, r.lease.lastPoll+1
 	if r.lease.openPolls < maxOpenPolls {
 		c.poll(r.lease, 0)
