Run times of ended tasks correct the target of their batch

Cause: due time and usefulness of a batch followed from its declared run time alone. Change: once the median of the run times of a step exceeds the estimate by a quarter, it takes its place, and the holders at which tasks wait are told with the progress of the batch.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		t.returnIfBusy = best.id != c.cfg.Self && t.missedStarts < maxBusyReturns && best.view.freePlaces(s.Need) > 0
-		best.view.reserve(s.Need, j.queue.Priority, s.Estimate)
+		best.view.reserve(s.Need, j.queue.Priority, j.estimate(t.step))
 		t.state, t.holder, t.changedAt, t.run = taskAssigned, best.id, c.now, c.newRunID(t)
 		c.tasksByRun[t.run] = t
 		if assigns[best.id] == nil {
@@ -155,7 +155,7 @@
 			order = append(order, best.id)
 		}
 		assigns[best.id].Tasks = append(assigns[best.id].Tasks, cornelwall.AssignTask{
-			RunID: t.run, Need: s.Need, Estimate: s.Estimate, Requires: s.Requires, Rack: s.Rack, PerEndpoint: s.PerEndpoint, AvoidEndpoint: t.avoidEndpoint, StoppedAsStraggler: t.wasStopped, ReturnIfBusy: t.returnIfBusy,
+			RunID: t.run, Need: s.Need, Estimate: j.estimate(t.step), Requires: s.Requires, Rack: s.Rack, PerEndpoint: s.PerEndpoint, AvoidEndpoint: t.avoidEndpoint, StoppedAsStraggler: t.wasStopped, ReturnIfBusy: t.returnIfBusy,
 		})
 	}
 	for _, id := range order {
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -196,13 +196,19 @@
 	maps.DeleteFunc(c.transferredRuns, func(_ cornelwall.RunID, r transferredRun) bool { return old(r.transferredAt) })
 }
 
-// handleBatchProgress updates the remaining share of a batch.
+// handleBatchProgress updates the remaining share and the targets of a batch.
 func (c *Core) handleBatchProgress(m *cornelwall.BatchProgress) {
-	for _, id := range m.Runs {
-		if r := c.runs[id]; r != nil {
-			r.remaining = min(r.remaining, m.Remaining)
-			c.backlogChanged = true
+	for i, id := range m.Runs {
+		r := c.runs[id]
+		if r == nil {
+			continue
 		}
+		r.remaining = min(r.remaining, m.Remaining)
+		if i < len(m.Estimates) {
+			r.Estimate = max(m.Estimates[i], time.Millisecond)
+			r.due, r.usefulUntil = c.now.Add(m.DueIn), c.now.Add(m.UsefulFor)
+		}
+		c.backlogChanged = true
 	}
 }
 
--- a/core/dispatch/backlog_test.go
+++ b/core/dispatch/backlog_test.go
@@ -51,7 +51,10 @@
 	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}
 	addr := netip.MustParseAddrPort("10.0.0.1:7001")
 	c := New(Config{Self: self, Addr: addr}, now)
-	j := &job{id: "a", reportedRemaining: 1}
+	j := &job{
+		id: "a", batch: &cornelwall.BatchJob{Steps: []cornelwall.Step{{Count: 6}}}, estimates: []stepEstimate{{current: 50 * time.Millisecond}},
+		reportedRemaining: 1, due: now.Add(100 * time.Millisecond), usefulUntil: now.Add(300 * time.Millisecond),
+	}
 	holders := make([]cornelwall.Incarnation, 6)
 	for i := range holders {
 		holders[i] = cornelwall.Incarnation{DataCentre: "dc0", Entry: fmt.Sprint("h", i), Epoch: 1}
@@ -66,5 +69,8 @@
 	assert.Equal(t, len(c.commands), 1)
 	s := c.commands[0].(cornelwall.Send)
 	assert.Equal(t, s.To, holders[1])
-	assert.DeepEqual(t, s.Message.BatchProgress, &cornelwall.BatchProgress{Runs: []cornelwall.RunID{j.tasks[1].run}, Remaining: 5.0 / 6})
+	assert.DeepEqual(t, s.Message.BatchProgress, &cornelwall.BatchProgress{
+		Runs: []cornelwall.RunID{j.tasks[1].run}, Remaining: 5.0 / 6,
+		Estimates: []time.Duration{50 * time.Millisecond}, DueIn: 100 * time.Millisecond, UsefulFor: 300 * time.Millisecond,
+	})
 }
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -42,7 +42,7 @@
 	}
 	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.started, "rest", j.remaining(),
 		"took", c.now.Sub(j.submittedAt), "late", c.now.Sub(j.due), "waited", startedAt.Sub(j.submittedAt), "ran", took,
-		"estimate", j.batch.Steps[t.step].Estimate, "endpoint", t.lastRun.endpoint, "failed", failed, "lost", lost)
+		"estimate", j.estimate(t.step), "endpoint", t.lastRun.endpoint, "failed", failed, "lost", lost)
 }
 
 // lastTask returns the task that holds its job up: one that waits, else one that runs, else the one
@@ -164,7 +164,7 @@
 	least := -time.Hour
 	for _, t := range j.tasks {
 		if t.state == taskIdle || t.state == taskAssigned {
-			least = max(least, time.Duration(minRunTimeShare*float64(j.batch.Steps[t.step].Estimate)))
+			least = max(least, time.Duration(minRunTimeShare*float64(j.estimate(t.step))))
 		}
 	}
 	return least
--- a/core/dispatch/fuzz/messages_test.go
+++ b/core/dispatch/fuzz/messages_test.go
@@ -30,7 +30,7 @@
 		FreeCapacity: cornelwall.FreeCapacity{Total: 16000, Free: []cornelwall.Resources{need}, Queued: []int{1, 2, 3, 4}}, Members: []cornelwall.Member{{ID: other, Addr: addr, Weight: 3}}}}
 	messages := []cornelwall.Message{
 		{Assign: &cornelwall.Assign{Service: service, Spec: "s", DueIn: 1, UsefulFor: 2, Remaining: 1, Count: 3, Tasks: []cornelwall.AssignTask{{RunID: run, Need: need, Estimate: 5, PerEndpoint: 1, AvoidEndpoint: "x1"}}}},
-		{BatchProgress: &cornelwall.BatchProgress{Runs: runs, Remaining: 0.5}},
+		{BatchProgress: &cornelwall.BatchProgress{Runs: runs, Remaining: 0.5, Estimates: []time.Duration{5}, DueIn: 1, UsefulFor: 2}},
 		{Withdraw: &cornelwall.Withdraw{Runs: runs, MayHaveStarted: true}},
 		{RunResults: &cornelwall.RunResults{Runs: []cornelwall.RunResult{{RunID: run, End: cornelwall.RunFailed, Endpoint: "x1", Took: 5}}}},
 		{RunsStarted: &cornelwall.RunsStarted{Endpoint: "x1", Fence: 3, Runs: runs}},
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -107,6 +107,7 @@
 	configVersion uint64
 	platformUp    bool
 	exactRunTimes bool          // tasks take exactly taskTime
+	estimate      time.Duration // of the tasks, as declared
 	objective     time.Duration // of the queue, beyond the stretched run time
 
 	cuts           map[[2]string]bool // names of the sender and the receiver of a cut link, entries or endpoints
@@ -148,7 +149,7 @@
 func newSizedRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
-		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective,
+		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
 		cuts: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{},
@@ -467,7 +468,7 @@
 	r.nextID++
 	c := &client{id: fmt.Sprintf("%016x", r.nextID), done: map[string]bool{}, timeout: timeout, sentAt: r.w.Now}
 	c.batch = &cornelwall.BatchJob{ID: c.id, Steps: []cornelwall.Step{{
-		Count: tasks, Need: cornelwall.Resources{Cores: 6800}, Estimate: taskTime,
+		Count: tasks, Need: cornelwall.Resources{Cores: 6800}, Estimate: r.estimate,
 	}}}
 	r.clients[c.id] = c
 	r.send(c)
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -77,6 +77,7 @@
 	due               time.Time // target time
 	usefulUntil       time.Time // after it the answer is of little use
 	deadline          time.Time
+	estimates         []stepEstimate
 	criticalPath      time.Duration // estimated run time of its longest chain of dependent steps
 	started           bool          // a task may have run
 	refusing          bool          // its waiting tasks were withdrawn; it is refused once all are back
@@ -145,20 +146,15 @@
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
 		reportedRemaining: 1, submittedAt: c.now, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0, deadline: c.now.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
 	}
-	ends := make([]time.Duration, len(ev.Batch.Steps))
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
-		for _, k := range s.After {
-			ends[i] = max(ends[i], ends[k])
-		}
-		ends[i] += s.Estimate
-		j.criticalPath = max(j.criticalPath, ends[i])
+		j.estimates = append(j.estimates, stepEstimate{current: s.Estimate})
 		j.unfinished[i] = s.Count
 		for n := range s.Count {
 			j.tasks = append(j.tasks, &task{job: j, step: i, name: fmt.Sprintf("%s.0.%d.%d", j.id, i, n)})
 		}
 	}
-	j.due, j.usefulUntil = c.now.Add(q.TargetTime(j.criticalPath)), c.now.Add(q.UsefulTime(j.criticalPath))
+	j.setTargets()
 	return j
 }
 
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -31,7 +31,7 @@
 		t.holder, t.missedStarts = from, 0
 		t.lastRun = lastRun{endpoint: m.Endpoint, startedAt: c.now}
 		t.job.started = true
-		c.sendProgress(t.job)
+		c.sendProgress(t.job, false)
 	}
 	if unknown != nil {
 		c.send(from, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: unknown, MayHaveStarted: true}})
@@ -99,6 +99,7 @@
 	case cornelwall.RunDone:
 		t.state = taskDone
 		j.unfinished[t.step]--
+		c.observeRunTime(t, result.Took)
 	case cornelwall.RunFailed:
 		t.failures++
 		t.avoidEndpoint = result.Endpoint
@@ -129,7 +130,7 @@
 		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchDone})
 	default:
 		c.assignTasks(j)
-		c.sendProgress(j)
+		c.sendProgress(j, false)
 	}
 }
 
@@ -144,17 +145,21 @@
 	return float64(waiting) / float64(len(j.tasks))
 }
 
-// sendProgress sends the remaining share of a job to the holders at which tasks of it wait, each
-// time that the share has dropped by a tenth since the last report.
-func (c *Core) sendProgress(j *job) {
+// sendProgress sends the remaining share and the targets of a job to the holders at which tasks of it
+// wait, if the targets have changed or the share has dropped by a tenth since the last report.
+func (c *Core) sendProgress(j *job, targetsChanged bool) {
 	remaining := j.remaining()
-	if remaining > progressThreshold*j.reportedRemaining {
+	if remaining > progressThreshold*j.reportedRemaining && !targetsChanged {
 		return
 	}
 	j.reportedRemaining = remaining
 	byHolder, order := j.runsByHolder(func(t *task) bool { return t.state == taskAssigned && !t.returnIfBusy })
 	for _, id := range order {
-		c.send(id, cornelwall.Message{BatchProgress: &cornelwall.BatchProgress{Runs: byHolder[id], Remaining: remaining}})
+		m := &cornelwall.BatchProgress{Runs: byHolder[id], Remaining: remaining, DueIn: j.due.Sub(c.now), UsefulFor: j.usefulUntil.Sub(c.now)}
+		for _, run := range m.Runs {
+			m.Estimates = append(m.Estimates, j.estimate(c.tasksByRun[run].step))
+		}
+		c.send(id, cornelwall.Message{BatchProgress: m})
 	}
 }
 
--- a/leased_message.go
+++ b/leased_message.go
@@ -115,11 +115,14 @@
 // Check reports every problem with the task.
 func (t *AssignTask) Check() error { return t.RunID.Check() }
 
-// BatchProgress updates the Remaining of an Assign at holders where its tasks wait, because the last tasks of an almost
-// finished batch are worth more than the first tasks of another.
+// BatchProgress updates an Assign at holders where its tasks wait: the last tasks of an almost finished batch are worth
+// more than the first tasks of another, and the tasks that have ended tell how long the others take.
 type BatchProgress struct {
-	Runs      []RunID `json:"runs"`
-	Remaining float64 `json:"rest"`
+	Runs      []RunID         `json:"runs"`
+	Remaining float64         `json:"rest"`
+	Estimates []time.Duration `json:"estimates,omitempty"` // of Runs, in their order; none if only Remaining is set
+	DueIn     time.Duration   `json:"due,omitempty"`       // as in Assign
+	UsefulFor time.Duration   `json:"last,omitempty"`      // as in Assign
 }
 
 // Withdraw takes assigned tasks back. The holder stops them, and answers each with RunResults
