Slowness is judged in comparison with what is usual

Change: entries tell each other the median slowdown of their endpoints, and a slow endpoint exceeds 1.7 times the median of those as well. The mutant of forged acknowledgements gets longer runs: stragglers are stopped earlier now, and those that last until their owner gives them up were gone from its histories.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -314,7 +314,7 @@
 			continue
 		}
 		cost := ep.Capacity.Cores - l.used.Cores - r.Need.Cores
-		if slowdown := l.slowdown(c.now); slowdown >= slowdownLimit {
+		if slowdown := c.slowdown(l); c.isSlow(slowdown) {
 			if !ep.health.mayTrySlow(c.now, len(l.runs)) && c.now.Add(time.Duration(slowdown*float64(r.Estimate))).After(r.targetEnd(c.now)) {
 				continue
 			}
@@ -363,7 +363,7 @@
 		return v
 	}
 	for _, ep := range c.held() {
-		if !c.usable(ep.lease) || ep.lease.slowdown(c.now) >= slowdownLimit {
+		if !c.usable(ep.lease) || c.isSlow(c.slowdown(ep.lease)) {
 			continue
 		}
 		v.Total += ep.Capacity.Cores
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -125,6 +125,8 @@
 	endedRuns        map[cornelwall.RunID]endedRun
 	lastPrune        time.Time // last removal of old entries from these maps
 	startReplies     replyTimes
+	medianSlowdown   float64  // of the endpoints held; 0 if not known
+	usualSlowdown    float64  // at all endpoints that this entry hears of
 	supersededLeases []*lease // leases on endpoints that other entries have acquired
 
 	jobs          map[string]*job
@@ -146,7 +148,7 @@
 		cfg.MaxMeshPeers = fullMeshPeers
 	}
 	return &Core{
-		cfg: cfg, now: now, startedAt: now, lastTick: now, nameHash: hashOf(cfg.Self.Entry),
+		cfg: cfg, now: now, startedAt: now, lastTick: now, nameHash: hashOf(cfg.Self.Entry), usualSlowdown: 1,
 		peers:           map[cornelwall.Incarnation]*peer{},
 		latestPeers:     map[entryName]*peer{},
 		seedContacted:   map[netip.AddrPort]time.Time{},
--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -163,3 +163,19 @@
 	assert.Assert(t, float64(l.onTime) >= 0.9*float64(l.submitted), "on time: %+v", l)
 	assert.Assert(t, l.served() >= 0.95, "served: %+v", l)
 }
+
+// TestLoadOfUnderestimatedBatches runs a load near the capacity whose tasks take much longer than their
+// callers have declared. The target of a batch follows from how long its work takes, so that a batch
+// must not be given up, nor lose its place, by the declared time once tasks of it have ended.
+func TestLoadOfUnderestimatedBatches(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		r := newSizedRig(seed, mutation{}, 0, size{entries: 4, endpoints: 12, dataCentres: 2})
+		r.exactRunTimes, r.objective, r.estimate = true, objectiveMargin, taskTime/5
+		r.changeQueueConfig()
+		r.w.Advance(2 * time.Second)
+		l := r.playLoad(0.95)
+		t.Logf("%+v", l)
+		assert.Assert(t, float64(l.onTime) >= 0.85*float64(l.submitted), "on time: %+v", l)
+		assert.Assert(t, l.served() >= 0.95, "served: %+v", l)
+	}
+}
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -32,6 +32,7 @@
 	// longObjective keeps batches alive for longer than an owner waits for a silent holder, so that
 	// tasks that are lost this way are retried.
 	longObjective = 2 * time.Second
+	longRunFactor = 5 // see mutation.longRuns
 )
 
 var trace = flag.Bool("trace", false, "print what the entries log")
@@ -48,6 +49,9 @@
 	refuseUndelivered bool // undelivered envelopes count as refused, so that their tasks count as not started
 	staleEventTimes   bool // the events of a batch get the time at which it began
 	latePollNumbers   bool // a poll counts as sent when its answer arrives
+	// longRuns is no broken rule: tasks take five times as long, and are declared to, so that they still
+	// run when their owner gives them up.
+	longRuns bool
 }
 
 type entry struct {
@@ -154,6 +158,9 @@
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{},
 	}
+	if mut.longRuns {
+		r.estimate *= longRunFactor
+	}
 	r.w.Link, r.w.HandleOrder, r.w.OnOutput = r.link, r.sendOrder, r.handleOutput
 	for i := range sz.endpoints {
 		ep := leased.New(fmt.Sprintf("x%d", i), endpointCapacity, r.w.Now)
@@ -393,6 +400,9 @@
 // simulateRun draws how long a run takes at an endpoint, and whether it fails.
 func (r *rig) simulateRun(ep *leased.Endpoint, _ cornelwall.RunID) leased.SimulatedRun {
 	took := float64(30+r.rng.IntN(300)) * float64(time.Millisecond)
+	if r.mutation.longRuns {
+		took *= longRunFactor
+	}
 	if r.exactRunTimes {
 		took = float64(taskTime)
 	}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -18,7 +18,8 @@
 	slowSmoothing      = 0.3                    // weight of one run in the moving average of the slowdown
 	fastSmoothing      = 0.5                    // the same, of a run that is faster than the average
 	slowdownLimit      = 2.5                    // slowdown from which an endpoint counts as slow
-	maxSlowdown        = 10                     // up to which the expected time of a run that stands still counts
+	unusualFactor      = 1.7                    // times the usual slowdown, which a slow endpoint exceeds as well
+	maxSlowdown        = 10                     // relative to the usual one, up to which a run that stands still counts
 	slowTryInterval    = time.Second            // between two trial runs on a slow endpoint
 	minStopGain        = 100 * time.Millisecond // that a restart elsewhere must save at least
 	slowCost           = 1 << 20                // this and the next two are added to the cores left over in chooseLease
@@ -66,17 +67,17 @@
 	return float64(took) / float64(max(estimate, time.Millisecond))
 }
 
-// slowdown returns how much longer than estimated a run takes, at least.
-func (r *run) slowdown(now time.Time) float64 {
-	return min(slowdownOf(r.expectedTime(now), r.Estimate), maxSlowdown)
+// runSlowdown returns how much longer than estimated a run takes, at least.
+func (c *Core) runSlowdown(r *run) float64 {
+	return min(slowdownOf(r.expectedTime(c.now), r.Estimate), maxSlowdown*c.usualSlowdown)
 }
 
 // slowdown returns the slowdown of an endpoint. Runs that have not ended count if they take longer
 // than the average.
-func (l *lease) slowdown(now time.Time) float64 {
+func (c *Core) slowdown(l *lease) float64 {
 	var slow []float64
 	for _, r := range l.runs {
-		if ratio := r.slowdown(now); r.state == runRunning && ratio > 1 {
+		if ratio := c.runSlowdown(r); r.state == runRunning && ratio > 1 {
 			slow = append(slow, ratio)
 		}
 	}
@@ -90,31 +91,68 @@
 	return slowdown
 }
 
+// updateUsualSlowdown determines the slowdown that is usual at the endpoints of this entry and of its
+// peers: the median of their medians, but at least 1. Where all estimates are too low, no endpoint
+// is slow for that.
+func (c *Core) updateUsualSlowdown() {
+	var own []float64
+	for _, ep := range c.held() {
+		if ep.health.slowdown > 0 {
+			own = append(own, ep.health.slowdown)
+		}
+	}
+	c.medianSlowdown = median(own)
+	all := []float64{}
+	if c.medianSlowdown > 0 {
+		all = append(all, c.medianSlowdown)
+	}
+	for _, p := range c.links {
+		if p.slowdown > 0 && c.isResponsive(p) {
+			all = append(all, p.slowdown)
+		}
+	}
+	c.usualSlowdown = max(median(all), 1)
+}
+
+// median returns the median of some values, the lower one of two, or 0 if there are none.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// isSlow reports whether a slowdown is high, also in comparison with the usual one.
+func (c *Core) isSlow(slowdown float64) bool {
+	return slowdown >= max(slowdownLimit, unusualFactor*c.usualSlowdown)
+}
+
 // stopStragglers stops runs on a slow endpoint that are expected to end sooner if they are started
 // again elsewhere, and those that have taken more than 2*slowdownLimit times their estimate.
 func (c *Core) stopStragglers(l *lease) {
-	slowdown := l.slowdown(c.now)
-	if slowdown < slowdownLimit || l.phase != phaseReady {
+	slowdown := c.slowdown(l)
+	if !c.isSlow(slowdown) || l.phase != phaseReady {
 		return
 	}
 	for _, r := range filterRuns(l.runs, func(r *run) bool {
-		return r.state == runRunning && !r.StoppedAsStraggler && r.slowdown(c.now) >= slowdownLimit
+		return r.state == runRunning && !r.StoppedAsStraggler && c.isSlow(c.runSlowdown(r))
 	}) {
 		took, expected := c.now.Sub(r.startedAt), r.expectedTime(c.now)
 		remaining := expected - took
 		if remaining == 0 {
 			remaining = time.Duration(slowdown*float64(r.Estimate)) - took
 		}
-		if remaining > r.Estimate+minStopGain || slowdownOf(took, r.Estimate) > 2*slowdownLimit {
+		if remaining > r.Estimate+minStopGain || c.isSlow(slowdownOf(took, r.Estimate)/2) {
 			c.log("straggler-stopped", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "took", took, "estimate", r.Estimate, "expected", expected, "pace", slowdown)
-			l.ep.health.recordRunTime(c.now, min(expected, maxSlowdown*r.Estimate), r.Estimate)
+			l.ep.health.recordSlowdown(c.now, c.runSlowdown(r))
 			c.stopRun(r)
 		}
 	}
 }
 
-func (h *endpointHealth) recordRunTime(now time.Time, took, estimate time.Duration) {
-	h.slowdown, h.slowdownAt = smoothSlowdown(h.slowdown, slowdownOf(took, estimate)), now
+func (h *endpointHealth) recordSlowdown(now time.Time, ratio float64) {
+	h.slowdown, h.slowdownAt = smoothSlowdown(h.slowdown, ratio), now
 }
 
 // recordAnswer records that the endpoint has answered a start.
@@ -145,7 +183,7 @@
 	switch end {
 	case cornelwall.RunDone:
 		h.failures, h.quarantine, h.probing = 0, 0, false
-		h.recordRunTime(now, took, estimate)
+		h.recordSlowdown(now, slowdownOf(took, estimate))
 	case cornelwall.RunFailed:
 		h.failures++
 		if h.failures >= quarantineFailures || h.probing {
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -30,7 +30,7 @@
 	p.receivedSeq, p.heardAt, p.unansweredSince, p.dead, p.runsExpired = m.Seq, c.now, time.Time{}, false, false
 	p.leaving, p.version, p.noEndpointList, p.platformLost, p.wantsHeartbeats = m.Leaving, m.Version, m.NoEndpointList, m.PlatformLost, m.WantHeartbeats
 	newSession := p.theirSession != m.Session
-	p.theirSession, p.waitingJobs = m.Session, m.Waiting
+	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
 	p.view.freeCapacity = m.FreeCapacity
 	c.highestFence = max(c.highestFence, m.MaxFence)
 	if at := p.sentAt[m.AckedSeq%heartbeatWindow]; m.AckedSeq > 0 && p.sentSeq-m.AckedSeq < heartbeatWindow && at.After(p.provenAt) {
@@ -144,7 +144,7 @@
 func (c *Core) baseHeartbeat() cornelwall.SessionHeartbeat {
 	return cornelwall.SessionHeartbeat{
 		Addr: c.cfg.Addr, Weight: c.cfg.Weight, Leaving: c.isStopping(), Version: c.queueConfig.Version, MaxFence: c.highestFence,
-		FreeCapacity: c.freeCapacity(), PlatformLost: !c.platformUp, NoEndpointList: c.listRev == 0, Waiting: c.waitingByQueue(),
+		FreeCapacity: c.freeCapacity(), PlatformLost: !c.platformUp, NoEndpointList: c.listRev == 0, Waiting: c.waitingByQueue(), Slowdown: c.medianSlowdown,
 	}
 }
 
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -61,6 +61,7 @@
 	noEndpointList bool                 // it has no list of endpoints
 	heartbeatAt    time.Time            // when the last heartbeat to it was sent
 	fullListAt     time.Time            // when the last complete list of endpoints was sent to it
+	slowdown       float64              // median at its endpoints, as last reported
 	waitingJobs    map[string]int       // its batches that have not begun, by queue
 	resend         []cornelwall.Message // that may not have arrived and are safe to repeat
 }
@@ -267,6 +268,7 @@
 		}
 	}
 	c.updateRanking()
+	c.updateUsualSlowdown()
 }
 
 // addLink adds a peer to those that heartbeats go to.
--- a/leased_message.go
+++ b/leased_message.go
@@ -50,6 +50,7 @@
 	NoEndpointList bool           `json:"ask,omitempty"`     // the sender needs a list of endpoints
 	Members        []Member       `json:"members,omitempty"` // in answer to NoEndpointList
 	Waiting        map[string]int `json:"waiting,omitempty"` // batches that have not started, by queue
+	Slowdown       float64        `json:"pace,omitempty"`    // median of the run time / estimate at its endpoints; 0 if not known
 }
 
 // Check reports every problem with the heartbeat.
