Decisions of package dispatch move to a package of their own

core/policy holds the order of the backlog, the choice of holder and endpoint, admission and the end of batches, and the judgement of endpoints, as functions over small types with table tests. core/dispatch keeps the state. An answer to a poll ends only the pause after an unanswered start, not that after a refusal.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -3,20 +3,17 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 const (
 	withdrawalRetention = 15 * time.Second // for which withdrawn runs are remembered: longer than any message is delayed
 	pruneInterval       = time.Second
 	defaultEstimate     = 200 * time.Millisecond
-	classDiscount       = 0.25 // a run of class n has 1/(1 + n*classDiscount) of the value of one of class 0
-	lateWeight          = 0.2  // value of an answer after its due time, relative to one in time
-	minRemaining        = 0.02 // lower bound of a remaining share; the value of a run is inverse to it
 )
 
 // runState is the state of a run at its holder.
@@ -51,7 +48,7 @@
 	lastStopSent    time.Time // last stop, as stops are repeated
 	stopAcked       bool      // the endpoint has accepted the stop
 	startAnswered   bool      // the endpoint is known to have carried out the start
-	progress        progress
+	progress        policy.Progress
 	unansweredTicks int // ticks since its start was ordered, until that is answered
 }
 
@@ -212,27 +209,11 @@
 	}
 }
 
-// value returns the value per unit of work of a run that starts at a time. It is higher for classes
-// of high priority, for batches with few tasks left to start and for those that can still be on
-// time, and 0 if the answer would come too late to be useful.
-func (r *run) value(now time.Time) float64 {
-	v := 1 / ((1 + classDiscount*float64(r.class)) * max(r.remaining, minRemaining))
-	switch end := now.Add(r.Estimate); {
-	case !end.After(r.due):
-		return v
-	case !end.After(r.usefulUntil):
-		return lateWeight * v
-	}
-	return 0
-}
-
-// targetEnd returns the time by which a run that starts now should end: the due time of its batch or,
-// if that is out of reach, the time until which the answer is useful.
-func (r *run) targetEnd(now time.Time) time.Time {
-	if now.Add(r.Estimate).After(r.due) {
-		return r.usefulUntil
+// waiting returns what the place of a run in the backlog depends on.
+func (r *run) waiting() *policy.Waiting {
+	return &policy.Waiting{
+		Class: r.class, Remaining: r.remaining, BatchSize: r.batchSize, Estimate: r.Estimate, Due: r.due, UsefulUntil: r.usefulUntil,
 	}
-	return r.due
 }
 
 // sortBacklog sorts the waiting runs by value, highest first, and runs of equal value by due time.
@@ -243,13 +224,7 @@
 	})
 }
 
-// unstartedTasks returns how many tasks of the run's batch have not started, at all holders.
-func (r *run) unstartedTasks() int { return int(math.Round(r.remaining * float64(r.batchSize))) }
-
-// backlogValues returns the value of each waiting run. A batch is on time only if the last of its
-// tasks is. A run is therefore valued as if it started after all its siblings in the backlog, and
-// after one more place has become free if tasks of its batch wait at other holders, as these need
-// one too.
+// backlogValues returns the value of each waiting run.
 func (c *Core) backlogValues() map[*run]float64 {
 	siblings := map[string]int{}
 	for _, r := range c.backlog {
@@ -261,13 +236,8 @@
 	}
 	values := make(map[*run]float64, len(c.backlog))
 	for _, r := range c.backlog {
-		here := siblings[stepName(r.id.Task)]
-		ahead := here - 1
-		if r.unstartedTasks() > here {
-			ahead = here
-		}
-		turn := time.Duration(float64(r.Need.Cores*ahead) / float64(max(total, 1)) * float64(r.Estimate))
-		values[r] = r.value(c.now.Add(turn))
+		share := float64(r.Need.Cores) / float64(max(total, 1))
+		values[r] = r.waiting().ValueAmong(c.now, siblings[stepName(r.id.Task)], share)
 	}
 	return values
 }
@@ -302,37 +272,37 @@
 	}
 }
 
-// chooseLease returns the lease on the best endpoint for a run, or nil if the run fits on none. The
-// choice is best fit, the endpoint with the least cores left over; slow endpoints, the one to avoid
-// and those of other racks come last.
+// chooseLease returns the lease on the best endpoint for a run, or nil if there is none for it.
 func (c *Core) chooseLease(r *run, held []*endpoint) *lease {
 	var best *lease
 	var bestCost int
+	waiting := r.waiting()
 	for _, ep := range held {
 		l := ep.lease
 		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Capacity.Minus(l.used)) {
 			continue
 		}
-		cost := ep.Capacity.Cores - l.used.Cores - r.Need.Cores
-		if slowdown := c.slowdown(l); c.isSlow(slowdown) {
-			if !ep.health.mayTrySlow(c.now, len(l.runs)) && c.now.Add(time.Duration(slowdown*float64(r.Estimate))).After(r.targetEnd(c.now)) {
-				continue
-			}
-			cost += slowCost
-		}
-		if r.AvoidEndpoint == ep.ID {
-			cost += avoidCost
-		}
-		if r.Rack != "" && !slices.Contains(ep.Labels, r.Rack) {
-			cost += otherRackCost
-		}
-		if best == nil || cost < bestCost {
+		option := c.endpointOption(r, l)
+		if cost, ok := option.Cost(c.now, waiting); ok && (best == nil || cost < bestCost) {
 			best, bestCost = l, cost
 		}
 	}
 	return best
 }
 
+// endpointOption returns what the choice of an endpoint for a run depends on.
+func (c *Core) endpointOption(r *run, l *lease) policy.EndpointOption {
+	slowdown := c.slowdown(l)
+	return policy.EndpointOption{
+		CoresLeft: l.ep.Capacity.Cores - l.used.Cores - r.Need.Cores,
+		Slowdown:  slowdown,
+		IsSlow:    policy.IsSlow(slowdown, c.usualSlowdown),
+		MayTry:    l.ep.health.MayTrySlow(c.now, len(l.runs)),
+		Avoid:     r.AvoidEndpoint == l.ep.ID,
+		OtherRack: r.Rack != "" && !slices.Contains(l.ep.Labels, r.Rack),
+	}
+}
+
 // allowed reports whether the requirements and limits of a run permit it on an endpoint.
 func (c *Core) allowed(r *run, l *lease) bool {
 	if l.ep.Service != r.service || r.Requires != "" && !slices.Contains(l.ep.Labels, r.Requires) {
@@ -353,7 +323,7 @@
 // usable reports whether new runs may start under a lease.
 func (c *Core) usable(l *lease) bool {
 	return l.phase == phaseReady && !l.ep.Leaving && !c.isGone(l.ep) && !l.clockAt.IsZero() &&
-		!l.mustExpire(c.now) && l.ep.health.mayStart(c.now, len(l.runs))
+		!l.mustExpire(c.now) && l.ep.health.MayStart(c.now, len(l.runs))
 }
 
 // freeCapacity returns the free capacity and the queued work of this entry.
@@ -363,7 +333,7 @@
 		return v
 	}
 	for _, ep := range c.held() {
-		if !c.usable(ep.lease) || c.isSlow(c.slowdown(ep.lease)) {
+		if !c.usable(ep.lease) || c.isSlow(ep.lease) {
 			continue
 		}
 		v.Total += ep.Capacity.Cores
@@ -372,8 +342,8 @@
 		}
 	}
 	for _, r := range c.backlog {
-		if r.value(c.now) > 0 {
-			v.Queued = addQueued(v.Queued, r.class, r.Need, r.Estimate)
+		if r.waiting().Value(c.now) > 0 {
+			v.Queued = policy.AddQueued(v.Queued, r.class, r.Need, r.Estimate)
 		}
 	}
 	return v
--- a/core/dispatch/backlog_test.go
+++ b/core/dispatch/backlog_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 // TestBacklogValueCountsTasksElsewhere queues tasks whose batches have another task at another
@@ -37,7 +38,7 @@
 	values := c.backlogValues()
 	assert.Equal(t, values[alone], 1.0)
 	assert.Equal(t, values[onTime], 1.0)
-	assert.Equal(t, values[late], lateWeight)
+	assert.Equal(t, values[late], 0.2)
 
 	c.handleBatchProgress(&cornelwall.BatchProgress{Runs: []cornelwall.RunID{late.id}, Remaining: 0.5})
 	assert.Equal(t, c.backlogValues()[late], 2.0)
@@ -52,7 +53,7 @@
 	addr := netip.MustParseAddrPort("10.0.0.1:7001")
 	c := New(Config{Self: self, Addr: addr}, now)
 	j := &job{
-		id: "a", batch: &cornelwall.BatchJob{Steps: []cornelwall.Step{{Count: 6}}}, estimates: []stepEstimate{{current: 50 * time.Millisecond}},
+		id: "a", batch: &cornelwall.BatchJob{Steps: []cornelwall.Step{{Count: 6}}}, estimates: []policy.StepEstimate{{Current: 50 * time.Millisecond}},
 		reportedRemaining: 1, due: now.Add(100 * time.Millisecond), usefulUntil: now.Add(300 * time.Millisecond),
 	}
 	holders := make([]cornelwall.Incarnation, 6)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -52,6 +52,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 // Limits are the times that the platform guarantees.
@@ -124,7 +125,7 @@
 	transferredRuns  map[cornelwall.RunID]transferredRun
 	endedRuns        map[cornelwall.RunID]endedRun
 	lastPrune        time.Time // last removal of old entries from these maps
-	startReplies     replyTimes
+	startReplies     policy.ReplyTimes
 	medianSlowdown   float64  // of the endpoints held; 0 if not known
 	usualSlowdown    float64  // at all endpoints that this entry hears of
 	supersededLeases []*lease // leases on endpoints that other entries have acquired
--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 const (
@@ -22,7 +23,7 @@
 	unreachableUntil time.Time // until when it is left to other entries, as it does not answer this one
 	retakeAt         time.Time // until when it is left to the entry that has taken it over
 	lease            *lease    // of this entry; nil if it does not hold the endpoint
-	health           endpointHealth
+	health           policy.Health
 	reportsProgress  bool // it has reported the progress of a run
 
 	preferred, alternate cornelwall.Incarnation // entry that should hold it, and the one that should if this entry does not
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 // finishJob answers the callers of a job and withdraws its remaining runs.
@@ -119,22 +120,20 @@
 		if j == nil {
 			continue
 		}
-		limit := j.deadline
-		if !j.started {
-			limit = j.cutoff().Add(-j.minRunTime())
+		if c.resuming() {
+			continue
 		}
-		switch left := limit.Sub(c.now); {
-		case c.resuming():
-		case !j.started && j.unassigned() && (left <= 0 || j.refusing):
+		switch j.facts().Judge(c.now) {
+		case policy.Refuse:
 			c.finishJob(j, cornelwall.BatchAnswer{
 				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
 				Text: "the batch could not be done in time and has not run; come back later",
 			})
-		case left <= 0 && c.now.After(j.deadline):
+		case policy.GiveUpAtDeadline:
 			c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; what still runs is stopped"})
-		case j.started && c.now.Add(j.minRemainingTime()).After(j.cutoff()):
+		case policy.GiveUpTooLate:
 			c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; what still runs is stopped"})
-		case !j.started && !j.refusing && left <= withdrawMargin:
+		case policy.WithdrawWaiting:
 			j.refusing = true
 			c.withdrawTasks(j, true)
 		default:
@@ -144,30 +143,24 @@
 	}
 }
 
-// cutoff returns the time after which the callers no longer wait for the job or the answer is of
-// little use, whichever comes first.
-func (j *job) cutoff() time.Time {
-	if j.usefulUntil.Before(j.deadline) {
-		return j.usefulUntil
+// facts returns what the end of a job depends on.
+func (j *job) facts() *policy.Batch {
+	return &policy.Batch{
+		UsefulUntil: j.usefulUntil, Deadline: j.deadline, CriticalPath: j.criticalPath, LongestUnstarted: j.longestUnstarted(),
+		Started: j.started, Unassigned: j.unassigned(), Withdrawn: j.refusing,
 	}
-	return j.deadline
-}
-
-// minRunTime returns a lower bound of the time that the job takes.
-func (j *job) minRunTime() time.Duration {
-	return time.Duration(minRunTimeShare * float64(j.criticalPath))
 }
 
-// minRemainingTime returns a lower bound of the run time of the tasks that have not started. It is
-// negative if there are none.
-func (j *job) minRemainingTime() time.Duration {
-	least := -time.Hour
+// longestUnstarted returns the estimated run time of the longest task that has not started. It is
+// negative if all have.
+func (j *job) longestUnstarted() time.Duration {
+	longest := time.Duration(-1)
 	for _, t := range j.tasks {
 		if t.state == taskIdle || t.state == taskAssigned {
-			least = max(least, time.Duration(minRunTimeShare*float64(j.estimate(t.step))))
+			longest = max(longest, j.estimate(t.step))
 		}
 	}
-	return least
+	return longest
 }
 
 // unassigned reports whether all tasks of the job are idle.
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -31,7 +31,7 @@
 	p.leaving, p.version, p.noEndpointList, p.platformLost, p.wantsHeartbeats = m.Leaving, m.Version, m.NoEndpointList, m.PlatformLost, m.WantHeartbeats
 	newSession := p.theirSession != m.Session
 	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
-	p.view.freeCapacity = m.FreeCapacity
+	p.view.Capacity = m.FreeCapacity
 	c.highestFence = max(c.highestFence, m.MaxFence)
 	if at := p.sentAt[m.AckedSeq%heartbeatWindow]; m.AckedSeq > 0 && p.sentSeq-m.AckedSeq < heartbeatWindow && at.After(p.provenAt) {
 		p.provenAt = at
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -5,17 +5,16 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 const (
 	answerMargin      = 15 * time.Millisecond  // before the caller's deadline, so that the answer still arrives
-	withdrawMargin    = 120 * time.Millisecond // before the deadline, to withdraw tasks that have not started
 	minRetryBackoff   = 5 * time.Millisecond   // before a task that did not start is assigned again
 	maxRetryBackoff   = 160 * time.Millisecond // the backoff doubles with each missed start up to this
 	minRetryAfter     = 500 * time.Millisecond // earliest retry of a refused caller
 	retryAfterSpread  = time.Second            // over which such retries are spread
 	progressThreshold = 0.9                    // of the remaining share last sent to holders; they get an update below it
-	minRunTimeShare   = 0.5                    // share of the estimated run time that is taken as the lower bound of the real one
 )
 
 // taskState is the state of a task as its owner knows it.
@@ -77,7 +76,7 @@
 	due               time.Time // target time
 	usefulUntil       time.Time // after it the answer is of little use
 	deadline          time.Time
-	estimates         []stepEstimate
+	estimates         []policy.StepEstimate
 	criticalPath      time.Duration // estimated run time of its longest chain of dependent steps
 	started           bool          // a task may have run
 	refusing          bool          // its waiting tasks were withdrawn; it is refused once all are back
@@ -148,7 +147,7 @@
 	}
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
-		j.estimates = append(j.estimates, stepEstimate{current: s.Estimate})
+		j.estimates = append(j.estimates, policy.StepEstimate{Current: s.Estimate})
 		j.unfinished[i] = s.Count
 		for n := range s.Count {
 			j.tasks = append(j.tasks, &task{job: j, step: i, name: fmt.Sprintf("%s.0.%d.%d", j.id, i, n)})
@@ -160,14 +159,15 @@
 
 // admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone.
 func (c *Core) admissionRefusal(j *job) cornelwall.Reason {
-	least, end := j.minRunTime(), j.cutoff()
-	if c.isStopping() && c.now.Add(2*least).After(c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
+	b := j.facts()
+	if c.isStopping() && !b.FitsBefore(c.now, c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
 		return cornelwall.ReasonStopping
 	}
-	if c.now.Add(least).After(end) {
+	wait := policy.ShortestWait(c.holderOptions(), j.batch.Steps[0].Need, j.queue.Priority)
+	switch b.Admit(c.now, wait) {
+	case policy.RefuseTooLate:
 		return cornelwall.ReasonTooLate
-	}
-	if wait := c.expectedWait(j); c.now.Add(wait + j.criticalPath).After(end) {
+	case policy.RefuseFull:
 		return cornelwall.ReasonQueueFull
 	}
 	return cornelwall.ReasonNone
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 const (
@@ -231,7 +232,7 @@
 	case len(l.runs) > 0:
 		if l.openPolls == 0 || since >= pollWait+pollMargin || l.unansweredFor(c.now) > pollWait+pollMargin && since >= pollRetryInterval {
 			c.poll(l, pollWait)
-		} else if l.hasUnconfirmedStop() && since >= confirmPollInterval || l.wantsProgress(c.now) && since >= minProgressSpan {
+		} else if l.hasUnconfirmedStop() && since >= confirmPollInterval || l.wantsProgress(c.now) && since >= policy.MinProgressSpan {
 			c.poll(l, 0)
 		}
 	case l.ackedEnd > l.ackedEndSent && l.openPolls == 0 && c.now.Sub(l.lastEndAt) >= ackDelay:
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -70,14 +70,14 @@
 // tasks to.
 func (c *Core) lowOnCapacity() bool {
 	if c.isStopping() {
-		return len(c.jobs) > 0 && len(c.candidates()) == 0
+		return len(c.jobs) > 0 && len(c.holderOptions()) == 0
 	}
 	if len(c.held()) > 0 && (c.lastSubmit.IsZero() || c.now.Sub(c.lastSubmit) > busyWindow) {
 		return false
 	}
 	n := 0
-	for _, h := range c.candidates() {
-		n += h.view.freePlaces(c.lastBatchNeed)
+	for _, h := range c.holderOptions() {
+		n += h.View.FreePlaces(c.lastBatchNeed)
 	}
 	return n < minSpareTasks
 }
@@ -94,7 +94,7 @@
 			continue
 		}
 		links++
-		if p.id.DataCentre == c.cfg.Self.DataCentre && c.canAssign(p) && p.view.freePlaces(c.lastBatchNeed) == 0 {
+		if p.id.DataCentre == c.cfg.Self.DataCentre && c.canAssign(p) && p.view.FreePlaces(c.lastBatchNeed) == 0 {
 			full++
 		}
 	}
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -45,7 +45,7 @@
 	default:
 		r.startAnswered = r.startAnswered || ev.Refusal == cornelwall.RefusedNone
 		if r.startAnswered && ev.Clock > 0 {
-			r.progress.record(c.now, 0, ev.Clock)
+			r.progress.Record(c.now, 0, ev.Clock)
 		}
 		c.handleStartResult(r, ev.Refusal)
 	}
@@ -73,8 +73,8 @@
 	health := &r.lease.ep.health
 	switch refusal {
 	case cornelwall.RefusedNone:
-		health.recordAnswer()
-		c.startReplies.record(c.now.Sub(r.startedAt))
+		health.RecordAnswer()
+		c.startReplies.Record(c.now.Sub(r.startedAt))
 		if r.endProofPoll == 0 {
 			r.endProofPoll = r.lease.lastPoll + 1
 		}
@@ -86,13 +86,8 @@
 	case cornelwall.RefusedUnknown:
 		c.abandonStart(r)
 		return
-	case cornelwall.RefusedRoom:
-		health.recordRefusal(c.now, fullBackoff)
-	case cornelwall.RefusedUnhealthy, cornelwall.RefusedInvalid:
-		health.recordRefusal(c.now, unhealthyBackoff)
-	case cornelwall.RefusedConnect:
-		health.recordSilence(c.now)
 	}
+	health.RecordRefusal(c.now, refusal)
 	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "why", refusal)
 	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
@@ -106,7 +101,7 @@
 		}
 		return
 	}
-	r.lease.ep.health.recordSilence(c.now)
+	r.lease.ep.health.RecordSilence(c.now)
 	c.log("start-unanswered", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "after", c.now.Sub(r.startedAt))
 	c.stopRun(r)
 }
@@ -114,7 +109,7 @@
 // abandonUnansweredStarts stops the runs of a lease whose starts have got no answer within the time
 // that answers usually take. Time in which this process did not run does not count.
 func (c *Core) abandonUnansweredStarts(l *lease) {
-	limit := c.startReplies.timeout()
+	limit := c.startReplies.Timeout()
 	for _, r := range filterRuns(l.runs, func(r *run) bool { return r.state == runStarting }) {
 		r.unansweredTicks++
 		if time.Duration(r.unansweredTicks-1)*tickInterval > limit {
@@ -151,7 +146,7 @@
 	if refusal != cornelwall.RefusedNone || r.state != runStopping || r.stopAcked {
 		return // a stop without an answer is sent again by pollIfDue
 	}
-	r.lease.ep.health.recordContact(c.now)
+	r.lease.ep.health.RecordContact()
 	r.stopAcked, r.endProofPoll = true, r.lease.lastPoll+1
 	if r.lease.openPolls < maxOpenPolls {
 		c.poll(r.lease, 0)
@@ -170,7 +165,7 @@
 	delete(c.runs, r.id)
 	c.backlogChanged = true
 	took := c.now.Sub(r.startedAt)
-	l.ep.health.recordEnd(c.now, end, took, r.Estimate)
+	l.ep.health.RecordEnd(c.now, end, took, r.Estimate)
 	result := cornelwall.RunResult{RunID: r.id, End: end, Endpoint: l.ep.ID, Took: took}
 	c.endedRuns[r.id] = endedRun{result: result, endedAt: c.now}
 	c.sendResult(r.owner, result)
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/policy"
 )
 
 const (
@@ -39,7 +40,7 @@
 	leaving         bool      // it is stopping
 	platformLost    bool      // it cannot read the platform
 	version         uint64    // of its queue config
-	view            holderView
+	view            policy.HolderView
 
 	linkUsedAt      time.Time // when the link to it was last needed
 	wantsHeartbeats bool      // it needs the heartbeats of this entry
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -57,7 +57,7 @@
 		}
 	}
 	l.boot, l.answeredAt, l.unansweredSince = ev.Boot, c.now, time.Time{}
-	l.ep.health.recordContact(c.now)
+	l.ep.health.RecordContact()
 	c.updateClock(l, ev.Clock)
 	for i := range ev.Ended {
 		c.recordListedEnd(l, &ev.Ended[i])
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, p := range c.peersByID {
-		if c.canAssign(p) && p.view.freeCapacity.Total > 0 {
+		if c.canAssign(p) && p.view.Capacity.Total > 0 {
 			return true
 		}
 	}
--- a/core/dispatch/estimates_test.go
+++ b/core/policy/estimate_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package policy
 
 import (
 	"testing"
@@ -8,7 +8,6 @@
 )
 
 func TestStepEstimate(t *testing.T) {
-	const ms = time.Millisecond
 	for _, tc := range []struct {
 		name string
 		took []time.Duration
@@ -21,11 +20,11 @@
 		{"shorter ones may only have ended first", []time.Duration{10 * ms, 11 * ms}, 100 * ms},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			e := stepEstimate{current: 100 * ms}
+			e := StepEstimate{Current: 100 * ms}
 			for _, took := range tc.took {
-				e.observe(took)
+				e.Observe(took)
 			}
-			assert.Equal(t, e.current, tc.want)
+			assert.Equal(t, e.Current, tc.want)
 		})
 	}
 }
--- /dev/null
+++ b/core/policy/holder_test.go
@@ -0,0 +1,61 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// TestReserveWithWrongNumberOfClasses reserves capacity of a peer that reports its queue by fewer
+// or more classes than there are, which must not panic.
+func TestReserveWithWrongNumberOfClasses(t *testing.T) {
+	for _, queued := range [][]int{nil, {}, {1}, {1, 2, 3, 4, 5}} {
+		v := HolderView{Capacity: cornelwall.FreeCapacity{Total: 16000, Queued: queued}}
+		v.Reserve(cornelwall.Resources{Cores: 8000}, cornelwall.FreeCapacityClasses+1, time.Second)
+	}
+}
+
+// TestPickHolder assigns tasks of 8 cores between this entry, a peer in its data centre and a remote
+// one.
+func TestPickHolder(t *testing.T) {
+	need := cornelwall.Resources{Cores: 8000}
+	free := cornelwall.FreeCapacity{Total: 32000, Free: []cornelwall.Resources{{Cores: 16000}, {Cores: 16000}}}
+	full := cornelwall.FreeCapacity{Total: 32000}
+	crowded := cornelwall.FreeCapacity{Total: 32000, Queued: []int{0, 8000 * 400}}
+	near, far := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2"}, cornelwall.Incarnation{DataCentre: "dc1", Entry: "e3"}
+	for _, tc := range []struct {
+		name             string
+		self, near, far  cornelwall.FreeCapacity
+		missedAtNear     int
+		want             string
+		returnedIfIsBusy bool
+	}{
+		{"own capacity first", free, free, free, 0, "self", false},
+		{"then the own data centre", full, free, free, 0, "near", true},
+		{"then others", full, full, free, 0, "far", true},
+		{"all full", full, full, full, 0, "self", false},
+		{"shortest queue of its class", crowded, full, crowded, 0, "near", false},
+		{"not where it has just missed a start", full, free, free, 1, "far", true},
+		{"no capacity", cornelwall.FreeCapacity{}, cornelwall.FreeCapacity{}, cornelwall.FreeCapacity{}, 0, "", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			options := []HolderOption{
+				{ID: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1"}, View: &HolderView{Capacity: tc.self, Exact: true}, IsSelf: true},
+				{ID: near, View: &HolderView{Capacity: tc.near}, SameCentre: true},
+				{ID: far, View: &HolderView{Capacity: tc.far}},
+			}
+			task := IdleTask{Need: need, Class: 1, LastHolder: near, MissedStarts: tc.missedAtNear}
+			best := PickHolder(options, &task)
+			if tc.want == "" {
+				assert.Assert(t, best == nil)
+				return
+			}
+			names := map[string]string{"e1": "self", "e2": "near", "e3": "far"}
+			assert.Equal(t, names[best.ID.Entry], tc.want)
+			assert.Equal(t, task.ReturnIfBusy(best), tc.returnedIfIsBusy)
+		})
+	}
+}
