Settle sooner after a start

Cause: after a loss of all entries the callers who had waited come at once, while endpoints are acquired only once the entries have listened for 120 ms, the set of entries has been stable for 40 ms and the endpoint free for 60 ms. Halved, that is still several round trips and one tick of an entry.

--- a/core/dispatch/acquire.go
+++ b/core/dispatch/acquire.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	minSettleTime          = 120 * time.Millisecond  // after the start, for the other entries to be heard
-	stableTime             = 40 * time.Millisecond   // without a change of the eligible entries, for the same purpose
+	minSettleTime          = 60 * time.Millisecond   // after the start, for the other entries to be heard
+	stableTime             = 20 * time.Millisecond   // without a change of the eligible entries, for the same purpose
 	maxSettleTime          = time.Second             // after the start, when an entry acquires endpoints whatever it has heard
-	freeDelay              = 60 * time.Millisecond   // from endpoint.freeSince, after which an endpoint without a holder is acquired
+	freeDelay              = 30 * time.Millisecond   // from endpoint.freeSince, after which an endpoint without a holder is acquired
 	handoverRequestTimeout = 1500 * time.Millisecond // for the holder to hand over an endpoint that it was asked for
 	handoverRequestSilence = 200 * time.Millisecond  // without a heartbeat from the holder, after which its answer is no longer awaited
 	retakeDelay            = time.Second             // before an endpoint that another entry has taken over may be acquired again
