--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,17 +23,21 @@
 //
 // # Files
 //
-// Owner: jobs.go accepts batches, assign.go chooses holders, tasks.go processes the results of
-// runs, finish.go answers callers, and pendingends.go tracks withdrawn runs until they have ended.
+// What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
+// policy; this package keeps the state and acts.
+//
+// Owner: jobs.go accepts batches, estimates.go corrects their targets, assign.go assigns tasks to
+// holders, tasks.go processes the results of runs, finish.go answers callers, and pendingends.go
+// tracks withdrawn runs until they have ended.
 //
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
-// leaseend.go ends leases and transfers their runs, and orders.go starts and stops runs.
+// leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
+// follows the progress of runs, and health.go finds slow endpoints and stops stragglers there.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
-// which endpoint and hands endpoints over, acquire.go acquires those that this entry should hold,
-// and health.go tracks which can take runs.
+// which endpoint and hands endpoints over, and acquire.go acquires those that this entry should hold.
 //
 // Other entries: peers.go tracks which are alive, links.go which of them exchange heartbeats,
 // heartbeats.go sends and receives these, sessions.go withdraws the runs of owners that may not
@@ -266,7 +270,7 @@
 	}
 	v := c.freeCapacity()
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
-		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp)
+		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
