--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cornelwall"
 )
@@ -153,11 +154,18 @@
 		return
 	}
 	j.reportedRemaining = remaining
-	byHolder, order := j.runsByHolder(func(t *task) bool { return t.state == taskAssigned && !t.returnIfBusy })
+	estimates := map[cornelwall.RunID]time.Duration{}
+	byHolder, order := j.runsByHolder(func(t *task) bool {
+		waits := t.state == taskAssigned && !t.returnIfBusy
+		if waits {
+			estimates[t.run] = j.estimate(t.step)
+		}
+		return waits
+	})
 	for _, id := range order {
 		m := &cornelwall.BatchProgress{Runs: byHolder[id], Remaining: remaining, DueIn: j.due.Sub(c.now), UsefulFor: j.usefulUntil.Sub(c.now)}
 		for _, run := range m.Runs {
-			m.Estimates = append(m.Estimates, j.estimate(c.tasksByRun[run].step))
+			m.Estimates = append(m.Estimates, estimates[run])
 		}
 		c.send(id, cornelwall.Message{BatchProgress: m})
 	}
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -55,7 +55,10 @@
 }
 
 // RecordAnswer records that the endpoint has answered a start.
-func (h *Health) RecordAnswer() { h.silenceBackoff, h.unanswered = 0, 0 }
+func (h *Health) RecordAnswer() {
+	h.RecordContact()
+	h.silenceBackoff, h.unanswered = 0, 0
+}
 
 // RecordSilence records a start that got no answer or no connection.
 func (h *Health) RecordSilence(now time.Time) {
