--- a/core/policy/verdict.go
+++ b/core/policy/verdict.go
@@ -7,6 +7,9 @@
 	withdrawMargin  = 120 * time.Millisecond // before the last time to start, to withdraw tasks that have not started
 )
 
+//go:generate go tool enumer -type=Verdict -transform=kebab -output=verdict_gen.go
+//go:generate go tool enumer -type=Admission -transform=kebab -output=admission_gen.go
+
 // Verdict is what is to be done with a batch.
 type Verdict int
 
