--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -49,7 +49,7 @@
 			}
 		}
 		s := &j.batch.Steps[t.step]
-		idle := policy.IdleTask{Need: s.Need, Class: j.queue.Priority, LastHolder: t.holder, MissedStarts: t.missedStarts}
+		idle := policy.IdleTask{Need: s.Need, Class: j.queue.Priority, MissedStarts: t.missedStarts}
 		best := policy.PickHolder(holders, &idle)
 		if best == nil || best.View.FreePlaces(s.Need) == 0 {
 			c.seekCapacity()
--- a/core/policy/holder.go
+++ b/core/policy/holder.go
@@ -13,7 +13,6 @@
 	otherCentreCost = 4.0   // ms, for a holder in another data centre
 	staleViewCost   = 8.0   // ms, divided by the places free at another entry, as its report may be outdated
 	releaseTime     = 150.0 // ms, assumed wait until an occupied place becomes free
-	missedStartCost = 40.0  // ms, for each time in a row that a task did not start, at its last holder
 	maxBusyReturns  = 2     // times that a busy holder may return a task before the task waits there
 )
 
@@ -106,8 +105,7 @@
 type IdleTask struct {
 	Need         cornelwall.Resources
 	Class        int
-	LastHolder   cornelwall.Incarnation
-	MissedStarts int // consecutive assignments that did not start, the last one at LastHolder
+	MissedStarts int // consecutive assignments that did not start
 }
 
 // PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity.
@@ -120,9 +118,6 @@
 			continue
 		}
 		cost := o.distanceCost() + o.View.ExpectedWait(t.Need, t.Class)
-		if o.ID == t.LastHolder {
-			cost += missedStartCost * float64(t.MissedStarts)
-		}
 		if best == nil || cost < bestCost {
 			best, bestCost = o, cost
 		}
