--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// logEnd logs the answer to a job, and how the task went that held it up: how long it waited before
-// its last start, and how long its last run took where.
+// logEnd logs the answer to a job and what held it up: how long its last task waited before its last
+// start, and how long that run took at which endpoint.
 func (c *Core) logEnd(j *job, a cornelwall.BatchAnswer) {
 	failed, lost := 0, 0
 	for _, t := range j.tasks {
@@ -115,15 +115,15 @@
 // others. A job that has started is given up. One that has not is refused, once its waiting tasks
 // are withdrawn.
 func (c *Core) checkJobs() {
+	if c.resuming() {
+		return
+	}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		if j == nil {
 			continue
 		}
-		if c.resuming() {
-			continue
-		}
-		switch j.facts().Judge(c.now) {
+		switch j.policyBatch().Judge(c.now) {
 		case policy.Refuse:
 			c.finishJob(j, cornelwall.BatchAnswer{
 				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
@@ -143,8 +143,8 @@
 	}
 }
 
-// facts returns what the end of a job depends on.
-func (j *job) facts() *policy.Batch {
+// policyBatch returns what the admission and the end of a job depend on.
+func (j *job) policyBatch() *policy.Batch {
 	return &policy.Batch{
 		UsefulUntil: j.usefulUntil, Deadline: j.deadline, CriticalPath: j.criticalPath, LongestUnstarted: j.longestUnstarted(),
 		Started: j.started, Unassigned: j.unassigned(), Withdrawn: j.refusing,
