--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -99,6 +99,19 @@
 	})
 }
 
+// TestLongRuns runs histories whose tasks last longer than their owner waits for a silent holder.
+func TestLongRuns(t *testing.T) {
+	for name, actions := range map[string][]action{"all": allActions, "partitions": partitions, "late orders": lateOrders, "slow entries": slowEntries} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				r := runSeed(seed, mutation{longRuns: true}, actions)
+				assert.Equal(t, r.failure, "", "seed %d", seed)
+			}
+		})
+	}
+}
+
 const maxMutantHistories = 100
 
 // TestMutants breaks one rule at a time. The checks must detect each mutation.
@@ -112,8 +125,8 @@
 		{"poll results hide what runs", mutation{hideRunning: true}, allActions, 0},
 		{"acknowledgements are forged", mutation{forgeAcks: true, longRuns: true}, partitions, 0},
 		{"late assignments carry a fresh session", mutation{refreshSessions: true}, partitions, 0},
-		{"endpoints ignore fences", mutation{ignoreFences: true}, allActions, 0},
-		{"endpoints accept expired starts", mutation{extendStartLeases: true}, lateOrders, 0},
+		{"endpoints ignore fences", mutation{ignoreFences: true, longRuns: true}, allActions, 0},
+		{"endpoints accept expired starts", mutation{extendStartLeases: true, longRuns: true}, lateOrders, 0},
 		{"undelivered tasks count as not started", mutation{refuseUndelivered: true}, partitions, 400},
 		{"events get the time of their batch", mutation{staleEventTimes: true}, slowEntries, 0},
 		{"polls count as sent when answered", mutation{latePollNumbers: true}, slowEntries, 0},
