--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"cornelwall"
