Explain and check open their input in one place; explain assembles one batch only

openInput serves both commands. "explain JOB" assembled all batches of the logs to find one, and judged it twice. The longest lease in endLapsedRuns is computed once. Behaviour is as before.

--- a/cmd/cornelwall/check.go
+++ b/cmd/cornelwall/check.go
@@ -148,19 +148,27 @@
 	return c.Run(ctx, args)
 }
 
+// openInput opens a file for reading, or stdin for "-".
+func openInput(file string) (io.ReadCloser, error) {
+	if file == "-" {
+		return io.NopCloser(os.Stdin), nil
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w; name a file that can be read", err)
+	}
+	return f, nil
+}
+
 // readLines returns the lines of a file, or of stdin for "-".
 func readLines(file string) ([]string, error) {
-	r := io.Reader(os.Stdin)
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return nil, fmt.Errorf("%w; name a file that can be read", err)
-		}
-		defer func() { _ = f.Close() }()
-		r = f
+	f, err := openInput(file)
+	if err != nil {
+		return nil, err
 	}
+	defer func() { _ = f.Close() }()
 	var lines []string
-	scan := bufio.NewScanner(r)
+	scan := bufio.NewScanner(f)
 	for scan.Scan() {
 		lines = append(lines, scan.Text())
 	}
--- a/cmd/cornelwall/explain.go
+++ b/cmd/cornelwall/explain.go
@@ -5,7 +5,6 @@
 	"encoding/csv"
 	"errors"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -78,14 +77,14 @@
 }
 
 func readLog(l *explain.Log, name string) error {
-	if name == "-" {
-		return l.Read("stdin", os.Stdin)
-	}
-	f, err := os.Open(name)
+	f, err := openInput(name)
 	if err != nil {
-		return fmt.Errorf("%w; name a file that can be read", err)
+		return err
 	}
 	defer func() { _ = f.Close() }()
+	if name == "-" {
+		name = "stdin" // as it is named in problems
+	}
 	return l.Read(name, f)
 }
 
@@ -104,11 +103,10 @@
 		t.add(line.At.Format(explainTime), line.Entry, line.Event, formatFields(line.Fields))
 	}
 	causes := []explainedBatch{}
-	for _, b := range l.Batches() {
-		if b.ID == id {
-			causes = append(causes, explainedBatch{b.Owner, b.ArrivedAt, b.Cause()})
-			t.add(b.ArrivedAt.Format(explainTime), b.Owner, "cause", b.Cause().String())
-		}
+	for _, b := range explain.BatchesOf(lines) {
+		cause := b.Cause()
+		causes = append(causes, explainedBatch{b.Owner, b.ArrivedAt, cause})
+		t.add(b.ArrivedAt.Format(explainTime), b.Owner, "cause", cause.String())
 	}
 	return printResult(c, struct {
 		Lines   []explain.Line   `json:"lines"`
--- a/core/dispatch/estimates.go
+++ b/core/dispatch/estimates.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // estimate returns the estimated run time of a step's tasks.
 func (j *job) estimate(step int) time.Duration { return j.estimates[step].Current }
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -302,8 +302,8 @@
 // asks for is not over and is cut to the longest one. A run whose start got no answer is therefore
 // kept until that has ended too.
 func (c *Core) endLapsedRuns(l *lease) {
+	longest := time.Duration(float64(c.cfg.Limits.MaxLease)/(1-clockDrift)) + c.cfg.Limits.StopDelay + expiryMargin
 	lapsed := filterRuns(l.runs, func(r *run) bool {
-		longest := time.Duration(float64(c.cfg.Limits.MaxLease)/(1-clockDrift)) + c.cfg.Limits.StopDelay + expiryMargin
 		return r.startAnswered || c.now.Sub(l.extendedAt) >= longest
 	})
 	if len(lapsed) == 0 {
--- a/core/explain/batch.go
+++ b/core/explain/batch.go
@@ -27,11 +27,13 @@
 	evidence         []Line // of all entries, about runs that went wrong
 }
 
-// newBatches returns the batches with an ID, one for each entry that it was sent to.
-func newBatches(id string, lines []Line) []Batch {
+// BatchesOf returns the batch that the lines are about, in the order of time, once for each entry that it
+// was sent to.
+func BatchesOf(lines []Line) []Batch {
 	var list []Batch
 	for i := range lines {
 		l := &lines[i]
+		id := l.batch()
 		switch l.Event {
 		case "batch":
 			list = append(list, Batch{ID: id, Queue: l.Get("queue"), Owner: l.Entry, ArrivedAt: l.At})
--- a/core/explain/log.go
+++ b/core/explain/log.go
@@ -43,7 +43,7 @@
 // Batches returns the batches that the entries took or refused, in the order of their arrival. A batch
 // that its caller sent again is one for each entry that it was sent to.
 func (l *Log) Batches() []Batch {
-	slices.SortStableFunc(l.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	sortByTime(l.Lines)
 	byID := map[string][]Line{}
 	for _, line := range l.Lines {
 		if id := line.batch(); id != "" {
@@ -51,8 +51,8 @@
 		}
 	}
 	var list []Batch
-	for id, lines := range byID {
-		list = append(list, newBatches(id, lines)...)
+	for _, lines := range byID {
+		list = append(list, BatchesOf(lines)...)
 	}
 	slices.SortFunc(list, func(a, b Batch) int { return a.compare(&b) })
 	return list
@@ -66,6 +66,10 @@
 			list = append(list, line)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b Line) int { return a.At.Compare(b.At) })
+	sortByTime(list)
 	return list
 }
+
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+}
