review: case 4 counts from the first read by an entry in touch

The script cuts three times and judges later, in favour of the system. The stand-ins also take the network between an executor and the entries, for the random search.

--- a/review/lab/case_drain.go
+++ b/review/lab/case_drain.go
@@ -12,11 +12,11 @@
 	cutFor      = 4 * time.Second // core_cut with race: two machines at once
 	lingerAfter = 6 * time.Second // that the executor serves on after it has reported draining
 	drainJob    = 400 * time.Millisecond
-	drainIndex  = 12 // of the executor that drains
+	calmFor     = 6 * time.Second // without any disturbance, before each cut
 )
 
 // drainCase cuts two entries of a zone of four off from the store, and lets an executor of the zone
-// drain meanwhile.
+// drain meanwhile, three times.
 func drainCase(l *lab, trouble bool) (bool, error) {
 	l.store.putConfig(1, true, seatQueue)
 	k := kind{cpu: 16000, labels: []string{"a", "r1"}, guards: true}
@@ -26,10 +26,18 @@
 		}
 	}
 	for i := range 4 {
+		if _, err := l.addExecutor(fmt.Sprintf("j-%d", i+1), "svc", "zone-b", k); err != nil {
+			return false, err
+		}
 		if _, err := l.addEntry(fmt.Sprintf("edge-zone-a-%d", i+1), "zone-a"); err != nil {
 			return false, err
 		}
 	}
+	for i := range 2 {
+		if _, err := l.addEntry(fmt.Sprintf("edge-zone-b-%d", i+1), "zone-b"); err != nil {
+			return false, err
+		}
+	}
 	if err := l.startEntries(); err != nil {
 		return false, err
 	}
@@ -38,8 +46,22 @@
 		defer close(ended)
 		l.load(&seatQueue, jobInterval, jobDeadline, jobBody(4, jobCores, drainJob, ""), stop)
 	}()
-	time.Sleep(6 * time.Second)
-	cut := []*entry{l.entries[0], l.entries[1]}
+	broken := false
+	for _, x := range []*executor{l.executors[12], l.executors[15], l.executors[14]} {
+		time.Sleep(calmFor)
+		broken = l.drainRound(x, l.entries[:2], l.entries[2:], trouble) || broken
+	}
+	close(stop)
+	<-ended
+	return broken, nil
+}
+
+// drainRound cuts entries off from the store while an executor drains, and judges DRAIN.
+func (l *lab) drainRound(x *executor, cut, calm []*entry, trouble bool) bool {
+	for from := l.now(); l.store.firstRead(from, cut) == 0; {
+		time.Sleep(tick)
+	}
+	time.Sleep(50 * time.Millisecond)
 	for _, e := range cut {
 		if trouble {
 			e.proxy.setCut(true)
@@ -47,8 +69,6 @@
 		}
 	}
 	cutAt := l.now()
-	time.Sleep(300 * time.Millisecond)
-	x := l.executors[drainIndex]
 	x.drain()
 	drainedAt := l.now()
 	time.Sleep(cutFor - (l.now() - cutAt))
@@ -59,16 +79,16 @@
 	time.Sleep(lingerAfter - (l.now() - drainedAt))
 	l.store.drop("servers/" + x.id)
 	x.crash()
-	close(stop)
-	<-ended
+	ack := l.store.firstRead(drainedAt, calm)
+	l.note("the first entry in touch has read that", x.id, "drains", ack-drainedAt, "after the store accepted it")
 	broken := false
 	for _, s := range l.startEvents() {
-		if s.executor != x.id || s.at <= drainedAt+drainBound {
+		if s.executor != x.id || ack == 0 || s.at <= ack+drainBound {
 			continue
 		}
-		inTouch := s.caller != "unknown" && !slices.ContainsFunc(cut, func(e *entry) bool { return e.name == s.caller })
-		l.note("start", s.task, "run", s.run, "on", s.executor, "by", s.caller, s.at-drainedAt, "after the store accepted draining; by an entry in touch:", inTouch)
+		inTouch := slices.ContainsFunc(calm, func(e *entry) bool { return e.name == s.caller })
+		l.note("start", s.task, "run", s.run, "on", s.executor, "by", s.caller, s.at-drainedAt, "after the store accepted draining and", s.at-ack, "after an entry in touch read it; by an entry in touch:", inTouch)
 		broken = broken || inTouch
 	}
-	return broken, nil
+	return broken
 }
--- a/review/lab/case_mix.go
+++ b/review/lab/case_mix.go
@@ -21,6 +21,7 @@
 	id          string
 	spec        string
 	max         int
+	counts      []int // tasks of each step
 	statuses    []int
 	cancelledAt time.Duration
 }
@@ -40,15 +41,24 @@
 		{Name: "p", Host: "q.example", Prefix: "/q/p/", Type: "unsafe", Timeout: 8000, Target: 200, Service: "alt", Attempts: 3, Priority: 1, Stretch: 3},
 	}
 	l.store.putConfig(1, guards, queues...)
+	cuts := map[*executor]*proxy{}
 	for i := range 8 {
 		k := kind{cpu: 16000, labels: []string{[]string{"a", "b"}[i%2], "r1"}, guards: guards}
 		svc := "svc"
 		if i >= 6 {
 			svc = "alt"
 		}
-		if _, err := l.addExecutor(fmt.Sprintf("i-%d", i+1), svc, []string{"zone-a", "zone-b"}[i%2], k); err != nil {
+		x, err := l.addExecutor(fmt.Sprintf("i-%d", i+1), svc, []string{"zone-a", "zone-b"}[i%2], k)
+		if err != nil {
 			return false, err
 		}
+		p, err := newProxy(x.addr, nil)
+		if err != nil {
+			return false, err
+		}
+		defer p.close()
+		cuts[x] = p
+		x.setShown(p.addr())
 	}
 	for i := range 5 {
 		z := []string{"zone-a", "zone-b"}[i%2]
@@ -66,7 +76,7 @@
 	wg.Go(func() {
 		r := rand.New(rand.NewPCG(seed, 8))
 		for n := 1; l.now() < until; n++ {
-			time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
+			time.Sleep(time.Duration(r.IntN(160)) * time.Millisecond)
 			q := &queues[0]
 			if r.IntN(5) == 0 {
 				q = &queues[1]
@@ -77,7 +87,11 @@
 				d = time.Duration(1000+r.IntN(2500)) * time.Millisecond
 			}
 			cpu := 1000 + r.IntN(7000)
-			j.spec = specOf(d, cpu, "")
+			requires := ""
+			if r.IntN(3) == 0 {
+				requires = []string{"a", "b"}[r.IntN(2)]
+			}
+			j.spec = specOf(d, cpu, requires)
 			var steps []any
 			if r.IntN(4) == 0 {
 				j.max = 1 + r.IntN(2)
@@ -90,6 +104,10 @@
 				if j.max > 0 {
 					s["maxPerServer"] = j.max
 				}
+				if requires != "" {
+					s["requires"] = requires
+				}
+				j.counts = append(j.counts, s["count"].(int))
 				steps = append(steps, s)
 			}
 			b, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": steps, "bestEffort": true})
@@ -141,7 +159,7 @@
 		}
 	})
 	if trouble {
-		wg.Go(func() { l.mixFaults(rnd, until) })
+		wg.Go(func() { l.mixFaults(rnd, until, cuts) })
 	}
 	wg.Wait()
 	time.Sleep(4 * time.Second)
@@ -149,7 +167,7 @@
 	return l.judgeMix(jobs) || broken, nil
 }
 
-func (l *lab) mixFaults(r *rand.Rand, until time.Duration) {
+func (l *lab) mixFaults(r *rand.Rand, until time.Duration, cuts map[*executor]*proxy) {
 	var wg sync.WaitGroup
 	busy := map[*entry]bool{}
 	var mu sync.Mutex
@@ -158,7 +176,7 @@
 		e := l.entries[r.IntN(len(l.entries))]
 		x := l.executors[r.IntN(len(l.executors))]
 		d := time.Duration(100+r.IntN(3400)) * time.Millisecond
-		what := r.IntN(7)
+		what := r.IntN(9)
 		mu.Lock()
 		if what <= 3 {
 			if busy[e] {
@@ -207,6 +225,11 @@
 				x.crash()
 				time.Sleep(d / 2)
 				_ = x.boot(x.kind)
+			case 7, 8:
+				l.note("fault: executor cut", x.id, d)
+				cuts[x].setCut(true)
+				time.Sleep(d)
+				cuts[x].setCut(false)
 			case 5, 6:
 				l.note("fault: late orders", x.id, d)
 				x.setLate(0.4)
@@ -230,6 +253,22 @@
 		f := strings.Split(s.task, ".")
 		j := jobs[f[0]]
 		started[f[0]] = true
+		if _, _, requires := parseSpec(s.spec); requires != "" && !slices.Contains(s.labels, requires) {
+			bad("ROUTE label", s.task, "on", s.executor)
+		}
+		if f[2] == "1" {
+			done := map[string]bool{}
+			for _, o := range starts {
+				if strings.HasPrefix(o.task, f[0]+".0.0.") {
+					if end, ok := l.endOf(o); ok && end <= s.at && l.doneOf(o) {
+						done[o.task] = true
+					}
+				}
+			}
+			if len(done) < j.counts[0] {
+				bad("ORDER", s.task, "at", s.at, len(done), "of", j.counts[0])
+			}
+		}
 		if s.spec != j.spec {
 			bad("UNASKED spec", s.task)
 		}
--- a/review/lab/executor.go
+++ b/review/lab/executor.go
@@ -41,6 +41,7 @@
 	zone    string
 	addr    string
 
+	shown    string // address in its entry: its own, or that of a proxy before it
 	mu       sync.Mutex
 	kind     kind
 	server   *http.Server // nil while it is down
@@ -109,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &executor{lab: l, id: id, service: service, zone: zone, addr: addr, stop: make(chan struct{})}
+	x := &executor{lab: l, id: id, service: service, zone: zone, addr: addr, shown: addr, stop: make(chan struct{})}
 	l.executors = append(l.executors, x)
 	if err := x.boot(k); err != nil {
 		return nil, err
@@ -149,7 +150,7 @@
 	srv := x.server
 	x.server = nil
 	for task, r := range x.running {
-		x.lab.addEnd(x, task, r.n)
+		x.lab.addEnd(x, task, r.n, "crash")
 	}
 	x.running = map[string]*taskRun{}
 	x.mu.Unlock()
@@ -178,7 +179,7 @@
 		state = "draining"
 	}
 	rec := map[string]any{
-		"service": x.service, "address": x.addr, "zone": x.zone, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
+		"service": x.service, "address": x.shown, "zone": x.zone, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
 		"capacity": map[string]any{"cpu": x.kind.cpu, "memMb": 65536, "gpu": 0}, "labels": x.kind.labels,
 		"clockMs": x.clock(), "seq": x.clock(), "born": x.born,
 	}
@@ -187,6 +188,14 @@
 	x.lab.store.put("servers/"+x.id, rec)
 }
 
+// setShown puts another address into the entry of the executor.
+func (x *executor) setShown(addr string) {
+	x.mu.Lock()
+	x.shown = addr
+	x.mu.Unlock()
+	x.report()
+}
+
 // awaitReport waits until the executor has written its next report.
 func (x *executor) awaitReport() {
 	count := func() int {
@@ -248,7 +257,7 @@
 	x.highest[task] = max(x.highest[task], r.n)
 	x.endedN++
 	x.ended = append(x.ended, []any{x.endedN, task, r.n, how, ""})
-	x.lab.addEnd(x, task, r.n)
+	x.lab.addEnd(x, task, r.n, how)
 	close(x.changed)
 	x.changed = make(chan struct{})
 	x.lab.note("executor", x.id, "ends", task, "run", r.n, how)
@@ -299,6 +308,7 @@
 			x.mu.Lock()
 			same := x.server != nil && x.born == born
 			x.mu.Unlock()
+			defer func() { _ = recover() }() // it has crashed meanwhile: http.ErrAbortHandler
 			if same {
 				h(httptest.NewRecorder(), again)
 			}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -31,6 +31,7 @@
 	lines  []string
 	starts []startEvent
 	ends   map[runKey]time.Duration
+	done   map[runKey]bool // runs that ended done
 
 	entries   []*entry
 	executors []*executor
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{startedAt: time.Now(), dir: dir, ends: map[runKey]time.Duration{}}
+	l := &lab{startedAt: time.Now(), dir: dir, ends: map[runKey]time.Duration{}, done: map[runKey]bool{}}
 	l.store, err = newStore(l)
 	return l, err
 }
@@ -159,7 +160,7 @@
 		*a = addr
 	}
 	_, e.metrics, _ = net.SplitHostPort(e.metrics)
-	p, err := newProxy(l.store.addr())
+	p, err := newProxy(l.store.addr(), func(local string) { l.store.addClient(local, name) })
 	if err != nil {
 		return nil, err
 	}
@@ -329,10 +330,18 @@
 	return at, ok
 }
 
-func (l *lab) addEnd(x *executor, task string, run int64) {
+// doneOf reports whether a run ended done.
+func (l *lab) doneOf(s startEvent) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ends[runKey{x.id, x.born, task, run}] = l.now()
+	return l.done[runKey{s.executor, s.born, s.task, s.run}]
+}
+
+func (l *lab) addEnd(x *executor, task string, run int64, how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := runKey{x.id, x.born, task, run}
+	l.ends[key], l.done[key] = l.now(), how == "done"
 }
 
 // runKey identifies a run on a boot of an executor.
--- a/review/lab/proxy.go
+++ b/review/lab/proxy.go
@@ -10,6 +10,7 @@
 type proxy struct {
 	target   string
 	listener net.Listener
+	onDial   func(local string) // called with the address of each connection to the target; may be nil
 
 	mu     sync.Mutex
 	isCut  bool
@@ -18,12 +19,12 @@
 	closed bool
 }
 
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string, onDial func(local string)) (*proxy, error) {
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: n, conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, listener: n, onDial: onDial, conns: map[net.Conn]bool{}}
 	p.healed = sync.NewCond(&p.mu)
 	go p.serve()
 	return p, nil
@@ -70,6 +71,9 @@
 		_ = c.Close()
 		return
 	}
+	if p.onDial != nil {
+		p.onDial(d.LocalAddr().String())
+	}
 	p.mu.Lock()
 	p.conns[c], p.conns[d] = true, true
 	p.mu.Unlock()
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -24,6 +24,12 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
+// listRead is a read of the list of executors by an entry.
+type listRead struct {
+	at    time.Duration // since the lab was started
+	entry string
+}
+
 // store stands in for the platform's store. It does what PROTOCOL.md says of it and has no faults.
 type store struct {
 	lab      *lab
@@ -37,6 +43,8 @@
 	leases  map[int64]time.Time // when each ends
 	ttl     map[int64]time.Duration
 	nextID  int64
+	clients map[string]string // names of entries by the addresses of their connections
+	reads   []listRead
 	changed chan struct{} // closed and replaced with each change
 }
 
@@ -47,7 +55,7 @@
 	}
 	s := &store{
 		lab: l, listener: n, rev: 1, items: map[string]item{}, leases: map[int64]time.Time{}, ttl: map[int64]time.Duration{},
-		nextID: 1000, changed: make(chan struct{}),
+		nextID: 1000, clients: map[string]string{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cornelwall/kv-key", s.getKey)
@@ -66,6 +74,25 @@
 
 func (s *store) close() { _ = s.server.Close() }
 
+// addClient records which entry has a connection.
+func (s *store) addClient(addr, entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clients[addr] = entry
+}
+
+// firstRead returns when one of the entries was first sent the list of executors after a time, or 0.
+func (s *store) firstRead(after time.Duration, entries []*entry) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.reads {
+		if r.at > after && slices.ContainsFunc(entries, func(e *entry) bool { return e.name == r.entry }) {
+			return r.at
+		}
+	}
+	return 0
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -158,6 +185,9 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	if q.Get("prefix") == "servers/" {
+		s.reads = append(s.reads, listRead{s.lab.now(), s.clients[r.RemoteAddr]})
+	}
 	reply(w, http.StatusOK, map[string]any{"items": list, "hasMore": false, "currentRev": s.rev})
 }
 
