--- a/review/lab/case_kind.go
+++ b/review/lab/case_kind.go
@@ -14,8 +14,8 @@
 const crashedFor = time.Second // of the executor
 
 // rebootCase lets an executor of kind before crash under load and start again, under its id and its
-// address, as one of kind after.
-func rebootCase(l *lab, before, after kind, body string) error {
+// address, as one of kind after. Without trouble the executor runs on.
+func rebootCase(l *lab, trouble bool, before, after kind, body string) error {
 	l.store.putConfig(1, before.guards, seatQueue)
 	for i := range 4 {
 		if _, err := l.addExecutor(fmt.Sprintf("i-%d", i+1), "svc", "zone-a", before); err != nil {
@@ -36,11 +36,13 @@
 		l.load(&seatQueue, jobInterval, jobDeadline, body, stop)
 	}()
 	time.Sleep(5 * time.Second)
-	x := l.executors[0]
-	x.crash()
-	time.Sleep(crashedFor)
-	if err := x.boot(after); err != nil {
-		return err
+	if trouble {
+		x := l.executors[0]
+		x.crash()
+		time.Sleep(crashedFor)
+		if err := x.boot(after); err != nil {
+			return err
+		}
 	}
 	time.Sleep(5 * time.Second)
 	close(stop)
@@ -52,10 +54,8 @@
 func labelCase(l *lab, trouble bool) (bool, error) {
 	before := kind{cpu: 16000, labels: []string{"a", "r1"}, guards: true}
 	after := before
-	if trouble {
-		after.labels = []string{"b", "r1"}
-	}
-	if err := rebootCase(l, before, after, jobBody(2, jobCores, jobTime, "a")); err != nil {
+	after.labels = []string{"b", "r1"}
+	if err := rebootCase(l, trouble, before, after, jobBody(2, jobCores, jobTime, "a")); err != nil {
 		return false, err
 	}
 	broken := false
@@ -72,11 +72,8 @@
 // of the cores.
 func capacityCase(l *lab, trouble bool) (bool, error) {
 	before := kind{cpu: 16000, labels: []string{"a", "r1"}}
-	after := before
-	if trouble {
-		after = kind{cpu: 8000, labels: []string{"b", "r1"}}
-	}
-	if err := rebootCase(l, before, after, jobBody(2, jobCores, jobTime, "")); err != nil {
+	after := kind{cpu: 8000, labels: []string{"b", "r1"}}
+	if err := rebootCase(l, trouble, before, after, jobBody(2, jobCores, jobTime, "")); err != nil {
 		return false, err
 	}
 	broken := false
