--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -26,6 +26,7 @@
 	recentRevs    []int64       // the last revisionsKept values of listRev
 	readInterval  time.Duration // interval of reads that was ordered last
 	readerHeardAt time.Time     // last update of a reader
+	knownAt       time.Time     // when the list was last certainly up to date
 	updateSentAt  time.Time     // when the last update was sent
 	readOrderedAt time.Time     // when the last immediate read was ordered
 }
@@ -33,6 +34,11 @@
 // handleEndpointsListed applies the platform's list of endpoints, as read by this entry.
 func (c *Core) handleEndpointsListed(ev cornelwall.EndpointsListed) {
 	rev := max(ev.Revision, 1)
+	asOf := ev.AsOf
+	if asOf.IsZero() {
+		asOf = c.now
+	}
+	c.recordAge(asOf)
 	if rev < c.listRev {
 		return // a newer update has come meanwhile
 	}
@@ -67,7 +73,7 @@
 	moved := ep.DataCentre != info.DataCentre
 	rebooted := ep.Boot != info.Boot // the list may lag behind what the endpoint itself has reported
 	if info.Leaving && !ep.Leaving && ep.lease != nil {
-		c.log("endpoint-leaves", "endpoint", info.ID)
+		c.log("endpoint-leaves", "endpoint", info.ID, "listage", c.now.Sub(c.knownAt))
 	}
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
 	if moved {
@@ -102,7 +108,7 @@
 // listChangesSince returns the changes since a revision, or all endpoints of this data centre if it
 // is 0.
 func (c *Core) listChangesSince(from int64) *cornelwall.EndpointUpdate {
-	m := &cornelwall.EndpointUpdate{FromRevision: from, ToRevision: c.listRev, Version: c.queueConfig.Version}
+	m := &cornelwall.EndpointUpdate{FromRevision: from, ToRevision: c.listRev, Age: max(c.now.Sub(c.knownAt), 0), Version: c.queueConfig.Version}
 	for _, ep := range c.endpointsByName {
 		switch {
 		case from > 0 && ep.changedRev <= from:
@@ -132,13 +138,16 @@
 	if m.FromRevision > 0 {
 		c.readerHeardAt = c.now
 	}
-	switch {
-	case m.ToRevision <= c.listRev || m.FromRevision == 0 && c.listRev > 0:
-		return
-	case m.FromRevision > c.listRev:
+	if m.FromRevision > c.listRev {
 		c.orderRead()
 		return
 	}
+	if m.FromRevision > 0 || c.listRev == 0 {
+		c.recordAge(c.now.Add(-m.Age))
+	}
+	if m.ToRevision <= c.listRev || m.FromRevision == 0 && c.listRev > 0 {
+		return
+	}
 	for i := range m.Endpoints {
 		c.setEndpoint(&m.Endpoints[i], m.ToRevision)
 	}
@@ -150,6 +159,14 @@
 	c.recordRevision(m.ToRevision)
 }
 
+// recordAge records that the list was certainly up to date at a time. That holds for a list of an
+// older revision than the one that is known, too.
+func (c *Core) recordAge(at time.Time) {
+	if at.After(c.knownAt) {
+		c.knownAt = at
+	}
+}
+
 // recordRevision records that the list is known as of a revision.
 func (c *Core) recordRevision(rev int64) {
 	c.listRev = rev
--- a/leased.go
+++ b/leased.go
@@ -32,6 +32,7 @@
 	EndpointsListed struct {
 		List     []Endpoint
 		Revision int64
+		AsOf     time.Time // when the read was sent, on the clock of the process; zero counts as now
 	}
 	// MembersListed is the list of entries that are registered with the platform.
 	MembersListed struct{ List []Member }
--- a/leased_message.go
+++ b/leased_message.go
@@ -214,11 +214,12 @@
 // EndpointUpdate carries the changes of the platform's list of endpoints between the revisions
 // FromRevision and ToRevision of its store, or the whole list if FromRevision is 0.
 type EndpointUpdate struct {
-	FromRevision int64      `json:"from"`
-	ToRevision   int64      `json:"rev"`
-	Endpoints    []Endpoint `json:"endpoints,omitempty"`
-	Removed      []string   `json:"gone,omitempty"` // endpoints that are no longer on the list
-	Version      uint64     `json:"version"`        // of the queue configuration in force
+	FromRevision int64         `json:"from"`
+	ToRevision   int64         `json:"rev"`
+	Age          time.Duration `json:"age,omitempty"` // time since the sender's list was certainly up to date
+	Endpoints    []Endpoint    `json:"endpoints,omitempty"`
+	Removed      []string      `json:"gone,omitempty"` // endpoints that are no longer on the list
+	Version      uint64        `json:"version"`        // of the queue configuration in force
 }
 
 // Check reports every problem with the message.
@@ -227,6 +228,9 @@
 	if u.FromRevision < 0 || u.ToRevision < u.FromRevision {
 		errs = append(errs, fmt.Errorf("endpoint update goes from revision %d to %d; send 0 or more, in order", u.FromRevision, u.ToRevision))
 	}
+	if u.Age < 0 {
+		errs = append(errs, fmt.Errorf("endpoint update has age %s; send 0 or more", u.Age))
+	}
 	for i := range u.Endpoints {
 		errs = append(errs, u.Endpoints[i].Check())
 	}
