An entry reads the list of endpoints itself before its own is older than their drain time

Callers: tasks started on an executor that drains, up to 3.9 s after the store had accepted its report; one that leaves after its 2 s ends them. Cause: an entry that is told of the list by the readers of its data centre waited 3 to 4 s for these, whatever the platform's drain time, and did not know how old its own list was. Readers that lose the store stay alive. Fix: an entry knows the age of what it knows, by the time of its own reads and the age that an update tells. At two thirds of the drain time (new setting of the core, from drainMs) it reads by itself and informs the others as a reader does, one entry after the other, so that reads don't grow with the fleet. What was read after a pause of the process tells nothing about the age.

--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -111,7 +111,7 @@
 	d.kernel = kernel.New(d.log)
 	core := dispatch.New(dispatch.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Weight: s.Weight,
-		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace},
+		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime},
 	}, clock.Now())
 	d.loop = control.New(core, clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout}, d.loop, d.log)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -64,6 +64,7 @@
 	MaxLease  time.Duration // endpoints cut longer leases to this
 	StopDelay time.Duration // a run ends within this time after a stop order or the expiry of its lease
 	StopGrace time.Duration // time that a planned stop of this entry may take
+	DrainTime time.Duration // for which an endpoint serves on after it has reported that it leaves; 0 means 2 s
 }
 
 // Config holds the settings of a core.
@@ -152,6 +153,9 @@
 	if cfg.MaxMeshPeers == 0 {
 		cfg.MaxMeshPeers = fullMeshPeers
 	}
+	if cfg.Limits.DrainTime <= 0 {
+		cfg.Limits.DrainTime = defaultDrainTime
+	}
 	return &Core{
 		cfg: cfg, now: now, startedAt: now, lastTick: now, nameHash: hashOf(cfg.Self.Entry), usualSlowdown: 1,
 		peers:           map[cornelwall.Incarnation]*peer{},
@@ -166,6 +170,7 @@
 		tasksByRun:      map[cornelwall.RunID]*task{},
 		jobsByReq:       map[uint64]*job{},
 		pendingEnds:     newPendingEnds(),
+		endpointList:    endpointList{toldAt: now}, // readers get the time to send the first update
 	}
 }
 
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -7,26 +7,33 @@
 )
 
 const (
-	listInterval       = time.Second      // between two reads of the endpoint list, and so between two updates for other entries
-	backupListInterval = 10 * time.Second // between two reads by an entry that receives updates
-	readerTimeout      = 3 * time.Second  // without an update of a reader, after which an entry reads the list itself
-	updatesPerSecond   = 60               // to different entries; with more of them, updates without a change go out less often
-	revisionsKept      = 4                // latest revisions that each update covers, so that a lost update leaves no gap
-	minReadInterval    = time.Second      // between two immediate reads
-	maxAllReaders      = 3                // entries of a data centre up to which all of them read the list
-	readJitterMs       = 1000             // milliseconds over which entries whose readers are silent spread their reads
+	maxListInterval    = time.Second           // between two reads of the endpoint list, and so between two updates for other entries
+	backupListInterval = 10 * time.Second      // between two reads by an entry that receives updates
+	defaultDrainTime   = 2 * time.Second       // if Limits.DrainTime is not set
+	substituteStep     = 50 * time.Millisecond // by which each entry of a data centre waits longer for its readers than the one before it
+	updatesPerSecond   = 60                    // to different entries; with more of them, updates without a change go out less often
+	revisionsKept      = 4                     // latest revisions that each update covers, so that a lost update leaves no gap
+	minReadInterval    = time.Second           // between two immediate reads
+	maxAllReaders      = 3                     // entries of a data centre up to which all of them read the list
+	readJitterMs       = 1000                  // milliseconds over which entries spread their backup reads
 )
 
-// endpointList is the state of this entry's copy of the platform's list of endpoints. A few entries
-// of each data centre, its readers, read the list every listInterval and send the changes to the
-// others. The others read it every backupListInterval, or every listInterval while the readers are
-// silent.
+// endpointList is the state of this entry's copy of the platform's list of endpoints, and how old that
+// copy is. A few entries of each data centre, its readers, read the list every listInterval and send
+// the changes to the others, with the age of what they know. The others read it every
+// backupListInterval.
+//
+// An endpoint that leaves serves on for Limits.DrainTime only, so that no entry that can reach the
+// platform may know less than that. An entry therefore does not rely on its readers to be there: once
+// what it was told is older than readerTimeout, it reads the list itself, and sends the changes to
+// the others as a reader does. The readers may have lost the platform and still be alive. The entries
+// of a data centre do so one after the other, so that the first one spares the others their reads.
 type endpointList struct {
 	listRev       int64         // revision of the store as of which the list is known; 0 before the first list
 	recentRevs    []int64       // the last revisionsKept values of listRev
 	readInterval  time.Duration // interval of reads that was ordered last
-	readerHeardAt time.Time     // last update of a reader
 	knownAt       time.Time     // when the list was last certainly up to date
+	toldAt        time.Time     // the same for what readers, and other entries that read before this one, have sent
 	updateSentAt  time.Time     // when the last update was sent
 	readOrderedAt time.Time     // when the last immediate read was ordered
 }
@@ -55,7 +62,7 @@
 		}
 	}
 	c.recordRevision(rev)
-	if c.ranking.isReader {
+	if c.ranking.isReader() || c.readersSilent() {
 		c.sendListUpdate(changed)
 	}
 }
@@ -135,15 +142,12 @@
 // them, it orders a read instead. A complete list is applied only if this entry has none yet.
 func (c *Core) handleEndpointUpdate(from cornelwall.Incarnation, m *cornelwall.EndpointUpdate) {
 	c.requestNewerConfig(from, m.Version)
-	if m.FromRevision > 0 {
-		c.readerHeardAt = c.now
-	}
 	if m.FromRevision > c.listRev {
 		c.orderRead()
 		return
 	}
 	if m.FromRevision > 0 || c.listRev == 0 {
-		c.recordAge(c.now.Add(-m.Age))
+		c.recordTold(from, m.Age)
 	}
 	if m.ToRevision <= c.listRev || m.FromRevision == 0 && c.listRev > 0 {
 		return
@@ -167,6 +171,19 @@
 	}
 }
 
+// recordTold records the age of the list that another entry has sent. After a pause of this process
+// the message may have waited for any time, and tells nothing about the age.
+func (c *Core) recordTold(from cornelwall.Incarnation, age time.Duration) {
+	if c.resuming() {
+		return
+	}
+	at := c.now.Add(-age)
+	c.recordAge(at)
+	if at.After(c.toldAt) && c.ranking.readsBefore(from) {
+		c.toldAt = at
+	}
+}
+
 // recordRevision records that the list is known as of a revision.
 func (c *Core) recordRevision(rev int64) {
 	c.listRev = rev
@@ -183,16 +200,29 @@
 	c.emit(cornelwall.ReadEndpoints{Every: c.readInterval, Now: true})
 }
 
+// listInterval returns the interval at which readers read the list.
+func (c *Core) listInterval() time.Duration { return min(maxListInterval, c.cfg.Limits.DrainTime/2) }
+
+// readerTimeout returns the age of what readers have sent at which this entry reads the list itself.
+// It leaves a sixth of DrainTime for the read.
+func (c *Core) readerTimeout() time.Duration {
+	drain := c.cfg.Limits.DrainTime
+	ahead := max(c.ranking.readPosition-readersPerCentre, 0) // entries that do so before this one
+	return drain*2/3 + min(time.Duration(ahead)*substituteStep, drain/6)
+}
+
+// readersSilent reports whether this entry has to read the list itself, as what it was told is too
+// old.
+func (c *Core) readersSilent() bool { return c.now.Sub(c.toldAt) >= c.readerTimeout() }
+
 // scheduleReads sets how often this entry reads the list.
 func (c *Core) scheduleReads() {
-	every := listInterval
-	spread := time.Duration(c.nameHash%readJitterMs) * time.Millisecond
-	if c.listRev > 0 && len(c.ranking.byCentre[c.cfg.Self.DataCentre]) > maxAllReaders &&
-		!c.ranking.isReader && c.now.Sub(c.readerHeardAt) < readerTimeout+spread {
-		every = backupListInterval + spread
+	every := c.listInterval()
+	if c.listRev > 0 && len(c.ranking.byCentre[c.cfg.Self.DataCentre]) > maxAllReaders && !c.ranking.isReader() && !c.readersSilent() {
+		every = backupListInterval + time.Duration(c.nameHash%readJitterMs)*time.Millisecond
 	}
 	if every != c.readInterval {
 		c.readInterval = every
-		c.emit(cornelwall.ReadEndpoints{Every: every, Now: every == listInterval && c.listRev > 0})
+		c.emit(cornelwall.ReadEndpoints{Every: every, Now: every == c.listInterval() && c.listRev > 0})
 	}
 }
--- a/core/dispatch/rendezvous.go
+++ b/core/dispatch/rendezvous.go
@@ -35,10 +35,11 @@
 
 // ranking is the entries that may hold endpoints, in order of incarnation and by data centre.
 type ranking struct {
-	all      []member
-	byCentre map[string][]member
-	isReader bool   // this entry reads the list of endpoints
-	digest   uint64 // of all
+	all          []member
+	byCentre     map[string][]member
+	readOrder    []cornelwall.Incarnation // entries of this data centre; the first ones read the list of endpoints
+	readPosition int                      // of this entry in readOrder; its length if it is not there
+	digest       uint64                   // of all
 }
 
 func newRanking(all []member, self cornelwall.Incarnation) ranking {
@@ -46,10 +47,42 @@
 	for _, m := range all {
 		r.byCentre[m.id.DataCentre] = append(r.byCentre[m.id.DataCentre], m)
 	}
-	r.isReader = r.isListReader(self)
+	r.readOrder = readOrder(r.byCentre[self.DataCentre])
+	r.readPosition = r.positionOf(self)
 	return r
 }
 
+// readOrder returns the entries of a data centre in the order in which they are to read the list of
+// endpoints: those with the greatest weights first.
+func readOrder(members []member) []cornelwall.Incarnation {
+	list := slices.Clone(members)
+	slices.SortFunc(list, func(a, b member) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.hash, b.hash))
+	})
+	order := make([]cornelwall.Incarnation, len(list))
+	for i := range list {
+		order[i] = list[i].id
+	}
+	return order
+}
+
+// positionOf returns the position of an entry in readOrder, or the length of that if it is not there.
+func (r *ranking) positionOf(id cornelwall.Incarnation) int {
+	if i := slices.Index(r.readOrder, id); i >= 0 {
+		return i
+	}
+	return len(r.readOrder)
+}
+
+// isReader reports whether this entry is one of those of its data centre that read the list of
+// endpoints.
+func (r *ranking) isReader() bool { return r.readPosition < min(readersPerCentre, len(r.readOrder)) }
+
+// readsBefore reports whether another entry reads the list rather than this one.
+func (r *ranking) readsBefore(id cornelwall.Incarnation) bool {
+	return r.positionOf(id) < r.readPosition
+}
+
 // holders returns the entry that should hold an endpoint, and the one other than self that should
 // hold it if self does not. They are of the endpoint's data centre if that has such entries.
 func (r *ranking) holders(ep *endpoint, self cornelwall.Incarnation) (best, other cornelwall.Incarnation) {
@@ -78,16 +111,3 @@
 	}
 	return best, other
 }
-
-// isListReader reports whether an entry is one of those of its data centre that read the list of
-// endpoints: the entries with the greatest weights.
-func (r *ranking) isListReader(id cornelwall.Incarnation) bool {
-	list := slices.Clone(r.byCentre[id.DataCentre])
-	slices.SortFunc(list, func(a, b member) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.hash, b.hash))
-	})
-	if len(list) > readersPerCentre {
-		list = list[:readersPerCentre]
-	}
-	return slices.ContainsFunc(list, func(m member) bool { return m.id == id })
-}
