Nothing starts by the record of an endpoint's earlier boot

Callers: tasks ran on an executor of the wrong kind (ROUTE), or beyond its capacity (LIMIT), for up to 0.85 s after it had started again as another one. Cause: the record of an endpoint (service, capacity, labels) had no date. Once the restart was noticed, the holder went on with the record of the boot before; and any list, update or offer replaced what was known, also by what is older. Fix: records carry the revision of their key, and older ones are ignored. Nothing starts while the record is of another boot than the one that answers polls; the list is read at once, and waiting tasks that no longer fit are returned.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -322,7 +322,7 @@
 
 // usable reports whether new runs may start under a lease.
 func (c *Core) usable(l *lease) bool {
-	return l.phase == phaseReady && !l.ep.Leaving && !c.isGone(l.ep) && !l.clockAt.IsZero() &&
+	return l.phase == phaseReady && l.knowsKind() && !l.ep.Leaving && !c.isGone(l.ep) && !l.clockAt.IsZero() &&
 		!l.mustExpire(c.now) && l.ep.health.MayStart(c.now, len(l.runs))
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -116,7 +116,7 @@
 	endpoints          map[string]*endpoint
 	endpointsByName    []*endpoint // sorted by name
 	heldEndpoints      []*endpoint // endpoints that this entry holds, sorted by name
-	leaseEnded         bool        // a lease has ended since the last tick
+	heldChanged        bool        // a lease has ended, or the record of an endpoint held has changed, since the last tick
 	preferredEndpoints []*endpoint // endpoints of which this entry is the preferred holder
 	lastGoneCheck      time.Time
 	highestFence       uint64 // highest fence known to this entry
@@ -249,8 +249,8 @@
 	c.checkLeases()
 	c.checkJobs()
 	c.reconcileHolders()
-	if c.leaseEnded {
-		c.leaseEnded = false
+	if c.heldChanged {
+		c.heldChanged = false
 		c.returnUnplaceable()
 	}
 	c.scheduleReads()
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -56,10 +56,7 @@
 		changed = c.setEndpoint(&ev.List[i], rev) || changed
 	}
 	for _, ep := range c.endpointsByName {
-		if !listed[ep.ID] && ep.absentSince.IsZero() {
-			ep.absentSince, ep.changedRev = c.now, rev
-			changed = true
-		}
+		changed = !listed[ep.ID] && c.removeFromList(ep, rev) || changed
 	}
 	c.recordRevision(rev)
 	if c.ranking.isReader() || c.readersSilent() {
@@ -67,28 +64,65 @@
 	}
 }
 
-// setEndpoint applies one endpoint of the list and reports whether it has changed.
+// setEndpoint applies the record of one endpoint and reports whether it has changed. An older record
+// than the one that is known is ignored: lists are read page by page while records change, and
+// entries send each other what they know.
 func (c *Core) setEndpoint(info *cornelwall.Endpoint, rev int64) bool {
 	ep := c.endpoints[info.ID]
-	isNew := ep == nil
-	if isNew {
+	if ep == nil {
 		ep = c.addEndpoint(*info)
+		ep.changedRev = rev
+		return true
 	}
-	if !isNew && ep.absentSince.IsZero() && ep.Equal(info) {
+	if !ep.isNewer(info) {
 		return false
 	}
-	moved := ep.DataCentre != info.DataCentre
-	rebooted := ep.Boot != info.Boot // the list may lag behind what the endpoint itself has reported
-	if info.Leaving && !ep.Leaving && ep.lease != nil {
-		c.log("endpoint-leaves", "endpoint", info.ID, "listage", c.now.Sub(c.knownAt))
+	if ep.absentSince.IsZero() && ep.Equal(info) {
+		ep.Revision = info.Revision
+		return false
 	}
+	before := ep.Endpoint
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
-	if moved {
+	if before.DataCentre != info.DataCentre {
 		c.rankEndpoint(ep)
 	}
-	if l := ep.lease; rebooted && l != nil && l.boot != 0 && info.Boot != 0 && info.Boot != l.boot {
-		c.handleRestart(l, info.Boot)
+	if ep.lease != nil {
+		c.handleRecordChange(ep.lease, &before)
+	}
+	return true
+}
+
+// isNewer reports whether a record of the endpoint is newer than what is known of it, or may be.
+func (ep *endpoint) isNewer(info *cornelwall.Endpoint) bool {
+	if info.Revision == 0 {
+		return true
+	}
+	if !ep.absentSince.IsZero() && info.Revision <= ep.changedRev {
+		return false
+	}
+	return info.Revision >= ep.Revision
+}
+
+// handleRecordChange acts on a new record of an endpoint that this entry holds. A new boot in the record is a
+// restart, unless the list lags behind what the endpoint itself has reported.
+func (c *Core) handleRecordChange(l *lease, before *cornelwall.Endpoint) {
+	ep := l.ep
+	c.heldChanged, c.backlogChanged = true, true
+	if ep.Leaving && !before.Leaving {
+		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.now.Sub(c.knownAt))
+	}
+	if before.Boot != ep.Boot && l.boot != 0 && ep.Boot != 0 && ep.Boot != l.boot {
+		c.handleRestart(l, ep.Boot)
+	}
+}
+
+// removeFromList records that an endpoint is not on the list of a revision, and reports whether that
+// is new.
+func (c *Core) removeFromList(ep *endpoint, rev int64) bool {
+	if !ep.absentSince.IsZero() || ep.Revision > rev {
+		return false
 	}
+	ep.absentSince, ep.changedRev = c.now, rev
 	return true
 }
 
@@ -156,8 +190,8 @@
 		c.setEndpoint(&m.Endpoints[i], m.ToRevision)
 	}
 	for _, id := range m.Removed {
-		if ep := c.endpoints[id]; ep != nil && ep.absentSince.IsZero() {
-			ep.absentSince, ep.changedRev = c.now, m.ToRevision
+		if ep := c.endpoints[id]; ep != nil {
+			c.removeFromList(ep, m.ToRevision)
 		}
 	}
 	c.recordRevision(m.ToRevision)
--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -58,7 +58,7 @@
 func (c *Core) setLease(ep *endpoint, l *lease) {
 	ep.lease = l
 	c.heldEndpoints = slices.DeleteFunc(c.heldEndpoints, func(h *endpoint) bool { return h == ep })
-	c.leaseEnded = c.leaseEnded || l == nil
+	c.heldChanged = c.heldChanged || l == nil
 	if l != nil {
 		i, _ := slices.BinarySearchFunc(c.heldEndpoints, ep.ID, compareEndpointID)
 		c.heldEndpoints = slices.Insert(c.heldEndpoints, i, ep)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -143,10 +143,10 @@
 // handleHandover takes over an endpoint that its holder offers, or declines the offer.
 func (c *Core) handleHandover(from cornelwall.Incarnation, m *cornelwall.Handover) {
 	c.highestFence = max(c.highestFence, m.Fence)
-	ep := c.endpoints[m.Endpoint.ID]
-	if ep == nil {
-		ep = c.addEndpoint(m.Endpoint)
+	if c.endpoints[m.Endpoint.ID] == nil || m.Endpoint.Revision > 0 {
+		c.setEndpoint(&m.Endpoint, c.listRev)
 	}
+	ep := c.endpoints[m.Endpoint.ID]
 	if l := ep.lease; l != nil && l.handedOverBy == from && l.firstFence > m.Fence {
 		return // repeated, and already accepted
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -174,6 +174,10 @@
 	return false
 }
 
+// knowsKind reports whether the record of the endpoint is that of the boot that answers the polls. If
+// not, nothing in it holds: its service, capacity and labels may be others since it has restarted.
+func (l *lease) knowsKind() bool { return l.ep.Boot == 0 || l.ep.Boot == l.boot }
+
 // unansweredFor returns for how long polls have got no answer.
 func (l *lease) unansweredFor(now time.Time) time.Duration {
 	if l.unansweredSince.IsZero() {
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -142,6 +142,10 @@
 			m.Kept = append(m.Kept, r.id)
 		}
 		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.acquiredAt))
+		if !l.knowsKind() {
+			c.log("endpoint-unlisted-boot", "endpoint", l.ep.ID, "boot", l.boot, "listed", l.ep.Boot, "listage", c.now.Sub(c.knownAt))
+			c.orderRead()
+		}
 		for _, p := range c.peersByID {
 			if !c.canAssign(p) && p.id != l.handedOverBy && p.id != l.ep.presumedHolder {
 				continue // it has no tasks there
--- a/endpoint.go
+++ b/endpoint.go
@@ -40,6 +40,10 @@
 
 // Endpoint is a server that runs tasks of batches for the one entry that holds the lease on it, as
 // the platform lists it. It is not a machine of the VM list; see Kind for those.
+//
+// An Endpoint is the endpoint's own record as of one revision of the platform's store, and tells of one
+// boot. An endpoint that starts again may be of another kind, so that nothing in the record of one
+// boot holds for another.
 type Endpoint struct {
 	ID         string         `json:"id"`
 	Service    string         `json:"service"`
@@ -49,6 +53,7 @@
 	Labels     []string       `json:"labels,omitempty"`  // kind and rack
 	Leaving    bool           `json:"leaving,omitempty"` // draining: takes no new tasks
 	Boot       int64          `json:"boot,omitempty"`    // start in milliseconds since 1970, 0 if unknown
+	Revision   int64          `json:"at,omitempty"`      // of the platform's store, as of which this is the record; 0 if unknown
 }
 
 // Check reports every problem with the endpoint.
@@ -59,7 +64,7 @@
 	return e.Capacity.Check()
 }
 
-// Equal reports whether all fields are equal.
+// Equal reports whether all fields but the revision are equal.
 func (e *Endpoint) Equal(o *Endpoint) bool {
 	return e.ID == o.ID && e.Service == o.Service && e.Addr == o.Addr && e.DataCentre == o.DataCentre && e.Capacity == o.Capacity &&
 		slices.Equal(e.Labels, o.Labels) && e.Leaving == o.Leaving && e.Boot == o.Boot
