--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -116,7 +116,7 @@
 	d.loop = control.New(core, clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
-	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, d.log)
+	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, clock, d.log)
 	d.loop.Connect(peers, executors, service)
 	d.kernel.Add(cornelwall.ServiceControl, d.loop)
 	d.kernel.Add(cornelwall.ServicePeers, peers)
