A start names the boot that it is for and reaches no other

Cause: an order went to an address and an id, and both stay the same with a restart. The new test on stand-ins started 2 tasks on a boot whose kind was not known. Fix: StartRun names the boot. io/http1 knows which process a connection leads to, by its answers, and sends the start over no other one; on a new connection a poll comes first. The core counts the run as not started and the endpoint as restarted.

--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -12,7 +12,7 @@
 	r.state, r.startedAt = runStarting, c.now
 	l.addRun(r)
 	c.emit(cornelwall.StartRun{
-		Endpoint: l.ep.Endpoint, Fence: l.fence, Run: r.id, Spec: r.spec, LeaseUntil: l.extend(c.now),
+		Endpoint: l.ep.Endpoint, Fence: l.fence, Run: r.id, Spec: r.spec, LeaseUntil: l.extend(c.now), Boot: l.boot,
 	})
 }
 
@@ -34,6 +34,12 @@
 	case ev.Refusal == cornelwall.RefusedBoot:
 		c.handleReplaced(l)
 		return
+	case ev.Refusal == cornelwall.RefusedRestarted:
+		if r != nil && r.lease == l {
+			c.handleStartResult(r, ev.Refusal)
+		}
+		c.handleRestart(l, 0)
+		return
 	case ev.Clock > 0:
 		c.detectRestart(l, r, &ev)
 		c.updateClock(l, ev.Clock)
--- a/core/dispatch/record_test.go
+++ b/core/dispatch/record_test.go
@@ -213,3 +213,22 @@
 	}}})
 	assert.Assert(t, h.c.endpoints["x1"].Leaving)
 }
+
+// TestStartThatCrossesRestartIsNotSentToNewBoot orders a start at an endpoint that has started again and has
+// not been polled since. The order names the boot that it is for; when the new boot turns out to be
+// another one, the run counts as not started, and the endpoint as restarted.
+func TestStartThatCrossesRestartIsNotSentToNewBoot(t *testing.T) {
+	h := newRecordHolder(t)
+	h.answer(1)
+	h.submit(1, "a")
+	assert.Equal(t, len(h.starts), 1)
+	start := h.starts[0]
+	assert.Equal(t, start.Boot, int64(1))
+	l := h.c.endpoints["x1"].lease
+	h.step(cornelwall.OrderResult{Endpoint: "x1", Fence: start.Fence, Run: start.Run, Refusal: cornelwall.RefusedRestarted})
+	assert.Assert(t, l.phase == phaseAcquiring && l.fence > start.Fence && len(l.runs) == 0)
+	h.restart(2)
+	h.list(secondBoot)
+	h.advance(200 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 1, "the task starts on a boot of another kind")
+}
--- a/endpoint.go
+++ b/endpoint.go
@@ -122,6 +122,9 @@
 	RefusedUnhealthy
 	// RefusedBoot means that the endpoint has restarted.
 	RefusedBoot
+	// RefusedRestarted means that a StartRun was not sent, as the endpoint has another boot than the
+	// order names.
+	RefusedRestarted
 	// RefusedInvalid means that the endpoint rejected the order as malformed.
 	RefusedInvalid
 	// RefusedConnect means that the order was not sent because the connection failed.
--- a/endpoint_gen.go
+++ b/endpoint_gen.go
@@ -104,11 +104,11 @@
 	return err
 }
 
-const _RefusalName = "nonefenceoldlateroomunhealthybootinvalidconnectunknown"
+const _RefusalName = "nonefenceoldlateroomunhealthybootrestartedinvalidconnectunknown"
 
-var _RefusalIndex = [...]uint8{0, 4, 9, 12, 16, 20, 29, 33, 40, 47, 54}
+var _RefusalIndex = [...]uint8{0, 4, 9, 12, 16, 20, 29, 33, 42, 49, 56, 63}
 
-const _RefusalLowerName = "nonefenceoldlateroomunhealthybootinvalidconnectunknown"
+const _RefusalLowerName = "nonefenceoldlateroomunhealthybootrestartedinvalidconnectunknown"
 
 func (i Refusal) String() string {
 	if i < 0 || i >= Refusal(len(_RefusalIndex)-1) {
@@ -128,12 +128,13 @@
 	_ = x[RefusedRoom-(4)]
 	_ = x[RefusedUnhealthy-(5)]
 	_ = x[RefusedBoot-(6)]
-	_ = x[RefusedInvalid-(7)]
-	_ = x[RefusedConnect-(8)]
-	_ = x[RefusedUnknown-(9)]
+	_ = x[RefusedRestarted-(7)]
+	_ = x[RefusedInvalid-(8)]
+	_ = x[RefusedConnect-(9)]
+	_ = x[RefusedUnknown-(10)]
 }
 
-var _RefusalValues = []Refusal{RefusedNone, RefusedFence, RefusedOld, RefusedLate, RefusedRoom, RefusedUnhealthy, RefusedBoot, RefusedInvalid, RefusedConnect, RefusedUnknown}
+var _RefusalValues = []Refusal{RefusedNone, RefusedFence, RefusedOld, RefusedLate, RefusedRoom, RefusedUnhealthy, RefusedBoot, RefusedRestarted, RefusedInvalid, RefusedConnect, RefusedUnknown}
 
 var _RefusalNameToValueMap = map[string]Refusal{
 	_RefusalName[0:4]:   RefusedNone,
@@ -143,9 +144,10 @@
 	_RefusalName[16:20]: RefusedRoom,
 	_RefusalName[20:29]: RefusedUnhealthy,
 	_RefusalName[29:33]: RefusedBoot,
-	_RefusalName[33:40]: RefusedInvalid,
-	_RefusalName[40:47]: RefusedConnect,
-	_RefusalName[47:54]: RefusedUnknown,
+	_RefusalName[33:42]: RefusedRestarted,
+	_RefusalName[42:49]: RefusedInvalid,
+	_RefusalName[49:56]: RefusedConnect,
+	_RefusalName[56:63]: RefusedUnknown,
 }
 
 var _RefusalLowerNameToValueMap = map[string]Refusal{
@@ -156,9 +158,10 @@
 	_RefusalLowerName[16:20]: RefusedRoom,
 	_RefusalLowerName[20:29]: RefusedUnhealthy,
 	_RefusalLowerName[29:33]: RefusedBoot,
-	_RefusalLowerName[33:40]: RefusedInvalid,
-	_RefusalLowerName[40:47]: RefusedConnect,
-	_RefusalLowerName[47:54]: RefusedUnknown,
+	_RefusalLowerName[33:42]: RefusedRestarted,
+	_RefusalLowerName[42:49]: RefusedInvalid,
+	_RefusalLowerName[49:56]: RefusedConnect,
+	_RefusalLowerName[56:63]: RefusedUnknown,
 }
 
 var _RefusalNames = []string{
@@ -169,9 +172,10 @@
 	_RefusalName[16:20],
 	_RefusalName[20:29],
 	_RefusalName[29:33],
-	_RefusalName[33:40],
-	_RefusalName[40:47],
-	_RefusalName[47:54],
+	_RefusalName[33:42],
+	_RefusalName[42:49],
+	_RefusalName[49:56],
+	_RefusalName[56:63],
 }
 
 // RefusalString retrieves an enum value from the enum constants string name.
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -38,8 +38,13 @@
 	poolIdleTimeout    = 5 * time.Minute  // after which the pool of an unused machine is dropped
 )
 
-// ErrTooLarge means that an answer is larger than Config.MaxBody.
-var ErrTooLarge = errors.New("answer is too large; return less or raise the limit")
+var (
+	// ErrTooLarge means that an answer is larger than Config.MaxBody.
+	ErrTooLarge = errors.New("answer is too large; return less or raise the limit")
+	// ErrOtherProcess means that another process serves the address than the one that Request.Process
+	// names.
+	ErrOtherProcess = errors.New("another process serves this address; ask it what it is, and send the request again")
+)
 
 // Config holds the settings of a Client. The zero value is usable.
 type Config struct {
@@ -47,6 +52,9 @@
 	MaxIdle     int              // idle connections kept per pool; 0 is 8
 	MaxBody     int64            // largest body of an answer in bytes; 0 is 4 MiB
 	Clock       cornelwall.Clock // nil is the system clock
+	// Identify returns the name of the server process that an answer comes from, or "" if the answer
+	// does not tell. A connection leads to one process as long as it lasts.
+	Identify func(Response) string
 }
 
 // Client holds one pool of connections per machine and connection limit. It is safe for
@@ -63,6 +71,11 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Process, if it is set, is the only server process that may get the request, by the name that
+	// Config.Identify gives it. Probe is sent first on a connection whose process is not known. If the
+	// answer to it does not tell the process either, that answer is returned.
+	Process string
+	Probe   *Request
 }
 
 // Response is a complete answer.
@@ -92,36 +105,45 @@
 // Do sends the request at most once. It waits while maxConns connections to the machine are
 // in use; 0 is no limit. Sent is false if no byte of the request was written. The error is
 // ErrTooLarge if the answer is larger than the limit; the status and header of resp are set
-// then.
+// then. It is ErrOtherProcess if the request was not sent as it is for another process.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, maxConns int, req Request) (resp Response, sent bool, err error) {
 	p := c.acquirePool(poolKey{addr, maxConns})
 	defer c.releasePool(p)
-	got, sent, err := c.exchange(ctx, p, addr, newRequest(addr, req))
+	e := exchange{request: newRequest(addr, req), process: req.Process}
+	if req.Probe != nil {
+		e.probe = newRequest(addr, *req.Probe)
+	}
+	got, sent, err := c.exchange(ctx, p, addr, &e)
 	if err != nil {
 		return got, sent, fmt.Errorf("%s %s on %s: %w", req.Method, req.Path, addr, err)
 	}
-	return got, true, nil
+	return got, sent, nil
+}
+
+// exchange is a request for one process of a server, or for any if process is empty.
+type exchange struct {
+	request *http.Request
+	process string
+	probe   *http.Request
 }
 
 // exchange sends one request on one connection of a pool and reads the answer.
-func (c *Client) exchange(ctx context.Context, p *pool, addr netip.AddrPort, r *http.Request) (resp Response, sent bool, err error) {
+func (c *Client) exchange(ctx context.Context, p *pool, addr netip.AddrPort, e *exchange) (resp Response, sent bool, err error) {
 	if err := p.acquireSlot(ctx); err != nil {
 		return resp, false, err
 	}
 	defer p.releaseSlot()
-	nc := p.takeIdle(c.cfg.Clock.Now())
+	nc := p.takeIdle(c.cfg.Clock.Now(), e.process)
 	if nc == nil {
 		if nc, err = dial(ctx, c.cfg.DialTimeout, addr); err != nil {
 			return resp, false, err
 		}
 	}
-	nc.wrote = false
 	deadline, _ := ctx.Deadline() // the zero time is no deadline
 	_ = nc.SetDeadline(deadline)  // fails only on a closed connection, on which the write fails too
 	stop := context.AfterFunc(ctx, nc.interrupt)
-	resp, keep, err := nc.roundTrip(r, c.cfg.MaxBody)
-	sent = nc.wrote // read before the connection goes back to the pool
-	if !stop() || err != nil || !keep {
+	resp, sent, keep, err := c.sendTo(nc, e)
+	if !stop() || err != nil && !errors.Is(err, ErrOtherProcess) || !keep {
 		_ = nc.Close() // an error would not change the result
 	} else {
 		p.putIdle(nc, c.cfg.Clock.Now(), c.cfg.MaxIdle)
@@ -133,6 +155,33 @@
 	return resp, sent, err
 }
 
+// sendTo sends the request of an exchange on a connection, once the connection is known to lead to the
+// process that the request is for. Sent tells of the request alone, and not of the probe.
+func (c *Client) sendTo(nc *conn, e *exchange) (resp Response, sent, keep bool, err error) {
+	if e.process != "" && nc.process == "" {
+		resp, keep, err = c.roundTrip(nc, e.probe)
+		if err != nil || nc.process == "" || !keep {
+			return resp, false, keep, err
+		}
+	}
+	if nc.process != e.process && e.process != "" {
+		return Response{}, false, true, ErrOtherProcess
+	}
+	nc.wrote = false
+	resp, keep, err = c.roundTrip(nc, e.request)
+	return resp, nc.wrote, keep, err
+}
+
+// roundTrip writes a request and reads the answer, which may tell the process that the connection
+// leads to.
+func (c *Client) roundTrip(nc *conn, r *http.Request) (resp Response, keep bool, err error) {
+	resp, keep, err = nc.roundTrip(r, c.cfg.MaxBody)
+	if err == nil && nc.process == "" && c.cfg.Identify != nil {
+		nc.process = c.cfg.Identify(resp)
+	}
+	return resp, keep, err
+}
+
 // roundTrip writes a request and reads the answer. Keep is set if the connection can be used
 // again.
 func (c *conn) roundTrip(r *http.Request, maxBody int64) (resp Response, keep bool, err error) {
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -147,3 +147,55 @@
 	assert.Equal(t, resp.Status, "503 Service Unavailable")
 	assert.NilError(t, resp.Body.Close())
 }
+
+// TestRequestReachesNamedProcessOnly sends requests for one process of a server, which is replaced at the
+// same address while the connections are idle. The new process must not get a request for the old one.
+func TestRequestReachesNamedProcessOnly(t *testing.T) {
+	serve := func(addr, name string, got *[]string) *httptest.Server {
+		l, err := net.Listen("tcp", addr)
+		assert.NilError(t, err)
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			*got = append(*got, r.URL.Path)
+			if name == "" {
+				w.WriteHeader(http.StatusConflict)
+			}
+			_, _ = io.WriteString(w, name)
+		}))
+		_ = s.Listener.Close()
+		s.Listener = l
+		s.Start()
+		return s
+	}
+	for _, tc := range []struct {
+		name, second string // second is the name of the second process, "" if it refuses to tell
+		err          error
+		sent         bool
+		paths        []string // that the second process gets
+	}{
+		{"another process", "b", ErrOtherProcess, false, []string{"/who"}},
+		{"the same process", "a", nil, true, []string{"/who", "/do"}},
+		{"a process that does not tell", "", nil, false, []string{"/who"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(Config{Identify: func(resp Response) string { return string(resp.Body) }})
+			defer c.Close()
+			do := Request{Method: http.MethodPost, Path: "/do", Process: "a", Probe: &Request{Method: http.MethodPost, Path: "/who"}}
+			var first, second []string
+			s := serve("127.0.0.1:0", "a", &first)
+			addr := netip.MustParseAddrPort(s.Listener.Addr().String())
+			for range 2 {
+				_, sent, err := c.Do(context.Background(), addr, 0, do)
+				assert.NilError(t, err)
+				assert.Assert(t, sent)
+			}
+			assert.DeepEqual(t, first, []string{"/who", "/do", "/do"}) // one probe for each connection
+			s.Close()
+			s = serve(addr.String(), tc.second, &second)
+			_, sent, err := c.Do(context.Background(), addr, 0, do)
+			assert.ErrorIs(t, err, tc.err)
+			assert.Equal(t, sent, tc.sent)
+			s.Close()
+			assert.DeepEqual(t, second, tc.paths)
+		})
+	}
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -24,6 +24,7 @@
 	r         *bufio.Reader
 	w         *bufio.Writer
 	wrote     bool      // at least one byte of the current request was written
+	process   string    // of the server, see Config.Identify; empty if it is not known
 	idleSince time.Time // when it was returned to the pool
 }
 
@@ -45,6 +46,12 @@
 	return n, err
 }
 
+// leadsTo reports whether the connection leads to a process or may do so. Any will do if process is
+// empty.
+func (c *conn) leadsTo(process string) bool {
+	return process == "" || c.process == "" || c.process == process
+}
+
 // usable reports whether the server has neither closed the idle connection nor sent anything
 // on it.
 func (c *conn) usable() bool {
--- a/io/http1/httpclient.go
+++ b/io/http1/httpclient.go
@@ -23,7 +23,7 @@
 	}
 	pool := p.client.acquirePool(poolKey{addr: addr})
 	defer p.client.releasePool(pool)
-	got, _, err := p.client.exchange(r.Context(), pool, addr, r)
+	got, _, err := p.client.exchange(r.Context(), pool, addr, &exchange{request: r})
 	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w", r.Method, r.URL, err)
 	}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -51,8 +51,9 @@
 	}
 }
 
-// takeIdle returns an idle connection that is still usable, or nil.
-func (p *pool) takeIdle(now time.Time) *conn {
+// takeIdle returns an idle connection that is still usable, or nil. If process is set, connections to
+// other processes are closed: an address has one process at a time.
+func (p *pool) takeIdle(now time.Time, process string) *conn {
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
@@ -63,7 +64,7 @@
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if now.Sub(c.idleSince) < idleTimeout && c.usable() {
+		if now.Sub(c.idleSince) < idleTimeout && c.leadsTo(process) && c.usable() {
 			return c
 		}
 		_ = c.Close() // an error has no effect: no request is on it
--- a/leased.go
+++ b/leased.go
@@ -32,7 +32,7 @@
 	EndpointsListed struct {
 		List     []Endpoint
 		Revision int64
-		AsOf     time.Time // when the read was sent, on the clock of the process; zero counts as now
+		AsOf     time.Time // when the read was sent, on the clock of the core; zero counts as now
 	}
 	// MembersListed is the list of entries that are registered with the platform.
 	MembersListed struct{ List []Member }
@@ -109,6 +109,7 @@
 		Run        RunID
 		Spec       string
 		LeaseUntil time.Duration // end of the lease on the endpoint's clock
+		Boot       int64         // the only boot of the endpoint that may get the order; 0 for any
 	}
 	// StopRun stops a run, or prevents it from starting later.
 	StopRun struct {
--- a/standin/leased/endpoint.go
+++ b/standin/leased/endpoint.go
@@ -140,6 +140,9 @@
 // Start starts a run. It is idempotent: a run that is already in progress is not refused.
 func (e *Endpoint) Start(now time.Time, cmd cornelwall.StartRun) cornelwall.Refusal {
 	e.Advance(now)
+	if cmd.Boot != 0 && cmd.Boot != e.boot {
+		return cornelwall.RefusedRestarted
+	}
 	if e.refusesFence(cmd.Fence) {
 		return cornelwall.RefusedFence
 	}
