A record without all fields, or out of range, names no endpoint

Callers: a task ran twice at the same time (TWICE) after another writer had left an incomplete entry under the key of an executor; links between entries were of no use after one with a negative capacity. Cause: decodeEndpoint checked service, address and state only; what Endpoint.Check refuses went into messages that other entries then refused as a whole. Evidence: 22 of 50 odd entries named an endpoint.

--- a/endpoint.go
+++ b/endpoint.go
@@ -30,10 +30,18 @@
 	return Resources{Cores: r.Cores - o.Cores, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
-// Check reports an error if an amount is negative.
+const (
+	maxAmount    = 100_000_000 // of one resource; sums over a fleet must not overflow
+	maxLabels    = 64          // of an endpoint
+	maxFieldSize = 200         // bytes of a text in an Endpoint, all of which go to other entries
+)
+
+// Check reports an error if an amount is negative or too large.
 func (r Resources) Check() error {
-	if r.Cores < 0 || r.Memory < 0 || r.Accelerators < 0 {
-		return fmt.Errorf("share %+v is negative; use 0 or more cores, MiB of memory and accelerators", r)
+	for _, n := range []int{r.Cores, r.Memory, r.Accelerators} {
+		if n < 0 || n > maxAmount {
+			return fmt.Errorf("share %+v has an amount out of range; use 0 to %d thousandths of cores, MiB of memory and accelerators", r, maxAmount)
+		}
 	}
 	return nil
 }
@@ -58,10 +66,20 @@
 
 // Check reports every problem with the endpoint.
 func (e *Endpoint) Check() error {
-	if e.ID == "" || e.Service == "" || !e.Addr.IsValid() {
-		return fmt.Errorf("endpoint %q of service %q has address %s; name all three", e.ID, e.Service, e.Addr)
+	errs := []error{e.Capacity.Check()}
+	if e.ID == "" || e.Service == "" || !e.Addr.IsValid() || e.Addr.Port() == 0 || e.Addr.Addr().IsUnspecified() {
+		errs = append(errs, fmt.Errorf("endpoint %.50q of service %.50q has address %s; name all three, with an IP address and a port to connect to", e.ID, e.Service, e.Addr))
 	}
-	return e.Capacity.Check()
+	if len(e.Labels) > maxLabels {
+		errs = append(errs, fmt.Errorf("endpoint %.50q has %d labels; use at most %d", e.ID, len(e.Labels), maxLabels))
+	}
+	for _, s := range append([]string{e.ID, e.Service, e.DataCentre}, e.Labels[:min(len(e.Labels), maxLabels)]...) {
+		if len(s) > maxFieldSize {
+			errs = append(errs, fmt.Errorf("endpoint %.50q has a text of %d bytes, %.50q; use at most %d", e.ID, len(s), s, maxFieldSize))
+			break
+		}
+	}
+	return errors.Join(errs...)
 }
 
 // Equal reports whether all fields but the revision are equal.
