Orders stay at the address of the boot that they are for

Cause: orders went to the address of the newest record of the endpoint, and a 421 from there ended all of its runs, though the endpoint had never been there. Fix: a lease keeps the address of its boot until the record of a new boot names another.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -111,7 +111,12 @@
 	if ep.Leaving && !before.Leaving {
 		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.now.Sub(c.knownAt))
 	}
-	if before.Boot != ep.Boot && l.boot != 0 && ep.Boot != 0 && ep.Boot != l.boot {
+	switch {
+	case before.Boot == ep.Boot || ep.Boot == 0:
+	case l.boot == 0: // none has answered yet
+		l.addr = ep.Addr
+	case ep.Boot != l.boot:
+		l.addr = ep.Addr
 		c.handleRestart(l, ep.Boot)
 	}
 }
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	c.lastOffer++
-	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: l.fence, Offer: c.lastOffer}
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: l.target(), Fence: l.fence, Offer: c.lastOffer}
 	for _, r := range l.sortedRuns() {
 		if r.state == runStopping {
 			continue // the next holder stops the runs that are not in the offer
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -45,8 +46,9 @@
 // token.
 type lease struct {
 	ep            *endpoint
-	firstFence    uint64 // fence with which it was acquired
-	fence         uint64 // current fence; rises when the endpoint restarts
+	addr          netip.AddrPort // where orders go; stays as it is for one boot, whatever the list names
+	firstFence    uint64         // fence with which it was acquired
+	fence         uint64         // current fence; rises when the endpoint restarts
 	phase         leasePhase
 	acquiredAt    time.Time
 	boot          int64  // identifies the endpoint's start; a time of day, which may jump and gives no order
@@ -93,7 +95,7 @@
 func (c *Core) acquire(ep *endpoint, runs []cornelwall.HandoverRun) {
 	fence := c.nextFence()
 	l := &lease{
-		ep: ep, firstFence: fence, fence: fence, acquiredAt: c.now, answeredAt: c.now,
+		ep: ep, addr: ep.Addr, firstFence: fence, fence: fence, acquiredAt: c.now, answeredAt: c.now,
 		runs: map[cornelwall.RunID]*run{}, orphans: map[cornelwall.RunID]time.Time{},
 	}
 	c.setLease(ep, l)
@@ -174,6 +176,13 @@
 	return false
 }
 
+// target returns the endpoint as orders under the lease are sent to it.
+func (l *lease) target() cornelwall.Endpoint {
+	to := l.ep.Endpoint
+	to.Addr = l.addr
+	return to
+}
+
 // knowsKind reports whether the record of the endpoint is that of the boot that answers the polls. If
 // not, nothing in it holds: its service, capacity and labels may be others since it has restarted.
 func (l *lease) knowsKind() bool { return l.ep.Boot == 0 || l.ep.Boot == l.boot }
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -12,7 +12,7 @@
 	r.state, r.startedAt = runStarting, c.now
 	l.addRun(r)
 	c.emit(cornelwall.StartRun{
-		Endpoint: l.ep.Endpoint, Fence: l.fence, Run: r.id, Spec: r.spec, LeaseUntil: l.extend(c.now), Boot: l.boot,
+		Endpoint: l.target(), Fence: l.fence, Run: r.id, Spec: r.spec, LeaseUntil: l.extend(c.now), Boot: l.boot,
 	})
 }
 
@@ -144,7 +144,7 @@
 
 func (c *Core) sendStop(r *run) {
 	r.lastStopSent = c.now
-	c.emit(cornelwall.StopRun{Endpoint: r.lease.ep.Endpoint, Fence: r.lease.fence, Run: r.id})
+	c.emit(cornelwall.StopRun{Endpoint: r.lease.target(), Fence: r.lease.fence, Run: r.id})
 }
 
 // handleStopResult handles the answer of an endpoint to a stop.
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -14,7 +14,7 @@
 		acked = l.ackedEndAtOffer // the next holder needs the list of the ends since then
 	}
 	l.lastPoll++
-	cmd := cornelwall.PollEndpoint{Endpoint: l.ep.Endpoint, Fence: l.fence, Seq: l.lastPoll, AckedEnd: acked, MaxWait: wait}
+	cmd := cornelwall.PollEndpoint{Endpoint: l.target(), Fence: l.fence, Seq: l.lastPoll, AckedEnd: acked, MaxWait: wait}
 	if (l.phase == phaseReady || l.phase == phaseOffered) && len(l.runs) > 0 && !l.mustExpire(c.now) {
 		cmd.LeaseUntil = l.extend(c.now)
 	}
@@ -124,7 +124,7 @@
 	}
 	l.orphans[id] = c.now
 	c.log("stranger-stopped", "endpoint", l.ep.ID, "task", id.Task, "run", id.Run)
-	c.emit(cornelwall.StopRun{Endpoint: l.ep.Endpoint, Fence: l.fence, Run: id})
+	c.emit(cornelwall.StopRun{Endpoint: l.target(), Fence: l.fence, Run: id})
 }
 
 // updatePhase makes an endpoint ready once only known runs are left there after its acquisition, or
--- a/core/dispatch/record_test.go
+++ b/core/dispatch/record_test.go
@@ -19,6 +19,7 @@
 	record cornelwall.Endpoint // as listed last
 	rev    int64               // of the list
 	starts []cornelwall.StartRun
+	polls  []cornelwall.PollEndpoint
 	ended  []cornelwall.BatchEnd
 	reads  int // immediate reads of the list that were ordered
 	batch  int // number of the last batch
@@ -47,6 +48,8 @@
 		switch cmd := cmd.(type) {
 		case cornelwall.StartRun:
 			h.starts = append(h.starts, cmd)
+		case cornelwall.PollEndpoint:
+			h.polls = append(h.polls, cmd)
 		case cornelwall.ReplyBatch:
 			h.ended = append(h.ended, cmd.Answer.End)
 		case cornelwall.ReadEndpoints:
@@ -232,3 +235,29 @@
 	h.advance(200 * time.Millisecond)
 	assert.Equal(t, len(h.starts), 1, "the task starts on a boot of another kind")
 }
+
+// TestOrdersStayAtAddressThatAnswered lists another address of the boot that answers at the one before, as
+// when another writer has left an entry. Orders went to that address, where another endpoint refused them
+// with 421, which counted as the end of the runs, and the tasks ran twice. A new boot may move.
+func TestOrdersStayAtAddressThatAnswered(t *testing.T) {
+	other := netip.MustParseAddrPort("10.0.0.2:7001")
+	for _, tc := range []struct {
+		name  string
+		boot  int64
+		moves bool
+	}{{"the same boot", 1, false}, {"a new boot", 2, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newRecordHolder(t)
+			h.answer(1)
+			h.submit(1, "a")
+			assert.Equal(t, len(h.starts), 1)
+			h.polls = nil
+			h.list(func(e *cornelwall.Endpoint) { e.Addr, e.Boot = other, tc.boot })
+			h.advance(pollWait + 2*pollMargin)
+			assert.Assert(t, len(h.polls) > 0)
+			for _, p := range h.polls {
+				assert.Equal(t, p.Endpoint.Addr == other, tc.moves, "%s", p.Endpoint.Addr)
+			}
+		})
+	}
+}
