A batch whose figures overflow is refused

Callers: one job with two steps of 2^62 tasks ended every entry that it was handed to, by memory (Fault). Cause: BatchJob.Check added up the counts before it compared the sum with the bound.

--- a/batch.go
+++ b/batch.go
@@ -11,8 +11,9 @@
 const (
 	maxSpec       = 4000 // bytes
 	maxBatchTasks = 1024 // tasks in a batch
-	batchIDLen    = 16   // hexadecimal digits in the ID of a batch
-	minStretch    = 1    // a queue with a smaller stretch, or with none, gets this one
+	maxEstimate   = 24 * time.Hour
+	batchIDLen    = 16 // hexadecimal digits in the ID of a batch
+	minStretch    = 1  // a queue with a smaller stretch, or with none, gets this one
 )
 
 // Queue configures the batches that are requested under one path prefix on one host.
@@ -106,9 +107,12 @@
 	n := 0
 	for i := range b.Steps {
 		s := &b.Steps[i]
-		n += max(s.Count, 0)
-		if s.Count < 1 {
-			errs = append(errs, fmt.Errorf("steps[%d].count is %d; use 1 or more", i, s.Count))
+		n = min(n+min(max(s.Count, 0), maxBatchTasks+1), maxBatchTasks+1) // the sum must not overflow
+		if s.Count < 1 || s.Count > maxBatchTasks {
+			errs = append(errs, fmt.Errorf("steps[%d].count is %d; use 1 to %d", i, s.Count, maxBatchTasks))
+		}
+		if s.Estimate < 0 || s.Estimate > maxEstimate {
+			errs = append(errs, fmt.Errorf("steps[%d].estimate is %s; use 0 to %s", i, s.Estimate, maxEstimate))
 		}
 		for _, j := range s.After {
 			if j < 0 || j >= i {
@@ -120,7 +124,7 @@
 		}
 	}
 	if n == 0 || n > maxBatchTasks {
-		errs = append(errs, fmt.Errorf("batch has %d tasks; use 1 to %d", n, maxBatchTasks))
+		errs = append(errs, fmt.Errorf("batch has no task or more than %d; use 1 to %d", maxBatchTasks, maxBatchTasks))
 	}
 	return errors.Join(errs...)
 }
