--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -276,7 +276,7 @@
 	v := c.freeCapacity()
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
-		"listage", c.now.Sub(c.knownAt), "listinterval", c.readInterval)
+		"listage", c.listAge(), "listinterval", c.readInterval)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -109,7 +109,7 @@
 	ep := l.ep
 	c.heldChanged, c.backlogChanged = true, true
 	if ep.Leaving && !before.Leaving {
-		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.now.Sub(c.knownAt))
+		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.listAge())
 	}
 	switch {
 	case before.Boot == ep.Boot || ep.Boot == 0:
@@ -210,6 +210,14 @@
 	}
 }
 
+// listAge returns the time since the list was certainly up to date, or since the start if it never was.
+func (c *Core) listAge() time.Duration {
+	if c.knownAt.Before(c.startedAt) {
+		return c.now.Sub(c.startedAt)
+	}
+	return c.now.Sub(c.knownAt)
+}
+
 // recordTold records the age of the list that another entry has sent. After a pause of this process
 // the message may have waited for any time, and tells nothing about the age.
 func (c *Core) recordTold(from cornelwall.Incarnation, age time.Duration) {
--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// restarts are histories in which endpoints start again often.
+var restarts = append([]action{(*rig).restartEndpoint, (*rig).restartEndpoint, (*rig).restartEndpoint, (*rig).restartEndpoint}, allActions...)
+
+// TestKindOfRestartedEndpoint runs histories with endpoints that start again as another kind. No task may
+// start on an endpoint without the label that it requires, whatever the holder knew of an earlier boot.
+func TestKindOfRestartedEndpoint(t *testing.T) {
+	for s := range uint64(20) {
+		if r := runSeed(s, mutation{kinds: true}, restarts); r.failure != "" {
+			t.Errorf("seed %d: %s", s, r.failure)
+		}
+	}
+}
+
 const maxMutantHistories = 100
 
 // TestMutants breaks one rule at a time. The checks must detect each mutation.
@@ -131,6 +144,7 @@
 		{"undelivered tasks count as not started", mutation{refuseUndelivered: true}, partitions, 400},
 		{"events get the time of their batch", mutation{staleEventTimes: true}, slowEntries, 0},
 		{"polls count as sent when answered", mutation{latePollNumbers: true}, slowEntries, 0},
+		{"starts reach any boot", mutation{kinds: true, anyBoot: true}, restarts, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -422,6 +436,9 @@
 		if r := runSeed(s, mutation{staleEventTimes: *stale}, slowEntries); r.failure != "" {
 			t.Errorf("seed %d, slow entries: %s", s, r.failure)
 		}
+		if r := runSeed(s, mutation{kinds: true}, restarts); r.failure != "" {
+			t.Errorf("seed %d, kinds: %s", s, r.failure)
+		}
 		if r := runSeed(s, mutation{staleEventTimes: *stale}, slowEntriesAndFaults); r.failure != "" {
 			t.Errorf("seed %d, slow entries and faults: %s", s, r.failure)
 		}
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -37,6 +37,9 @@
 
 var trace = flag.Bool("trace", false, "print what the entries log")
 
+// kinds are the labels of endpoints, see mutation.kinds.
+var kinds = []string{"a", "b"}
+
 var endpointCapacity = cornelwall.Resources{Cores: 16000, Memory: 65536}
 
 // mutation breaks one rule on purpose. The checks must detect each mutation.
@@ -52,6 +55,10 @@
 	// longRuns is no broken rule: tasks take five times as long, and are declared to, so that they still
 	// run when their owner gives them up.
 	longRuns bool
+	// kinds is no broken rule: endpoints are of two kinds, of which each boot draws one anew, and some
+	// batches require one.
+	kinds   bool
+	anyBoot bool // starts reach any boot of an endpoint
 }
 
 type entry struct {
@@ -229,7 +236,9 @@
 	}
 	var list []cornelwall.Endpoint
 	for i, ep := range r.endpoints {
-		list = append(list, cornelwall.Endpoint{ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: endpointCapacity, Boot: ep.Boot()})
+		list = append(list, cornelwall.Endpoint{
+			ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: endpointCapacity, Labels: r.labels(ep), Boot: ep.Boot(),
+		})
 	}
 	r.listRevision++
 	for _, e := range r.entries {
@@ -242,7 +251,7 @@
 			if !r.w.Now.Before(e.nextRead) {
 				e.nextRead = r.w.Now.Add(e.readInterval)
 				r.listReads++
-				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision})
+				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
 			r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{{
 				Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: 2 * time.Second, Objective: r.objective, Stretch: 1.6,
@@ -251,6 +260,22 @@
 	}
 }
 
+// labels returns the labels of an endpoint's boot.
+func (r *rig) labels(ep *leased.Endpoint) []string {
+	if !r.mutation.kinds {
+		return nil
+	}
+	return []string{kinds[(ep.Boot()+int64(slices.Index(r.endpoints, ep)))%int64(len(kinds))]}
+}
+
+// requirement returns the kind that a batch requires, or "" for any.
+func (r *rig) requirement(batch uint64) string {
+	if !r.mutation.kinds || batch%2 == 0 {
+		return ""
+	}
+	return kinds[batch/2%uint64(len(kinds))]
+}
+
 func (r *rig) isCut(from, to string) bool { return r.cuts[[2]string{from, to}] }
 
 // link delays envelopes. On a cut link they arrive up to 8 s late, when it may work again, or
@@ -353,6 +378,9 @@
 		}
 		return result
 	case cornelwall.StartRun:
+		if r.mutation.anyBoot {
+			cmd.Boot = 0
+		}
 		if r.mutation.extendStartLeases {
 			cmd.LeaseUntil = max(cmd.LeaseUntil, ep.Clock(now)+500*time.Millisecond)
 		}
@@ -449,6 +477,9 @@
 		return
 	}
 	c.starts++
+	if kind := c.batch.Steps[0].Requires; kind != "" && !slices.Contains(r.labels(ep), kind) {
+		r.fail("%s requires %s and starts on %s, which has %v since %s", id.Task, kind, ep.ID, r.labels(ep), time.UnixMilli(ep.Boot()).UTC().Format("05.000"))
+	}
 	if c.answered && r.w.Now.Sub(c.endAt) > maxStartAfterAnswer {
 		r.fail("%s starts %s after its client was answered", id.Task, r.w.Now.Sub(c.endAt))
 	}
@@ -478,7 +509,7 @@
 	r.nextID++
 	c := &client{id: fmt.Sprintf("%016x", r.nextID), done: map[string]bool{}, timeout: timeout, sentAt: r.w.Now}
 	c.batch = &cornelwall.BatchJob{ID: c.id, Steps: []cornelwall.Step{{
-		Count: tasks, Need: cornelwall.Resources{Cores: 6800}, Estimate: r.estimate,
+		Count: tasks, Need: cornelwall.Resources{Cores: 6800}, Estimate: r.estimate, Requires: r.requirement(r.nextID),
 	}}}
 	r.clients[c.id] = c
 	r.send(c)
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -143,7 +143,7 @@
 		}
 		c.log("endpoint-ready", "endpoint", l.ep.ID, "fence", l.fence, "kept", len(m.Kept), "after", c.now.Sub(l.acquiredAt))
 		if !l.knowsKind() {
-			c.log("endpoint-unlisted-boot", "endpoint", l.ep.ID, "boot", l.boot, "listed", l.ep.Boot, "listage", c.now.Sub(c.knownAt))
+			c.log("endpoint-unlisted-boot", "endpoint", l.ep.ID, "boot", l.boot, "listed", l.ep.Boot, "listage", c.listAge())
 			c.orderRead()
 		}
 		for _, p := range c.peersByID {
