A job that fills the largest body with what none may have takes little memory

Callers: one body of 256 KB with 87,000 empty steps took 177 MB to decode, check and answer; an entry has 284 MB, so that two at once end it, and its callers lose theirs (Fault). Cause: a job was decoded whole and every problem was told.

--- a/batch.go
+++ b/batch.go
@@ -4,16 +4,20 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
 
+// MaxBatchTasks is the greatest number of tasks in a batch, and so of its steps.
+const MaxBatchTasks = 1024
+
 const (
-	maxSpec       = 4000 // bytes
-	maxBatchTasks = 1024 // tasks in a batch
-	maxEstimate   = 24 * time.Hour
-	batchIDLen    = 16 // hexadecimal digits in the ID of a batch
-	minStretch    = 1  // a queue with a smaller stretch, or with none, gets this one
+	maxSpec     = 4000 // bytes
+	maxEstimate = 24 * time.Hour
+	maxProblems = 8  // that are told of one batch
+	batchIDLen  = 16 // hexadecimal digits in the ID of a batch
+	minStretch  = 1  // a queue with a smaller stretch, or with none, gets this one
 )
 
 // Queue configures the batches that are requested under one path prefix on one host.
@@ -95,40 +99,49 @@
 	Steps []Step
 }
 
-// Check reports every problem with the batch.
+// Check reports the problems with the batch, the first ones if there are many.
 func (b *BatchJob) Check() error {
 	var errs []error
 	if len(b.ID) != batchIDLen || strings.Trim(b.ID, "0123456789abcdef") != "" {
-		errs = append(errs, fmt.Errorf("id %q is not valid; use %d characters of 0-9 and a-f", b.ID, batchIDLen))
+		errs = append(errs, fmt.Errorf("id %.50q is not valid; use %d characters of 0-9 and a-f", b.ID, batchIDLen))
 	}
 	if len(b.Spec) > maxSpec {
 		errs = append(errs, fmt.Errorf("spec has %d bytes; use at most %d", len(b.Spec), maxSpec))
 	}
 	n := 0
 	for i := range b.Steps {
-		s := &b.Steps[i]
-		n = min(n+min(max(s.Count, 0), maxBatchTasks+1), maxBatchTasks+1) // the sum must not overflow
-		if s.Count < 1 || s.Count > maxBatchTasks {
-			errs = append(errs, fmt.Errorf("steps[%d].count is %d; use 1 to %d", i, s.Count, maxBatchTasks))
-		}
-		if s.Estimate < 0 || s.Estimate > maxEstimate {
-			errs = append(errs, fmt.Errorf("steps[%d].estimate is %s; use 0 to %s", i, s.Estimate, maxEstimate))
-		}
-		for _, j := range s.After {
-			if j < 0 || j >= i {
-				errs = append(errs, fmt.Errorf("steps[%d].after names step %d; name earlier steps only", i, j))
-			}
-		}
-		if err := s.Need.Check(); err != nil {
-			errs = append(errs, fmt.Errorf("steps[%d]: %w", i, err))
+		n = min(n+min(max(b.Steps[i].Count, 0), MaxBatchTasks+1), MaxBatchTasks+1) // the sum must not overflow
+		if len(errs) < maxProblems {
+			errs = append(errs, b.Steps[i].problems(i)...)
 		}
 	}
-	if n == 0 || n > maxBatchTasks {
-		errs = append(errs, fmt.Errorf("batch has no task or more than %d; use 1 to %d", maxBatchTasks, maxBatchTasks))
+	if n == 0 || n > MaxBatchTasks {
+		errs = append(errs, fmt.Errorf("batch has no task or more than %d; use 1 to %d", MaxBatchTasks, MaxBatchTasks))
 	}
 	return errors.Join(errs...)
 }
 
+// problems returns the problems with the step of an index.
+func (s *Step) problems(i int) []error {
+	var errs []error
+	if s.Count < 1 || s.Count > MaxBatchTasks {
+		errs = append(errs, fmt.Errorf("steps[%d].count is %d; use 1 to %d", i, s.Count, MaxBatchTasks))
+	}
+	if s.Estimate < 0 || s.Estimate > maxEstimate {
+		errs = append(errs, fmt.Errorf("steps[%d].estimate is %s; use 0 to %s", i, s.Estimate, maxEstimate))
+	}
+	if j := slices.IndexFunc(s.After, func(step int) bool { return step < 0 || step >= i }); j >= 0 {
+		errs = append(errs, fmt.Errorf("steps[%d].after names step %d; name earlier steps only", i, s.After[j]))
+	}
+	if len(s.Requires) > maxFieldSize || len(s.Rack) > maxFieldSize {
+		errs = append(errs, fmt.Errorf("steps[%d] has labels of %d and %d bytes; use at most %d", i, len(s.Requires), len(s.Rack), maxFieldSize))
+	}
+	if err := s.Need.Check(); err != nil {
+		errs = append(errs, fmt.Errorf("steps[%d]: %w", i, err))
+	}
+	return errs
+}
+
 //go:generate go tool enumer -type=BatchEnd -text -transform=kebab -trimprefix=Batch -output=batch_gen.go
 
 // BatchEnd is how a batch ended, or why it was not run.
--- a/batch_test.go
+++ b/batch_test.go
@@ -22,8 +22,8 @@
 		steps []Step
 		valid bool
 	}{
-		{"all tasks that are allowed", step(func(s *Step) { s.Count = maxBatchTasks / 4 }), true},
-		{"one step too many", append(step(func(s *Step) { s.Count = maxBatchTasks / 4 }), Step{Count: 1}), false},
+		{"all tasks that are allowed", step(func(s *Step) { s.Count = MaxBatchTasks / 4 }), true},
+		{"one step too many", append(step(func(s *Step) { s.Count = MaxBatchTasks / 4 }), Step{Count: 1}), false},
 		{"2^62 tasks in each of two steps", step(func(s *Step) { s.Count = 1 << 62 })[:2], false},
 		{"a sum that is 1 after an overflow", []Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 3}}, false},
 		{"no steps", nil, false},
--- a/endpoint.go
+++ b/endpoint.go
@@ -33,7 +33,7 @@
 const (
 	maxAmount    = 100_000_000 // of one resource; sums over a fleet must not overflow
 	maxLabels    = 64          // of an endpoint
-	maxFieldSize = 200         // bytes of a text in an Endpoint, all of which go to other entries
+	maxFieldSize = 200         // bytes of a text in an Endpoint or of a label, which go to other entries
 )
 
 // Check reports an error if an amount is negative or too large.
