--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -13,11 +13,11 @@
 		edits: []edit{
 			{"io/http1/client.go", "		r.Body = io.NopCloser(bytes.NewReader(req.Body))", `		r.Body = io.NopCloser(bytes.NewReader(req.Body))
 		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(req.Body)), nil }`},
-			{"io/http1/client.go", "	sent = nc.wrote", `	if again, dialErr := dial(ctx, c.cfg.DialTimeout, addr); err != nil && r.GetBody != nil && dialErr == nil {
-		r.Body, _ = r.GetBody()
-		resp, keep, err = again.roundTrip(r, c.cfg.MaxBody)
-	}
-	sent = nc.wrote`},
+			{"io/http1/client.go", "	resp, keep, err = c.roundTrip(nc, e.request)", `	resp, keep, err = c.roundTrip(nc, e.request)
+	if again, dialErr := dial(context.Background(), c.cfg.DialTimeout, netip.MustParseAddrPort(e.request.URL.Host)); err != nil && e.request.GetBody != nil && dialErr == nil {
+		e.request.Body, _ = e.request.GetBody()
+		resp, keep, err = again.roundTrip(e.request, c.cfg.MaxBody)
+	}`},
 		},
 	},
 	{
