Fuzz: readers lose the platform while endpoints leave

An entry in touch must not order starts at an endpoint over 2 s after one in touch was sent that it leaves.

--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -57,8 +57,9 @@
 	longRuns bool
 	// kinds is no broken rule: endpoints are of two kinds, of which each boot draws one anew, and some
 	// batches require one.
-	kinds   bool
-	anyBoot bool // starts reach any boot of an endpoint
+	kinds     bool
+	anyBoot   bool // starts reach any boot of an endpoint
+	rareReads bool // entries read the list of endpoints every few seconds only, whatever they order
 }
 
 type entry struct {
@@ -70,6 +71,7 @@
 	downSince    time.Time // when it was last killed
 	platformCut  bool      // it cannot reach the platform
 	incarnations uint64
+	disturbedAt  time.Time     // when it last could not run or reach the platform
 	readInterval time.Duration // between reads of the endpoint list, as ordered by the core
 	nextRead     time.Time     // time of the next read
 	slow         bool          // it takes time to handle an event
@@ -130,10 +132,12 @@
 
 	maxMeshPeers int // in the config of each core
 	size         size
-	listReads    int           // of the endpoint list
-	orders       int           // to endpoints
-	sentMessages messageCounts // between entries; nil if not counted
-	listRevision int64         // of the endpoint list
+	listReads    int               // of the endpoint list
+	orders       int               // to endpoints
+	sentMessages messageCounts     // between entries; nil if not counted
+	listRevision int64             // of the endpoint list
+	postInterval time.Duration     // between two lists of the platform
+	drains       map[string]*drain // by endpoint
 
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
@@ -163,6 +167,7 @@
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
 		cuts: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
+		postInterval: listInterval, drains: map[string]*drain{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{},
 	}
 	if mut.longRuns {
@@ -196,6 +201,7 @@
 
 func (r *rig) start(e *entry) {
 	e.incarnations++
+	e.disturbedAt = r.w.Now
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
 	core := dispatch.New(dispatch.Config{
@@ -224,10 +230,10 @@
 	}
 }
 
-// postLists acts as the platform: every listInterval it posts its lists to all entries that can reach
+// postLists acts as the platform: every postInterval it posts its lists to all entries that can reach
 // it.
 func (r *rig) postLists() {
-	r.w.CallAfter(listInterval, r.postLists)
+	r.w.CallAfter(r.postInterval, r.postLists)
 	var members []cornelwall.Member
 	for _, e := range r.entries {
 		if e.up() && !e.platformCut || r.w.Now.Sub(e.downSince) < memberTTL {
@@ -237,11 +243,14 @@
 	var list []cornelwall.Endpoint
 	for i, ep := range r.endpoints {
 		list = append(list, cornelwall.Endpoint{
-			ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: endpointCapacity, Labels: r.labels(ep), Boot: ep.Boot(),
+			ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: endpointCapacity, Labels: r.labels(ep), Leaving: r.drains[ep.ID] != nil, Boot: ep.Boot(),
 		})
 	}
 	r.listRevision++
 	for _, e := range r.entries {
+		if !e.up() || e.host.Frozen || e.platformCut || !r.platformUp {
+			e.disturbedAt = r.w.Now
+		}
 		switch {
 		case !e.up():
 		case !r.platformUp || e.platformCut:
@@ -251,6 +260,7 @@
 			if !r.w.Now.Before(e.nextRead) {
 				e.nextRead = r.w.Now.Add(e.readInterval)
 				r.listReads++
+				r.recordDrainsRead(e)
 				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
 			r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{{
@@ -329,6 +339,7 @@
 // sendOrder carries an order to an endpoint and its reply back.
 func (r *rig) sendOrder(h *fake.Host, cmd cornelwall.Command) {
 	r.orders++
+	r.checkDrain(h, cmd)
 	id, wait := orderTarget(cmd)
 	ep := r.endpoint(id)
 	outbound, inbound := r.delay(), r.delay()
@@ -596,6 +607,9 @@
 		if e.host != h {
 			continue
 		}
+		if r.mutation.rareReads {
+			cmd = cornelwall.ReadEndpoints{Every: max(cmd.Every, rareReadInterval)}
+		}
 		e.readInterval = cmd.Every
 		if next := r.w.Now.Add(cmd.Every); cmd.Now {
 			e.nextRead = r.w.Now
