The probe of a connection is built only where one is sent

Each start encoded the poll that asks a new connection for its boot, though nearly all connections are known. It is a function now. The check of the connection's process uses leadsTo, which the pool has already. Same behaviour.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -72,10 +72,11 @@
 	Header http.Header
 	Body   []byte
 	// Process, if it is set, is the only server process that may get the request, by the name that
-	// Config.Identify gives it. Probe is sent first on a connection whose process is not known. If the
-	// answer to it does not tell the process either, that answer is returned.
+	// Config.Identify gives it. On a connection whose process is not known, the request that Probe
+	// returns is sent first. If the answer to it does not tell the process either, that answer is
+	// returned.
 	Process string
-	Probe   *Request
+	Probe   func() Request
 }
 
 // Response is a complete answer.
@@ -110,9 +111,7 @@
 	p := c.acquirePool(poolKey{addr, maxConns})
 	defer c.releasePool(p)
 	e := exchange{request: newRequest(addr, req), process: req.Process}
-	if req.Probe != nil {
-		e.probe = newRequest(addr, *req.Probe)
-	}
+	e.probe = func() *http.Request { return newRequest(addr, req.Probe()) }
 	got, sent, err := c.exchange(ctx, p, addr, &e)
 	if err != nil {
 		return got, sent, fmt.Errorf("%s %s on %s: %w", req.Method, req.Path, addr, err)
@@ -124,7 +123,7 @@
 type exchange struct {
 	request *http.Request
 	process string
-	probe   *http.Request
+	probe   func() *http.Request // asks for the process
 }
 
 // exchange sends one request on one connection of a pool and reads the answer.
@@ -159,12 +158,12 @@
 // process that the request is for. Sent tells of the request alone, and not of the probe.
 func (c *Client) sendTo(nc *conn, e *exchange) (resp Response, sent, keep bool, err error) {
 	if e.process != "" && nc.process == "" {
-		resp, keep, err = c.roundTrip(nc, e.probe)
+		resp, keep, err = c.roundTrip(nc, e.probe())
 		if err != nil || nc.process == "" || !keep {
 			return resp, false, keep, err
 		}
 	}
-	if nc.process != e.process && e.process != "" {
+	if !nc.leadsTo(e.process) {
 		return Response{}, false, true, ErrOtherProcess
 	}
 	nc.wrote = false
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -179,7 +179,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := New(Config{Identify: func(resp Response) string { return string(resp.Body) }})
 			defer c.Close()
-			do := Request{Method: http.MethodPost, Path: "/do", Process: "a", Probe: &Request{Method: http.MethodPost, Path: "/who"}}
+			do := Request{Method: http.MethodPost, Path: "/do", Process: "a", Probe: func() Request { return Request{Method: http.MethodPost, Path: "/who"} }}
 			var first, second []string
 			s := serve("127.0.0.1:0", "a", &first)
 			addr := netip.MustParseAddrPort(s.Listener.Addr().String())
