--- a/batch.go
+++ b/batch.go
@@ -110,7 +110,7 @@
 	}
 	n := 0
 	for i := range b.Steps {
-		n = min(n+min(max(b.Steps[i].Count, 0), MaxBatchTasks+1), MaxBatchTasks+1) // the sum must not overflow
+		n += min(max(b.Steps[i].Count, 0), MaxBatchTasks+1) // bounded, so that the sum does not overflow
 		if len(errs) < maxProblems {
 			errs = append(errs, b.Steps[i].problems(i)...)
 		}
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -181,14 +181,15 @@
 // them, it orders a read instead. A complete list is applied only if this entry has none yet.
 func (c *Core) handleEndpointUpdate(from cornelwall.Incarnation, m *cornelwall.EndpointUpdate) {
 	c.requestNewerConfig(from, m.Version)
-	if m.FromRevision > c.listRev {
+	switch {
+	case m.FromRevision == 0 && c.listRev > 0:
+		return
+	case m.FromRevision > c.listRev:
 		c.orderRead()
 		return
 	}
-	if m.FromRevision > 0 || c.listRev == 0 {
-		c.recordTold(from, m.Age)
-	}
-	if m.ToRevision <= c.listRev || m.FromRevision == 0 && c.listRev > 0 {
+	c.recordTold(from, m.Age)
+	if m.ToRevision <= c.listRev {
 		return
 	}
 	for i := range m.Endpoints {
--- a/core/dispatch/fuzz/drains_test.go
+++ b/core/dispatch/fuzz/drains_test.go
@@ -87,15 +87,7 @@
 func runDrains(seed uint64, mut mutation) *rig {
 	r := newSizedRig(seed, mut, -int(seed%2), size{entries: 8, endpoints: 8, dataCentres: 2})
 	r.postInterval = drainPosts
-	r.w.Advance(2 * time.Second)
-	for range 60 {
-		drains[r.rng.IntN(len(drains))](r)
-		r.w.Advance(time.Duration(r.rng.IntN(400)) * time.Millisecond)
-		if r.failure != "" {
-			break
-		}
-	}
-	return r
+	return r.play(drains)
 }
 
 // TestNothingStartsOnDrainedEndpoint runs histories in which endpoints leave while entries lose the
@@ -114,11 +106,5 @@
 // list too rarely.
 func TestRareReadsAreDetected(t *testing.T) {
 	t.Parallel()
-	for s := range uint64(maxMutantHistories) {
-		if r := runDrains(s, mutation{rareReads: true}); r.failure != "" {
-			t.Logf("detected in history %d: %s", s, r.failure)
-			return
-		}
-	}
-	t.Errorf("not detected in %d histories", maxMutantHistories)
+	checkDetected(t, 0, func(seed uint64) *rig { return runDrains(seed, mutation{rareReads: true}) })
 }
--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -148,18 +148,23 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := tc.from; seed < tc.from+maxMutantHistories; seed++ {
-				r := runSeed(seed, tc.mut, tc.actions)
-				if r.failure != "" {
-					t.Logf("detected in history %d: %s", seed, r.failure)
-					return
-				}
-			}
-			t.Errorf("not detected in %d histories", maxMutantHistories)
+			checkDetected(t, tc.from, func(seed uint64) *rig { return runSeed(seed, tc.mut, tc.actions) })
 		})
 	}
 }
 
+// checkDetected checks that one of maxMutantHistories histories, beginning with a seed, fails.
+func checkDetected(t *testing.T, from uint64, run func(seed uint64) *rig) {
+	t.Helper()
+	for seed := from; seed < from+maxMutantHistories; seed++ {
+		if r := run(seed); r.failure != "" {
+			t.Logf("detected in history %d: %s", seed, r.failure)
+			return
+		}
+	}
+	t.Errorf("not detected in %d histories", maxMutantHistories)
+}
+
 // runHistory runs one random history, and then heals all faults and checks that the system recovers
 // (see healAndCheck).
 func runHistory(t *rapid.T, mut mutation, actions []action, wantDone bool) *rig {
@@ -178,7 +183,11 @@
 
 // runSeed runs the history of a seed, without rapid.
 func runSeed(seed uint64, mut mutation, actions []action) *rig {
-	r := newRig(seed, mut)
+	return newRig(seed, mut).play(actions)
+}
+
+// play plays actions that the rig draws, until a check fails.
+func (r *rig) play(actions []action) *rig {
 	r.w.Advance(2 * time.Second)
 	for range 60 {
 		actions[r.rng.IntN(len(actions))](r)
