Entries that know nothing ask the seeds, also when they hear each other

Cause: without the platform an entry contacts its seeds only until it hears any peer. Two entries that were started while cut off hear each other, and neither has a declaration or a list of endpoints to give. Evidence: TestUninformedEntriesThatHearEachOtherStillAskTheSeeds failed on the code before: the seed was asked once in 2 s. Why it works: the seeds are asked until the entry knows the queues and the endpoints.

--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -58,8 +58,12 @@
 	}
 }
 
-// sendDueHeartbeats sends the heartbeats that are due. While neither the platform nor a peer
-// answers, they also go to the seeds.
+// isInformed reports whether this entry knows the queues and the endpoints. Peers that were started
+// without the platform, as it was, may know no more than it does.
+func (c *Core) isInformed() bool { return c.queueConfig.Version != 0 && c.listRev != 0 }
+
+// sendDueHeartbeats sends the heartbeats that are due. While the platform does not answer, they also
+// go to the seeds, unless a peer answers and this entry knows what it needs to serve callers.
 func (c *Core) sendDueHeartbeats() {
 	var due []*peer
 	for _, p := range c.links {
@@ -78,7 +82,7 @@
 	if !c.platformUp {
 		c.probeNextPeer()
 	}
-	if c.platformUp || c.hearsAnyPeer() {
+	if c.platformUp || c.hearsAnyPeer() && c.isInformed() {
 		return
 	}
 	for _, addr := range c.cfg.Seeds {
--- a/core/dispatch/noplatform_test.go
+++ b/core/dispatch/noplatform_test.go
@@ -55,3 +55,25 @@
 	}
 	assert.Assert(t, declined)
 }
+
+// TestUninformedEntriesThatHearEachOtherStillAskTheSeeds starts two entries without the platform. A
+// peer that knows neither queues nor endpoints must not keep an entry from its seeds.
+func TestUninformedEntriesThatHearEachOtherStillAskTheSeeds(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	self := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 2}
+	peer := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Epoch: 1}
+	addr, peerAddr, seed := netip.MustParseAddrPort("10.0.0.1:7001"), netip.MustParseAddrPort("10.0.0.2:7001"), netip.MustParseAddrPort("10.0.0.3:7001")
+	c := New(Config{Self: self, Addr: addr, Seeds: []netip.AddrPort{seed}, Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond}}, now)
+	asked := 0
+	for seq := range uint64(100) {
+		now = now.Add(tickInterval)
+		for _, cmd := range c.Step(now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: peer, To: self, Messages: []cornelwall.Message{
+			{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: peerAddr, Seq: seq + 1, Session: 7, PlatformLost: true, NoEndpointList: true}},
+		}}}) {
+			if s, ok := cmd.(cornelwall.Send); ok && s.Addr == seed {
+				asked++
+			}
+		}
+	}
+	assert.Assert(t, asked > 1, "the seed was asked %d times in 2 s", asked)
+}
