A heartbeat carries no proof past a withdrawal that waits

The owner of a batch answered its caller and withdrew the runs; the withdrawal waited or was lost while heartbeats still passed, so that the holder went on with fresh proofs that its owner hears it, and the caller sent the batch to another entry. Why it works: an owner repeats in its heartbeats to a holder the runs that it withdrew there 40 ms ago or longer and whose ends it has not heard of. A holder that gets a later proof thus gets the withdrawal with it; without one it stops the run as before, 40 ms later at most, which the 70 ms left in the wait of 1.3 s cover. A heartbeat that has no room for all of them acknowledges nothing. The list is kept by holder, so that a heartbeat costs what is pending there.

--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -74,7 +74,7 @@
 		if !onlyWaiting {
 			for _, run := range byHolder[id] {
 				delete(c.tasksByRun, run)
-				c.awaitEnd(run, j.id)
+				c.awaitEnd(run, j.id, id)
 			}
 		}
 		c.send(id, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: byHolder[id], OnlyWaiting: onlyWaiting}})
--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -47,6 +47,13 @@
 
 var slowEntriesAndFaults = append(slices.Concat(slowEntries, slowEntries), allActions...)
 
+// stalledMessages are histories in which only heartbeats pass between some entries, while endpoints are handed over and
+// batches are given up.
+var stalledMessages = []action{
+	(*rig).submitWave, (*rig).submitWave, (*rig).submit, (*rig).stallMessages, (*rig).stallMessages, (*rig).stallMessages, (*rig).heal, (*rig).stopEntry, (*rig).stopEntry, (*rig).dropCaller,
+	(*rig).setSlowdown, func(r *rig) { r.w.Advance(time.Second) },
+}
+
 var allActions = append([]action{
 	(*rig).stopEntry, (*rig).restartOne, (*rig).restartOne, (*rig).killOne, (*rig).powerOff, (*rig).freeze, (*rig).thaw,
 	(*rig).cutEntries, (*rig).cutOneWay, (*rig).cutEntry, (*rig).cutEndpoint, (*rig).cutEndpointOneWay, (*rig).heal, (*rig).heal,
@@ -326,7 +333,20 @@
 
 func (r *rig) cutEndpointOneWay() { r.cuts[[2]string{r.anyEndpoint(), r.anyEntry().name}] = true }
 
-func (r *rig) heal() { clear(r.cuts) }
+func (r *rig) heal() {
+	clear(r.cuts)
+	clear(r.stalls)
+}
+
+// stallMessages lets only heartbeats pass from an entry to the others in time.
+func (r *rig) stallMessages() {
+	from := r.anyEntry()
+	for _, to := range r.entries {
+		if r.rng.IntN(2) == 0 {
+			r.stalls[[2]string{from.name, to.name}] = true
+		}
+	}
+}
 
 func (r *rig) losePlatform() { r.platformUp = false }
 
@@ -422,6 +442,21 @@
 	}
 }
 
+// stalledRegressions are seeds of histories of stalled messages that failed once.
+var stalledRegressions = []uint64{
+	60, 66, 95, // only heartbeats passed, and a run went on that its owner had given up
+}
+
+// TestStalledMessages runs histories in which only heartbeats pass between some entries. No task may run twice at once.
+func TestStalledMessages(t *testing.T) {
+	t.Parallel()
+	for _, s := range append([]uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, stalledRegressions...) {
+		if r := runSeed(s, mutation{longRuns: true}, stalledMessages); r.failure != "" {
+			t.Errorf("seed %d: %s", s, r.failure)
+		}
+	}
+}
+
 // TestBacklogAfterFreeze runs histories with entries that resume from a freeze and take longer than
 // resumeDelay of package dispatch to handle the events that arrived during it. The checks
 // must find no violation.
@@ -451,6 +486,9 @@
 		if r := runSeed(s, mutation{staleEventTimes: *stale}, slowEntriesAndFaults); r.failure != "" {
 			t.Errorf("seed %d, slow entries and faults: %s", s, r.failure)
 		}
+		if r := runSeed(s, mutation{longRuns: true}, stalledMessages); r.failure != "" {
+			t.Errorf("seed %d, stalled messages: %s", s, r.failure)
+		}
 	}
 }
 
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -124,6 +124,7 @@
 	objective     time.Duration // of the queue, beyond the stretched run time
 
 	cuts           map[[2]string]bool // names of the sender and the receiver of a cut link, entries or endpoints
+	stalls         map[[2]string]bool // names of the sender and the receiver of a link over which only heartbeats pass in time
 	lateOrderShare map[string]float64 // share of the orders to an endpoint that are carried out late
 	slowdown       map[string]float64 // factor of the run times at an endpoint
 	failureShare   map[string]float64 // share of the runs at an endpoint that fail
@@ -165,7 +166,7 @@
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
-		cuts: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
+		cuts: map[[2]string]bool{}, stalls: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		postInterval: listInterval, drains: map[string]*drain{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{},
@@ -288,12 +289,17 @@
 
 func (r *rig) isCut(from, to string) bool { return r.cuts[[2]string{from, to}] }
 
+// isStalled reports whether an envelope has to wait on a stalled link. Heartbeats alone pass.
+func (r *rig) isStalled(from, to string, e *cornelwall.Envelope) bool {
+	return r.stalls[[2]string{from, to}] && slices.ContainsFunc(e.Messages, func(m cornelwall.Message) bool { return m.SessionHeartbeat == nil })
+}
+
 // link delays envelopes. On a cut link they arrive up to 8 s late, when it may work again, or
 // never.
 func (r *rig) link(from, to cornelwall.Incarnation, e cornelwall.Envelope) fake.Delivery {
 	r.forgeHeartbeats(from, to, &e)
 	r.sentMessages.add(&e)
-	if r.isCut(from.Entry, to.Entry) {
+	if r.isCut(from.Entry, to.Entry) || r.isStalled(from.Entry, to.Entry, &e) {
 		delivery := fake.Delivery{ReportAfter: 250 * time.Millisecond, ConnRefused: r.mutation.refuseUndelivered}
 		if r.rng.IntN(2) == 0 {
 			delivery.Delays = []time.Duration{time.Duration(r.rng.IntN(8000)) * time.Millisecond}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -37,6 +37,9 @@
 		p.provenAt = at
 	}
 	p.sessionOpen = c.now.Sub(p.provenAt) <= proofTTL
+	if len(m.Withdrawn) > 0 {
+		c.handleWithdraw(p.id, &cornelwall.Withdraw{Runs: m.Withdrawn})
+	}
 	if newSession || p.sessionOpen && !wasOpen {
 		c.reportRunning(p.id) // the report that this entry has taken over a run may have reached it too late
 	}
@@ -134,6 +137,10 @@
 	}
 	m.Seq, m.AckedSeq, m.Session, m.WantHeartbeats = p.sentSeq, p.receivedSeq, p.session, c.wantsLink(p)
 	m.ReplyNow, p.replyNow = p.replyNow, false
+	complete := true
+	if m.Withdrawn, complete = c.pendingEnds.unconfirmed(p.id, c.now); !complete {
+		m.AckedSeq = 0 // no proof for runs whose withdrawal the peer may not know
+	}
 	if p.noEndpointList {
 		m.Members = c.aliveMembers()
 	}
--- a/leased_message.go
+++ b/leased_message.go
@@ -32,7 +32,8 @@
 //
 // The receiver returns Seq as AckedSeq, which proves to the sender that its messages arrive.
 // An entry that has not had this proof for some time stops the runs that it started for the other
-// entry. It also changes the Session that the other entry must quote, so that messages which
+// entry. As heartbeats may overtake a Withdraw, those that carry proof repeat in Withdrawn what is not known to have
+// arrived. It also changes the Session that the other entry must quote, so that messages which
 // quote the old one are refused.
 type SessionHeartbeat struct {
 	Addr           netip.AddrPort `json:"addr"`
@@ -51,6 +52,7 @@
 	Members        []Member       `json:"members,omitempty"` // in answer to NoEndpointList
 	Waiting        map[string]int `json:"waiting,omitempty"` // batches that have not started, by queue
 	Slowdown       float64        `json:"pace,omitempty"`    // median of the run time / estimate at its endpoints; 0 if not known
+	Withdrawn      []RunID        `json:"revoked,omitempty"` // runs at the receiver that were withdrawn a while ago and whose ends are not known
 }
 
 // Check reports every problem with the heartbeat.
@@ -58,7 +60,7 @@
 	if !h.Addr.IsValid() {
 		return errors.New("session heartbeat has no address; send ip:port of the peers' listener")
 	}
-	var errs []error
+	errs := []error{CheckRuns(h.Withdrawn)}
 	for _, m := range h.Members {
 		errs = append(errs, m.Check())
 	}
