--- a/review/lab/executor.go
+++ b/review/lab/executor.go
@@ -24,6 +24,10 @@
 	drainBound = 2 * time.Second         // that an executor serves on after it has reported draining
 	tick       = 2 * time.Millisecond
 	endsListed = 500
+	endCrash   = "crash"                 // how a run ends when its executor crashes
+	deadlyFor  = time.Millisecond        // from the start of a deadly task to the crash of its executor
+	deadlyDown = 2500 * time.Millisecond // from that crash to the next boot
+	deadlyWord = " deadly=1"             // in the spec of a task that crashes its executor
 )
 
 // kind is what an executor reports of itself and may change with a new boot.
@@ -150,7 +154,7 @@
 	srv := x.server
 	x.server = nil
 	for task, r := range x.running {
-		x.lab.addEnd(x, task, r.n, "crash")
+		x.lab.addEnd(x, task, r.n, endCrash)
 	}
 	x.running = map[string]*taskRun{}
 	x.mu.Unlock()
@@ -160,6 +164,26 @@
 	}
 }
 
+// crashAndBoot crashes the executor, unless it has crashed since the boot that is named, and starts it
+// again after a time.
+func (x *executor) crashAndBoot(born int64, after time.Duration) {
+	x.mu.Lock()
+	same, k := x.server != nil && x.born == born, x.kind
+	x.mu.Unlock()
+	if !same {
+		return
+	}
+	x.crash()
+	select {
+	case <-x.stop:
+		return
+	case <-time.After(after):
+	}
+	if err := x.boot(k); err != nil {
+		x.lab.note("executor", x.id, "can't boot:", err)
+	}
+}
+
 func (x *executor) close() { close(x.stop) }
 
 // drain reports that the executor drains. It returns once the store has accepted that.
@@ -384,6 +408,10 @@
 			used: x.used(), cpu: x.kind.cpu, guards: x.kind.guards, sameStep: x.sameStep(o.Task), late: r.Context().Value(lateKey{}) != nil,
 		})
 		x.lab.note("executor", x.id, "starts", o.Task, "run", o.Run, "for", caller, "labels", x.kind.labels, "spec", o.Spec, "cores in use", x.used(), "of", x.kind.cpu)
+		if strings.Contains(o.Spec, deadlyWord) {
+			born := x.born
+			time.AfterFunc(deadlyFor, func() { x.crashAndBoot(born, deadlyDown) })
+		}
 	}
 	clock, born := x.clock(), x.born
 	x.mu.Unlock()
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -30,8 +30,9 @@
 	mu     sync.Mutex
 	lines  []string
 	starts []startEvent
-	ends   map[runKey]time.Duration
-	done   map[runKey]bool // runs that ended done
+	ends   map[runKey]runEnd
+
+	onStart func(s startEvent) // called in a goroutine of its own with each start; nil for none
 
 	entries   []*entry
 	executors []*executor
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{startedAt: time.Now(), dir: dir, ends: map[runKey]time.Duration{}, done: map[runKey]bool{}}
+	l := &lab{startedAt: time.Now(), dir: dir, ends: map[runKey]runEnd{}}
 	l.store, err = newStore(l)
 	return l, err
 }
@@ -89,6 +90,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts = append(l.starts, e)
+	if l.onStart != nil {
+		go l.onStart(e)
+	}
 }
 
 func (l *lab) startEvents() []startEvent {
@@ -147,6 +151,8 @@
 	seeds     []string
 	cmd       *exec.Cmd
 	done      chan struct{}
+
+	restarting atomic.Bool // lab.restart is under way
 }
 
 // addEntry prepares an entry. startEntries starts it.
@@ -326,22 +332,24 @@
 func (l *lab) endOf(s startEvent) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, ok := l.ends[runKey{s.executor, s.born, s.task, s.run}]
-	return at, ok
+	end, ok := l.ends[s.key()]
+	return end.at, ok
 }
 
-// doneOf reports whether a run ended done.
-func (l *lab) doneOf(s startEvent) bool {
+// howEnded returns how a run ended, or "" while it runs.
+func (l *lab) howEnded(s startEvent) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.done[runKey{s.executor, s.born, s.task, s.run}]
+	return l.ends[s.key()].how
 }
 
+// doneOf reports whether a run ended done.
+func (l *lab) doneOf(s startEvent) bool { return l.howEnded(s) == "done" }
+
 func (l *lab) addEnd(x *executor, task string, run int64, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := runKey{x.id, x.born, task, run}
-	l.ends[key], l.done[key] = l.now(), how == "done"
+	l.ends[runKey{x.id, x.born, task, run}] = runEnd{l.now(), how}
 }
 
 // runKey identifies a run on a boot of an executor.
@@ -351,3 +359,11 @@
 	task     string
 	run      int64
 }
+
+// runEnd tells when and how a run ended.
+type runEnd struct {
+	at  time.Duration // since the lab was started
+	how string        // as the executor lists it, or endCrash
+}
+
+func (s startEvent) key() runKey { return runKey{s.executor, s.born, s.task, s.run} }
