review: stops in turn, starved entries and bad links beside clients that come again

The case twice: 12 entries in 3 zones (not all pairs exchange heartbeats), 21 executors, clients that wait, leave or have half-open connections. Relays stand before the peers' listener, the callers' listener and the executors; the build announces the relay by an overlay. Its executors can't be cut off from one entry alone.

Traced: 1a1, whose first entry learned of the client's leaving after 2.0 s only and began three tasks anew at +1.5 s, while the second entry had taken the job at +1.36 s.

--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -23,7 +23,7 @@
 // caller returns the name of the entry that sent a request, or "unknown".
 func (l *lab) caller(r *http.Request) string {
 	port, ok := r.Context().Value(callerKey{}).(int)
-	if !ok {
+	if !ok || l.anonymous {
 		return "unknown"
 	}
 	inode := inodeOf(port)
@@ -31,10 +31,11 @@
 		return "unknown"
 	}
 	for _, e := range l.entries {
-		if e.cmd == nil || e.cmd.Process == nil {
+		pid := e.pid.Load()
+		if pid == 0 {
 			continue
 		}
-		fds, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", e.cmd.Process.Pid))
+		fds, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 		for _, fd := range fds {
 			if to, err := os.Readlink(fd); err == nil && to == "socket:["+inode+"]" {
 				return e.name
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -35,6 +36,7 @@
 
 	entries   []*entry
 	executors []*executor
+	anonymous bool // executors are behind relays, and don't look for the entry that sends an order
 }
 
 // startEvent is a task that an executor has begun.
@@ -144,8 +146,10 @@
 	control   string
 	metrics   string // port
 	proxy     *proxy // the way to the store
+	announce  string // address of the relay before its peers' listener; empty if there is none
 	seeds     []string
 	cmd       *exec.Cmd
+	pid       atomic.Int64
 	done      chan struct{}
 }
 
@@ -174,7 +178,7 @@
 	for i, e := range l.entries {
 		if i < 3 {
 			for _, o := range l.entries {
-				o.seeds = append(o.seeds, e.control)
+				o.seeds = append(o.seeds, cmp.Or(e.announce, e.control))
 			}
 		}
 	}
@@ -252,12 +256,18 @@
 	if err != nil {
 		return err
 	}
-	e.cmd = exec.Command("target/cornelwall", "dispatch")
-	e.cmd.Env = append(os.Environ(), "CORNELWALL_NODE_FILE="+path, "CORNELWALL_SECRET="+secret, "CORNELWALL_METRICS_PORT="+e.metrics)
+	program := "target/cornelwall"
+	if e.announce != "" {
+		program = "target/review-cornelwall"
+	}
+	e.cmd = exec.Command(program, "dispatch")
+	e.cmd.Env = append(os.Environ(), "CORNELWALL_NODE_FILE="+path, "CORNELWALL_SECRET="+secret, "CORNELWALL_METRICS_PORT="+e.metrics,
+		"REVIEW_ANNOUNCE="+e.announce)
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
+	e.pid.Store(int64(e.cmd.Process.Pid))
 	e.lab.note("entry", e.name, "started")
 	done, cmd := make(chan struct{}), e.cmd
 	e.done = done
