--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -36,6 +37,7 @@
 
 	entries   []*entry
 	executors []*executor
+	anonymous bool // executors are behind relays, and don't look for the entry that sends an order
 }
 
 // startEvent is a task that an executor has begun.
@@ -148,8 +150,10 @@
 	control   string
 	metrics   string // port
 	proxy     *proxy // the way to the store
+	announce  string // address of the relay before its peers' listener; empty if there is none
 	seeds     []string
 	cmd       *exec.Cmd
+	pid       atomic.Int64
 	done      chan struct{}
 
 	restarting atomic.Bool // lab.restart is under way
@@ -180,7 +184,7 @@
 	for i, e := range l.entries {
 		if i < 3 {
 			for _, o := range l.entries {
-				o.seeds = append(o.seeds, e.control)
+				o.seeds = append(o.seeds, cmp.Or(e.announce, e.control))
 			}
 		}
 	}
@@ -258,12 +262,18 @@
 	if err != nil {
 		return err
 	}
-	e.cmd = exec.Command("target/cornelwall", "dispatch")
-	e.cmd.Env = append(os.Environ(), "CORNELWALL_NODE_FILE="+path, "CORNELWALL_SECRET="+secret, "CORNELWALL_METRICS_PORT="+e.metrics)
+	program := "target/cornelwall"
+	if e.announce != "" {
+		program = "target/review-cornelwall"
+	}
+	e.cmd = exec.Command(program, "dispatch")
+	e.cmd.Env = append(os.Environ(), "CORNELWALL_NODE_FILE="+path, "CORNELWALL_SECRET="+secret, "CORNELWALL_METRICS_PORT="+e.metrics,
+		"REVIEW_ANNOUNCE="+e.announce)
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
+	e.pid.Store(int64(e.cmd.Process.Pid))
 	e.lab.note("entry", e.name, "started")
 	done, cmd := make(chan struct{}), e.cmd
 	e.done = done
@@ -346,10 +356,10 @@
 // doneOf reports whether a run ended done.
 func (l *lab) doneOf(s startEvent) bool { return l.howEnded(s) == "done" }
 
-func (l *lab) addEnd(x *executor, task string, run int64, how string) {
+func (l *lab) addEnd(x *executor, task string, run int64, how string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ends[runKey{x.id, x.born, task, run}] = runEnd{l.now(), how}
+	l.ends[runKey{x.id, x.born, task, run}] = runEnd{at.Sub(l.startedAt), how}
 }
 
 // runKey identifies a run on a boot of an executor.
