A request whose caller has closed the connection is not taken

What callers saw: a caller that closes its connection (it gave up, or its own entry died) sends the batch again 1.3 s later to any entry.

Cause: whether a caller still waits was learned later than its request, although the kernel knew it before.

Fix: before a batch goes to the core, the ingress asks the kernel for the state of the connection (TCP_INFO, one call of 1.6 us by BenchmarkStateOf). If the peer has closed or reset it, the batch is refused, logged (caller-gone) and counted. The state tells that also behind unread data, which a peek would not, and needs no lock that the background read holds. If the kernel tells nothing, all is as before.

The listener of x/net hides the socket, so io/tcp has a listener with the same limit in its place.

--- a/cmd/cornelwall/server.go
+++ b/cmd/cornelwall/server.go
@@ -13,7 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
-	"golang.org/x/net/netutil"
+
+	"cornelwall/io/tcp"
 )
 
 const (
@@ -51,14 +52,15 @@
 
 // listen opens the address of a server, so that an invalid one is reported before any service runs.
 func listen(cfg listenConfig, h http.Handler) (*server, error) {
-	l, err := net.Listen("tcp", cfg.Addr.String())
+	l, err := tcp.Listen(cfg.Addr, cfg.MaxConns)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{cfg: cfg, listener: netutil.LimitListener(l, cfg.MaxConns), done: make(chan struct{})}
-	s.requestCtx, s.cancelRequests = context.WithCancel(context.Background())
+	s := &server{cfg: cfg, listener: l, done: make(chan struct{})}
+	s.requestCtx, s.cancelRequests = context.WithCancel(logr.NewContext(context.Background(), cfg.Log))
 	s.http = http.Server{
 		BaseContext:       func(net.Listener) context.Context { return s.requestCtx },
+		ConnContext:       tcp.ConnContext,
 		Handler:           s.wrap(h),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
