A handover counts as no proof by the owner of a run

The next holder of an endpoint counted the time without proof from the handover on, so that each planned stop in turn gave a run 200 ms or more beyond the wait after which its owner, which had heard neither holder, starts it again. Why it works: an offer tells the age of each run's proof, and names the last heartbeat of the receiver that the sender has heard, which bounds the time in transit by the receiver's own clock. The next holder goes on counting from that proof and asks the owner for another at once. A run is not kept only if the proof is past the time at which the offering holder would have stopped it itself.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -40,6 +40,9 @@
 	usefulUntil time.Time // after it the answer to its batch is of little use
 	receivedAt  time.Time // arrival of the assignment, or earlier if the message may have waited to be read
 
+	handedOver     bool      // a previous holder handed it over to this entry
+	inheritedProof time.Time // if so, when its owner last proved that it hears that holder
+
 	state           runState
 	lease           *lease    // lease under which it was started
 	startedAt       time.Time // when the start was ordered
@@ -75,9 +78,7 @@
 	receivedAt := c.now
 	if valid && from != c.cfg.Self {
 		if c.now.Sub(p.provenAt) > heartbeatInterval {
-			c.useLink(p)
-			p.replyNow = true
-			c.sendHeartbeats(p) // the link was idle, and the proof is about to expire
+			c.askForProof(p) // the link was idle, and the proof is about to expire
 		}
 		if latest := p.provenAt.Add(maxAssignLead + maxAssignDelay); latest.Before(receivedAt) {
 			receivedAt = latest // the message may have waited before it was read
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -71,3 +71,42 @@
 	step(cornelwall.PollResult{Endpoint: "x1", Fence: l.fence, Seq: l.lastPoll, Boot: 1, Clock: time.Second, Running: []cornelwall.RunState{{RunID: ids[1]}}})
 	assert.DeepEqual(t, acked, []int64{1})
 }
+
+// offerRun offers x2 to the holder, with a run whose owner proved 100 ms ago that it hears the third entry, and answers
+// the first poll there.
+func (e *thirdEntry) offerRun(t *testing.T) *run {
+	h := e.h
+	info := h.endpointInfo(netip.MustParseAddrPort("10.0.0.2:7001"))
+	info.ID = "x2"
+	id := cornelwall.RunID{Task: "b.0.0.0", Run: 7}
+	e.send(cornelwall.Message{Handover: &cornelwall.Handover{
+		Session: h.c.peers[e.id].session, Endpoint: info, Fence: 5, Offer: 1, AckedSeq: h.c.peers[e.id].sentSeq,
+		Runs: []cornelwall.HandoverRun{{RunID: id, Owner: h.owner, Need: cornelwall.Resources{Cores: 8000}, Estimate: 5 * time.Second, ProofAge: 100 * time.Millisecond}},
+	}})
+	r := h.c.runs[id]
+	assert.Assert(t, r != nil, "the run is not kept")
+	e.step(cornelwall.PollResult{Endpoint: "x2", Fence: r.lease.fence, Seq: r.lease.lastPoll, Boot: 1, Clock: 30 * time.Second, Running: []cornelwall.RunState{{RunID: id}}})
+	assert.Equal(t, r.lease.phase, phaseReady)
+	return r
+}
+
+// TestHandedOverRunCountsProofOfPreviousHolder hands over a run whose owner is silent from then on. It must be
+// stopped when the proof of the previous holder expires, and the owner must be asked for another before.
+func TestHandedOverRunCountsProofOfPreviousHolder(t *testing.T) {
+	h := newTestHolder(t)
+	third := h.addThirdEntry()
+	third.advance(60 * time.Millisecond)
+	proven := h.now.Add(-100 * time.Millisecond)
+	h.now = h.now.Add(piggybackInterval)
+	sent := h.c.peers[h.owner].sentSeq
+	r := third.offerRun(t)
+	assert.Assert(t, h.c.peers[h.owner].sentSeq > sent, "the owner is not asked for proof")
+	h.c.peers[h.owner].provenAt = proven // from now on it is silent
+	for r.state == runRunning {
+		h.now = h.now.Add(tickInterval)
+		third.step(cornelwall.Tick{})
+		third.sendHeartbeat()
+	}
+	age := h.now.Sub(proven)
+	assert.Assert(t, age > proofTTL-2*tickInterval && age <= proofTTL+tickInterval, "stopped at age %s", age)
+}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -33,7 +33,7 @@
 	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
 	p.view.Capacity = m.FreeCapacity
 	c.highestFence = max(c.highestFence, m.MaxFence)
-	if at := p.sentAt[m.AckedSeq%heartbeatWindow]; m.AckedSeq > 0 && p.sentSeq-m.AckedSeq < heartbeatWindow && at.After(p.provenAt) {
+	if at, ok := p.sentTime(m.AckedSeq); ok && at.After(p.provenAt) {
 		p.provenAt = at
 	}
 	p.sessionOpen = c.now.Sub(p.provenAt) <= proofTTL
@@ -53,6 +53,11 @@
 	}
 }
 
+// sentTime returns when a heartbeat was sent to the peer, if that is still known.
+func (p *peer) sentTime(seq uint64) (at time.Time, ok bool) {
+	return p.sentAt[seq%heartbeatWindow], seq > 0 && p.sentSeq-seq < heartbeatWindow
+}
+
 // requestNewerConfig asks an entry for its queue config if that is newer than the one in force
 // here.
 func (c *Core) requestNewerConfig(from cornelwall.Incarnation, version uint64) {
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -125,13 +125,13 @@
 		return false
 	}
 	c.lastOffer++
-	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: l.target(), Fence: l.fence, Offer: c.lastOffer}
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: l.target(), Fence: l.fence, Offer: c.lastOffer, AckedSeq: p.receivedSeq}
 	for _, r := range l.sortedRuns() {
 		if r.state == runStopping {
 			continue // the next holder stops the runs that are not in the offer
 		}
 		m.Runs = append(m.Runs, cornelwall.HandoverRun{
-			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startedAt),
+			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startedAt), ProofAge: c.proofAge(r),
 		})
 	}
 	l.phase, l.offeredTo, l.offeredAt, l.ackedEndAtOffer, l.lastOffer = phaseOffered, to, c.now, l.ackedEnd, c.lastOffer
@@ -155,8 +155,9 @@
 		c.send(from, cornelwall.Message{HandoverDecline: &cornelwall.HandoverDecline{Endpoint: ep.ID, Offer: m.Offer}})
 		return
 	}
-	c.acquire(ep, c.withoutWithdrawn(m.Runs))
+	c.acquire(ep, c.withoutUnproven(c.peers[from], m, c.withoutWithdrawn(m.Runs)))
 	ep.lease.handedOverBy = from
+	c.inheritProofs(ep.lease, c.peers[from], m)
 }
 
 // offerUnreachable offers an endpoint that does not answer this entry, and on which nothing runs,
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -39,13 +40,68 @@
 
 // lastOwnerProof returns when the owner of a run last proved that it hears this entry. The
 // assignment of the run is such a proof, as of the earliest time at which it may have been sent:
-// the owner's wait before it gives the run up starts no earlier.
+// the owner's wait before it gives the run up starts no earlier. A handover is none, so that the
+// proof of the previous holder counts on.
 func (c *Core) lastOwnerProof(r *run) time.Time {
-	sent := r.receivedAt.Add(-maxAssignDelay)
-	if p := c.peers[r.owner]; p != nil && !p.dead && p.provenAt.After(sent) {
+	first := r.receivedAt.Add(-maxAssignDelay)
+	if r.handedOver {
+		first = r.inheritedProof
+	}
+	if p := c.peers[r.owner]; p != nil && !p.dead && p.provenAt.After(first) {
 		return p.provenAt
 	}
-	return sent
+	return first
+}
+
+// proofAge returns how long ago the owner of a run last proved that it hears this entry.
+func (c *Core) proofAge(r *run) time.Duration {
+	if r.owner == c.cfg.Self {
+		return 0
+	}
+	return c.now.Sub(c.lastOwnerProof(r))
+}
+
+// inheritedProof returns when the owner of a run that a peer hands over last proved that it hears
+// that peer. The offer was sent after the heartbeat of this entry that it acknowledges.
+func (c *Core) inheritedProof(from *peer, m *cornelwall.Handover, h *cornelwall.HandoverRun) time.Time {
+	sent := c.now.Add(-maxAssignDelay) // of an entry that does not tell
+	if m.AckedSeq > 0 {
+		var ok bool
+		if sent, ok = from.sentTime(m.AckedSeq); !ok {
+			sent = c.now.Add(-proofTTL)
+		}
+	}
+	return sent.Add(-h.ProofAge)
+}
+
+// withoutUnproven returns the runs of an offer whose owners have proved lately that they hear the
+// peer that makes it.
+func (c *Core) withoutUnproven(from *peer, m *cornelwall.Handover, runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
+	return slices.DeleteFunc(runs, func(h cornelwall.HandoverRun) bool {
+		return h.Owner != c.cfg.Self && c.now.Sub(c.inheritedProof(from, m, &h)) > proofTTL
+	})
+}
+
+// inheritProofs sets the proofs of the runs that a peer has handed over, and asks their owners for
+// proof before those expire.
+func (c *Core) inheritProofs(l *lease, from *peer, m *cornelwall.Handover) {
+	for i := range m.Runs {
+		r := l.runs[m.Runs[i].RunID]
+		if r == nil {
+			continue
+		}
+		r.handedOver, r.inheritedProof = true, c.inheritedProof(from, m, &m.Runs[i])
+		if p := c.peers[r.owner]; p != nil && c.now.Sub(p.heartbeatAt) >= piggybackInterval {
+			c.askForProof(p)
+		}
+	}
+}
+
+// askForProof asks a peer for a heartbeat at once.
+func (c *Core) askForProof(p *peer) {
+	c.useLink(p)
+	p.replyNow = true
+	c.sendHeartbeats(p)
 }
 
 // expireProof closes the session of a peer whose proof has expired.
--- a/leased_message.go
+++ b/leased_message.go
@@ -195,7 +195,8 @@
 	Session  uint64        `json:"session"` // as in Assign
 	Endpoint Endpoint      `json:"endpoint"`
 	Fence    uint64        `json:"fence"`
-	Offer    uint64        `json:"offer"` // rises with each offer of the sender
+	Offer    uint64        `json:"offer"`          // rises with each offer of the sender
+	AckedSeq uint64        `json:"seen,omitempty"` // as in SessionHeartbeat; tells the receiver when the offer was sent at the earliest
 	Runs     []HandoverRun `json:"runs,omitempty"`
 }
 
@@ -245,7 +246,8 @@
 	Owner    Incarnation   `json:"owner"`
 	Need     Resources     `json:"need"`
 	Estimate time.Duration `json:"estimate"`
-	Age      time.Duration `json:"age"` // time since its start
+	Age      time.Duration `json:"age"`               // time since its start
+	ProofAge time.Duration `json:"silence,omitempty"` // time since its owner's last proof that it hears the sender
 }
 
 // Check reports every problem with the message.
