--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -120,7 +120,11 @@
 }
 
 func (s *simulation) step(id cornelwall.Incarnation, ev cornelwall.Event) {
-	for _, cmd := range s.cores[id].Step(s.now, ev) {
+	c := s.cores[id]
+	if c == nil {
+		return // it was killed
+	}
+	for _, cmd := range c.Step(s.now, ev) {
 		switch cmd := cmd.(type) {
 		case cornelwall.Send:
 			if s.cores[cmd.To] == nil {
