--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -138,6 +138,7 @@
 	listRevision int64             // of the endpoint list
 	postInterval time.Duration     // between two lists of the platform
 	drains       map[string]*drain // by endpoint
+	rooms        map[string]*room  // by endpoint; nil if all keep their capacity and guard it
 
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
@@ -243,7 +244,7 @@
 	var list []cornelwall.Endpoint
 	for i, ep := range r.endpoints {
 		list = append(list, cornelwall.Endpoint{
-			ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: endpointCapacity, Labels: r.labels(ep), Leaving: r.drains[ep.ID] != nil, Boot: ep.Boot(),
+			ID: ep.ID, Service: service, Addr: netip.AddrPortFrom(address(1, i), 80), DataCentre: r.dataCentre(i), Capacity: r.listedCapacity(ep), Labels: r.labels(ep), Leaving: r.drains[ep.ID] != nil, Boot: ep.Boot(),
 		})
 	}
 	r.listRevision++
@@ -340,6 +341,7 @@
 func (r *rig) sendOrder(h *fake.Host, cmd cornelwall.Command) {
 	r.orders++
 	r.checkDrain(h, cmd)
+	r.recordGiver(h, cmd)
 	id, wait := orderTarget(cmd)
 	ep := r.endpoint(id)
 	outbound, inbound := r.delay(), r.delay()
@@ -477,6 +479,7 @@
 		fmt.Println(r.w.Now.Format("05.0000"), ep.ID, "started", id)
 	}
 	r.running[id.Task] = ep.ID
+	r.checkRoom(ep, id)
 	r.runs++
 	r.runsByTask[id.Task]++
 	if r.runsByTask[id.Task] > 1 {
