A task that crashes endpoints is recognized, and its job ends as failed

Callers saw: one task crashed endpoint after endpoint, two with each try, as long as its caller came again (16 in 8 tries on real processes), and the work beside it was lost each time.

Cause: a run that is lost with its endpoint counted against nobody. The owner avoided only the last endpoint, and what it knew ended with the request.

Why it works: the holder records each run at an endpoint that has crashed, and whether it ran alone, and tells all peers, once per crash; a peer whose session opens gets what it lacks. So the next entry that the batch comes to knows. A suspected task runs on an empty endpoint if there is one, so that the evidence tells it from its neighbours: those are cleared when they are done. A task is deadly after two crashes, one of them alone, or three. Silence counts as a crash only once the endpoint is known to have booted again; until then the task is held back, not failed, as the endpoint may only be cut off. A silent endpoint whose lease has ended gets no further starts; before, it got them until 700 ms.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -39,7 +39,7 @@
 	assigns := map[cornelwall.Incarnation]*cornelwall.Assign{}
 	var order []cornelwall.Incarnation
 	for _, t := range j.tasks {
-		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) {
+		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) || c.suspicion(t.name) >= policy.OnHold {
 			continue
 		}
 		if holders == nil {
@@ -68,6 +68,7 @@
 		}
 		assigns[best.ID].Tasks = append(assigns[best.ID].Tasks, cornelwall.AssignTask{
 			RunID: t.run, Need: s.Need, Estimate: j.estimate(t.step), Requires: s.Requires, Rack: s.Rack, PerEndpoint: s.PerEndpoint, AvoidEndpoint: t.avoidEndpoint, StoppedAsStraggler: t.wasStopped, ReturnIfBusy: t.returnIfBusy,
+			Crashes: len(c.crashes.of(t.name)),
 		})
 	}
 	for _, id := range order {
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -92,6 +92,10 @@
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
+		if c.suspicion(t.Task) >= policy.OnHold {
+			c.returnSuspect(from, t.RunID)
+			continue
+		}
 		r := &run{
 			AssignTask: *t, id: t.RunID, owner: from, service: m.Service, spec: m.Spec, class: m.Class, remaining: m.Remaining, batchSize: m.Count,
 			due: c.now.Add(m.DueIn), usefulUntil: c.now.Add(m.UsefulFor), receivedAt: receivedAt,
@@ -190,6 +194,7 @@
 	old := func(at time.Time) bool { return c.now.Sub(at) > withdrawalRetention }
 	maps.DeleteFunc(c.withdrawnRuns, func(_ cornelwall.RunID, at time.Time) bool { return old(at) })
 	maps.DeleteFunc(c.endedRuns, func(_ cornelwall.RunID, e endedRun) bool { return old(e.endedAt) })
+	c.crashes.expire(c.now.Add(-crashTTL))
 	maps.DeleteFunc(c.transferredRuns, func(_ cornelwall.RunID, r transferredRun) bool { return old(r.transferredAt) })
 }
 
@@ -300,6 +305,9 @@
 		MayTry:    l.ep.health.MayTrySlow(c.now, len(l.runs)),
 		Avoid:     r.AvoidEndpoint == l.ep.ID,
 		OtherRack: r.Rack != "" && !slices.Contains(l.ep.Labels, r.Rack),
+		Runs:      len(l.runs),
+		Suspicion: c.suspicionOfRun(r),
+		Beside:    c.highestSuspicion(l),
 	}
 }
 
@@ -337,7 +345,7 @@
 			continue
 		}
 		v.Total += ep.Capacity.Cores
-		if free := ep.Capacity.Minus(ep.lease.used); free.Cores > 0 {
+		if free := ep.Capacity.Minus(ep.lease.used); free.Cores > 0 && c.highestSuspicion(ep.lease) < policy.Isolated {
 			v.Free = append(v.Free, free)
 		}
 	}
--- /dev/null
+++ b/core/dispatch/crashes.go
@@ -0,0 +1,352 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/policy"
+)
+
+const (
+	crashTTL   = 10 * time.Minute // for which a crash counts
+	maxCrashes = 4096             // crashes that are kept; the oldest go first
+)
+
+// crash is what is known of the crash of an endpoint under a run.
+type crash struct {
+	cornelwall.RunCrash
+	at   time.Time
+	seq  uint64                 // of its last change, see crashTable.lastSeq
+	from cornelwall.Incarnation // peer that has told of it last; zero if this entry has found it
+}
+
+// crashTable holds the crashes of endpoints under runs, of all holders. Every entry has one, since a
+// batch may come to any of them next.
+type crashTable struct {
+	byRun      map[cornelwall.RunID]*crash
+	byBatch    map[string][]*crash
+	unresolved map[string][]*crash // by endpoint: those that may be a cut
+	inOrder    []*crash            // oldest first
+	lastSeq    uint64              // rises with each change that peers are told of
+}
+
+// endpointBoot is one boot of an endpoint.
+type endpointBoot struct {
+	id   string
+	boot int64
+}
+
+func newCrashTable() crashTable {
+	return crashTable{byRun: map[cornelwall.RunID]*crash{}, byBatch: map[string][]*crash{}, unresolved: map[string][]*crash{}}
+}
+
+// batchOf returns the ID of the batch of a task.
+func batchOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
+// merge adds a crash, or what is new of it, and reports whether that changes anything. What was
+// withdrawn stays so, and otherwise what was confirmed.
+func (t *crashTable) merge(rc *cornelwall.RunCrash, at time.Time, from cornelwall.Incarnation) bool {
+	known := t.byRun[rc.RunID]
+	if known == nil {
+		t.add(&crash{RunCrash: *rc, at: at, from: from})
+		return true
+	}
+	if rc.State <= known.State {
+		return false
+	}
+	t.setState(known, rc.State)
+	known.from = from
+	return true
+}
+
+func (t *crashTable) add(x *crash) {
+	if len(t.inOrder) >= maxCrashes {
+		t.removeOldest()
+	}
+	t.lastSeq++
+	x.seq = t.lastSeq
+	t.byRun[x.RunID] = x
+	t.byBatch[batchOf(x.Task)] = append(t.byBatch[batchOf(x.Task)], x)
+	t.inOrder = append(t.inOrder, x)
+	if x.State == cornelwall.CrashSuspected {
+		t.unresolved[x.Endpoint] = append(t.unresolved[x.Endpoint], x)
+	}
+}
+
+func (t *crashTable) setState(x *crash, state cornelwall.CrashState) {
+	t.lastSeq++
+	x.State, x.seq = state, t.lastSeq
+	removeCrash(t.unresolved, x.Endpoint, x)
+}
+
+func (t *crashTable) removeOldest() {
+	x := t.inOrder[0]
+	t.inOrder = t.inOrder[1:]
+	delete(t.byRun, x.RunID)
+	removeCrash(t.byBatch, batchOf(x.Task), x)
+	removeCrash(t.unresolved, x.Endpoint, x)
+}
+
+func removeCrash(lists map[string][]*crash, key string, x *crash) {
+	list := slices.DeleteFunc(lists[key], func(y *crash) bool { return y == x })
+	if len(list) == 0 {
+		delete(lists, key)
+		return
+	}
+	lists[key] = list
+}
+
+// expire removes the crashes from before a time.
+func (t *crashTable) expire(before time.Time) {
+	for len(t.inOrder) > 0 && t.inOrder[0].at.Before(before) {
+		t.removeOldest()
+	}
+}
+
+// of returns the crashes under the runs of a task. Each boot of an endpoint counts once.
+func (t *crashTable) of(task string) []policy.Crash {
+	if len(t.byRun) == 0 {
+		return nil
+	}
+	var list []policy.Crash
+	counted := map[endpointBoot]bool{}
+	for _, x := range t.byBatch[batchOf(task)] {
+		boot := endpointBoot{x.Endpoint, x.Boot}
+		if x.Task != task || x.State == cornelwall.CrashWithdrawn || counted[boot] {
+			continue
+		}
+		counted[boot] = true
+		list = append(list, policy.Crash{Alone: x.Alone, Confirmed: x.State == cornelwall.CrashConfirmed})
+	}
+	return list
+}
+
+// deadlyTask returns a deadly task of a batch and the number of its crashes, or "" if there is none.
+func (t *crashTable) deadlyTask(batch string) (task string, crashes int) {
+	for _, x := range t.byBatch[batch] {
+		if list := t.of(x.Task); policy.SuspicionOf(list) == policy.Deadly {
+			return x.Task, len(list)
+		}
+	}
+	return "", 0
+}
+
+// clear drops the suspicion of a task, which is done.
+func (t *crashTable) clear(task string) {
+	if len(t.byRun) == 0 {
+		return
+	}
+	for _, x := range t.byBatch[batchOf(task)] {
+		if x.Task == task && x.State != cornelwall.CrashWithdrawn {
+			t.setState(x, cornelwall.CrashWithdrawn)
+		}
+	}
+}
+
+// report returns a crash as it is sent to peers.
+func (x *crash) report(now time.Time) cornelwall.RunCrash {
+	rc := x.RunCrash
+	rc.Age = max(now.Sub(x.at), 0)
+	return rc
+}
+
+// news returns the changes that a peer has not been sent. What the peer has told itself is left out.
+func (t *crashTable) news(now time.Time, p *peer) []cornelwall.RunCrash {
+	var list []cornelwall.RunCrash
+	for _, x := range t.inOrder {
+		if x.seq > p.crashSeq && x.from != p.id {
+			list = append(list, x.report(now))
+		}
+	}
+	return list
+}
+
+// suspicion returns what is concluded about a task from the crashes under its runs.
+func (c *Core) suspicion(task string) policy.Suspicion { return policy.SuspicionOf(c.crashes.of(task)) }
+
+// suspicionOfRun is suspicion for a run, whose owner may know of more crashes.
+func (c *Core) suspicionOfRun(r *run) policy.Suspicion {
+	return max(c.suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
+}
+
+// highestSuspicion returns the highest suspicion of the runs of a lease. A suspect whose start has not been
+// answered may have crashed the endpoint, and is to be isolated until then.
+func (c *Core) highestSuspicion(l *lease) policy.Suspicion {
+	highest := policy.Unsuspected
+	for _, r := range l.runs {
+		s := c.suspicionOfRun(r)
+		if s == policy.Suspected && !r.startAnswered {
+			s = policy.Isolated
+		}
+		highest = max(highest, s)
+	}
+	return highest
+}
+
+// recordCrash records that an endpoint has crashed under the runs of its lease or, unless the crash is
+// confirmed, that it may have. All of them count, also those whose start got no answer. An endpoint that
+// has announced that it leaves has not crashed.
+func (c *Core) recordCrash(l *lease, state cornelwall.CrashState) {
+	if l.boot == 0 || l.drained || l.ep.Leaving || len(l.runs) == 0 {
+		return
+	}
+	alone := len(l.runs) == 1 && len(l.orphans) == 0
+	var found []*run
+	for _, r := range l.sortedRuns() {
+		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: l.boot, Alone: alone, State: state}
+		if c.crashes.merge(&rc, c.now, cornelwall.Incarnation{}) {
+			found = append(found, r)
+		}
+	}
+	if len(found) == 0 {
+		return
+	}
+	l.suspectedAtPoll = l.lastPoll
+	c.log("endpoint-crashed", "endpoint", l.ep.ID, "boot", l.boot, "runs", len(l.runs), "state", state, "silent", l.unansweredFor(c.now))
+	for _, r := range found {
+		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", len(c.crashes.of(r.id.Task)), "alone", alone, "suspicion", c.suspicion(r.id.Task))
+	}
+	c.sendCrashesToAll()
+	for _, r := range found {
+		c.actOnCrashes(batchOf(r.id.Task))
+	}
+}
+
+// recordSilentCrash records that an endpoint whose lease has expired may have crashed, if it has given
+// no answer for longer than the longest poll takes. Nothing more starts there until it answers. The
+// answers that waited during a pause of this process are not missing.
+func (c *Core) recordSilentCrash(l *lease) {
+	if l.phase == phaseSuperseded || l.unansweredFor(c.now) <= pollWait+pollMargin || !c.resumedAt.Before(l.unansweredSince) {
+		return
+	}
+	if l.phase == phaseReady {
+		l.phase = phaseUnreachable
+		c.log("endpoint-lost", "endpoint", l.ep.ID, "silent", l.unansweredFor(c.now))
+	}
+	c.recordCrash(l, cornelwall.CrashSuspected)
+}
+
+// resolveCrashes withdraws the suspected crashes of the boot that an endpoint has reported, as it was
+// only cut off, and confirms those of other boots. The poll that it answered was sent after the
+// crashes were recorded.
+func (c *Core) resolveCrashes(id string, boot int64) {
+	resolved := slices.Clone(c.crashes.unresolved[id])
+	for _, x := range resolved {
+		state := cornelwall.CrashConfirmed
+		if x.Boot == boot {
+			state = cornelwall.CrashWithdrawn
+		}
+		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", state)
+		c.crashes.setState(x, state)
+		x.from = cornelwall.Incarnation{}
+	}
+	c.sendCrashesToAll()
+	for _, x := range resolved {
+		c.actOnCrashes(batchOf(x.Task))
+	}
+}
+
+// confirmListedCrashes confirms the suspected crashes of an endpoint whose record shows that the boot has
+// ended. All entries read that themselves.
+func (c *Core) confirmListedCrashes(id string, ended int64) {
+	for _, x := range slices.Clone(c.crashes.unresolved[id]) {
+		if x.Boot == ended {
+			c.crashes.setState(x, cornelwall.CrashConfirmed)
+			c.actOnCrashes(batchOf(x.Task))
+		}
+	}
+}
+
+// sendCrashesToAll sends the peers that are alive the crashes that they have not been sent.
+func (c *Core) sendCrashesToAll() {
+	for _, p := range c.peersByID {
+		if c.isAlive(p) {
+			c.sendCrashes(p)
+		}
+	}
+}
+
+// sendCrashes sends a peer the crashes that it has not been sent.
+func (c *Core) sendCrashes(p *peer) {
+	if p.crashSeq >= c.crashes.lastSeq {
+		return
+	}
+	list := c.crashes.news(c.now, p)
+	p.crashSeq = c.crashes.lastSeq
+	c.reportCrashes(p.id, list)
+}
+
+func (c *Core) reportCrashes(to cornelwall.Incarnation, list []cornelwall.RunCrash) {
+	for chunk := range slices.Chunk(list, cornelwall.MaxReportedCrashes) {
+		c.send(to, cornelwall.Message{CrashReport: &cornelwall.CrashReport{Crashes: chunk}})
+	}
+}
+
+// handleCrashReport adds the crashes that a peer knows of.
+func (c *Core) handleCrashReport(from cornelwall.Incarnation, m *cornelwall.CrashReport) {
+	var changed []string
+	for i := range m.Crashes {
+		rc := &m.Crashes[i]
+		if rc.Age < crashTTL && c.crashes.merge(rc, c.now.Add(-rc.Age), from) {
+			changed = append(changed, batchOf(rc.Task))
+		}
+	}
+	slices.Sort(changed)
+	for _, batch := range slices.Compact(changed) {
+		c.actOnCrashes(batch)
+	}
+}
+
+// actOnCrashes acts on what is new of the crashes under the runs of a batch: it returns waiting runs that must
+// not start, and ends a job of this entry that has a deadly task.
+func (c *Core) actOnCrashes(batch string) {
+	c.backlogChanged = true
+	for _, r := range slices.Clone(c.backlog) {
+		if batchOf(r.id.Task) == batch && c.suspicion(r.id.Task) >= policy.OnHold {
+			c.withdrawRun(r, true)
+		}
+	}
+	if j := c.jobs[batch]; j != nil {
+		c.failIfDeadly(j)
+	}
+}
+
+// returnSuspect returns an assigned run that must not start, with the reason why.
+func (c *Core) returnSuspect(owner cornelwall.Incarnation, id cornelwall.RunID) {
+	var list []cornelwall.RunCrash
+	for _, x := range c.crashes.byBatch[batchOf(id.Task)] {
+		list = append(list, x.report(c.now))
+	}
+	c.reportCrashes(owner, list)
+	c.sendResult(owner, cornelwall.RunResult{RunID: id, End: cornelwall.RunUnstarted})
+}
+
+// failIfDeadly ends a job of this entry that has a deadly task, and reports whether it did.
+func (c *Core) failIfDeadly(j *job) bool {
+	task, crashes := c.crashes.deadlyTask(j.id)
+	if task == "" {
+		return false
+	}
+	c.emit(cornelwall.CountReason{Reason: cornelwall.ReasonCrash, N: 1})
+	c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchFailed, Reason: cornelwall.ReasonCrash, Text: deadlyText(task, crashes)})
+	return true
+}
+
+// deadlyText tells a caller why its batch is not run.
+func deadlyText(task string, crashes int) string {
+	return fmt.Sprintf("%d endpoints have crashed while task %s ran there; it is not run again", crashes, task)
+}
+
+// reasonOfLoss returns why a run was lost.
+func (c *Core) reasonOfLoss(id cornelwall.RunID) cornelwall.Reason {
+	if x := c.crashes.byRun[id]; x != nil && x.State != cornelwall.CrashWithdrawn {
+		return cornelwall.ReasonCrash
+	}
+	return cornelwall.ReasonLost
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -33,7 +33,8 @@
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
-// follows the progress of runs, and health.go finds slow endpoints and stops stragglers there.
+// follows the progress of runs, health.go finds slow endpoints and stops stragglers there, and
+// crashes.go records under which runs endpoints have crashed.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
@@ -139,6 +140,7 @@
 	jobsByReq     map[uint64]*job
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
 	pendingEnds   pendingEnds
+	crashes       crashTable
 	lastRunNumber uint64
 
 	lastLoadLog   time.Time
@@ -170,6 +172,7 @@
 		tasksByRun:      map[cornelwall.RunID]*task{},
 		jobsByReq:       map[uint64]*job{},
 		pendingEnds:     newPendingEnds(),
+		crashes:         newCrashTable(),
 		endpointList:    endpointList{toldAt: now}, // readers get the time to send the first update
 	}
 }
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -82,6 +82,9 @@
 		return false
 	}
 	before := ep.Endpoint
+	if before.Boot != info.Boot && info.Boot != 0 {
+		c.confirmListedCrashes(ep.ID, before.Boot)
+	}
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
 	if before.DataCentre != info.DataCentre {
 		c.rankEndpoint(ep)
@@ -108,6 +111,7 @@
 func (c *Core) handleRecordChange(l *lease, before *cornelwall.Endpoint) {
 	ep := l.ep
 	c.heldChanged, c.backlogChanged = true, true
+	l.drained = l.drained || before.Leaving
 	if ep.Leaving && !before.Leaving {
 		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.listAge())
 	}
--- a/core/dispatch/fuzz/messages_test.go
+++ b/core/dispatch/fuzz/messages_test.go
@@ -41,6 +41,7 @@
 		{EndpointUpdate: &cornelwall.EndpointUpdate{FromRevision: 1, ToRevision: 2, Endpoints: []cornelwall.Endpoint{ep}, Removed: []string{"x2"}, Version: 2}},
 		{QueueConfigSync: &cornelwall.QueueConfigSync{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{{Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: time.Second, Objective: 1, Stretch: 1.6}}}}},
 		{BatchCancellation: &cornelwall.BatchCancellation{ID: "00000000000000aa"}},
+		{CrashReport: &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{{RunID: run, Endpoint: "x1", Boot: 5, Alone: true, State: cornelwall.CrashConfirmed, Age: 5}}}},
 	}
 	codec := peer.NewCodec()
 	rng := rand.New(rand.NewPCG(1, 1))
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -103,6 +103,8 @@
 	done     map[string]bool
 	timeout  time.Duration
 	noRetry  bool      // it submits its batch only once
+	persists bool      // it submits its batch up to persistentAttempts times, also after a refusal
+	deadly   bool      // its tasks crash the endpoints that start them
 	sentAt   time.Time // first attempt
 	answered bool
 	end      cornelwall.BatchEnd
@@ -149,6 +151,8 @@
 	retries    int // runs of a task beyond its first
 	answers    map[cornelwall.BatchEnd]int
 	runsByTask map[string]int
+	crashed    map[string]bool                 // endpoints that are down after a crash
+	afterStart func(*leased.Endpoint, *client) // called for each start, unless nil
 }
 
 // newRig returns a system in which all pairs of entries exchange heartbeats or, with every other
@@ -168,7 +172,7 @@
 		cuts: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		postInterval: listInterval, drains: map[string]*drain{},
-		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{},
+		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{}, crashed: map[string]bool{},
 	}
 	if mut.longRuns {
 		r.estimate *= longRunFactor
@@ -363,6 +367,10 @@
 
 // answerOrder answers an order at once, and a poll once a run has ended or its wait is over.
 func (r *rig) answerOrder(h *fake.Host, ep *leased.Endpoint, cmd cornelwall.Command, until time.Time, inbound time.Duration) {
+	if r.crashed[ep.ID] {
+		r.w.PostAfter(orderTimeout, h, timeoutResult(cmd))
+		return
+	}
 	ev := r.execute(ep, cmd)
 	if poll, ok := cmd.(cornelwall.PollEndpoint); ok && !ep.HasUnackedEnds(r.w.Now, poll.AckedEnd) && r.w.Now.Before(until) {
 		r.w.CallAfter(5*time.Millisecond, func() { r.answerOrder(h, ep, cmd, until, inbound) })
@@ -497,6 +505,9 @@
 	if c.answered && c.end == cornelwall.BatchRefused {
 		r.fail("%s starts after its client got the answer that it had not run", id.Task)
 	}
+	if r.afterStart != nil {
+		r.afterStart(ep, c)
+	}
 }
 
 func (r *rig) recordEnd(ep *leased.Endpoint, id cornelwall.RunID, end cornelwall.RunEnd) {
@@ -550,7 +561,11 @@
 }
 
 func (r *rig) retryLater(c *client) {
-	if c.attempts < 4 && !c.noRetry {
+	limit := 4
+	if c.persists {
+		limit = persistentAttempts
+	}
+	if c.attempts < limit && !c.noRetry {
 		r.w.CallAfter(clientRetryDelay, func() { r.send(c) })
 	}
 }
@@ -590,6 +605,10 @@
 		if c.starts != a.starts {
 			r.fail("batch %s is refused as not run, but %d of its tasks have started", c.id, c.starts-a.starts)
 		}
+		if c.persists {
+			r.retryLater(c)
+			return
+		}
 	case cornelwall.BatchDone:
 		for _, ep := range r.endpoints {
 			ep.Advance(r.w.Now)
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -40,6 +40,9 @@
 	if newSession || p.sessionOpen && !wasOpen {
 		c.reportRunning(p.id) // the report that this entry has taken over a run may have reached it too late
 	}
+	if p.sessionOpen && !wasOpen {
+		c.sendCrashes(p)
+	}
 	c.requestNewerConfig(p.id, p.version)
 	replyNeeded := p.wantsHeartbeats && (!wasOpen || !p.sessionOpen) || p.platformLost // the peer needs a reply as proof that its messages arrive
 	if first || p.noEndpointList || m.ReplyNow || replyNeeded && (p.sessionOpen && !wasOpen || c.now.Sub(p.heartbeatAt) >= replyInterval) {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -117,6 +117,10 @@
 		refuse(cornelwall.BatchInvalid, cornelwall.ReasonContent, err.Error())
 		return
 	}
+	if task, crashes := c.crashes.deadlyTask(ev.Batch.ID); task != "" {
+		refuse(cornelwall.BatchFailed, cornelwall.ReasonCrash, deadlyText(task, crashes))
+		return
+	}
 	if j := c.jobs[ev.Batch.ID]; j != nil {
 		j.reqs = append(j.reqs, ev.Req)
 		c.jobsByReq[ev.Req] = j
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -80,6 +80,8 @@
 	lastOffer         uint64    // number of the last offer
 	ackedEndAtOffer   int64     // ackedEnd as of the last offer
 	supersededAt      time.Time // when the endpoint refused its fence
+	drained           bool      // this boot has announced that it leaves
+	suspectedAtPoll   uint64    // lastPoll when a crash was recorded
 }
 
 // withoutWithdrawn returns the runs that their owners have not withdrawn.
@@ -315,6 +317,7 @@
 // asks for is not over and is cut to the longest one. A run whose start got no answer is therefore
 // kept until that has ended too.
 func (c *Core) endLapsedRuns(l *lease) {
+	c.recordSilentCrash(l)
 	longest := time.Duration(float64(c.cfg.Limits.MaxLease)/(1-clockDrift)) + c.cfg.Limits.StopDelay + expiryMargin
 	lapsed := filterRuns(l.runs, func(r *run) bool {
 		return r.startAnswered || c.now.Sub(l.extendedAt) >= longest
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -54,6 +54,8 @@
 		}
 	case m.BatchCancellation != nil:
 		c.cancelOwned(m.BatchCancellation.ID)
+	case m.CrashReport != nil:
+		c.handleCrashReport(from, m.CrashReport)
 	}
 }
 
@@ -81,7 +83,7 @@
 				runs = append(runs, m.Assign.Tasks[i].RunID)
 			}
 			p.resend = append(p.resend, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: runs}})
-		case m.Withdraw != nil || m.RunResults != nil || m.RunsStarted != nil || m.EndpointAcquired != nil || m.Handover != nil || m.HandoverDecline != nil || m.HandoverRequest != nil || m.BatchCancellation != nil:
+		case m.Withdraw != nil || m.RunResults != nil || m.RunsStarted != nil || m.EndpointAcquired != nil || m.Handover != nil || m.HandoverDecline != nil || m.HandoverRequest != nil || m.BatchCancellation != nil || m.CrashReport != nil:
 			p.resend = append(p.resend, m)
 		}
 	}
--- a/core/dispatch/messages_test.go
+++ b/core/dispatch/messages_test.go
@@ -30,6 +30,7 @@
 		{"decline", cornelwall.Message{HandoverDecline: &cornelwall.HandoverDecline{}}, func(m *cornelwall.Message) bool { return m.HandoverDecline != nil }},
 		{"batch cancellation", cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{}}, func(m *cornelwall.Message) bool { return m.BatchCancellation != nil }},
 		{"handover request", cornelwall.Message{HandoverRequest: &cornelwall.HandoverRequest{}}, func(m *cornelwall.Message) bool { return m.HandoverRequest != nil }},
+		{"crash report", cornelwall.Message{CrashReport: &cornelwall.CrashReport{}}, func(m *cornelwall.Message) bool { return m.CrashReport != nil }},
 		{"heartbeat", cornelwall.Message{SessionHeartbeat: &cornelwall.SessionHeartbeat{}}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -65,6 +65,7 @@
 	slowdown       float64              // median at its endpoints, as last reported
 	waitingJobs    map[string]int       // its batches that have not begun, by queue
 	resend         []cornelwall.Message // that may not have arrived and are safe to repeat
+	crashSeq       uint64               // of the last change of a crash that it was sent
 }
 
 // entryName identifies an entry across its incarnations.
@@ -258,7 +259,9 @@
 			if c.wantsLink(p) {
 				c.log("peer-silent", "peer", p.id, "age", c.now.Sub(p.heardAt))
 			}
-			p.resend = nil
+			if len(p.resend) > 0 {
+				p.resend, p.crashSeq = nil, 0
+			}
 		}
 		if !p.listed && c.now.Sub(p.heardAt) > forgetAfter && c.now.Sub(p.unlistedAt) > forgetAfter && (p.runsExpired || p.heardAt.IsZero()) && c.platformUp {
 			c.removePeer(p)
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -99,6 +99,7 @@
 	switch result.End {
 	case cornelwall.RunDone:
 		t.state = taskDone
+		c.crashes.clear(t.name)
 		j.unfinished[t.step]--
 		c.observeRunTime(t, result.Took)
 	case cornelwall.RunFailed:
@@ -119,12 +120,13 @@
 		t.wasStopped = t.wasStopped || result.End == cornelwall.RunStopped
 		t.runsLost++
 		c.log("task-lost", "task", t.name, "run", result.Run, "endpoint", result.Endpoint, "how", result.End, "holder", t.holder)
-		c.emit(cornelwall.CountReason{Reason: cornelwall.ReasonLost, Retry: true, N: 1})
+		c.emit(cornelwall.CountReason{Reason: c.reasonOfLoss(result.RunID), Retry: true, N: 1})
 	}
 	if c.jobs[j.id] != j {
 		return // the job has been answered
 	}
 	switch {
+	case c.failIfDeadly(j):
 	case t.failures >= max(j.queue.Attempts, 1):
 		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchFailed, Reason: cornelwall.ReasonTask, Text: "task " + t.name + " has failed as often as its queue allows"})
 	case j.done():
--- a/core/explain/cause.go
+++ b/core/explain/cause.go
@@ -12,6 +12,7 @@
 	CauseNone             Cause = iota // it was served in time
 	CauseCallerLeft                    // its caller disconnected or cancelled it
 	CauseInvalid                       // the entry has no queue for it, or it is not a valid batch
+	CauseTaskCrashed                   // endpoints have crashed under one of its tasks, which is not run again
 	CauseRefusedOnArrival              // it was refused at once
 	CauseEntryLost                     // the entry that took it ended without an answer
 	CauseEntryStopped                  // the entry that took it was stopped
@@ -63,6 +64,8 @@
 		return CauseCallerLeft
 	case b.End == cornelwall.BatchInvalid || b.End == cornelwall.BatchUnknown:
 		return CauseInvalid
+	case b.Reason == cornelwall.ReasonCrash:
+		return CauseTaskCrashed
 	case b.refusedOnArrival:
 		return CauseRefusedOnArrival
 	case b.Reason == cornelwall.ReasonStopping:
--- a/core/explain/cause_gen.go
+++ b/core/explain/cause_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "nonecaller-leftinvalidrefused-on-arrivalentry-lostentry-stoppedowner-unprovenstart-unansweredholder-silentendpoint-lostendpoint-failedendpoint-slownever-startedbacklogrun-time"
+const _CauseName = "nonecaller-leftinvalidtask-crashedrefused-on-arrivalentry-lostentry-stoppedowner-unprovenstart-unansweredholder-silentendpoint-lostendpoint-failedendpoint-slownever-startedbacklogrun-time"
 
-var _CauseIndex = [...]uint8{0, 4, 15, 22, 40, 50, 63, 77, 93, 106, 119, 134, 147, 160, 167, 175}
+var _CauseIndex = [...]uint8{0, 4, 15, 22, 34, 52, 62, 75, 89, 105, 118, 131, 146, 159, 172, 179, 187}
 
-const _CauseLowerName = "nonecaller-leftinvalidrefused-on-arrivalentry-lostentry-stoppedowner-unprovenstart-unansweredholder-silentendpoint-lostendpoint-failedendpoint-slownever-startedbacklogrun-time"
+const _CauseLowerName = "nonecaller-leftinvalidtask-crashedrefused-on-arrivalentry-lostentry-stoppedowner-unprovenstart-unansweredholder-silentendpoint-lostendpoint-failedendpoint-slownever-startedbacklogrun-time"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -27,74 +27,78 @@
 	_ = x[CauseNone-(0)]
 	_ = x[CauseCallerLeft-(1)]
 	_ = x[CauseInvalid-(2)]
-	_ = x[CauseRefusedOnArrival-(3)]
-	_ = x[CauseEntryLost-(4)]
-	_ = x[CauseEntryStopped-(5)]
-	_ = x[CauseOwnerUnproven-(6)]
-	_ = x[CauseStartUnanswered-(7)]
-	_ = x[CauseHolderSilent-(8)]
-	_ = x[CauseEndpointLost-(9)]
-	_ = x[CauseEndpointFailed-(10)]
-	_ = x[CauseEndpointSlow-(11)]
-	_ = x[CauseNeverStarted-(12)]
-	_ = x[CauseBacklog-(13)]
-	_ = x[CauseRunTime-(14)]
+	_ = x[CauseTaskCrashed-(3)]
+	_ = x[CauseRefusedOnArrival-(4)]
+	_ = x[CauseEntryLost-(5)]
+	_ = x[CauseEntryStopped-(6)]
+	_ = x[CauseOwnerUnproven-(7)]
+	_ = x[CauseStartUnanswered-(8)]
+	_ = x[CauseHolderSilent-(9)]
+	_ = x[CauseEndpointLost-(10)]
+	_ = x[CauseEndpointFailed-(11)]
+	_ = x[CauseEndpointSlow-(12)]
+	_ = x[CauseNeverStarted-(13)]
+	_ = x[CauseBacklog-(14)]
+	_ = x[CauseRunTime-(15)]
 }
 
-var _CauseValues = []Cause{CauseNone, CauseCallerLeft, CauseInvalid, CauseRefusedOnArrival, CauseEntryLost, CauseEntryStopped, CauseOwnerUnproven, CauseStartUnanswered, CauseHolderSilent, CauseEndpointLost, CauseEndpointFailed, CauseEndpointSlow, CauseNeverStarted, CauseBacklog, CauseRunTime}
+var _CauseValues = []Cause{CauseNone, CauseCallerLeft, CauseInvalid, CauseTaskCrashed, CauseRefusedOnArrival, CauseEntryLost, CauseEntryStopped, CauseOwnerUnproven, CauseStartUnanswered, CauseHolderSilent, CauseEndpointLost, CauseEndpointFailed, CauseEndpointSlow, CauseNeverStarted, CauseBacklog, CauseRunTime}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:4]:     CauseNone,
 	_CauseName[4:15]:    CauseCallerLeft,
 	_CauseName[15:22]:   CauseInvalid,
-	_CauseName[22:40]:   CauseRefusedOnArrival,
-	_CauseName[40:50]:   CauseEntryLost,
-	_CauseName[50:63]:   CauseEntryStopped,
-	_CauseName[63:77]:   CauseOwnerUnproven,
-	_CauseName[77:93]:   CauseStartUnanswered,
-	_CauseName[93:106]:  CauseHolderSilent,
-	_CauseName[106:119]: CauseEndpointLost,
-	_CauseName[119:134]: CauseEndpointFailed,
-	_CauseName[134:147]: CauseEndpointSlow,
-	_CauseName[147:160]: CauseNeverStarted,
-	_CauseName[160:167]: CauseBacklog,
-	_CauseName[167:175]: CauseRunTime,
+	_CauseName[22:34]:   CauseTaskCrashed,
+	_CauseName[34:52]:   CauseRefusedOnArrival,
+	_CauseName[52:62]:   CauseEntryLost,
+	_CauseName[62:75]:   CauseEntryStopped,
+	_CauseName[75:89]:   CauseOwnerUnproven,
+	_CauseName[89:105]:  CauseStartUnanswered,
+	_CauseName[105:118]: CauseHolderSilent,
+	_CauseName[118:131]: CauseEndpointLost,
+	_CauseName[131:146]: CauseEndpointFailed,
+	_CauseName[146:159]: CauseEndpointSlow,
+	_CauseName[159:172]: CauseNeverStarted,
+	_CauseName[172:179]: CauseBacklog,
+	_CauseName[179:187]: CauseRunTime,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
 	_CauseLowerName[0:4]:     CauseNone,
 	_CauseLowerName[4:15]:    CauseCallerLeft,
 	_CauseLowerName[15:22]:   CauseInvalid,
-	_CauseLowerName[22:40]:   CauseRefusedOnArrival,
-	_CauseLowerName[40:50]:   CauseEntryLost,
-	_CauseLowerName[50:63]:   CauseEntryStopped,
-	_CauseLowerName[63:77]:   CauseOwnerUnproven,
-	_CauseLowerName[77:93]:   CauseStartUnanswered,
-	_CauseLowerName[93:106]:  CauseHolderSilent,
-	_CauseLowerName[106:119]: CauseEndpointLost,
-	_CauseLowerName[119:134]: CauseEndpointFailed,
-	_CauseLowerName[134:147]: CauseEndpointSlow,
-	_CauseLowerName[147:160]: CauseNeverStarted,
-	_CauseLowerName[160:167]: CauseBacklog,
-	_CauseLowerName[167:175]: CauseRunTime,
+	_CauseLowerName[22:34]:   CauseTaskCrashed,
+	_CauseLowerName[34:52]:   CauseRefusedOnArrival,
+	_CauseLowerName[52:62]:   CauseEntryLost,
+	_CauseLowerName[62:75]:   CauseEntryStopped,
+	_CauseLowerName[75:89]:   CauseOwnerUnproven,
+	_CauseLowerName[89:105]:  CauseStartUnanswered,
+	_CauseLowerName[105:118]: CauseHolderSilent,
+	_CauseLowerName[118:131]: CauseEndpointLost,
+	_CauseLowerName[131:146]: CauseEndpointFailed,
+	_CauseLowerName[146:159]: CauseEndpointSlow,
+	_CauseLowerName[159:172]: CauseNeverStarted,
+	_CauseLowerName[172:179]: CauseBacklog,
+	_CauseLowerName[179:187]: CauseRunTime,
 }
 
 var _CauseNames = []string{
 	_CauseName[0:4],
 	_CauseName[4:15],
 	_CauseName[15:22],
-	_CauseName[22:40],
-	_CauseName[40:50],
-	_CauseName[50:63],
-	_CauseName[63:77],
-	_CauseName[77:93],
-	_CauseName[93:106],
-	_CauseName[106:119],
-	_CauseName[119:134],
-	_CauseName[134:147],
-	_CauseName[147:160],
-	_CauseName[160:167],
-	_CauseName[167:175],
+	_CauseName[22:34],
+	_CauseName[34:52],
+	_CauseName[52:62],
+	_CauseName[62:75],
+	_CauseName[75:89],
+	_CauseName[89:105],
+	_CauseName[105:118],
+	_CauseName[118:131],
+	_CauseName[131:146],
+	_CauseName[146:159],
+	_CauseName[159:172],
+	_CauseName[172:179],
+	_CauseName[179:187],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/core/policy/endpoint_test.go
+++ b/core/policy/endpoint_test.go
@@ -25,6 +25,13 @@
 		{"too slow to be on time", 200 * ms, [2]EndpointOption{{Slowdown: 4, IsSlow: true}, {Slowdown: 5, IsSlow: true}}, none},
 		{"slow, but of use to a late run", 50 * ms, [2]EndpointOption{{Slowdown: 9, IsSlow: true}, {Slowdown: 4, IsSlow: true}}, 1},
 		{"too slow to be of use", 50 * ms, [2]EndpointOption{{Slowdown: 9, IsSlow: true}, {Slowdown: 9, IsSlow: true}}, none},
+		{"suspected task prefers an empty endpoint, even one to avoid", 200 * ms, [2]EndpointOption{{Runs: 1, Suspicion: Suspected}, {CoresLeft: 9000, Suspicion: Suspected, Avoid: true}}, 1},
+		{"suspected task shares if none is empty", 200 * ms, [2]EndpointOption{{Runs: 1, Suspicion: Suspected, CoresLeft: 9000}, {Runs: 1, Suspicion: Suspected}}, 1},
+		{"isolated task waits for an empty endpoint", 200 * ms, [2]EndpointOption{{Runs: 1, Suspicion: Isolated}, {Runs: 2, Suspicion: Isolated}}, none},
+		{"isolated task on an empty endpoint", 200 * ms, [2]EndpointOption{{Runs: 1, Suspicion: Isolated}, {Suspicion: Isolated}}, 1},
+		{"others run beside a suspected task last", 200 * ms, [2]EndpointOption{{Runs: 1, Beside: Suspected}, {Runs: 1, CoresLeft: 9000}}, 1},
+		{"others run beside a suspected task rather than on a slow endpoint", 450 * ms, [2]EndpointOption{{Slowdown: 4, IsSlow: true}, {Runs: 1, Beside: Suspected}}, 1},
+		{"others don't run beside an isolated task", 200 * ms, [2]EndpointOption{{Runs: 1, Beside: Isolated}, {Runs: 1, Beside: Isolated}}, none},
 		{"trial run", 200 * ms, [2]EndpointOption{{Slowdown: 9, IsSlow: true}, {Slowdown: 9, IsSlow: true, MayTry: true}}, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/leased_message.go
+++ b/leased_message.go
@@ -100,6 +100,7 @@
 	AvoidEndpoint      string        `json:"avoid,omitempty"`   // endpoint on which it failed
 	StoppedAsStraggler bool          `json:"patient,omitempty"` // stopped as a straggler once; not stopped as one again
 	ReturnIfBusy       bool          `json:"eager,omitempty"`   // return it unless it starts at once: another holder has capacity
+	Crashes            int           `json:"crashes,omitempty"` // endpoints that may have crashed under it
 }
 
 // Check reports every problem with the message.
@@ -272,3 +273,68 @@
 type BatchCancellation struct {
 	ID string `json:"id"`
 }
+
+// MaxReportedCrashes is the number of crashes that one CrashReport may carry.
+const MaxReportedCrashes = 1024
+
+// CrashReport tells of endpoints that have crashed under runs. An endpoint may have crashed because of
+// one of the runs there, so that every entry keeps them: the batch of the run may come to any of them
+// next.
+type CrashReport struct {
+	Crashes []RunCrash `json:"crashes"`
+}
+
+//go:generate go tool enumer -type=CrashState -text -transform=kebab -trimprefix=Crash -output=crash_gen.go
+
+// CrashState is how certain a crash is. A later state replaces an earlier one.
+type CrashState int
+
+const (
+	// CrashSuspected means that the endpoint gave no answer until its lease had expired. It may
+	// only be cut off.
+	CrashSuspected CrashState = iota
+	// CrashConfirmed means that the boot of the endpoint under which the run was started has ended.
+	CrashConfirmed
+	// CrashWithdrawn means that the crash does not count: the endpoint was only cut off, or the task
+	// was done since.
+	CrashWithdrawn
+)
+
+// RunCrash is the crash of an endpoint under a run.
+type RunCrash struct {
+	RunID
+	Endpoint string        `json:"endpoint"`
+	Boot     int64         `json:"boot"`            // of the endpoint, see Endpoint
+	Alone    bool          `json:"alone,omitempty"` // no other run was there
+	State    CrashState    `json:"state,omitempty"`
+	Age      time.Duration `json:"age,omitempty"` // time since the crash was noticed
+}
+
+// Check reports every problem with the message.
+func (r *CrashReport) Check() error {
+	if len(r.Crashes) > MaxReportedCrashes {
+		return fmt.Errorf("crash report has %d crashes; send at most %d", len(r.Crashes), MaxReportedCrashes)
+	}
+	var errs []error
+	for i := range r.Crashes {
+		if err := r.Crashes[i].Check(); err != nil {
+			errs = append(errs, fmt.Errorf("crashes[%d]: %w", i, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Check reports every problem with the crash.
+func (x *RunCrash) Check() error {
+	errs := []error{x.RunID.Check()}
+	if x.Endpoint == "" || len(x.Endpoint) > maxFieldSize || len(x.Task) > maxFieldSize {
+		errs = append(errs, fmt.Errorf("crash of endpoint %.50q under task %.50q is not valid; name both, with at most %d bytes", x.Endpoint, x.Task, maxFieldSize))
+	}
+	if !x.State.IsACrashState() {
+		errs = append(errs, fmt.Errorf("crash has state %d; upgrade the older entry", x.State))
+	}
+	if x.Age < 0 {
+		errs = append(errs, fmt.Errorf("crash has age %s; send 0 or more", x.Age))
+	}
+	return errors.Join(errs...)
+}
--- a/message.go
+++ b/message.go
@@ -68,6 +68,7 @@
 	EndpointUpdate    *EndpointUpdate    `json:"known,omitempty"`
 	QueueConfigSync   *QueueConfigSync   `json:"declare,omitempty"`
 	BatchCancellation *BatchCancellation `json:"revoke,omitempty"`
+	CrashReport       *CrashReport       `json:"crash,omitempty"`
 }
 
 // ForAnyEpoch reports whether the message may be sent to an entry whose epoch is not known. Such
@@ -114,6 +115,7 @@
 	count(m.EndpointUpdate != nil)
 	count(m.QueueConfigSync != nil)
 	count(m.BatchCancellation != nil)
+	count(m.CrashReport != nil)
 	if n > 1 {
 		return fmt.Errorf("message has %d kinds; send exactly one", n)
 	}
@@ -162,6 +164,8 @@
 		return m.EndpointUpdate.Check()
 	case m.QueueConfigSync != nil:
 		return m.QueueConfigSync.Check()
+	case m.CrashReport != nil:
+		return m.CrashReport.Check()
 	}
 	return nil
 }
--- a/reason.go
+++ b/reason.go
@@ -62,4 +62,6 @@
 	ReasonPeer
 	// ReasonTooLarge means that the results of a job are larger than an answer may be.
 	ReasonTooLarge
+	// ReasonCrash means that endpoints have crashed while the task ran there.
+	ReasonCrash
 )
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrash"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191, 196}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-large"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrash"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -51,9 +51,10 @@
 	_ = x[ReasonDropped-(24)]
 	_ = x[ReasonPeer-(25)]
 	_ = x[ReasonTooLarge-(26)]
+	_ = x[ReasonCrash-(27)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge, ReasonCrash}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -83,6 +84,7 @@
 	_ReasonName[171:178]: ReasonDropped,
 	_ReasonName[178:182]: ReasonPeer,
 	_ReasonName[182:191]: ReasonTooLarge,
+	_ReasonName[191:196]: ReasonCrash,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -113,6 +115,7 @@
 	_ReasonLowerName[171:178]: ReasonDropped,
 	_ReasonLowerName[178:182]: ReasonPeer,
 	_ReasonLowerName[182:191]: ReasonTooLarge,
+	_ReasonLowerName[191:196]: ReasonCrash,
 }
 
 var _ReasonNames = []string{
@@ -143,6 +146,7 @@
 	_ReasonName[171:178],
 	_ReasonName[178:182],
 	_ReasonName[182:191],
+	_ReasonName[191:196],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/standin/leased/endpoint.go
+++ b/standin/leased/endpoint.go
@@ -80,6 +80,14 @@
 	return e
 }
 
+// Crash ends all runs. The endpoint is down until it is restarted and Down is cleared.
+func (e *Endpoint) Crash(now time.Time) {
+	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
+		e.endRun(now, e.runs[task], cornelwall.RunLapsed)
+	}
+	e.Down = true
+}
+
 // Restart ends all runs and clears all state, as a crash does.
 func (e *Endpoint) Restart(now time.Time) {
 	for _, task := range slices.Sorted(maps.Keys(e.runs)) {
