A crash of an endpoint that never comes back under its name is confirmed

Callers saw: on deployments whose endpoints come back under new names, a deadly task would have been held back for ten minutes and its batch given up again and again, never answered failed.

Cause: a silent endpoint counted as crashed only once the same name booted again.

Evidence: TestCrashOfEndpointThatIsGoneIsConfirmed; the code before has no path from the list or from a replaced address to a confirmation. It and the other tests of crashes_test.go come with this commit.

Why it works: the crash is confirmed when another endpoint answers at the address, or the platform's list has lacked the endpoint for longer than absentGrace. If the same boot answers after all, it is withdrawn even then.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -28,7 +28,7 @@
 type crashTable struct {
 	byRun      map[cornelwall.RunID]*crash
 	byBatch    map[string][]*crash
-	unresolved map[string][]*crash // by endpoint: those that may be a cut
+	byEndpoint map[string][]*crash // those that were not withdrawn
 	inOrder    []*crash            // oldest first
 	lastSeq    uint64              // rises with each change that peers are told of
 }
@@ -40,7 +40,7 @@
 }
 
 func newCrashTable() crashTable {
-	return crashTable{byRun: map[cornelwall.RunID]*crash{}, byBatch: map[string][]*crash{}, unresolved: map[string][]*crash{}}
+	return crashTable{byRun: map[cornelwall.RunID]*crash{}, byBatch: map[string][]*crash{}, byEndpoint: map[string][]*crash{}}
 }
 
 // batchOf returns the ID of the batch of a task.
@@ -74,15 +74,17 @@
 	t.byRun[x.RunID] = x
 	t.byBatch[batchOf(x.Task)] = append(t.byBatch[batchOf(x.Task)], x)
 	t.inOrder = append(t.inOrder, x)
-	if x.State == cornelwall.CrashSuspected {
-		t.unresolved[x.Endpoint] = append(t.unresolved[x.Endpoint], x)
+	if x.State != cornelwall.CrashWithdrawn {
+		t.byEndpoint[x.Endpoint] = append(t.byEndpoint[x.Endpoint], x)
 	}
 }
 
 func (t *crashTable) setState(x *crash, state cornelwall.CrashState) {
 	t.lastSeq++
 	x.State, x.seq = state, t.lastSeq
-	removeCrash(t.unresolved, x.Endpoint, x)
+	if state == cornelwall.CrashWithdrawn {
+		removeCrash(t.byEndpoint, x.Endpoint, x)
+	}
 }
 
 func (t *crashTable) removeOldest() {
@@ -90,7 +92,7 @@
 	t.inOrder = t.inOrder[1:]
 	delete(t.byRun, x.RunID)
 	removeCrash(t.byBatch, batchOf(x.Task), x)
-	removeCrash(t.unresolved, x.Endpoint, x)
+	removeCrash(t.byEndpoint, x.Endpoint, x)
 }
 
 func removeCrash(lists map[string][]*crash, key string, x *crash) {
@@ -232,34 +234,40 @@
 	c.recordCrash(l, cornelwall.CrashSuspected)
 }
 
-// resolveCrashes withdraws the suspected crashes of the boot that an endpoint has reported, as it was
-// only cut off, and confirms those of other boots. The poll that it answered was sent after the
-// crashes were recorded.
+// resolveCrashes withdraws the crashes of the boot that an endpoint has reported, as it was only cut off,
+// and confirms those of other boots. The poll that it answered was sent after the crashes were recorded.
 func (c *Core) resolveCrashes(id string, boot int64) {
-	resolved := slices.Clone(c.crashes.unresolved[id])
-	for _, x := range resolved {
-		state := cornelwall.CrashConfirmed
+	c.updateCrashes(id, func(x *crash) cornelwall.CrashState {
 		if x.Boot == boot {
-			state = cornelwall.CrashWithdrawn
+			return cornelwall.CrashWithdrawn
 		}
-		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", state)
-		c.crashes.setState(x, state)
-		x.from = cornelwall.Incarnation{}
-	}
+		return cornelwall.CrashConfirmed
+	})
 	c.sendCrashesToAll()
-	for _, x := range resolved {
-		c.actOnCrashes(batchOf(x.Task))
-	}
 }
 
-// confirmListedCrashes confirms the suspected crashes of an endpoint whose record shows that the boot has
-// ended. All entries read that themselves.
-func (c *Core) confirmListedCrashes(id string, ended int64) {
-	for _, x := range slices.Clone(c.crashes.unresolved[id]) {
-		if x.Boot == ended {
-			c.crashes.setState(x, cornelwall.CrashConfirmed)
-			c.actOnCrashes(batchOf(x.Task))
+// confirmCrashes confirms the crashes of an endpoint that has certainly ended or, if ended is not 0, those of a
+// boot that has.
+func (c *Core) confirmCrashes(id string, ended int64) {
+	c.updateCrashes(id, func(x *crash) cornelwall.CrashState {
+		if ended == 0 || x.Boot == ended {
+			return cornelwall.CrashConfirmed
 		}
+		return x.State
+	})
+}
+
+// updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed.
+func (c *Core) updateCrashes(id string, state func(*crash) cornelwall.CrashState) {
+	for _, x := range slices.Clone(c.crashes.byEndpoint[id]) {
+		s := state(x)
+		if s <= x.State {
+			continue
+		}
+		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s)
+		c.crashes.setState(x, s)
+		x.from = cornelwall.Incarnation{}
+		c.actOnCrashes(batchOf(x.Task))
 	}
 }
 
--- /dev/null
+++ b/core/dispatch/crashes_test.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+	"cornelwall/core/policy"
+)
+
+const crashBatch = "00000000000000aa"
+
+// crashCore is an entry that holds endpoints x1 to x3, without a network.
+type crashCore struct {
+	*Core
+	t     *testing.T
+	now   time.Time
+	peer  cornelwall.Incarnation
+	sent  []cornelwall.RunCrash // to the peer
+	logs  []string
+	ended []cornelwall.BatchAnswer
+}
+
+func newCrashCore(t *testing.T) *crashCore {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	cfg := Config{
+		Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}, Addr: addr,
+		Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond},
+	}
+	c := &crashCore{Core: New(cfg, now), t: t, now: now, peer: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Epoch: 1}}
+	c.step(cornelwall.MembersListed{List: []cornelwall.Member{{ID: c.peer, Addr: netip.MustParseAddrPort("10.0.0.2:7001")}}})
+	c.step(cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Attempts: 2, Timeout: 9 * time.Second, Stretch: 40},
+	}}})
+	for _, id := range []string{"x1", "x2", "x3"} {
+		ep := c.addEndpoint(cornelwall.Endpoint{ID: id, Service: "s", Addr: addr, DataCentre: "dc0", Capacity: cornelwall.Resources{Cores: 16000}, Boot: 5000})
+		c.acquire(ep, nil)
+		c.answer(id, 5000)
+		assert.Equal(t, ep.lease.phase, phaseReady)
+	}
+	return c
+}
+
+// step lets the core handle an event.
+func (c *crashCore) step(ev cornelwall.Event) {
+	for _, cmd := range c.Step(c.now, ev) {
+		switch cmd := cmd.(type) {
+		case cornelwall.Log:
+			c.logs = append(c.logs, cmd.Event)
+		case cornelwall.ReplyBatch:
+			c.ended = append(c.ended, cmd.Answer)
+		case cornelwall.Send:
+			if cmd.To == c.peer && cmd.Message.CrashReport != nil {
+				assert.NilError(c.t, cmd.Message.Check())
+				c.sent = append(c.sent, cmd.Message.CrashReport.Crashes...)
+			}
+		}
+	}
+}
+
+// answer answers the last poll of an endpoint, which lists no run.
+func (c *crashCore) answer(id string, boot int64) {
+	l := c.endpoints[id].lease
+	c.step(cornelwall.PollResult{Endpoint: id, Fence: l.fence, Seq: l.lastPoll, Boot: boot, Clock: c.now.Sub(c.startedAt) + time.Second})
+}
+
+// run adds a run of a task at an endpoint.
+func (c *crashCore) run(task string, number uint64, endpoint string) *run {
+	l := c.endpoints[endpoint].lease
+	r := &run{id: cornelwall.RunID{Task: task, Run: number}, owner: c.cfg.Self, state: runRunning, startAnswered: true, receivedAt: c.now, startedAt: c.now, endProofPoll: l.lastPoll + 1}
+	r.Estimate = time.Second
+	c.runs[r.id] = r
+	l.addRun(r)
+	c.poll(l, 0)
+	return r
+}
+
+// silence lets an endpoint be silent until its lease has ended.
+func (c *crashCore) silence(id string) {
+	for range 75 {
+		c.now = c.now.Add(tickInterval)
+		c.step(cornelwall.Tick{})
+		for _, other := range []string{"x1", "x2", "x3"} {
+			if l := c.endpoints[other].lease; other != id && l != nil {
+				c.answer(other, 5000)
+			}
+		}
+	}
+}
+
+// submit submits the batch and returns the answers to all callers so far.
+func (c *crashCore) submit(req uint64) []cornelwall.BatchAnswer {
+	c.step(cornelwall.SubmitBatch{Req: req, Host: "h", Path: "/q/1", TimeLeft: 5 * time.Second, Batch: &cornelwall.BatchJob{
+		ID: crashBatch, Steps: []cornelwall.Step{{Count: 1, Need: cornelwall.Resources{Cores: 8000}, Estimate: 100 * time.Millisecond}},
+	}})
+	return c.ended
+}
+
+func TestRestartUnderRunsIsRecorded(t *testing.T) {
+	c := newCrashCore(t)
+	c.run(crashBatch+".0.0.0", 1, "x1")
+	c.run("00000000000000bb.0.0.0", 2, "x1")
+	c.run("00000000000000cc.0.0.0", 3, "x2")
+	c.answer("x1", 6000)
+	c.answer("x2", 6000)
+	assert.DeepEqual(t, c.crashes.of(crashBatch+".0.0.0"), []policy.Crash{{Confirmed: true}})
+	assert.DeepEqual(t, c.crashes.of("00000000000000cc.0.0.0"), []policy.Crash{{Alone: true, Confirmed: true}})
+	assert.Equal(t, len(c.sent), 3, "the peer is not told of each crash once")
+}
+
+func TestDrainedEndpointThatGoesBlamesNobody(t *testing.T) {
+	c := newCrashCore(t)
+	c.run(crashBatch+".0.0.0", 1, "x1")
+	leaving := c.endpoints["x1"].Endpoint
+	leaving.Leaving = true
+	c.setEndpoint(&leaving, 1)
+	back := leaving
+	back.Leaving, back.Boot = false, 6000
+	c.setEndpoint(&back, 2)
+	assert.Equal(t, len(c.crashes.byRun), 0)
+}
+
+func TestEndpointThatWasCutOffBlamesNobody(t *testing.T) {
+	c := newCrashCore(t)
+	c.run(crashBatch+".0.0.0", 1, "x1")
+	c.silence("x1")
+	assert.DeepEqual(t, c.crashes.of(crashBatch+".0.0.0"), []policy.Crash{{Alone: true}})
+	c.now = c.now.Add(unreachableBackoff)
+	c.step(cornelwall.Tick{})
+	c.acquire(c.endpoints["x1"], nil)
+	c.answer("x1", 5000)
+	assert.Equal(t, len(c.crashes.of(crashBatch+".0.0.0")), 0)
+	assert.Assert(t, len(c.sent) == 2 && c.sent[1].State == cornelwall.CrashWithdrawn, "the peer is not told of the withdrawal: %v", c.sent)
+}
+
+// TestSilentEndpointsFailNoBatch loses two runs of a task at endpoints that fall silent. The task must not
+// start again while they may only be cut off, and its batch fails once one more is certain.
+func TestSilentEndpointsFailNoBatch(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.run(task, 1, "x1")
+	c.silence("x1")
+	c.run(task, 2, "x2")
+	c.silence("x2")
+	assert.Equal(t, c.suspicion(task), policy.OnHold)
+	assert.Equal(t, len(c.submit(1)), 0)
+	assert.Assert(t, c.jobs[crashBatch].unassigned(), "the task is assigned while it is on hold")
+	var list []cornelwall.Endpoint
+	for _, id := range []string{"x1", "x2"} {
+		info := c.endpoints[id].Endpoint
+		info.Boot = 6000
+		list = append(list, info)
+	}
+	c.step(cornelwall.EndpointsListed{List: list, Revision: 2, AsOf: c.now})
+	assert.Assert(t, len(c.ended) == 1 && c.ended[0].End == cornelwall.BatchFailed && c.ended[0].Reason == cornelwall.ReasonCrash, "%v", c.ended)
+	assert.Assert(t, len(c.submit(2)) == 2 && c.ended[1] == c.ended[0], "the second answer differs: %v", c.ended)
+}
+
+// TestSessionOfPeerBringsItUpToDate opens the session of a peer that has been out of touch.
+func TestSessionOfPeerBringsItUpToDate(t *testing.T) {
+	for _, crashes := range []int{0, 2} {
+		c := newCrashCore(t)
+		p := c.peers[c.peer]
+		p.listed = false
+		for i, id := range []string{"x1", "x2"}[:crashes] {
+			c.run(crashBatch+".0.0.0", uint64(i+1), id)
+			c.answer(id, 6000)
+		}
+		assert.Equal(t, len(c.sent), 0)
+		heartbeat := func(seq uint64) {
+			c.step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: c.peer, To: c.cfg.Self, Messages: []cornelwall.Message{
+				{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: p.addr, Seq: seq, AckedSeq: p.sentSeq, WantHeartbeats: true}},
+			}}})
+		}
+		heartbeat(1)
+		heartbeat(2)
+		heartbeat(3)
+		assert.Assert(t, p.sessionOpen)
+		assert.Equal(t, len(c.sent), crashes)
+	}
+}
+
+// TestCrashOfEndpointThatIsGoneIsConfirmed suspects an endpoint that never answers again: it leaves the
+// platform's list, or another endpoint has its address.
+func TestCrashOfEndpointThatIsGoneIsConfirmed(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		c := newCrashCore(t)
+		task := crashBatch + ".0.0.0"
+		c.run(task, 1, "x1")
+		c.silence("x1")
+		assert.DeepEqual(t, c.crashes.of(task), []policy.Crash{{Alone: true}})
+		if replaced {
+			c.now = c.now.Add(unreachableBackoff)
+			c.step(cornelwall.Tick{})
+			c.acquire(c.endpoints["x1"], nil)
+			l := c.endpoints["x1"].lease
+			c.step(cornelwall.PollResult{Endpoint: "x1", Fence: l.fence, Seq: l.lastPoll, Refusal: cornelwall.RefusedBoot})
+		} else {
+			list := []cornelwall.Endpoint{c.endpoints["x2"].Endpoint, c.endpoints["x3"].Endpoint}
+			c.step(cornelwall.EndpointsListed{List: list, Revision: 2, AsOf: c.now})
+			c.now = c.now.Add(absentGrace + tickInterval)
+			c.step(cornelwall.Tick{})
+		}
+		assert.DeepEqual(t, c.crashes.of(task), []policy.Crash{{Alone: true, Confirmed: true}})
+	}
+}
+
+func TestSuspectThatIsDoneIsCleared(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.run(task, 1, "x1")
+	c.answer("x1", 6000)
+	assert.Equal(t, c.suspicion(task), policy.Suspected)
+	c.endRun(c.run(task, 2, "x2"), cornelwall.RunDone, endListed)
+	assert.Equal(t, c.suspicion(task), policy.Unsuspected)
+}
+
+func TestCrashTableIsBounded(t *testing.T) {
+	table := newCrashTable()
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	for i := range maxCrashes + 10 {
+		id := cornelwall.RunID{Task: crashBatch + ".0.0.0", Run: uint64(i + 1)}
+		table.merge(&cornelwall.RunCrash{RunID: id, Endpoint: "x1", Boot: int64(i)}, now.Add(time.Duration(i)), cornelwall.Incarnation{})
+	}
+	assert.Equal(t, len(table.byRun), maxCrashes)
+	assert.Assert(t, table.byRun[cornelwall.RunID{Task: crashBatch + ".0.0.0", Run: 10}] == nil, "the oldest is kept")
+	assert.Assert(t, slices.Contains(table.byEndpoint["x1"], table.inOrder[0]))
+	table.expire(now.Add(time.Second))
+	assert.Equal(t, len(table.byRun)+len(table.byBatch)+len(table.byEndpoint)+len(table.inOrder), 0)
+}
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -82,8 +82,8 @@
 		return false
 	}
 	before := ep.Endpoint
-	if before.Boot != info.Boot && info.Boot != 0 {
-		c.confirmListedCrashes(ep.ID, before.Boot)
+	if before.Boot != info.Boot && before.Boot != 0 && info.Boot != 0 {
+		c.confirmCrashes(ep.ID, before.Boot)
 	}
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
 	if before.DataCentre != info.DataCentre {
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -44,6 +44,8 @@
 func (c *Core) handleReplaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
 	c.recordCrash(l, cornelwall.CrashConfirmed)
+	c.confirmCrashes(l.ep.ID, 0)
+	c.sendCrashesToAll()
 	for _, r := range l.sortedRuns() {
 		c.endRun(r, cornelwall.RunLapsed, endReplaced)
 	}
