review/lab: executors whose capacity shrinks and grows again while they run (LIMIT)

Case shrink: eight executors that don't guard their capacity, six entries that are cut off from the store, killed, stopped and frozen, callers that leave.

--- a/review/lab/case_deadly.go
+++ b/review/lab/case_deadly.go
@@ -146,7 +146,7 @@
 	if n%2 != 0 {
 		return
 	}
-	if e := l.entryNamed(s.caller); e != nil {
+	if e := l.entryNamed(s.conn.await()); e != nil {
 		l.restart(e, syscall.SIGKILL)
 	}
 }
--- a/review/lab/executor.go
+++ b/review/lab/executor.go
@@ -139,7 +139,7 @@
 	x.kind, x.born, x.bootAt, x.fence, x.lease, x.draining = k, time.Now().UnixMilli(), time.Now(), 0, 0, false
 	x.running, x.highest, x.ended, x.endedN, x.changed = map[string]*taskRun{}, map[string]int64{}, nil, 0, make(chan struct{})
 	boot := context.WithValue(context.Background(), bootKey{}, x.born)
-	x.server = &http.Server{Handler: mux, ConnContext: withCaller, BaseContext: func(net.Listener) context.Context { return boot }}
+	x.server = &http.Server{Handler: mux, ConnContext: x.lab.withCaller, BaseContext: func(net.Listener) context.Context { return boot }}
 	srv := x.server
 	x.mu.Unlock()
 	x.report()
@@ -208,8 +208,9 @@
 		"clockMs": x.clock(), "seq": x.clock(), "born": x.born,
 	}
 	x.reports++
+	cores := x.kind.cpu
 	x.mu.Unlock()
-	x.lab.store.put("servers/"+x.id, rec)
+	x.lab.store.putExecutor(x.id, cores, rec)
 }
 
 // setShown puts another address into the entry of the executor.
@@ -380,7 +381,7 @@
 
 func (x *executor) runStart(w http.ResponseWriter, r *http.Request) {
 	var o order
-	caller := x.lab.caller(r)
+	caller := callerOf(r)
 	if !x.receive(w, r, &o) {
 		return
 	}
@@ -404,10 +405,10 @@
 		now := time.Now()
 		x.running[o.Task] = &taskRun{n: o.Run, endsAt: now.Add(d), how: "done", cpu: cpu, started: now, dur: d}
 		x.lab.addStart(startEvent{
-			at: x.lab.now(), caller: caller, executor: x.id, born: x.born, labels: x.kind.labels, task: o.Task, run: o.Run, spec: o.Spec,
+			at: x.lab.now(), conn: caller, executor: x.id, born: x.born, labels: x.kind.labels, task: o.Task, run: o.Run, spec: o.Spec,
 			used: x.used(), cpu: x.kind.cpu, guards: x.kind.guards, sameStep: x.sameStep(o.Task), late: r.Context().Value(lateKey{}) != nil,
 		})
-		x.lab.note("executor", x.id, "starts", o.Task, "run", o.Run, "for", caller, "labels", x.kind.labels, "spec", o.Spec, "cores in use", x.used(), "of", x.kind.cpu)
+		x.lab.note("executor", x.id, "starts", o.Task, "run", o.Run, "for", caller.known(), "labels", x.kind.labels, "spec", o.Spec, "cores in use", x.used(), "of", x.kind.cpu)
 		if strings.Contains(o.Spec, deadlyWord) {
 			born := x.born
 			time.AfterFunc(deadlyFor, func() { x.crashAndBoot(born, deadlyDown) })
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -26,6 +26,7 @@
 	startedAt time.Time
 	dir       string // temporary folder for settings and logs
 	store     *store
+	callers   callers
 
 	mu     sync.Mutex
 	lines  []string
@@ -41,7 +42,8 @@
 // startEvent is a task that an executor has begun.
 type startEvent struct {
 	at       time.Duration // since the lab was started
-	caller   string        // entry that sent the order
+	caller   string        // entry that sent the order; see lab.startEvents
+	conn     *connCaller
 	executor string
 	born     int64
 	labels   []string
@@ -98,7 +100,11 @@
 func (l *lab) startEvents() []startEvent {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]startEvent(nil), l.starts...)
+	starts := append([]startEvent(nil), l.starts...)
+	for i := range starts {
+		starts[i].caller = starts[i].conn.known()
+	}
+	return starts
 }
 
 // close ends all processes that the lab has started and all stand-ins.
@@ -153,6 +159,7 @@
 	done      chan struct{}
 
 	restarting atomic.Bool // lab.restart is under way
+	faulty     atomic.Bool // a fault of shrinkFaults is under way
 }
 
 // addEntry prepares an entry. startEntries starts it.
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -30,6 +30,12 @@
 	entry string
 }
 
+// roomReport is the capacity that an executor has reported, in thousandths of a core.
+type roomReport struct {
+	at    time.Duration // since the lab was started
+	cores int
+}
+
 // store stands in for the platform's store. It does what PROTOCOL.md says of it and has no faults.
 type store struct {
 	lab      *lab
@@ -45,7 +51,8 @@
 	nextID  int64
 	clients map[string]string // names of entries by the addresses of their connections
 	reads   []listRead
-	changed chan struct{} // closed and replaced with each change
+	rooms   map[string][]roomReport // by executor
+	changed chan struct{}           // closed and replaced with each change
 }
 
 func newStore(l *lab) (*store, error) {
@@ -55,7 +62,7 @@
 	}
 	s := &store{
 		lab: l, listener: n, rev: 1, items: map[string]item{}, leases: map[int64]time.Time{}, ttl: map[int64]time.Duration{},
-		nextID: 1000, clients: map[string]string{}, changed: make(chan struct{}),
+		nextID: 1000, clients: map[string]string{}, rooms: map[string][]roomReport{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cornelwall/kv-key", s.getKey)
@@ -154,6 +161,28 @@
 	s.set(key, b, 0)
 }
 
+// putExecutor writes the entry of an executor.
+func (s *store) putExecutor(id string, cores int, value any) {
+	s.put("servers/"+id, value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rooms[id] = append(s.rooms[id], roomReport{s.lab.now(), cores})
+}
+
+// mostCores returns the most cores that the entry of an executor has shown between two times.
+func (s *store) mostCores(id string, from, to time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for i, r := range s.rooms[id] {
+		last := i == len(s.rooms[id])-1
+		if r.at <= to && (last || s.rooms[id][i+1].at >= from) {
+			most = max(most, r.cores)
+		}
+	}
+	return most
+}
+
 // drop removes a key as an executor that leaves does.
 func (s *store) drop(key string) {
 	s.mu.Lock()
