--- a/review/lab/case_twice.go
+++ b/review/lab/case_twice.go
@@ -41,7 +41,7 @@
 	halfOpen map[*entry]*relay
 
 	mu        sync.Mutex
-	halfJobs  map[string]bool // jobs whose entry may have learned late that the client left
+	halfJobs  map[string]bool // jobs whose entry may have learned late that a client left
 	disturbed map[*entry]bool
 	seen      map[string]int // statuses
 }
@@ -117,11 +117,11 @@
 	peers.from = func(first []byte) string { return t.nameIn(first) }
 	e.announce = peers.addr()
 	go peers.serve()
-	if t.callers[e], err = t.net.relayTo(e.callers, e.name); err != nil {
+	if t.callers[e], err = t.net.relayTo(e.callers, callersOf(e)); err != nil {
 		return err
 	}
 	go t.callers[e].serve()
-	if t.halfOpen[e], err = t.net.relayTo(e.callers, e.name); err != nil {
+	if t.halfOpen[e], err = t.net.relayTo(e.callers, callersOf(e)); err != nil {
 		return err
 	}
 	t.halfOpen[e].closeLag = func() (time.Duration, bool) {
@@ -131,6 +131,9 @@
 	return nil
 }
 
+// callersOf names the way between an entry and its clients.
+func callersOf(e *entry) string { return "callers of " + e.name }
+
 // watchLab notes when the lab's own process stood still: the executors then end runs late.
 func (t *twiceLab) watchLab() {
 	for last := time.Now(); ; {
@@ -196,7 +199,7 @@
 		t.note("client POST", c.id, "to", e.name, "try", try+1, "answered", status, text)
 		t.mu.Lock()
 		t.seen[fmt.Sprint(status)]++
-		if status == 0 && how == mannerHalfOpen {
+		if status == 0 && (how == mannerHalfOpen || t.net.isImpaired(callersOf(e))) {
 			t.halfJobs[c.id] = true
 		}
 		t.mu.Unlock()
@@ -264,6 +267,10 @@
 	if cut > 0 {
 		t.cut(e, true)
 		defer t.cut(e, false)
+		if cut < time.Second { // mostly its clients reach it
+			t.net.impair(callersOf(e), impairment{cut: true})
+			defer t.net.impair(callersOf(e), impairment{})
+		}
 	}
 	if err := e.start(); err != nil {
 		t.note("entry", e.name, "cannot be started:", err)
@@ -271,7 +278,7 @@
 	time.Sleep(cut)
 }
 
-// cut cuts an entry off from the store, its peers and its clients, or heals it.
+// cut cuts an entry off from the store and its peers, or heals it.
 func (t *twiceLab) cut(e *entry, cut bool) {
 	t.net.impair(e.name, impairment{cut: cut})
 	e.proxy.setCut(cut)
@@ -283,7 +290,7 @@
 		time.Sleep(time.Duration(r.IntN(900)) * time.Millisecond)
 		e, o := t.entries[r.IntN(len(t.entries))], t.entries[r.IntN(len(t.entries))]
 		d := time.Duration(500+r.IntN(3500)) * time.Millisecond
-		kind, share, lag := r.IntN(10), 0.02+0.2*r.Float64(), time.Duration(50+r.IntN(350))*time.Millisecond
+		kind, share, lag := r.IntN(12), 0.02+0.2*r.Float64(), time.Duration(50+r.IntN(350))*time.Millisecond
 		if !t.take(e) {
 			continue
 		}
@@ -305,18 +312,29 @@
 	case 4:
 		t.note("fault: cut", e.name, d)
 		t.cut(e, true)
+		t.net.impair(callersOf(e), impairment{cut: true})
+		time.Sleep(d)
+		t.cut(e, false)
+		t.net.impair(callersOf(e), impairment{})
+	case 10, 11:
+		t.note("fault: cut off from store and peers", e.name, d)
+		t.cut(e, true)
 		time.Sleep(d)
 		t.cut(e, false)
 	case 5:
 		t.note("fault: loss", e.name, d, share)
 		t.net.impair(e.name, impairment{loss: share})
+		t.net.impair(callersOf(e), impairment{loss: share})
 		time.Sleep(d)
 		t.net.impair(e.name, impairment{})
+		t.net.impair(callersOf(e), impairment{})
 	case 6:
 		t.note("fault: lag", e.name, d, lag)
 		t.net.impair(e.name, impairment{lag: lag})
+		t.net.impair(callersOf(e), impairment{lag: lag})
 		time.Sleep(d)
 		t.net.impair(e.name, impairment{})
+		t.net.impair(callersOf(e), impairment{})
 	case 7:
 		t.note("fault: one-way cut", e.name, o.name, d)
 		t.net.impairWay(way{e.name, o.name}, impairment{cut: true})
@@ -325,6 +343,7 @@
 	case 8:
 		t.note("fault: reset", e.name)
 		t.net.reset(e.name)
+		t.net.reset(callersOf(e))
 	case 9:
 		x := t.executors[r.IntN(len(t.executors))]
 		t.note("fault: executor links", x.id, d, share)
--- a/review/lab/executor.go
+++ b/review/lab/executor.go
@@ -150,7 +150,7 @@
 	srv := x.server
 	x.server = nil
 	for task, r := range x.running {
-		x.lab.addEnd(x, task, r.n, "crash")
+		x.lab.addEnd(x, task, r.n, "crash", time.Now())
 	}
 	x.running = map[string]*taskRun{}
 	x.mu.Unlock()
@@ -238,29 +238,36 @@
 			return
 		case now := <-t.C:
 			x.mu.Lock()
-			for task, r := range x.running {
-				switch {
-				case x.clock() >= x.lease:
-					x.end(task, r, "lapsed")
-				case !now.Before(r.endsAt):
-					x.end(task, r, r.how)
-				}
-			}
+			x.endDue(now)
 			x.mu.Unlock()
 		}
 	}
 }
 
+// endDue ends the runs that are due to end, as of when they were: the lab's process may have stood still.
+// The caller holds mu.
+func (x *executor) endDue(now time.Time) {
+	lapse := x.bootAt.Add(time.Duration(x.lease) * time.Millisecond)
+	for task, r := range x.running {
+		switch {
+		case !now.Before(r.endsAt) && !lapse.Before(r.endsAt):
+			x.end(task, r, r.how, r.endsAt)
+		case !now.Before(lapse):
+			x.end(task, r, "lapsed", lapse)
+		}
+	}
+}
+
 // end records the end of a run. The caller holds mu.
-func (x *executor) end(task string, r *taskRun, how string) {
+func (x *executor) end(task string, r *taskRun, how string, at time.Time) {
 	delete(x.running, task)
 	x.highest[task] = max(x.highest[task], r.n)
 	x.endedN++
 	x.ended = append(x.ended, []any{x.endedN, task, r.n, how, ""})
-	x.lab.addEnd(x, task, r.n, how)
+	x.lab.addEnd(x, task, r.n, how, at)
 	close(x.changed)
 	x.changed = make(chan struct{})
-	x.lab.note("executor", x.id, "ends", task, "run", r.n, how)
+	x.lab.note("executor", x.id, "ends", task, "run", r.n, how, "at", at.Sub(x.lab.startedAt))
 }
 
 // order is the body of any order.
@@ -335,6 +342,7 @@
 		reply(w, http.StatusMisdirectedRequest, map[string]any{})
 		return false
 	}
+	x.endDue(time.Now())
 	if o.Fence < x.fence {
 		x.refuse(w, "fence")
 		return false
@@ -444,6 +452,7 @@
 		case <-r.Context().Done():
 		}
 		x.mu.Lock()
+		x.endDue(time.Now())
 	}
 	running := [][]any{}
 	for task, t := range x.running {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -347,11 +347,11 @@
 	return l.done[runKey{s.executor, s.born, s.task, s.run}]
 }
 
-func (l *lab) addEnd(x *executor, task string, run int64, how string) {
+func (l *lab) addEnd(x *executor, task string, run int64, how string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := runKey{x.id, x.born, task, run}
-	l.ends[key], l.done[key] = l.now(), how == "done"
+	l.ends[key], l.done[key] = at.Sub(l.startedAt), how == "done"
 }
 
 // runKey identifies a run on a boot of an executor.
--- a/review/lab/network.go
+++ b/review/lab/network.go
@@ -47,6 +47,13 @@
 	n.machines[machine] = im
 }
 
+// isImpaired reports whether anything is wrong with the links of a machine.
+func (n *network) isImpaired(machine string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machines[machine] != impairment{}
+}
+
 // impairWay sets what is wrong with one way.
 func (n *network) impairWay(w way, im impairment) {
 	n.mu.Lock()
