--- a/review/lab/case_twice.go
+++ b/review/lab/case_twice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -17,8 +18,10 @@
 	twiceEntries   = 4 // of each zone
 	twiceExecutors = 7 // of each zone
 	twiceCores     = 4000
-	twiceInterval  = 44 * time.Millisecond // between two jobs, on average
-	labStall       = 40 * time.Millisecond // from which a delay of the lab's own process is noted
+	twiceInterval  = 44 * time.Millisecond  // between two jobs, on average
+	labStall       = 40 * time.Millisecond  // from which a delay of the lab's own process is noted
+	shortestTurn   = 200 * time.Microsecond // that a starved process runs
+	longestTurn    = 20 * time.Millisecond
 	callerPause    = 20 * time.Millisecond // least time before a client leaves
 )
 
@@ -47,7 +50,8 @@
 }
 
 // twiceCase plays planned stops in turn, starved and frozen entries and bad links, while clients leave and
-// come again, and judges TWICE. SEED draws the day, and HALFOPEN=0 leaves half-open connections out.
+// come again, and judges TWICE. SEED draws the day, HALFOPEN=0 leaves half-open connections out,
+// and with DAY=starved entries are stopped, starved and frozen only.
 func twiceCase(l *lab, trouble bool) (bool, error) {
 	var seed uint64 = 1
 	if s := os.Getenv("SEED"); s != "" {
@@ -291,6 +295,9 @@
 		e, o := t.entries[r.IntN(len(t.entries))], t.entries[r.IntN(len(t.entries))]
 		d := time.Duration(500+r.IntN(3500)) * time.Millisecond
 		kind, share, lag := r.IntN(12), 0.02+0.2*r.Float64(), time.Duration(50+r.IntN(350))*time.Millisecond
+		if os.Getenv("DAY") == "starved" {
+			kind %= 4
+		}
 		if !t.take(e) {
 			continue
 		}
@@ -358,9 +365,9 @@
 func (t *twiceLab) starve(r *rand.Rand, e *entry, d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); {
 		e.signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(100+r.IntN(150)) * time.Millisecond)
+		time.Sleep(time.Duration(100+r.IntN(170)) * time.Millisecond)
 		e.signal(syscall.SIGCONT)
-		time.Sleep(time.Duration(1+r.IntN(40)) * time.Millisecond)
+		time.Sleep(time.Duration(float64(shortestTurn) * math.Pow(float64(longestTurn/shortestTurn), r.Float64())))
 	}
 }
 
