Heartbeats prove nothing for a run that its owner does not know here

After a handover the owner of a run may still count the previous holder as its holder, because the report of the next one waits or is lost. It starts the task again once that holder has been silent for 1.3 s, while the next one goes on with the proofs of fresh heartbeats. Evidence: TestHeartbeatsProveNothingOfRunThatOwnerDoesNotKnowHere failed on the code before ("the run goes on"). Why it works: after a handover only the proof of the previous holder counts, until the owner confirms (RunsKnown) the report of the run under a fence of this holding. The owner confirms only what it then counts as running there, and a report is repeated every 100 ms until then. TestNewHolderReportsHandedOverRunToOwner expects the request to confirm.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -42,6 +42,8 @@
 
 	handedOver     bool      // a previous holder handed it over to this entry
 	inheritedProof time.Time // if so, when its owner last proved that it hears that holder
+	ownerKnows     bool      // and its owner has confirmed that it counts this entry as the holder
+	reportedAt     time.Time // when its owner was last told that it runs here
 
 	state           runState
 	lease           *lease    // lease under which it was started
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -246,6 +246,7 @@
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
 	c.withdrawUnprovenRuns()
+	c.repeatReports()
 	c.checkLeases()
 	c.checkJobs()
 	c.reconcileHolders()
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -36,6 +36,8 @@
 		}
 	case m.RunsStarted != nil:
 		c.handleRunsStarted(from, m.RunsStarted)
+	case m.RunsKnown != nil:
+		c.handleRunsKnown(from, m.RunsKnown)
 	case m.EndpointAcquired != nil:
 		c.handleEndpointAcquired(from, m.EndpointAcquired)
 	case m.Handover != nil:
@@ -81,7 +83,7 @@
 				runs = append(runs, m.Assign.Tasks[i].RunID)
 			}
 			p.resend = append(p.resend, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: runs}})
-		case m.Withdraw != nil || m.RunResults != nil || m.RunsStarted != nil || m.EndpointAcquired != nil || m.Handover != nil || m.HandoverDecline != nil || m.HandoverRequest != nil || m.BatchCancellation != nil:
+		case m.Withdraw != nil || m.RunResults != nil || m.RunsStarted != nil || m.RunsKnown != nil || m.EndpointAcquired != nil || m.Handover != nil || m.HandoverDecline != nil || m.HandoverRequest != nil || m.BatchCancellation != nil:
 			p.resend = append(p.resend, m)
 		}
 	}
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -126,8 +126,8 @@
 
 // reportStarted reports to the owner where its task runs.
 func (c *Core) reportStarted(r *run) {
-	r.state = runRunning
-	m := &cornelwall.RunsStarted{Endpoint: r.lease.ep.ID, Fence: r.lease.fence, Runs: []cornelwall.RunID{r.id}}
+	r.state, r.reportedAt = runRunning, c.now
+	m := &cornelwall.RunsStarted{Endpoint: r.lease.ep.ID, Fence: r.lease.fence, Runs: []cornelwall.RunID{r.id}, Confirm: r.awaitsConfirm()}
 	c.send(r.owner, cornelwall.Message{RunsStarted: m})
 }
 
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -41,18 +41,45 @@
 // lastOwnerProof returns when the owner of a run last proved that it hears this entry. The
 // assignment of the run is such a proof, as of the earliest time at which it may have been sent:
 // the owner's wait before it gives the run up starts no earlier. A handover is none, so that the
-// proof of the previous holder counts on.
+// proof of the previous holder counts on. That the owner hears this entry proves nothing for a run
+// before the owner counts this entry as its holder.
 func (c *Core) lastOwnerProof(r *run) time.Time {
 	first := r.receivedAt.Add(-maxAssignDelay)
 	if r.handedOver {
 		first = r.inheritedProof
 	}
+	if r.awaitsConfirm() {
+		return first
+	}
 	if p := c.peers[r.owner]; p != nil && !p.dead && p.provenAt.After(first) {
 		return p.provenAt
 	}
 	return first
 }
 
+// awaitsConfirm reports whether the owner of a run, which was handed over, may still count the
+// previous holder as its holder.
+func (r *run) awaitsConfirm() bool { return r.handedOver && !r.ownerKnows }
+
+// handleRunsKnown records that the owner of runs counts this entry as their holder.
+func (c *Core) handleRunsKnown(from cornelwall.Incarnation, m *cornelwall.RunsKnown) {
+	for _, id := range m.Runs {
+		r := c.runs[id]
+		if r != nil && r.owner == from && r.lease != nil && r.lease.ep.ID == m.Endpoint && m.Fence >= r.lease.firstFence {
+			r.ownerKnows = true
+		}
+	}
+}
+
+// repeatReports reports runs again whose owners have not confirmed the first report.
+func (c *Core) repeatReports() {
+	for _, r := range filterRuns(c.runs, func(r *run) bool {
+		return r.awaitsConfirm() && r.state == runRunning && !r.reportedAt.IsZero() && c.now.Sub(r.reportedAt) >= heartbeatInterval
+	}) {
+		c.reportStarted(r)
+	}
+}
+
 // proofAge returns how long ago the owner of a run last proved that it hears this entry.
 func (c *Core) proofAge(r *run) time.Duration {
 	if r.owner == c.cfg.Self {
@@ -87,7 +114,7 @@
 func (c *Core) inheritProofs(l *lease, from *peer, m *cornelwall.Handover) {
 	for i := range m.Runs {
 		r := l.runs[m.Runs[i].RunID]
-		if r == nil {
+		if r == nil || r.owner == c.cfg.Self {
 			continue
 		}
 		r.handedOver, r.inheritedProof = true, c.inheritedProof(from, m, &m.Runs[i])
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -18,7 +18,7 @@
 // handleRunsStarted records where tasks run. Runs that no job of this entry waits for are
 // withdrawn: an earlier withdrawal may have gone to a holder whose process has ended since.
 func (c *Core) handleRunsStarted(from cornelwall.Incarnation, m *cornelwall.RunsStarted) {
-	var unknown []cornelwall.RunID
+	var known, unknown []cornelwall.RunID
 	for _, id := range m.Runs {
 		t := c.tasksByRun[id]
 		if t == nil {
@@ -30,10 +30,14 @@
 		}
 		t.state, t.endpoint, t.fence, t.changedAt = taskRunning, m.Endpoint, m.Fence, c.now
 		t.holder, t.missedStarts = from, 0
+		known = append(known, id)
 		t.lastRun = lastRun{endpoint: m.Endpoint, startedAt: c.now}
 		t.job.started = true
 		c.sendProgress(t.job, false)
 	}
+	if m.Confirm && known != nil {
+		c.send(from, cornelwall.Message{RunsKnown: &cornelwall.RunsKnown{Endpoint: m.Endpoint, Fence: m.Fence, Runs: known}})
+	}
 	if unknown != nil {
 		c.send(from, cornelwall.Message{Withdraw: &cornelwall.Withdraw{Runs: unknown, MayHaveStarted: true}})
 	}
--- a/leased_message.go
+++ b/leased_message.go
@@ -168,6 +168,15 @@
 	Endpoint string  `json:"endpoint"`
 	Fence    uint64  `json:"fence"` // fencing token under which the endpoint is held
 	Runs     []RunID `json:"runs"`
+	Confirm  bool    `json:"confirm,omitempty"` // the sender has taken the runs over and needs RunsKnown in reply
+}
+
+// RunsKnown confirms RunsStarted: the sender, which owns the tasks, counts the receiver as the holder of
+// the runs from now on.
+type RunsKnown struct {
+	Endpoint string  `json:"endpoint"`
+	Fence    uint64  `json:"fence"`
+	Runs     []RunID `json:"runs"`
 }
 
 // EndpointAcquired announces that the sender holds the endpoint from now on and that only the
--- a/message.go
+++ b/message.go
@@ -61,6 +61,7 @@
 	Withdraw          *Withdraw          `json:"withdraw,omitempty"`
 	RunResults        *RunResults        `json:"over,omitempty"`
 	RunsStarted       *RunsStarted       `json:"began,omitempty"`
+	RunsKnown         *RunsKnown         `json:"agreed,omitempty"`
 	EndpointAcquired  *EndpointAcquired  `json:"taken,omitempty"`
 	Handover          *Handover          `json:"handover,omitempty"`
 	HandoverDecline   *HandoverDecline   `json:"decline,omitempty"`
@@ -107,6 +108,7 @@
 	count(m.Withdraw != nil)
 	count(m.RunResults != nil)
 	count(m.RunsStarted != nil)
+	count(m.RunsKnown != nil)
 	count(m.EndpointAcquired != nil)
 	count(m.Handover != nil)
 	count(m.HandoverDecline != nil)
@@ -156,6 +158,8 @@
 		return m.RunResults.Check()
 	case m.RunsStarted != nil:
 		return CheckRuns(m.RunsStarted.Runs)
+	case m.RunsKnown != nil:
+		return CheckRuns(m.RunsKnown.Runs)
 	case m.Handover != nil:
 		return m.Handover.Check()
 	case m.EndpointUpdate != nil:
