--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -134,6 +134,7 @@
 		r := c.runs[id]
 		if r != nil {
 			if !m.OnlyWaiting || r.state == runWaiting {
+				c.logWithdrawal(from, r)
 				c.withdrawRun(r, true)
 			}
 			continue
@@ -153,6 +154,18 @@
 	}
 }
 
+// logWithdrawal logs the withdrawal of a run that has started, and how old the proof of its owner is.
+func (c *Core) logWithdrawal(from cornelwall.Incarnation, r *run) {
+	if r.state != runStarting && r.state != runRunning {
+		return
+	}
+	pairs := []any{"task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "from", from, "owner", r.owner, "started", c.now.Sub(r.startedAt)}
+	if r.owner != c.cfg.Self {
+		pairs = append(pairs, "proof", c.now.Sub(c.lastOwnerProof(r)))
+	}
+	c.log("run-withdrawn", pairs...)
+}
+
 // withdrawRun removes a waiting run from the backlog, and stops one that has started. If report is
 // set, the owner is sent the result of a run that waited; that of a stopped run is always sent.
 func (c *Core) withdrawRun(r *run, report bool) {
