The time before a request is read counts against its deadline

What callers saw: Cornelwall-Deadline-Ms says how long a caller waits from when it sent the request.

Cause: time left is relative, and was added to the time at which the request was handled.

Evidence, with the field of the event there but not used: TestTimeBeforeRequestIsReadCountsAgainstDeadline (real sockets; a request that waits 400 ms before its connection is accepted, and one on the open connection: "0s"), TestBatchReadAfterItsDeadlineStartsNothing ("a task is started") and TestTimeBeforeBatchIsReadCountsAgainstItsTargets ("0s != 1s") failed; all pass now.

Fix: SubmitBatch.Waited is the time since the last data arrived on the connection, by the same TCP_INFO as before (no further call). It never overstates: the whole request had arrived by then. The core takes the batch as submitted that long ago, so that the deadline and the targets are the caller's, and one whose time is over is refused as too late before anything starts. The line `batch` tells it (unread). Not counted: time on the way, and time in the control loop's queue.

--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -130,7 +130,7 @@
 	}
 	c.jobs[j.id], c.jobsByReq[ev.Req] = j, j
 	c.lastSubmit, c.lastBatchNeed = c.now, ev.Batch.Steps[0].Need
-	c.log("batch", "job", j.id, "queue", q.Name, "version", c.queueConfig.Version, "tasks", len(j.tasks), "left", j.deadline.Sub(c.now), "due", j.due.Sub(c.now))
+	c.log("batch", "job", j.id, "queue", q.Name, "version", c.queueConfig.Version, "tasks", len(j.tasks), "left", j.deadline.Sub(c.now), "due", j.due.Sub(c.now), "unread", ev.Waited)
 	c.assignTasks(j)
 }
 
@@ -141,9 +141,10 @@
 	if timeLeft <= 0 {
 		timeLeft = q.Timeout
 	}
+	submittedAt := c.now.Add(-ev.Waited)
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		reportedRemaining: 1, submittedAt: c.now, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0, deadline: c.now.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
+		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0, deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
 	}
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
--- a/leased.go
+++ b/leased.go
@@ -10,7 +10,8 @@
 		Host     string
 		Path     string // names the queue and the batch
 		Batch    *BatchJob
-		TimeLeft time.Duration // until the caller's deadline; 0 takes Queue.Timeout
+		TimeLeft time.Duration // until the caller's deadline when the request arrived; 0 takes Queue.Timeout
+		Waited   time.Duration // since the request arrived
 	}
 	// CancelBatch cancels a batch.
 	CancelBatch struct {
