A request of a caller that is known to have gone is not posted

Cause: Ask waited in a select for room in the event queue and for the end of the context. With both ready, Go takes either.

Evidence: TestAskOfGoneCallerPostsNothing failed before ("an event is made for a caller that has gone") and passes now, with -race.

Fix: Ask looks at the context first. One that ends later is told to the core as before, ahead of the queued events.

--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -87,6 +87,9 @@
 // Ask posts a request event and waits for the command that replies to it. If ctx ends
 // first, the core is notified that the caller has gone.
 func (l *Loop) Ask(ctx context.Context, event func(req uint64) cornelwall.Event) (cornelwall.Command, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	req := l.nextReq.Add(1)
 	ch := make(chan cornelwall.Command, 1)
 	l.mu.Lock()
