--- a/core/dispatch/fuzz/histories_test.go
+++ b/core/dispatch/fuzz/histories_test.go
@@ -145,6 +145,7 @@
 	}{
 		{"poll results hide what runs", mutation{hideRunning: true}, allActions, 0},
 		{"acknowledgements are forged", mutation{forgeAcks: true, longRuns: true}, partitions, 0},
+		{"heartbeats do not repeat withdrawals", mutation{hideWithdrawals: true, longRuns: true}, stalledMessages, 50},
 		{"late assignments carry a fresh session", mutation{refreshSessions: true}, partitions, 0},
 		{"endpoints ignore fences", mutation{ignoreFences: true, longRuns: true}, allActions, 0},
 		{"endpoints accept expired starts", mutation{extendStartLeases: true, longRuns: true}, lateOrders, 0},
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -46,6 +46,7 @@
 type mutation struct {
 	hideRunning       bool // poll results do not list what runs
 	forgeAcks         bool // heartbeats acknowledge all heartbeats of the receiver, also those that were lost
+	hideWithdrawals   bool // heartbeats do not repeat withdrawals
 	refreshSessions   bool // late assignments carry the session that is valid when they arrive
 	ignoreFences      bool // endpoints accept orders under any fence
 	extendStartLeases bool // endpoints accept starts whose lease has expired
@@ -319,6 +320,9 @@
 		}
 		if h := e.Messages[i].SessionHeartbeat; h != nil {
 			r.sessions[[2]cornelwall.Incarnation{from, to}] = h.Session
+			if r.mutation.hideWithdrawals {
+				h.Withdrawn = nil
+			}
 			if r.mutation.forgeAcks {
 				h.AckedSeq = r.heartbeatSeqs[[2]cornelwall.Incarnation{to, from}]
 			}
