--- a/review/lab/case_deadly.go
+++ b/review/lab/case_deadly.go
@@ -14,6 +14,7 @@
 	scenarios["deadly"] = func(l *lab, trouble bool) (bool, error) { return deadlyCase(l, trouble, nil) }
 	scenarios["deadly-kill"] = func(l *lab, trouble bool) (bool, error) { return deadlyCase(l, trouble, killGiver) }
 	scenarios["deadly-stop"] = func(l *lab, trouble bool) (bool, error) { return deadlyCase(l, trouble, stopOwner) }
+	scenarios["deadly-rack"] = deadlyRackCase
 	scenarios["rack"] = rackCase
 }
 
@@ -322,6 +323,36 @@
 	return broken
 }
 
+// crashRacks crashes half of the executors at the same moment, and the other half in the next round.
+func (l *lab) crashRacks() {
+	for round := range rackRounds {
+		time.Sleep(rackPause)
+		for i, x := range l.executors {
+			if (i/deadlyZones+round)%2 != 0 {
+				continue
+			}
+			x.mu.Lock()
+			born := x.born
+			x.mu.Unlock()
+			go x.crashAndBoot(born, deadlyDown)
+		}
+	}
+}
+
+// deadlyRackCase is deadlyCase beside crashes that no task causes.
+func deadlyRackCase(l *lab, trouble bool) (bool, error) {
+	racks := make(chan struct{})
+	go func() {
+		defer close(racks)
+		if trouble {
+			l.crashRacks()
+		}
+	}()
+	broken, err := deadlyCase(l, trouble, nil)
+	<-racks
+	return broken, err
+}
+
 // rackCase crashes half of the executors at the same moment, several times, under harmless load. No job
 // may be answered as failed.
 func rackCase(l *lab, trouble bool) (bool, error) {
@@ -330,16 +361,8 @@
 	}
 	stop, harmless := make(chan struct{}), make(chan []*clientJob)
 	go func() { harmless <- l.harmlessLoad(stop) }()
-	for round := range rackRounds {
-		time.Sleep(rackPause)
-		for i, x := range l.executors {
-			if trouble && (i/deadlyZones+round)%2 == 0 {
-				x.mu.Lock()
-				born := x.born
-				x.mu.Unlock()
-				go x.crashAndBoot(born, deadlyDown)
-			}
-		}
+	if trouble {
+		l.crashRacks()
 	}
 	time.Sleep(rackPause)
 	close(stop)
