A batch whose tasks are held back after crashes is not refused as not run

What callers saw, on real processes: the second or third try of a batch whose task crashes endpoints was often answered 503 "has not run; come back later" while the task was held back until the crashes are certain. It had run in an earlier try, and a caller that trusts the answer never hears that the batch has failed. Cause: a new submission counts as not started, although the table of crashes shows that its tasks have started. Evidence: TestBatchOnHoldIsNotRefusedAsNotRun failed on the code before (refused in place of given up). Why it works: a batch with a crash on record counts as started, so that its try ends as given up; by the next try the crashes are certain, and the answer is failed, for good.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -129,6 +129,9 @@
 	return list
 }
 
+// knows reports whether there is a crash under a run of a batch, which has thus started.
+func (t *crashTable) knows(batch string) bool { return len(t.byBatch[batch]) > 0 }
+
 // deadlyTask returns a deadly task of a batch and the number of its crashes, or "" if there is none.
 func (t *crashTable) deadlyTask(batch string) (task string, crashes int) {
 	for _, x := range t.byBatch[batch] {
@@ -312,7 +315,8 @@
 }
 
 // actOnCrashes acts on what is new of the crashes under the runs of a batch: it returns waiting runs that must
-// not start, and ends a job of this entry that has a deadly task.
+// not start, and ends a job of this entry that has a deadly task. Any other job of it counts as started: a
+// refusal would tell its caller that it has not run.
 func (c *Core) actOnCrashes(batch string) {
 	c.backlogChanged = true
 	for _, r := range slices.Clone(c.backlog) {
@@ -321,6 +325,7 @@
 		}
 	}
 	if j := c.jobs[batch]; j != nil {
+		j.started = true
 		c.failIfDeadly(j)
 	}
 }
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -233,3 +233,32 @@
 	table.expire(now.Add(time.Second))
 	assert.Equal(t, len(table.byRun)+len(table.byBatch)+len(table.byEndpoint)+len(table.inOrder), 0)
 }
+
+// TestBatchOnHoldIsNotRefusedAsNotRun holds a batch back until its deadline because endpoints may have crashed under it. Its
+// caller must not be told that it has not run, whether the crashes are known before it comes or after.
+func TestBatchOnHoldIsNotRefusedAsNotRun(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		c := newCrashCore(t)
+		report := cornelwall.CrashReport{}
+		for i, id := range []string{"y1", "y2"} {
+			run := cornelwall.RunID{Task: crashBatch + ".0.0.0", Run: uint64(i + 1)}
+			report.Crashes = append(report.Crashes, cornelwall.RunCrash{RunID: run, Endpoint: id, Boot: 7, Alone: true})
+		}
+		if known {
+			c.handleCrashReport(c.peer, &report)
+		}
+		for _, ep := range c.endpointsByName { // so that the batch waits
+			ep.lease.used = ep.Capacity
+		}
+		c.submit(1)
+		c.handleCrashReport(c.peer, &report)
+		assert.Equal(t, len(c.ended), 0)
+		c.silence("none")
+		for range 200 {
+			c.now = c.now.Add(tickInterval)
+			c.step(cornelwall.Tick{})
+		}
+		assert.Equal(t, len(c.ended), 1)
+		assert.Equal(t, c.ended[0].End, cornelwall.BatchGivenUp)
+	}
+}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -139,7 +139,7 @@
 }
 
 // newJob returns the job of a submitted batch. It counts as started if runs of an earlier
-// submission of the batch may not have ended.
+// submission of the batch may not have ended, or endpoints have crashed under them.
 func (c *Core) newJob(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) *job {
 	timeLeft := ev.TimeLeft
 	if timeLeft <= 0 {
@@ -148,7 +148,7 @@
 	submittedAt := c.now.Add(-ev.Waited)
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0, deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
+		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.knows(ev.Batch.ID), deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
 	}
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
