A heartbeat to a seed has no place among the numbered ones

Cause: a heartbeat to a seed carries the time of day as its number. Why it works: a heartbeat without a session, which only those to seeds are, sets no number and proves nothing; it is answered with a numbered one that asks for another. TestSessionOfPeerBringsItUpToDate names a session now, as entries do.

--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -174,7 +174,7 @@
 		assert.Equal(t, len(c.sent), 0)
 		heartbeat := func(seq uint64) {
 			c.step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: c.peer, To: c.cfg.Self, Messages: []cornelwall.Message{
-				{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: p.addr, Seq: seq, AckedSeq: p.sentSeq, WantHeartbeats: true}},
+				{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: p.addr, Seq: seq, AckedSeq: p.sentSeq, Session: 7, WantHeartbeats: true}},
 			}}})
 		}
 		heartbeat(1)
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -19,7 +19,14 @@
 		c.getOrAddPeer(member, false)
 	}
 	p := c.getOrAddPeer(cornelwall.Member{ID: from, Addr: m.Addr, Weight: m.Weight}, false)
-	if p == nil || m.Seq <= p.receivedSeq {
+	if p == nil {
+		return
+	}
+	if m.IsToSeed() {
+		c.answerSeedHeartbeat(p, m)
+		return
+	}
+	if m.Seq <= p.receivedSeq {
 		return // delayed, and so no proof that the peer is alive now
 	}
 	if m.WantHeartbeats {
@@ -56,6 +63,18 @@
 	}
 }
 
+// answerSeedHeartbeat answers a heartbeat that went to the address of this entry as a seed. It is none of
+// the numbered ones between the two entries, and proves nothing; the reply asks for one that does.
+func (c *Core) answerSeedHeartbeat(p *peer, m *cornelwall.SessionHeartbeat) {
+	p.version, p.noEndpointList, p.platformLost = m.Version, m.NoEndpointList, m.PlatformLost
+	c.requestNewerConfig(p.id, p.version)
+	p.replyNow = true
+	c.sendHeartbeats(p)
+	if p.noEndpointList {
+		c.sendFullList(p)
+	}
+}
+
 // sentTime returns when a heartbeat was sent to the peer, if that is still known.
 func (p *peer) sentTime(seq uint64) (at time.Time, ok bool) {
 	return p.sentAt[seq%heartbeatWindow], seq > 0 && p.sentSeq-seq < heartbeatWindow
--- a/leased_message.go
+++ b/leased_message.go
@@ -40,7 +40,7 @@
 	Weight         int            `json:"weight,omitempty"`  // as in Member
 	Seq            uint64         `json:"number"`            // increases with each heartbeat to the receiver
 	AckedSeq       uint64         `json:"seen"`              // highest Seq that arrived from the receiver
-	Session        uint64         `json:"session"`           // the receiver must quote it to assign tasks
+	Session        uint64         `json:"session"`           // the receiver must quote it to assign tasks; 0 to a seed, see IsToSeed
 	WantHeartbeats bool           `json:"keep,omitempty"`    // the sender wants heartbeats of the receiver
 	ReplyNow       bool           `json:"prove,omitempty"`   // the sender needs a heartbeat at once: its proof is about to expire
 	Leaving        bool           `json:"leaving,omitempty"` // the sender is stopping
@@ -55,6 +55,10 @@
 	Withdrawn      []RunID        `json:"revoked,omitempty"` // runs at the receiver that were withdrawn a while ago and whose ends are not known
 }
 
+// IsToSeed reports whether the heartbeat went to the address of a seed, whoever listens there. It has no
+// place in the numbers of the heartbeats between two entries.
+func (h *SessionHeartbeat) IsToSeed() bool { return h.Session == 0 }
+
 // Check reports every problem with the heartbeat.
 func (h *SessionHeartbeat) Check() error {
 	if !h.Addr.IsValid() {
