An offer of an endpoint that was declined is not accepted later

An offer whose envelope got no answer in time is sent again. The next holder declined the first copy and accepted the second, with its run; the holder took the decline, went on, was fenced out, and after some seconds reported the run as lapsed, since an offer that is declined does not shield it. The owner started the task again, while the next holder went on with fresh proofs. Evidence: TestDeclinedOfferThatCameTwiceIsNotAccepted failed on the code before: "run ...062 starts at x2 while run ...501 runs". Why it works: an entry remembers the last offer of an endpoint that it declined to each holder, and declines copies and older ones.

--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -32,6 +32,8 @@
 	requestedAt          time.Time              // when the presumed holder was asked to hand it over
 	redirects            int                    // times that the request was referred to another entry
 	refusedFences        int                    // acquisitions in a row that it has refused because of their fences
+
+	declinedOffers map[cornelwall.Incarnation]uint64 // last offer of it that was declined, by the entry that made it
 }
 
 // addEndpoint adds an endpoint that is not known yet.
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -150,9 +150,8 @@
 	if l := ep.lease; l != nil && l.handedOverBy == from && l.firstFence > m.Fence {
 		return // repeated, and already accepted
 	}
-	moved := len(m.Runs) > 0 && ep.Addr != m.Endpoint.Addr // the endpoint list of one of the two entries is out of date
-	if p := c.peers[from]; ep.lease != nil || moved || c.isStopping() || c.now.Before(ep.unreachableUntil) || !c.hasProof(p) || p.session != m.Session {
-		c.send(from, cornelwall.Message{HandoverDecline: &cornelwall.HandoverDecline{Endpoint: ep.ID, Offer: m.Offer}})
+	if m.Offer <= ep.declinedOffers[from] || c.mustDecline(ep, from, m) {
+		c.declineOffer(ep, from, m.Offer)
 		return
 	}
 	c.acquire(ep, c.withoutUnproven(c.peers[from], m, c.withoutWithdrawn(m.Runs)))
@@ -160,6 +159,23 @@
 	c.inheritProofs(ep.lease, c.peers[from], m)
 }
 
+// mustDecline reports whether this entry can't take over an endpoint that is offered to it.
+func (c *Core) mustDecline(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Handover) bool {
+	moved := len(m.Runs) > 0 && ep.Addr != m.Endpoint.Addr // the endpoint list of one of the two entries is out of date
+	p := c.peers[from]
+	return ep.lease != nil || moved || c.isStopping() || c.now.Before(ep.unreachableUntil) || !c.hasProof(p) || p.session != m.Session
+}
+
+// declineOffer declines an offer, for good: it may have been sent twice, and the entry that made it goes on as
+// the holder after the first answer.
+func (c *Core) declineOffer(ep *endpoint, from cornelwall.Incarnation, offer uint64) {
+	if ep.declinedOffers == nil {
+		ep.declinedOffers = map[cornelwall.Incarnation]uint64{}
+	}
+	ep.declinedOffers[from] = max(ep.declinedOffers[from], offer)
+	c.send(from, cornelwall.Message{HandoverDecline: &cornelwall.HandoverDecline{Endpoint: ep.ID, Offer: offer}})
+}
+
 // offerUnreachable offers an endpoint that does not answer this entry, and on which nothing runs,
 // to its alternate holder, which may be able to reach it.
 func (c *Core) offerUnreachable(ep *endpoint, fence uint64) {
