A waiting run that is dropped for want of proof is returned

What callers saw: a batch that waits until its deadline, with endpoints idle. Cause: a holder drops the waiting runs of an owner without a fresh proof, and told it nothing. An owner that stood still for 450 ms to 1.3 s neither gives the holder up nor hears of the run again. Evidence: TestWaitingRunOfOwnerThatStoodStillIsReturned failed on the code before (still assigned after 21 s). Why it works: the owner is told that the run has not started, which is true for good: the holder refuses it from then on.

--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -21,7 +21,7 @@
 		return r.owner != c.cfg.Self && r.state != runStopping && c.now.Sub(c.lastOwnerProof(r)) > proofTTL
 	}) {
 		c.log("owner-unproven", "task", r.id.Task, "run", r.id.Run, "owner", r.owner, "age", c.now.Sub(c.lastOwnerProof(r)))
-		c.withdrawRun(r, false)
+		c.withdrawRun(r, true) // the owner may only have stood still, and waits for a run that has not started
 	}
 }
 
