--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -35,11 +36,15 @@
 	if j.refusing || c.resuming() || c.pendingEnds.perBatch[j.id] > 0 {
 		return
 	}
+	inTurn := c.crashes.inTurn(j.id)
+	if inTurn && j.anyAssigned() {
+		return
+	}
 	var holders []policy.HolderOption
 	assigns := map[cornelwall.Incarnation]*cornelwall.Assign{}
 	var order []cornelwall.Incarnation
 	for _, t := range j.tasks {
-		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) || c.suspicion(t.name) >= policy.OnHold {
+		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) || c.crashes.suspicion(t.name) >= policy.OnHold {
 			continue
 		}
 		if holders == nil {
@@ -68,8 +73,11 @@
 		}
 		assigns[best.ID].Tasks = append(assigns[best.ID].Tasks, cornelwall.AssignTask{
 			RunID: t.run, Need: s.Need, Estimate: j.estimate(t.step), Requires: s.Requires, Rack: s.Rack, PerEndpoint: s.PerEndpoint, AvoidEndpoint: t.avoidEndpoint, StoppedAsStraggler: t.wasStopped, ReturnIfBusy: t.returnIfBusy,
-			Crashes: len(c.crashes.of(t.name)),
+			Crashes: c.crashes.count(t.name),
 		})
+		if inTurn {
+			break
+		}
 	}
 	for _, id := range order {
 		c.log("assigned", "job", j.id, "to", id, "tasks", len(assigns[id].Tasks), "run", assigns[id].Tasks[0].Run)
@@ -77,6 +85,11 @@
 	}
 }
 
+// anyAssigned reports whether a holder has a task of the job.
+func (j *job) anyAssigned() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskAssigned || t.state == taskRunning })
+}
+
 // newAssign returns an assignment of a job to a holder, without tasks.
 func (c *Core) newAssign(j *job, to cornelwall.Incarnation) *cornelwall.Assign {
 	m := &cornelwall.Assign{
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -95,7 +95,7 @@
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
-		if c.suspicion(t.Task) >= policy.OnHold {
+		if c.crashes.suspicion(t.Task) >= policy.OnHold {
 			c.returnSuspect(from, t.RunID)
 			continue
 		}
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -27,12 +27,28 @@
 // batch may come to any of them next.
 type crashTable struct {
 	byRun      map[cornelwall.RunID]*crash
-	byBatch    map[string][]*crash
+	byTask     map[string]*taskCrashes
+	byBatch    map[string]*batchCrashes
 	byEndpoint map[string][]*crash // those that were not withdrawn
 	inOrder    []*crash            // oldest first
 	lastSeq    uint64              // rises with each change that peers are told of
 }
 
+// taskCrashes are the crashes under the runs of a task, and what is concluded from them.
+type taskCrashes struct {
+	list      []*crash
+	counted   int // of list; each boot of an endpoint counts once
+	suspicion policy.Suspicion
+}
+
+// batchCrashes are the crashes under the runs of a batch.
+type batchCrashes struct {
+	list   []*crash
+	deadly string // a deadly task; empty if there is none
+	inTurn bool   // see crashTable.inTurn
+	stale  bool   // inTurn has to be determined again
+}
+
 // endpointBoot is one boot of an endpoint.
 type endpointBoot struct {
 	id   string
@@ -40,7 +56,10 @@
 }
 
 func newCrashTable() crashTable {
-	return crashTable{byRun: map[cornelwall.RunID]*crash{}, byBatch: map[string][]*crash{}, byEndpoint: map[string][]*crash{}}
+	return crashTable{
+		byRun: map[cornelwall.RunID]*crash{}, byTask: map[string]*taskCrashes{}, byBatch: map[string]*batchCrashes{},
+		byEndpoint: map[string][]*crash{},
+	}
 }
 
 // batchOf returns the ID of the batch of a task.
@@ -49,8 +68,8 @@
 	return id
 }
 
-// merge adds a crash, or what is new of it, and reports whether that changes anything. What was
-// withdrawn stays so, and otherwise what was confirmed.
+// merge adds a crash, or what is new of it, and reports whether that changes anything. A state is only
+// replaced by a later one.
 func (t *crashTable) merge(rc *cornelwall.RunCrash, at time.Time, from cornelwall.Incarnation) bool {
 	known := t.byRun[rc.RunID]
 	if known == nil {
@@ -72,27 +91,75 @@
 	t.lastSeq++
 	x.seq = t.lastSeq
 	t.byRun[x.RunID] = x
-	t.byBatch[batchOf(x.Task)] = append(t.byBatch[batchOf(x.Task)], x)
 	t.inOrder = append(t.inOrder, x)
 	if x.State != cornelwall.CrashWithdrawn {
 		t.byEndpoint[x.Endpoint] = append(t.byEndpoint[x.Endpoint], x)
 	}
+	batch := batchOf(x.Task)
+	if t.byBatch[batch] == nil {
+		t.byBatch[batch] = &batchCrashes{}
+	}
+	t.byBatch[batch].list = append(t.byBatch[batch].list, x)
+	if t.byTask[x.Task] == nil {
+		t.byTask[x.Task] = &taskCrashes{}
+	}
+	t.byTask[x.Task].list = append(t.byTask[x.Task].list, x)
+	t.conclude(x.Task)
 }
 
+// setState sets the state of a crash. Its next reports go to all peers, whoever has told of it.
 func (t *crashTable) setState(x *crash, state cornelwall.CrashState) {
 	t.lastSeq++
-	x.State, x.seq = state, t.lastSeq
+	x.State, x.seq, x.from = state, t.lastSeq, cornelwall.Incarnation{}
 	if state == cornelwall.CrashWithdrawn {
 		removeCrash(t.byEndpoint, x.Endpoint, x)
 	}
+	t.conclude(x.Task)
 }
 
 func (t *crashTable) removeOldest() {
 	x := t.inOrder[0]
 	t.inOrder = t.inOrder[1:]
+	isX := func(y *crash) bool { return y == x }
 	delete(t.byRun, x.RunID)
-	removeCrash(t.byBatch, batchOf(x.Task), x)
 	removeCrash(t.byEndpoint, x.Endpoint, x)
+	b, k := t.byBatch[batchOf(x.Task)], t.byTask[x.Task]
+	b.list, k.list = slices.DeleteFunc(b.list, isX), slices.DeleteFunc(k.list, isX)
+	t.conclude(x.Task)
+	if len(k.list) == 0 {
+		delete(t.byTask, x.Task)
+	}
+	if len(b.list) == 0 {
+		delete(t.byBatch, batchOf(x.Task))
+	}
+}
+
+// conclude determines what the crashes under the runs of a task mean, after a change of them.
+func (t *crashTable) conclude(task string) {
+	k, b := t.byTask[task], t.byBatch[batchOf(task)]
+	list := k.countedCrashes()
+	k.counted, k.suspicion, b.stale = len(list), policy.SuspicionOf(list), true
+	switch {
+	case k.suspicion == policy.Deadly:
+		b.deadly = task
+	case b.deadly == task:
+		b.deadly = ""
+	}
+}
+
+// countedCrashes returns the crashes that count, those of one boot of an endpoint once.
+func (k *taskCrashes) countedCrashes() []policy.Crash {
+	var list []policy.Crash
+	counted := map[endpointBoot]bool{}
+	for _, x := range k.list {
+		boot := endpointBoot{x.Endpoint, x.Boot}
+		if x.State == cornelwall.CrashWithdrawn || counted[boot] {
+			continue
+		}
+		counted[boot] = true
+		list = append(list, policy.Crash{Alone: x.Alone, Confirmed: x.State == cornelwall.CrashConfirmed})
+	}
+	return list
 }
 
 func removeCrash(lists map[string][]*crash, key string, x *crash) {
@@ -111,44 +178,66 @@
 	}
 }
 
-// of returns the crashes under the runs of a task. Each boot of an endpoint counts once.
-func (t *crashTable) of(task string) []policy.Crash {
-	if len(t.byRun) == 0 {
-		return nil
+// suspicion returns what is concluded about a task.
+func (t *crashTable) suspicion(task string) policy.Suspicion {
+	if k := t.byTask[task]; k != nil {
+		return k.suspicion
 	}
-	var list []policy.Crash
-	counted := map[endpointBoot]bool{}
-	for _, x := range t.byBatch[batchOf(task)] {
-		boot := endpointBoot{x.Endpoint, x.Boot}
-		if x.Task != task || x.State == cornelwall.CrashWithdrawn || counted[boot] {
-			continue
-		}
-		counted[boot] = true
-		list = append(list, policy.Crash{Alone: x.Alone, Confirmed: x.State == cornelwall.CrashConfirmed})
+	return policy.Unsuspected
+}
+
+// count returns the number of crashes that count against a task.
+func (t *crashTable) count(task string) int {
+	if k := t.byTask[task]; k != nil {
+		return k.counted
 	}
-	return list
+	return 0
 }
 
-// knows reports whether there is a crash under a run of a batch, which has thus started.
-func (t *crashTable) knows(batch string) bool { return len(t.byBatch[batch]) > 0 }
+// hasBatch reports whether there is a crash under a run of a batch, which has thus started.
+func (t *crashTable) hasBatch(batch string) bool { return t.byBatch[batch] != nil }
 
 // deadlyTask returns a deadly task of a batch and the number of its crashes, or "" if there is none.
 func (t *crashTable) deadlyTask(batch string) (task string, crashes int) {
-	for _, x := range t.byBatch[batch] {
-		if list := t.of(x.Task); policy.SuspicionOf(list) == policy.Deadly {
-			return x.Task, len(list)
+	b := t.byBatch[batch]
+	if b == nil || b.deadly == "" {
+		return "", 0
+	}
+	return b.deadly, t.count(b.deadly)
+}
+
+// inTurn reports whether the tasks of a batch have to run one after the other: several endpoints have
+// crashed under them, and none of the suspected tasks has been cleared.
+func (t *crashTable) inTurn(batch string) bool {
+	b := t.byBatch[batch]
+	if b == nil {
+		return false
+	}
+	if b.stale {
+		b.stale, b.inTurn = false, b.mustRunInTurn()
+	}
+	return b.inTurn
+}
+
+func (b *batchCrashes) mustRunInTurn() bool {
+	boots := map[endpointBoot]bool{}
+	for _, x := range b.list {
+		if x.State == cornelwall.CrashWithdrawn {
+			return false
 		}
+		boots[endpointBoot{x.Endpoint, x.Boot}] = true
 	}
-	return "", 0
+	return policy.RunInTurn(len(boots))
 }
 
 // clear drops the suspicion of a task, which is done.
 func (t *crashTable) clear(task string) {
-	if len(t.byRun) == 0 {
+	k := t.byTask[task]
+	if k == nil {
 		return
 	}
-	for _, x := range t.byBatch[batchOf(task)] {
-		if x.Task == task && x.State != cornelwall.CrashWithdrawn {
+	for _, x := range k.list {
+		if x.State != cornelwall.CrashWithdrawn {
 			t.setState(x, cornelwall.CrashWithdrawn)
 		}
 	}
@@ -172,12 +261,9 @@
 	return list
 }
 
-// suspicion returns what is concluded about a task from the crashes under its runs.
-func (c *Core) suspicion(task string) policy.Suspicion { return policy.SuspicionOf(c.crashes.of(task)) }
-
 // suspicionOfRun is suspicion for a run, whose owner may know of more crashes.
 func (c *Core) suspicionOfRun(r *run) policy.Suspicion {
-	return max(c.suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
+	return max(c.crashes.suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
 }
 
 // highestSuspicion returns the highest suspicion of the runs of a lease. A suspect whose start has not been
@@ -197,44 +283,43 @@
 // recordCrash records that an endpoint has crashed under the runs of its lease or, unless the crash is
 // confirmed, that it may have. All of them count, also those whose start got no answer. An endpoint that
 // has announced that it leaves has not crashed.
-func (c *Core) recordCrash(l *lease, state cornelwall.CrashState) {
-	if l.boot == 0 || l.drained || l.ep.Leaving || len(l.runs) == 0 {
+func (c *Core) recordCrash(l *lease, boot int64, state cornelwall.CrashState) {
+	if boot == 0 || l.drained || l.ep.Leaving || len(l.runs) == 0 {
 		return
 	}
-	alone := len(l.runs) == 1 && len(l.orphans) == 0
-	var found []*run
-	for _, r := range l.sortedRuns() {
-		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: l.boot, Alone: alone, State: state}
-		if c.crashes.merge(&rc, c.now, cornelwall.Incarnation{}) {
-			found = append(found, r)
+	var found []string
+	runs := l.sortedRuns()
+	for _, r := range runs {
+		// Only a run that was known to be suspected ran alone for a purpose.
+		alone := len(runs) == 1 && len(l.orphans) == 0 && c.suspicionOfRun(r) >= policy.Suspected
+		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state}
+		if !c.crashes.merge(&rc, c.now, cornelwall.Incarnation{}) {
+			continue
 		}
+		found = append(found, batchOf(r.id.Task))
+		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.count(r.id.Task), "alone", alone, "suspicion", c.crashes.suspicion(r.id.Task))
 	}
 	if len(found) == 0 {
 		return
 	}
 	l.suspectedAtPoll = l.lastPoll
-	c.log("endpoint-crashed", "endpoint", l.ep.ID, "boot", l.boot, "runs", len(l.runs), "state", state, "silent", l.unansweredFor(c.now))
-	for _, r := range found {
-		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", len(c.crashes.of(r.id.Task)), "alone", alone, "suspicion", c.suspicion(r.id.Task))
-	}
+	c.log("endpoint-crashed", "endpoint", l.ep.ID, "boot", boot, "runs", len(runs), "state", state, "silent", l.unansweredFor(c.now))
 	c.sendCrashesToAll()
-	for _, r := range found {
-		c.actOnCrashes(batchOf(r.id.Task))
-	}
+	c.actOnCrashes(found)
 }
 
 // recordSilentCrash records that an endpoint whose lease has expired may have crashed, if it has given
-// no answer for longer than the longest poll takes. Nothing more starts there until it answers. The
-// answers that waited during a pause of this process are not missing.
+// no answer since its last poll was sent, at least. Nothing more starts there until it answers. If it was this
+// process that stood still, the answer that waits withdraws the crash.
 func (c *Core) recordSilentCrash(l *lease) {
-	if l.phase == phaseSuperseded || l.unansweredFor(c.now) <= pollWait+pollMargin || !c.resumedAt.Before(l.unansweredSince) {
+	if l.phase == phaseSuperseded || l.unansweredFor(c.now) <= pollWait+pollMargin {
 		return
 	}
 	if l.phase == phaseReady {
 		l.phase = phaseUnreachable
 		c.log("endpoint-lost", "endpoint", l.ep.ID, "silent", l.unansweredFor(c.now))
 	}
-	c.recordCrash(l, cornelwall.CrashSuspected)
+	c.recordCrash(l, l.boot, cornelwall.CrashSuspected)
 }
 
 // resolveCrashes withdraws the crashes of the boot that an endpoint has reported, as it was only cut off,
@@ -262,6 +347,7 @@
 
 // updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed.
 func (c *Core) updateCrashes(id string, state func(*crash) cornelwall.CrashState) {
+	var changed []string
 	for _, x := range slices.Clone(c.crashes.byEndpoint[id]) {
 		s := state(x)
 		if s <= x.State {
@@ -269,9 +355,9 @@
 		}
 		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s)
 		c.crashes.setState(x, s)
-		x.from = cornelwall.Incarnation{}
-		c.actOnCrashes(batchOf(x.Task))
+		changed = append(changed, batchOf(x.Task))
 	}
+	c.actOnCrashes(changed)
 }
 
 // sendCrashesToAll sends the peers that are alive the crashes that they have not been sent.
@@ -308,32 +394,35 @@
 			changed = append(changed, batchOf(rc.Task))
 		}
 	}
-	slices.Sort(changed)
-	for _, batch := range slices.Compact(changed) {
-		c.actOnCrashes(batch)
-	}
+	c.actOnCrashes(changed)
 }
 
-// actOnCrashes acts on what is new of the crashes under the runs of a batch: it returns waiting runs that must
-// not start, and ends a job of this entry that has a deadly task. Any other job of it counts as started: a
+// actOnCrashes acts on what is new of the crashes under the runs of batches: it returns waiting runs that must
+// not start, and ends jobs of this entry that have a deadly task. Any other job of them counts as started: a
 // refusal would tell its caller that it has not run.
-func (c *Core) actOnCrashes(batch string) {
+func (c *Core) actOnCrashes(batches []string) {
+	if len(batches) == 0 {
+		return
+	}
 	c.backlogChanged = true
 	for _, r := range slices.Clone(c.backlog) {
-		if batchOf(r.id.Task) == batch && c.suspicion(r.id.Task) >= policy.OnHold {
+		if c.crashes.suspicion(r.id.Task) >= policy.OnHold {
 			c.withdrawRun(r, true)
 		}
 	}
-	if j := c.jobs[batch]; j != nil {
-		j.started = true
-		c.failIfDeadly(j)
+	slices.Sort(batches)
+	for _, batch := range slices.Compact(batches) {
+		if j := c.jobs[batch]; j != nil {
+			j.started = true
+			c.failIfDeadly(j)
+		}
 	}
 }
 
 // returnSuspect returns an assigned run that must not start, with the reason why.
 func (c *Core) returnSuspect(owner cornelwall.Incarnation, id cornelwall.RunID) {
 	var list []cornelwall.RunCrash
-	for _, x := range c.crashes.byBatch[batchOf(id.Task)] {
+	for _, x := range c.crashes.byTask[id.Task].list {
 		list = append(list, x.report(c.now))
 	}
 	c.reportCrashes(owner, list)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -125,7 +126,7 @@
 		return false
 	}
 	c.lastOffer++
-	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: l.target(), Fence: l.fence, Offer: c.lastOffer, AckedSeq: p.receivedSeq}
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: l.target(), Fence: l.fence, Boot: cmp.Or(l.boot, l.handedOverBoot), Offer: c.lastOffer, AckedSeq: p.receivedSeq}
 	for _, r := range l.sortedRuns() {
 		if r.state == runStopping {
 			continue // the next holder stops the runs that are not in the offer
@@ -150,12 +151,12 @@
 	if l := ep.lease; l != nil && l.handedOverBy == from && l.firstFence > m.Fence {
 		return // repeated, and already accepted
 	}
-	if m.Offer <= ep.declinedOffers[from] || c.mustDecline(ep, from, m) {
+	if last, ok := ep.declinedOffers[from]; ok && m.Offer <= last || c.mustDecline(ep, from, m) {
 		c.declineOffer(ep, from, m.Offer)
 		return
 	}
 	c.acquire(ep, c.withoutUnproven(c.peers[from], m, c.withoutWithdrawn(m.Runs)))
-	ep.lease.handedOverBy = from
+	ep.lease.handedOverBy, ep.lease.handedOverBoot = from, m.Boot
 	c.inheritProofs(ep.lease, c.peers[from], m)
 }
 
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -148,7 +148,7 @@
 	submittedAt := c.now.Add(-ev.Waited)
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.knows(ev.Batch.ID), deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
+		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.hasBatch(ev.Batch.ID), deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
 	}
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -74,6 +74,7 @@
 	orphans   map[cornelwall.RunID]time.Time // runs there that this entry does not know, by the time of the last stop order
 
 	handedOverBy      cornelwall.Incarnation // previous holder that handed it over; zero if there is none
+	handedOverBoot    int64                  // boot at which the runs were that it handed over; 0 if not known
 	handoverRequested bool                   // another entry has asked for the endpoint
 	offeredTo         cornelwall.Incarnation // entry that it was offered to and that has not declined; zero if none
 	offeredAt         time.Time
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -24,7 +24,7 @@
 // those to come, and its answer lists the runs that have started.
 func (c *Core) handleRestart(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
-	c.recordCrash(l, cornelwall.CrashConfirmed)
+	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
 	l.drained = false
 	l.lastStalePoll = l.lastPoll
 	l.boot, l.ackedEnd, l.ackedEndSent, l.latestEnd, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
@@ -43,7 +43,7 @@
 // gone, and so are its runs.
 func (c *Core) handleReplaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
-	c.recordCrash(l, cornelwall.CrashConfirmed)
+	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
 	c.confirmCrashes(l.ep.ID, 0)
 	c.sendCrashesToAll()
 	for _, r := range l.sortedRuns() {
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -52,8 +52,11 @@
 		if ev.Seq <= l.lastStalePoll {
 			return // the answer may be from before the endpoint restarted
 		}
-		if l.boot != 0 {
+		switch {
+		case l.boot != 0:
 			c.handleRestart(l, ev.Boot)
+		case l.handedOverBoot != ev.Boot:
+			c.recordCrash(l, l.handedOverBoot, cornelwall.CrashConfirmed) // it has restarted while it was handed over
 		}
 	}
 	l.boot, l.answeredAt, l.unansweredSince = ev.Boot, c.now, time.Time{}
--- a/core/policy/crash.go
+++ b/core/policy/crash.go
@@ -4,12 +4,13 @@
 
 const (
 	deadlyCrashes      = 3 // crashes after which a task counts as deadly
-	deadlyCrashesAlone = 2 // the same if it ran alone under one of them
+	deadlyCrashesAlone = 2 // the same if it ran alone, as a suspect, under one of them
+	crashesInTurn      = 3 // crashed endpoints from which on the tasks of a batch run one after the other
 )
 
 // Crash is a crash of an endpoint under a run of a task.
 type Crash struct {
-	Alone     bool // no other run was there
+	Alone     bool // the run was there alone, since its task was suspected
 	Confirmed bool // the endpoint has booted again; otherwise it may only be cut off
 }
 
@@ -45,6 +46,10 @@
 // SuspicionOfCount returns what is concluded from a number of crashes of which nothing else is known.
 func SuspicionOfCount(crashes int) Suspicion { return min(Suspicion(max(crashes, 0)), Isolated) }
 
+// RunInTurn reports whether the tasks of a batch have to run one after the other, as so many endpoints
+// have crashed under them: all of them may crash the endpoints that start them.
+func RunInTurn(crashedEndpoints int) bool { return crashedEndpoints >= crashesInTurn }
+
 type crashCount struct{ n, alone int }
 
 func (n *crashCount) add(c Crash) {
@@ -55,5 +60,5 @@
 }
 
 func (n *crashCount) isDeadly() bool {
-	return n.n >= deadlyCrashes || n.n >= deadlyCrashesAlone && n.alone > 0
+	return n.n >= deadlyCrashes || (n.n >= deadlyCrashesAlone && n.alone > 0)
 }
--- a/leased_message.go
+++ b/leased_message.go
@@ -209,6 +209,7 @@
 	Session  uint64        `json:"session"` // as in Assign
 	Endpoint Endpoint      `json:"endpoint"`
 	Fence    uint64        `json:"fence"`
+	Boot     int64         `json:"boot,omitempty"` // of the endpoint, where the runs are; 0 if the sender doesn't know it
 	Offer    uint64        `json:"offer"`          // rises with each offer of the sender
 	AckedSeq uint64        `json:"seen,omitempty"` // as in SessionHeartbeat; tells the receiver when the offer was sent at the earliest
 	Runs     []HandoverRun `json:"runs,omitempty"`
@@ -322,7 +323,7 @@
 	RunID
 	Endpoint string        `json:"endpoint"`
 	Boot     int64         `json:"boot"`            // of the endpoint, see Endpoint
-	Alone    bool          `json:"alone,omitempty"` // no other run was there
+	Alone    bool          `json:"alone,omitempty"` // the run was there alone, since its task was suspected
 	State    CrashState    `json:"state,omitempty"`
 	Age      time.Duration `json:"age,omitempty"` // time since the crash was noticed
 }
