Crash table: what is concluded is determined when it is asked for; names, and a model of owners that give tasks up

spec/again.pml with GIVING_UP models the withdrawals that heartbeats repeat; go test ./spec -run TestGivenUp -slow checks it and its mutant.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -323,7 +323,7 @@
 		OtherRack: r.Rack != "" && !slices.Contains(l.ep.Labels, r.Rack),
 		Runs:      len(l.runs),
 		Suspicion: c.suspicionOfRun(r),
-		Beside:    c.highestSuspicion(l),
+		Beside:    c.suspicionAt(l),
 	}
 }
 
@@ -361,7 +361,7 @@
 			continue
 		}
 		v.Total += ep.Capacity.Cores
-		if free := ep.Capacity.Minus(ep.lease.used); free.Cores > 0 && c.highestSuspicion(ep.lease) < policy.Isolated {
+		if free := ep.Capacity.Minus(ep.lease.used); free.Cores > 0 && c.suspicionAt(ep.lease) < policy.Isolated {
 			v.Free = append(v.Free, free)
 		}
 	}
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -37,16 +37,17 @@
 // taskCrashes are the crashes under the runs of a task, and what is concluded from them.
 type taskCrashes struct {
 	list      []*crash
-	counted   int // of list; each boot of an endpoint counts once
+	stale     bool // the list has changed since the other fields were determined
+	counted   int  // of list; each boot of an endpoint counts once
 	suspicion policy.Suspicion
 }
 
-// batchCrashes are the crashes under the runs of a batch.
+// batchCrashes are the crashes under the runs of a batch, and what is concluded from them.
 type batchCrashes struct {
 	list   []*crash
+	stale  bool   // the list has changed since the other fields were determined
 	deadly string // a deadly task; empty if there is none
 	inTurn bool   // see crashTable.inTurn
-	stale  bool   // inTurn has to be determined again
 }
 
 // endpointBoot is one boot of an endpoint.
@@ -104,7 +105,7 @@
 		t.byTask[x.Task] = &taskCrashes{}
 	}
 	t.byTask[x.Task].list = append(t.byTask[x.Task].list, x)
-	t.conclude(x.Task)
+	t.markChanged(x.Task)
 }
 
 // setState sets the state of a crash. Its next reports go to all peers, whoever has told of it.
@@ -114,7 +115,7 @@
 	if state == cornelwall.CrashWithdrawn {
 		removeCrash(t.byEndpoint, x.Endpoint, x)
 	}
-	t.conclude(x.Task)
+	t.markChanged(x.Task)
 }
 
 func (t *crashTable) removeOldest() {
@@ -125,7 +126,7 @@
 	removeCrash(t.byEndpoint, x.Endpoint, x)
 	b, k := t.byBatch[batchOf(x.Task)], t.byTask[x.Task]
 	b.list, k.list = slices.DeleteFunc(b.list, isX), slices.DeleteFunc(k.list, isX)
-	t.conclude(x.Task)
+	t.markChanged(x.Task)
 	if len(k.list) == 0 {
 		delete(t.byTask, x.Task)
 	}
@@ -134,17 +135,37 @@
 	}
 }
 
-// conclude determines what the crashes under the runs of a task mean, after a change of them.
-func (t *crashTable) conclude(task string) {
-	k, b := t.byTask[task], t.byBatch[batchOf(task)]
-	list := k.countedCrashes()
-	k.counted, k.suspicion, b.stale = len(list), policy.SuspicionOf(list), true
-	switch {
-	case k.suspicion == policy.Deadly:
-		b.deadly = task
-	case b.deadly == task:
-		b.deadly = ""
+// markChanged records that the crashes under the runs of a task have changed.
+func (t *crashTable) markChanged(task string) {
+	t.byTask[task].stale, t.byBatch[batchOf(task)].stale = true, true
+}
+
+// task returns the crashes of a task with what is concluded from them, or nil if there are none.
+func (t *crashTable) task(task string) *taskCrashes {
+	k := t.byTask[task]
+	if k != nil && k.stale {
+		list := k.countedCrashes()
+		k.stale, k.counted, k.suspicion = false, len(list), policy.SuspicionOf(list)
+	}
+	return k
+}
+
+// batch returns the crashes of a batch with what is concluded from them, or nil if there are none.
+func (t *crashTable) batch(batch string) *batchCrashes {
+	b := t.byBatch[batch]
+	if b != nil && b.stale {
+		b.stale, b.deadly, b.inTurn = false, t.findDeadlyTask(b), b.mustRunInTurn()
+	}
+	return b
+}
+
+func (t *crashTable) findDeadlyTask(b *batchCrashes) string {
+	for _, x := range b.list {
+		if t.task(x.Task).suspicion == policy.Deadly {
+			return x.Task
+		}
 	}
+	return ""
 }
 
 // countedCrashes returns the crashes that count, those of one boot of an endpoint once.
@@ -180,7 +201,7 @@
 
 // suspicion returns what is concluded about a task.
 func (t *crashTable) suspicion(task string) policy.Suspicion {
-	if k := t.byTask[task]; k != nil {
+	if k := t.task(task); k != nil {
 		return k.suspicion
 	}
 	return policy.Unsuspected
@@ -188,7 +209,7 @@
 
 // count returns the number of crashes that count against a task.
 func (t *crashTable) count(task string) int {
-	if k := t.byTask[task]; k != nil {
+	if k := t.task(task); k != nil {
 		return k.counted
 	}
 	return 0
@@ -199,7 +220,7 @@
 
 // deadlyTask returns a deadly task of a batch and the number of its crashes, or "" if there is none.
 func (t *crashTable) deadlyTask(batch string) (task string, crashes int) {
-	b := t.byBatch[batch]
+	b := t.batch(batch)
 	if b == nil || b.deadly == "" {
 		return "", 0
 	}
@@ -209,14 +230,8 @@
 // inTurn reports whether the tasks of a batch have to run one after the other: several endpoints have
 // crashed under them, and none of the suspected tasks has been cleared.
 func (t *crashTable) inTurn(batch string) bool {
-	b := t.byBatch[batch]
-	if b == nil {
-		return false
-	}
-	if b.stale {
-		b.stale, b.inTurn = false, b.mustRunInTurn()
-	}
-	return b.inTurn
+	b := t.batch(batch)
+	return b != nil && b.inTurn
 }
 
 func (b *batchCrashes) mustRunInTurn() bool {
@@ -266,9 +281,9 @@
 	return max(c.crashes.suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
 }
 
-// highestSuspicion returns the highest suspicion of the runs of a lease. A suspect whose start has not been
-// answered may have crashed the endpoint, and is to be isolated until then.
-func (c *Core) highestSuspicion(l *lease) policy.Suspicion {
+// suspicionAt returns how far other runs have to keep away from an endpoint: the highest suspicion of the
+// runs there. A suspect whose start has not been answered may have crashed it, and is isolated until then.
+func (c *Core) suspicionAt(l *lease) policy.Suspicion {
 	highest := policy.Unsuspected
 	for _, r := range l.runs {
 		s := c.suspicionOfRun(r)
@@ -284,7 +299,7 @@
 // confirmed, that it may have. All of them count, also those whose start got no answer. An endpoint that
 // has announced that it leaves has not crashed.
 func (c *Core) recordCrash(l *lease, boot int64, state cornelwall.CrashState) {
-	if boot == 0 || l.drained || l.ep.Leaving || len(l.runs) == 0 {
+	if boot == 0 || l.leaveAnnounced || l.ep.Leaving || len(l.runs) == 0 {
 		return
 	}
 	var found []string
@@ -334,17 +349,21 @@
 	c.sendCrashesToAll()
 }
 
-// confirmCrashes confirms the crashes of an endpoint that has certainly ended or, if ended is not 0, those of a
-// boot that has.
-func (c *Core) confirmCrashes(id string, ended int64) {
+// confirmCrashesOf confirms the crashes of a boot of an endpoint that has ended.
+func (c *Core) confirmCrashesOf(id string, boot int64) {
 	c.updateCrashes(id, func(x *crash) cornelwall.CrashState {
-		if ended == 0 || x.Boot == ended {
+		if x.Boot == boot {
 			return cornelwall.CrashConfirmed
 		}
 		return x.State
 	})
 }
 
+// confirmAllCrashes confirms the crashes of an endpoint that is gone.
+func (c *Core) confirmAllCrashes(id string) {
+	c.updateCrashes(id, func(*crash) cornelwall.CrashState { return cornelwall.CrashConfirmed })
+}
+
 // updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed.
 func (c *Core) updateCrashes(id string, state func(*crash) cornelwall.CrashState) {
 	var changed []string
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -83,7 +83,7 @@
 	}
 	before := ep.Endpoint
 	if before.Boot != info.Boot && before.Boot != 0 && info.Boot != 0 {
-		c.confirmCrashes(ep.ID, before.Boot)
+		c.confirmCrashesOf(ep.ID, before.Boot)
 	}
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
 	if before.DataCentre != info.DataCentre {
@@ -111,7 +111,7 @@
 func (c *Core) handleRecordChange(l *lease, before *cornelwall.Endpoint) {
 	ep := l.ep
 	c.heldChanged, c.backlogChanged = true, true
-	l.drained = l.drained || before.Leaving
+	l.leaveAnnounced = l.leaveAnnounced || before.Leaving
 	if ep.Leaving && !before.Leaving {
 		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.listAge())
 	}
--- a/core/dispatch/endpoints.go
+++ b/core/dispatch/endpoints.go
@@ -89,7 +89,7 @@
 	c.lastGoneCheck = c.now
 	for _, ep := range slices.Clone(c.endpointsByName) {
 		if c.isGone(ep) && (ep.lease == nil || len(ep.lease.runs) == 0) {
-			c.confirmCrashes(ep.ID, 0)
+			c.confirmAllCrashes(ep.ID)
 			c.release(ep)
 			c.removeEndpoint(ep)
 			c.log("endpoint-gone", "endpoint", ep.ID)
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// isInformed reports whether this entry knows the queues and the endpoints. Peers that were started
-// without the platform, as it was, may know no more than it does.
+// isInformed reports whether this entry knows the queues and the endpoints. It may have been
+// started while the platform was down, and so may the peers that it hears.
 func (c *Core) isInformed() bool { return c.queueConfig.Version != 0 && c.listRev != 0 }
 
 // sendDueHeartbeats sends the heartbeats that are due. While the platform does not answer, they also
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -148,7 +148,10 @@
 	submittedAt := c.now.Add(-ev.Waited)
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		reportedRemaining: 1, submittedAt: submittedAt, started: c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.hasBatch(ev.Batch.ID), deadline: submittedAt.Add(timeLeft - answerMargin), unfinished: make([]int, len(ev.Batch.Steps)),
+		submittedAt: submittedAt, deadline: submittedAt.Add(timeLeft - answerMargin),
+		started:           c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.hasBatch(ev.Batch.ID),
+		reportedRemaining: 1,
+		unfinished:        make([]int, len(ev.Batch.Steps)),
 	}
 	for i := range ev.Batch.Steps {
 		s := &ev.Batch.Steps[i]
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -81,7 +81,7 @@
 	lastOffer         uint64    // number of the last offer
 	ackedEndAtOffer   int64     // ackedEnd as of the last offer
 	supersededAt      time.Time // when the endpoint refused its fence
-	drained           bool      // this boot has announced that it leaves
+	leaveAnnounced    bool      // this boot has announced that it leaves
 	suspectedAtPoll   uint64    // lastPoll when a crash was recorded
 }
 
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -25,7 +25,7 @@
 func (c *Core) handleRestart(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
 	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
-	l.drained = false
+	l.leaveAnnounced = false
 	l.lastStalePoll = l.lastPoll
 	l.boot, l.ackedEnd, l.ackedEndSent, l.latestEnd, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.orphans)
@@ -44,7 +44,7 @@
 func (c *Core) handleReplaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
 	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
-	c.confirmCrashes(l.ep.ID, 0)
+	c.confirmAllCrashes(l.ep.ID)
 	c.sendCrashesToAll()
 	for _, r := range l.sortedRuns() {
 		c.endRun(r, cornelwall.RunLapsed, endReplaced)
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -88,9 +88,9 @@
 	return c.now.Sub(c.lastOwnerProof(r))
 }
 
-// inheritedProof returns when the owner of a run that a peer hands over last proved that it hears
+// proofOfOffer returns when the owner of a run that a peer hands over last proved that it hears
 // that peer. The offer was sent after the heartbeat of this entry that it acknowledges.
-func (c *Core) inheritedProof(from *peer, m *cornelwall.Handover, h *cornelwall.HandoverRun) time.Time {
+func (c *Core) proofOfOffer(from *peer, m *cornelwall.Handover, h *cornelwall.HandoverRun) time.Time {
 	sent := c.now.Add(-maxAssignDelay) // of an entry that does not tell
 	if m.AckedSeq > 0 {
 		var ok bool
@@ -105,7 +105,7 @@
 // peer that makes it.
 func (c *Core) withoutUnproven(from *peer, m *cornelwall.Handover, runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(runs, func(h cornelwall.HandoverRun) bool {
-		return h.Owner != c.cfg.Self && c.now.Sub(c.inheritedProof(from, m, &h)) > proofTTL
+		return h.Owner != c.cfg.Self && c.now.Sub(c.proofOfOffer(from, m, &h)) > proofTTL
 	})
 }
 
@@ -117,7 +117,7 @@
 		if r == nil || r.owner == c.cfg.Self {
 			continue
 		}
-		r.handedOver, r.inheritedProof = true, c.inheritedProof(from, m, &m.Runs[i])
+		r.handedOver, r.inheritedProof = true, c.proofOfOffer(from, m, &m.Runs[i])
 		if p := c.peers[r.owner]; p != nil && c.now.Sub(p.heartbeatAt) >= piggybackInterval {
 			c.askForProof(p)
 		}
--- a/core/policy/endpoint.go
+++ b/core/policy/endpoint.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// sharedSuspectCost is above the others: a suspected task runs beside others only if no endpoint is empty.
-	sharedSuspectCost = 1 << 22
-	besideSuspectCost = 1 << 19 // of a run beside a suspected task
-	slowCost          = 1 << 20 // this and the next two are added to the thousandths of cores that are left over
+	// Costs that are added to the thousandths of cores that are left over. Each outweighs those below it.
+	sharedSuspectCost = 1 << 22 // of a suspected task beside others
+	slowCost          = 1 << 20
+	besideSuspectCost = 1 << 19 // of a task beside a suspected one
 	avoidCost         = 1 << 18
 	otherRackCost     = 1 << 16
 )
--- a/spec/again.pml
+++ b/spec/again.pml
@@ -11,6 +11,10 @@
  * be paused for any time. Requests to the endpoint, its answers and messages are delayed without
  * a bound. Another entry may take over the endpoint at any time, under a higher fence.
  *
+ * With GIVING_UP the owner may also give the task up: it answers its caller, which hands the task to another
+ * owner once PATIENCE has passed. The request to stop the run may be lost, but each reply that is sent after
+ * it carries it too.
+ *
  * Time passes in ticks. Ages and remaining lease times are counted in ticks, up to CAP.
  */
 #define LEASE    2 /* that a request grants at most */
@@ -27,6 +31,7 @@
 #define ASSIGNED 0
 #define OVER     1
 #define AGAIN    2
+#define GIVENUP  3
 byte task = ASSIGNED;
 
 /* The run at the holder. */
@@ -51,6 +56,10 @@
 bit  lookSettled;   /* the start was acknowledged when the poll (look) was sent */
 bit  lookLists;     /* the poll result lists the run */
 byte pulse = NONE, proof = NONE; /* age of the pulse in transit; age that the reply in transit carries */
+#ifdef GIVING_UP
+bit  proofStops;    /* the reply in transit carries that the task was given up */
+byte givenUp;       /* ticks since the owner gave the task up */
+#endif
 
 byte heard;         /* ticks since the owner last received a pulse */
 byte seen;          /* age of the last pulse that the owner received */
@@ -93,6 +102,12 @@
 		fi;
 		shorter(startRest); shorter(extendRest); shorter(rest);
 		older(heard); older(seen); older(proven);
+#ifdef GIVING_UP
+		if
+		:: task == GIVENUP -> older(givenUp)
+		:: else -> skip
+		fi;
+#endif
 		if
 		:: pulse < CAP -> pulse++
 		:: else -> skip
@@ -106,6 +121,25 @@
 	:: atomic { pulse == NONE && inTouch -> pulse = 0 }
 	:: atomic { pulse != NONE -> heard = 0; seen = pulse; pulse = NONE }
 	:: atomic { pulse != NONE -> pulse = NONE }
+#ifdef GIVING_UP
+	:: atomic { proof == NONE && seen < CAP -> proof = seen;
+#ifndef SILENT_GIVING_UP
+		proofStops = (task == GIVENUP)
+#endif
+		}
+	:: atomic { proof != NONE && inTouch ->
+		if
+		:: proof < proven -> proven = proof
+		:: else -> skip
+		fi;
+		if
+		:: proofStops && state == STARTED -> state = STOPPING; stopOut = 1
+		:: proofStops && state == AWAITED -> state = ENDED; assign = 0
+		:: else -> skip
+		fi;
+		proof = NONE; proofStops = 0 }
+	:: atomic { proof != NONE -> proof = NONE; proofStops = 0 }
+#else
 	:: atomic { proof == NONE && seen < CAP -> proof = seen }
 	:: atomic { proof != NONE && inTouch ->
 		if
@@ -114,6 +148,7 @@
 		fi;
 		proof = NONE }
 	:: atomic { proof != NONE -> proof = NONE }
+#endif
 
 	/* The holder. */
 	:: atomic { unproven -> newSession = 1;
@@ -200,6 +235,10 @@
 	:: atomic { task == ASSIGNED && endOut -> endOut = 0; task = OVER }
 	:: atomic { task == ASSIGNED && takenOut && state != AWAITED -> takenOut = 0; task = OVER }
 	:: atomic { task == ASSIGNED && heard >= PATIENCE -> task = OVER }
+#ifdef GIVING_UP
+	:: atomic { task == ASSIGNED -> task = GIVENUP }
+	:: atomic { task == GIVENUP && givenUp >= PATIENCE -> givenUp = 0; task = OVER }
+#endif
 	:: atomic { task == OVER -> task = AGAIN; assert(!x); y = 1 }
 	od
 }
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -16,6 +16,8 @@
 
 const page = "../docs/PROOFS-model.md"
 
+var slow = flag.Bool("slow", false, "check the models that take minutes")
+
 var writePage = flag.Bool("write", false, "write "+page)
 
 // model is a Promela model: its bounds, the properties that hold in it, and its mutants.
@@ -129,6 +131,17 @@
 	assert.Equal(t, string(got), want, "the page is out of date; run go test ./spec -write")
 }
 
+// TestGivenUpTaskNeverRunsTwice checks the model again with owners that give a task up, and that their replies have to
+// carry it.
+func TestGivenUpTaskNeverRunsTwice(t *testing.T) {
+	if !*slow {
+		t.Skip("takes minutes; run go test ./spec -run TestGivenUp -slow")
+	}
+	m := model{name: "again"}
+	assert.Equal(t, m.runSpin(t, []string{"GIVING_UP"}).violated, "")
+	assert.Assert(t, m.runSpin(t, []string{"GIVING_UP", "SILENT_GIVING_UP"}).violated != "", "the mutant was not rejected")
+}
+
 // check checks the model, its variants and its mutants, and returns its section of the page.
 func (m model) check(t *testing.T) string {
 	var b strings.Builder
