A run that was alone by chance counts as evidence again

There the entry of each second start is killed, and most records with it; to count only runs that were suspected before leaves too little evidence.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -304,9 +304,8 @@
 	}
 	var found []string
 	runs := l.sortedRuns()
+	alone := len(runs) == 1 && len(l.orphans) == 0
 	for _, r := range runs {
-		// Only a run that was known to be suspected ran alone for a purpose.
-		alone := len(runs) == 1 && len(l.orphans) == 0 && c.suspicionOfRun(r) >= policy.Suspected
 		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state}
 		if !c.crashes.merge(&rc, c.now, cornelwall.Incarnation{}) {
 			continue
--- a/core/policy/crash.go
+++ b/core/policy/crash.go
@@ -4,13 +4,13 @@
 
 const (
 	deadlyCrashes      = 3 // crashes after which a task counts as deadly
-	deadlyCrashesAlone = 2 // the same if it ran alone, as a suspect, under one of them
+	deadlyCrashesAlone = 2 // the same if it ran alone under one of them
 	crashesInTurn      = 3 // crashed endpoints from which on the tasks of a batch run one after the other
 )
 
 // Crash is a crash of an endpoint under a run of a task.
 type Crash struct {
-	Alone     bool // the run was there alone, since its task was suspected
+	Alone     bool // no other run was there
 	Confirmed bool // the endpoint has booted again; otherwise it may only be cut off
 }
 
--- a/leased_message.go
+++ b/leased_message.go
@@ -323,7 +323,7 @@
 	RunID
 	Endpoint string        `json:"endpoint"`
 	Boot     int64         `json:"boot"`            // of the endpoint, see Endpoint
-	Alone    bool          `json:"alone,omitempty"` // the run was there alone, since its task was suspected
+	Alone    bool          `json:"alone,omitempty"` // no other run was there
 	State    CrashState    `json:"state,omitempty"`
 	Age      time.Duration `json:"age,omitempty"` // time since the crash was noticed
 }
