--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -87,7 +87,7 @@
 
 // anyAssigned reports whether a holder has a task of the job.
 func (j *job) anyAssigned() bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskAssigned || t.state == taskRunning })
+	return slices.ContainsFunc(j.tasks, (*task).isAssigned)
 }
 
 // newAssign returns an assignment of a job to a holder, without tasks.
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -168,7 +168,7 @@
 	}
 	pairs := []any{"task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "from", from, "owner", r.owner, "started", c.now.Sub(r.startedAt)}
 	if r.owner != c.cfg.Self {
-		pairs = append(pairs, "proof", c.now.Sub(c.lastOwnerProof(r)))
+		pairs = append(pairs, "proof", c.proofAge(r))
 	}
 	c.log("run-withdrawn", pairs...)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -34,7 +34,7 @@
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
 // follows the progress of runs, health.go finds slow endpoints and stops stragglers there, and
-// crashes.go records under which runs endpoints have crashed.
+// crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -69,7 +69,7 @@
 
 // withdrawTasks withdraws the assigned tasks of a job, or only those that have not started.
 func (c *Core) withdrawTasks(j *job, onlyWaiting bool) {
-	byHolder, order := j.runsByHolder(func(t *task) bool { return t.state == taskAssigned || t.state == taskRunning })
+	byHolder, order := j.runsByHolder((*task).isAssigned)
 	for _, id := range order {
 		if !onlyWaiting {
 			for _, run := range byHolder[id] {
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -168,8 +168,8 @@
 	}
 	m.Seq, m.AckedSeq, m.Session, m.WantHeartbeats = p.sentSeq, p.receivedSeq, p.session, c.wantsLink(p)
 	m.ReplyNow, p.replyNow = p.replyNow, false
-	complete := true
-	if m.Withdrawn, complete = c.pendingEnds.unconfirmed(p.id, c.now); !complete {
+	withdrawn, complete := c.pendingEnds.unconfirmed(p.id, c.now)
+	if m.Withdrawn = withdrawn; !complete {
 		m.AckedSeq = 0 // no proof for runs whose withdrawal the peer may not know
 	}
 	if p.noEndpointList {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -48,6 +48,9 @@
 	runsLost      int // runs that ended neither by themselves nor before they started
 }
 
+// isAssigned reports whether a holder has the task.
+func (t *task) isAssigned() bool { return t.state == taskAssigned || t.state == taskRunning }
+
 // lastRun describes the last run of a task that has started, for the log.
 type lastRun struct {
 	endpoint  string
--- a/core/dispatch/lostwithdrawal_test.go
+++ b/core/dispatch/lostwithdrawal_test.go
@@ -12,18 +12,7 @@
 // TestRunEndsAlthoughItsWithdrawalWaits lets a caller leave while only heartbeats pass between the owner of its batch and
 // the holder. The run must end before the caller may send the batch to another entry.
 func TestRunEndsAlthoughItsWithdrawalWaits(t *testing.T) {
-	s := newSimulation(t)
-	owner := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e1", Epoch: 1}
-	holder := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Epoch: 1}
-	info := cornelwall.Endpoint{ID: "x1", Service: "s", Addr: s.addr(100), DataCentre: "dc0", Capacity: cornelwall.Resources{Cores: 8000}}
-	s.addEndpoint(info)
-	for _, id := range []cornelwall.Incarnation{owner, holder} {
-		s.addEntry(id)
-		s.step(id, endpointsListed([]cornelwall.Endpoint{info}))
-	}
-	s.step(owner, endpointsListed([]cornelwall.Endpoint{info}))
-	s.advance(1500 * time.Millisecond)
-	assert.Equal(t, s.cores[holder].Held(), 1)
+	s, owner, _ := newOwnerAndHolder(t)
 	s.step(owner, cornelwall.SubmitBatch{Req: 1, Host: "h", Path: "/q/1", TimeLeft: 9 * time.Second, Batch: &cornelwall.BatchJob{
 		ID: "00000000000000ab", Steps: []cornelwall.Step{{Count: 1, Need: cornelwall.Resources{Cores: 8000}, Estimate: 3 * time.Second}},
 	}})
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+// newOwnerAndHolder returns a simulation of two entries, of which the second holds the only endpoint.
+func newOwnerAndHolder(t *testing.T) (s *simulation, owner, holder cornelwall.Incarnation) {
+	t.Helper()
+	s = newSimulation(t)
+	owner = cornelwall.Incarnation{DataCentre: "dc1", Entry: "e1", Epoch: 1}
+	holder = cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Epoch: 1}
+	info := cornelwall.Endpoint{ID: "x1", Service: "s", Addr: s.addr(100), DataCentre: "dc0", Capacity: cornelwall.Resources{Cores: 8000}}
+	s.addEndpoint(info)
+	for _, id := range []cornelwall.Incarnation{owner, holder} {
+		s.addEntry(id)
+		s.step(id, endpointsListed([]cornelwall.Endpoint{info}))
+	}
+	s.step(owner, endpointsListed([]cornelwall.Endpoint{info}))
+	s.advance(1500 * time.Millisecond)
+	assert.Equal(t, s.cores[holder].Held(), 1)
+	return s, owner, holder
+}
+
 func (s *simulation) addr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7001)
 }
--- a/core/dispatch/waitingunproven_test.go
+++ b/core/dispatch/waitingunproven_test.go
@@ -12,17 +12,7 @@
 // TestWaitingRunOfOwnerThatStoodStillIsReturned lets an owner stand still for longer than its proof lasts while a task of its
 // waits at a holder. The holder drops that task, which must not stay assigned there for ever.
 func TestWaitingRunOfOwnerThatStoodStillIsReturned(t *testing.T) {
-	s := newSimulation(t)
-	owner := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e1", Epoch: 1}
-	holder := cornelwall.Incarnation{DataCentre: "dc0", Entry: "e2", Epoch: 1}
-	info := cornelwall.Endpoint{ID: "x1", Service: "s", Addr: s.addr(100), DataCentre: "dc0", Capacity: cornelwall.Resources{Cores: 8000}}
-	s.addEndpoint(info)
-	for _, id := range []cornelwall.Incarnation{owner, holder} {
-		s.addEntry(id)
-		s.step(id, endpointsListed([]cornelwall.Endpoint{info}))
-	}
-	s.step(owner, endpointsListed([]cornelwall.Endpoint{info}))
-	s.advance(1500 * time.Millisecond)
+	s, owner, holder := newOwnerAndHolder(t)
 	s.step(owner, cornelwall.SubmitBatch{Req: 1, Host: "h", Path: "/q/1", TimeLeft: time.Minute, Batch: &cornelwall.BatchJob{
 		ID: "00000000000000ab", Steps: []cornelwall.Step{{Count: 2, Need: cornelwall.Resources{Cores: 8000}, Estimate: 5 * time.Second}},
 	}})
