--- a/batch.go
+++ b/batch.go
@@ -34,7 +34,8 @@
 }
 
 // QueueConfig is the versioned configuration of all queues, called the declaration in
-// messages and logs. Its version only increases.
+// messages and logs. Its version only increases. Goroutines share a configuration, so that it is
+// never changed once it has been decoded.
 type QueueConfig struct {
 	Version uint64  `json:"version"`
 	Queues  []Queue `json:"queues"`
--- a/command.go
+++ b/command.go
@@ -79,6 +79,9 @@
 		Addr      netip.AddrPort
 		Message   Message
 		Unordered bool
+		// Bulk messages may be large and are not urgent. They have a queue and connections of their own,
+		// so that they neither delay the other messages nor are given up with them.
+		Bulk bool
 	}
 	// StoreGet reads a key of the platform's store.
 	StoreGet struct {
--- a/leased.go
+++ b/leased.go
@@ -1,6 +1,9 @@
 package cornelwall
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Events of a core that dispatches batches to leased endpoints.
 type (
@@ -39,6 +42,13 @@
 	MembersListed struct{ List []Member }
 	// QueueConfigRead is a queue configuration that was read from the platform.
 	QueueConfigRead struct{ Config *QueueConfig }
+	// QueueConfigFetched reports the end of a FetchQueueConfig.
+	QueueConfigFetched struct {
+		From   Incarnation
+		Result FetchResult
+		Config *QueueConfig // set if Result is FetchDone
+		Took   time.Duration
+	}
 	// PlatformLost reports that the platform has not answered for a while.
 	PlatformLost struct{}
 	// PollResult is the result of a PollEndpoint.
@@ -63,16 +73,17 @@
 	}
 )
 
-func (SubmitBatch) isEvent()     {}
-func (CancelBatch) isEvent()     {}
-func (FetchBatch) isEvent()      {}
-func (CountWaiting) isEvent()    {}
-func (EndpointsListed) isEvent() {}
-func (MembersListed) isEvent()   {}
-func (QueueConfigRead) isEvent() {}
-func (PlatformLost) isEvent()    {}
-func (PollResult) isEvent()      {}
-func (OrderResult) isEvent()     {}
+func (SubmitBatch) isEvent()        {}
+func (CancelBatch) isEvent()        {}
+func (FetchBatch) isEvent()         {}
+func (CountWaiting) isEvent()       {}
+func (EndpointsListed) isEvent()    {}
+func (MembersListed) isEvent()      {}
+func (QueueConfigRead) isEvent()    {}
+func (QueueConfigFetched) isEvent() {}
+func (PlatformLost) isEvent()       {}
+func (PollResult) isEvent()         {}
+func (OrderResult) isEvent()        {}
 
 // Commands of a core that dispatches batches to leased endpoints.
 type (
@@ -124,6 +135,15 @@
 		Every time.Duration
 		Now   bool
 	}
+	// FetchQueueConfig asks another entry for its queue configuration if that is newer than version
+	// Have. A QueueConfigFetched reports the end, whatever it is.
+	FetchQueueConfig struct {
+		From Incarnation
+		Addr netip.AddrPort
+		Have uint64
+	}
+	// ServeQueueConfig sets the queue configuration that other entries get when they fetch it.
+	ServeQueueConfig struct{ Config *QueueConfig }
 	// SetReady sets whether the readiness check tells the load balancer that the entry takes
 	// requests.
 	SetReady struct{ Ready bool }
@@ -131,15 +151,17 @@
 	Deregister struct{}
 )
 
-func (ReplyBatch) isCommand()    {}
-func (ReplyState) isCommand()    {}
-func (ReplyWaiting) isCommand()  {}
-func (PollEndpoint) isCommand()  {}
-func (StartRun) isCommand()      {}
-func (StopRun) isCommand()       {}
-func (ReadEndpoints) isCommand() {}
-func (SetReady) isCommand()      {}
-func (Deregister) isCommand()    {}
+func (ReplyBatch) isCommand()       {}
+func (ReplyState) isCommand()       {}
+func (ReplyWaiting) isCommand()     {}
+func (PollEndpoint) isCommand()     {}
+func (StartRun) isCommand()         {}
+func (StopRun) isCommand()          {}
+func (ReadEndpoints) isCommand()    {}
+func (FetchQueueConfig) isCommand() {}
+func (ServeQueueConfig) isCommand() {}
+func (SetReady) isCommand()         {}
+func (Deregister) isCommand()       {}
 
 // Request returns the number of the answered request.
 func (r ReplyBatch) Request() uint64 { return r.Req }
@@ -149,3 +171,20 @@
 
 // Request returns the number of the answered request.
 func (r ReplyWaiting) Request() uint64 { return r.Req }
+
+//go:generate go tool enumer -type=FetchResult -text -transform=kebab -trimprefix=Fetch -output=fetch_gen.go
+
+// FetchResult is how a FetchQueueConfig ended.
+type FetchResult int
+
+const (
+	// FetchDone means that a newer configuration has arrived.
+	FetchDone FetchResult = iota
+	// FetchNoNewer means that the other entry has no newer configuration.
+	FetchNoNewer
+	// FetchBusy means that the other entry sends its configuration to as many entries as it may at a
+	// time; ask another one.
+	FetchBusy
+	// FetchFailed means that no answer arrived, or no valid one.
+	FetchFailed
+)
