--- a/batch.go
+++ b/batch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"slices"
 	"strings"
@@ -56,6 +57,15 @@
 	return errors.Join(errs...)
 }
 
+// Sum returns a hash of the queues, by which logs of several entries tell whether they have the same.
+func (c *QueueConfig) Sum() uint64 {
+	h := fnv.New64a()
+	for i := range c.Queues {
+		fmt.Fprintf(h, "%v\n", c.Queues[i])
+	}
+	return h.Sum64()
+}
+
 // Find returns the queue of the host with the longest matching path prefix, or nil.
 func (c *QueueConfig) Find(host, path string) *Queue {
 	var found *Queue
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,6 +23,8 @@
 //
 // # Files
 //
+// queueconfig.go keeps the queue configuration in force.
+//
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
 //
@@ -113,7 +115,8 @@
 	ranking     ranking // entries that may hold endpoints
 	rankedAt    time.Time
 
-	queueConfig        cornelwall.QueueConfig
+	queueConfig cornelwall.QueueConfig
+	configStats
 	endpoints          map[string]*endpoint
 	endpointsByName    []*endpoint // sorted by name
 	heldEndpoints      []*endpoint // endpoints that this entry holds, sorted by name
@@ -225,7 +228,7 @@
 	case cornelwall.MembersListed:
 		c.handleMembersListed(ev.List)
 	case cornelwall.QueueConfigRead:
-		c.setQueueConfig(ev.Config)
+		c.setQueueConfig(ev.Config, "store")
 	case cornelwall.PlatformLost:
 		c.handlePlatformLost()
 	case cornelwall.PollResult:
@@ -280,7 +283,9 @@
 	v := c.freeCapacity()
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
-		"listage", c.listAge(), "listinterval", c.readInterval)
+		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
+		"behind", c.behindFor(), "asked", c.asked, "served", c.served)
+	c.asked, c.served = 0, 0
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -83,7 +83,9 @@
 // requestNewerConfig asks an entry for its queue config if that is newer than the one in force
 // here.
 func (c *Core) requestNewerConfig(from cornelwall.Incarnation, version uint64) {
+	c.noteVersion(version)
 	if version > c.queueConfig.Version {
+		c.asked++
 		c.send(from, cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{}})
 	}
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -86,15 +86,6 @@
 	reportedRemaining float64       // remaining share that was last sent to holders
 }
 
-// setQueueConfig applies a declaration of the queues if it is newer than the one in force.
-func (c *Core) setQueueConfig(d *cornelwall.QueueConfig) {
-	if d.Version <= c.queueConfig.Version {
-		return
-	}
-	c.log("declaration", "version", d.Version, "before", c.queueConfig.Version, "queues", len(d.Queues))
-	c.queueConfig = *d
-}
-
 // handleSubmitBatch admits a batch, or adds a caller to a batch with the same ID that is already
 // here.
 func (c *Core) handleSubmitBatch(ev cornelwall.SubmitBatch) {
@@ -103,7 +94,7 @@
 		if end == cornelwall.BatchRefused {
 			a.RetryAfter = c.retryAfter(ev.Req)
 		}
-		c.log("batch-refused", "job", ev.Batch.ID, "end", end, "why", why, "version", c.queueConfig.Version)
+		c.log("batch-refused", "job", ev.Batch.ID, "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor())
 		c.emit(cornelwall.CountReason{Reason: why, N: 1})
 		c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
 	}
@@ -201,6 +192,7 @@
 func (c *Core) handleCountWaiting(ev cornelwall.CountWaiting) {
 	q := c.queueConfig.Find(ev.Host, ev.Path)
 	if q == nil {
+		c.log("count-refused", "path", ev.Path, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor())
 		c.emit(cornelwall.ReplyWaiting{Req: ev.Req})
 		return
 	}
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -49,9 +49,10 @@
 	case m.EndpointUpdate != nil:
 		c.handleEndpointUpdate(from, m.EndpointUpdate)
 	case m.QueueConfigSync != nil && m.QueueConfigSync.Config != nil:
-		c.setQueueConfig(m.QueueConfigSync.Config)
+		c.setQueueConfig(m.QueueConfigSync.Config, from.String())
 	case m.QueueConfigSync != nil:
 		if c.queueConfig.Version != 0 {
+			c.served++
 			c.send(from, cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{Config: &c.queueConfig}})
 		}
 	case m.BatchCancellation != nil:
