--- /dev/null
+++ b/core/dispatch/queueconfig_test.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cornelwall"
+)
+
+// configFleet is an entry with peers that send it heartbeats.
+type configFleet struct {
+	now   time.Time
+	core  *Core
+	self  cornelwall.Incarnation
+	peers []cornelwall.Member
+	seq   uint64
+	asked []cornelwall.Incarnation // entries that were asked for their queue configuration
+}
+
+func queueConfig(version uint64, names ...string) *cornelwall.QueueConfig {
+	cfg := &cornelwall.QueueConfig{Version: version}
+	for _, name := range names {
+		cfg.Queues = append(cfg.Queues, cornelwall.Queue{Name: name, Host: "h", Prefix: "/" + name + "/", Service: "s"})
+	}
+	return cfg
+}
+
+func newConfigFleet(peers int) *configFleet {
+	f := &configFleet{
+		now:  time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC),
+		self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e0", Epoch: 1},
+	}
+	addr := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7001)
+	}
+	f.core = New(Config{Self: f.self, Addr: addr(0), Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond}}, f.now)
+	for i := 1; i <= peers; i++ {
+		f.peers = append(f.peers, cornelwall.Member{ID: cornelwall.Incarnation{DataCentre: "dc0", Entry: fmt.Sprintf("e%d", i), Epoch: 1}, Addr: addr(i)})
+	}
+	return f
+}
+
+// step passes an event to the entry and returns what it emits.
+func (f *configFleet) step(ev cornelwall.Event) []cornelwall.Command {
+	cmds := f.core.Step(f.now, ev)
+	for _, cmd := range cmds {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.QueueConfigSync != nil && s.Message.QueueConfigSync.Config == nil {
+			f.asked = append(f.asked, s.To)
+		}
+	}
+	return cmds
+}
+
+func (f *configFleet) receive(from cornelwall.Member, m cornelwall.Message) []cornelwall.Command {
+	return f.step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: from.ID, To: f.self, Messages: []cornelwall.Message{m}}})
+}
+
+// heartbeats sends the entry a heartbeat of each peer, with a version of the queue configuration.
+func (f *configFleet) heartbeats(version uint64, platformLost bool) {
+	f.seq++
+	for _, p := range f.peers {
+		f.receive(p, cornelwall.Message{SessionHeartbeat: &cornelwall.SessionHeartbeat{
+			Addr: p.Addr, Seq: f.seq, Session: 1, Version: version, PlatformLost: platformLost,
+		}})
+	}
+}
+
+// hear lets time pass, with a heartbeat of each peer every heartbeatInterval.
+func (f *configFleet) hear(d time.Duration, version uint64, platformLost bool) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(heartbeatInterval) {
+		f.heartbeats(version, platformLost)
+		f.step(cornelwall.Tick{})
+	}
+}
+
+// count asks for the number of waiting batches under a path.
+func (f *configFleet) count(path string) (reply cornelwall.ReplyWaiting) {
+	for _, cmd := range f.step(cornelwall.CountWaiting{Req: 1, Host: "h", Path: path}) {
+		if r, ok := cmd.(cornelwall.ReplyWaiting); ok {
+			reply = r
+		}
+	}
+	return reply
+}
+
+// submit submits a batch under a path and returns the answer.
+func (f *configFleet) submit(path string) (answer cornelwall.BatchAnswer) {
+	for _, cmd := range f.step(cornelwall.SubmitBatch{Req: 2, Host: "h", Path: path + "00000000000000ab", TimeLeft: time.Second, Batch: &cornelwall.BatchJob{
+		ID: "00000000000000ab", Steps: []cornelwall.Step{{Count: 1, Need: cornelwall.Resources{Cores: 1000}, Estimate: 10 * time.Millisecond}},
+	}}) {
+		if r, ok := cmd.(cornelwall.ReplyBatch); ok {
+			answer = r.Answer
+		}
+	}
+	return answer
+}
+
+// TestEntryThatIsBehindAsksOnePeerAtATime guards against answers of many peers that fill the link of the entry that asked.
+func TestEntryThatIsBehindAsksOnePeerAtATime(t *testing.T) {
+	f := newConfigFleet(30)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(2*time.Second, 2, false)
+	assert.Equal(t, len(f.asked), 1, "requests that wait for an answer at the same time")
+}
+
+// TestConfigInMessageKeepsItsContent guards against a version that reaches a peer with the queues of another.
+func TestConfigInMessageKeepsItsContent(t *testing.T) {
+	f := newConfigFleet(1)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.heartbeats(0, false)
+	var sent *cornelwall.QueueConfig
+	for _, cmd := range f.receive(f.peers[0], cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{}}) {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.QueueConfigSync != nil {
+			sent = s.Message.QueueConfigSync.Config
+		}
+	}
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(2, "a", "b")})
+	assert.DeepEqual(t, sent, queueConfig(1, "a"))
+}
+
+// TestCountWithoutConfigIsNotAnsweredAsUnknownQueue guards against an entry that has just started and denies every queue.
+func TestCountWithoutConfigIsNotAnsweredAsUnknownQueue(t *testing.T) {
+	f := newConfigFleet(1)
+	assert.Assert(t, f.count("/a/").RetryAfter > 0)
+}
+
+// TestUnknownQueueIsRefusedWhileConfigMayBeOld guards against a final answer by an entry that lacks the newest configuration.
+func TestUnknownQueueIsRefusedWhileConfigMayBeOld(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		do      func(*configFleet)
+		unknown bool // the queue is certainly unknown
+	}{
+		{"in touch", func(f *configFleet) { f.hear(time.Second, 1, false) }, true},
+		{"a peer has a newer one", func(f *configFleet) { f.hear(time.Second, 2, false) }, false},
+		{"platform lost, peers read it", func(f *configFleet) {
+			f.step(cornelwall.PlatformLost{})
+			f.hear(time.Second, 1, false)
+		}, true},
+		{"platform lost, peers have lost it too", func(f *configFleet) {
+			f.step(cornelwall.PlatformLost{})
+			f.hear(time.Second, 1, true)
+		}, false},
+		{"platform lost, no peer", func(f *configFleet) {
+			f.step(cornelwall.PlatformLost{})
+			f.now = f.now.Add(time.Second)
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newConfigFleet(3)
+			f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+			f.step(cornelwall.MembersListed{List: f.peers})
+			tc.do(f)
+			count, answer := f.count("/b/"), f.submit("/b/")
+			if tc.unknown {
+				assert.Equal(t, count.RetryAfter, time.Duration(0))
+				assert.Equal(t, answer.End, cornelwall.BatchUnknown)
+				return
+			}
+			assert.Assert(t, count.RetryAfter > 0)
+			assert.Equal(t, answer.End, cornelwall.BatchRefused)
+			assert.Assert(t, answer.RetryAfter > 0)
+		})
+	}
+}
--- a/leased.go
+++ b/leased.go
@@ -98,11 +98,13 @@
 		Found   bool
 		Running bool
 	}
-	// ReplyWaiting answers a CountWaiting. Found is false if there is no such queue.
+	// ReplyWaiting answers a CountWaiting. Found is false if there is no such queue or, if RetryAfter is
+	// set, none that this entry knows: there may be a newer queue configuration than its own.
 	ReplyWaiting struct {
-		Req   uint64
-		Found bool
-		Count int
+		Req        uint64
+		Found      bool
+		Count      int
+		RetryAfter time.Duration
 	}
 	// PollEndpoint renews the lease on an endpoint, acknowledges ended runs and reads the runs
 	// of the endpoint. It is a long poll: it waits up to MaxWait for a run to end.
