An entry that is behind fetches the queue configuration from one peer at a time

Callers saw 404 for queues that had been added, from entries that stayed behind for half a minute while the store and their peers had the version. The answer pointed to the struct that the core overwrites with the next version. An entry without a configuration, or one that knew that it was behind, told a caller for good that there is no such queue.

Now a version comes into force in one place, is never modified, and is served to peers apart from the core. An entry that hears of a newer one leaves the store 400 ms to bring it and then fetches it from one peer, and from another one only once that has answered or failed. The number of requests no longer depends on the number of peers. An unknown queue is refused with Retry-After while there may be a newer configuration: a newer one is known, or neither the entry nor a peer that it hears reads the platform.

TestConfigInMessageKeepsItsContent looked at a message that is no more; TestServedConfigKeepsItsContent asks the same of what peers now get. The message QueueConfigSync is still decoded for entries of earlier versions, and not answered.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,7 +23,7 @@
 //
 // # Files
 //
-// queueconfig.go keeps the queue configuration in force.
+// queueconfig.go keeps the queue configuration in force and fetches newer ones.
 //
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
@@ -115,8 +115,7 @@
 	ranking     ranking // entries that may hold endpoints
 	rankedAt    time.Time
 
-	queueConfig cornelwall.QueueConfig
-	configStats
+	queueConfigState
 	endpoints          map[string]*endpoint
 	endpointsByName    []*endpoint // sorted by name
 	heldEndpoints      []*endpoint // endpoints that this entry holds, sorted by name
@@ -163,20 +162,21 @@
 	}
 	return &Core{
 		cfg: cfg, now: now, startedAt: now, lastTick: now, nameHash: hashOf(cfg.Self.Entry), usualSlowdown: 1,
-		peers:           map[cornelwall.Incarnation]*peer{},
-		latestPeers:     map[entryName]*peer{},
-		seedContacted:   map[netip.AddrPort]time.Time{},
-		endpoints:       map[string]*endpoint{},
-		runs:            map[cornelwall.RunID]*run{},
-		withdrawnRuns:   map[cornelwall.RunID]time.Time{},
-		transferredRuns: map[cornelwall.RunID]transferredRun{},
-		endedRuns:       map[cornelwall.RunID]endedRun{},
-		jobs:            map[string]*job{},
-		tasksByRun:      map[cornelwall.RunID]*task{},
-		jobsByReq:       map[uint64]*job{},
-		pendingEnds:     newPendingEnds(),
-		crashes:         newCrashTable(),
-		endpointList:    endpointList{toldAt: now}, // readers get the time to send the first update
+		peers:            map[cornelwall.Incarnation]*peer{},
+		latestPeers:      map[entryName]*peer{},
+		seedContacted:    map[netip.AddrPort]time.Time{},
+		endpoints:        map[string]*endpoint{},
+		runs:             map[cornelwall.RunID]*run{},
+		withdrawnRuns:    map[cornelwall.RunID]time.Time{},
+		transferredRuns:  map[cornelwall.RunID]transferredRun{},
+		endedRuns:        map[cornelwall.RunID]endedRun{},
+		jobs:             map[string]*job{},
+		tasksByRun:       map[cornelwall.RunID]*task{},
+		jobsByReq:        map[uint64]*job{},
+		pendingEnds:      newPendingEnds(),
+		crashes:          newCrashTable(),
+		queueConfigState: queueConfigState{queueConfig: &cornelwall.QueueConfig{}},
+		endpointList:     endpointList{toldAt: now}, // readers get the time to send the first update
 	}
 }
 
@@ -229,6 +229,8 @@
 		c.handleMembersListed(ev.List)
 	case cornelwall.QueueConfigRead:
 		c.setQueueConfig(ev.Config, "store")
+	case cornelwall.QueueConfigFetched:
+		c.handleQueueConfigFetched(ev)
 	case cornelwall.PlatformLost:
 		c.handlePlatformLost()
 	case cornelwall.PollResult:
@@ -251,6 +253,7 @@
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
+	c.fetchQueueConfig()
 	c.withdrawUnprovenRuns()
 	c.repeatReports()
 	c.checkLeases()
@@ -284,8 +287,7 @@
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "asked", c.asked, "served", c.served)
-	c.asked, c.served = 0, 0
+		"behind", c.behindFor(), "fetches", c.fetches)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
@@ -305,6 +307,11 @@
 	c.emit(cornelwall.Log{Event: event, Pairs: pairs})
 }
 
+// sendBulk sends a message to a peer that may be large and is not urgent.
+func (c *Core) sendBulk(p *peer, m cornelwall.Message) {
+	c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Bulk: true, Message: m})
+}
+
 // send sends a message to an entry. Messages to this entry itself are queued in localMessages.
 func (c *Core) send(to cornelwall.Incarnation, m cornelwall.Message) {
 	if to == c.cfg.Self {
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -151,7 +151,7 @@
 	c.updateSentAt = c.now
 	m := c.listChangesSince(c.recentRevs[0])
 	for _, p := range to {
-		c.send(p.id, cornelwall.Message{EndpointUpdate: m})
+		c.sendBulk(p, cornelwall.Message{EndpointUpdate: m})
 	}
 }
 
@@ -178,13 +178,13 @@
 		return
 	}
 	p.fullListAt = c.now
-	c.send(p.id, cornelwall.Message{EndpointUpdate: c.listChangesSince(0)})
+	c.sendBulk(p, cornelwall.Message{EndpointUpdate: c.listChangesSince(0)})
 }
 
 // handleEndpointUpdate applies the changes that a peer has sent. If revisions are missing before
 // them, it orders a read instead. A complete list is applied only if this entry has none yet.
 func (c *Core) handleEndpointUpdate(from cornelwall.Incarnation, m *cornelwall.EndpointUpdate) {
-	c.requestNewerConfig(from, m.Version)
+	c.noteVersion(c.peers[from], m.Version)
 	switch {
 	case m.FromRevision == 0 && c.listRev > 0:
 		return
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -35,7 +35,7 @@
 	c.expireProof(p)
 	first, wasOpen := p.sentSeq == 0, p.sessionOpen
 	p.receivedSeq, p.heardAt, p.unansweredSince, p.dead, p.runsExpired = m.Seq, c.now, time.Time{}, false, false
-	p.leaving, p.version, p.noEndpointList, p.platformLost, p.wantsHeartbeats = m.Leaving, m.Version, m.NoEndpointList, m.PlatformLost, m.WantHeartbeats
+	p.leaving, p.noEndpointList, p.platformLost, p.wantsHeartbeats = m.Leaving, m.NoEndpointList, m.PlatformLost, m.WantHeartbeats
 	newSession := p.theirSession != m.Session
 	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
 	p.view.Capacity = m.FreeCapacity
@@ -53,7 +53,7 @@
 	if p.sessionOpen && !wasOpen {
 		c.sendCrashes(p)
 	}
-	c.requestNewerConfig(p.id, p.version)
+	c.noteVersion(p, m.Version)
 	replyNeeded := p.wantsHeartbeats && (!wasOpen || !p.sessionOpen) || p.platformLost // the peer needs a reply as proof that its messages arrive
 	if first || p.noEndpointList || m.ReplyNow || replyNeeded && (p.sessionOpen && !wasOpen || c.now.Sub(p.heartbeatAt) >= replyInterval) {
 		c.sendHeartbeats(p)
@@ -66,8 +66,8 @@
 // answerSeedHeartbeat answers a heartbeat that went to the address of this entry as a seed. It is none of
 // the numbered ones between the two entries, and proves nothing; the reply asks for one that does.
 func (c *Core) answerSeedHeartbeat(p *peer, m *cornelwall.SessionHeartbeat) {
-	p.version, p.noEndpointList, p.platformLost = m.Version, m.NoEndpointList, m.PlatformLost
-	c.requestNewerConfig(p.id, p.version)
+	p.noEndpointList, p.platformLost = m.NoEndpointList, m.PlatformLost
+	c.noteVersion(p, m.Version)
 	p.replyNow = true
 	c.sendHeartbeats(p)
 	if p.noEndpointList {
@@ -80,16 +80,6 @@
 	return p.sentAt[seq%heartbeatWindow], seq > 0 && p.sentSeq-seq < heartbeatWindow
 }
 
-// requestNewerConfig asks an entry for its queue config if that is newer than the one in force
-// here.
-func (c *Core) requestNewerConfig(from cornelwall.Incarnation, version uint64) {
-	c.noteVersion(version)
-	if version > c.queueConfig.Version {
-		c.asked++
-		c.send(from, cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{}})
-	}
-}
-
 // isInformed reports whether this entry knows the queues and the endpoints. It may have been
 // started while the platform was down, and so may the peers that it hears.
 func (c *Core) isInformed() bool { return c.queueConfig.Version != 0 && c.listRev != 0 }
@@ -209,7 +199,7 @@
 	var added map[*peer]bool
 	for _, cmd := range c.commands {
 		s, ok := cmd.(cornelwall.Send)
-		if !ok || s.Unordered || s.Message.EndpointUpdate != nil {
+		if !ok || s.Unordered || s.Bulk {
 			continue
 		}
 		p := c.peers[s.To]
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -103,6 +103,10 @@
 		return
 	}
 	q := c.queueConfig.Find(ev.Host, ev.Path)
+	if q == nil && c.mayLackNewest() {
+		refuse(cornelwall.BatchRefused, cornelwall.ReasonStale, fmt.Sprintf("no queue takes %s on %s in declaration %d, and there may be a newer one; come back later", ev.Path, ev.Host, c.queueConfig.Version))
+		return
+	}
 	if q == nil {
 		refuse(cornelwall.BatchUnknown, cornelwall.ReasonNoProfile, fmt.Sprintf("no queue takes %s on %s; check the declaration", ev.Path, ev.Host))
 		return
@@ -193,7 +197,11 @@
 	q := c.queueConfig.Find(ev.Host, ev.Path)
 	if q == nil {
 		c.log("count-refused", "path", ev.Path, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor())
-		c.emit(cornelwall.ReplyWaiting{Req: ev.Req})
+		reply := cornelwall.ReplyWaiting{Req: ev.Req}
+		if c.mayLackNewest() {
+			reply.RetryAfter = c.retryAfter(ev.Req)
+		}
+		c.emit(reply)
 		return
 	}
 	n := c.waitingByQueue()[q.Name]
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -48,13 +48,6 @@
 		c.handleHandoverRequest(from, m.HandoverRequest)
 	case m.EndpointUpdate != nil:
 		c.handleEndpointUpdate(from, m.EndpointUpdate)
-	case m.QueueConfigSync != nil && m.QueueConfigSync.Config != nil:
-		c.setQueueConfig(m.QueueConfigSync.Config, from.String())
-	case m.QueueConfigSync != nil:
-		if c.queueConfig.Version != 0 {
-			c.served++
-			c.send(from, cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{Config: &c.queueConfig}})
-		}
 	case m.BatchCancellation != nil:
 		c.cancelOwned(m.BatchCancellation.ID)
 	case m.CrashReport != nil:
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -65,6 +65,7 @@
 	slowdown       float64              // median at its endpoints, as last reported
 	waitingJobs    map[string]int       // its batches that have not begun, by queue
 	resend         []cornelwall.Message // that may not have arrived and are safe to repeat
+	fetchFailedAt  time.Time            // when it last failed to send its queue configuration
 	crashSeq       uint64               // of the last change of a crash that it was sent
 }
 
--- a/core/dispatch/queueconfig.go
+++ b/core/dispatch/queueconfig.go
@@ -7,36 +7,60 @@
 	"cornelwall"
 )
 
-// configStats tells how the queue configuration gets here, for the logs.
-type configStats struct {
-	newestVersion uint64    // newest one that any entry has told of
-	behindSince   time.Time // when this entry first heard of a newer version than its own; zero if it has not
-	asked         int       // requests for a peer's configuration since the last load line
-	served        int       // configurations sent to peers since then
-}
-
-// setQueueConfig applies a declaration of the queues if it is newer than the one in force. Source names
-// where it came from.
-func (c *Core) setQueueConfig(d *cornelwall.QueueConfig, source string) {
-	if d.Version <= c.queueConfig.Version {
+const (
+	storeHeadStart  = 400 * time.Millisecond // for which the platform's store may bring a newer configuration before a peer is asked
+	minFetchBackoff = 50 * time.Millisecond  // before another peer is asked; doubles with each fetch in a row that failed
+	maxFetchBackoff = time.Second
+	supplierPenalty = 2 * time.Second // for which a peer that failed to send its configuration is asked only if no other can be
+)
+
+// queueConfigState is the queue configuration in force, and what is known of newer ones.
+//
+// A version comes into force here and nowhere else, by setQueueConfig, and only if it is newer. It comes
+// from the platform's store, which every entry watches. An entry that hears of a newer version than
+// its own first leaves the store some time to bring it. Then it fetches the configuration from one of the
+// peers that have a newer one. It never asks a second one before the first has answered or failed,
+// so that a configuration crosses its link a few times at most, however many peers there are.
+type queueConfigState struct {
+	queueConfig   *cornelwall.QueueConfig // never modified; version 0 before the first one
+	newestVersion uint64                  // newest one that any entry has told of
+	behindSince   time.Time               // when this entry first heard of a newer version than its own; zero if it has not
+
+	fetchingFrom cornelwall.Incarnation // that was asked for its configuration; zero if none is
+	fetchAfter   time.Time              // earliest start of the next fetch
+	fetchBackoff time.Duration
+	fetches      uint64 // since the start; varies the choice of the peer
+}
+
+// setQueueConfig brings a queue configuration into force if it is newer than the one in force, and
+// lets other entries fetch it. Source names where it came from.
+func (c *Core) setQueueConfig(cfg *cornelwall.QueueConfig, source string) {
+	if cfg.Version <= c.queueConfig.Version {
 		return
 	}
-	c.log("declaration", "version", d.Version, "before", c.queueConfig.Version, "queues", len(d.Queues),
-		"sum", fmt.Sprintf("%016x", d.Sum()), "source", source, "behind", c.behindFor())
-	c.queueConfig = *d
-	if c.newestVersion <= d.Version {
-		c.behindSince = time.Time{}
+	c.log("declaration", "version", cfg.Version, "before", c.queueConfig.Version, "queues", len(cfg.Queues),
+		"sum", fmt.Sprintf("%016x", cfg.Sum()), "source", source, "behind", c.behindFor())
+	c.queueConfig = cfg
+	c.newestVersion = max(c.newestVersion, cfg.Version)
+	c.behindSince = time.Time{}
+	if c.isBehind() {
+		c.behindSince = c.now
 	}
+	c.emit(cornelwall.ServeQueueConfig{Config: cfg})
 }
 
-// noteVersion notes that an entry has a version of the queue configuration.
-func (c *Core) noteVersion(version uint64) {
+// noteVersion notes the version of the queue configuration that a peer has.
+func (c *Core) noteVersion(p *peer, version uint64) {
+	p.version = max(p.version, version)
 	c.newestVersion = max(c.newestVersion, version)
-	if version > c.queueConfig.Version && c.behindSince.IsZero() {
+	if c.isBehind() && c.behindSince.IsZero() {
 		c.behindSince = c.now
 	}
 }
 
+// isBehind reports whether an entry has told of a newer queue configuration than the one in force.
+func (c *Core) isBehind() bool { return c.newestVersion > c.queueConfig.Version }
+
 // behindFor returns for how long this entry has known that there is a newer version than its own.
 func (c *Core) behindFor() time.Duration {
 	if c.behindSince.IsZero() {
@@ -44,3 +68,93 @@
 	}
 	return c.now.Sub(c.behindSince)
 }
+
+// mayLackNewest reports whether there may be a newer queue configuration than the one in force:
+// one is known, or neither this entry nor a peer that it hears reads the platform.
+func (c *Core) mayLackNewest() bool {
+	if c.queueConfig.Version == 0 || c.isBehind() {
+		return true
+	}
+	if c.platformUp {
+		return false
+	}
+	for _, p := range c.peers {
+		if c.isResponsive(p) && !p.platformLost && p.version == c.queueConfig.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// fetchQueueConfig fetches a newer queue configuration from a peer, unless a fetch is under way, the
+// store is given time to bring it, or the last fetch has just failed.
+func (c *Core) fetchQueueConfig() {
+	if !c.isBehind() || c.fetchingFrom != (cornelwall.Incarnation{}) || c.now.Before(c.fetchAfter) {
+		return
+	}
+	if c.platformUp && c.behindFor() < storeHeadStart {
+		return
+	}
+	p := c.pickSupplier()
+	if p == nil {
+		return
+	}
+	c.fetches++
+	c.fetchingFrom = p.id
+	c.emit(cornelwall.FetchQueueConfig{From: p.id, Addr: p.addr, Have: c.queueConfig.Version})
+}
+
+// pickSupplier returns a peer with a newer queue configuration, or nil. Peers of this data centre
+// that have not just failed to send theirs go first. Of these, one is chosen at random by weight.
+func (c *Core) pickSupplier() *peer {
+	var best *peer
+	var bestRank int
+	var bestScore float64
+	for _, p := range c.peersByID {
+		if p.version <= c.queueConfig.Version || p.dead {
+			continue
+		}
+		rank := c.supplierRank(p)
+		s := score(p.hash, c.nameHash+c.fetches, p.weight)
+		if best == nil || rank > bestRank || rank == bestRank && s > bestScore {
+			best, bestRank, bestScore = p, rank, s
+		}
+	}
+	return best
+}
+
+// supplierRank returns how well a peer is suited to send its queue configuration; higher is better.
+func (c *Core) supplierRank(p *peer) int {
+	rank := 0
+	if p.fetchFailedAt.IsZero() || c.now.Sub(p.fetchFailedAt) >= supplierPenalty {
+		rank += 4
+	}
+	if c.now.Sub(p.heardAt) <= deadTimeout {
+		rank += 2
+	}
+	if p.id.DataCentre == c.cfg.Self.DataCentre {
+		rank++
+	}
+	return rank
+}
+
+// handleQueueConfigFetched processes the end of a fetch. After one without a newer configuration the
+// next one waits for a while.
+func (c *Core) handleQueueConfigFetched(ev cornelwall.QueueConfigFetched) {
+	if ev.From == c.fetchingFrom {
+		c.fetchingFrom = cornelwall.Incarnation{}
+	}
+	if ev.Result == cornelwall.FetchDone {
+		c.fetchBackoff = 0
+		c.setQueueConfig(ev.Config, ev.From.String())
+		return
+	}
+	if p := c.peers[ev.From]; p != nil && ev.Result != cornelwall.FetchNoNewer {
+		p.fetchFailedAt = c.now
+	}
+	c.fetchBackoff = min(max(2*c.fetchBackoff, minFetchBackoff), maxFetchBackoff)
+	if ev.Result == cornelwall.FetchBusy {
+		c.fetchBackoff = minFetchBackoff // another peer may be free
+	}
+	c.fetchAfter = c.now.Add(c.fetchBackoff)
+}
--- a/core/dispatch/queueconfig_test.go
+++ b/core/dispatch/queueconfig_test.go
@@ -48,8 +48,8 @@
 func (f *configFleet) step(ev cornelwall.Event) []cornelwall.Command {
 	cmds := f.core.Step(f.now, ev)
 	for _, cmd := range cmds {
-		if s, ok := cmd.(cornelwall.Send); ok && s.Message.QueueConfigSync != nil && s.Message.QueueConfigSync.Config == nil {
-			f.asked = append(f.asked, s.To)
+		if fetch, ok := cmd.(cornelwall.FetchQueueConfig); ok {
+			f.asked = append(f.asked, fetch.From)
 		}
 	}
 	return cmds
@@ -107,19 +107,18 @@
 	assert.Equal(t, len(f.asked), 1, "requests that wait for an answer at the same time")
 }
 
-// TestConfigInMessageKeepsItsContent guards against a version that reaches a peer with the queues of another.
-func TestConfigInMessageKeepsItsContent(t *testing.T) {
+// TestServedConfigKeepsItsContent guards against a version that reaches a peer with the queues of another.
+func TestServedConfigKeepsItsContent(t *testing.T) {
 	f := newConfigFleet(1)
-	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
-	f.heartbeats(0, false)
-	var sent *cornelwall.QueueConfig
-	for _, cmd := range f.receive(f.peers[0], cornelwall.Message{QueueConfigSync: &cornelwall.QueueConfigSync{}}) {
-		if s, ok := cmd.(cornelwall.Send); ok && s.Message.QueueConfigSync != nil {
-			sent = s.Message.QueueConfigSync.Config
+	var served []*cornelwall.QueueConfig
+	for _, cfg := range []*cornelwall.QueueConfig{queueConfig(1, "a"), queueConfig(2, "a", "b")} {
+		for _, cmd := range f.step(cornelwall.QueueConfigRead{Config: cfg}) {
+			if s, ok := cmd.(cornelwall.ServeQueueConfig); ok {
+				served = append(served, s.Config)
+			}
 		}
 	}
-	f.step(cornelwall.QueueConfigRead{Config: queueConfig(2, "a", "b")})
-	assert.DeepEqual(t, sent, queueConfig(1, "a"))
+	assert.DeepEqual(t, served, []*cornelwall.QueueConfig{queueConfig(1, "a"), queueConfig(2, "a", "b")})
 }
 
 // TestCountWithoutConfigIsNotAnsweredAsUnknownQueue guards against an entry that has just started and denies every queue.
@@ -167,3 +166,88 @@
 		})
 	}
 }
+
+// fetched reports the end of the last fetch to the entry.
+func (f *configFleet) fetched(result cornelwall.FetchResult, cfg *cornelwall.QueueConfig) {
+	f.step(cornelwall.QueueConfigFetched{From: f.asked[len(f.asked)-1], Result: result, Config: cfg})
+}
+
+// TestStoreIsLeftTimeBeforePeerIsAsked guards against a configuration that crosses every link twice on each change.
+func TestStoreIsLeftTimeBeforePeerIsAsked(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		platformLost bool
+		after        time.Duration // of hearing of the newer version
+		asked        int
+	}{
+		{"the platform answers", false, storeHeadStart / 2, 0},
+		{"the store did not bring it", false, 2 * storeHeadStart, 1},
+		{"the platform is lost", true, storeHeadStart / 2, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newConfigFleet(3)
+			f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+			f.step(cornelwall.MembersListed{List: f.peers})
+			if tc.platformLost {
+				f.step(cornelwall.PlatformLost{})
+			}
+			f.hear(tc.after, 2, false)
+			assert.Equal(t, len(f.asked), tc.asked)
+		})
+	}
+}
+
+// TestFetchThatFailsGoesToAnotherPeer guards against an entry that waits for a peer that cannot answer.
+func TestFetchThatFailsGoesToAnotherPeer(t *testing.T) {
+	for _, result := range []cornelwall.FetchResult{cornelwall.FetchBusy, cornelwall.FetchFailed} {
+		t.Run(result.String(), func(t *testing.T) {
+			f := newConfigFleet(3)
+			f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+			f.hear(time.Second, 2, false)
+			f.fetched(result, nil)
+			f.hear(time.Second, 2, false)
+			assert.Equal(t, len(f.asked), 2)
+			assert.Assert(t, f.asked[0] != f.asked[1])
+			f.fetched(cornelwall.FetchDone, queueConfig(2, "a", "b"))
+			assert.Assert(t, f.count("/b/").Found)
+			f.hear(time.Second, 2, false)
+			assert.Equal(t, len(f.asked), 2, "asks although nobody has a newer version")
+		})
+	}
+}
+
+// TestFetchesThatFailGetRarer guards against requests without pause while no peer can answer.
+func TestFetchesThatFailGetRarer(t *testing.T) {
+	f := newConfigFleet(30)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(time.Second, 2, false)
+	for range 100 {
+		f.hear(heartbeatInterval, 2, false)
+		if f.core.fetchingFrom != (cornelwall.Incarnation{}) {
+			f.fetched(cornelwall.FetchFailed, nil)
+		}
+	}
+	assert.Assert(t, len(f.asked) <= 15, "%d fetches in 10 s", len(f.asked))
+}
+
+// TestFetchedConfigThatIsOlderIsIgnored guards against a version that comes back.
+func TestFetchedConfigThatIsOlderIsIgnored(t *testing.T) {
+	f := newConfigFleet(1)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(time.Second, 2, false)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(3, "c")})
+	f.fetched(cornelwall.FetchDone, queueConfig(2, "b"))
+	assert.Assert(t, f.count("/c/").Found)
+	assert.Assert(t, !f.count("/b/").Found)
+}
+
+// TestNewerVersionDuringFetchIsFetchedNext guards against an entry that stays behind when a newer version appears during a fetch.
+func TestNewerVersionDuringFetchIsFetchedNext(t *testing.T) {
+	f := newConfigFleet(1)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(time.Second, 2, false)
+	f.hear(time.Second, 3, false)
+	f.fetched(cornelwall.FetchDone, queueConfig(2, "b"))
+	f.hear(time.Second, 3, false)
+	assert.Equal(t, len(f.asked), 2)
+}
--- a/leased_message.go
+++ b/leased_message.go
@@ -274,7 +274,9 @@
 	return errors.Join(errs...)
 }
 
-// QueueConfigSync carries a queue configuration or, if Config is nil, requests the receiver's.
+// QueueConfigSync is how entries of earlier versions ask each other for the queue configuration. It is
+// decoded, so that the other messages of its envelope are handled, and not answered: see
+// FetchQueueConfig.
 type QueueConfigSync struct {
 	Config *QueueConfig `json:"declaration,omitempty"`
 }
