--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -36,6 +36,8 @@
 	toldAt        time.Time     // the same for what readers, and other entries that read before this one, have sent
 	updateSentAt  time.Time     // when the last update was sent
 	readOrderedAt time.Time     // when the last immediate read was ordered
+	askForListAt  time.Time     // earliest time to ask a peer for its list
+	listPatience  time.Duration // for which the peer that was asked last has time to send it
 }
 
 // handleEndpointsListed applies the platform's list of endpoints, as read by this entry.
@@ -172,6 +174,21 @@
 	return m
 }
 
+// shouldAskForList reports whether a heartbeat to a peer asks it for its list of endpoints, and
+// counts it as asked. An entry without a list asks one peer that has one, and another one if the list
+// has not come after a while, which doubles each time.
+func (c *Core) shouldAskForList(p *peer) bool {
+	if c.listRev > 0 || p.noEndpointList || !c.isResponsive(p) {
+		return false
+	}
+	if c.now.Before(c.askForListAt) {
+		return false
+	}
+	c.listPatience = max(2*c.listPatience, fullListInterval)
+	c.askForListAt = c.now.Add(c.listPatience)
+	return true
+}
+
 // sendFullList sends a peer without a list all endpoints of this entry's data centre.
 func (c *Core) sendFullList(p *peer) {
 	if c.listRev == 0 || c.now.Sub(p.fullListAt) < fullListInterval {
--- a/core/dispatch/endpointlist_test.go
+++ b/core/dispatch/endpointlist_test.go
@@ -99,3 +99,19 @@
 		})
 	}
 }
+
+// TestEntryWithoutListAsksOnePeerAtATime guards against the complete lists of many peers that fill the link of an entry that starts.
+func TestEntryWithoutListAsksOnePeerAtATime(t *testing.T) {
+	f := newConfigFleet(30)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.step(cornelwall.PlatformLost{})
+	f.hear(2*time.Second, 1, false)
+	asked := map[cornelwall.Incarnation]bool{}
+	for _, s := range f.sent {
+		if s.Message.SessionHeartbeat.SendList {
+			asked[s.To] = true
+		}
+	}
+	assert.Assert(t, len(asked) > 0)
+	assert.Assert(t, len(asked) <= 2, "%d peers send their lists", len(asked))
+}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -58,21 +58,19 @@
 	if first || p.noEndpointList || m.ReplyNow || replyNeeded && (p.sessionOpen && !wasOpen || c.now.Sub(p.heartbeatAt) >= replyInterval) {
 		c.sendHeartbeats(p)
 	}
-	if p.noEndpointList {
+	if m.SendList {
 		c.sendFullList(p)
 	}
 }
 
 // answerSeedHeartbeat answers a heartbeat that went to the address of this entry as a seed. It is none of
-// the numbered ones between the two entries, and proves nothing; the reply asks for one that does.
+// the numbered ones between the two entries, and proves nothing; the reply asks for one that does,
+// which may also ask for the list of endpoints.
 func (c *Core) answerSeedHeartbeat(p *peer, m *cornelwall.SessionHeartbeat) {
 	p.noEndpointList, p.platformLost = m.NoEndpointList, m.PlatformLost
 	c.noteVersion(p, m.Version)
 	p.replyNow = true
 	c.sendHeartbeats(p)
-	if p.noEndpointList {
-		c.sendFullList(p)
-	}
 }
 
 // sentTime returns when a heartbeat was sent to the peer, if that is still known.
@@ -167,6 +165,7 @@
 	if p.noEndpointList {
 		m.Members = c.aliveMembers()
 	}
+	m.SendList = c.shouldAskForList(p)
 	return &m
 }
 
--- a/core/dispatch/queueconfig_test.go
+++ b/core/dispatch/queueconfig_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	peers []cornelwall.Member
 	seq   uint64
 	asked []cornelwall.Incarnation // entries that were asked for their queue configuration
+	sent  []cornelwall.Send        // heartbeats
 }
 
 func queueConfig(version uint64, names ...string) *cornelwall.QueueConfig {
@@ -51,6 +53,9 @@
 		if fetch, ok := cmd.(cornelwall.FetchQueueConfig); ok {
 			f.asked = append(f.asked, fetch.From)
 		}
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.SessionHeartbeat != nil {
+			f.sent = append(f.sent, s)
+		}
 	}
 	return cmds
 }
--- a/leased_message.go
+++ b/leased_message.go
@@ -48,7 +48,8 @@
 	MaxFence       uint64         `json:"fence"`             // highest fencing token that the sender knows of
 	FreeCapacity   FreeCapacity   `json:"room"`
 	PlatformLost   bool           `json:"alone,omitempty"`   // the sender cannot read the platform
-	NoEndpointList bool           `json:"ask,omitempty"`     // the sender needs a list of endpoints
+	NoEndpointList bool           `json:"ask,omitempty"`     // the sender has no list of endpoints
+	SendList       bool           `json:"list,omitempty"`    // the sender asks the receiver for its list of endpoints
 	Members        []Member       `json:"members,omitempty"` // in answer to NoEndpointList
 	Waiting        map[string]int `json:"waiting,omitempty"` // batches that have not started, by queue
 	Slowdown       float64        `json:"pace,omitempty"`    // median of the run time / estimate at its endpoints; 0 if not known
