Entries that have lost the platform ask other data centres too

Without the platform an entry probed only the entries of its own data centre. If all of these have lost it as well, none of them ever hears of a newer configuration from an idle link. One probe in four now goes to another data centre. TestEntryWhoseDataCentreLostPlatformAsksOthers failed before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -105,6 +105,7 @@
 	lastPeerScan  time.Time                    // last check of all peers
 	seedContacted map[netip.AddrPort]time.Time // last heartbeat to each seed
 	platformUp    bool                         // the platform answers
+	probes        uint64                       // see probeNextPeer
 
 	lastSeek      time.Time            // last search for a peer with free capacity
 	seekSalt      uint64               // varies the choice of that peer
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -11,6 +11,8 @@
 	heartbeatInterval = 100 * time.Millisecond // between two heartbeats to a peer
 	piggybackInterval = 10 * time.Millisecond  // between two heartbeats to a peer that precede other messages
 	replyInterval     = 20 * time.Millisecond  // between two heartbeats to a peer in reply
+
+	remoteProbeInterval = 4 // one of so many probes without the platform goes to another data centre
 )
 
 // handleHeartbeat processes a heartbeat of another entry.
@@ -121,11 +123,14 @@
 
 // probeNextPeer sends a heartbeat to the peer of this data centre that was sent none for the
 // longest time. Without the platform, only its answer can show that it is alive. At most one goes
-// out per tick, however many entries there are.
+// out per tick, however many entries there are. Some go to other data centres: all entries of this
+// one may have lost the platform, and know nothing newer.
 func (c *Core) probeNextPeer() {
+	c.probes++
+	remote := c.probes%remoteProbeInterval == 0
 	var next *peer
 	for _, p := range c.peersByID {
-		if p.id.DataCentre == c.cfg.Self.DataCentre && !p.dead && (next == nil || p.heartbeatAt.Before(next.heartbeatAt)) {
+		if (p.id.DataCentre != c.cfg.Self.DataCentre) == remote && !p.dead && (next == nil || p.heartbeatAt.Before(next.heartbeatAt)) {
 			next = p
 		}
 	}
--- a/core/dispatch/queueconfig_test.go
+++ b/core/dispatch/queueconfig_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
-
+	"slices"
 	"testing"
 	"time"
 
@@ -256,3 +256,17 @@
 	f.hear(time.Second, 3, false)
 	assert.Equal(t, len(f.asked), 2)
 }
+
+// TestEntryWhoseDataCentreLostPlatformAsksOthers guards against entries that are all behind, and hear only each other.
+func TestEntryWhoseDataCentreLostPlatformAsksOthers(t *testing.T) {
+	f := newConfigFleet(20)
+	for i := 10; i < 20; i++ {
+		f.peers[i].ID.DataCentre = "dc1"
+	}
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.step(cornelwall.MembersListed{List: f.peers})
+	f.step(cornelwall.PlatformLost{})
+	f.peers = f.peers[:10]
+	f.hear(time.Second, 1, true)
+	assert.Assert(t, slices.ContainsFunc(f.sent, func(s cornelwall.Send) bool { return s.To.DataCentre != f.self.DataCentre }))
+}
