--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -34,9 +35,15 @@
 }
 
 func newEntry(t *testing.T, self cornelwall.Incarnation, token string) *testEntry {
+	t.Helper()
+	return newEntryAt(t, Config{Self: self, Secret: token, Timeout: 10 * time.Second}, nil)
+}
+
+// newEntryAt returns an entry whose listener is wrapped, if wrap is set.
+func newEntryAt(t *testing.T, cfg Config, wrap func(net.Listener) net.Listener) *testEntry {
 	t.Helper()
 	e := &testEntry{inbox: make(inbox, 1<<17)}
-	e.Peers = New(Config{Self: self, Secret: token, Timeout: 10 * time.Second}, e.inbox, logr.Discard())
+	e.Peers = New(cfg, e.inbox, logr.Discard())
 	mux := http.NewServeMux()
 	path, h := e.Handler()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
@@ -44,7 +51,11 @@
 		defer e.gate.RUnlock()
 		h.ServeHTTP(w, r)
 	})
-	server := httptest.NewServer(mux)
+	server := httptest.NewUnstartedServer(mux)
+	if wrap != nil {
+		server.Listener = wrap(server.Listener)
+	}
+	server.Start()
 	e.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = e.Run(ctx) }()
