--- a/io/peer/outbox.go
+++ b/io/peer/outbox.go
@@ -21,11 +21,31 @@
 	outboxIdleTimeout   = time.Minute // after which an empty outbox is removed
 )
 
-// outboxKey identifies an outbox. Unordered messages to an address have an outbox of their
-// own, so that a large envelope or a silent connection does not delay them.
+// lane is one of the ways from an entry to an address. Each has an outbox and connections of its own, so
+// that a large envelope or a silent connection of one does not delay the messages of another.
+type lane int
+
+const (
+	ordered   lane = iota
+	unordered      // messages that do not wait behind others
+	bulk           // messages that may be large; an envelope is given up once it makes no progress
+)
+
+// laneOf returns the lane of a message.
+func laneOf(s *cornelwall.Send) lane {
+	switch {
+	case s.Unordered:
+		return unordered
+	case s.Bulk:
+		return bulk
+	}
+	return ordered
+}
+
+// outboxKey identifies an outbox.
 type outboxKey struct {
-	addr      netip.AddrPort
-	unordered bool
+	addr netip.AddrPort
+	lane lane
 }
 
 // outbox is the queue of messages to one address. Each has its own sending goroutine, so that
@@ -33,6 +53,7 @@
 type outbox struct {
 	key         outboxKey
 	client      *connect.Client[cornelwall.Envelope, Ack]
+	timeout     time.Duration // of one envelope
 	queue       []cornelwall.Send
 	queuedBytes int // estimated size of queue
 	wake        chan struct{}
@@ -43,12 +64,15 @@
 func (p *Peers) outboxFor(key outboxKey) *outbox {
 	box := p.outboxes[key]
 	if box == nil {
+		client, timeout := p.client, p.cfg.Timeout
+		if key.lane == bulk {
+			client, timeout = p.bulkClient, transferLimit
+		}
 		box = &outbox{
-			key: key,
-			client: connect.NewClient[cornelwall.Envelope, Ack](p.client, "http://"+key.addr.String()+procedure,
-				connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelopeBytes), connect.WithInterceptors(p.auth()),
-				connect.WithAcceptCompression(gzip, nil, nil)),
-			wake: make(chan struct{}, 1),
+			key:     key,
+			client:  newClient[cornelwall.Envelope, Ack](p, client, key.addr, deliverProcedure),
+			timeout: timeout,
+			wake:    make(chan struct{}, 1),
 		}
 		p.outboxes[key] = box
 		p.wg.Go(func() { p.sendLoop(box) })
@@ -169,7 +193,7 @@
 
 // sendEnvelope sends an envelope once. If the call fails, the envelope is reported to the core.
 func (p *Peers) sendEnvelope(box *outbox, e cornelwall.Envelope) {
-	ctx, cancel := context.WithTimeout(p.ctx, p.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(p.ctx, box.timeout)
 	defer cancel()
 	sentEnvelopes.Inc()
 	sentMessages.Add(len(e.Messages))
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -15,6 +15,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -27,10 +28,11 @@
 )
 
 const (
-	procedure        = "/cornelwall.Peer/Deliver"
+	deliverProcedure = "/cornelwall.Peer/Deliver"
 	maxEnvelopeBytes = 32 << 20 // bytes
 	flushTimeout     = time.Second
-	idleConns        = 2 // kept per entry
+	transferLimit    = 30 * time.Second // of one large message, however steadily it goes
+	idleConns        = 2                // kept per entry
 	bearerPrefix     = "Bearer "
 	gzip             = "gzip" // turned off: it costs more than it saves on small messages
 )
@@ -47,7 +49,7 @@
 type Config struct {
 	Self    cornelwall.Incarnation
 	Secret  string        // shared by all entries
-	Timeout time.Duration // of one envelope
+	Timeout time.Duration // of one envelope, unless its messages are marked Bulk
 }
 
 // Ack acknowledges an envelope.
@@ -55,10 +57,11 @@
 
 // Peers sends envelopes to other entries and receives theirs.
 type Peers struct {
-	cfg    Config
-	sink   cornelwall.EventSink
-	log    logr.Logger
-	client *http1.HTTPClient
+	cfg        Config
+	sink       cornelwall.EventSink
+	log        logr.Logger
+	client     *http1.HTTPClient
+	bulkClient *http1.HTTPClient // for large messages
 
 	mu       sync.Mutex
 	closed   bool
@@ -75,10 +78,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Peers{
 		cfg: cfg, sink: sink, log: log,
-		client:   http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
-		outboxes: map[outboxKey]*outbox{},
-		closing:  make(chan struct{}),
-		ctx:      ctx, cancel: cancel,
+		client:     http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
+		bulkClient: http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
+		outboxes:   map[outboxKey]*outbox{},
+		closing:    make(chan struct{}),
+		ctx:        ctx, cancel: cancel,
 		done: make(chan struct{}),
 	}
 }
@@ -92,7 +96,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.outboxFor(outboxKey{s.Addr, s.Unordered}).add(s) {
+	if p.closed || p.outboxFor(outboxKey{s.Addr, laneOf(&s)}).add(s) {
 		return
 	}
 	fullOutboxes.Inc()
@@ -101,6 +105,13 @@
 	p.wg.Go(func() { p.reportUndelivered(e, false) })
 }
 
+// newClient returns a client of a procedure of the entry at addr.
+func newClient[Req, Resp any](p *Peers, c *http1.HTTPClient, addr netip.AddrPort, procedure string) *connect.Client[Req, Resp] {
+	return connect.NewClient[Req, Resp](c, "http://"+addr.String()+procedure,
+		connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelopeBytes), connect.WithInterceptors(p.auth()),
+		connect.WithAcceptCompression(gzip, nil, nil))
+}
+
 // auth adds the shared secret to requests.
 func (p *Peers) auth() connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
@@ -113,9 +124,9 @@
 
 // Handler returns the handler that receives envelopes, and its path.
 func (p *Peers) Handler() (string, http.Handler) {
-	h := connect.NewUnaryHandler(procedure, p.receive,
+	h := connect.NewUnaryHandler(deliverProcedure, p.receive,
 		connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelopeBytes), connect.WithCompression(gzip, nil, nil))
-	return procedure, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return deliverProcedure, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !p.authorised(r) { // checked before the body is read
 			wrongSecrets.Inc()
 			http.Error(w, "peer secret is wrong; set the same on all entries", http.StatusUnauthorized)
@@ -148,6 +159,7 @@
 	timer.Stop()
 	p.cancel()
 	p.client.CloseIdleConnections()
+	p.bulkClient.CloseIdleConnections()
 	return nil
 }
 
