--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -114,7 +114,7 @@
 		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime},
 	}, clock.Now())
 	d.loop = control.New(core, clock, d.log)
-	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout}, d.loop, d.log)
+	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout, Clock: clock}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
 	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, clock, d.log)
 	d.loop.Connect(peers, executors, service)
--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -259,7 +259,7 @@
 	switch cmd := cmd.(type) {
 	case cornelwall.ReplyCommand:
 		l.reply(cmd.Request(), cmd)
-	case cornelwall.Send:
+	case cornelwall.Send, cornelwall.FetchQueueConfig, cornelwall.ServeQueueConfig:
 		l.peers.Handle(cmd)
 	case cornelwall.RunTask, cornelwall.AbandonTask, cornelwall.PollUsage, cornelwall.PollEndpoint, cornelwall.StartRun, cornelwall.StopRun:
 		l.endpoints.Handle(cmd)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -1,14 +1,21 @@
-// Package peer sends envelopes of messages between the entries, over connect with CBOR.
+// Package peer sends envelopes of messages between the entries, over connect with CBOR, and fetches
+// the queue configurations of other entries.
 //
 // Messages to one entry are sent in order, many in one envelope: while an envelope is in flight,
 // new messages are queued for the next one. An envelope whose delivery was not confirmed is
-// reported to the core as Undelivered.
+// reported to the core as Undelivered. Messages marked Unordered or Bulk go by ways of their own.
+//
+// A queue configuration is fetched by the entry that needs it, in a call of its own, and the entry
+// that has it sends it to few others at a time. Such a transfer, and that of a Bulk message, is given
+// up only when it makes no progress.
 //
 // # Usage
 //
 //	p := peer.New(cfg, loop, log)
 //	mux.Handle(p.Handler())
 //	p.Handle(cornelwall.Send{...})
+//	p.Handle(cornelwall.ServeQueueConfig{...}) // what other entries get from this one
+//	p.Handle(cornelwall.FetchQueueConfig{...}) // posts a QueueConfigFetched
 package peer
 
 import (
@@ -17,6 +24,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,6 +36,7 @@
 )
 
 const (
+	pathPrefix       = "/cornelwall.Peer/"
 	deliverProcedure = "/cornelwall.Peer/Deliver"
 	maxEnvelopeBytes = 32 << 20 // bytes
 	flushTimeout     = time.Second
@@ -48,8 +57,9 @@
 // Config holds the settings of Peers.
 type Config struct {
 	Self    cornelwall.Incarnation
-	Secret  string        // shared by all entries
-	Timeout time.Duration // of one envelope, unless its messages are marked Bulk
+	Secret  string           // shared by all entries
+	Timeout time.Duration    // of one envelope, unless its messages are marked Bulk
+	Clock   cornelwall.Clock // nil is the system clock
 }
 
 // Ack acknowledges an envelope.
@@ -63,6 +73,12 @@
 	client     *http1.HTTPClient
 	bulkClient *http1.HTTPClient // for large messages
 
+	served      atomic.Pointer[servedConfig] // nil before the first ServeQueueConfig
+	transfers   chan struct{}                // holds an element for each configuration that is being sent
+	fetchClient *http1.HTTPClient
+	fetchCtx    context.Context // ends when Run begins to stop
+	stopFetches context.CancelFunc
+
 	mu       sync.Mutex
 	closed   bool
 	outboxes map[outboxKey]*outbox
@@ -73,27 +89,44 @@
 	done     chan struct{}
 }
 
-// New returns Peers that post received and undelivered envelopes to sink.
+// New returns Peers that post to sink the envelopes received or undelivered and the queue configurations
+// fetched.
 func New(cfg Config, sink cornelwall.EventSink, log logr.Logger) *Peers {
+	if cfg.Clock == nil {
+		cfg.Clock = cornelwall.SystemClock{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
+	fetchCtx, stopFetches := context.WithCancel(ctx)
 	return &Peers{
 		cfg: cfg, sink: sink, log: log,
-		client:     http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
-		bulkClient: http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
-		outboxes:   map[outboxKey]*outbox{},
-		closing:    make(chan struct{}),
-		ctx:        ctx, cancel: cancel,
+		client:      http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
+		bulkClient:  http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
+		transfers:   make(chan struct{}, maxTransfers),
+		fetchClient: http1.NewHTTPClient(http1.Config{MaxIdle: fetchIdleConns, DialTimeout: stallTimeout, MaxBody: maxEnvelopeBytes}),
+		fetchCtx:    fetchCtx, stopFetches: stopFetches,
+		outboxes: map[outboxKey]*outbox{},
+		closing:  make(chan struct{}),
+		ctx:      ctx, cancel: cancel,
 		done: make(chan struct{}),
 	}
 }
 
-// Handle queues the message of a Send. If the outbox is full, the message is reported to the
-// core as Undelivered. Once ctx of Run has ended, Handle does nothing.
+// Handle carries out a Send, FetchQueueConfig or ServeQueueConfig without waiting for other entries.
+// Once ctx of Run has ended, Handle sends and fetches nothing.
 func (p *Peers) Handle(cmd cornelwall.Command) {
-	s, ok := cmd.(cornelwall.Send)
-	if !ok {
-		return
+	switch cmd := cmd.(type) {
+	case cornelwall.Send:
+		p.send(cmd)
+	case cornelwall.FetchQueueConfig:
+		p.startFetch(cmd)
+	case cornelwall.ServeQueueConfig:
+		p.served.Store(newServedConfig(cmd.Config))
 	}
+}
+
+// send queues the message of a Send. If the outbox is full, the message is reported to the core as
+// Undelivered.
+func (p *Peers) send(s cornelwall.Send) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.outboxFor(outboxKey{s.Addr, laneOf(&s)}).add(s) {
@@ -122,20 +155,27 @@
 	})
 }
 
-// Handler returns the handler that receives envelopes, and its path.
+// Handler returns the handler of requests from other entries, and the prefix of its paths.
 func (p *Peers) Handler() (string, http.Handler) {
-	h := connect.NewUnaryHandler(deliverProcedure, p.receive,
-		connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelopeBytes), connect.WithCompression(gzip, nil, nil))
-	return deliverProcedure, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	mux := http.NewServeMux()
+	mux.Handle(deliverProcedure, newHandler(deliverProcedure, p.receive))
+	mux.Handle(fetchProcedure, p.serveHandler())
+	return pathPrefix, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !p.authorised(r) { // checked before the body is read
 			wrongSecrets.Inc()
 			http.Error(w, "peer secret is wrong; set the same on all entries", http.StatusUnauthorized)
 			return
 		}
-		h.ServeHTTP(w, r)
+		mux.ServeHTTP(w, r)
 	})
 }
 
+// newHandler returns the handler of a procedure.
+func newHandler[Req, Resp any](procedure string, f func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)) http.Handler {
+	return connect.NewUnaryHandler(procedure, f,
+		connect.WithCodec(NewCodec()), connect.WithReadMaxBytes(maxEnvelopeBytes), connect.WithCompression(gzip, nil, nil))
+}
+
 func (p *Peers) authorised(r *http.Request) bool {
 	want := bearerPrefix + p.cfg.Secret
 	return subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) == 1
@@ -146,13 +186,14 @@
 	return connect.NewResponse(&Ack{}), nil
 }
 
-// Run waits for ctx to end, then gives the outboxes flushTimeout to send their queues.
+// Run waits for ctx to end, then ends all fetches and gives the outboxes flushTimeout to send their queues.
 func (p *Peers) Run(ctx context.Context) error {
 	defer close(p.done)
 	<-ctx.Done()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
+	p.stopFetches()
 	close(p.closing)
 	timer := time.AfterFunc(flushTimeout, p.cancel)
 	p.wg.Wait()
@@ -160,6 +201,7 @@
 	p.cancel()
 	p.client.CloseIdleConnections()
 	p.bulkClient.CloseIdleConnections()
+	p.fetchClient.CloseIdleConnections()
 	return nil
 }
 
