--- a/io/peer/outbox.go
+++ b/io/peer/outbox.go
@@ -17,7 +17,6 @@
 	maxOutboxBytes      = 64 << 20    // bytes of the messages in one outbox
 	maxEnvelopeMessages = 4096        // messages in one envelope
 	fullEnvelopeBytes   = 4 << 20     // bytes of messages; an envelope with at least as many takes no more
-	messageOverhead     = 256         // estimated bytes of a message, or of a task in it, without the body
 	outboxIdleTimeout   = time.Minute // after which an empty outbox is removed
 )
 
@@ -120,28 +119,6 @@
 	return e, true
 }
 
-// estimateSize returns approximately how many bytes a message takes.
-func estimateSize(m *cornelwall.Message) int {
-	size := messageOverhead
-	switch {
-	case m.Forward != nil && m.Forward.Job != nil:
-		for i := range m.Forward.Job.Tasks {
-			size += messageOverhead + len(m.Forward.Job.Tasks[i].Body)
-		}
-	case m.ForwardReply != nil:
-		for i := range m.ForwardReply.Answer.Tasks {
-			size += messageOverhead + len(m.ForwardReply.Answer.Tasks[i].Body)
-		}
-	case m.RecordTransfer != nil:
-		for i := range m.RecordTransfer.Records {
-			size += m.RecordTransfer.Records[i].Bytes()
-		}
-	case m.Profiles != nil:
-		size += messageOverhead * len(m.Profiles.Profiles)
-	}
-	return size
-}
-
 // sendLoop sends the messages of an outbox until it has been idle for outboxIdleTimeout or
 // Run ends.
 func (p *Peers) sendLoop(box *outbox) {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -40,7 +40,10 @@
 	deliverProcedure = "/cornelwall.Peer/Deliver"
 	maxEnvelopeBytes = 32 << 20 // bytes
 	flushTimeout     = time.Second
-	transferLimit    = 30 * time.Second // of one large message, however steadily it goes
+	connectTimeout   = time.Second      // of a connection for transfers
+	answerTimeout    = time.Second      // until the answer to a QueueConfigRequest begins
+	stallTimeout     = 2 * time.Second  // without progress, after which a transfer is given up
+	transferLimit    = 30 * time.Second // of one transfer, however steadily it goes
 	idleConns        = 2                // kept per entry
 	bearerPrefix     = "Bearer "
 	gzip             = "gzip" // turned off: it costs more than it saves on small messages
@@ -99,11 +102,12 @@
 	fetchCtx, stopFetches := context.WithCancel(ctx)
 	return &Peers{
 		cfg: cfg, sink: sink, log: log,
-		client:      http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
-		bulkClient:  http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
-		transfers:   make(chan struct{}, maxTransfers),
-		fetchClient: http1.NewHTTPClient(http1.Config{MaxIdle: fetchIdleConns, DialTimeout: stallTimeout, MaxBody: maxEnvelopeBytes}),
-		fetchCtx:    fetchCtx, stopFetches: stopFetches,
+		client:     http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: cfg.Timeout}),
+		bulkClient: http1.NewHTTPClient(http1.Config{MaxIdle: idleConns, DialTimeout: connectTimeout, AnswerTimeout: stallTimeout, StallTimeout: stallTimeout}),
+		transfers:  make(chan struct{}, maxTransfers),
+		fetchClient: http1.NewHTTPClient(http1.Config{MaxIdle: fetchIdleConns, DialTimeout: connectTimeout, AnswerTimeout: answerTimeout,
+			StallTimeout: stallTimeout, MaxBody: maxEnvelopeBytes}),
+		fetchCtx: fetchCtx, stopFetches: stopFetches,
 		outboxes: map[outboxKey]*outbox{},
 		closing:  make(chan struct{}),
 		ctx:      ctx, cancel: cancel,
--- a/io/peer/queueconfig.go
+++ b/io/peer/queueconfig.go
@@ -16,10 +16,9 @@
 
 const (
 	fetchProcedure = "/cornelwall.Peer/FetchQueueConfig"
-	maxTransfers   = 2               // queue configurations that are sent at a time; more would share the link
-	transferChunk  = 16 << 10        // bytes of an answer that are written under one deadline
-	stallTimeout   = 1 * time.Second // after which a transfer without progress is given up
-	fetchIdleConns = 1               // kept per entry
+	maxTransfers   = 2        // queue configurations that are sent at a time; more would share the link
+	transferChunk  = 16 << 10 // bytes of an answer that are written under one deadline
+	fetchIdleConns = 1        // kept per entry
 )
 
 var (
