http1: an exchange can be ended for lack of progress, not only at a deadline

A caller could only limit the whole exchange, so that a transfer over a thin link was thrown away however far it had come. Config has AnswerTimeout (from the end of the request to the first byte of the answer) and StallTimeout (without a further byte, of the request or of the answer); 0, the default, is none. The deadline of the context stays the outer limit, and an interrupted connection keeps its deadline in the past: a read that renewed it would undo the cancel (TestInterruptedReadStaysInterrupted hangs without the guard). Requests are written in chunks with a deadline each, and the send buffer is small, so that what the system has taken and not sent hides a stall only for a moment. ErrNoAnswer and ErrStalled tell which time has passed.

WithObserver tells how many bytes of an answer have come while it is on its way.

The error of a failed write is the connection's own: net/http wraps it in one that hides that it is a timeout, after which idle connections were kept.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -12,10 +12,15 @@
 // The transport of net/http may retry a request by itself, and wakes two goroutines for each.
 // Here the goroutine that makes a request writes it and reads the answer itself, on one
 // connection only. HTTPClient is such a client for libraries that use an *http.Request.
+//
+// The deadline of the context is for the whole exchange. Where large answers come over links of any
+// speed, Config.AnswerTimeout and Config.StallTimeout end an exchange that makes no progress, and
+// leave time to one that does.
 package http1
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,14 +49,20 @@
 	// ErrOtherProcess means that another process serves the address than the one that Request.Process
 	// names.
 	ErrOtherProcess = errors.New("another process serves this address; ask it what it is, and send the request again")
+	// ErrNoAnswer means that no byte of the answer came within Config.AnswerTimeout.
+	ErrNoAnswer = errors.New("no answer has begun in time; check that the server runs, or raise the answer timeout")
+	// ErrStalled means that no further byte came or was accepted within Config.StallTimeout.
+	ErrStalled = errors.New("the transfer has stalled; check the network and send the request again")
 )
 
 // Config holds the settings of a Client. The zero value is usable.
 type Config struct {
-	DialTimeout time.Duration    // for a new connection; 0 is 1 s
-	MaxIdle     int              // idle connections kept per pool; 0 is 8
-	MaxBody     int64            // largest body of an answer in bytes; 0 is 4 MiB
-	Clock       cornelwall.Clock // nil is the system clock
+	DialTimeout   time.Duration    // for a new connection; 0 is 1 s
+	AnswerTimeout time.Duration    // from the end of a request to the first byte of the answer; 0 is none
+	StallTimeout  time.Duration    // without a further byte of a request or an answer; 0 is none
+	MaxIdle       int              // idle connections kept per pool; 0 is 8
+	MaxBody       int64            // largest body of an answer in bytes; 0 is 4 MiB
+	Clock         cornelwall.Clock // for the age of idle connections; nil is the system clock
 	// Identify returns the name of the server process that an answer comes from, or "" if the answer
 	// does not tell. A connection leads to one process as long as it lasts.
 	Identify func(Response) string
@@ -134,14 +145,14 @@
 	defer p.releaseSlot()
 	nc := p.takeIdle(c.cfg.Clock.Now(), e.process)
 	if nc == nil {
-		if nc, err = dial(ctx, c.cfg.DialTimeout, addr); err != nil {
+		if nc, err = dial(ctx, c.cfg, addr); err != nil {
 			return resp, false, err
 		}
 	}
 	deadline, _ := ctx.Deadline() // the zero time is no deadline
-	_ = nc.SetDeadline(deadline)  // fails only on a closed connection, on which the write fails too
+	nc.begin(deadline)
 	stop := context.AfterFunc(ctx, nc.interrupt)
-	resp, sent, keep, err := c.sendTo(nc, e)
+	resp, sent, keep, err := c.sendTo(ctx, nc, e)
 	if !stop() || err != nil && !errors.Is(err, ErrOtherProcess) || !keep {
 		_ = nc.Close() // an error would not change the result
 	} else {
@@ -156,9 +167,9 @@
 
 // sendTo sends the request of an exchange on a connection, once the connection is known to lead to the
 // process that the request is for. Sent tells of the request alone, and not of the probe.
-func (c *Client) sendTo(nc *conn, e *exchange) (resp Response, sent, keep bool, err error) {
+func (c *Client) sendTo(ctx context.Context, nc *conn, e *exchange) (resp Response, sent, keep bool, err error) {
 	if e.process != "" && nc.process == "" {
-		resp, keep, err = c.roundTrip(nc, e.probe())
+		resp, keep, err = c.roundTrip(ctx, nc, e.probe())
 		if err != nil || nc.process == "" || !keep {
 			return resp, false, keep, err
 		}
@@ -167,14 +178,14 @@
 		return Response{}, false, true, ErrOtherProcess
 	}
 	nc.wrote = false
-	resp, keep, err = c.roundTrip(nc, e.request)
+	resp, keep, err = c.roundTrip(ctx, nc, e.request)
 	return resp, nc.wrote, keep, err
 }
 
 // roundTrip writes a request and reads the answer, which may tell the process that the connection
 // leads to.
-func (c *Client) roundTrip(nc *conn, r *http.Request) (resp Response, keep bool, err error) {
-	resp, keep, err = nc.roundTrip(r, c.cfg.MaxBody)
+func (c *Client) roundTrip(ctx context.Context, nc *conn, r *http.Request) (resp Response, keep bool, err error) {
+	resp, keep, err = nc.roundTrip(r, c.cfg.MaxBody, observerOf(ctx))
 	if err == nil && nc.process == "" && c.cfg.Identify != nil {
 		nc.process = c.cfg.Identify(resp)
 	}
@@ -183,9 +194,10 @@
 
 // roundTrip writes a request and reads the answer. Keep is set if the connection can be used
 // again.
-func (c *conn) roundTrip(r *http.Request, maxBody int64) (resp Response, keep bool, err error) {
+func (c *conn) roundTrip(r *http.Request, maxBody int64, observe Observer) (resp Response, keep bool, err error) {
+	c.answered = false
 	if err := r.Write(c.w); err != nil {
-		return resp, false, err
+		return resp, false, cmp.Or(c.writeErr, err)
 	}
 	if err := c.w.Flush(); err != nil {
 		return resp, false, err
@@ -196,7 +208,7 @@
 	}
 	defer func() { _ = got.Body.Close() }()
 	resp = Response{Status: got.StatusCode, Header: got.Header}
-	resp.Body, err = io.ReadAll(io.LimitReader(got.Body, maxBody+1))
+	resp.Body, err = io.ReadAll(io.LimitReader(observedBody{got.Body, got.StatusCode, observe}, maxBody+1))
 	if err != nil {
 		return resp, false, fmt.Errorf("read answer: %w", err)
 	}
