--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -199,3 +199,16 @@
 		})
 	}
 }
+
+// TestRestOfFailedAnswerIsAwaited has an answer that is too large and never ends.
+func TestRestOfFailedAnswerIsAwaited(t *testing.T) {
+	const maxBody = 10
+	addr, _ := serveOnce(t, func(nc *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n0123456789abcdef")
+		waitForClose(nc)
+	})
+	c := New(Config{MaxBody: maxBody})
+	defer c.Close()
+	_, _, err := c.Do(context.Background(), addr, 0, Request{Method: http.MethodGet, Path: "/"})
+	assert.ErrorIs(t, err, ErrTooLarge)
+}
