--- a/io/peer/bulk_test.go
+++ b/io/peer/bulk_test.go
@@ -26,7 +26,7 @@
 // TestLargeMessageDoesNotTakeOthersAlong sends a message that takes several times the timeout of an envelope.
 func TestLargeMessageDoesNotTakeOthersAlong(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	const timeout, pause, n = time.Second, 40 * time.Millisecond, 10
+	const timeout, pause, n = time.Second, 10 * time.Millisecond, 10
 	a := newEntryAt(t, Config{Self: from, Secret: secret, Timeout: timeout}, nil)
 	b := newEntryAt(t, Config{Self: to, Secret: secret, Timeout: timeout}, slow(pause))
 	defer a.stop()
--- a/io/peer/slowlink_test.go
+++ b/io/peer/slowlink_test.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	linkChunk  = 16 << 10 // bytes that pass a slowLink at once
+	linkChunk  = 4 << 10  // bytes that pass a slowLink at once
 	linkBuffer = 32 << 10 // bytes that wait at each end of a slowLink
 )
 
