--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -29,6 +29,7 @@
 	starts    []cornelwall.RunID
 	scheduled []simEvent
 	logs      []string
+	served    map[cornelwall.Incarnation]*cornelwall.QueueConfig // that other entries get when they fetch it
 	// extraDelay returns how much longer than simDelay a message is in transit.
 	extraDelay func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
 	// replyLost reports whether an order is carried out and its reply lost.
@@ -44,6 +45,7 @@
 	return &simulation{
 		t: t, now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC),
 		cores: map[cornelwall.Incarnation]*Core{}, endpoints: map[string]*leased.Endpoint{}, running: map[string]cornelwall.RunID{},
+		served:     map[cornelwall.Incarnation]*cornelwall.QueueConfig{},
 		extraDelay: func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 0 },
 		replyLost:  func(cornelwall.Incarnation, cornelwall.Command) bool { return false },
 	}
@@ -155,12 +157,29 @@
 		case cornelwall.PollEndpoint, cornelwall.StartRun, cornelwall.StopRun:
 			sent, lost := s.now, s.replyLost(id, cmd)
 			s.after(simDelay, func() { s.execute(id, cmd, sent, lost) })
+		case cornelwall.ServeQueueConfig:
+			s.served[id] = cmd.Config
+		case cornelwall.FetchQueueConfig:
+			s.after(2*simDelay, func() { s.step(id, s.fetch(cmd)) })
 		case cornelwall.Log:
 			s.logs = append(s.logs, cmd.Event)
 		}
 	}
 }
 
+// fetch returns the end of a fetch of another entry's queue configuration.
+func (s *simulation) fetch(cmd cornelwall.FetchQueueConfig) cornelwall.Event {
+	ev := cornelwall.QueueConfigFetched{From: cmd.From, Result: cornelwall.FetchNoNewer, Took: 2 * simDelay}
+	cfg := s.served[cmd.From]
+	switch {
+	case s.cores[cmd.From] == nil:
+		ev.Result = cornelwall.FetchFailed
+	case cfg != nil && cfg.Version > cmd.Have:
+		ev.Result, ev.Config = cornelwall.FetchDone, cfg
+	}
+	return ev
+}
+
 // execute carries out an order at its endpoint and schedules the reply. A lost reply reaches the
 // entry as a timeout.
 func (s *simulation) execute(id cornelwall.Incarnation, cmd cornelwall.Command, sent time.Time, lost bool) {
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -27,6 +27,13 @@
 	Store *Store
 	// Link decides how an envelope is delivered. Nil delivers all without delay.
 	Link func(from, to cornelwall.Incarnation, e cornelwall.Envelope) Delivery
+	// SendMessage, unless nil, replaces Link: it carries a message and posts its arrival or its loss.
+	SendMessage func(h *Host, s cornelwall.Send)
+	// FetchLink decides how long a fetch of a queue configuration takes, and whether the answer arrives.
+	// Nil lets all arrive after fetchTime.
+	FetchLink func(from, to cornelwall.Incarnation) (took time.Duration, ok bool)
+	// StartFetch, unless nil, replaces FetchLink: it fetches what the other host serves, and posts the end.
+	StartFetch func(h *Host, cmd cornelwall.FetchQueueConfig)
 	// TaskResult decides the result of a task and how long it takes.
 	TaskResult func(h *Host, r cornelwall.RunTask) (time.Duration, cornelwall.Result)
 	// StartTask, unless nil, replaces TaskResult: it starts the task and reports the end with
@@ -61,7 +68,9 @@
 	Addr       netip.AddrPort
 	Frozen     bool
 	Dead       bool
-	PoweredOff bool // of a dead host: connections to it are not refused
+	PoweredOff bool                    // of a dead host: connections to it are not refused
+	Serves     *cornelwall.QueueConfig // what other hosts get when they fetch its queue configuration
+	Transfers  int                     // fetches that it answers now
 
 	// StepDelay returns the time that the host takes for an event. Events that arrive
 	// meanwhile are queued. Nil is no delay; a host with StepDelay is called slow below.
@@ -79,6 +88,12 @@
 // then until its commands are sent.
 type Delay struct{ BeforeStep, BeforeSend time.Duration }
 
+const (
+	fetchTime      = 3 * time.Millisecond
+	silenceTimeout = 600 * time.Millisecond // after which a fetch without progress fails
+	maxTransfers   = 2                      // fetches that a host answers at a time
+)
+
 // maxBatch is how many events after the first a slow host handles at most before it checks
 // its timer.
 const maxBatch = 256
@@ -98,6 +113,9 @@
 	return &World{Now: start, Store: NewStore(), hosts: map[netip.AddrPort]*Host{}, queue: heap.New(earlier, nil)}
 }
 
+// HostAt returns the host at an address, or nil.
+func (w *World) HostAt(addr netip.AddrPort) *Host { return w.hosts[addr] }
+
 // AddHost adds a host at an address. A previous host at that address becomes dead.
 func (w *World) AddHost(core cornelwall.Core, self cornelwall.Incarnation, addr netip.AddrPort) *Host {
 	if old := w.hosts[addr]; old != nil {
@@ -278,21 +296,20 @@
 
 // execute carries out the commands of a core. Messages to the same peer share an envelope.
 func (w *World) execute(h *Host, cmds []cornelwall.Command) {
-	var envelopes []*cornelwall.Envelope
-	var addrs []netip.AddrPort
+	var envelopes []*outgoing
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case cornelwall.Send:
-			i := len(envelopes) - 1
-			for i >= 0 && (addrs[i] != cmd.Addr || envelopes[i].To != cmd.To) {
-				i--
-			}
-			if i < 0 {
-				envelopes = append(envelopes, &cornelwall.Envelope{From: h.Self, To: cmd.To})
-				addrs = append(addrs, cmd.Addr)
-				i = len(envelopes) - 1
+			if w.SendMessage != nil {
+				w.Messages++
+				w.SendMessage(h, cmd)
+				continue
 			}
-			envelopes[i].Messages = append(envelopes[i].Messages, cmd.Message)
+			envelopes = addMessage(envelopes, h, cmd)
+		case cornelwall.ServeQueueConfig:
+			h.Serves = cmd.Config
+		case cornelwall.FetchQueueConfig:
+			w.fetch(h, cmd)
 		case cornelwall.RunTask:
 			if w.StartTask != nil {
 				w.StartTask(h, cmd)
@@ -311,9 +328,77 @@
 			}
 		}
 	}
-	for i, e := range envelopes {
-		w.send(h, addrs[i], *e)
+	for _, e := range envelopes {
+		w.send(h, e.addr, e.Envelope)
+	}
+}
+
+// outgoing is an envelope that is put together.
+type outgoing struct {
+	cornelwall.Envelope
+	addr netip.AddrPort
+	bulk bool
+}
+
+// addMessage adds a message to the envelope to its peer. Bulk messages have envelopes of their own.
+func addMessage(envelopes []*outgoing, h *Host, s cornelwall.Send) []*outgoing {
+	i := len(envelopes) - 1
+	for i >= 0 && (envelopes[i].addr != s.Addr || envelopes[i].To != s.To || envelopes[i].bulk != s.Bulk) {
+		i--
+	}
+	if i < 0 {
+		envelopes = append(envelopes, &outgoing{Envelope: cornelwall.Envelope{From: h.Self, To: s.To}, addr: s.Addr, bulk: s.Bulk})
+		i = len(envelopes) - 1
+	}
+	envelopes[i].Messages = append(envelopes[i].Messages, s.Message)
+	return envelopes
+}
+
+// fetch answers a FetchQueueConfig with one event, whatever happens to the hosts meanwhile.
+func (w *World) fetch(h *Host, cmd cornelwall.FetchQueueConfig) {
+	if w.StartFetch != nil {
+		w.StartFetch(h, cmd)
+		return
+	}
+	end := func(after time.Duration, result cornelwall.FetchResult, cfg *cornelwall.QueueConfig) {
+		w.PostAfter(after, h, cornelwall.QueueConfigFetched{From: cmd.From, Result: result, Config: cfg, Took: after})
+	}
+	from := w.hosts[cmd.Addr]
+	switch {
+	case from == nil || from.Dead && !from.PoweredOff:
+		end(time.Millisecond, cornelwall.FetchFailed, nil)
+		return
+	case from.Dead || from.Frozen:
+		end(silenceTimeout, cornelwall.FetchFailed, nil)
+		return
+	}
+	took, ok := fetchTime, true
+	if w.FetchLink != nil {
+		took, ok = w.FetchLink(h.Self, from.Self)
+	}
+	result := from.AnswerFetch(cmd.Have)
+	switch {
+	case !ok:
+		end(took, cornelwall.FetchFailed, nil)
+	case result != cornelwall.FetchDone:
+		end(took, result, nil)
+	default:
+		end(took, result, from.Serves)
+		from.Transfers++
+		w.CallAfter(took, func() { from.Transfers-- })
+	}
+}
+
+// AnswerFetch returns how a host answers a fetch by an entry that has a version. With FetchDone, it sends
+// Serves.
+func (h *Host) AnswerFetch(have uint64) cornelwall.FetchResult {
+	switch {
+	case h.Serves == nil || h.Serves.Version <= have:
+		return cornelwall.FetchNoNewer
+	case h.Transfers >= maxTransfers:
+		return cornelwall.FetchBusy
 	}
+	return cornelwall.FetchDone
 }
 
 func (w *World) send(h *Host, addr netip.AddrPort, e cornelwall.Envelope) {
