--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	peerPort            = 7001
+	maxLateness         = 8 * time.Second // of what is sent over a cut link
 	listInterval        = 500 * time.Millisecond
 	service             = "bookings"
 	host                = "holds.example"
@@ -25,6 +27,7 @@
 	clientRetryDelay    = 1300 * time.Millisecond // before a client without an answer submits its batch again
 	plannedStopInterval = 2 * time.Second         // minimum between two planned stops
 	memberTTL           = 1500 * time.Millisecond // for which a dead entry stays on the platform's list
+	fetchTimeout        = 600 * time.Millisecond  // after which a fetch without progress fails
 	orderTimeout        = 200 * time.Millisecond  // after which an order without a reply counts as unanswered
 	minOrderDelay       = 2 * time.Second         // of an order that is carried out late
 	maxOrderDelay       = 12 * time.Second
@@ -81,7 +84,10 @@
 }
 
 // size is the size of a system.
-type size struct{ entries, endpoints, dataCentres int }
+type size struct {
+	entries, endpoints, dataCentres int
+	seeds                           int // entries that all others know from the start
+}
 
 var small = size{entries: 4, endpoints: 6, dataCentres: 2}
 
@@ -134,6 +140,8 @@
 	nextReq        uint64
 	nextID         uint64
 
+	thinLinks *thinLinks // that carry messages and queue configurations; nil: links of any bandwidth
+
 	maxMeshPeers int // in the config of each core
 	size         size
 	listReads    int               // of the endpoint list
@@ -180,6 +188,7 @@
 	if mut.longRuns {
 		r.estimate *= longRunFactor
 	}
+	r.w.FetchLink = r.fetchLink
 	r.w.Link, r.w.HandleOrder, r.w.OnOutput = r.link, r.sendOrder, r.handleOutput
 	for i := range sz.endpoints {
 		ep := leased.New(fmt.Sprintf("x%d", i), endpointCapacity, r.w.Now)
@@ -191,7 +200,7 @@
 		r.endpoints = append(r.endpoints, ep)
 	}
 	for i := range sz.entries {
-		e := &entry{name: fmt.Sprintf("e%d", i), dc: r.dataCentre(i), addr: netip.AddrPortFrom(address(0, i), 7001)}
+		e := &entry{name: fmt.Sprintf("e%d", i), dc: r.dataCentre(i), addr: netip.AddrPortFrom(address(0, i), peerPort)}
 		r.entries = append(r.entries, e)
 		r.start(e)
 	}
@@ -212,7 +221,7 @@
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers,
+		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(),
 		Limits: dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
@@ -220,6 +229,15 @@
 	r.applyDelays(e)
 }
 
+// seedAddrs returns the addresses of the first entries.
+func (r *rig) seedAddrs() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for i := range r.size.seeds {
+		addrs = append(addrs, netip.AddrPortFrom(address(0, i), peerPort))
+	}
+	return addrs
+}
+
 // applyDelays sets the delays of an entry's host.
 func (r *rig) applyDelays(e *entry) {
 	e.host.StepDelay = nil
@@ -270,13 +288,20 @@
 				r.recordDrainsRead(e)
 				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
-			r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{{
-				Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: 2 * time.Second, Objective: r.objective, Stretch: 1.6,
-			}}}})
+			if r.thinLinks == nil {
+				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{r.queue()}}})
+			}
 		}
 	}
 }
 
+// queue returns the queue of the clients' batches.
+func (r *rig) queue() cornelwall.Queue {
+	return cornelwall.Queue{
+		Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: 2 * time.Second, Objective: r.objective, Stretch: 1.6,
+	}
+}
+
 // labels returns the labels of an endpoint's boot.
 func (r *rig) labels(ep *leased.Endpoint) []string {
 	if !r.mutation.kinds {
@@ -308,7 +333,7 @@
 	if r.isCut(from.Entry, to.Entry) || r.isStalled(from.Entry, to.Entry, &e) {
 		delivery := fake.Delivery{ReportAfter: 250 * time.Millisecond, ConnRefused: r.mutation.refuseUndelivered}
 		if r.rng.IntN(2) == 0 {
-			delivery.Delays = []time.Duration{time.Duration(r.rng.IntN(8000)) * time.Millisecond}
+			delivery.Delays = []time.Duration{r.lateness()}
 			r.w.CallAfter(delivery.Delays[0], func() { r.refreshSession(from, to, &e) })
 		}
 		return delivery
@@ -316,6 +341,23 @@
 	return fake.Delivery{Delays: []time.Duration{time.Duration(100+r.rng.IntN(2000)) * time.Microsecond}}
 }
 
+// lateness draws how late something arrives that was sent over a cut link.
+func (r *rig) lateness() time.Duration {
+	return time.Duration(r.rng.Int64N(maxLateness.Milliseconds())) * time.Millisecond
+}
+
+// fetchLink delays the fetches of queue configurations. On a cut link they fail or, as long as an
+// answer may trickle in, end late.
+func (r *rig) fetchLink(from, to cornelwall.Incarnation) (took time.Duration, ok bool) {
+	if !r.isCut(from.Entry, to.Entry) && !r.isCut(to.Entry, from.Entry) {
+		return time.Duration(1+r.rng.IntN(50)) * time.Millisecond, true
+	}
+	if r.rng.IntN(2) == 0 {
+		return r.lateness(), true
+	}
+	return fetchTimeout, false
+}
+
 // forgeHeartbeats applies forgeAcks to an envelope, and records the sessions and numbers in its
 // heartbeats.
 func (r *rig) forgeHeartbeats(from, to cornelwall.Incarnation, e *cornelwall.Envelope) {
