--- a/review/lab/case_config.go
+++ b/review/lab/case_config.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -201,19 +202,28 @@
 	if err != nil {
 		return err
 	}
-	store.from = func([]byte) string { return e.name }
+	store.from = func([]byte, net.Conn) string { return e.name }
 	e.storeAddr = store.addr()
 	go store.serve()
 	peers, err := c.net.relayTo(e.control, e.name)
 	if err != nil {
 		return err
 	}
-	peers.from = func(first []byte) string { return cmp.Or(c.nameIn(first), "unknown") }
+	peers.from = c.senderOf
 	e.announce = peers.addr()
 	go peers.serve()
 	return nil
 }
 
+// senderOf returns the entry that has opened a connection, by what it says first or else by the process.
+func (c *configLab) senderOf(first []byte, conn net.Conn) string {
+	if name := c.nameIn(first); name != "" {
+		return name
+	}
+	inode := inodesByPort()[conn.RemoteAddr().(*net.TCPAddr).Port]
+	return cmp.Or(c.entriesByInode()[inode], "unknown")
+}
+
 // startAll starts all entries.
 func (c *configLab) startAll() error {
 	for _, e := range c.entries[:min(3, len(c.entries))] {
--- a/review/lab/case_twice.go
+++ b/review/lab/case_twice.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -117,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	peers.from = func(first []byte) string { return t.nameIn(first) }
+	peers.from = func(first []byte, _ net.Conn) string { return t.nameIn(first) }
 	e.announce = peers.addr()
 	go peers.serve()
 	if t.callers[e], err = t.net.relayTo(e.callers, callersOf(e)); err != nil {
--- a/review/lab/network.go
+++ b/review/lab/network.go
@@ -18,6 +18,9 @@
 	packetSize  = 1460                 // bytes that it reads at once where links have a rate
 	relayWindow = 64 << 10             // bytes that wait before a relay of such a connection
 	rateBurst   = 5 * time.Millisecond // of bytes that a link passes at once, since a sleep may take too long
+
+	longestQueue = 300 * time.Millisecond // that bytes may wait at a link; later ones come when it is shorter
+	queueCheck   = 10 * time.Millisecond
 )
 
 // impairment is what is wrong with the links of a machine, or with the way from one machine to another.
@@ -74,20 +77,35 @@
 
 // transmit waits until bytes have passed the links of both machines.
 func (n *network) transmit(w way, size int) {
+	passed, ok := n.queue(w, size)
+	for !ok {
+		time.Sleep(queueCheck)
+		passed, ok = n.queue(w, size)
+	}
+	time.Sleep(time.Until(passed))
+}
+
+// queue puts bytes into the queues of the links of both machines and returns when they have passed. It returns
+// false if a queue is full.
+func (n *network) queue(w way, size int) (passed time.Time, ok bool) {
 	n.mu.Lock()
-	n.bytes[w] += size
+	defer n.mu.Unlock()
 	now := time.Now()
-	var passed time.Time
-	if k := n.links[w.from]; k != nil {
-		passed = k.pace(&k.up, size, now)
+	from, to := n.links[w.from], n.links[w.to]
+	full := from != nil && from.up.Sub(now) > longestQueue || to != nil && to.down.Sub(now) > longestQueue
+	if full && !n.closed {
+		return now, false
+	}
+	n.bytes[w] += size
+	if from != nil {
+		passed = from.pace(&from.up, size, now)
 	}
-	if k := n.links[w.to]; k != nil {
-		if at := k.pace(&k.down, size, now); at.After(passed) {
+	if to != nil {
+		if at := to.pace(&to.down, size, now); at.After(passed) {
 			passed = at
 		}
 	}
-	n.mu.Unlock()
-	time.Sleep(passed.Sub(now))
+	return passed, true
 }
 
 // carried returns how many bytes went to a machine from another one, and to it from all others.
@@ -185,9 +203,9 @@
 	net      *network
 	listener net.Listener
 	target   string
-	to       string                               // machine at the target
-	from     func(first []byte) string            // machine that connects
-	closeLag func() (d time.Duration, never bool) // by which the target learns late that the other side has closed
+	to       string                                // machine at the target
+	from     func(first []byte, c net.Conn) string // machine that connects
+	closeLag func() (d time.Duration, never bool)  // by which the target learns late that the other side has closed
 }
 
 // relayed is a connection through a relay.
@@ -232,13 +250,13 @@
 }
 
 func (r *relay) connect(near net.Conn) {
-	buf := make([]byte, wholeReads)
+	buf := make([]byte, r.net.readSize()*firstReads)
 	if r.net.readSize() == packetSize {
 		_ = near.(*net.TCPConn).SetReadBuffer(relayWindow) // a hint only
 	}
 	c, size := &relayed{to: r.to, near: near}, 0
 	for range firstReads {
-		n, err := near.Read(buf[size:])
+		n, err := near.Read(buf[size:min(len(buf), size+r.net.readSize())])
 		if err != nil {
 			_ = near.Close()
 			return
@@ -246,7 +264,7 @@
 		if size += n; r.from == nil {
 			break
 		}
-		if c.from = r.from(buf[:size]); c.from != "" {
+		if c.from = r.from(buf[:size], near); c.from != "" {
 			break
 		}
 	}
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -38,7 +38,7 @@
 	cores int
 }
 
-// manners of the store with the calls of an entry
+// storeManner is what the store does with the calls of an entry.
 type storeManner int
 
 const (
