--- a/review/lab/case_config.go
+++ b/review/lab/case_config.go
@@ -84,6 +84,7 @@
 	if err := c.build(); err != nil {
 		return false, err
 	}
+	l.onStall = c.noteStall
 	go l.watchLab()
 	if err := c.startAll(); err != nil {
 		return false, err
--- a/review/lab/case_config_faults.go
+++ b/review/lab/case_config_faults.go
@@ -17,6 +17,7 @@
 	faultShare    = 0.6 // of the entries, that the store turns away
 	squeezedTo    = 0.1 // of the rate of a link
 	historyEvery  = 200 * time.Millisecond
+	longStall     = 200 * time.Millisecond // of the lab's own process, from which the store counts as losing answers
 )
 
 // effect is what a fault means for the rule.
@@ -54,6 +55,17 @@
 	}
 }
 
+// noteStall records that the lab's own process stood still, and with it the store and all links.
+func (c *configLab) noteStall(d time.Duration) {
+	if d < longStall {
+		return
+	}
+	c.spans.mu.Lock()
+	defer c.spans.mu.Unlock()
+	now := c.now()
+	c.spans.list = append(c.spans.list, &configSpan{effect: effectLost, from: now - d, to: now})
+}
+
 // any reports whether a fault was under way between two times.
 func (s *configSpans) any(what effect, e *entry, from, to time.Duration) bool {
 	s.mu.Lock()
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -35,7 +35,8 @@
 	starts []startEvent
 	ends   map[runKey]runEnd
 
-	onStart func(s startEvent) // called in a goroutine of its own with each start; nil for none
+	onStart func(s startEvent)    // called in a goroutine of its own with each start; nil for none
+	onStall func(d time.Duration) // called after each delay of the lab's own process; nil for none
 
 	entries   []*entry
 	executors []*executor
@@ -117,6 +118,9 @@
 		now := time.Now()
 		if d := now.Sub(last); d > labStall {
 			l.note("lab stood still", d)
+			if l.onStall != nil {
+				l.onStall(d)
+			}
 		}
 		last = now
 	}
