A drain notice survives the loss of the return that carries it

Cause: a borrower tells the lender of a draining executor once, in the LoanReturn of the tasks that ended there. If that return is reported undelivered, it is sent again with the totals only.

An undelivered return makes its notice unreported again, and the message that repeats the totals carries an unreported notice. The other outcomes stay reported at most once, as they count up.

--- a/core/slot/borrower.go
+++ b/core/slot/borrower.go
@@ -149,6 +149,22 @@
 	return r
 }
 
+// reportTotals returns a message that repeats the totals. It carries the drain notice that was not
+// reported yet, but no other outcome, since those must not count twice.
+func (al *allocation) reportTotals() cornelwall.LoanReturn {
+	r := cornelwall.LoanReturn{Machine: al.place.Machine, Need: al.place.Need, Series: al.series, Total: al.returned,
+		Using: int(al.granted - al.returned), Draining: al.unreported.Draining}
+	al.unreported.Draining = false
+	return r
+}
+
+// restoreDraining makes the drain notice of a return that may not have arrived unreported again.
+func (b *borrower) restoreDraining(place cornelwall.Place, draining bool) {
+	if al := b.allocations[place]; al != nil && draining {
+		al.unreported.Draining = true
+	}
+}
+
 // changeLender moves the allocations of a machine to its new lender and a new series, in which the
 // units held now count as granted. It returns the allocations that hold any.
 func (b *borrower) changeLender(now time.Time, from cornelwall.Incarnation, machine string, series uint64) []*allocation {
--- a/core/slot/placer.go
+++ b/core/slot/placer.go
@@ -122,7 +122,9 @@
 	case m.Loan != nil:
 		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, place: cornelwall.Place{Machine: m.Loan.Machine, Need: m.Loan.Need}, loan: true, after: now})
 	case m.LoanReturn != nil:
-		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, place: cornelwall.Place{Machine: m.LoanReturn.Machine, Need: m.LoanReturn.Need}, after: now})
+		place := cornelwall.Place{Machine: m.LoanReturn.Machine, Need: m.LoanReturn.Need}
+		pl.borrower.restoreDraining(place, m.LoanReturn.Draining)
+		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, place: place, after: now})
 	case m.TakeOwnership != nil:
 		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, takeOwnership: m.TakeOwnership, after: now})
 	}
@@ -354,8 +356,8 @@
 		return
 	}
 	if al := pl.borrower.allocations[msg.place]; al != nil && al.lender == msg.to {
-		host.Send(msg.to, cornelwall.Message{LoanReturn: &cornelwall.LoanReturn{Machine: msg.place.Machine, Need: msg.place.Need,
-			Series: al.series, Total: al.returned, Using: int(al.granted - al.returned)}})
+		r := al.reportTotals()
+		host.Send(msg.to, cornelwall.Message{LoanReturn: &r})
 	}
 }
 
