Heartbeats carry drain notices, so that the next lender knows them

Users saw starts sent to an executor that had already reported that it drains, once another entry became its lender.

Cause: only the entries that ran tasks on the executor and its lender knew of the drain. If the lender crashed, was restarted or was silent for 3 s, the next one lent all slots until the executor had refused the starts. A restarted entry forgot the notice in the same way.

Evidence: TestDrainNoticeOutlivesLender.

An entry sends its unexpired notices with the rest of their TTL in each heartbeat, until its VM list shows the machine as leaving; a peer adds those that it does not have. As the TTL is handed on and never begins anew, entries do not keep a notice alive for each other. With nothing draining, or once the list shows it, a heartbeat is as long as before. A notice of a machine that is not listed yet waits for the next VM list, so that an entry that starts has it before it lends.

--- a/core/node/draining_test.go
+++ b/core/node/draining_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// TestDrainNoticeInUndeliveredReturn reports the first returns that tell of a draining executor as
-// undelivered. When they are sent again, the lender must still learn that it drains.
+// TestDrainNoticeInUndeliveredReturn guards against starts after the return that tells of a drain was lost.
 func TestDrainNoticeInUndeliveredReturn(t *testing.T) {
 	eachBorrower(t, func(t *testing.T, machine, borrower string) {
 		d := newDrainingCluster(t, machine)
@@ -92,3 +91,36 @@
 		assert.Equal(t, d.starts, before, "starts were sent to %s, which is draining", machine)
 	})
 }
+
+// TestDrainNoticeOutlivesLender guards against starts by the next lender of an executor that drains.
+func TestDrainNoticeOutlivesLender(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		restart bool
+	}{{"crashed", false}, {"restarted", true}} {
+		t.Run(tt.name, func(t *testing.T) { testLenderGone(t, tt.restart) })
+	}
+}
+
+func testLenderGone(t *testing.T, restart bool) {
+	for _, lender := range []string{"dc0-e0", "dc0-e1", "dc0-e2"} {
+		t.Run(lender, func(t *testing.T) {
+			eachBorrower(t, func(t *testing.T, machine, borrower string) {
+				if lender == borrower {
+					return
+				}
+				d := newDrainingCluster(t, machine)
+				d.drainUnder(borrower)
+				d.Advance(2 * time.Second) // the borrower's heartbeat has told the other entries
+				before := d.starts
+				d.hosts[lender].Dead = true
+				if restart {
+					d.start(lender)
+				}
+				d.Advance(peerTimeout + time.Second)
+				d.runBursts(5 * time.Second)
+				assert.Equal(t, d.starts, before, "starts were sent to %s, which is draining", machine)
+			})
+		})
+	}
+}
--- a/core/node/machines.go
+++ b/core/node/machines.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -12,17 +10,10 @@
 )
 
 const (
-	usagePollInterval = time.Second     // interval between usage polls of a worker
-	drainNoticeTTL    = 5 * time.Minute // how long a drain notice outweighs a VM list that lags
-	peerDiscoveryWait = time.Second     // time after the start for heartbeats of the other entries to arrive
+	usagePollInterval = time.Second // interval between usage polls of a worker
+	peerDiscoveryWait = time.Second // time after the start for heartbeats of the other entries to arrive
 )
 
-// drainNotice is a notice, from a machine or a peer, that a machine takes no new tasks.
-type drainNotice struct {
-	addr    netip.AddrPort // a machine that returns under another address is a different one
-	expires time.Time
-}
-
 // setMachines applies a new VM list. Unexpired drain notices stay in force, as the list
 // may lag behind them.
 func (n *Node) setMachines(vms []cornelwall.VM) {
@@ -32,38 +23,13 @@
 			n.machines[vm.Name] = vm
 		}
 	}
-	maps.DeleteFunc(n.draining, func(name string, notice drainNotice) bool {
-		return n.machines[name].Addr != notice.addr || !n.now.Before(notice.expires)
-	})
-	for name := range n.draining {
-		n.markLeaving(name)
-	}
+	n.applyDrainNotices()
 	n.capacities = distinctCapacities(n.machines)
 	n.members.SetMachines(n.now, vms)
 	n.machineOwners = nil
 	n.reassignMachines()
 }
 
-// noteDraining stops new tasks on a machine that is draining by its own notice or that of
-// a peer.
-func (n *Node) noteDraining(name string) {
-	vm, ok := n.machines[name]
-	if !ok || vm.State == cornelwall.Leaving {
-		return
-	}
-	n.draining[name] = drainNotice{addr: vm.Addr, expires: n.now.Add(drainNoticeTTL)}
-	n.log("machine-draining", "machine", name)
-	n.markLeaving(name)
-	n.machineOwners = nil
-	n.reassignMachines()
-}
-
-func (n *Node) markLeaving(name string) {
-	vm := n.machines[name]
-	vm.State = cornelwall.Leaving
-	n.machines[name] = vm
-}
-
 // reassignMachines takes ownership of the machines that rendezvous hashing assigns to
 // this entry among the entries of its data centre. The owner of a machine is the one
 // entry that lends out its capacity.
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -92,6 +92,7 @@
 	if hb.Leaving != wasLeaving {
 		n.reassignMachines()
 	}
+	n.learnDraining(hb.Draining)
 	if hb.ProfilesFresh {
 		n.freshAt = n.now
 	}
@@ -212,6 +213,7 @@
 	hb.ProfilesFresh = n.reportsFreshness()
 	hb.Watching = n.watching
 	hb.Capacity = n.placer.Capacity()
+	hb.Draining = n.drainNotices()
 	n.emit(cornelwall.Send{To: to, Addr: addr, Message: cornelwall.Message{Heartbeat: &hb}})
 }
 
--- a/message.go
+++ b/message.go
@@ -128,8 +128,8 @@
 		return m.ForwardReply.Answer.Check()
 	case m.LoanRequest != nil:
 		return m.LoanRequest.Check()
-	case m.Heartbeat != nil && !m.Heartbeat.Addr.IsValid():
-		return errors.New("heartbeat has no address; send ip:port of the peers' listener")
+	case m.Heartbeat != nil:
+		return m.Heartbeat.Check()
 	case m.Loan != nil:
 		return checkRange("loan count", m.Loan.Count, 0, maxLoan)
 	case m.LoanReturn != nil:
@@ -179,14 +179,27 @@
 // where the sender listens for peers, since the VM list may lag.
 type Heartbeat struct {
 	Addr          netip.AddrPort `json:"addr"`
-	Leaving       bool           `json:"leaving,omitempty"` // the sender is stopping
-	Digest        uint64         `json:"digest"`            // hash of the content of all profiles
-	ProfilesFresh bool           `json:"fresh,omitempty"`   // makes the receiver's profiles count as fresh, see [Stale]
-	Watching      bool           `json:"watcher,omitempty"` // the sender watches the platform's store
-	IsReply       bool           `json:"answer,omitempty"`  // sent in reply to a heartbeat
-	Capacity      Capacity       `json:"room,omitzero"`     // capacity of the machines that the sender owns
-	Probe         uint64         `json:"probe,omitempty"`   // random number to return as Echo, see core/member; 0 if none
-	Echo          uint64         `json:"echo,omitempty"`    // Probe of the heartbeat that this one answers
+	Leaving       bool           `json:"leaving,omitempty"`  // the sender is stopping
+	Digest        uint64         `json:"digest"`             // hash of the content of all profiles
+	ProfilesFresh bool           `json:"fresh,omitempty"`    // makes the receiver's profiles count as fresh, see [Stale]
+	Watching      bool           `json:"watcher,omitempty"`  // the sender watches the platform's store
+	IsReply       bool           `json:"answer,omitempty"`   // sent in reply to a heartbeat
+	Capacity      Capacity       `json:"room,omitzero"`      // capacity of the machines that the sender owns
+	Probe         uint64         `json:"probe,omitempty"`    // random number to return as Echo, see core/member; 0 if none
+	Echo          uint64         `json:"echo,omitempty"`     // Probe of the heartbeat that this one answers
+	Draining      []DrainNotice  `json:"draining,omitempty"` // of machines that the sender's VM list shows as live
+}
+
+// Check returns an error that joins all problems of the heartbeat.
+func (hb *Heartbeat) Check() error {
+	errs := []error{checkRange("number of drain notices", len(hb.Draining), 0, MaxDrainNotices)}
+	if !hb.Addr.IsValid() {
+		errs = append(errs, errors.New("heartbeat has no address; send ip:port of the peers' listener"))
+	}
+	for i := range hb.Draining {
+		errs = append(errs, hb.Draining[i].Check())
+	}
+	return errors.Join(errs...)
 }
 
 // WrongIncarnation tells the sender that an envelope was addressed to another incarnation of
--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -64,8 +64,8 @@
 	},
 	{
 		name: "drain-sign-forgotten", scenario: "leaving-signed", want: "after the executor began to leave",
-		edits: []edit{{"core/node/machines.go",
-			"	for name := range n.draining {\n		n.markLeaving(name)", "	for name := range n.draining {\n		_ = name"}},
+		edits: []edit{{"core/node/draining.go",
+			"		n.draining[name] = notice\n		n.markLeaving(name)", "		n.draining[name] = notice"}},
 	},
 	{
 		name: "leaving-ignored", scenario: "leaving-listed", want: "starts were sent",
