--- a/io/worker/worker_test.go
+++ b/io/worker/worker_test.go
@@ -49,7 +49,6 @@
 		starts  int
 	}{
 		{"done", time.Minute, task.Control{}, `{"sleep":"5ms","echo":"x"}`, 4, cornelwall.Done, cornelwall.ReasonNone, "x", 1},
-		{"longer than the lease TTL", 2 * time.Second, task.Control{}, `{"sleep":"2500ms","echo":"x"}`, 1, cornelwall.Done, cornelwall.ReasonNone, "x", 1},
 		{"failed", time.Minute, task.Control{}, `{"fail":true}`, 1, cornelwall.Failed, cornelwall.ReasonTask, "", 1},
 		{"no capacity", time.Minute, task.Control{}, "x", 5, cornelwall.NotRun, cornelwall.ReasonBusy, "", 0},
 		{"draining", time.Minute, task.Control{Drain: true}, "x", 1, cornelwall.NotRun, cornelwall.ReasonDraining, "", 0},
