Each local system has a secret of its own

The scenarios run up to four systems at once on one loopback interface, with the same names of entries and until now the same secret. An entry that is killed leaves its port to whoever listens next, and the entries of its system go on sending to that port. If an entry of another system got it, the two systems took each other for peers: an entry believed that its neighbours had been replaced.

--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -30,8 +31,6 @@
 )
 
 const (
-	// Secret is the shared secret by which the entries of the local system authenticate each other.
-	Secret = "local-secret-of-all-entries"
 	// Token is the operators' bearer token of the local system.
 	Token = "local-token-of-operators"
 
@@ -55,6 +54,7 @@
 // System is a running system.
 type System struct {
 	cfg       Config
+	secret    string // by which the entries authenticate each other
 	Platform  *Process
 	Entries   []*Process
 	Executors []*Process
@@ -84,7 +84,7 @@
 			return nil, err
 		}
 	}
-	s := &System{cfg: cfg}
+	s := &System{cfg: cfg, secret: rand.Text()}
 	if cfg.UseRelays {
 		s.Network = newNetwork()
 	}
@@ -159,7 +159,7 @@
 		"serve", "--name", name, "--dc", dc,
 		"--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0", "--operators", "127.0.0.1:0",
 		"--store", s.Platform.URL(), "--vms", s.Platform.URL() + "/vms",
-		"--secret", Secret, "--token", Token, "--list-poll", "200ms",
+		"--secret", s.secret, "--token", Token, "--list-poll", "200ms",
 	}
 	var r *relay
 	if s.Network != nil {
