A scenario reports crashes and data races, and keeps its logs when it fails

A process that crashed in a scenario was not noticed: Stop took one that had exited for one that the scenario had killed. Nor were the reports of the race detector looked at, as the processes are killed before they could tell by their exit code. And the logs went with the temporary directory.

Stop returns an error for each process that exited by itself or reported a race, so that every scenario is stricter. If a scenario fails, its entries write their goroutines to their logs, and the logs are kept. The type Process moves into its file.

--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -17,13 +17,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"cornelwall"
@@ -220,13 +217,14 @@
 	return a, err
 }
 
-// Stop kills all processes, the entries first, and closes the relays.
+// Stop kills all processes, the entries first, and closes the relays. It returns an error if a process
+// has exited by itself or has reported a data race.
 func (s *System) Stop() error {
 	var errs []error
 	for _, group := range [][]*Process{s.Entries, s.Executors, s.Workers, {s.Platform}} {
 		for _, p := range group {
 			if p != nil {
-				errs = append(errs, p.Kill())
+				errs = append(errs, p.checkRun(), p.Kill())
 			}
 		}
 	}
@@ -297,55 +295,3 @@
 
 // Error returns the status, the request line and the response body.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Text) }
-
-// Process is one process of the system.
-type Process struct {
-	Name       string
-	DataCentre string                    // only set for an entry
-	Addrs      map[string]netip.AddrPort // keyed by the name of the listener
-	LogFile    string
-	cmd        *exec.Cmd
-	exited     chan struct{}
-	exitErr    error
-}
-
-// URL returns the base URL of the named listener, or of the only listener of a stand-in.
-func (p *Process) URL(listener ...string) string {
-	key := "addr"
-	if len(listener) > 0 {
-		key = listener[0]
-	}
-	return "http://" + p.Addrs[key].String()
-}
-
-// OSProcess returns the process of the operating system, for example to send it signals.
-func (p *Process) OSProcess() *os.Process { return p.cmd.Process }
-
-// Freeze suspends the process with SIGSTOP until Resume.
-func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Resume continues a frozen process.
-func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
-
-// Terminate sends SIGTERM, which asks the process for a planned stop.
-func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
-
-// Exited returns a channel that is closed once the process has exited.
-func (p *Process) Exited() <-chan struct{} { return p.exited }
-
-// Err returns the error of the exited process, nil for exit code 0. It is valid once Exited is
-// closed.
-func (p *Process) Err() error { return p.exitErr }
-
-// Kill sends SIGKILL and waits until the process has exited.
-func (p *Process) Kill() error {
-	if p.HasExited() {
-		return nil
-	}
-	err := p.cmd.Process.Kill()
-	<-p.exited
-	if errors.Is(err, os.ErrProcessDone) {
-		return nil
-	}
-	return err
-}
--- a/standin/prove/doc.go
+++ b/standin/prove/doc.go
@@ -10,6 +10,8 @@
 //	CORNELWALL_SEED=7 go test -race ./standin/prove -run TestScenarios/several
 //
 // A mutant is a build of the product with one deliberate fault, made with go build -overlay. Its
-// scenario must fail, which shows that the scenario can detect the fault. CORNELWALL_LOGS=DIR keeps
-// the log files of the processes.
+// scenario must fail, which shows that the scenario can detect the fault.
+//
+// CORNELWALL_LOGS=DIR keeps the log files of the processes. Without it, those of a test that fails are
+// kept in a temporary directory that its output names, with the goroutines of the entries at the end.
 package prove
--- a/standin/prove/harness_test.go
+++ b/standin/prove/harness_test.go
@@ -100,7 +100,19 @@
 	actx, done := context.WithTimeout(context.WithoutCancel(ctx), auditTimeout)
 	defer done()
 	result, auditErr := s.audit(actx) // also if the scenario has timed out
-	return result, errors.Join(err, auditErr, sys.Stop())
+	if err = errors.Join(err, auditErr); err != nil {
+		err = errors.Join(err, s.dumpEntries(actx))
+	}
+	return result, errors.Join(err, sys.Stop())
+}
+
+// dumpEntries makes the entries write the stacks of their goroutines to their logs and exit.
+func (s *harness) dumpEntries(ctx context.Context) error {
+	var errs []error
+	for _, p := range s.Entries {
+		errs = append(errs, p.DumpGoroutines(ctx))
+	}
+	return errors.Join(errs...)
 }
 
 // audit compares the answers in the ledger with the starts that the executors and workers counted.
@@ -113,18 +125,31 @@
 	return result, result.Err()
 }
 
-// logDir returns the directory for the log files of the processes: a temporary one, or one below
-// CORNELWALL_LOGS, which is kept.
+// logDir returns the directory for the log files of the processes: one below CORNELWALL_LOGS, which is
+// kept, or a temporary one, which is kept if the test fails.
 func logDir(t *testing.T) string {
 	dir := os.Getenv("CORNELWALL_LOGS")
 	if dir == "" {
-		return t.TempDir()
+		return tempLogDir(t)
 	}
 	dir = filepath.Join(dir, t.Name())
 	assert.NilError(t, os.MkdirAll(dir, 0o755))
 	return dir
 }
 
+func tempLogDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "cornelwall-prove-logs-")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the logs of the processes are kept in %s", dir)
+			return
+		}
+		assert.Check(t, os.RemoveAll(dir))
+	})
+	return dir
+}
+
 // seedFromEnv returns CORNELWALL_SEED or defaultSeed.
 func seedFromEnv(t *testing.T) uint64 {
 	text := os.Getenv("CORNELWALL_SEED")
