--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -11,18 +11,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"cornelwall"
@@ -30,8 +28,6 @@
 )
 
 const (
-	// Secret is the shared secret by which the entries of the local system authenticate each other.
-	Secret = "local-secret-of-all-entries"
 	// Token is the operators' bearer token of the local system.
 	Token = "local-token-of-operators"
 
@@ -55,6 +51,7 @@
 // System is a running system.
 type System struct {
 	cfg       Config
+	secret    string // by which the entries authenticate each other
 	Platform  *Process
 	Entries   []*Process
 	Executors []*Process
@@ -84,7 +81,7 @@
 			return nil, err
 		}
 	}
-	s := &System{cfg: cfg}
+	s := &System{cfg: cfg, secret: rand.Text()}
 	if cfg.UseRelays {
 		s.Network = newNetwork()
 	}
@@ -159,7 +156,7 @@
 		"serve", "--name", name, "--dc", dc,
 		"--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0", "--operators", "127.0.0.1:0",
 		"--store", s.Platform.URL(), "--vms", s.Platform.URL() + "/vms",
-		"--secret", Secret, "--token", Token, "--list-poll", "200ms",
+		"--secret", s.secret, "--token", Token, "--list-poll", "200ms",
 	}
 	var r *relay
 	if s.Network != nil {
@@ -220,13 +217,14 @@
 	return a, err
 }
 
-// Stop kills all processes, the entries first, and closes the relays.
+// Stop kills all processes, the entries first, and closes the relays. It returns an error if a process
+// has exited by itself or has reported a data race.
 func (s *System) Stop() error {
 	var errs []error
 	for _, group := range [][]*Process{s.Entries, s.Executors, s.Workers, {s.Platform}} {
 		for _, p := range group {
 			if p != nil {
-				errs = append(errs, p.Kill())
+				errs = append(errs, p.checkRun(), p.Kill())
 			}
 		}
 	}
@@ -297,55 +295,3 @@
 
 // Error returns the status, the request line and the response body.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Text) }
-
-// Process is one process of the system.
-type Process struct {
-	Name       string
-	DataCentre string                    // only set for an entry
-	Addrs      map[string]netip.AddrPort // keyed by the name of the listener
-	LogFile    string
-	cmd        *exec.Cmd
-	exited     chan struct{}
-	exitErr    error
-}
-
-// URL returns the base URL of the named listener, or of the only listener of a stand-in.
-func (p *Process) URL(listener ...string) string {
-	key := "addr"
-	if len(listener) > 0 {
-		key = listener[0]
-	}
-	return "http://" + p.Addrs[key].String()
-}
-
-// OSProcess returns the process of the operating system, for example to send it signals.
-func (p *Process) OSProcess() *os.Process { return p.cmd.Process }
-
-// Freeze suspends the process with SIGSTOP until Resume.
-func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Resume continues a frozen process.
-func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
-
-// Terminate sends SIGTERM, which asks the process for a planned stop.
-func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
-
-// Exited returns a channel that is closed once the process has exited.
-func (p *Process) Exited() <-chan struct{} { return p.exited }
-
-// Err returns the error of the exited process, nil for exit code 0. It is valid once Exited is
-// closed.
-func (p *Process) Err() error { return p.exitErr }
-
-// Kill sends SIGKILL and waits until the process has exited.
-func (p *Process) Kill() error {
-	if p.HasExited() {
-		return nil
-	}
-	err := p.cmd.Process.Kill()
-	<-p.exited
-	if errors.Is(err, os.ErrProcessDone) {
-		return nil
-	}
-	return err
-}
