--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cornelwall"
+	"cornelwall/io/tcp"
 )
 
 const secret = "0123456789abcdef"
@@ -52,6 +53,7 @@
 		h.ServeHTTP(w, r)
 	})
 	server := httptest.NewUnstartedServer(mux)
+	server.Config.ConnContext = tcp.ConnContext
 	if wrap != nil {
 		server.Listener = wrap(server.Listener)
 	}
--- a/io/peer/queueconfig.go
+++ b/io/peer/queueconfig.go
@@ -12,12 +12,14 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cornelwall"
+	"cornelwall/io/tcp"
 )
 
 const (
 	fetchProcedure = "/cornelwall.Peer/FetchQueueConfig"
 	maxTransfers   = 2        // queue configurations that are sent at a time; more would share the link
 	transferChunk  = 16 << 10 // bytes of an answer that are written under one deadline
+	transferBuffer = 64 << 10 // bytes of an answer that the kernel takes before it has sent them
 	fetchIdleConns = 1        // kept per entry
 )
 
@@ -147,6 +149,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, fmt.Errorf("encode declaration %d: %w", c.version, err))
 	}
+	if err := tcp.LimitWriteBuffer(ctx, transferBuffer); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, fmt.Errorf("limit write buffer: %w", err))
+	}
 	return connect.NewResponse(&QueueConfigReply{Config: b}), nil
 }
 
--- a/io/peer/queueconfig_test.go
+++ b/io/peer/queueconfig_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"cornelwall"
+	"cornelwall/io/tcp"
 )
 
 // fetchFrom fetches a queue configuration newer than version have and waits for the end.
@@ -112,6 +113,16 @@
 	assert.Equal(t, a.fetchFrom(t, b.addr, 6).Result, cornelwall.FetchDone)
 }
 
+// listenTCP returns a listener in place of another, as the program has it.
+func listenTCP(l net.Listener) net.Listener {
+	_ = l.Close()
+	got, err := tcp.Listen(netip.MustParseAddrPort("127.0.0.1:0"), 16)
+	if err != nil {
+		panic(err)
+	}
+	return got
+}
+
 // askSilently sends a QueueConfigRequest and reads nothing.
 func askSilently(t *testing.T, addr netip.AddrPort) net.Conn {
 	t.Helper()
@@ -132,7 +143,7 @@
 func TestSilentAskerKeepsItsSlot(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a := newEntry(t, from, secret)
-	b := newEntryAt(t, Config{Self: to, Secret: secret, Timeout: time.Second}, slow(0))
+	b := newEntryAt(t, Config{Self: to, Secret: secret, Timeout: time.Second}, listenTCP)
 	defer a.stop()
 	defer b.stop()
 	b.Handle(cornelwall.ServeQueueConfig{Config: queueConfig(7, 3000)})
--- a/io/peer/slowlink_test.go
+++ b/io/peer/slowlink_test.go
@@ -24,11 +24,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp := c.(*net.TCPConn)
-	if err := tcp.SetReadBuffer(linkBuffer); err != nil {
+	nc := c.(*net.TCPConn)
+	if err := nc.SetReadBuffer(linkBuffer); err != nil {
 		return nil, err
 	}
-	if err := tcp.SetWriteBuffer(linkBuffer); err != nil {
+	if err := nc.SetWriteBuffer(linkBuffer); err != nil {
 		return nil, err
 	}
 	return slowConn{c, l}, nil
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,6 +1,7 @@
 // Package tcp accepts TCP connections, up to a maximum at once, and reports what the kernel knows of
 // the connection of a request: whether the peer has closed it, and for how long no data has arrived.
-// A process that got no CPU time can be far behind the kernel.
+// A process that got no CPU time can be far behind the kernel. It can also limit how far the kernel is
+// behind the process with an answer.
 //
 // # Usage
 //
@@ -104,6 +105,17 @@
 	}
 }
 
+// LimitWriteBuffer sets how many bytes of the answer to a request the kernel takes before it has sent
+// them. A handler then ends about when the answer has arrived. It does nothing if the context has no
+// connection of a [Listener].
+func LimitWriteBuffer(ctx context.Context, bytes int) error {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	return c.Conn.(*net.TCPConn).SetWriteBuffer(bytes)
+}
+
 type connKey struct{}
 
 // ConnContext returns a context for the requests on a connection. It is for [http.Server].
--- a/io/tcp/tcp_test.go
+++ b/io/tcp/tcp_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -134,3 +135,16 @@
 		StateOf(ctx)
 	}
 }
+
+// TestKernelTakesWholeAnswer writes an answer that nobody reads.
+func TestKernelTakesWholeAnswer(t *testing.T) {
+	const limit, answer = 64 << 10, 64 << 20 // bytes
+	client, server, ctx := connect(t, newListener(t, 1))
+	assert.NilError(t, client.SetReadBuffer(limit))
+	assert.NilError(t, LimitWriteBuffer(ctx, limit))
+	assert.NilError(t, server.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	n, err := server.Write(make([]byte, answer))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.Assert(t, n <= 8*limit, "the kernel took %d bytes", n)
+	assert.NilError(t, LimitWriteBuffer(context.Background(), limit))
+}
