--- a/io/peer/bulk_test.go
+++ b/io/peer/bulk_test.go
@@ -55,3 +55,30 @@
 	}
 	assert.Equal(t, len(got[n].EndpointUpdate.Endpoints), 10_000)
 }
+
+func TestUnorderedMessageWaitsBehindBulk(t *testing.T) {
+	for _, tc := range []struct {
+		send cornelwall.Send
+		want lane
+	}{
+		{cornelwall.Send{}, ordered},
+		{cornelwall.Send{Unordered: true}, unordered},
+		{cornelwall.Send{Bulk: true}, bulk},
+		{cornelwall.Send{Unordered: true, Bulk: true}, unordered},
+	} {
+		assert.Equal(t, laneOf(&tc.send), tc.want)
+	}
+}
+
+func TestStalledBulkMessageIsNotReported(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
+	defer a.stop()
+	defer b.stop()
+	b.gate.Lock()
+	a.Handle(cornelwall.Send{To: to, Addr: b.addr, Message: endpointList(3), Bulk: true})
+	u, ok := (<-a.inbox).(cornelwall.Undelivered)
+	b.gate.Unlock()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(u.Envelope.Messages), 1)
+}
