--- a/core/dispatch/fuzz/config_test.go
+++ b/core/dispatch/fuzz/config_test.go
@@ -218,7 +218,8 @@
 
 // String returns the fleet and the figures of its history.
 func (h *configHistory) String() string {
-	return fmt.Sprintf("%+v %+v peers:%d runs:%d answers:%v", h.configFleet, h.thinLinks.thinLinkCounts, h.maxHeard, h.runs, h.answers)
+	in, out := h.crossings()
+	return fmt.Sprintf("%+v %+v in:%.1f out:%.1f peers:%d runs:%d answers:%v", h.configFleet, h.thinLinks.thinLinkCounts, in, out, h.maxHeard, h.runs, h.answers)
 }
 
 // configFleet is a fleet whose configHistory is played.
@@ -252,6 +253,7 @@
 // at those that are cut off from the platform and at those that start without it.
 func TestEntryBehindOnConfigCatchesUpOverThinLinks(t *testing.T) {
 	for _, h := range playConfigFleets() {
+		t.Log(h)
 		if behind := h.behind(); len(behind) > 0 || len(h.late) > 0 || h.failure != "" {
 			t.Errorf("%s: behind on version %d at the end: %v; late: %v; %s", h, lastConfig, behind, h.lateVersions(), h.failure)
 		}
