--- a/core/dispatch/fuzz/config_test.go
+++ b/core/dispatch/fuzz/config_test.go
@@ -20,8 +20,8 @@
 	cutTime        = 8 * time.Second         // for which half of the entries are cut off from the platform
 	firstCutAt     = 5 * time.Second
 	secondCutAt    = 18 * time.Second
-	killAt         = 20 * time.Second
-	killedEntries  = 3
+	killAt         = 20150 * time.Millisecond // while entries pass on a version that is new since 150 ms
+	killedEntries  = 2                        // of those that are cut off from the platform, and as many others
 	restartTime    = 300 * time.Millisecond
 	configApply    = 3 * time.Second // from the acknowledgement of a change until it is in force
 	configApplyCut = 9 * time.Second // the same at an entry that is cut off from the platform and hears a peer
@@ -100,15 +100,18 @@
 	})
 }
 
-// killSome kills entries that are cut off from the platform, and restarts them.
+// killSome kills and restarts entries that are cut off from the platform and others.
 func (h *configHistory) killSome() {
-	n := 0
+	killed := map[bool]int{}
 	for _, e := range h.rig.entries {
-		if n < killedEntries && e.platformCut {
-			n++
-			h.kill(e, false)
-			h.w.CallAfter(restartTime, func() { h.start(e) })
+		if killed[e.platformCut]++; killed[e.platformCut] > killedEntries {
+			continue
 		}
+		h.kill(e, false)
+		h.w.CallAfter(restartTime, func() {
+			h.start(e)
+			h.thinLinks.ports[e.addr].reader.read()
+		})
 	}
 }
 
@@ -230,7 +233,7 @@
 }
 
 var configFleets = []configFleet{
-	{8, 0, true}, {8, 1, true}, {8, 3, true}, {8, 1, false}, {30, 0, true}, {30, 3, false},
+	{8, 17, true}, {8, 19, true}, {8, 20, true}, {8, 10, false}, {30, 2, true}, {30, 0, false},
 }
 
 var configEntries = flag.Int("entries", 0, "entries of the only fleet, of seed 1, that the tests of the configuration play; 0 for several small ones")
--- a/core/dispatch/fuzz/thinlinks_test.go
+++ b/core/dispatch/fuzz/thinlinks_test.go
@@ -68,7 +68,8 @@
 
 // flow is a number of bytes on their way to an entry.
 type flow struct {
-	from, to   *port // from is nil for the store
+	sender     *fake.Host // nil for the store
+	from, to   *port      // from is nil for the store
 	size       int
 	left       int // bytes that have left
 	arrived    int
@@ -141,12 +142,12 @@
 }
 
 // nextFlow returns the flow whose turn it is, or nil if none may send. It forgets flows that have nothing
-// left to send.
+// left to send, and those of dead hosts.
 func (p *port) nextFlow() *flow {
 	for range len(p.leaving) {
 		f := p.leaving[0]
 		p.leaving = p.leaving[1:]
-		if f.ended || f.left == f.size {
+		if f.ended || f.left == f.size || f.sender.Dead {
 			continue
 		}
 		p.leaving = append(p.leaving, f)
@@ -261,7 +262,8 @@
 	key      outboxKey
 	queue    []cornelwall.Send
 	inFlight bool
-	sentAt   time.Time // of the envelope in flight
+	sentAt   time.Time  // of the envelope in flight
+	to       *fake.Host // of the envelope in flight
 }
 
 // add queues a message. What the same step sends shares its envelope.
@@ -311,21 +313,21 @@
 		return
 	}
 	e := b.nextEnvelope()
-	b.inFlight, b.sentAt = true, t.r.w.Now
-	t.envelopes++
 	to := t.r.w.HostAt(b.key.addr)
+	b.inFlight, b.sentAt, b.to = true, t.r.w.Now, to
+	t.envelopes++
 	if to == nil || to.Dead {
 		t.r.w.CallAfter(2*linkLatency, func() { t.endEnvelope(b, &e, true, true) })
 		return
 	}
-	f := &flow{from: t.ports[b.key.host.Addr], to: t.ports[b.key.addr], size: headerBytes}
+	f := &flow{sender: b.key.host, from: t.ports[b.key.host.Addr], to: t.ports[b.key.addr], size: headerBytes}
 	for i := range e.Messages {
 		if cfg := configOf(&e.Messages[i]); cfg != nil {
 			f.configSize, f.crossing = t.configSize(cfg), crossing{to, cfg.Version}
 		}
 		f.size += t.messageSize(&e.Messages[i])
 	}
-	ack := &flow{from: f.to, to: f.from, size: headerBytes}
+	ack := &flow{sender: to, from: f.to, to: f.from, size: headerBytes}
 	ack.done = func() { t.endEnvelope(b, &e, false, false) }
 	f.done = func() {
 		t.noteHeartbeats(f, &e)
@@ -359,7 +361,7 @@
 	if lost {
 		t.r.w.Post(b.key.host, cornelwall.Undelivered{Envelope: *e, ConnRefused: refused})
 	}
-	if lost && !refused {
+	if lost && !refused && !b.key.host.Dead && !b.to.Dead {
 		t.countLost(e)
 	}
 	b.inFlight = false
@@ -389,14 +391,14 @@
 		t.r.w.CallAfter(2*linkLatency, failed)
 		return
 	}
-	request := &flow{from: t.ports[h.Addr], to: t.ports[cmd.Addr], size: headerBytes}
+	request := &flow{sender: h, from: t.ports[h.Addr], to: t.ports[cmd.Addr], size: headerBytes}
 	request.done = func() { t.answerFetch(h, from, cmd.Have, end) }
 	t.giveUpSilent(t.start(request), failed)
 }
 
 // answerFetch sends the answer to a fetch.
 func (t *thinLinks) answerFetch(h, from *fake.Host, have uint64, end func(cornelwall.FetchResult, *cornelwall.QueueConfig)) {
-	answer := &flow{from: t.ports[from.Addr], to: t.ports[h.Addr], size: headerBytes}
+	answer := &flow{sender: from, from: t.ports[from.Addr], to: t.ports[h.Addr], size: headerBytes}
 	result, cfg := from.AnswerFetch(have), (*cornelwall.QueueConfig)(nil)
 	release := func() {}
 	if result == cornelwall.FetchDone {
--- a/standin/fake/world.go
+++ b/standin/fake/world.go
@@ -354,14 +354,16 @@
 	return envelopes
 }
 
-// fetch answers a FetchQueueConfig with one event, whatever happens to the hosts meanwhile.
+// fetch answers a FetchQueueConfig with one event. It fails if the other host dies before the end.
 func (w *World) fetch(h *Host, cmd cornelwall.FetchQueueConfig) {
 	if w.StartFetch != nil {
 		w.StartFetch(h, cmd)
 		return
 	}
+	sentAt := w.Now
 	end := func(after time.Duration, result cornelwall.FetchResult, cfg *cornelwall.QueueConfig) {
-		w.PostAfter(after, h, cornelwall.QueueConfigFetched{From: cmd.From, Result: result, Config: cfg, Took: after})
+		took := w.Now.Add(after).Sub(sentAt)
+		w.PostAfter(after, h, cornelwall.QueueConfigFetched{From: cmd.From, Result: result, Config: cfg, Took: took})
 	}
 	from := w.hosts[cmd.Addr]
 	switch {
@@ -376,17 +378,23 @@
 	if w.FetchLink != nil {
 		took, ok = w.FetchLink(h.Self, from.Self)
 	}
-	result := from.AnswerFetch(cmd.Have)
-	switch {
-	case !ok:
-		end(took, cornelwall.FetchFailed, nil)
-	case result != cornelwall.FetchDone:
+	result, cfg := from.AnswerFetch(cmd.Have), from.Serves
+	if !ok || result != cornelwall.FetchDone {
+		if !ok {
+			result = cornelwall.FetchFailed
+		}
 		end(took, result, nil)
-	default:
-		end(took, result, from.Serves)
-		from.Transfers++
-		w.CallAfter(took, func() { from.Transfers-- })
+		return
 	}
+	from.Transfers++
+	w.CallAfter(took, func() {
+		from.Transfers--
+		if from.Dead {
+			end(0, cornelwall.FetchFailed, nil)
+			return
+		}
+		end(0, cornelwall.FetchDone, cfg)
+	})
 }
 
 // AnswerFetch returns how a host answers a fetch by an entry that has a version. With FetchDone, it sends
