--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -122,6 +122,7 @@
 type rig struct {
 	w             *fake.World
 	rng           *rand.Rand
+	fetchRng      *rand.Rand // of the fetches of queue configurations, so that these leave the rest of a history as it is
 	mutation      mutation
 	entries       []*entry
 	endpoints     []*leased.Endpoint
@@ -178,7 +179,7 @@
 // newSizedRig is newMeshRig for a system of any size.
 func newSizedRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
 	r := &rig{
-		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)),
+		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)), fetchRng: rand.New(rand.NewPCG(seed, 2)),
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
 		cuts: map[[2]string]bool{}, stalls: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
@@ -333,7 +334,7 @@
 	if r.isCut(from.Entry, to.Entry) || r.isStalled(from.Entry, to.Entry, &e) {
 		delivery := fake.Delivery{ReportAfter: 250 * time.Millisecond, ConnRefused: r.mutation.refuseUndelivered}
 		if r.rng.IntN(2) == 0 {
-			delivery.Delays = []time.Duration{r.lateness()}
+			delivery.Delays = []time.Duration{lateness(r.rng)}
 			r.w.CallAfter(delivery.Delays[0], func() { r.refreshSession(from, to, &e) })
 		}
 		return delivery
@@ -342,18 +343,18 @@
 }
 
 // lateness draws how late something arrives that was sent over a cut link.
-func (r *rig) lateness() time.Duration {
-	return time.Duration(r.rng.Int64N(maxLateness.Milliseconds())) * time.Millisecond
+func lateness(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.Int64N(maxLateness.Milliseconds())) * time.Millisecond
 }
 
-// fetchLink delays the fetches of queue configurations. On a cut link they fail or, as long as an
-// answer may trickle in, end late.
+// fetchLink delays the fetches of queue configurations. On a cut link half of them end late, when it may
+// work again, and the others fail.
 func (r *rig) fetchLink(from, to cornelwall.Incarnation) (took time.Duration, ok bool) {
 	if !r.isCut(from.Entry, to.Entry) && !r.isCut(to.Entry, from.Entry) {
-		return time.Duration(1+r.rng.IntN(50)) * time.Millisecond, true
+		return time.Duration(1+r.fetchRng.IntN(50)) * time.Millisecond, true
 	}
-	if r.rng.IntN(2) == 0 {
-		return r.lateness(), true
+	if r.fetchRng.IntN(2) == 0 {
+		return lateness(r.fetchRng), true
 	}
 	return fetchTimeout, false
 }
