An entry reconciles the loans to itself like all others

Users saw jobs without an answer until their deadline on an idle system: an entry held its own machines' slots as lent to itself, for good, while no task ran on them.

Cause: if another entry claims a machine or lends it while its lender runs tasks there, the lender's own allocation goes over to the other entry, and the units of these tasks are never returned to the lender itself. Loans to peers heal, as lender and borrower compare their totals after 5 s without a change; loans to the entry itself were left out of that.

Evidence: TestOwnLoansAfterStaleTakeOwnership. Before, none of the 16 slots is free 10 s after the last task has ended.

The loans to the entry itself are compared by the same rule and totals.

--- a/core/slot/lender.go
+++ b/core/slot/lender.go
@@ -276,15 +276,15 @@
 	maps.DeleteFunc(le.requests, func(key requestKey, _ *request) bool { return key.borrower == borrower })
 }
 
-// loansToReconcile returns the loans to other entries that have not changed for reconcileAfter, so
-// that both sides can compare their totals. It drops those that were returned long ago.
+// loansToReconcile returns the loans that have not changed for reconcileAfter, those to this entry
+// included, so that both sides can compare their totals. It drops those that were returned long ago.
 func (le *lender) loansToReconcile(now time.Time) []grant {
 	var grants []grant
 	for key, l := range le.loans {
 		switch {
 		case l.outstanding() == 0 && now.Sub(l.lastChange) > pruneAfter:
 			delete(le.loans, key)
-		case l.outstanding() > 0 && key.borrower != le.self && now.Sub(l.lastChange) > reconcileAfter:
+		case l.outstanding() > 0 && now.Sub(l.lastChange) > reconcileAfter:
 			l.lastChange = now
 			grants = append(grants, grant{borrower: key.borrower, machine: key.machine, need: key.need, loan: l})
 		}
--- a/core/slot/placer.go
+++ b/core/slot/placer.go
@@ -390,7 +390,7 @@
 // the machines.
 func (pl *Placer) Heartbeat(now time.Time, host cornelwall.PlacerHost) {
 	for _, g := range pl.lender.loansToReconcile(now) {
-		host.Send(g.borrower, cornelwall.Message{Loan: loanMessage(&g)})
+		pl.reconcile(now, host, &g)
 	}
 	pl.retransmitDue(host)
 	pl.borrower.prune(now)
@@ -400,6 +400,17 @@
 	maps.DeleteFunc(pl.sent.nextSearch, func(_ cornelwall.Need, at time.Time) bool { return now.After(at) })
 }
 
+// reconcile sends the totals of a loan to its borrower. Units of this entry's own machines that it does
+// not hold are returned at once.
+func (pl *Placer) reconcile(now time.Time, host cornelwall.PlacerHost, g *grant) {
+	m := loanMessage(g)
+	if g.borrower == pl.self {
+		pl.returnOwn(now, pl.borrower.applyLoan(now, pl.self, m))
+		return
+	}
+	host.Send(g.borrower, cornelwall.Message{Loan: m})
+}
+
 // Next returns the time by which Place must be called again; zero is never.
 func (pl *Placer) Next() time.Time {
 	next := pl.idleDeadline
--- a/core/slot/placer_test.go
+++ b/core/slot/placer_test.go
@@ -305,3 +305,21 @@
 		})
 	}
 }
+
+// TestOwnLoansAfterStaleTakeOwnership guards against slots that stay lent to their own lender after a late TakeOwnership.
+func TestOwnLoansAfterStaleTakeOwnership(t *testing.T) {
+	n := newNetwork(2, 2)
+	a, b := n.entries[0], n.entries[1]
+	a.waiting = 16
+	a.Place(n.now, a)
+	assert.Equal(t, a.Capacity().Free, 0)
+	stale := cornelwall.Message{TakeOwnership: &cornelwall.TakeOwnership{Series: 1, Machines: []string{"x0", "x1"}}}
+	a.Receive(n.now, b.id, &stale)
+	a.Place(n.now, a)
+	n.deliver()
+	for len(a.running) > 0 {
+		a.endTask(0)
+	}
+	n.advance(10 * time.Second)
+	assert.Equal(t, a.Capacity().Free, 16, "slots leaked")
+}
