An entry returns a loan of a machine that it lends itself

Users saw an entry lose all slots of its own machines after a peer had paused for 3 s or more, and jobs without an answer until their deadline.

Cause: an entry that resumes counts all peers as silent and takes their machines. Before it has read their heartbeats it serves their loan requests, and so lends an entry the machine that this entry lends itself. The borrower's allocation of the machine then counts as of that loan: the units of its running tasks are orphaned and never returned to its own lender.

An entry that lends a machine itself now returns such a loan at once, with the sender's totals. A deferred message that is kept as it was is now any message.

--- a/core/slot/placer.go
+++ b/core/slot/placer.go
@@ -46,14 +46,14 @@
 	tasksWaiting    bool                    // tasks of this entry wait
 }
 
-// deferredSend is a message to be sent later. A TakeOwnership is kept as it was. A Loan or a
-// LoanReturn for the place is built when it is sent, from the totals of that time.
+// deferredSend is a message to be sent later. Without a message, a Loan or a LoanReturn for the place is
+// built when it is sent, from the totals of that time.
 type deferredSend struct {
-	to            cornelwall.Incarnation
-	place         cornelwall.Place
-	loan          bool // send a Loan rather than a LoanReturn
-	takeOwnership *cornelwall.TakeOwnership
-	after         time.Time // of a retransmission: it waits until the peer was heard from after this time
+	to      cornelwall.Incarnation
+	message *cornelwall.Message
+	place   cornelwall.Place
+	loan    bool      // send a Loan rather than a LoanReturn
+	after   time.Time // of a retransmission: it waits until the peer was heard from after this time
 }
 
 var _ cornelwall.Placer = (*Placer)(nil)
@@ -95,8 +95,14 @@
 }
 
 // receiveLoan adds a loan. If it only repeats the totals and the lender has missed a return, the
-// return is sent again.
+// return is sent again. A loan of a machine that this entry lends itself is returned at once: the
+// sender does not know yet, or no longer, who lends it.
 func (pl *Placer) receiveLoan(now time.Time, from cornelwall.Incarnation, l *cornelwall.Loan) {
+	if pl.lender.machines[l.Machine] != nil {
+		r := &cornelwall.LoanReturn{Machine: l.Machine, Need: l.Need, Count: l.Count, Series: l.Series, Total: l.Total}
+		pl.replies = append(pl.replies, deferredSend{to: from, message: &cornelwall.Message{LoanReturn: r}})
+		return
+	}
 	al := pl.borrower.applyLoan(now, from, l)
 	if l.Count == 0 && al.returned > l.Returned {
 		pl.replies = append(pl.replies, deferredSend{to: from, place: al.place})
@@ -126,7 +132,7 @@
 		pl.borrower.restoreDraining(place, m.LoanReturn.Draining)
 		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, place: place, after: now})
 	case m.TakeOwnership != nil:
-		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, takeOwnership: m.TakeOwnership, after: now})
+		pl.retransmissions = append(pl.retransmissions, deferredSend{to: to, message: m, after: now})
 	}
 }
 
@@ -344,8 +350,8 @@
 
 // sendDeferred sends a message, with the current totals if it carries any.
 func (pl *Placer) sendDeferred(host cornelwall.PlacerHost, msg deferredSend) {
-	if msg.takeOwnership != nil {
-		host.Send(msg.to, cornelwall.Message{TakeOwnership: msg.takeOwnership})
+	if msg.message != nil {
+		host.Send(msg.to, *msg.message)
 		return
 	}
 	if msg.loan {
