--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -206,7 +206,7 @@
 	if err != nil {
 		return resp, false, fmt.Errorf("read answer: %w", err)
 	}
-	defer func() { _ = got.Body.Close() }()
+	// The body is not closed: that reads the rest of it, and waits for one that has stalled.
 	resp = Response{Status: got.StatusCode, Header: got.Header}
 	resp.Body, err = io.ReadAll(io.LimitReader(observedBody{got.Body, got.StatusCode, observe}, maxBody+1))
 	if err != nil {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -50,9 +50,13 @@
 	if tcp, ok := nc.(*net.TCPConn); ok && cfg.StallTimeout > 0 {
 		_ = tcp.SetWriteBuffer(sendBuffer) // a larger buffer only hides a stall for longer
 	}
+	return newConn(nc, cfg), nil
+}
+
+func newConn(nc net.Conn, cfg Config) *conn {
 	c := &conn{Conn: nc, answerTimeout: cfg.AnswerTimeout, stallTimeout: cfg.StallTimeout}
 	c.r, c.w = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, writeBuffer)
-	return c, nil
+	return c
 }
 
 // begin prepares the connection for a request with a deadline; the zero time is none.
