--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -206,8 +206,8 @@
 	if err != nil {
 		return resp, false, fmt.Errorf("read answer: %w", err)
 	}
-	// The body is not closed: that reads the rest of it, and waits for one that has stalled.
 	resp = Response{Status: got.StatusCode, Header: got.Header}
+	// The body needs no Close, which would wait for the rest of an answer that is given up.
 	resp.Body, err = io.ReadAll(io.LimitReader(observedBody{got.Body, got.StatusCode, observe}, maxBody+1))
 	if err != nil {
 		return resp, false, fmt.Errorf("read answer: %w", err)
