The first whole list after a partial one is not sent to all peers as changes

What was new to it is no change for the others: it now begins its revisions anew, as an entry does that starts with the platform.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -31,6 +31,7 @@
 type endpointList struct {
 	listRev       int64         // revision of the store as of which the list is known; 0 before the first list
 	recentRevs    []int64       // the last revisionsKept values of listRev
+	listPartial   bool          // the list came from a peer and has the endpoints of this data centre only
 	readInterval  time.Duration // interval of reads that was ordered last
 	knownAt       time.Time     // when the list was last certainly up to date
 	toldAt        time.Time     // the same for what readers, and other entries that read before this one, have sent
@@ -60,6 +61,9 @@
 	for _, ep := range c.endpointsByName {
 		changed = !listed[ep.ID] && c.removeFromList(ep, rev) || changed
 	}
+	if c.listPartial {
+		c.listPartial, c.recentRevs = false, nil // what is new to this entry is no change for the others
+	}
 	c.recordRevision(rev)
 	if c.ranking.isReader() || c.readersSilent() {
 		c.sendListUpdate(changed)
@@ -209,6 +213,7 @@
 		c.orderRead()
 		return
 	}
+	c.listPartial = c.listPartial || m.FromRevision == 0
 	c.recordTold(from, m.Age)
 	if m.ToRevision <= c.listRev {
 		return
--- a/core/dispatch/endpointlist_test.go
+++ b/core/dispatch/endpointlist_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -115,3 +116,28 @@
 	assert.Assert(t, len(asked) > 0)
 	assert.Assert(t, len(asked) <= 2, "%d peers send their lists", len(asked))
 }
+
+// TestFirstWholeListIsNotSentAsChanges guards against a list that an entry reads after a partial one and sends to all its peers at once.
+func TestFirstWholeListIsNotSentAsChanges(t *testing.T) {
+	f := newConfigFleet(10)
+	list := func(n int, dc string) (eps []cornelwall.Endpoint) {
+		for i := range n {
+			eps = append(eps, cornelwall.Endpoint{ID: fmt.Sprintf("%s-%d", dc, i), Service: "s", Addr: f.peers[0].Addr, DataCentre: dc})
+		}
+		return eps
+	}
+	own, other := list(3, "dc0"), list(50, "dc1")
+	f.step(cornelwall.MembersListed{List: f.peers})
+	f.hear(time.Second, 0, false)
+	f.receive(f.peers[0], cornelwall.Message{EndpointUpdate: &cornelwall.EndpointUpdate{ToRevision: 5, Endpoints: own}})
+	sent := 0
+	for rev := int64(7); rev < 12; rev++ {
+		f.hear(2*time.Second, 0, false)
+		for _, cmd := range f.step(cornelwall.EndpointsListed{List: append(own, other...), Revision: rev}) {
+			if s, ok := cmd.(cornelwall.Send); ok && s.Message.EndpointUpdate != nil {
+				sent += len(s.Message.EndpointUpdate.Endpoints)
+			}
+		}
+	}
+	assert.Equal(t, sent, 0)
+}
