The mutant that replays transports edits the text of the present client

io/http1 passes the context on since transfers are judged by progress, so that the mutant's text was no longer found. The edit is the same, and the scenario detects it.

--- a/standin/prove/mutantlist_test.go
+++ b/standin/prove/mutantlist_test.go
@@ -13,10 +13,10 @@
 		edits: []edit{
 			{"io/http1/client.go", "		r.Body = io.NopCloser(bytes.NewReader(req.Body))", `		r.Body = io.NopCloser(bytes.NewReader(req.Body))
 		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(req.Body)), nil }`},
-			{"io/http1/client.go", "	resp, keep, err = c.roundTrip(nc, e.request)", `	resp, keep, err = c.roundTrip(nc, e.request)
-	if again, dialErr := dial(context.Background(), c.cfg.DialTimeout, netip.MustParseAddrPort(e.request.URL.Host)); err != nil && e.request.GetBody != nil && dialErr == nil {
+			{"io/http1/client.go", "	resp, keep, err = c.roundTrip(ctx, nc, e.request)", `	resp, keep, err = c.roundTrip(ctx, nc, e.request)
+	if again, dialErr := dial(context.Background(), c.cfg, netip.MustParseAddrPort(e.request.URL.Host)); err != nil && e.request.GetBody != nil && dialErr == nil {
 		e.request.Body, _ = e.request.GetBody()
-		resp, keep, err = again.roundTrip(e.request, c.cfg.MaxBody)
+		resp, keep, err = again.roundTrip(e.request, c.cfg.MaxBody, observerOf(ctx))
 	}`},
 		},
 	},
