Each caller of a batch has its own deadline

What callers saw: a request that joined a batch that already ran was held to the deadline of the first request. If that was earlier, the live caller was given up, or refused as not run, too early. If it was later, the batch ran on after the only live caller had stopped waiting, and that caller may send it to another entry, so that a task runs twice at a time.

Cause: a job had the deadline of its first request and of the others only the request number.

Why it works: a job keeps a deadline for each request, and its own is the latest of those that wait: a request that joins may move it back, a caller that leaves or is answered takes its own away. The verdict on a batch reads that deadline as before. A request whose deadline passes while others wait is answered as given up, never as not run, since a task may have run or still may. A refusal that has begun is dropped if the deadline moves back. The targets stay those of the first request.

--- a/batch.go
+++ b/batch.go
@@ -168,7 +168,7 @@
 	// BatchUnknown means that no queue matches the request.
 	BatchUnknown
 	// BatchGivenUp means that the batch was abandoned: some tasks may have run, and those that
-	// still run are stopped.
+	// still run are stopped, unless another caller of the batch still waits.
 	BatchGivenUp
 	// BatchCancelled means that a caller cancelled the batch.
 	BatchCancelled
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -28,9 +28,9 @@
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
 //
-// Owner: jobs.go accepts batches, estimates.go corrects their targets, assign.go assigns tasks to
-// holders, tasks.go processes the results of runs, finish.go answers callers, and pendingends.go
-// tracks withdrawn runs until they have ended.
+// Owner: jobs.go accepts batches, jobcallers.go keeps the callers that wait for each, estimates.go
+// corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
+// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
 //
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -18,9 +18,8 @@
 		c.emit(cornelwall.CountReason{Reason: a.Reason, N: 1})
 	}
 	c.logEnd(j, a)
-	for _, req := range j.reqs {
-		delete(c.jobsByReq, req)
-		c.emit(cornelwall.ReplyBatch{Req: req, Answer: a})
+	for _, w := range j.callers {
+		c.answerCaller(w, a)
 	}
 }
 
@@ -81,20 +80,6 @@
 	}
 }
 
-// handleCallerGone removes a caller that has disconnected. A batch without callers is cancelled,
-// since its caller may send it to another entry.
-func (c *Core) handleCallerGone(req uint64) {
-	j := c.jobsByReq[req]
-	if j == nil {
-		return
-	}
-	delete(c.jobsByReq, req)
-	j.reqs = slices.DeleteFunc(j.reqs, func(r uint64) bool { return r == req })
-	if len(j.reqs) == 0 {
-		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
-	}
-}
-
 // handleCancelBatch cancels a batch at whichever entry owns it, by a message to all peers.
 func (c *Core) handleCancelBatch(ev cornelwall.CancelBatch) {
 	a := cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled}
@@ -123,6 +108,7 @@
 		if j == nil {
 			continue
 		}
+		c.answerExpiredCallers(j)
 		switch j.policyBatch().Judge(c.now) {
 		case policy.Refuse:
 			c.finishJob(j, cornelwall.BatchAnswer{
--- /dev/null
+++ b/core/dispatch/jobcallers.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+// jobCaller is a request that waits for the answer to a job.
+type jobCaller struct {
+	req      uint64
+	deadline time.Time // by which it is answered
+}
+
+// callerDeadline returns the time by which the caller of a batch is answered.
+func (c *Core) callerDeadline(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) time.Time {
+	timeLeft := ev.TimeLeft
+	if timeLeft <= 0 {
+		timeLeft = q.Timeout
+	}
+	return c.now.Add(timeLeft - ev.Waited - answerMargin)
+}
+
+// joinJob adds a caller to a job. If the caller waits longer than the others, a refusal that has
+// begun is dropped, and decided anew by the later deadline.
+func (c *Core) joinJob(j *job, w jobCaller) {
+	before := j.deadline
+	j.callers = append(j.callers, w)
+	c.jobsByReq[w.req] = j
+	j.setDeadline()
+	j.refusing = j.refusing && !j.deadline.After(before)
+	c.log("batch-joined", "job", j.id, "left", w.deadline.Sub(c.now))
+	c.answerExpiredCallers(j)
+}
+
+// setDeadline sets the deadline of a job to the latest one of its callers.
+func (j *job) setDeadline() {
+	j.deadline = time.Time{}
+	for _, w := range j.callers {
+		if w.deadline.After(j.deadline) {
+			j.deadline = w.deadline
+		}
+	}
+}
+
+// answerExpiredCallers answers the callers whose deadline has passed while the job goes on for others.
+func (c *Core) answerExpiredCallers(j *job) {
+	if c.now.After(j.deadline) {
+		return
+	}
+	waiting := j.callers[:0]
+	for _, w := range j.callers {
+		if !c.now.After(w.deadline) {
+			waiting = append(waiting, w)
+			continue
+		}
+		c.log("caller-expired", "job", j.id, "begun", j.started)
+		c.emit(cornelwall.CountReason{Reason: cornelwall.ReasonDeadline, N: 1})
+		c.answerCaller(w, cornelwall.BatchAnswer{
+			End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline,
+			Text: "the deadline of this request has passed; the batch goes on for another one",
+		})
+	}
+	j.callers = waiting
+}
+
+// answerCaller sends a caller its final answer.
+func (c *Core) answerCaller(w jobCaller, a cornelwall.BatchAnswer) {
+	delete(c.jobsByReq, w.req)
+	c.emit(cornelwall.ReplyBatch{Req: w.req, Answer: a})
+}
+
+// handleCallerGone removes a caller that has disconnected. A batch without callers is cancelled,
+// since its caller may send it to another entry.
+func (c *Core) handleCallerGone(req uint64) {
+	j := c.jobsByReq[req]
+	if j == nil {
+		return
+	}
+	delete(c.jobsByReq, req)
+	j.callers = slices.DeleteFunc(j.callers, func(w jobCaller) bool { return w.req == req })
+	if len(j.callers) == 0 {
+		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
+		return
+	}
+	j.setDeadline()
+}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -72,13 +72,13 @@
 	id                string
 	queue             cornelwall.Queue
 	batch             *cornelwall.BatchJob
-	reqs              []uint64
+	callers           []jobCaller
 	tasks             []*task
 	unfinished        []int // per step: tasks that are not done
 	submittedAt       time.Time
 	due               time.Time // target time
 	usefulUntil       time.Time // after it the answer is of little use
-	deadline          time.Time
+	deadline          time.Time // latest of those of its callers
 	estimates         []policy.StepEstimate
 	criticalPath      time.Duration // estimated run time of its longest chain of dependent steps
 	started           bool          // a task may have run
@@ -120,9 +120,7 @@
 		return
 	}
 	if j := c.jobs[ev.Batch.ID]; j != nil {
-		j.reqs = append(j.reqs, ev.Req)
-		c.jobsByReq[ev.Req] = j
-		c.log("batch-joined", "job", j.id)
+		c.joinJob(j, jobCaller{req: ev.Req, deadline: c.callerDeadline(q, &ev)})
 		return
 	}
 	j := c.newJob(q, &ev)
@@ -139,14 +137,11 @@
 // newJob returns the job of a submitted batch. It counts as started if runs of an earlier
 // submission of the batch may not have ended, or endpoints have crashed under them.
 func (c *Core) newJob(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) *job {
-	timeLeft := ev.TimeLeft
-	if timeLeft <= 0 {
-		timeLeft = q.Timeout
-	}
-	submittedAt := c.now.Add(-ev.Waited)
+	deadline := c.callerDeadline(q, ev)
 	j := &job{
-		id: ev.Batch.ID, queue: *q, batch: ev.Batch, reqs: []uint64{ev.Req},
-		submittedAt: submittedAt, deadline: submittedAt.Add(timeLeft - answerMargin),
+		id: ev.Batch.ID, queue: *q, batch: ev.Batch,
+		callers:     []jobCaller{{req: ev.Req, deadline: deadline}},
+		submittedAt: c.now.Add(-ev.Waited), deadline: deadline,
 		started:           c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.hasBatch(ev.Batch.ID),
 		reportedRemaining: 1,
 		unfinished:        make([]int, len(ev.Batch.Steps)),
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -29,6 +29,7 @@
 	starts    []cornelwall.RunID
 	scheduled []simEvent
 	logs      []string
+	replies   map[uint64]simReply
 	served    map[cornelwall.Incarnation]*cornelwall.QueueConfig // that other entries get when they fetch it
 	// extraDelay returns how much longer than simDelay a message is in transit.
 	extraDelay func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
@@ -36,6 +37,12 @@
 	replyLost func(from cornelwall.Incarnation, cmd cornelwall.Command) bool
 }
 
+// simReply is the answer to the caller of a batch.
+type simReply struct {
+	at     time.Time
+	answer cornelwall.BatchAnswer
+}
+
 type simEvent struct {
 	at time.Time
 	do func()
@@ -46,6 +53,7 @@
 		t: t, now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC),
 		cores: map[cornelwall.Incarnation]*Core{}, endpoints: map[string]*leased.Endpoint{}, running: map[string]cornelwall.RunID{},
 		served:     map[cornelwall.Incarnation]*cornelwall.QueueConfig{},
+		replies:    map[uint64]simReply{},
 		extraDelay: func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 0 },
 		replyLost:  func(cornelwall.Incarnation, cornelwall.Command) bool { return false },
 	}
@@ -161,6 +169,11 @@
 			s.served[id] = cmd.Config
 		case cornelwall.FetchQueueConfig:
 			s.after(2*simDelay, func() { s.step(id, s.fetch(cmd)) })
+		case cornelwall.ReplyBatch:
+			if earlier, ok := s.replies[cmd.Req]; ok {
+				s.t.Errorf("request %d is answered twice: %v, %v", cmd.Req, earlier.answer, cmd.Answer)
+			}
+			s.replies[cmd.Req] = simReply{s.now, cmd.Answer}
 		case cornelwall.Log:
 			s.logs = append(s.logs, cmd.Event)
 		}
