A large table of crashes travels as bulk

A report of more than 64 crashes now goes apart from the other messages, at the first time and again, and is given up only without progress. TestLargeCrashReportIsBulk failed before.

Each peer still sends its table; that stays open.

--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -329,3 +330,27 @@
 		assert.Equal(t, assigned, map[bool]int{false: 1, true: 6}[cleared])
 	}
 }
+
+// TestLargeCrashReportIsBulk guards against a table of crashes that is given up with all messages beside it, and sent again for ever.
+func TestLargeCrashReportIsBulk(t *testing.T) {
+	for _, tc := range []struct {
+		crashes int
+		bulk    bool
+	}{{maxOrderedCrashes, false}, {maxOrderedCrashes + 1, true}} {
+		f := newConfigFleet(1)
+		f.step(cornelwall.MembersListed{List: f.peers})
+		f.hear(time.Second, 1, false)
+		for i := range tc.crashes {
+			id := cornelwall.RunID{Task: fmt.Sprintf("%016x.0.0.0", i), Run: 1}
+			f.core.crashes.merge(&cornelwall.RunCrash{RunID: id, Endpoint: "x1", Boot: 1}, f.now, cornelwall.Incarnation{})
+		}
+		f.core.commands = nil
+		f.core.sendCrashesToAll()
+		assert.Equal(t, len(f.core.commands), 1)
+		s := f.core.commands[0].(cornelwall.Send)
+		assert.Equal(t, s.Bulk, tc.bulk)
+		f.core.commands = nil
+		f.core.resend(f.core.peers[f.peers[0].ID], s.Message)
+		assert.Equal(t, f.core.commands[0].(cornelwall.Send).Bulk, tc.bulk)
+	}
+}
--- a/core/dispatch/crashtable.go
+++ b/core/dispatch/crashtable.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	crashTTL   = 10 * time.Minute // for which a crash counts
-	maxCrashes = 4096             // crashes that are kept; the oldest go first
+	crashTTL          = 10 * time.Minute // for which a crash counts
+	maxOrderedCrashes = 64               // in a report that travels among the ordered messages
+	maxCrashes        = 4096             // crashes that are kept; the oldest go first
 )
 
 // crash is what is known of the crash of an endpoint under a run.
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -65,6 +65,7 @@
 	slowdown       float64              // median at its endpoints, as last reported
 	waitingJobs    map[string]int       // its batches that have not begun, by queue
 	resend         []cornelwall.Message // that may not have arrived and are safe to repeat
+	membersSentAt  time.Time            // when the members were last sent to it
 	fetchFailedAt  time.Time            // when it last failed to send its queue configuration
 	crashSeq       uint64               // of the last change of a crash that it was sent
 }
@@ -241,13 +242,22 @@
 			again := p.resend
 			p.resend = nil
 			for _, m := range again {
-				c.send(p.id, m)
+				c.resend(p, m)
 			}
 		}
 	}
 	c.expireSilentHolders()
 }
 
+// resend sends a message again that may not have arrived.
+func (c *Core) resend(p *peer, m cornelwall.Message) {
+	if m.CrashReport != nil {
+		c.sendCrashReport(p.id, m.CrashReport)
+		return
+	}
+	c.send(p.id, m)
+}
+
 // scanPeers updates the state of all peers, the links and the ranking. What has to be noticed
 // sooner is checked where it is used.
 func (c *Core) scanPeers() {
