Entries without a list of endpoints do not answer each other's heartbeats without pause

Such replies now keep replyInterval like the others, and the members go to a peer twice a second at most.

--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -11,6 +11,7 @@
 	heartbeatInterval = 100 * time.Millisecond // between two heartbeats to a peer
 	piggybackInterval = 10 * time.Millisecond  // between two heartbeats to a peer that precede other messages
 	replyInterval     = 20 * time.Millisecond  // between two heartbeats to a peer in reply
+	membersInterval   = 500 * time.Millisecond // between two lists of the members to a peer without a list of endpoints
 
 	remoteProbeInterval = 4 // one of so many probes without the platform goes to another data centre
 )
@@ -56,8 +57,7 @@
 		c.sendCrashes(p)
 	}
 	c.noteVersion(p, m.Version)
-	replyNeeded := p.wantsHeartbeats && (!wasOpen || !p.sessionOpen) || p.platformLost // the peer needs a reply as proof that its messages arrive
-	if first || p.noEndpointList || m.ReplyNow || replyNeeded && (p.sessionOpen && !wasOpen || c.now.Sub(p.heartbeatAt) >= replyInterval) {
+	if first || m.ReplyNow || c.needsReply(p, wasOpen) {
 		c.sendHeartbeats(p)
 	}
 	if m.SendList {
@@ -65,6 +65,15 @@
 	}
 }
 
+// needsReply reports whether a heartbeat of a peer is answered at once: the peer needs a reply as proof
+// that its messages arrive, or to learn what other entries there are.
+func (c *Core) needsReply(p *peer, wasOpen bool) bool {
+	if !(p.wantsHeartbeats && (!wasOpen || !p.sessionOpen) || p.platformLost || p.noEndpointList) {
+		return false
+	}
+	return p.sessionOpen && !wasOpen || c.now.Sub(p.heartbeatAt) >= replyInterval
+}
+
 // answerSeedHeartbeat answers a heartbeat that went to the address of this entry as a seed. It is none of
 // the numbered ones between the two entries, and proves nothing; the reply asks for one that does,
 // which may also ask for the list of endpoints.
@@ -167,10 +176,11 @@
 	if m.Withdrawn = withdrawn; !complete {
 		m.AckedSeq = 0 // no proof for runs whose withdrawal the peer may not know
 	}
-	if p.noEndpointList {
+	if p.noEndpointList && c.now.Sub(p.membersSentAt) >= membersInterval {
+		p.membersSentAt = c.now
 		m.Members = c.aliveMembers()
 	}
-	m.SendList = c.shouldAskForList(p)
+	m.SendList = c.takeListRequest(p)
 	return &m
 }
 
--- a/core/dispatch/seeds_test.go
+++ b/core/dispatch/seeds_test.go
@@ -102,3 +102,14 @@
 		assert.Assert(t, p.inTouch())
 	})
 }
+
+// TestEntriesWithoutListsExchangeFewHeartbeats guards against heartbeats that answer each other without pause.
+func TestEntriesWithoutListsExchangeFewHeartbeats(t *testing.T) {
+	p := newSeededPair()
+	sent := 0
+	for range 400 {
+		p.advance(5 * time.Millisecond)
+		sent += len(p.queue)
+	}
+	assert.Assert(t, sent <= 2*2*int(time.Second/replyInterval), "%d heartbeats in 2 s", sent)
+}
