A list of endpoints that was long on the way does not count as fresh

An entry could rely on a list that did not show a drain whose time was over. Updates of changes travel among the ordered messages again, which are given up after 250 ms; a complete list goes as bulk, and tells nothing about its age.

An entry without a list asks for one at least every 4 s (it waited for minutes after a few requests that were lost), and a peer of its own data centre if one has a list: that of another one has none of the endpoints that it is to hold.

TestListUpdateIsNotBulk, TestCompleteListTellsNothingAboutItsAge, TestListIsAskedForUntilItComes and TestListOfOwnDataCentreIsAskedFor failed before.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -15,6 +16,7 @@
 	revisionsKept      = 4                     // latest revisions that each update covers, so that a lost update leaves no gap
 	minReadInterval    = time.Second           // between two immediate reads
 	maxAllReaders      = 3                     // entries of a data centre up to which all of them read the list
+	maxListPatience    = 4 * time.Second       // for a peer to send its list, before another one is asked
 	readJitterMs       = 1000                  // milliseconds over which entries spread their backup reads
 )
 
@@ -157,7 +159,7 @@
 	c.updateSentAt = c.now
 	m := c.listChangesSince(c.recentRevs[0])
 	for _, p := range to {
-		c.sendBulk(p, cornelwall.Message{EndpointUpdate: m})
+		c.send(p.id, cornelwall.Message{EndpointUpdate: m})
 	}
 }
 
@@ -178,21 +180,29 @@
 	return m
 }
 
-// shouldAskForList reports whether a heartbeat to a peer asks it for its list of endpoints, and
-// counts it as asked. An entry without a list asks one peer that has one, and another one if the list
+// takeListRequest reports whether a heartbeat to a peer is to ask it for its list of endpoints. If so,
+// the peer counts as asked. An entry without a list asks one peer that has one, and another one if the list
 // has not come after a while, which doubles each time.
-func (c *Core) shouldAskForList(p *peer) bool {
-	if c.listRev > 0 || p.noEndpointList || !c.isResponsive(p) {
+func (c *Core) takeListRequest(p *peer) bool {
+	if c.listRev > 0 || c.now.Before(c.askForListAt) || !c.hasList(p) {
 		return false
 	}
-	if c.now.Before(c.askForListAt) {
-		return false
+	if p.id.DataCentre != c.cfg.Self.DataCentre && c.hearsListInDataCentre() {
+		return false // the list of a peer has the endpoints of its own data centre
 	}
-	c.listPatience = max(2*c.listPatience, fullListInterval)
+	c.listPatience = min(max(2*c.listPatience, fullListInterval), maxListPatience)
 	c.askForListAt = c.now.Add(c.listPatience)
 	return true
 }
 
+// hasList reports whether a peer that answers has a list of endpoints.
+func (c *Core) hasList(p *peer) bool { return c.isResponsive(p) && !p.noEndpointList }
+
+// hearsListInDataCentre reports whether a peer of this data centre has a list of endpoints.
+func (c *Core) hearsListInDataCentre() bool {
+	return slices.ContainsFunc(c.peersByID, func(p *peer) bool { return p.id.DataCentre == c.cfg.Self.DataCentre && c.hasList(p) })
+}
+
 // sendFullList sends a peer without a list all endpoints of this entry's data centre.
 func (c *Core) sendFullList(p *peer) {
 	if c.listRev == 0 || c.now.Sub(p.fullListAt) < fullListInterval {
@@ -213,8 +223,11 @@
 		c.orderRead()
 		return
 	}
-	c.listPartial = c.listPartial || m.FromRevision == 0
-	c.recordTold(from, m.Age)
+	if m.FromRevision == 0 {
+		c.listPartial = true
+	} else {
+		c.recordTold(from, m.Age) // a complete list may be long on the way, and tells nothing about its age
+	}
 	if m.ToRevision <= c.listRev {
 		return
 	}
--- a/core/dispatch/endpointlist_test.go
+++ b/core/dispatch/endpointlist_test.go
@@ -141,3 +141,71 @@
 	}
 	assert.Equal(t, sent, 0)
 }
+
+// TestCompleteListTellsNothingAboutItsAge guards against a list that counts as fresh although it was long on the way.
+func TestCompleteListTellsNothingAboutItsAge(t *testing.T) {
+	f := newConfigFleet(6)
+	f.step(cornelwall.MembersListed{List: f.peers})
+	f.hear(5*time.Second, 1, false)
+	f.receive(f.peers[0], cornelwall.Message{EndpointUpdate: &cornelwall.EndpointUpdate{ToRevision: 6}})
+	assert.Assert(t, f.core.listAge() >= 5*time.Second)
+	assert.Assert(t, f.core.readersSilent())
+}
+
+// TestListUpdateIsNotBulk guards against updates that wait behind each other, and count as fresh when they arrive.
+func TestListUpdateIsNotBulk(t *testing.T) {
+	f := newConfigFleet(6)
+	f.step(cornelwall.MembersListed{List: f.peers})
+	f.hear(5*time.Second, 1, false)
+	updates := 0
+	for rev := int64(5); rev < 8; rev++ {
+		for _, cmd := range f.step(cornelwall.EndpointsListed{Revision: rev, AsOf: f.now}) {
+			if s, ok := cmd.(cornelwall.Send); ok && s.Message.EndpointUpdate != nil {
+				assert.Assert(t, !s.Bulk)
+				updates++
+			}
+		}
+	}
+	assert.Assert(t, updates > 0)
+}
+
+// listRequests returns the peers that were asked for their lists.
+func (f *configFleet) listRequests() (to []cornelwall.Incarnation) {
+	for _, s := range f.sent {
+		if s.Message.SessionHeartbeat.SendList {
+			to = append(to, s.To)
+		}
+	}
+	return to
+}
+
+// TestListIsAskedForUntilItComes guards against an entry that waits for minutes since a request for the list was lost.
+func TestListIsAskedForUntilItComes(t *testing.T) {
+	f := newConfigFleet(30)
+	f.step(cornelwall.PlatformLost{})
+	f.hear(time.Minute, 1, false)
+	assert.Assert(t, len(f.listRequests()) >= int(time.Minute/maxListPatience))
+}
+
+// TestListOfOwnDataCentreIsAskedFor guards against a list without the endpoints that an entry is to hold.
+func TestListOfOwnDataCentreIsAskedFor(t *testing.T) {
+	f := newConfigFleet(12)
+	for i := range 10 {
+		f.peers[i].ID.DataCentre = "dc1"
+	}
+	f.step(cornelwall.PlatformLost{})
+	all := f.peers
+	f.peers = all[10:]
+	f.heartbeats(1, false)
+	f.peers = all
+	for range 1000 {
+		f.heartbeats(1, false)
+		f.step(cornelwall.Tick{})
+		f.now = f.now.Add(idleTickInterval)
+	}
+	requests := f.listRequests()
+	assert.Assert(t, len(requests) > 1)
+	for _, id := range requests {
+		assert.Equal(t, id.DataCentre, f.self.DataCentre)
+	}
+}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -213,7 +213,7 @@
 	var added map[*peer]bool
 	for _, cmd := range c.commands {
 		s, ok := cmd.(cornelwall.Send)
-		if !ok || s.Unordered || s.Bulk {
+		if !ok || s.Unordered || s.Bulk || s.Message.EndpointUpdate != nil {
 			continue
 		}
 		p := c.peers[s.To]
