Suppliers of the queue configuration: busy is no failure, silent ones come last, a slow one is not waited for

Now peers that were heard go first, then those that have not just failed; after 3 s a second peer is asked beside the first; and the newest known version is that of the peers that are known and have not denied it. The hash of a configuration in the logs takes no formatting any more, as it is taken in the control loop.

TestSecondPeerIsAskedBesideOneThatIsSlow, TestBusyPeerIsAskedAgainBesideSilentOnes, TestVersionThatNobodyHasIsForgotten and TestPeerThatFailedIsAskedLast failed before, or fail without a step of the change.

--- a/batch.go
+++ b/batch.go
@@ -1,9 +1,11 @@
 package cornelwall
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -60,8 +62,17 @@
 // Sum returns a hash of the queues, by which logs of several entries tell whether they have the same.
 func (c *QueueConfig) Sum() uint64 {
 	h := fnv.New64a()
+	var b []byte
 	for i := range c.Queues {
-		fmt.Fprintf(h, "%v\n", c.Queues[i])
+		q := &c.Queues[i]
+		b = b[:0]
+		for _, n := range []int64{int64(q.Priority), int64(q.Attempts), int64(q.Timeout), int64(q.Objective), int64(math.Float64bits(q.Stretch))} {
+			b = binary.AppendVarint(b, n)
+		}
+		for _, s := range []string{q.Name, q.Host, q.Prefix, q.Service} {
+			b = append(append(b, s...), '\n')
+		}
+		_, _ = h.Write(b) // never fails
 	}
 	return h.Sum64()
 }
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -276,6 +276,7 @@
 		}
 		if !p.listed && c.now.Sub(p.heardAt) > forgetAfter && c.now.Sub(p.unlistedAt) > forgetAfter && (p.runsExpired || p.heardAt.IsZero()) && c.platformUp {
 			c.removePeer(p)
+			c.recountNewest()
 			continue
 		}
 		if p.inLinks = c.wantsLink(p) || p.wantsHeartbeats && c.isResponsive(p) || len(p.resend) > 0; p.inLinks {
--- a/core/dispatch/queueconfig.go
+++ b/core/dispatch/queueconfig.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cornelwall"
@@ -12,6 +13,8 @@
 	minFetchBackoff = 50 * time.Millisecond  // before another peer is asked; doubles with each fetch in a row that failed
 	maxFetchBackoff = time.Second
 	supplierPenalty = 2 * time.Second // for which a peer that failed to send its configuration is asked only if no other can be
+	slowFetchTime   = 3 * time.Second // after which a second peer is asked beside one that still sends
+	maxFetches      = 2               // at a time
 )
 
 // queueConfigState is the queue configuration in force, and what is known of newer ones.
@@ -19,15 +22,15 @@
 // A version comes into force here and nowhere else, by setQueueConfig, and only if it is newer. It comes
 // from the platform's store, which every entry watches. An entry that hears of a newer version than
 // its own first leaves the store some time to bring it. Then it fetches the configuration from one of the
-// peers that have a newer one. It never asks a second one before the first has answered or failed,
-// so that a configuration crosses its link a few times at most, however many peers there are.
+// peers that have a newer one. It asks another one only once that has answered, failed or
+// taken long, so that the load of its link does not grow with the number of peers.
 type queueConfigState struct {
 	queueConfig   *cornelwall.QueueConfig // never modified; version 0 before the first one
 	newestVersion uint64                  // newest one that any entry has told of
 	behindSince   time.Time               // when this entry first heard of a newer version than its own; zero if it has not
 
-	fetchingFrom cornelwall.Incarnation // that was asked for its configuration; zero if none is
-	fetchAfter   time.Time              // earliest start of the next fetch
+	fetchingFrom []cornelwall.Incarnation // entries that were asked for their configurations
+	fetchAfter   time.Time                // earliest start of the next fetch
 	fetchBackoff time.Duration
 	fetches      uint64 // since the start; varies the choice of the peer
 }
@@ -89,7 +92,7 @@
 // fetchQueueConfig fetches a newer queue configuration from a peer, unless a fetch is under way, the
 // store is given time to bring it, or the last fetch has just failed.
 func (c *Core) fetchQueueConfig() {
-	if !c.isBehind() || c.fetchingFrom != (cornelwall.Incarnation{}) || c.now.Before(c.fetchAfter) {
+	if !c.isBehind() || len(c.fetchingFrom) == maxFetches || c.now.Before(c.fetchAfter) {
 		return
 	}
 	if c.platformUp && c.behindFor() < storeHeadStart {
@@ -100,7 +103,8 @@
 		return
 	}
 	c.fetches++
-	c.fetchingFrom = p.id
+	c.fetchingFrom = append(c.fetchingFrom, p.id)
+	c.fetchAfter = c.now.Add(slowFetchTime)
 	c.emit(cornelwall.FetchQueueConfig{From: p.id, Addr: p.addr, Have: c.queueConfig.Version})
 }
 
@@ -111,7 +115,7 @@
 	var bestRank int
 	var bestScore float64
 	for _, p := range c.peersByID {
-		if p.version <= c.queueConfig.Version || p.dead {
+		if p.version <= c.queueConfig.Version || p.dead || slices.Contains(c.fetchingFrom, p.id) {
 			continue
 		}
 		rank := c.supplierRank(p)
@@ -123,17 +127,24 @@
 	return best
 }
 
+// What makes a peer a better supplier of its queue configuration, in the order of weight.
+const (
+	rankSameCentre = 1 << iota
+	rankNotFailed
+	rankHeard
+)
+
 // supplierRank returns how well a peer is suited to send its queue configuration; higher is better.
 func (c *Core) supplierRank(p *peer) int {
 	rank := 0
-	if p.fetchFailedAt.IsZero() || c.now.Sub(p.fetchFailedAt) >= supplierPenalty {
-		rank += 4
-	}
 	if c.now.Sub(p.heardAt) <= deadTimeout {
-		rank += 2
+		rank |= rankHeard
+	}
+	if p.fetchFailedAt.IsZero() || c.now.Sub(p.fetchFailedAt) >= supplierPenalty {
+		rank |= rankNotFailed
 	}
 	if p.id.DataCentre == c.cfg.Self.DataCentre {
-		rank++
+		rank |= rankSameCentre
 	}
 	return rank
 }
@@ -141,20 +152,32 @@
 // handleQueueConfigFetched processes the end of a fetch. After one without a newer configuration the
 // next one waits for a while.
 func (c *Core) handleQueueConfigFetched(ev cornelwall.QueueConfigFetched) {
-	if ev.From == c.fetchingFrom {
-		c.fetchingFrom = cornelwall.Incarnation{}
-	}
-	if ev.Result == cornelwall.FetchDone {
-		c.fetchBackoff = 0
+	c.fetchingFrom = slices.DeleteFunc(c.fetchingFrom, func(id cornelwall.Incarnation) bool { return id == ev.From })
+	p := c.peers[ev.From]
+	switch {
+	case ev.Result == cornelwall.FetchDone:
+		c.fetchBackoff, c.fetchAfter = 0, c.now
 		c.setQueueConfig(ev.Config, ev.From.String())
 		return
-	}
-	if p := c.peers[ev.From]; p != nil && ev.Result != cornelwall.FetchNoNewer {
+	case p == nil:
+	case ev.Result == cornelwall.FetchNoNewer:
+		p.version = min(p.version, c.queueConfig.Version)
+		c.recountNewest()
+	case ev.Result == cornelwall.FetchFailed:
 		p.fetchFailedAt = c.now
 	}
 	c.fetchBackoff = min(max(2*c.fetchBackoff, minFetchBackoff), maxFetchBackoff)
-	if ev.Result == cornelwall.FetchBusy {
-		c.fetchBackoff = minFetchBackoff // another peer may be free
+	jitter := time.Duration(c.nameHash+c.fetches) % minFetchBackoff // entries that were told busy together do not return together
+	c.fetchAfter = c.now.Add(c.fetchBackoff + max(jitter, 0))
+}
+
+// recountNewest determines the newest known version again, after a peer has none or is forgotten.
+func (c *Core) recountNewest() {
+	c.newestVersion = c.queueConfig.Version
+	for _, p := range c.peersByID {
+		c.newestVersion = max(c.newestVersion, p.version)
+	}
+	if !c.isBehind() {
+		c.behindSince = time.Time{}
 	}
-	c.fetchAfter = c.now.Add(c.fetchBackoff)
 }
--- a/core/dispatch/queueconfig_test.go
+++ b/core/dispatch/queueconfig_test.go
@@ -228,7 +228,7 @@
 	f.hear(time.Second, 2, false)
 	for range 100 {
 		f.hear(heartbeatInterval, 2, false)
-		if f.core.fetchingFrom != (cornelwall.Incarnation{}) {
+		if len(f.core.fetchingFrom) > 0 {
 			f.fetched(cornelwall.FetchFailed, nil)
 		}
 	}
@@ -270,3 +270,87 @@
 	f.hear(time.Second, 1, true)
 	assert.Assert(t, slices.ContainsFunc(f.sent, func(s cornelwall.Send) bool { return s.To.DataCentre != f.self.DataCentre }))
 }
+
+// TestSecondPeerIsAskedBesideOneThatIsSlow guards against a supplier on a bad link that holds up an entry for as long as bytes trickle.
+func TestSecondPeerIsAskedBesideOneThatIsSlow(t *testing.T) {
+	f := newConfigFleet(30)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(10*slowFetchTime, 2, false)
+	assert.Equal(t, len(f.asked), maxFetches)
+	assert.Assert(t, f.asked[0] != f.asked[1])
+}
+
+// TestBusyPeerIsAskedAgainBesideSilentOnes guards against an entry that waits for peers that are gone, as the only live one is busy.
+func TestBusyPeerIsAskedAgainBesideSilentOnes(t *testing.T) {
+	f := newConfigFleet(20)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.heartbeats(2, true)
+	f.peers = f.peers[:1]
+	f.hear(2*deadTimeout, 2, true)
+	live := f.peers[0].ID
+	for i := range 5 {
+		f.step(cornelwall.QueueConfigFetched{From: f.asked[len(f.asked)-1], Result: cornelwall.FetchBusy})
+		f.hear(2*time.Second, 2, true)
+		assert.Equal(t, f.asked[len(f.asked)-1], live, "fetch %d", i)
+	}
+}
+
+// TestVersionThatNobodyHasIsForgotten guards against an entry that refuses unknown queues for good since a peer told of a version wrongly.
+func TestVersionThatNobodyHasIsForgotten(t *testing.T) {
+	newFleet := func() *configFleet {
+		f := newConfigFleet(3)
+		f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+		f.step(cornelwall.MembersListed{List: f.peers})
+		f.hear(time.Second, 1, false)
+		f.seq++
+		f.receive(f.peers[0], cornelwall.Message{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: f.peers[0].Addr, Seq: f.seq, Session: 1, Version: 100}})
+		assert.Assert(t, f.count("/b/").RetryAfter > 0)
+		return f
+	}
+	t.Run("the peer has none", func(t *testing.T) {
+		f := newFleet()
+		f.hear(time.Second, 1, false)
+		f.fetched(cornelwall.FetchNoNewer, nil)
+		assert.Equal(t, f.count("/b/").RetryAfter, time.Duration(0))
+	})
+	t.Run("the peer is gone", func(t *testing.T) {
+		f := newFleet()
+		f.peers = f.peers[1:]
+		f.step(cornelwall.MembersListed{List: f.peers})
+		f.hear(2*forgetAfter, 1, false)
+		assert.Equal(t, f.count("/b/").RetryAfter, time.Duration(0))
+	})
+}
+
+// TestPeerThatFailedIsAskedLast guards against time that is lost on a peer that has just failed, while another is only busy.
+func TestPeerThatFailedIsAskedLast(t *testing.T) {
+	f := newConfigFleet(2)
+	f.step(cornelwall.QueueConfigRead{Config: queueConfig(1, "a")})
+	f.hear(time.Second, 2, false)
+	failed := f.asked[0]
+	f.fetched(cornelwall.FetchFailed, nil)
+	for i := range 3 {
+		f.hear(3*heartbeatInterval, 2, false)
+		assert.Equal(t, len(f.asked), i+2)
+		assert.Assert(t, f.asked[i+1] != failed)
+		f.fetched(cornelwall.FetchBusy, nil)
+	}
+}
+
+// TestMembersAreSentRarely guards against lists of all members that fill the link of an entry without a list of endpoints.
+func TestMembersAreSentRarely(t *testing.T) {
+	f := newConfigFleet(1)
+	for range 100 {
+		f.seq++
+		f.receive(f.peers[0], cornelwall.Message{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: f.peers[0].Addr, Seq: f.seq, Session: 1, NoEndpointList: true}})
+		f.now = f.now.Add(replyInterval)
+	}
+	withMembers := 0
+	for _, s := range f.sent {
+		if len(s.Message.SessionHeartbeat.Members) > 0 {
+			withMembers++
+		}
+	}
+	assert.Assert(t, withMembers > 1)
+	assert.Assert(t, withMembers <= 1+int(100*replyInterval/membersInterval), "%d of %d heartbeats", withMembers, len(f.sent))
+}
