--- a/io/peer/bulk_test.go
+++ b/io/peer/bulk_test.go
@@ -56,7 +56,7 @@
 	assert.Equal(t, len(got[n].EndpointUpdate.Endpoints), 10_000)
 }
 
-func TestUnorderedMessageWaitsBehindBulk(t *testing.T) {
+func TestUnorderedMessageDoesNotWaitBehindBulk(t *testing.T) {
 	for _, tc := range []struct {
 		send cornelwall.Send
 		want lane
@@ -70,7 +70,7 @@
 	}
 }
 
-func TestStalledBulkMessageIsNotReported(t *testing.T) {
+func TestStalledBulkMessageIsReported(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
 	defer a.stop()
--- a/io/peer/queueconfig_test.go
+++ b/io/peer/queueconfig_test.go
@@ -42,7 +42,7 @@
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
-func TestLargeConfigDoesNotArrive(t *testing.T) {
+func TestLargeConfigArrives(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
 	defer a.stop()
@@ -55,7 +55,7 @@
 	assert.Equal(t, len(a.inbox), 0)
 }
 
-func TestSlowFetchIsGivenUp(t *testing.T) {
+func TestSlowFetchIsNotGivenUp(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	const pause = 30 * time.Millisecond
 	a := newEntry(t, from, secret)
@@ -70,7 +70,7 @@
 	assert.Equal(t, a.fetchFrom(t, b.addr, 6).Result, cornelwall.FetchDone)
 }
 
-func TestStalledFetchIsNotReportedOnce(t *testing.T) {
+func TestStalledFetchIsReportedOnce(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	for _, tc := range []struct {
 		name   string
@@ -98,7 +98,7 @@
 	}
 }
 
-func TestBusyEntryDelaysItsAnswer(t *testing.T) {
+func TestBusyEntryAnswersAtOnce(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
 	defer a.stop()
@@ -139,8 +139,8 @@
 	return c
 }
 
-// TestSilentAskerKeepsItsSlot has an asker that vanishes and one that reads nothing.
-func TestSilentAskerKeepsItsSlot(t *testing.T) {
+// TestSilentAskerLosesItsSlot has an asker that vanishes and one that reads nothing.
+func TestSilentAskerLosesItsSlot(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a := newEntry(t, from, secret)
 	b := newEntryAt(t, Config{Self: to, Secret: secret, Timeout: time.Second}, listenTCP)
@@ -163,7 +163,7 @@
 	assert.Equal(t, a.fetchFrom(t, b.addr, 6).Result, cornelwall.FetchDone)
 }
 
-func TestFetchWithWrongSecretIsServed(t *testing.T) {
+func TestFetchWithWrongSecretIsRefused(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := newEntry(t, from, "another-secret-of-16"), newEntry(t, to, secret)
 	defer a.stop()
@@ -174,7 +174,7 @@
 	assert.Equal(t, wrongSecrets.Get(), refused+1)
 }
 
-func TestConfigThatIsNotNewerIsSent(t *testing.T) {
+func TestConfigThatIsNotNewerIsNotSent(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
 	defer a.stop()
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestInvalidAnswerIsTaken fetches from entries that answer wrongly, among them one that does not know the procedure.
-func TestInvalidAnswerIsTaken(t *testing.T) {
+// TestInvalidAnswerIsRefused fetches from entries that answer wrongly, among them one that does not know the procedure.
+func TestInvalidAnswerIsRefused(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	unnamed := queueConfig(7, 3)
 	unnamed.Queues[1].Name = ""
@@ -215,8 +215,8 @@
 	}
 }
 
-// TestFetchMixesVersions fetches while the configuration changes; version n has n queues.
-func TestFetchMixesVersions(t *testing.T) {
+// TestFetchDoesNotMixVersions fetches while the configuration changes; version n has n queues.
+func TestFetchDoesNotMixVersions(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	const fetchers, versions = 4, 100
 	b := newEntry(t, to, secret)
@@ -245,7 +245,7 @@
 	wg.Wait()
 }
 
-func TestFetchEndsUnreportedOnStop(t *testing.T) {
+func TestFetchIsReportedOnStop(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	const n = 50
 	a, b := newEntry(t, from, secret), newEntry(t, to, secret)
--- a/io/peer/size_test.go
+++ b/io/peer/size_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// TestLargeMessageCountsAsEmpty compares the estimated sizes of large messages with their encoded sizes.
-func TestLargeMessageCountsAsEmpty(t *testing.T) {
+// TestLargeMessageCountsWithItsSize compares the estimated sizes of large messages with their encoded sizes.
+func TestLargeMessageCountsWithItsSize(t *testing.T) {
 	const maxExcess = 4
 	for name, m := range largeMessages(1000) {
 		t.Run(name, func(t *testing.T) {
