--- a/core/dispatch/queueconfig.go
+++ b/core/dispatch/queueconfig.go
@@ -108,8 +108,8 @@
 	c.emit(cornelwall.FetchQueueConfig{From: p.id, Addr: p.addr, Have: c.queueConfig.Version})
 }
 
-// pickSupplier returns a peer with a newer queue configuration, or nil. Peers of this data centre
-// that have not just failed to send theirs go first. Of these, one is chosen at random by weight.
+// pickSupplier returns a peer with a newer queue configuration, or nil. Of those with the highest
+// supplierRank, one is chosen at random by weight.
 func (c *Core) pickSupplier() *peer {
 	var best *peer
 	var bestRank int
@@ -167,8 +167,8 @@
 		p.fetchFailedAt = c.now
 	}
 	c.fetchBackoff = min(max(2*c.fetchBackoff, minFetchBackoff), maxFetchBackoff)
-	jitter := time.Duration(c.nameHash+c.fetches) % minFetchBackoff // entries that were told busy together do not return together
-	c.fetchAfter = c.now.Add(c.fetchBackoff + max(jitter, 0))
+	jitter := time.Duration((c.nameHash + c.fetches) % uint64(minFetchBackoff)) // entries that were told busy together do not return together
+	c.fetchAfter = c.now.Add(c.fetchBackoff + jitter)
 }
 
 // recountNewest determines the newest known version again, after a peer has none or is forgotten.
