--- a/review/lab/case_twice.go
+++ b/review/lab/case_twice.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net"
 	"os"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	twiceExecutors = 7 // of each zone
 	twiceCores     = 4000
 	twiceInterval  = 44 * time.Millisecond  // between two jobs, on average
+	labStall       = 40 * time.Millisecond  // from which a delay of the lab's own process is noted
 	shortestTurn   = 200 * time.Microsecond // that a starved process runs
 	longestTurn    = 20 * time.Millisecond
 	callerPause    = 20 * time.Millisecond // least time before a client leaves
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	peers.from = func(first []byte, _ net.Conn) string { return t.nameIn(first) }
+	peers.from = func(first []byte) string { return t.nameIn(first) }
 	e.announce = peers.addr()
 	go peers.serve()
 	if t.callers[e], err = t.net.relayTo(e.callers, callersOf(e)); err != nil {
@@ -138,6 +138,18 @@
 // callersOf names the way between an entry and its clients.
 func callersOf(e *entry) string { return "callers of " + e.name }
 
+// watchLab notes when the lab's own process stood still: the executors then end runs late.
+func (t *twiceLab) watchLab() {
+	for last := time.Now(); ; {
+		time.Sleep(tick)
+		now := time.Now()
+		if d := now.Sub(last); d > labStall {
+			t.note("lab stood still", d)
+		}
+		last = now
+	}
+}
+
 // submitJobs lets clients hand in jobs.
 func (t *twiceLab) submitJobs(r *rand.Rand, until time.Duration) {
 	var wg sync.WaitGroup
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -20,7 +20,6 @@
 	readyTimeout = 20 * time.Second // for entries to take callers
 	stopTimeout  = 8 * time.Second  // for an entry to end after SIGTERM
 	secret       = "a-secret-of-the-review"
-	labStall     = 40 * time.Millisecond // from which a delay of the lab's own process is noted
 )
 
 // lab is a running deployment and the record of what happened in it.
@@ -35,8 +34,7 @@
 	starts []startEvent
 	ends   map[runKey]runEnd
 
-	onStart func(s startEvent)    // called in a goroutine of its own with each start; nil for none
-	onStall func(d time.Duration) // called after each delay of the lab's own process; nil for none
+	onStart func(s startEvent) // called in a goroutine of its own with each start; nil for none
 
 	entries   []*entry
 	executors []*executor
@@ -111,21 +109,6 @@
 	return starts
 }
 
-// watchLab notes when the lab's own process stood still: the executors then end runs late.
-func (l *lab) watchLab() {
-	for last := time.Now(); ; {
-		time.Sleep(tick)
-		now := time.Now()
-		if d := now.Sub(last); d > labStall {
-			l.note("lab stood still", d)
-			if l.onStall != nil {
-				l.onStall(d)
-			}
-		}
-		last = now
-	}
-}
-
 // close ends all processes that the lab has started and all stand-ins.
 func (l *lab) close() {
 	for _, e := range l.entries {
@@ -174,7 +157,6 @@
 	metrics   string // port
 	proxy     *proxy // the way to the store
 	announce  string // address of the relay before its peers' listener; empty if there is none
-	storeAddr string // address of the relay before proxy; empty if there is none
 	seeds     []string
 	cmd       *exec.Cmd
 	pid       atomic.Int64
@@ -274,7 +256,7 @@
 valueBytes = 1048576
 minTtlMs = 1000
 `, e.name, e.zone, strings.Join(quoted, ","), heartbeat.Milliseconds(), e.callers, e.readiness, e.control,
-		drainBound.Milliseconds(), maxHold.Milliseconds(), stopBound.Milliseconds(), cmp.Or(e.storeAddr, e.proxy.addr()))
+		drainBound.Milliseconds(), maxHold.Milliseconds(), stopBound.Milliseconds(), e.proxy.addr())
 }
 
 // start starts the process with the command of the deploy file.
@@ -289,7 +271,7 @@
 	}
 	program := "target/cornelwall"
 	if e.announce != "" {
-		program = cmp.Or(os.Getenv("PROGRAM"), "target/review-cornelwall")
+		program = "target/review-cornelwall"
 	}
 	e.cmd = exec.Command(program, "dispatch")
 	e.cmd.Env = append(os.Environ(), "CORNELWALL_NODE_FILE="+path, "CORNELWALL_SECRET="+secret, "CORNELWALL_METRICS_PORT="+e.metrics,
--- a/review/lab/network.go
+++ b/review/lab/network.go
@@ -13,14 +13,6 @@
 	lastRetransmit  = 1600 * time.Millisecond
 	firstReads      = 3                    // of a connection, to learn which machine it comes from
 	openCheck       = 5 * time.Millisecond // between two checks of a cut
-
-	wholeReads  = 32 << 10             // bytes that a relay reads at once
-	packetSize  = 1460                 // bytes that it reads at once where links have a rate
-	relayWindow = 64 << 10             // bytes that wait before a relay of such a connection
-	rateBurst   = 5 * time.Millisecond // of bytes that a link passes at once, since a sleep may take too long
-
-	longestQueue = 300 * time.Millisecond // that bytes may wait at a link; later ones come when it is shorter
-	queueCheck   = 10 * time.Millisecond
 )
 
 // impairment is what is wrong with the links of a machine, or with the way from one machine to another.
@@ -40,94 +32,12 @@
 	machines map[string]impairment
 	ways     map[way]impairment
 	conns    map[*relayed]bool
-	links    map[string]*link // of machines whose links have a rate
-	bytes    map[way]int      // that have been carried
 	relays   []*relay
 	closed   bool
 }
 
 func newNetwork() *network {
-	return &network{machines: map[string]impairment{}, ways: map[way]impairment{}, conns: map[*relayed]bool{}, links: map[string]*link{}, bytes: map[way]int{}}
-}
-
-// link is the bandwidth of a machine: all its connections share it, in each direction.
-type link struct {
-	rate     float64   // bytes per second
-	up, down time.Time // when the bytes that were sent have passed
-}
-
-// pace returns when n more bytes have passed, at the rate of the link, given when the earlier ones have.
-func (k *link) pace(free *time.Time, n int, now time.Time) time.Time {
-	if earliest := now.Add(-rateBurst); free.Before(earliest) {
-		*free = earliest
-	}
-	*free = free.Add(time.Duration(float64(n) / k.rate * float64(time.Second)))
-	return *free
-}
-
-// setRate sets the bandwidth of a machine in bytes per second. It has to be set before its first connection.
-func (n *network) setRate(machine string, rate float64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.links[machine] == nil {
-		n.links[machine] = &link{}
-	}
-	n.links[machine].rate = rate
-}
-
-// transmit waits until bytes have passed the links of both machines.
-func (n *network) transmit(w way, size int) {
-	passed, ok := n.queue(w, size)
-	for !ok {
-		time.Sleep(queueCheck)
-		passed, ok = n.queue(w, size)
-	}
-	time.Sleep(time.Until(passed))
-}
-
-// queue puts bytes into the queues of the links of both machines and returns when they have passed. It returns
-// false if a queue is full.
-func (n *network) queue(w way, size int) (passed time.Time, ok bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	from, to := n.links[w.from], n.links[w.to]
-	full := from != nil && from.up.Sub(now) > longestQueue || to != nil && to.down.Sub(now) > longestQueue
-	if full && !n.closed {
-		return now, false
-	}
-	n.bytes[w] += size
-	if from != nil {
-		passed = from.pace(&from.up, size, now)
-	}
-	if to != nil {
-		if at := to.pace(&to.down, size, now); at.After(passed) {
-			passed = at
-		}
-	}
-	return passed, true
-}
-
-// carried returns how many bytes went to a machine from another one, and to it from all others.
-func (n *network) carried(to, from string) (some, all int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for w, size := range n.bytes {
-		if w.to == to {
-			all += size
-		}
-	}
-	return n.bytes[way{from, to}], all
-}
-
-// readSize returns how many bytes a relay reads at once.
-func (n *network) readSize() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(n.links) > 0 {
-		return packetSize
-	}
-	return wholeReads
+	return &network{machines: map[string]impairment{}, ways: map[way]impairment{}, conns: map[*relayed]bool{}}
 }
 
 // impair sets what is wrong with all links of a machine.
@@ -203,9 +113,9 @@
 	net      *network
 	listener net.Listener
 	target   string
-	to       string                                // machine at the target
-	from     func(first []byte, c net.Conn) string // machine that connects
-	closeLag func() (d time.Duration, never bool)  // by which the target learns late that the other side has closed
+	to       string                               // machine at the target
+	from     func(first []byte) string            // machine that connects
+	closeLag func() (d time.Duration, never bool) // by which the target learns late that the other side has closed
 }
 
 // relayed is a connection through a relay.
@@ -250,13 +160,10 @@
 }
 
 func (r *relay) connect(near net.Conn) {
-	buf := make([]byte, r.net.readSize()*firstReads)
-	if r.net.readSize() == packetSize {
-		_ = near.(*net.TCPConn).SetReadBuffer(relayWindow) // a hint only
-	}
+	buf := make([]byte, 32<<10)
 	c, size := &relayed{to: r.to, near: near}, 0
 	for range firstReads {
-		n, err := near.Read(buf[size:min(len(buf), size+r.net.readSize())])
+		n, err := near.Read(buf[size:])
 		if err != nil {
 			_ = near.Close()
 			return
@@ -264,12 +171,11 @@
 		if size += n; r.from == nil {
 			break
 		}
-		if c.from = r.from(buf[:size], near); c.from != "" {
+		if c.from = r.from(buf[:size]); c.from != "" {
 			break
 		}
 	}
 	r.net.pass(way{c.from, c.to})
-	r.net.transmit(way{c.from, c.to}, size)
 	var err error
 	if c.far, err = net.Dial("tcp", r.target); err != nil {
 		_ = near.Close()
@@ -291,14 +197,13 @@
 
 // copy forwards bytes and, last, the close of the connection.
 func (r *relay) copy(to, from net.Conn, w way, closeLag func() (time.Duration, bool)) {
-	buf := make([]byte, r.net.readSize())
+	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
 			break
 		}
 		r.net.pass(w)
-		r.net.transmit(w, n)
 		if _, err := to.Write(buf[:n]); err != nil {
 			break
 		}
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,19 +36,7 @@
 	cores int
 }
 
-// storeManner is what the store does with the calls of an entry.
-type storeManner int
-
-const (
-	storeServes storeManner = iota
-	storeSilent             // no answer, and no other one on that connection
-	storeUnavailable
-	storeBusy
-	storeResets // it closes the connection
-)
-
-// store stands in for the platform's store. It does what PROTOCOL.md says of it, and has the faults that
-// setManner, cutWatches and dropHistory give it.
+// store stands in for the platform's store. It does what PROTOCOL.md says of it and has no faults.
 type store struct {
 	lab      *lab
 	listener net.Listener
@@ -67,9 +53,6 @@
 	reads   []listRead
 	rooms   map[string][]roomReport // by executor
 	changed chan struct{}           // closed and replaced with each change
-	manners map[string]storeManner  // by entry
-	oldest  int64                   // revision after which the history is there
-	cut     chan struct{}           // closed and replaced to cut the watches
 }
 
 func newStore(l *lab) (*store, error) {
@@ -80,7 +63,6 @@
 	s := &store{
 		lab: l, listener: n, rev: 1, items: map[string]item{}, leases: map[int64]time.Time{}, ttl: map[int64]time.Duration{},
 		nextID: 1000, clients: map[string]string{}, rooms: map[string][]roomReport{}, changed: make(chan struct{}),
-		manners: map[string]storeManner{}, cut: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cornelwall/kv-key", s.getKey)
@@ -90,7 +72,7 @@
 	mux.HandleFunc("POST /cornelwall/kv-lease", s.grant)
 	mux.HandleFunc("POST /cornelwall/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /cornelwall/kv-lease-end/{id}", s.end)
-	s.server = &http.Server{Handler: s.withManners(mux)}
+	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(n) }()
 	return s, nil
 }
@@ -106,71 +88,6 @@
 	s.clients[addr] = entry
 }
 
-// setManner sets what the store does with the calls of some entries.
-func (s *store) setManner(m storeManner, entries ...*entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range entries {
-		s.manners[e.name] = m
-	}
-}
-
-// mannerWith returns what the store does with calls on a connection.
-func (s *store) mannerWith(remoteAddr string) storeManner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.manners[s.clients[remoteAddr]]
-}
-
-// cutWatches cuts the watches that are waiting.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
-// dropHistory discards the history: watches that begin before now are told so.
-func (s *store) dropHistory() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.rev
-}
-
-// withManners wraps the handlers of the store with its manners. An answer that is ready while the store is
-// silent to its entry is lost.
-func (s *store) withManners(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch s.mannerWith(r.RemoteAddr) {
-		case storeSilent:
-			s.keepSilent(r)
-		case storeUnavailable:
-			reply(w, http.StatusServiceUnavailable, map[string]any{})
-			return
-		case storeBusy:
-			reply(w, http.StatusTooManyRequests, map[string]any{})
-			return
-		case storeResets:
-			panic(http.ErrAbortHandler)
-		}
-		done := httptest.NewRecorder()
-		h.ServeHTTP(done, r)
-		if s.mannerWith(r.RemoteAddr) == storeSilent {
-			s.keepSilent(r)
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(done.Code)
-		_, _ = w.Write(done.Body.Bytes()) // an entry that has gone needs none
-	})
-}
-
-// keepSilent waits until the other side closes the connection.
-func (s *store) keepSilent(r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // the server notices a close only after the body
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
-
 // firstRead returns when one of the entries was first sent the list of executors after a time, or 0.
 func (s *store) firstRead(after time.Duration, entries []*entry) time.Duration {
 	s.mu.Lock()
@@ -311,18 +228,13 @@
 	for done := false; ; {
 		s.mu.Lock()
 		s.expire()
-		if after < s.oldest {
-			s.mu.Unlock()
-			reply(w, http.StatusGone, map[string]any{})
-			return
-		}
 		events := []item{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
 				events = append(events, it)
 			}
 		}
-		rev, changed, cut := s.rev, s.changed, s.cut
+		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || done {
 			reply(w, http.StatusOK, map[string]any{"events": events, "currentRev": rev})
@@ -331,8 +243,6 @@
 		select {
 		case <-changed:
 		case <-time.After(50 * time.Millisecond): // a lease may have ended
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		case <-timeout:
 			done = true
 		case <-r.Context().Done():
--- a/review/lab/case_config.go
+++ b/standin/cases/lab/case_config.go
@@ -1,3 +1,5 @@
+//go:build caselab
+
 package main
 
 import (
@@ -72,7 +74,7 @@
 
 // configCase judges CONFIG: an operator adds and drops queues while entries with unequal links lose the store
 // in several ways, are stopped, killed and squeezed. Every entry is asked for the queues all the time.
-// The README of the case lists the settings.
+// standin/cases/config/claim.txt lists the settings.
 func configCase(l *lab, trouble bool) (bool, error) {
 	settings, err := readConfigSettings(trouble)
 	if err != nil {
--- a/review/lab/case_config_check.go
+++ b/standin/cases/lab/case_config_check.go
@@ -1,3 +1,5 @@
+//go:build caselab
+
 package main
 
 import (
