--- a/core/dispatch/queueconfig.go
+++ b/core/dispatch/queueconfig.go
@@ -46,9 +46,7 @@
 	c.queueConfig = cfg
 	c.newestVersion = max(c.newestVersion, cfg.Version)
 	c.behindSince = time.Time{}
-	if c.isBehind() {
-		c.behindSince = c.now
-	}
+	c.updateBehind()
 	c.emit(cornelwall.ServeQueueConfig{Config: cfg})
 }
 
@@ -56,7 +54,15 @@
 func (c *Core) noteVersion(p *peer, version uint64) {
 	p.version = max(p.version, version)
 	c.newestVersion = max(c.newestVersion, version)
-	if c.isBehind() && c.behindSince.IsZero() {
+	c.updateBehind()
+}
+
+// updateBehind sets behindSince after a change of the newest known version.
+func (c *Core) updateBehind() {
+	switch {
+	case !c.isBehind():
+		c.behindSince = time.Time{}
+	case c.behindSince.IsZero():
 		c.behindSince = c.now
 	}
 }
@@ -177,7 +183,5 @@
 	for _, p := range c.peersByID {
 		c.newestVersion = max(c.newestVersion, p.version)
 	}
-	if !c.isBehind() {
-		c.behindSince = time.Time{}
-	}
+	c.updateBehind()
 }
