What travels as bulk is decided where messages are sent

Core.send now asks isBulk of the message, so that a message takes the same lane whoever sends it, the first time and again. TestLargeCrashReportIsBulk sends again by the way of an undelivered envelope; its assertions are the same. No behaviour changes.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -131,19 +131,10 @@
 
 func (c *Core) reportCrashes(to cornelwall.Incarnation, list []cornelwall.RunCrash) {
 	for chunk := range slices.Chunk(list, cornelwall.MaxReportedCrashes) {
-		c.sendCrashReport(to, &cornelwall.CrashReport{Crashes: chunk})
+		c.send(to, cornelwall.Message{CrashReport: &cornelwall.CrashReport{Crashes: chunk}})
 	}
 }
 
-// sendCrashReport sends a report among the other messages, or a large one apart from them.
-func (c *Core) sendCrashReport(to cornelwall.Incarnation, m *cornelwall.CrashReport) {
-	if p := c.peers[to]; p != nil && len(m.Crashes) > maxOrderedCrashes {
-		c.sendBulk(p, cornelwall.Message{CrashReport: m})
-		return
-	}
-	c.send(to, cornelwall.Message{CrashReport: m})
-}
-
 // handleCrashReport adds the crashes that a peer knows of.
 func (c *Core) handleCrashReport(from cornelwall.Incarnation, m *cornelwall.CrashReport) {
 	var changed []string
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -350,7 +350,8 @@
 		s := f.core.commands[0].(cornelwall.Send)
 		assert.Equal(t, s.Bulk, tc.bulk)
 		f.core.commands = nil
-		f.core.resend(f.core.peers[f.peers[0].ID], s.Message)
+		f.core.handleUndelivered(cornelwall.Undelivered{Envelope: cornelwall.Envelope{To: s.To, Messages: []cornelwall.Message{s.Message}}})
+		f.core.checkPeers()
 		assert.Equal(t, f.core.commands[0].(cornelwall.Send).Bulk, tc.bulk)
 	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -308,11 +308,6 @@
 	c.emit(cornelwall.Log{Event: event, Pairs: pairs})
 }
 
-// sendBulk sends a message to a peer that may be large and is not urgent.
-func (c *Core) sendBulk(p *peer, m cornelwall.Message) {
-	c.emit(cornelwall.Send{To: p.id, Addr: p.addr, Bulk: true, Message: m})
-}
-
 // send sends a message to an entry. Messages to this entry itself are queued in localMessages.
 func (c *Core) send(to cornelwall.Incarnation, m cornelwall.Message) {
 	if to == c.cfg.Self {
@@ -320,7 +315,7 @@
 		return
 	}
 	if p := c.peers[to]; p != nil {
-		c.emit(cornelwall.Send{To: to, Addr: p.addr, Message: m})
+		c.emit(cornelwall.Send{To: to, Addr: p.addr, Bulk: isBulk(&m), Message: m})
 	}
 }
 
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -182,7 +182,7 @@
 
 // takeListRequest reports whether a heartbeat to a peer is to ask it for its list of endpoints. If so,
 // the peer counts as asked. An entry without a list asks one peer that has one, and another one if the list
-// has not come after a while, which doubles each time.
+// has not come after a while, which doubles each time up to maxListPatience.
 func (c *Core) takeListRequest(p *peer) bool {
 	if c.listRev > 0 || c.now.Before(c.askForListAt) || !c.hasList(p) {
 		return false
@@ -209,7 +209,7 @@
 		return
 	}
 	p.fullListAt = c.now
-	c.sendBulk(p, cornelwall.Message{EndpointUpdate: c.listChangesSince(0)})
+	c.send(p.id, cornelwall.Message{EndpointUpdate: c.listChangesSince(0)})
 }
 
 // handleEndpointUpdate applies the changes that a peer has sent. If revisions are missing before
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -85,6 +85,12 @@
 	}
 }
 
+// isBulk reports whether a message may be large and is not urgent: a complete list of endpoints, or many
+// crashes. Updates of the list are not, as their age must not grow on the way.
+func isBulk(m *cornelwall.Message) bool {
+	return m.EndpointUpdate != nil && m.EndpointUpdate.FromRevision == 0 || m.CrashReport != nil && len(m.CrashReport.Crashes) > maxOrderedCrashes
+}
+
 // isRepeatable reports whether a message is idempotent and its receiver depends on it.
 func isRepeatable(m *cornelwall.Message) bool {
 	return m.Withdraw != nil || m.RunResults != nil || m.RunsStarted != nil || m.RunsKnown != nil || m.EndpointAcquired != nil ||
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -242,22 +242,13 @@
 			again := p.resend
 			p.resend = nil
 			for _, m := range again {
-				c.resend(p, m)
+				c.send(p.id, m)
 			}
 		}
 	}
 	c.expireSilentHolders()
 }
 
-// resend sends a message again that may not have arrived.
-func (c *Core) resend(p *peer, m cornelwall.Message) {
-	if m.CrashReport != nil {
-		c.sendCrashReport(p.id, m.CrashReport)
-		return
-	}
-	c.send(p.id, m)
-}
-
 // scanPeers updates the state of all peers, the links and the ranking. What has to be noticed
 // sooner is checked where it is used.
 func (c *Core) scanPeers() {
