--- /dev/null
+++ b/review/lab2/main.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit statuses of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// caseFunc plays a case. It returns what broke the rule, or nothing if the rule held.
+type caseFunc func(s *system, trouble bool) (broken []string, err error)
+
+var cases = map[string]caseFunc{
+	"cancel-early":   cancelEarly,
+	"cancel-unheard": cancelUnheard,
+}
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	recordPath := flag.String("record", "record.txt", "file to write what happened to")
+	program := flag.String("program", "target/cornelwall", "path of the built program")
+	logs := flag.String("logs", "", "folder for the logs of the entries; empty is none")
+	flag.Parse()
+	os.Exit(run(*name, *recordPath, *program, *logs))
+}
+
+func run(name, recordPath, program, logs string) int {
+	play := cases[name]
+	if play == nil {
+		fmt.Fprintf(os.Stderr, "case %q does not exist\n", name)
+		return exitNotRun
+	}
+	program, err := filepath.Abs(program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec := newRecord()
+	defer func() {
+		if err := rec.writeTo(recordPath); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	rec.add("case %s, disruption %t", name, trouble)
+	s, err := newSystem(rec, program, logs)
+	if err != nil {
+		rec.add("not run: %v", err)
+		return exitNotRun
+	}
+	defer s.close()
+	broken, err := play(s, trouble)
+	if err != nil {
+		rec.add("not run: %v", err)
+		return exitNotRun
+	}
+	for _, b := range broken {
+		rec.add("BROKEN: %s", b)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	rec.add("the rule held")
+	return exitHeld
+}
+
+// waitUntil calls f until it reports true, for at most d.
+func waitUntil(d time.Duration, f func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return f()
+}
