--- a/review/lab2/case_cancel.go
+++ b/review/lab2/case_cancel.go
@@ -11,17 +11,14 @@
 )
 
 const (
-	cancelTime   = 3 * time.Second // cancel_ms
-	stableWindow = 3 * time.Second // stableWindowMs
-	ackTime      = 4 * time.Second // ackMs
-	patience     = 28 * time.Second
+	patience = 28 * time.Second // of a client for the end of its job
 )
 
 // lateStarts returns the starts of a cancelled job that came later than cancel_ms after the ack, and later
 // than stableWindowMs after the end of all disruptions.
 func (s *system) lateStarts(id string, acked, calmFrom time.Time) []string {
-	limit := acked.Add(cancelTime)
-	if calm := calmFrom.Add(stableWindow); calm.After(limit) {
+	limit := acked.Add(s.site.cancel)
+	if calm := calmFrom.Add(s.site.stableWindow); calm.After(limit) {
 		limit = calm
 	}
 	var broken []string
@@ -109,7 +106,7 @@
 }
 
 func (w *cancelWave) cancel(id string) {
-	a := w.s.request(w.other, http.MethodDelete, id, nil, ackTime)
+	a := w.s.request(w.other, http.MethodDelete, id, nil, w.s.site.ack)
 	if a.err != nil || a.status/100 != 2 {
 		return
 	}
@@ -162,7 +159,7 @@
 	if !s.balancer.inRotation(other) {
 		return nil, errors.New("the balancer sends the restarted entry no channels")
 	}
-	cancelled := s.request(other, http.MethodDelete, id, nil, ackTime)
+	cancelled := s.request(other, http.MethodDelete, id, nil, s.site.ack)
 	time.Sleep(time.Until(beganAt.Add(outage)))
 	other.access.turnedAway.Store(false)
 	calmFrom := beganAt
@@ -177,3 +174,44 @@
 	}
 	return s.lateStarts(id, cancelled.at, calmFrom), nil
 }
+
+// cancelUnlisted cancels a job long after its entry was added while the store lost answers. The write
+// that registered the entry was done late, under a lease that has ended since.
+func cancelUnlisted(s *system, trouble bool) ([]string, error) {
+	const (
+		lossTime   = 4500 * time.Millisecond
+		lateBy     = 1200 * time.Millisecond
+		forgetTime = 15 * time.Second // in which nothing is asked of the system
+	)
+	owner, other := s.entries[0], s.entries[len(s.entries)-1] // of two zones
+	if err := s.start(s.controls(), owner); err != nil {
+		return nil, err
+	}
+	beganAt := time.Now()
+	if trouble {
+		s.rec.add("store: loses answers, and does what was not answered later")
+		owner.access.lateWrite.Store(int64(lateBy))
+	}
+	if err := owner.start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(beganAt.Add(lossTime)))
+	owner.access.lateWrite.Store(0)
+	calmFrom := time.Now()
+	s.rec.add("store: calm; %s is registered: %t", owner.name, s.store.has("cornelwall/members/"+owner.name))
+	time.Sleep(forgetTime)
+	if !owner.ready() {
+		return nil, errors.New("the added entry is not ready")
+	}
+	id := newID()
+	j := s.chain(4*time.Second, 4*time.Second, 4*time.Second)
+	posted := make(chan answer, 1)
+	go func() { posted <- s.request(owner, http.MethodPost, id, j, patience) }()
+	time.Sleep(time.Second)
+	cancelled := s.request(other, http.MethodDelete, id, nil, s.site.ack)
+	<-posted
+	if cancelled.err != nil || cancelled.status/100 != 2 {
+		return nil, errors.New("the cancelling was not acknowledged")
+	}
+	return s.lateStarts(id, cancelled.at, calmFrom), nil
+}
--- a/review/lab2/entry.go
+++ b/review/lab2/entry.go
@@ -32,7 +32,7 @@
 }
 
 // writeSettings writes the settings file.
-func (e *entry) writeSettings(zones, seeds []string, storeAddr string) error {
+func (e *entry) writeSettings(at site, zones, seeds []string, storeAddr string) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "node = %q\nrole = \"entry\"\nmachineClass = \"edge\"\nserves = [\"edge\",\"control\"]\nip = %q\nzone = %q\nregion = \"r\"\n", e.name, e.ip, e.zone)
 	fmt.Fprintf(&b, "portRange = [7720,7735]\nseeds = [\"%s\"]\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1500\norders = \"rpc\"\n", strings.Join(seeds, `","`))
@@ -55,19 +55,20 @@
 [bounds]
 seedLagS = 3
 addrReuseS = 2
-stableWindowMs = 3000
-ackMs = 4000
-drainMs = 2000
 graceS = 6
 lossSlackMs = 200
-configApplyMs = 2000
 rollbackSlackMs = 250
 recoveryS = 12
 maxHoldMs = 1000
 stopMs = 50
-cancel_ms = 3000
 retryDelayMs = 1300
-[platform]
+`)
+	for name, d := range map[string]time.Duration{
+		"ackMs": at.ack, "drainMs": at.drain, "configApplyMs": at.configApply, "cancel_ms": at.cancel, "stableWindowMs": at.stableWindow,
+	} {
+		fmt.Fprintf(&b, "%s = %d\n", name, d.Milliseconds())
+	}
+	b.WriteString(`[platform]
 form = "kv"
 writesPerS = 400
 readsPerS = 2000
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -18,9 +18,16 @@
 // caseFunc plays a case. It returns what broke the rule, or nothing if the rule held.
 type caseFunc func(s *system, trouble bool) (broken []string, err error)
 
-var cases = map[string]caseFunc{
-	"cancel-early":   cancelEarly,
-	"cancel-unheard": cancelUnheard,
+// reviewCase is a case and the deployment that it is played on.
+type reviewCase struct {
+	play caseFunc
+	at   site
+}
+
+var cases = map[string]reviewCase{
+	"cancel-early":    {cancelEarly, smallSite},
+	"cancel-unheard":  {cancelUnheard, smallSite},
+	"cancel-unlisted": {cancelUnlisted, grownSite},
 }
 
 func main() {
@@ -33,8 +40,8 @@
 }
 
 func run(name, recordPath, program, logs string) int {
-	play := cases[name]
-	if play == nil {
+	c, ok := cases[name]
+	if !ok {
 		fmt.Fprintf(os.Stderr, "case %q does not exist\n", name)
 		return exitNotRun
 	}
@@ -51,13 +58,13 @@
 		}
 	}()
 	rec.add("case %s, disruption %t", name, trouble)
-	s, err := newSystem(rec, program, logs)
+	s, err := newSystem(c.at, rec, program, logs)
 	if err != nil {
 		rec.add("not run: %v", err)
 		return exitNotRun
 	}
 	defer s.close()
-	broken, err := play(s, trouble)
+	broken, err := c.play(s, trouble)
 	if err != nil {
 		rec.add("not run: %v", err)
 		return exitNotRun
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -65,6 +68,14 @@
 	s.notify()
 }
 
+// has reports whether a key exists.
+func (s *store) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
 // set writes a key at the current revision. The caller holds mu.
 func (s *store) set(key string, value []byte, lease int64) {
 	it := item{Key: key, Value: value, Revision: s.rev, Created: s.rev, Lease: lease}
@@ -120,6 +131,7 @@
 type access struct {
 	store      *store
 	turnedAway atomic.Bool
+	lateWrite  atomic.Int64 // after which time, in nanoseconds, the next transaction is done, without an answer; 0 is none
 }
 
 // ServeHTTP serves one call.
@@ -138,7 +150,7 @@
 	case "kv-watch":
 		a.store.serveWatch(w, r, &a.turnedAway)
 	case "kv-txn":
-		a.store.serveTxn(w, r)
+		a.serveTxn(w, r)
 	case "kv-lease":
 		a.store.serveGrant(w, r)
 	case "kv-keep":
@@ -150,6 +162,25 @@
 	}
 }
 
+// serveTxn carries out a transaction, or loses its answer and carries it out later.
+func (a *access) serveTxn(w http.ResponseWriter, r *http.Request) {
+	after := time.Duration(a.lateWrite.Swap(0))
+	if after == 0 {
+		a.store.serveTxn(w, r)
+		return
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	time.AfterFunc(after, func() {
+		again := r.Clone(context.Background())
+		again.Body = io.NopCloser(bytes.NewReader(b))
+		a.store.serveTxn(httptest.NewRecorder(), again)
+	})
+	<-r.Context().Done()
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/review/lab2/system.go
+++ b/review/lab2/system.go
@@ -18,18 +18,39 @@
 	routeHost   = "nony24.example"
 	routePrefix = "/lohu930/"
 	serviceName = "huvo11a"
-	perZone     = 3 // executors of a zone
-	maxEntries  = 10
+	maxEntries  = 20
 	taskCPU     = 1600
 	startTime   = 15 * time.Second // for the entries to become ready
 	settleTime  = 2 * time.Second  // after that, for the endpoints to find their holders
 )
 
-// entriesPerZone is the number of entries in each zone, as on the site cbpc-sched.
-var entriesPerZone = []int{3, 2, 1}
+// site is the size of a deployment, and those of its bounds that the cases depend on.
+type site struct {
+	entries      []int // per zone
+	executors    int   // per zone
+	ack          time.Duration
+	drain        time.Duration
+	configApply  time.Duration
+	cancel       time.Duration
+	stableWindow time.Duration
+}
+
+var (
+	// smallSite has the entries and the bounds of cbpc-sched.
+	smallSite = site{
+		entries: []int{3, 2, 1}, executors: 3, ack: 4 * time.Second, drain: 2 * time.Second, configApply: 2 * time.Second,
+		cancel: 3 * time.Second, stableWindow: 3 * time.Second,
+	}
+	// grownSite has the bounds of ewaoko-booking-grown, and fewer entries.
+	grownSite = site{
+		entries: []int{5, 4, 3}, executors: 8, ack: 6 * time.Second, drain: 3 * time.Second, configApply: 3 * time.Second,
+		cancel: 4 * time.Second, stableWindow: 4 * time.Second,
+	}
+)
 
-// system is a small deployment: three zones with six entries and nine executors in all.
+// system is a deployment of entries and stand-ins.
 type system struct {
+	site      site
 	rec       *record
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -44,9 +65,9 @@
 	steps []time.Duration // run time of the tasks of each step
 }
 
-func newSystem(rec *record, program, logs string) (*system, error) {
+func newSystem(at site, rec *record, program, logs string) (*system, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &system{rec: rec, ctx: ctx, cancel: cancel}
+	s := &system{site: at, rec: rec, ctx: ctx, cancel: cancel}
 	var err error
 	if s.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
@@ -55,13 +76,13 @@
 		return nil, err
 	}
 	s.store = newStore(ctx)
-	for zone, n := range entriesPerZone {
+	for zone, n := range at.entries {
 		for range n {
 			if err := s.addEntry(zone, program, logs); err != nil {
 				return nil, err
 			}
 		}
-		for k := range perZone {
+		for k := range at.executors {
 			if err := s.addExecutor(zone, k); err != nil {
 				return nil, err
 			}
@@ -133,7 +154,7 @@
 	var e *executor
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.ServeHTTP(w, r) })
 	id := fmt.Sprintf("i-%d%d", zone+1, k+1)
-	l, err := s.serveLater(fmt.Sprintf("%s.%d", s.net, 100+zone*perZone+k), h)
+	l, err := s.serveLater(fmt.Sprintf("%s.%d", s.net, 100+zone*s.site.executors+k), h)
 	if err != nil {
 		return err
 	}
@@ -185,8 +206,9 @@
 	return j
 }
 
-// start writes the first configuration and starts the entries. It returns once all are ready.
-func (s *system) start(seeds []string) error {
+// start writes the first configuration and starts the entries, but for those that are added later. It
+// returns once all are ready.
+func (s *system) start(seeds []string, later ...*entry) error {
 	s.store.put("op/config", map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
@@ -197,7 +219,7 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	var zones []string
-	for i := range entriesPerZone {
+	for i := range s.site.entries {
 		zones = append(zones, zoneName(i))
 	}
 	for _, e := range s.entries {
@@ -205,12 +227,18 @@
 		if err != nil {
 			return err
 		}
-		if err := errors.Join(e.writeSettings(zones, seeds, addr), e.start()); err != nil {
+		if err := e.writeSettings(s.site, zones, seeds, addr); err != nil {
+			return err
+		}
+		if slices.Contains(later, e) {
+			continue
+		}
+		if err := e.start(); err != nil {
 			return err
 		}
 	}
 	if !waitUntil(startTime, func() bool {
-		return !slices.ContainsFunc(s.entries, func(e *entry) bool { return !e.ready() })
+		return !slices.ContainsFunc(s.entries, func(e *entry) bool { return !slices.Contains(later, e) && !e.ready() })
 	}) {
 		return errors.New("the entries did not become ready")
 	}
