--- a/review/lab2/case_cancel.go
+++ b/review/lab2/case_cancel.go
@@ -36,7 +36,10 @@
 	freezeTime = 3500 * time.Millisecond
 	freezePace = 6 * time.Second // from one freeze to the next
 	waveJobs   = 80              // handed in during each freeze
+	shareOf    = 20              // jobs, of which shareLeft are cancelled
+	shareLeft  = 7
 	jobSpacing = 30 * time.Millisecond
+	shortTime  = 60 * time.Millisecond  // of a job that is not cancelled
 	regretTime = 500 * time.Millisecond // from handing a job in to its cancelling
 )
 
@@ -91,10 +94,16 @@
 // play hands the jobs in and returns once all cancels are answered.
 func (w *cancelWave) play() {
 	time.Sleep(200 * time.Millisecond)
-	j := w.s.chain(4*time.Second, 4*time.Second, 4*time.Second)
 	var cancels sync.WaitGroup
-	for range waveJobs {
+	for i := range waveJobs {
 		id := newID()
+		if i*shareLeft%shareOf >= shareLeft {
+			j := w.s.chain(id, shortTime)
+			w.posts.Go(func() { w.s.request(w.owner, http.MethodPost, id, j, patience) })
+			time.Sleep(jobSpacing)
+			continue
+		}
+		j := w.s.chain(id, 4*time.Second, 4*time.Second, 4*time.Second)
 		w.posts.Go(func() { w.s.request(w.owner, http.MethodPost, id, j, patience) })
 		cancels.Go(func() {
 			time.Sleep(regretTime)
@@ -116,41 +125,46 @@
 }
 
 // cancelUnheard cancels a job through an entry that was restarted while the store turned it away and
-// that knows no other entry.
+// that knows no other entry: two of its seeds have just been replaced, and the third is itself.
 func cancelUnheard(s *system, trouble bool) ([]string, error) {
 	const (
 		outage  = 4 * time.Second
 		restart = 500 * time.Millisecond // until a killed process is started again
+		grace   = 6 * time.Second        // graceS
+		seedLag = 3 * time.Second        // seedLagS
 	)
-	owner, other := s.entries[0], s.entries[3] // of two zones
-	seeds := []string{other.control}
-	for i := range 2 { // machines that have been replaced
-		addr, err := freePort(fmt.Sprintf("%s.%d", s.net, 50+i))
-		if err != nil {
+	// Zone 1 has the entries 0 to 3 and zone 2 the entries 4 to 6; 3 and 6 are spare.
+	owner, other := s.entries[0], s.entries[4]
+	replaced, spare := []*entry{s.entries[1], s.entries[5]}, []*entry{s.entries[3], s.entries[6]}
+	if err := s.start([]string{other.control, replaced[0].control, replaced[1].control}, spare...); err != nil {
+		return nil, err
+	}
+	var replacedAt time.Time
+	if trouble {
+		if err := s.replace(replaced, spare, grace); err != nil {
 			return nil, err
 		}
-		seeds = append(seeds, addr)
-	}
-	if err := s.start(seeds); err != nil {
-		return nil, err
+		replacedAt = time.Now()
 	}
 	beganAt := time.Now()
 	if trouble {
 		s.rec.add("store: turns %s away", other.name)
 		other.access.turnedAway.Store(true)
 	}
-	time.Sleep(300 * time.Millisecond)
 	id := newID()
-	j := s.chain(3500*time.Millisecond, 3500*time.Millisecond, 3500*time.Millisecond, 3500*time.Millisecond)
+	j := s.chain(id, 3500*time.Millisecond, 3500*time.Millisecond, 3500*time.Millisecond, 3500*time.Millisecond)
 	posted := make(chan answer, 1)
 	go func() { posted <- s.request(owner, http.MethodPost, id, j, patience) }()
 	time.Sleep(200 * time.Millisecond)
 	if trouble {
 		other.kill()
 		time.Sleep(restart)
-		if err := other.start(); err != nil {
+		if err := s.startEntry(other); err != nil {
 			return nil, err
 		}
+		if lag := time.Since(replacedAt); lag > seedLag {
+			return nil, fmt.Errorf("the seeds are %s old", lag)
+		}
 	}
 	if !waitUntil(time.Second, other.listening) {
 		return nil, errors.New("the restarted entry does not listen")
@@ -175,6 +189,33 @@
 	return s.lateStarts(id, cancelled.at, calmFrom), nil
 }
 
+// replace starts spare entries and then stops others as planned.
+func (s *system) replace(old, spare []*entry, grace time.Duration) error {
+	for _, e := range spare {
+		if err := s.startEntry(e); err != nil {
+			return err
+		}
+	}
+	if !waitUntil(startTime, func() bool {
+		return !slices.ContainsFunc(spare, func(e *entry) bool { return !e.ready() })
+	}) {
+		return errors.New("the spare entries did not become ready")
+	}
+	errs := make([]error, len(old))
+	var wg sync.WaitGroup
+	for i, e := range old {
+		wg.Go(func() {
+			killed, err := e.stop(grace)
+			if killed {
+				err = errors.New("an entry did not stop in time")
+			}
+			errs[i] = err
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
 // cancelUnlisted cancels a job long after its entry was added while the store lost answers. The write
 // that registered the entry was done late, under a lease that has ended since.
 func cancelUnlisted(s *system, trouble bool) ([]string, error) {
@@ -192,7 +233,7 @@
 		s.rec.add("store: loses answers, and does what was not answered later")
 		owner.access.lateWrite.Store(int64(lateBy))
 	}
-	if err := owner.start(); err != nil {
+	if err := s.startEntry(owner); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Until(beganAt.Add(lossTime)))
@@ -204,7 +245,7 @@
 		return nil, errors.New("the added entry is not ready")
 	}
 	id := newID()
-	j := s.chain(4*time.Second, 4*time.Second, 4*time.Second)
+	j := s.chain(id, 4*time.Second, 4*time.Second, 4*time.Second)
 	posted := make(chan answer, 1)
 	go func() { posted <- s.request(owner, http.MethodPost, id, j, patience) }()
 	time.Sleep(time.Second)
--- a/review/lab2/doc.go
+++ b/review/lab2/doc.go
@@ -7,7 +7,7 @@
 //	lab2 -case cancel-unheard -record record.txt
 //
 // The exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
-// TROUBLE=0 in the environment the disruption is left out.
+// -trouble=false the disruption is left out; the run.sh of a case passes it for TROUBLE=0.
 //
 // system.go starts and stops the parts, store.go is the store, executor.go the executors, entry.go the
 // entries, client.go the clients and the balancer; the files case_*.go hold the cases.
--- a/review/lab2/entry.go
+++ b/review/lab2/entry.go
@@ -24,6 +24,7 @@
 	name, zone                       string
 	ip, frontend, readiness, control string
 	access                           *access // its way to the store
+	store                            string  // address at which it reaches the store
 	settings, program, logs          string
 	rec                              *record
 
@@ -32,7 +33,7 @@
 }
 
 // writeSettings writes the settings file.
-func (e *entry) writeSettings(at site, zones, seeds []string, storeAddr string) error {
+func (e *entry) writeSettings(at site, zones, seeds []string) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "node = %q\nrole = \"entry\"\nmachineClass = \"edge\"\nserves = [\"edge\",\"control\"]\nip = %q\nzone = %q\nregion = \"r\"\n", e.name, e.ip, e.zone)
 	fmt.Fprintf(&b, "portRange = [7720,7735]\nseeds = [\"%s\"]\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1500\norders = \"rpc\"\n", strings.Join(seeds, `","`))
@@ -76,7 +77,7 @@
 valueBytes = 1048576
 minTtlMs = 1000
 `)
-	fmt.Fprintf(&b, "address = %q\n", storeAddr)
+	fmt.Fprintf(&b, "address = %q\n", e.store)
 	return os.WriteFile(e.settings, []byte(b.String()), 0o644)
 }
 
@@ -127,6 +128,31 @@
 	e.rec.add("%s: killed", e.name)
 }
 
+// stop stops the process as planned, and kills it after grace. It reports whether that was needed.
+func (e *entry) stop(grace time.Duration) (killed bool, err error) {
+	if err := e.signal(syscall.SIGTERM); err != nil {
+		return false, err
+	}
+	e.mu.Lock()
+	cmd := e.cmd
+	e.cmd = nil
+	e.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // how it ended does not matter
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		killed = true
+		_ = cmd.Process.Kill() // it may have ended just now
+		<-ended
+	}
+	e.rec.add("%s: ended", e.name)
+	return killed, nil
+}
+
 // ready reports whether the readiness check succeeds.
 func (e *entry) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,7 +26,7 @@
 
 var cases = map[string]reviewCase{
 	"cancel-early":    {cancelEarly, smallSite},
-	"cancel-unheard":  {cancelUnheard, smallSite},
+	"cancel-unheard":  {cancelUnheard, spareSite},
 	"cancel-unlisted": {cancelUnlisted, grownSite},
 }
 
@@ -34,12 +34,13 @@
 	name := flag.String("case", "", "name of the case")
 	recordPath := flag.String("record", "record.txt", "file to write what happened to")
 	program := flag.String("program", "target/cornelwall", "path of the built program")
+	trouble := flag.Bool("trouble", true, "disrupt the deployment; false plays the same without")
 	logs := flag.String("logs", "", "folder for the logs of the entries; empty is none")
 	flag.Parse()
-	os.Exit(run(*name, *recordPath, *program, *logs))
+	os.Exit(run(*name, *recordPath, *program, *logs, *trouble))
 }
 
-func run(name, recordPath, program, logs string) int {
+func run(name, recordPath, program, logs string, trouble bool) int {
 	c, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "case %q does not exist\n", name)
@@ -50,7 +51,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
 	rec := newRecord()
 	defer func() {
 		if err := rec.writeTo(recordPath); err != nil {
--- a/review/lab2/system.go
+++ b/review/lab2/system.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -41,6 +42,11 @@
 		entries: []int{3, 2, 1}, executors: 3, ack: 4 * time.Second, drain: 2 * time.Second, configApply: 2 * time.Second,
 		cancel: 3 * time.Second, stableWindow: 3 * time.Second,
 	}
+	// spareSite is smallSite with two spare machines, which take the places of others.
+	spareSite = site{
+		entries: []int{4, 3, 1}, executors: 3, ack: 4 * time.Second, drain: 2 * time.Second, configApply: 2 * time.Second,
+		cancel: 3 * time.Second, stableWindow: 3 * time.Second,
+	}
 	// grownSite has the bounds of ewaoko-booking-grown, and fewer entries.
 	grownSite = site{
 		entries: []int{5, 4, 3}, executors: 8, ack: 6 * time.Second, drain: 3 * time.Second, configApply: 3 * time.Second,
@@ -55,19 +61,21 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	dir       string
-	net       string // first three bytes of the loopback addresses
+	net       string   // first three bytes of the loopback addresses
+	seeds     []string // of all entries
+	zones     []string
 	store     *store
 	entries   []*entry
 	executors []*executor
 	balancer  *balancer
 
 	mu    sync.Mutex
-	steps []time.Duration // run time of the tasks of each step
+	steps map[string][]time.Duration // by job: run time of the tasks of each step
 }
 
 func newSystem(at site, rec *record, program, logs string) (*system, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &system{site: at, rec: rec, ctx: ctx, cancel: cancel}
+	s := &system{site: at, rec: rec, ctx: ctx, cancel: cancel, steps: map[string][]time.Duration{}}
 	var err error
 	if s.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
@@ -182,19 +190,20 @@
 
 // work returns the run time and the cores of a task.
 func (s *system) work(task string) (time.Duration, int) {
+	id, _, _ := strings.Cut(task, ".")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n := stepOf(task); n < len(s.steps) {
-		return s.steps[n], taskCPU
+	if steps, n := s.steps[id], stepOf(task); n < len(steps) {
+		return steps[n], taskCPU
 	}
 	return time.Second, taskCPU
 }
 
 // chain returns a job whose steps, of one task each, run one after the other for the given times.
-func (s *system) chain(times ...time.Duration) job {
+func (s *system) chain(id string, times ...time.Duration) job {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.steps = times
+	s.steps[id] = times
 	j := job{Spec: "chain", BestEffort: true}
 	for i, d := range times {
 		st := step{Count: 1, CPU: taskCPU, MemMb: 64, EstimateMs: int(d.Milliseconds())}
@@ -218,22 +227,15 @@
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "admissionControl": true, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	var zones []string
+	s.seeds = seeds
 	for i := range s.site.entries {
-		zones = append(zones, zoneName(i))
+		s.zones = append(s.zones, zoneName(i))
 	}
 	for _, e := range s.entries {
-		addr, err := s.serve(s.net+".9", e.access)
-		if err != nil {
-			return err
-		}
-		if err := e.writeSettings(s.site, zones, seeds, addr); err != nil {
-			return err
-		}
 		if slices.Contains(later, e) {
 			continue
 		}
-		if err := e.start(); err != nil {
+		if err := s.startEntry(e); err != nil {
 			return err
 		}
 	}
@@ -248,6 +250,21 @@
 	return nil
 }
 
+// startEntry writes the settings of an entry and starts its process.
+func (s *system) startEntry(e *entry) error {
+	if e.store == "" {
+		addr, err := s.serve(s.net+".9", e.access)
+		if err != nil {
+			return err
+		}
+		e.store = addr
+	}
+	if err := e.writeSettings(s.site, s.zones, s.seeds); err != nil {
+		return err
+	}
+	return e.start()
+}
+
 // controls returns the addresses that the entries serve their peers at.
 func (s *system) controls() []string {
 	var list []string
