--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -237,8 +237,13 @@
 	}
 }
 
-// sortBacklog sorts the waiting runs by value, highest first, and runs of equal value by due time.
+// sortBacklog sorts the waiting runs by value, highest first, and runs of equal value by due time. An entry
+// that sheds load sorts them by rank.
 func (c *Core) sortBacklog() {
+	if c.cfg.Shed {
+		c.rankBacklog()
+		return
+	}
 	values := c.backlogValues()
 	slices.SortFunc(c.backlog, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(values[b], values[a]), a.due.Compare(b.due), cmp.Compare(a.id.Task, b.id.Task))
@@ -247,20 +252,31 @@
 
 // backlogValues returns the value of each waiting run.
 func (c *Core) backlogValues() map[*run]float64 {
+	siblings, total := c.waitingSiblings(), c.heldCores()
+	values := make(map[*run]float64, len(c.backlog))
+	for _, r := range c.backlog {
+		share := float64(r.Need.Cores) / float64(total)
+		values[r] = r.waiting().ValueAmong(c.now, siblings[stepName(r.id.Task)], share)
+	}
+	return values
+}
+
+// waitingSiblings returns the number of waiting runs of each step.
+func (c *Core) waitingSiblings() map[string]int {
 	siblings := map[string]int{}
 	for _, r := range c.backlog {
 		siblings[stepName(r.id.Task)]++
 	}
+	return siblings
+}
+
+// heldCores returns the cores of the endpoints held in thousandths, at least 1.
+func (c *Core) heldCores() int {
 	total := 0
 	for _, ep := range c.held() {
 		total += ep.Capacity.Cores
 	}
-	values := make(map[*run]float64, len(c.backlog))
-	for _, r := range c.backlog {
-		share := float64(r.Need.Cores) / float64(max(total, 1))
-		values[r] = r.waiting().ValueAmong(c.now, siblings[stepName(r.id.Task)], share)
-	}
-	return values
+	return max(total, 1)
 }
 
 // startBacklog starts the waiting runs that fit on the endpoints held, in order of value.
@@ -271,12 +287,15 @@
 	c.backlogChanged = false
 	c.sortBacklog()
 	held := c.held()
+	reserved := reservations{}
 	waiting := c.backlog[:0]
 	for _, r := range c.backlog {
-		if l := c.chooseLease(r, held); l != nil {
+		if l := c.chooseLease(r, held, reserved); l != nil {
 			c.startRun(r, l)
+			c.classShares.Record(c.now, r.class, r.Need.Cores, r.Estimate)
 		} else {
 			waiting = append(waiting, r)
+			c.reserveFor(r, held, reserved)
 		}
 	}
 	clear(c.backlog[len(waiting):])
@@ -294,13 +313,13 @@
 }
 
 // chooseLease returns the lease on the best endpoint for a run, or nil if there is none for it.
-func (c *Core) chooseLease(r *run, held []*endpoint) *lease {
+func (c *Core) chooseLease(r *run, held []*endpoint, reserved reservations) *lease {
 	var best *lease
 	var bestCost int
 	waiting := r.waiting()
 	for _, ep := range held {
 		l := ep.lease
-		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Capacity.Minus(l.used)) {
+		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Capacity.Minus(l.used)) || !reserved.allow(c.now, r, l) {
 			continue
 		}
 		option := c.endpointOption(r, l)
@@ -366,7 +385,7 @@
 		}
 	}
 	for _, r := range c.backlog {
-		if r.waiting().Value(c.now) > 0 {
+		if c.countsAsQueued(r) {
 			v.Queued = policy.AddQueued(v.Queued, r.class, r.Need, r.Estimate)
 		}
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 // corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
 // finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
 //
+// Both: shed.go decides under overload which batches are refused and in which order runs start.
+//
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
@@ -78,6 +80,7 @@
 	Weight       int              // capacity of this entry relative to others; 0 means 1
 	MaxMeshPeers int              // up to this many peers, all pairs exchange heartbeats all the time; 0 means 8, negative never
 	Limits       Limits
+	Shed         bool // under overload, what costs callers least is delayed or refused; see shed.go
 }
 
 const (
@@ -129,6 +132,7 @@
 
 	runs             map[cornelwall.RunID]*run      // tasks assigned to this entry
 	backlog          []*run                         // runs that wait to start
+	classShares      policy.ClassShares             // of the runs started here
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
 	withdrawnRuns    map[cornelwall.RunID]time.Time // when each run was withdrawn; it must not start any more
 	transferredRuns  map[cornelwall.RunID]transferredRun
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -103,13 +103,16 @@
 	if c.resuming() {
 		return
 	}
+	load := c.queueLoad()
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		if j == nil {
 			continue
 		}
 		c.answerExpiredCallers(j)
-		switch j.policyBatch().Judge(c.now) {
+		b := j.policyBatch()
+		b.Crowded = !j.started && load.IsCrowded(j.waitingWork())
+		switch b.Judge(c.now) {
 		case policy.Refuse:
 			c.finishJob(j, cornelwall.BatchAnswer{
 				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
@@ -132,7 +135,7 @@
 // policyBatch returns what the admission and the end of a job depend on.
 func (j *job) policyBatch() *policy.Batch {
 	return &policy.Batch{
-		UsefulUntil: j.usefulUntil, Deadline: j.deadline, CriticalPath: j.criticalPath, LongestUnstarted: j.longestUnstarted(),
+		Due: j.due, UsefulUntil: j.usefulUntil, Deadline: j.deadline, CriticalPath: j.criticalPath, LongestUnstarted: j.longestUnstarted(),
 		Started: j.started, Unassigned: j.unassigned(), Withdrawn: j.refusing,
 	}
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -164,8 +164,7 @@
 	if c.isStopping() && !b.FitsBefore(c.now, c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
 		return cornelwall.ReasonStopping
 	}
-	wait := policy.ShortestWait(c.holderOptions(), j.batch.Steps[0].Need, j.queue.Priority)
-	switch b.Admit(c.now, wait) {
+	switch c.admit(j, b) {
 	case policy.RefuseTooLate:
 		return cornelwall.ReasonTooLate
 	case policy.RefuseFull:
--- /dev/null
+++ b/core/dispatch/shed.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cornelwall/core/policy"
+)
+
+// admit returns whether to take a job on arrival.
+func (c *Core) admit(j *job, b *policy.Batch) policy.Admission {
+	holders := c.holderOptions()
+	if !c.cfg.Shed {
+		return b.Admit(c.now, policy.ShortestWait(holders, j.batch.Steps[0].Need, j.queue.Priority))
+	}
+	return b.AdmitQueued(c.now, policy.QueuedAhead(holders, j.queue.Priority))
+}
+
+// queueLoad returns the work that waits at the holders that this entry knows. It is empty unless this entry
+// sheds load.
+func (c *Core) queueLoad() policy.QueueLoad {
+	if !c.cfg.Shed {
+		return policy.QueueLoad{}
+	}
+	return policy.QueueLoadOf(c.holderOptions())
+}
+
+// waitingWork returns the work of the tasks of a job that wait at holders.
+func (j *job) waitingWork() int {
+	work := 0
+	for _, t := range j.tasks {
+		if t.state == taskAssigned {
+			work += j.batch.Steps[t.step].Need.Cores * int(j.estimate(t.step).Milliseconds())
+		}
+	}
+	return work
+}
+
+// countsAsQueued reports whether a waiting run is part of the queued work that this entry reports. An entry that
+// sheds load leaves out what goes behind all runs that can be on time.
+func (c *Core) countsAsQueued(r *run) bool {
+	if c.cfg.Shed {
+		return r.waiting().TimelinessAt(c.now) == policy.OnTime
+	}
+	return r.waiting().Value(c.now) > 0
+}
+
+// rankBacklog sorts the waiting runs by rank.
+func (c *Core) rankBacklog() {
+	siblings, total := c.waitingSiblings(), c.heldCores()
+	ranks := make(map[*run]policy.Rank, len(c.backlog))
+	for _, r := range c.backlog {
+		share := float64(r.Need.Cores) / float64(total)
+		ranks[r] = r.waiting().RankAmong(c.now, siblings[stepName(r.id.Task)], share, c.classShares.IsStarved(c.now, r.class))
+	}
+	slices.SortFunc(c.backlog, func(a, b *run) int {
+		return cmp.Or(ranks[a].Compare(ranks[b]), cmp.Compare(a.id.Task, b.id.Task))
+	})
+}
+
+// reservations are the endpoints that are kept free for waiting runs, during one pass over the backlog.
+type reservations map[*lease]policy.Reservation
+
+// allow reports whether a run may start under a lease.
+func (s reservations) allow(now time.Time, r *run, l *lease) bool {
+	reservation, ok := s[l]
+	return !ok || reservation.Allows(r.Need, l.ep.Capacity.Minus(l.used), now.Add(r.Estimate))
+}
+
+// reserveFor reserves the endpoint on which a run that found no place is expected to fit first.
+func (c *Core) reserveFor(r *run, held []*endpoint, reserved reservations) {
+	if !c.cfg.Shed || len(reserved) >= policy.MaxReservations(len(held)) || !r.waiting().MayReserve(c.now, r.receivedAt) {
+		return
+	}
+	var best *lease
+	var bestAt time.Time
+	for _, ep := range held {
+		l := ep.lease
+		if _, taken := reserved[l]; taken || !c.usable(l) || !c.allowed(r, l) || c.isSlow(l) {
+			continue
+		}
+		at, ok := policy.EarliestFit(c.now, r.Need, ep.Capacity.Minus(l.used), l.occupied())
+		if ok && at.Before(r.due.Add(-r.Estimate)) && (best == nil || at.Before(bestAt)) {
+			best, bestAt = l, at
+		}
+	}
+	if best != nil {
+		reserved[best] = policy.Reservation{Need: r.Need, At: bestAt}
+	}
+}
+
+// occupied returns what the runs of a lease take, and when they are expected to end.
+func (l *lease) occupied() []policy.Occupied {
+	list := make([]policy.Occupied, 0, len(l.runs))
+	for _, r := range l.sortedRuns() {
+		list = append(list, policy.Occupied{Need: r.Need, Ends: r.startedAt.Add(r.Estimate)})
+	}
+	return list
+}
--- a/core/policy/order.go
+++ b/core/policy/order.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -41,16 +42,67 @@
 // become free if tasks of its batch wait at other holders, as these need one too. Share is the
 // share of the holder's cores that the run needs.
 func (w *Waiting) ValueAmong(now time.Time, here int, share float64) float64 {
+	return w.Value(w.expectedStart(now, here, share))
+}
+
+// expectedStart returns the start of the last of the tasks of a batch, as ValueAmong counts them.
+func (w *Waiting) expectedStart(now time.Time, here int, share float64) time.Time {
 	ahead := here - 1
 	if w.unstartedTasks() > here {
 		ahead = here
 	}
-	return w.Value(now.Add(time.Duration(share * float64(ahead) * float64(w.Estimate))))
+	return now.Add(time.Duration(share * float64(ahead) * float64(w.Estimate)))
 }
 
 // unstartedTasks returns how many tasks of the run's batch have not started, at all holders.
 func (w *Waiting) unstartedTasks() int { return int(math.Round(w.Remaining * float64(w.BatchSize))) }
 
+// Timeliness tells whether the answer to a batch can be on time.
+type Timeliness int
+
+const (
+	OnTime  Timeliness = iota
+	Late               // after its due time, but still of use
+	Useless            // too late to be of use
+)
+
+// TimelinessAt returns whether the batch of a run that starts at a time can be on time.
+func (w *Waiting) TimelinessAt(at time.Time) Timeliness {
+	switch end := at.Add(w.Estimate); {
+	case !end.After(w.Due):
+		return OnTime
+	case !end.After(w.UsefulUntil):
+		return Late
+	}
+	return Useless
+}
+
+// Rank is the place of a waiting run in the order of a holder that sheds load.
+type Rank struct {
+	Timeliness Timeliness
+	Class      int     // priority, or -1 for a starved class
+	Remaining  float64 // share of the batch's tasks that have not started
+	Due        time.Time
+}
+
+// Compare orders ranks, for more work than the endpoints can do. Runs that can be on time go first, by priority. Within
+// a priority, batches with little left to start go first: what has run of them is lost if the rest comes
+// too late.
+func (r Rank) Compare(o Rank) int {
+	return cmp.Or(cmp.Compare(r.Timeliness, o.Timeliness), cmp.Compare(r.Class, o.Class),
+		cmp.Compare(r.Remaining, o.Remaining), r.Due.Compare(o.Due))
+}
+
+// RankAmong returns the rank of a run; here and share are as in ValueAmong. A run of a starved class goes before
+// all others that can be on time.
+func (w *Waiting) RankAmong(now time.Time, here int, share float64, starved bool) Rank {
+	r := Rank{Timeliness: w.TimelinessAt(w.expectedStart(now, here, share)), Class: w.Class, Remaining: max(w.Remaining, minRemaining), Due: w.Due}
+	if starved {
+		r.Class = -1
+	}
+	return r
+}
+
 // targetEnd returns the time by which a run that starts now should end: the due time of its batch or,
 // if that is out of reach, the time until which the answer is useful.
 func (w *Waiting) targetEnd(now time.Time) time.Time {
--- a/core/policy/verdict.go
+++ b/core/policy/verdict.go
@@ -23,6 +23,7 @@
 
 // Batch is a batch that its owner has not answered, as far as its end depends on it.
 type Batch struct {
+	Due              time.Time     // target time
 	UsefulUntil      time.Time     // after it the answer is of little use
 	Deadline         time.Time     // after it the caller no longer waits
 	CriticalPath     time.Duration // estimated run time of its longest chain of steps
@@ -30,6 +31,7 @@
 	Started          bool          // a task may have run
 	Unassigned       bool          // no holder has any of its tasks
 	Withdrawn        bool          // WithdrawWaiting was decided before
+	Crowded          bool          // work of others waits that can be on time; see IsCrowded
 }
 
 // cutoff returns the time after which the caller no longer waits or the answer is of little use,
@@ -54,18 +56,23 @@
 	}
 	left := limit.Sub(now)
 	switch {
-	case !b.Started && b.Unassigned && (left <= 0 || b.Withdrawn):
+	case !b.Started && b.Unassigned && (left <= 0 || b.Withdrawn || b.makesWay(now)):
 		return Refuse
 	case left <= 0 && now.After(b.Deadline):
 		return GiveUpAtDeadline
 	case b.Started && b.LongestUnstarted >= 0 && now.Add(minRunTime(b.LongestUnstarted)).After(b.cutoff()):
 		return GiveUpTooLate
-	case !b.Started && !b.Withdrawn && left <= withdrawMargin:
+	case !b.Started && !b.Withdrawn && (left <= withdrawMargin || b.makesWay(now)):
 		return WithdrawWaiting
 	}
 	return Proceed
 }
 
+// makesWay reports whether a batch of which nothing has run can't be on time and has to make way for others.
+func (b *Batch) makesWay(now time.Time) bool {
+	return b.Crowded && now.Add(minRunTime(b.CriticalPath)).After(b.Due)
+}
+
 // Admission is whether a new batch is taken.
 type Admission int
 
