--- a/core/dispatch/shed.go
+++ b/core/dispatch/shed.go
@@ -52,7 +52,7 @@
 	ranks := make(map[*run]policy.Rank, len(c.backlog))
 	for _, r := range c.backlog {
 		share := float64(r.Need.Cores) / float64(total)
-		ranks[r] = r.waiting().RankAmong(c.now, siblings[stepName(r.id.Task)], share, c.classShares.IsStarved(c.now, r.class))
+		ranks[r] = r.waiting().RankAmong(c.now, siblings[stepName(r.id.Task)], share, r.Need.Cores, c.classShares.IsStarved(c.now, r.class))
 	}
 	slices.SortFunc(c.backlog, func(a, b *run) int {
 		return cmp.Or(ranks[a].Compare(ranks[b]), cmp.Compare(a.id.Task, b.id.Task))
--- a/core/policy/order.go
+++ b/core/policy/order.go
@@ -9,7 +9,11 @@
 const (
 	classDiscount = 0.25 // a run of class n has 1/(1 + n*classDiscount) of the value of one of class 0
 	lateWeight    = 0.2  // value of an answer after its due time, relative to one in time
-	minRemaining  = 0.02 // lower bound of a remaining share; the value of a run is inverse to it
+	// classValueRatio is the ratio of the values of two neighbouring classes where load is shed. At this ratio a run of the
+	// next lower class goes first only if less than two fifths of its batch are left to start.
+	classValueRatio = 2.5
+	starvedValue    = 1 / minRemaining // above the value of any run whose class is not starved
+	minRemaining    = 0.02             // lower bound of a remaining share; the value of a run is inverse to it
 )
 
 // Waiting is a run that waits to start, as far as its place in the order depends on it.
@@ -79,26 +83,31 @@
 
 // Rank is the place of a waiting run in the order of a holder that sheds load.
 type Rank struct {
-	Timeliness Timeliness
-	Class      int     // priority, or -1 for a starved class
-	Remaining  float64 // share of the batch's tasks that have not started
-	Due        time.Time
+	Value float64 // that is lost per unit of work if the run does not start
+	Cores int     // of its need, in thousandths
+	Due   time.Time
 }
 
-// Compare orders ranks, for more work than the endpoints can do. Runs that can be on time go first, by priority. Within
-// a priority, batches with little left to start go first: what has run of them is lost if the rest comes
-// too late.
+// Compare orders ranks, for more work than the endpoints can do: what costs callers most goes first. Of runs of the
+// same value the large ones go first, as the small ones fit beside them.
 func (r Rank) Compare(o Rank) int {
-	return cmp.Or(cmp.Compare(r.Timeliness, o.Timeliness), cmp.Compare(r.Class, o.Class),
-		cmp.Compare(r.Remaining, o.Remaining), r.Due.Compare(o.Due))
+	return cmp.Or(cmp.Compare(o.Value, r.Value), cmp.Compare(o.Cores, r.Cores), r.Due.Compare(o.Due))
 }
 
-// RankAmong returns the rank of a run; here and share are as in ValueAmong. A run of a starved class goes before
-// all others that can be on time.
-func (w *Waiting) RankAmong(now time.Time, here int, share float64, starved bool) Rank {
-	r := Rank{Timeliness: w.TimelinessAt(w.expectedStart(now, here, share)), Class: w.Class, Remaining: max(w.Remaining, minRemaining), Due: w.Due}
-	if starved {
-		r.Class = -1
+// RankAmong returns the rank of a run that needs a number of cores; here and share are as in ValueAmong. A batch is worth
+// as much to its caller as its work, so that no size of batch is preferred, and classValueRatio less for each class. If the run does
+// not start, what has run of its batch is lost too; the value is therefore inverse to the remaining share. A run of a starved class goes
+// before all others that can be on time.
+func (w *Waiting) RankAmong(now time.Time, here int, share float64, cores int, starved bool) Rank {
+	r := Rank{Cores: cores, Due: w.Due}
+	r.Value = math.Pow(classValueRatio, -float64(max(w.Class, 0))) / max(w.Remaining, minRemaining)
+	switch timeliness := w.TimelinessAt(w.expectedStart(now, here, share)); {
+	case timeliness == Useless:
+		r.Value = 0
+	case timeliness == Late:
+		r.Value *= lateWeight
+	case starved:
+		r.Value += starvedValue
 	}
 	return r
 }
