--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -1,6 +1,7 @@
 package fuzz
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -104,6 +105,7 @@
 // client submits one batch, up to four times until it has an answer.
 type client struct {
 	id       string
+	prefix   string // of its queue; empty: that of the one queue
 	batch    *cornelwall.BatchJob
 	attempts int
 	starts   int
@@ -141,6 +143,8 @@
 	nextReq        uint64
 	nextID         uint64
 
+	mixed     *mixedLoad // of several queues; nil: one queue of equal tasks
+	shed      bool       // in the config of each core
 	thinLinks *thinLinks // that carry messages and queue configurations; nil: links of any bandwidth
 
 	maxMeshPeers int // in the config of each core
@@ -195,7 +199,7 @@
 		ep := leased.New(fmt.Sprintf("x%d", i), endpointCapacity, r.w.Now)
 		ep.IgnoreFence = mut.ignoreFences
 		ep.Simulate = func(id cornelwall.RunID) leased.SimulatedRun { return r.simulateRun(ep, id) }
-		ep.NeedOf = func(string) cornelwall.Resources { return cornelwall.Resources{Cores: 6800} }
+		ep.NeedOf = r.needOf
 		ep.OnStart = func(now time.Time, id cornelwall.RunID) { r.recordStart(ep, id) }
 		ep.OnEnd = func(_ time.Time, id cornelwall.RunID, end cornelwall.RunEnd) { r.recordEnd(ep, id, end) }
 		r.endpoints = append(r.endpoints, ep)
@@ -210,6 +214,14 @@
 }
 
 // dataCentre returns the data centre of the entry or endpoint with an index.
+// needOf returns the need of a task.
+func (r *rig) needOf(task string) cornelwall.Resources {
+	if r.mixed != nil {
+		return r.mixed.need(task)
+	}
+	return cornelwall.Resources{Cores: 6800}
+}
+
 func (r *rig) dataCentre(i int) string { return fmt.Sprintf("dc%d", i%r.size.dataCentres) }
 
 func address(net byte, i int) netip.Addr {
@@ -222,7 +234,7 @@
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(),
+		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Shed: r.shed,
 		Limits: dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
@@ -290,7 +302,7 @@
 				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
 			if r.thinLinks == nil {
-				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{r.queue()}}})
+				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: r.queues()}})
 			}
 		}
 	}
@@ -303,6 +315,14 @@
 	}
 }
 
+// queues returns all queues.
+func (r *rig) queues() []cornelwall.Queue {
+	if r.mixed != nil {
+		return r.mixed.queues()
+	}
+	return []cornelwall.Queue{r.queue()}
+}
+
 // labels returns the labels of an endpoint's boot.
 func (r *rig) labels(ep *leased.Endpoint) []string {
 	if !r.mutation.kinds {
@@ -500,7 +520,7 @@
 func (r *rig) delay() time.Duration { return time.Duration(200+r.rng.IntN(1500)) * time.Microsecond }
 
 // simulateRun draws how long a run takes at an endpoint, and whether it fails.
-func (r *rig) simulateRun(ep *leased.Endpoint, _ cornelwall.RunID) leased.SimulatedRun {
+func (r *rig) simulateRun(ep *leased.Endpoint, id cornelwall.RunID) leased.SimulatedRun {
 	took := float64(30+r.rng.IntN(300)) * float64(time.Millisecond)
 	if r.mutation.longRuns {
 		took *= longRunFactor
@@ -508,6 +528,9 @@
 	if r.exactRunTimes {
 		took = float64(taskTime)
 	}
+	if r.mixed != nil {
+		took = float64(r.mixed.runTime(id.Task))
+	}
 	if x := r.slowdown[ep.ID]; x > 0 {
 		took *= x
 	}
@@ -606,7 +629,7 @@
 	a := &attempt{client: c, entry: e, host: e.host, starts: c.starts}
 	e.reqs[r.nextReq] = a
 	req := r.nextReq
-	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: prefix + c.id, Batch: c.batch, TimeLeft: c.timeout})
+	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: cmp.Or(c.prefix, prefix) + c.id, Batch: c.batch, TimeLeft: c.timeout})
 	r.w.CallAfter(c.timeout, func() { // the client's deadline
 		if e.reqs[req] == a {
 			delete(e.reqs, req)
