--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -130,9 +130,10 @@
 	lastOffer          uint64 // number of the last handover offer
 	endpointList
 
-	runs             map[cornelwall.RunID]*run      // tasks assigned to this entry
-	backlog          []*run                         // runs that wait to start
-	classShares      policy.ClassShares             // of the runs started here
+	runs             map[cornelwall.RunID]*run // tasks assigned to this entry
+	backlog          []*run                    // runs that wait to start
+	classShares      policy.ClassShares        // of the runs started here
+	overload         overload
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
 	withdrawnRuns    map[cornelwall.RunID]time.Time // when each run was withdrawn; it must not start any more
 	transferredRuns  map[cornelwall.RunID]transferredRun
@@ -263,6 +264,7 @@
 	c.repeatReports()
 	c.checkLeases()
 	c.checkJobs()
+	c.trackOverload()
 	c.reconcileHolders()
 	if c.heldChanged {
 		c.heldChanged = false
@@ -292,7 +294,7 @@
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches)
+		"behind", c.behindFor(), "fetches", c.fetches, "overload", c.overloadedFor(), "shed", c.overload.shed)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -111,11 +111,16 @@
 		}
 		c.answerExpiredCallers(j)
 		b := j.policyBatch()
-		b.Crowded = !j.started && load.IsCrowded(j.waitingWork())
+		b.Crowded = load.IsCrowded(j.waitingWork())
 		switch b.Judge(c.now) {
 		case policy.Refuse:
+			why := cornelwall.ReasonTooLate
+			if b.MakesWay(c.now) {
+				why = cornelwall.ReasonShed
+				c.countShed(j)
+			}
 			c.finishJob(j, cornelwall.BatchAnswer{
-				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
+				End: cornelwall.BatchRefused, Reason: why, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
 				Text: "the batch could not be done in time and has not run; come back later",
 			})
 		case policy.GiveUpAtDeadline:
--- a/core/dispatch/fuzz/shedding_test.go
+++ b/core/dispatch/fuzz/shedding_test.go
@@ -1,7 +1,6 @@
 package fuzz
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -20,10 +19,10 @@
 
 // loadClass is a queue of a mixed load.
 type loadClass struct {
-	name    string
-	width   int           // tasks of a batch, in the mean
-	run     time.Duration // of a task, in the mean
-	perCore float64       // of the work of the load
+	name      string
+	width     int           // tasks of a batch, in the mean
+	run       time.Duration // of a task, in the mean
+	workShare float64       // of the work of the load
 }
 
 // mixedLoad is a load of three queues with priorities: many short tasks, some, and few long ones. The tasks of a batch
@@ -103,12 +102,12 @@
 
 func (c classResult) share() float64 { return float64(c.onTime) / float64(c.submitted) }
 
-// play submits batches whose work is a share of the endpoints' cores, a part of it of each class, with the given factors.
-func (m *mixedLoad) play(r *rig, share float64, factors []float64) []classResult {
+// play submits batches whose work is a share of the endpoints' cores, a part of it of each class.
+func (m *mixedLoad) play(r *rig, share float64) []classResult {
 	due := make([]float64, len(m.classes))
 	for range mixedLoadTime / time.Millisecond {
 		for i := range m.classes {
-			due[i] += share * factors[i] * m.classes[i].perCore * float64(endpointCapacity.Cores*len(r.endpoints)) / 1000
+			due[i] += share * m.classes[i].workShare * float64(endpointCapacity.Cores*len(r.endpoints)) / 1000
 			for due[i] > 0 {
 				due[i] -= m.submit(r, i)
 			}
@@ -117,23 +116,6 @@
 	}
 	r.w.Advance(2 * mixedTimeout)
 	results := make([]classResult, len(m.classes))
-	if *byNeed {
-		for k := 0; k < 3; k++ {
-			for b := 0; b < 4; b++ {
-				n, ok, nn := 0, 0, 0
-				for _, c := range m.list {
-					if c.class == k && (c.batch.Steps[0].Need.Cores-6400)*4/3200 == b {
-						n++
-						nn += c.batch.Steps[0].Count
-						if c.end == cornelwall.BatchDone && c.answered && c.endAt.Sub(c.arrived) <= c.expected {
-							ok++
-						}
-					}
-				}
-				fmt.Printf("class %d need quarter %d n=%d width %.1f ontime %.3f\n", k, b, n, float64(nn)/float64(n), float64(ok)/float64(n))
-			}
-		}
-	}
 	for _, c := range m.list {
 		x := &results[c.class]
 		x.submitted++
@@ -161,7 +143,7 @@
 }
 
 // runMixedLoad plays a mixed load on a system in which entries shed load, or not.
-func runMixedLoad(seed uint64, shed bool, share float64, factors []float64) []classResult {
+func runMixedLoad(seed uint64, shed bool, share float64) []classResult {
 	r := newSizedRig(seed, mutation{}, 0, size{entries: 6, endpoints: 36, dataCentres: 3})
 	r.mixed, r.shed = newMixedLoad(seed), shed
 	for _, e := range r.entries {
@@ -170,36 +152,52 @@
 	}
 	r.changeQueueConfig()
 	r.w.Advance(3 * time.Second)
-	return r.mixed.play(r, share, factors)
+	return r.mixed.play(r, share)
 }
 
-var byNeed = flag.Bool("byneed", false, "")
-var mixedShare = flag.Float64("mixed", 0, "play a mixed load of this share of the cores in TestMixedLoadByHand")
-
-func TestMixedLoadByHand(t *testing.T) {
-	if *mixedShare == 0 {
-		t.Skip("set -mixed to play a load")
-	}
-	for _, shed := range []bool{false, true} {
-		sum := make([]classResult, 3)
-		for seed := uint64(1); seed <= 4; seed++ {
-			for i, x := range runMixedLoad(seed, shed, *mixedShare, []float64{1, 1, 1}) {
-				sum[i].add(x)
+// TestMixedLoad plays loads below and above what the endpoints can do, with and without shedding, over several seeds. It
+// guards against an overload in which the queue of the highest priority gets the smallest share, in which more
+// batches are late than are refused, and in which large batches or a queue get nothing; and against shedding
+// where there is room for all.
+func TestMixedLoad(t *testing.T) {
+	for _, share := range []float64{0.5, 1.3} {
+		t.Run(fmt.Sprintf("%v of the cores", share), func(t *testing.T) {
+			t.Parallel()
+			without, with := playMixedLoads(share, false), playMixedLoads(share, true)
+			t.Logf("without shedding: %+v", without)
+			t.Logf("with shedding: %+v", with)
+			if share < 1 {
+				for i := range with {
+					assert.Assert(t, with[i].share() >= 0.9, "class %d: %+v", i, with[i])
+				}
+				return
 			}
-		}
-		for i, x := range sum {
-			t.Logf("shed=%v class %d: on time %.3f late %.3f refused %.3f failed %.3f large %.3f", shed, i, x.share(), float64(x.late)/float64(x.submitted), float64(x.refused)/float64(x.submitted), float64(x.failed)/float64(x.submitted), float64(x.largeServed)/float64(x.large))
-		}
+			late, refused := 0, 0
+			for i, x := range with {
+				late, refused = late+x.late, refused+x.refused
+				assert.Assert(t, i == 0 || x.share() <= with[i-1].share(), "a lower class got more on time: %+v", with)
+				assert.Assert(t, x.share() >= 0.25, "class %d got next to nothing: %+v", i, x)
+				assert.Assert(t, 2*x.largeServed*x.submitted >= x.large*(x.onTime+x.late), "large batches of class %d: %+v", i, x)
+			}
+			assert.Assert(t, late < refused, "more late than refused: %+v", with)
+			assert.Assert(t, with[0].share() >= 1.2*without[0].share(), "class 0: %+v, without shedding %+v", with[0], without[0])
+		})
 	}
-	assert.Assert(t, true)
 }
 
-func (c *classResult) add(x classResult) {
-	c.submitted += x.submitted
-	c.onTime += x.onTime
-	c.late += x.late
-	c.refused += x.refused
-	c.failed += x.failed
-	c.large += x.large
-	c.largeServed += x.largeServed
+// playMixedLoads plays a mixed load with several seeds, and adds up what callers got.
+func playMixedLoads(share float64, shed bool) []classResult {
+	sum := make([]classResult, 3)
+	for seed := uint64(1); seed <= 3; seed++ {
+		for i, x := range runMixedLoad(seed, shed, share) {
+			sum[i].submitted += x.submitted
+			sum[i].onTime += x.onTime
+			sum[i].late += x.late
+			sum[i].refused += x.refused
+			sum[i].failed += x.failed
+			sum[i].large += x.large
+			sum[i].largeServed += x.largeServed
+		}
+	}
+	return sum
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -169,6 +169,9 @@
 		return cornelwall.ReasonTooLate
 	case policy.RefuseFull:
 		return cornelwall.ReasonQueueFull
+	case policy.RefuseShed:
+		c.countShed(j)
+		return cornelwall.ReasonShed
 	}
 	return cornelwall.ReasonNone
 }
--- a/core/dispatch/shed.go
+++ b/core/dispatch/shed.go
@@ -2,12 +2,63 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"cornelwall/core/policy"
 )
 
+// overloadCalm is the time without queued work after which an overload counts as over.
+const overloadCalm = 500 * time.Millisecond
+
+// overload is what operators are told about the load that this entry sheds.
+type overload struct {
+	since  time.Time      // start of the present overload; zero if there is none
+	seenAt time.Time      // when work was last queued
+	shed   map[string]int // batches refused to make way since the start of the entry, by queue
+	before map[string]int // the same, as of since
+}
+
+// trackOverload logs when an overload begins and ends, as this entry sees it by the queued work that holders report.
+func (c *Core) trackOverload() {
+	o := &c.overload
+	if load := c.queueLoad(); load.IsCrowded(0) {
+		if o.since.IsZero() {
+			o.since, o.before = c.now, maps.Clone(o.shed)
+			c.log("overload", "queued", load.Drain(), "millicores", load.Cores, "jobs", len(c.jobs))
+		}
+		o.seenAt = c.now
+	}
+	if o.since.IsZero() || c.now.Sub(o.seenAt) < overloadCalm {
+		return
+	}
+	shed := maps.Clone(o.shed)
+	for queue, n := range o.before {
+		if shed[queue] -= n; shed[queue] == 0 {
+			delete(shed, queue)
+		}
+	}
+	c.log("overload-over", "lasted", o.seenAt.Sub(o.since), "shed", shed)
+	o.since = time.Time{}
+}
+
+// overloadedFor returns for how long there has been an overload.
+func (c *Core) overloadedFor() time.Duration {
+	if c.overload.since.IsZero() {
+		return 0
+	}
+	return c.now.Sub(c.overload.since)
+}
+
+// countShed counts a job that is refused to make way for others.
+func (c *Core) countShed(j *job) {
+	if c.overload.shed == nil {
+		c.overload.shed = map[string]int{}
+	}
+	c.overload.shed[j.queue.Name]++
+}
+
 // admit returns whether to take a job on arrival.
 func (c *Core) admit(j *job, b *policy.Batch) policy.Admission {
 	holders := c.holderOptions()
--- a/core/policy/admission_gen.go
+++ b/core/policy/admission_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _AdmissionName = "admitrefuse-too-laterefuse-full"
+const _AdmissionName = "admitrefuse-too-laterefuse-fullrefuse-shed"
 
-var _AdmissionIndex = [...]uint8{0, 5, 20, 31}
+var _AdmissionIndex = [...]uint8{0, 5, 20, 31, 42}
 
-const _AdmissionLowerName = "admitrefuse-too-laterefuse-full"
+const _AdmissionLowerName = "admitrefuse-too-laterefuse-fullrefuse-shed"
 
 func (i Admission) String() string {
 	if i < 0 || i >= Admission(len(_AdmissionIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[Admit-(0)]
 	_ = x[RefuseTooLate-(1)]
 	_ = x[RefuseFull-(2)]
+	_ = x[RefuseShed-(3)]
 }
 
-var _AdmissionValues = []Admission{Admit, RefuseTooLate, RefuseFull}
+var _AdmissionValues = []Admission{Admit, RefuseTooLate, RefuseFull, RefuseShed}
 
 var _AdmissionNameToValueMap = map[string]Admission{
 	_AdmissionName[0:5]:   Admit,
 	_AdmissionName[5:20]:  RefuseTooLate,
 	_AdmissionName[20:31]: RefuseFull,
+	_AdmissionName[31:42]: RefuseShed,
 }
 
 var _AdmissionLowerNameToValueMap = map[string]Admission{
 	_AdmissionLowerName[0:5]:   Admit,
 	_AdmissionLowerName[5:20]:  RefuseTooLate,
 	_AdmissionLowerName[20:31]: RefuseFull,
+	_AdmissionLowerName[31:42]: RefuseShed,
 }
 
 var _AdmissionNames = []string{
 	_AdmissionName[0:5],
 	_AdmissionName[5:20],
 	_AdmissionName[20:31],
+	_AdmissionName[31:42],
 }
 
 // AdmissionString retrieves an enum value from the enum constants string name.
--- a/core/policy/shed.go
+++ b/core/policy/shed.go
@@ -37,16 +37,15 @@
 	switch admission := b.Admit(now, ahead); {
 	case admission != Admit || ahead == 0:
 		return admission
-	case now.Add(ahead).After(b.latestWait(now)):
-		return RefuseFull
+	case ahead > b.slack(now):
+		return RefuseShed
 	}
 	return Admit
 }
 
-// latestWait returns the time until which a batch may wait and still be on time.
-func (b *Batch) latestWait(now time.Time) time.Time {
-	slack := max(b.Due.Sub(now)-b.CriticalPath, time.Duration(minSlackShare*float64(b.CriticalPath)))
-	return now.Add(slack)
+// slack returns how long a batch may wait and still be on time.
+func (b *Batch) slack(now time.Time) time.Duration {
+	return max(b.Due.Sub(now)-b.CriticalPath, time.Duration(minSlackShare*float64(b.CriticalPath)))
 }
 
 // QueueLoad is the work that waits at the holders of an owner.
@@ -68,6 +67,11 @@
 	return l
 }
 
+// Drain returns how long the holders take for the queued work.
+func (l QueueLoad) Drain() time.Duration {
+	return time.Duration(float64(l.Work) / float64(max(l.Cores, 1)) * float64(time.Millisecond))
+}
+
 // IsCrowded reports whether so much work of others waits that a batch which can't be on time has to make way. Own is the
 // part of the work that belongs to the batch itself.
 func (l QueueLoad) IsCrowded(own int) bool {
--- a/core/policy/verdict.go
+++ b/core/policy/verdict.go
@@ -56,21 +56,21 @@
 	}
 	left := limit.Sub(now)
 	switch {
-	case !b.Started && b.Unassigned && (left <= 0 || b.Withdrawn || b.makesWay(now)):
+	case !b.Started && b.Unassigned && (left <= 0 || b.Withdrawn || b.MakesWay(now)):
 		return Refuse
 	case left <= 0 && now.After(b.Deadline):
 		return GiveUpAtDeadline
 	case b.Started && b.LongestUnstarted >= 0 && now.Add(minRunTime(b.LongestUnstarted)).After(b.cutoff()):
 		return GiveUpTooLate
-	case !b.Started && !b.Withdrawn && (left <= withdrawMargin || b.makesWay(now)):
+	case !b.Started && !b.Withdrawn && (left <= withdrawMargin || b.MakesWay(now)):
 		return WithdrawWaiting
 	}
 	return Proceed
 }
 
-// makesWay reports whether a batch of which nothing has run can't be on time and has to make way for others.
-func (b *Batch) makesWay(now time.Time) bool {
-	return b.Crowded && now.Add(minRunTime(b.CriticalPath)).After(b.Due)
+// MakesWay reports whether a batch of which nothing has run can't be on time and has to make way for others.
+func (b *Batch) MakesWay(now time.Time) bool {
+	return b.Crowded && !b.Started && now.Add(minRunTime(b.CriticalPath)).After(b.Due)
 }
 
 // Admission is whether a new batch is taken.
@@ -80,6 +80,7 @@
 	Admit         Admission = iota
 	RefuseTooLate           // its run time alone is too long
 	RefuseFull              // the tasks before it take too long
+	RefuseShed              // it would be late, and others wait that can be on time
 )
 
 // Admit returns whether to take a batch that is expected to wait for a time. One that cannot be served
--- a/reason.go
+++ b/reason.go
@@ -64,4 +64,6 @@
 	ReasonTooLarge
 	// ReasonCrash means that endpoints have crashed while the task ran there.
 	ReasonCrash
+	// ReasonShed means that load was shed: the batch could not be on time while others waited that can.
+	ReasonShed
 )
