Report the demand and the capacity of the fleet in heartbeats

An owner judged an arrival by the shortest wait at any holder, as if no other owner sent anything there. No entry knew the demand, the capacity, or how old that knowledge was.

Each entry measures the demand of its callers by service and class, and the capacity of its endpoints, and sends them at most once per 100 ms to a peer in heartbeats that go out anyway, with the best digest of each data centre. Digests of one data centre are chosen and not added, so that no entry is counted twice. serviceLoad returns the sums; nothing is decided by them yet.

The list of holder options is allocated at once: with 147 holders, growing slices made admissionRefusal take 42 us.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -18,7 +18,7 @@
 
 // holderOptions returns the holders that can be given tasks now, in a deterministic order.
 func (c *Core) holderOptions() []policy.HolderOption {
-	var list []policy.HolderOption
+	list := make([]policy.HolderOption, 0, len(c.links)+1)
 	if !c.isStopping() {
 		own := policy.HolderView{Capacity: c.freeCapacity(), Exact: true}
 		list = append(list, policy.HolderOption{ID: c.cfg.Self, View: &own, IsSelf: true, SameCentre: true})
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -18,6 +18,12 @@
 // newFleetCore returns the core of one entry of a large installation that knows all others, and the
 // heartbeats of these.
 func newFleetCore(b *testing.B) (c *Core, now time.Time, heartbeats []cornelwall.Event) {
+	return newSizedFleetCore(b, fleetEntries, fleetEndpoints)
+}
+
+// newSizedFleetCore is newFleetCore for an installation of any size.
+func newSizedFleetCore(b *testing.B, entries, listed int) (c *Core, now time.Time, heartbeats []cornelwall.Event) {
+	b.Helper()
 	now = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	id := func(i int) cornelwall.Incarnation {
 		return cornelwall.Incarnation{DataCentre: fmt.Sprint("dc", i%3), Entry: fmt.Sprintf("e%02d", i), Epoch: 1}
@@ -25,18 +31,18 @@
 	addr := netip.MustParseAddrPort("10.0.0.1:7001")
 	c = New(Config{Self: id(0), Addr: addr}, now)
 	var endpoints []cornelwall.Endpoint
-	for i := range fleetEndpoints {
+	for i := range listed {
 		endpoints = append(endpoints, cornelwall.Endpoint{ID: fmt.Sprintf("x%03d", i), Service: "s", Addr: addr, DataCentre: fmt.Sprint("dc", i%3), Capacity: cornelwall.Resources{Cores: 16000}})
 	}
 	var members []cornelwall.Member
-	for i := range fleetEntries {
+	for i := range entries {
 		members = append(members, cornelwall.Member{ID: id(i), Addr: addr})
 	}
 	c.Step(now, cornelwall.MembersListed{List: members})
 	c.Step(now, cornelwall.EndpointsListed{List: endpoints, Revision: 1})
-	for i := 1; i < fleetEntries; i++ {
+	for i := 1; i < entries; i++ {
 		heartbeat := &cornelwall.SessionHeartbeat{Addr: addr, Session: 1}
-		for k := i; k < fleetEndpoints; k += fleetEntries {
+		for k := i; k < listed; k += entries {
 			heartbeat.FreeCapacity.Free = append(heartbeat.FreeCapacity.Free, cornelwall.Resources{Cores: 9200})
 			heartbeat.FreeCapacity.Total += 16000
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -43,7 +43,7 @@
 // which endpoint and hands endpoints over, and acquire.go acquires those that this entry should hold.
 //
 // Other entries: peers.go tracks which are alive, links.go which of them exchange heartbeats,
-// heartbeats.go sends and receives these, sessions.go withdraws the runs of owners that may not
+// heartbeats.go sends and receives these, load.go keeps the demand and the capacity of the fleet, sessions.go withdraws the runs of owners that may not
 // hear this entry, and messages.go dispatches messages.
 //
 // # Log lines
@@ -144,6 +144,7 @@
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
 	pendingEnds   pendingEnds
 	crashes       crashTable
+	load          loadState
 	lastRunNumber uint64
 
 	lastLoadLog   time.Time
@@ -176,6 +177,7 @@
 		jobsByReq:        map[uint64]*job{},
 		pendingEnds:      newPendingEnds(),
 		crashes:          newCrashTable(),
+		load:             newLoadState(),
 		queueConfigState: queueConfigState{queueConfig: &cornelwall.QueueConfig{}},
 		endpointList:     endpointList{toldAt: now}, // readers get the time to send the first update
 	}
@@ -285,10 +287,10 @@
 		used += ep.lease.used.Cores
 	}
 	v := c.freeCapacity()
-	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
+	c.log("load", append([]any{"held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches)
+		"behind", c.behindFor(), "fetches", c.fetches}, c.loadPairs()...)...)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -75,6 +75,15 @@
 	return b.String()
 }
 
+// bytes returns the encoded bytes of all messages.
+func (c messageCounts) bytes() float64 {
+	total := 0.0
+	for _, counts := range c {
+		total += counts.bytes
+	}
+	return total
+}
+
 // TestFleetTraffic gives each entry the same work in a small and in a large system. The messages
 // that an entry sends must not increase with the size of the system.
 func TestFleetTraffic(t *testing.T) {
@@ -128,12 +137,19 @@
 		idleLimit = 6.0  // envelopes per entry and second when idle
 		lossLimit = 60.0 // the same after a tenth of the entries died
 		growth    = 1.3
+		byteLimit = 1.05 // times the bytes of an idle entry before it reported its load
 	)
+	bytesBefore := map[int]float64{30: 46.7, 300: 55.1}
 	var first cost
 	for _, n := range []int{30, 300} {
 		r := newFleet(n)
 		assert.Equal(t, r.heldEndpoints(), len(r.endpoints), "at %d entries", n)
+		r.sentMessages = messageCounts{}
 		idle := r.measure(3*time.Second, func() {})
+		idleBytes := r.sentMessages.bytes() / (3 * float64(n))
+		t.Logf("%d entries, when idle: %.1f bytes per entry and second: %s", n, idleBytes, r.sentMessages.table(3*float64(n)))
+		assert.Assert(t, idleBytes <= byteLimit*bytesBefore[n], "%.1f bytes, %.1f before", idleBytes, bytesBefore[n])
+		r.sentMessages = nil
 		loss := r.measure(5*time.Second, func() {
 			for i := range n / 10 {
 				r.kill(r.entries[i*10], true)
--- a/core/dispatch/fuzz/load_test.go
+++ b/core/dispatch/fuzz/load_test.go
@@ -46,11 +46,14 @@
 }
 
 // playLoad submits batches whose work is the given share of the endpoints' capacity.
-func (r *rig) playLoad(share float64) loadResult {
+func (r *rig) playLoad(share float64) loadResult { return r.playLoadFor(loadTime, share) }
+
+// playLoadFor is playLoad for a time.
+func (r *rig) playLoadFor(d time.Duration, share float64) loadResult {
 	slots := 2 * r.size.endpoints // tasks of 6.8 cores that run at once
 	var clients []*client
 	work, rate := 0.0, float64(slots)*share/taskTime.Seconds()/1000 // tasks per millisecond
-	for range loadTime / time.Millisecond {
+	for range d / time.Millisecond {
 		for work += rate; work >= 1; {
 			n := 1 + r.rng.IntN(maxTasks)
 			c := r.submitBatch(n, loadTimeout)
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -42,6 +42,7 @@
 	newSession := p.theirSession != m.Session
 	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
 	p.view.Capacity = m.FreeCapacity
+	c.handleLoadReport(p, m.Load)
 	c.highestFence = max(c.highestFence, m.MaxFence)
 	if at, ok := p.sentTime(m.AckedSeq); ok && at.After(p.provenAt) {
 		p.provenAt = at
@@ -181,6 +182,7 @@
 		m.Members = c.aliveMembers()
 	}
 	m.SendList = c.takeListRequest(p)
+	m.Load = c.takeLoadReport(p)
 	return &m
 }
 
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -124,6 +124,7 @@
 		return
 	}
 	j := c.newJob(q, &ev)
+	c.noteDemand(j)
 	if why := c.admissionRefusal(j); why != cornelwall.ReasonNone {
 		refuse(cornelwall.BatchRefused, why, "the batch cannot be done in time; come back later")
 		return
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -68,6 +68,8 @@
 	membersSentAt  time.Time            // when the members were last sent to it
 	fetchFailedAt  time.Time            // when it last failed to send its queue configuration
 	crashSeq       uint64               // of the last change of a crash that it was sent
+	load           []peerLoad           // its own demand and capacity, as last reported
+	loadSentAt     time.Time            // when a load report was last sent to it
 }
 
 // entryName identifies an entry across its incarnations.
--- a/leased_message.go
+++ b/leased_message.go
@@ -54,6 +54,7 @@
 	Waiting        map[string]int `json:"waiting,omitempty"` // batches that have not started, by queue
 	Slowdown       float64        `json:"pace,omitempty"`    // median of the run time / estimate at its endpoints; 0 if not known
 	Withdrawn      []RunID        `json:"revoked,omitempty"` // runs at the receiver that were withdrawn a while ago and whose ends are not known
+	Load           *LoadReport    `json:"load,omitempty"`    // nil: nothing new to report
 }
 
 // IsToSeed reports whether the heartbeat went to the address of a seed, whoever listens there. It has no
@@ -65,7 +66,7 @@
 	if !h.Addr.IsValid() {
 		return errors.New("session heartbeat has no address; send ip:port of the peers' listener")
 	}
-	errs := []error{CheckRuns(h.Withdrawn)}
+	errs := []error{CheckRuns(h.Withdrawn), h.Load.Check()}
 	for _, m := range h.Members {
 		errs = append(errs, m.Check())
 	}
