Tell refused callers to return when their work fits, if work is shed

Retry-After was random between 0.5 and 1.5 s whatever the backlog: callers who were refused in a burst met the same burst again, or made a second one when it had ended.

With Config.Shed it is now the first time at which the backlog, the work that comes back before and the batch itself fit beside the demand, from 1 to 10 s and spread by the request over half of it. Each entry plans the work that it told to come back in a ring of seconds, within its share of the capacity that is left. Without Shed, on a stopping entry and for refusals that are not because of the load, nothing changes. batch-refused and batch-end log the value; cornelwall_retry_after_seconds is its histogram.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -28,7 +28,7 @@
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
 //
-// Owner: jobs.go accepts batches, jobcallers.go keeps the callers that wait for each, estimates.go
+// Owner: jobs.go accepts batches, retryafter.go tells refused callers when to come back, jobcallers.go keeps the callers that wait for each, estimates.go
 // corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
 // finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
 //
@@ -78,6 +78,7 @@
 	Weight       int              // capacity of this entry relative to others; 0 means 1
 	MaxMeshPeers int              // up to this many peers, all pairs exchange heartbeats all the time; 0 means 8, negative never
 	Limits       Limits
+	Shed         bool // under overload, what costs callers least is delayed or refused
 }
 
 const (
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -42,7 +42,7 @@
 	}
 	c.log("batch-end", "job", j.id, "queue", j.queue.Name, "end", a.End, "why", a.Reason, "begun", j.started, "rest", j.remaining(),
 		"took", c.now.Sub(j.submittedAt), "late", c.now.Sub(j.due), "waited", startedAt.Sub(j.submittedAt), "ran", took,
-		"estimate", j.estimate(t.step), "endpoint", t.lastRun.endpoint, "failed", failed, "lost", lost)
+		"estimate", j.estimate(t.step), "endpoint", t.lastRun.endpoint, "failed", failed, "lost", lost, "retry", a.RetryAfter)
 }
 
 // lastTask returns the task that holds its job up: one that waits, else one that runs, else the one
@@ -112,7 +112,7 @@
 		switch j.policyBatch().Judge(c.now) {
 		case policy.Refuse:
 			c.finishJob(j, cornelwall.BatchAnswer{
-				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(uint64(c.now.UnixMilli())),
+				End: cornelwall.BatchRefused, Reason: cornelwall.ReasonTooLate, RetryAfter: c.retryAfter(j, uint64(c.now.UnixMilli())),
 				Text: "the batch could not be done in time and has not run; come back later",
 			})
 		case policy.GiveUpAtDeadline:
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -12,8 +12,6 @@
 	answerMargin      = 15 * time.Millisecond  // before the caller's deadline, so that the answer still arrives
 	minRetryBackoff   = 5 * time.Millisecond   // before a task that did not start is assigned again
 	maxRetryBackoff   = 160 * time.Millisecond // the backoff doubles with each missed start up to this
-	minRetryAfter     = 500 * time.Millisecond // earliest retry of a refused caller
-	retryAfterSpread  = time.Second            // over which such retries are spread
 	progressThreshold = 0.9                    // of the remaining share last sent to holders; they get an update below it
 )
 
@@ -89,12 +87,13 @@
 // handleSubmitBatch admits a batch, or adds a caller to a batch with the same ID that is already
 // here.
 func (c *Core) handleSubmitBatch(ev cornelwall.SubmitBatch) {
+	var j *job // that is refused; nil if the reason is not the load
 	refuse := func(end cornelwall.BatchEnd, why cornelwall.Reason, text string) {
 		a := cornelwall.BatchAnswer{End: end, Reason: why, Text: text}
 		if end == cornelwall.BatchRefused {
-			a.RetryAfter = c.retryAfter(ev.Req)
+			a.RetryAfter = c.retryAfter(j, ev.Req)
 		}
-		c.log("batch-refused", "job", ev.Batch.ID, "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor())
+		c.log("batch-refused", "job", ev.Batch.ID, "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor(), "retry", a.RetryAfter)
 		c.emit(cornelwall.CountReason{Reason: why, N: 1})
 		c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
 	}
@@ -123,7 +122,7 @@
 		c.joinJob(j, jobCaller{req: ev.Req, deadline: c.callerDeadline(q, &ev)})
 		return
 	}
-	j := c.newJob(q, &ev)
+	j = c.newJob(q, &ev)
 	c.noteDemand(j)
 	if why := c.admissionRefusal(j); why != cornelwall.ReasonNone {
 		refuse(cornelwall.BatchRefused, why, "the batch cannot be done in time; come back later")
@@ -175,12 +174,6 @@
 	return cornelwall.ReasonNone
 }
 
-// retryAfter returns the delay after which a refused caller should retry. The delays are spread to
-// keep callers from retrying all at once: salt selects one of 1000 delays.
-func (c *Core) retryAfter(salt uint64) time.Duration {
-	return minRetryAfter + time.Duration(salt*7919%1000)*retryAfterSpread/1000
-}
-
 // handleFetchBatch replies with the state of a batch that this entry owns.
 func (c *Core) handleFetchBatch(ev cornelwall.FetchBatch) {
 	j := c.jobs[ev.ID]
@@ -195,7 +188,7 @@
 		c.log("count-refused", "path", ev.Path, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor())
 		reply := cornelwall.ReplyWaiting{Req: ev.Req}
 		if c.mayLackNewest() {
-			reply.RetryAfter = c.retryAfter(ev.Req)
+			reply.RetryAfter = c.retryAfter(nil, ev.Req)
 		}
 		c.emit(reply)
 		return
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -29,7 +29,8 @@
 	bounds        loadBounds
 	current       map[string]cachedLoad // results of serviceLoad
 	report        *cornelwall.LoadReport
-	reportAt      time.Time // when report was made
+	reportAt      time.Time                    // when report was made
+	retries       map[string]*policy.RetryPlan // of refused callers, by service
 }
 
 // loadDigest is the sum over entries of one data centre that another entry has made.
@@ -54,7 +55,7 @@
 }
 
 func newLoadState() loadState {
-	return loadState{demand: map[string]*[cornelwall.FreeCapacityClasses]policy.MovingRate{}, current: map[string]cachedLoad{}}
+	return loadState{demand: map[string]*[cornelwall.FreeCapacityClasses]policy.MovingRate{}, current: map[string]cachedLoad{}, retries: map[string]*policy.RetryPlan{}}
 }
 
 // noteDemand counts a batch that has arrived, whether it is accepted or not.
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -13,7 +13,8 @@
 // Order of the backlog, for more work than the endpoints can do: order.go. Choice of a holder,
 // for load that differs between entries: holder.go. Choice of an endpoint, for endpoints that are
 // partly used, slow or suspected: endpoint.go. Tasks that crash endpoints, told from their neighbours:
-// crash.go. Demand and capacity of the fleet, for many owners that send to the same holders: load.go. End of batches that cannot be done in time, for
+// crash.go. Demand and capacity of the fleet, for many owners that send to the same holders: load.go. When refused
+// callers come back, for the waves that they make: retryafter.go. End of batches that cannot be done in time, for
 // bursts and lost endpoints: verdict.go.
 //
 // What these rely on: health.go judges an endpoint by how its runs end, slowdown.go by how long they
