Show the load of each service on the metrics page

The gauges cornelwall_service_demand_cores, _capacity_cores, _entries and _age_seconds tell by service what an entry knows of the fleet, as its log line load does.

--- a/core/control/metrics.go
+++ b/core/control/metrics.go
@@ -87,6 +87,21 @@
 	} {
 		metrics.WriteGaugeUint64(w, "cornelwall_"+g.name, uint64(g.value))
 	}
+	writeServices(w, s.Services)
+}
+
+// writeServices writes the loads of services over all entries.
+func writeServices(w io.Writer, services []cornelwall.ServiceStatus) {
+	for i := range services {
+		s := &services[i]
+		gauge := func(name string, value float64) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("cornelwall_service_%s{service=%q}", name, s.Service), value)
+		}
+		gauge("demand_cores", s.Demand)
+		gauge("capacity_cores", s.Capacity)
+		gauge("entries", float64(s.Entries))
+		gauge("age_seconds", s.Age.Seconds())
+	}
 }
 
 func boolToInt(b bool) int {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -334,6 +334,6 @@
 	return cornelwall.Status{
 		Entry: c.cfg.Self, Machines: len(c.endpoints), Profiles: len(c.queueConfig.Queues),
 		Peers: len(c.peers), Jobs: len(c.jobs), Waiting: len(c.backlog), Running: len(c.runs) - len(c.backlog),
-		Stale: !c.platformUp, Stopping: c.isStopping(),
+		Stale: !c.platformUp, Stopping: c.isStopping(), Services: c.serviceStatus(),
 	}
 }
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -302,6 +302,16 @@
 	return policy.EntryBound(share(b.centreWeights[p.id.DataCentre]), share(b.weight), b.inCentre[[2]string{p.id.DataCentre, service}], b.all[service])
 }
 
+// serviceStatus returns the load of each service for the status of this entry, in the order of loadServices.
+func (c *Core) serviceStatus() []cornelwall.ServiceStatus {
+	var list []cornelwall.ServiceStatus
+	for _, service := range c.loadServices() {
+		l := c.serviceLoad(service)
+		list = append(list, cornelwall.ServiceStatus{Service: service, Demand: l.Demand.Total(), Capacity: l.Capacity, Entries: l.Entries, Age: l.Age})
+	}
+	return list
+}
+
 // loadPairs returns the pairs of the log line load that tell the load of each service, in the order of loadServices.
 func (c *Core) loadPairs() []any {
 	var demand, capacity, entries, age []string
--- a/status.go
+++ b/status.go
@@ -1,5 +1,7 @@
 package cornelwall
 
+import "time"
+
 // Status is a summary of an entry: what it knows and how much work it has.
 type Status struct {
 	Entry          Incarnation `json:"entry"`
@@ -15,6 +17,17 @@
 	Claims         int         `json:"claims"`          // idempotency keys that wait for the platform
 	Resends        int         `json:"resends"`         // messages that wait for a resend
 	InheritedBytes int         `json:"inherits"`        // bytes of answers taken over from closed incarnations
+	// Services are the loads of services over all entries, as far as this one knows them.
+	Services []ServiceStatus `json:"services,omitempty"`
+}
+
+// ServiceStatus is the load of a service over a number of entries.
+type ServiceStatus struct {
+	Service  string        `json:"service"`
+	Demand   float64       `json:"demand"`   // cores that callers ask for
+	Capacity float64       `json:"capacity"` // cores of usable endpoints
+	Entries  int           `json:"entries"`  // counted in both
+	Age      time.Duration `json:"age"`      // of the oldest report
 }
 
 // Unready returns the reasons, with remedies, why the entry should get no requests from
