Believe digests of an entry whose queue has a service without endpoints

A sender with demand for a service of which no endpoint is listed exceeded the bound of zero, so that its digests of other services were ignored as well.

--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -227,11 +227,14 @@
 	for i := range r.Own[:min(len(r.Own), maxLoadServices)] {
 		f := &r.Own[i]
 		sum, bound := policy.NewLoadSum(f, c.now), c.load.bounds.ofEntry(p, f.Service)
+		if bound.Capacity == 0 {
+			continue // no endpoint of the service is known here, which is not the sender's fault
+		}
 		if sum.Exceeds(bound) {
 			trusted = false
 			sum.Limit(bound)
 		}
-		if bound.Capacity == 0 || slices.ContainsFunc(p.load, func(l peerLoad) bool { return l.service == f.Service }) {
+		if slices.ContainsFunc(p.load, func(l peerLoad) bool { return l.service == f.Service }) {
 			continue
 		}
 		p.load = append(p.load, peerLoad{f.Service, sum})
