--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -28,7 +28,7 @@
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
 //
-// Owner: jobs.go accepts batches, jobcallers.go keeps the callers that wait for each, estimates.go
+// Owner: jobs.go accepts batches, retryafter.go tells refused callers when to come back, jobcallers.go keeps the callers that wait for each, estimates.go
 // corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
 // finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
 //
@@ -45,7 +45,7 @@
 // which endpoint and hands endpoints over, and acquire.go acquires those that this entry should hold.
 //
 // Other entries: peers.go tracks which are alive, links.go which of them exchange heartbeats,
-// heartbeats.go sends and receives these, sessions.go withdraws the runs of owners that may not
+// heartbeats.go sends and receives these, load.go keeps the demand and the capacity of the fleet, sessions.go withdraws the runs of owners that may not
 // hear this entry, and messages.go dispatches messages.
 //
 // # Log lines
@@ -149,6 +149,7 @@
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
 	pendingEnds   pendingEnds
 	crashes       crashTable
+	load          loadState
 	lastRunNumber uint64
 
 	lastLoadLog   time.Time
@@ -181,6 +182,7 @@
 		jobsByReq:        map[uint64]*job{},
 		pendingEnds:      newPendingEnds(),
 		crashes:          newCrashTable(),
+		load:             newLoadState(),
 		queueConfigState: queueConfigState{queueConfig: &cornelwall.QueueConfig{}},
 		endpointList:     endpointList{toldAt: now}, // readers get the time to send the first update
 	}
@@ -291,10 +293,10 @@
 		used += ep.lease.used.Cores
 	}
 	v := c.freeCapacity()
-	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
+	c.log("load", append([]any{"held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches, "overload", c.overloadedFor(), "shed", c.overload.shed)
+		"behind", c.behindFor(), "fetches", c.fetches, "overload", c.overloadedFor(), "shed", c.overload.shed}, c.loadPairs()...)...)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
@@ -337,6 +339,6 @@
 	return cornelwall.Status{
 		Entry: c.cfg.Self, Machines: len(c.endpoints), Profiles: len(c.queueConfig.Queues),
 		Peers: len(c.peers), Jobs: len(c.jobs), Waiting: len(c.backlog), Running: len(c.runs) - len(c.backlog),
-		Stale: !c.platformUp, Stopping: c.isStopping(),
+		Stale: !c.platformUp, Stopping: c.isStopping(), Services: c.serviceStatus(),
 	}
 }
--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -128,12 +128,22 @@
 		idleLimit = 6.0  // envelopes per entry and second when idle
 		lossLimit = 60.0 // the same after a tenth of the entries died
 		growth    = 1.3
+		byteLimit = 1.05 // times the bytes of an idle entry before it reported its load
 	)
+	bytesBefore := map[int]float64{30: 46.7, 300: 55.1}
 	var first cost
 	for _, n := range []int{30, 300} {
 		r := newFleet(n)
 		assert.Equal(t, r.heldEndpoints(), len(r.endpoints), "at %d entries", n)
+		r.sentMessages = messageCounts{}
 		idle := r.measure(3*time.Second, func() {})
+		idleBytes := 0.0
+		for _, counts := range r.sentMessages {
+			idleBytes += counts.bytes / (3 * float64(n))
+		}
+		t.Logf("%d entries, when idle: %.1f bytes per entry and second: %s", n, idleBytes, r.sentMessages.table(3*float64(n)))
+		assert.Assert(t, idleBytes <= byteLimit*bytesBefore[n], "%.1f bytes, %.1f before", idleBytes, bytesBefore[n])
+		r.sentMessages = nil
 		loss := r.measure(5*time.Second, func() {
 			for i := range n / 10 {
 				r.kill(r.entries[i*10], true)
