--- a/core/dispatch/fuzz/fleetload_test.go
+++ b/core/dispatch/fuzz/fleetload_test.go
@@ -32,7 +32,7 @@
 // entries would know little more than its own queue tells.
 func TestFleetLoad(t *testing.T) {
 	const share, duration, warmUp = 1.3, 4 * time.Second, 2 * time.Second
-	r := newSizedRig(1, mutation{}, 0, size{entries: 45, endpoints: 350, dataCentres: 3})
+	r := newSizedRig(1, mutation{}, 0, size{entries: 45, endpoints: 350, dataCentres: 3, shed: true})
 	r.exactRunTimes, r.objective = true, objectiveMargin
 	r.changeQueueConfig()
 	r.w.Advance(2 * time.Second)
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -87,7 +87,8 @@
 // size is the size of a system.
 type size struct {
 	entries, endpoints, dataCentres int
-	seeds                           int // entries that all others know from the start
+	seeds                           int  // entries that all others know from the start
+	shed                            bool // in the config of each core
 }
 
 var small = size{entries: 4, endpoints: 6, dataCentres: 2}
@@ -144,7 +145,6 @@
 	nextID         uint64
 
 	mixed     *mixedLoad // of several queues; nil: one queue of equal tasks
-	shed      bool       // in the config of each core
 	thinLinks *thinLinks // that carry messages and queue configurations; nil: links of any bandwidth
 
 	maxMeshPeers int // in the config of each core
@@ -234,7 +234,7 @@
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Shed: r.shed,
+		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Shed: r.size.shed,
 		Limits: dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
--- a/core/dispatch/fuzz/shedding_test.go
+++ b/core/dispatch/fuzz/shedding_test.go
@@ -144,12 +144,8 @@
 
 // runMixedLoad plays a mixed load on a system in which entries shed load, or not.
 func runMixedLoad(seed uint64, shed bool, share float64) []classResult {
-	r := newSizedRig(seed, mutation{}, 0, size{entries: 6, endpoints: 36, dataCentres: 3})
-	r.mixed, r.shed = newMixedLoad(seed), shed
-	for _, e := range r.entries {
-		r.kill(e, true)
-		r.start(e)
-	}
+	r := newSizedRig(seed, mutation{}, 0, size{entries: 6, endpoints: 36, dataCentres: 3, shed: shed})
+	r.mixed = newMixedLoad(seed)
 	r.changeQueueConfig()
 	r.w.Advance(3 * time.Second)
 	return r.mixed.play(r, share)
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -184,10 +184,10 @@
 	return false
 }
 
-// takeLoadReport returns the load report for the next heartbeat to a peer, or nil if none is due or there
-// is nothing to report. Digests that are heard are nothing to report, since entries would keep each other reporting.
+// takeLoadReport returns the load report for the next heartbeat to a peer, or nil if none is due, there
+// is nothing to report, or this entry sheds no load and so decides nothing by it. Digests that are heard are nothing to report, since entries would keep each other reporting.
 func (c *Core) takeLoadReport(p *peer) *cornelwall.LoadReport {
-	if c.now.Sub(p.loadSentAt) < loadInterval || len(c.runs) == 0 && c.now.Sub(c.load.demandHeardAt) > policy.MaxLoadAge && !c.hasDemand() {
+	if !c.cfg.Shed || c.now.Sub(p.loadSentAt) < loadInterval || len(c.runs) == 0 && c.now.Sub(c.load.demandHeardAt) > policy.MaxLoadAge && !c.hasDemand() {
 		return nil
 	}
 	p.loadSentAt = c.now
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -22,7 +22,7 @@
 
 func newLoadFixture() *loadFixture {
 	f := &loadFixture{now: time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC), addr: netip.MustParseAddrPort("10.0.0.1:7001")}
-	f.c = New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e0", Epoch: 1}, Addr: f.addr, MaxMeshPeers: 100}, f.now)
+	f.c = New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e0", Epoch: 1}, Addr: f.addr, MaxMeshPeers: 100, Shed: true}, f.now)
 	members := []cornelwall.Member{{ID: f.c.cfg.Self, Addr: f.addr}}
 	var endpoints []cornelwall.Endpoint
 	for i := 1; i <= 5; i++ {
@@ -152,6 +152,7 @@
 		}
 		assert.Assert(t, told != nil && told == logged, "%v is told and %v logged", told, logged)
 	}
+	f.c.cfg.Shed = false
 	refuse(500*time.Millisecond, 1500*time.Millisecond)
 	f.c.cfg.Shed = true
 	for range 20 {
--- a/core/dispatch/shed.go
+++ b/core/dispatch/shed.go
@@ -65,7 +65,9 @@
 	if !c.cfg.Shed {
 		return b.Admit(c.now, policy.ShortestWait(holders, j.batch.Steps[0].Need, j.queue.Priority))
 	}
-	return b.AdmitQueued(c.now, policy.QueuedAhead(holders, j.queue.Priority))
+	load := c.serviceLoad(j.queue.Service)
+	ahead := policy.QueuedAhead(holders, j.queue.Priority)
+	return b.AdmitQueued(c.now, load.Overtaken(ahead, j.queue.Priority))
 }
 
 // queueLoad returns the work that waits at the holders that this entry knows. It is empty unless this entry
--- a/core/policy/shed.go
+++ b/core/policy/shed.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	minClassShare = 0.1                   // of the started work that a class gets while its runs wait and can be on time
-	crowdedDrain  = 20 * time.Millisecond // queued work from which on a batch that can't be on time makes way for others
+	minClassShare     = 0.1                   // of the started work that a class gets while its runs wait and can be on time
+	minOvertakenShare = 0.25                  // of the capacity, that a class is taken to get beside the demand of higher ones
+	crowdedDrain      = 20 * time.Millisecond // queued work from which on a batch that can't be on time makes way for others
 	// minSlackShare is the least wait that is accepted while work is queued, as a share of the critical path.
 	// Where the target leaves no room for a wait, a short queue must not turn every batch away.
 	minSlackShare = 0.25
@@ -48,6 +49,16 @@
 	return max(b.Due.Sub(now)-b.CriticalPath, time.Duration(minSlackShare*float64(b.CriticalPath)))
 }
 
+// Overtaken returns how long a batch of a class waits for the queued work ahead of it, as what arrives of higher classes
+// meanwhile goes first. At least minOvertakenShare of the capacity is taken to be left: their demand is measured before any of it is refused.
+func (l *ServiceLoad) Overtaken(ahead time.Duration, class int) time.Duration {
+	if l.Capacity <= 0 || Class(class) == 0 {
+		return ahead
+	}
+	left := 1 - l.Demand.UpTo(Class(class)-1)/l.Capacity
+	return time.Duration(float64(ahead) / max(left, minOvertakenShare))
+}
+
 // QueueLoad is the work that waits at the holders of an owner.
 type QueueLoad struct {
 	Cores int // thousandths of cores of the usable endpoints
--- a/core/policy/shed_test.go
+++ b/core/policy/shed_test.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// TestOvertaken guards against batches of a low class that are taken and then overtaken until they can't be on time.
+func TestOvertaken(t *testing.T) {
+	l := ServiceLoad{Demand: ClassDemand{20, 30, 100}, Capacity: 100, Entries: 3}
+	assert.Equal(t, l.Overtaken(100*ms, 0), 100*ms)
+	assert.Equal(t, l.Overtaken(100*ms, 1), 125*ms)
+	assert.Equal(t, l.Overtaken(100*ms, 2), 200*ms)
+	assert.Equal(t, l.Overtaken(100*ms, 3), 400*ms) // more demand than capacity
+	assert.Equal(t, (&ServiceLoad{}).Overtaken(100*ms, 2), 100*ms)
+}
+
 // TestAdmitQueued admits a batch of a task of 400 ms that is due after 600 ms and of use for 1800 ms. It guards against
 // batches that are taken although they will be late, in the place of others that can be on time.
 func TestAdmitQueued(t *testing.T) {
