Start nothing in evacuated data centres

The operator had no way to keep work off the endpoints of a data centre. Leases stay where they are.

Existing tests of the root, core/dispatch, platform, io/peer, cmd, core/explain and core/control pass.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -121,11 +121,11 @@
 	}
 }
 
-// fitsHeldEndpoint reports whether any endpoint that this entry holds is large enough for a task
-// and has the label that it requires.
+// fitsHeldEndpoint reports whether any endpoint that this entry holds outside the evacuated data centres is
+// large enough for a task and has the label that it requires.
 func (c *Core) fitsHeldEndpoint(service string, t *cornelwall.AssignTask) bool {
 	for _, ep := range c.heldEndpoints {
-		if ep.Service == service && t.Need.Fits(ep.Capacity) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
+		if !c.isClosed(ep.DataCentre) && ep.Service == service && t.Need.Fits(ep.Capacity) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
 			return true
 		}
 	}
@@ -346,7 +346,7 @@
 
 // usable reports whether new runs may start under a lease.
 func (c *Core) usable(l *lease) bool {
-	return l.phase == phaseReady && l.knowsKind() && !l.ep.Leaving && !c.isGone(l.ep) && !l.clockAt.IsZero() &&
+	return l.phase == phaseReady && c.mayStartIn(l.ep.DataCentre) && l.knowsKind() && !l.ep.Leaving && !c.isGone(l.ep) && !l.clockAt.IsZero() &&
 		!l.mustExpire(c.now) && l.ep.health.MayStart(c.now, len(l.runs))
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,7 +23,8 @@
 //
 // # Files
 //
-// queueconfig.go keeps the queue configuration in force and fetches newer ones.
+// queueconfig.go keeps the queue configuration in force and fetches newer ones. evacuations.go keeps
+// which data centres are evacuated, and so where runs may start.
 //
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
@@ -68,6 +69,9 @@
 	StopDelay time.Duration // a run ends within this time after a stop order or the expiry of its lease
 	StopGrace time.Duration // time that a planned stop of this entry may take
 	DrainTime time.Duration // for which an endpoint serves on after it has reported that it leaves; 0 means 2 s
+	// EvacuateTime is the time within which nothing starts any more in a data centre that is evacuated. It is 0 if none
+	// can be; otherwise nothing starts before it is known which are.
+	EvacuateTime time.Duration
 }
 
 // Config holds the settings of a core.
@@ -117,6 +121,7 @@
 	rankedAt    time.Time
 
 	queueConfigState
+	evacuations        evacuations
 	endpoints          map[string]*endpoint
 	endpointsByName    []*endpoint // sorted by name
 	heldEndpoints      []*endpoint // endpoints that this entry holds, sorted by name
@@ -232,6 +237,8 @@
 		c.setQueueConfig(ev.Config, "store")
 	case cornelwall.QueueConfigFetched:
 		c.handleQueueConfigFetched(ev)
+	case cornelwall.EvacuationsRead:
+		c.handleEvacuationsRead(ev)
 	case cornelwall.PlatformLost:
 		c.handlePlatformLost()
 	case cornelwall.PollResult:
@@ -251,6 +258,7 @@
 	if pause := c.now.Sub(c.lastTick); pause > pauseThreshold {
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
+		c.doubtEvacuations(pause)
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
@@ -285,10 +293,14 @@
 		used += ep.lease.used.Cores
 	}
 	v := c.freeCapacity()
-	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
+	pairs := []any{"held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches)
+		"behind", c.behindFor(), "fetches", c.fetches}
+	if c.readsEvacuations() {
+		pairs = append(pairs, "evacuated", c.evacuatedNames())
+	}
+	c.log("load", pairs...)
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -57,6 +57,7 @@
 		c.sendCrashes(p)
 	}
 	c.noteVersion(p, m.Version)
+	c.noteEvacuations(p, m)
 	if first || m.ReplyNow || c.needsReply(p, wasOpen) {
 		c.sendHeartbeats(p)
 	}
@@ -189,6 +190,7 @@
 	return cornelwall.SessionHeartbeat{
 		Addr: c.cfg.Addr, Weight: c.cfg.Weight, Leaving: c.isStopping(), Version: c.queueConfig.Version, MaxFence: c.highestFence,
 		FreeCapacity: c.freeCapacity(), PlatformLost: !c.platformUp, NoEndpointList: c.listRev == 0, Waiting: c.waitingByQueue(), Slowdown: c.medianSlowdown,
+		Evacuations: c.evacuations.list, EvacuationsAsOf: c.evacuations.completeAsOf,
 	}
 }
 
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -160,6 +160,9 @@
 
 // admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone.
 func (c *Core) admissionRefusal(j *job) cornelwall.Reason {
+	if c.allEvacuated() {
+		return cornelwall.ReasonEvacuated
+	}
 	b := j.policyBatch()
 	if c.isStopping() && !b.FitsBefore(c.now, c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
 		return cornelwall.ReasonStopping
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -65,14 +65,14 @@
 }
 
 // lowOnCapacity reports whether this entry should look for peers with free capacity: what is at
-// hand is less than the next batch may need. An entry that holds endpoints does so only within
-// busyWindow of a batch. A stopping entry does so while it has jobs and no holder to assign their
+// hand is less than the next batch may need. An entry that holds endpoints outside the evacuated data
+// centres does so only within busyWindow of a batch. A stopping entry does so while it has jobs and no holder to assign their
 // tasks to.
 func (c *Core) lowOnCapacity() bool {
 	if c.isStopping() {
 		return len(c.jobs) > 0 && len(c.holderOptions()) == 0
 	}
-	if len(c.held()) > 0 && (c.lastSubmit.IsZero() || c.now.Sub(c.lastSubmit) > busyWindow) {
+	if c.allEvacuated() || c.holdsOpenEndpoint() && (c.lastSubmit.IsZero() || c.now.Sub(c.lastSubmit) > busyWindow) {
 		return false
 	}
 	n := 0
@@ -83,14 +83,15 @@
 }
 
 // seekCapacity adds a link to one more peer, which may have free capacity. Peers are chosen with a
-// probability in proportion to their weight. Other data centres are asked once this one is full.
+// probability in proportion to their weight. Other data centres are asked once this one is full, or if it is
+// evacuated.
 func (c *Core) seekCapacity() {
 	if len(c.peers) <= c.cfg.MaxMeshPeers || c.now.Sub(c.lastSeek) < seekInterval {
 		return
 	}
 	links, full := 0, 0
 	for _, p := range c.links {
-		if !c.wantsLink(p) {
+		if !c.wantsLink(p) || c.isPassedOver(p.id.DataCentre) {
 			continue
 		}
 		links++
@@ -103,7 +104,7 @@
 	}
 	c.lastSeek = c.now
 	c.seekSalt++
-	remote := full >= fullPeersLimit
+	remote := full >= fullPeersLimit || c.isEvacuated(c.cfg.Self.DataCentre)
 	p := c.pickUnlinkedPeer(remote)
 	if p == nil {
 		p = c.pickUnlinkedPeer(!remote)
@@ -119,7 +120,7 @@
 	var best *peer
 	bestScore := math.Inf(-1)
 	for _, p := range c.peersByID {
-		if c.wantsLink(p) || p.id.DataCentre == c.cfg.Self.DataCentre == remote || !c.isEligible(p) {
+		if c.wantsLink(p) || p.id.DataCentre == c.cfg.Self.DataCentre == remote || !c.isEligible(p) || c.isPassedOver(p.id.DataCentre) {
 			continue
 		}
 		if s := score(p.hash, c.nameHash+c.seekSalt, p.weight); s > bestScore {
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -60,14 +60,18 @@
 	}
 }
 
-// hasCapacity reports whether this entry holds a reachable endpoint, or a peer that can be assigned
-// tasks has capacity.
+// hasCapacity reports whether this entry holds a reachable endpoint outside the evacuated data centres, or a
+// peer that can be assigned tasks has capacity. An entry of an evacuated data centre serves callers with the capacity of
+// the others.
 func (c *Core) hasCapacity() bool {
 	for _, ep := range c.held() {
-		if ep.lease.phase != phaseUnreachable {
+		if ep.lease.phase != phaseUnreachable && !c.isClosed(ep.DataCentre) {
 			return true
 		}
 	}
+	if c.isEvacuated(c.cfg.Self.DataCentre) && c.hasOpenCentre() {
+		return true // capacity there is found when a batch needs it
+	}
 	for _, p := range c.peersByID {
 		if c.canAssign(p) && p.view.Capacity.Total > 0 {
 			return true
--- a/io/peer/size.go
+++ b/io/peer/size.go
@@ -45,7 +45,7 @@
 }
 
 func heartbeatSize(h *cornelwall.SessionHeartbeat) int {
-	size := messageOverhead*len(h.Members) + runSize*len(h.Withdrawn)
+	size := messageOverhead*(len(h.Members)+len(h.Evacuations)) + runSize*len(h.Withdrawn)
 	for queue := range h.Waiting {
 		size += textOverhead + len(queue)
 	}
--- a/leased.go
+++ b/leased.go
@@ -49,6 +49,13 @@
 		Config *QueueConfig // set if Result is FetchDone
 		Took   time.Duration
 	}
+	// EvacuationsRead tells which data centres are evacuated as of a revision of the platform's store. Those
+	// that are not on the list are not evacuated.
+	EvacuationsRead struct {
+		List     []Evacuation
+		Revision int64
+		AsOf     time.Time // when the read was sent, on the clock of the core; zero counts as now
+	}
 	// PlatformLost reports that the platform has not answered for a while.
 	PlatformLost struct{}
 	// PollResult is the result of a PollEndpoint.
@@ -81,6 +88,7 @@
 func (MembersListed) isEvent()      {}
 func (QueueConfigRead) isEvent()    {}
 func (QueueConfigFetched) isEvent() {}
+func (EvacuationsRead) isEvent()    {}
 func (PlatformLost) isEvent()       {}
 func (PollResult) isEvent()         {}
 func (OrderResult) isEvent()        {}
--- a/leased_message.go
+++ b/leased_message.go
@@ -54,6 +54,9 @@
 	Waiting        map[string]int `json:"waiting,omitempty"` // batches that have not started, by queue
 	Slowdown       float64        `json:"pace,omitempty"`    // median of the run time / estimate at its endpoints; 0 if not known
 	Withdrawn      []RunID        `json:"revoked,omitempty"` // runs at the receiver that were withdrawn a while ago and whose ends are not known
+
+	Evacuations     []Evacuation `json:"evacuated,omitempty"`   // of the data centres that are or were evacuated
+	EvacuationsAsOf int64        `json:"evacuatedAt,omitempty"` // revision of the platform's store as of which no others are; 0 if not known
 }
 
 // IsToSeed reports whether the heartbeat went to the address of a seed, whoever listens there. It has no
@@ -65,7 +68,7 @@
 	if !h.Addr.IsValid() {
 		return errors.New("session heartbeat has no address; send ip:port of the peers' listener")
 	}
-	errs := []error{CheckRuns(h.Withdrawn)}
+	errs := []error{CheckRuns(h.Withdrawn), CheckEvacuations(h.Evacuations)}
 	for _, m := range h.Members {
 		errs = append(errs, m.Check())
 	}
--- a/reason.go
+++ b/reason.go
@@ -64,4 +64,6 @@
 	ReasonTooLarge
 	// ReasonCrash means that endpoints have crashed while the task ran there.
 	ReasonCrash
+	// ReasonEvacuated means that all data centres are evacuated.
+	ReasonEvacuated
 )
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrash"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashevacuated"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191, 196}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191, 196, 205}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrash"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashevacuated"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -52,9 +52,10 @@
 	_ = x[ReasonPeer-(25)]
 	_ = x[ReasonTooLarge-(26)]
 	_ = x[ReasonCrash-(27)]
+	_ = x[ReasonEvacuated-(28)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge, ReasonCrash}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge, ReasonCrash, ReasonEvacuated}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -85,6 +86,7 @@
 	_ReasonName[178:182]: ReasonPeer,
 	_ReasonName[182:191]: ReasonTooLarge,
 	_ReasonName[191:196]: ReasonCrash,
+	_ReasonName[196:205]: ReasonEvacuated,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -116,6 +118,7 @@
 	_ReasonLowerName[178:182]: ReasonPeer,
 	_ReasonLowerName[182:191]: ReasonTooLarge,
 	_ReasonLowerName[191:196]: ReasonCrash,
+	_ReasonLowerName[196:205]: ReasonEvacuated,
 }
 
 var _ReasonNames = []string{
@@ -147,6 +150,7 @@
 	_ReasonName[178:182],
 	_ReasonName[182:191],
 	_ReasonName[191:196],
+	_ReasonName[196:205],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
