--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -112,12 +112,15 @@
 	d := &dispatcher{settings: s, log: log.WithValues("entry", self)}
 	d.kernel = kernel.New(d.log)
 	cfg.Self, cfg.Addr, cfg.Seeds, cfg.Weight = self, s.PeerAddr, s.Seeds, s.Weight
-	cfg.Limits = dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime}
+	cfg.Limits = dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime, EvacuateTime: s.EvacuateTime}
 	core := dispatch.New(cfg, clock.Now())
 	d.loop = control.New(core, clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout, Clock: clock}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
 	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, clock, d.log)
+	if s.EvacuateTime > 0 {
+		service.ReadEvacuations()
+	}
 	d.loop.Connect(peers, executors, service)
 	d.kernel.Add(cornelwall.ServiceControl, d.loop)
 	d.kernel.Add(cornelwall.ServicePeers, peers)
--- a/reason.go
+++ b/reason.go
@@ -64,6 +64,8 @@
 	ReasonTooLarge
 	// ReasonCrash means that endpoints have crashed while the task ran there.
 	ReasonCrash
+	// ReasonEvacuated means that all data centres are evacuated.
+	ReasonEvacuated
 	// ReasonShed means that load was shed: the batch could not be on time while others waited that can.
 	ReasonShed
 )
--- a/reason_gen.go
+++ b/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashshed"
+const _ReasonName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashevacuatedshed"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191, 196, 200}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 30, 40, 50, 55, 64, 71, 79, 85, 95, 105, 109, 113, 117, 124, 132, 139, 145, 152, 157, 163, 171, 178, 182, 191, 196, 205, 209}
 
-const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashshed"
+const _ReasonLowerName = "nonedeadlinetoo-latequeue-fullnever-fitsno-profilestalecancelledexpiredstoppingclosedowner-lostowner-awaytasklostbusyconnectdrainingretriesticketcontentstoreclaimsoverloaddroppedpeertoo-largecrashevacuatedshed"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -52,10 +52,11 @@
 	_ = x[ReasonPeer-(25)]
 	_ = x[ReasonTooLarge-(26)]
 	_ = x[ReasonCrash-(27)]
-	_ = x[ReasonShed-(28)]
+	_ = x[ReasonEvacuated-(28)]
+	_ = x[ReasonShed-(29)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge, ReasonCrash, ReasonShed}
+var _ReasonValues = []Reason{ReasonNone, ReasonDeadline, ReasonTooLate, ReasonQueueFull, ReasonNeverFits, ReasonNoProfile, ReasonStale, ReasonCancelled, ReasonExpired, ReasonStopping, ReasonClosed, ReasonOwnerLost, ReasonOwnerAway, ReasonTask, ReasonLost, ReasonBusy, ReasonConnect, ReasonDraining, ReasonRetries, ReasonTicket, ReasonContent, ReasonStore, ReasonClaims, ReasonOverload, ReasonDropped, ReasonPeer, ReasonTooLarge, ReasonCrash, ReasonEvacuated, ReasonShed}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -86,7 +87,8 @@
 	_ReasonName[178:182]: ReasonPeer,
 	_ReasonName[182:191]: ReasonTooLarge,
 	_ReasonName[191:196]: ReasonCrash,
-	_ReasonName[196:200]: ReasonShed,
+	_ReasonName[196:205]: ReasonEvacuated,
+	_ReasonName[205:209]: ReasonShed,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -118,7 +120,8 @@
 	_ReasonLowerName[178:182]: ReasonPeer,
 	_ReasonLowerName[182:191]: ReasonTooLarge,
 	_ReasonLowerName[191:196]: ReasonCrash,
-	_ReasonLowerName[196:200]: ReasonShed,
+	_ReasonLowerName[196:205]: ReasonEvacuated,
+	_ReasonLowerName[205:209]: ReasonShed,
 }
 
 var _ReasonNames = []string{
@@ -150,7 +153,8 @@
 	_ReasonName[178:182],
 	_ReasonName[182:191],
 	_ReasonName[191:196],
-	_ReasonName[196:200],
+	_ReasonName[196:205],
+	_ReasonName[205:209],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
