Acknowledge a cancellation only once it takes effect

A DELETE was answered at once, whichever entries had heard of it, and an entry that did not own the batch kept no record.

Now every entry keeps a record for a minute; the entry that takes the DELETE numbers its cancellations, sends them until they are confirmed, and answers once all listed entries have confirmed, or 503 after 3 s. An entry that has started, resumed or was off the list asks others before it starts anything. Holders refuse runs of cancelled batches. All of this is on only where the settings have bounds.cancel_ms.

--- a/batch.go
+++ b/batch.go
@@ -121,10 +121,15 @@
 	Steps []Step
 }
 
+// IsBatchID reports whether a batch can have the ID.
+func IsBatchID(id string) bool {
+	return len(id) == batchIDLen && strings.Trim(id, "0123456789abcdef") == ""
+}
+
 // Check reports the problems with the batch, the first ones if there are many.
 func (b *BatchJob) Check() error {
 	var errs []error
-	if len(b.ID) != batchIDLen || strings.Trim(b.ID, "0123456789abcdef") != "" {
+	if !IsBatchID(b.ID) {
 		errs = append(errs, fmt.Errorf("id %.50q is not valid; use %d characters of 0-9 and a-f", b.ID, batchIDLen))
 	}
 	if len(b.Spec) > maxSpec {
--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -111,12 +111,13 @@
 	d.kernel = kernel.New(d.log)
 	core := dispatch.New(dispatch.Config{
 		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Weight: s.Weight,
-		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime},
+		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime, CancelTime: s.CancelTime},
 	}, clock.Now())
 	d.loop = control.New(core, clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout, Clock: clock}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
-	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, clock, d.log)
+	member := cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight, KeepsCancellations: s.CancelTime > 0}
+	service := platform.New(s.StoreAddr, member, d.loop, clock, d.log)
 	d.loop.Connect(peers, executors, service)
 	d.kernel.Add(cornelwall.ServiceControl, d.loop)
 	d.kernel.Add(cornelwall.ServicePeers, peers)
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -95,6 +95,10 @@
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
+		if c.isCancelled(batchOf(t.Task)) {
+			c.returnCancelled(from, t.RunID)
+			continue
+		}
 		if c.crashes.suspicion(t.Task) >= policy.OnHold {
 			c.returnSuspect(from, t.RunID)
 			continue
@@ -211,6 +215,7 @@
 	maps.DeleteFunc(c.withdrawnRuns, func(_ cornelwall.RunID, at time.Time) bool { return old(at) })
 	maps.DeleteFunc(c.endedRuns, func(_ cornelwall.RunID, e endedRun) bool { return old(e.endedAt) })
 	c.crashes.expire(c.now.Add(-crashTTL))
+	c.expireCancellations()
 	maps.DeleteFunc(c.transferredRuns, func(_ cornelwall.RunID, r transferredRun) bool { return old(r.transferredAt) })
 }
 
@@ -265,7 +270,7 @@
 
 // startBacklog starts the waiting runs that fit on the endpoints held, in order of value.
 func (c *Core) startBacklog() {
-	if len(c.backlog) == 0 || !c.backlogChanged || c.resuming() {
+	if len(c.backlog) == 0 || !c.backlogChanged || c.resuming() || c.catchingUp() {
 		return
 	}
 	c.backlogChanged = false
--- /dev/null
+++ b/core/dispatch/cancel.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cornelwall"
+)
+
+// cancelWait is how long an entry waits for its peers before it refuses a DELETE. An entry that stands still
+// is off the platform's list by then.
+const cancelWait = 3 * time.Second
+
+// cancelState holds the cancellations that this entry knows of.
+type cancelState struct {
+	cancelled map[string]time.Time // when each batch was cancelled
+	// ownCancels are the cancellations of this entry's callers that peers are told of, in the order of their numbers,
+	// which are consecutive.
+	ownCancels    []*ownCancellation
+	ownByID       map[string]*ownCancellation
+	lastNumber    uint64    // of ownCancels
+	cancelsUnsent bool      // peers have not been told of the latest one
+	cancelsSentAt time.Time // when peers were last told of new ones
+}
+
+// ownCancellation is a cancellation that a caller has asked this entry for.
+type ownCancellation struct {
+	id           string
+	number       uint64
+	askedAt      time.Time // first
+	callers      []canceller
+	acknowledged bool
+}
+
+// canceller is a request that waits for the acknowledgement of a cancellation.
+type canceller struct {
+	req     uint64
+	askedAt time.Time
+}
+
+func newCancelState() cancelState {
+	return cancelState{cancelled: map[string]time.Time{}, ownByID: map[string]*ownCancellation{}}
+}
+
+// handleCancelBatch cancels a batch at whichever entry owns it. The caller is answered once no entry that is in
+// contact with the platform can start a task of it any more, see docs/design/cancel.md.
+func (c *Core) handleCancelBatch(ev cornelwall.CancelBatch) {
+	if !c.keepsCancellations() {
+		c.cancelUnconfirmed(ev)
+		return
+	}
+	if !cornelwall.IsBatchID(ev.ID) {
+		c.answerCanceller(ev.Req, cornelwall.BatchCancelled, "") // there is no such batch
+		return
+	}
+	recorded := c.recordCancellations([]cornelwall.Cancellation{{ID: ev.ID}})
+	o := c.ownByID[ev.ID]
+	if o == nil {
+		o = c.addCancellation(ev.ID)
+	}
+	switch {
+	case !recorded:
+		c.refuseCanceller(o, ev.Req, "full")
+	case o.acknowledged:
+		c.answerCanceller(ev.Req, cornelwall.BatchCancelled, "")
+	case !c.platformUp:
+		c.refuseCanceller(o, ev.Req, "platform")
+	default:
+		o.callers = append(o.callers, canceller{req: ev.Req, askedAt: c.now})
+		c.checkCancellations()
+	}
+}
+
+// cancelUnconfirmed cancels a batch by a message to all peers, and answers at once.
+func (c *Core) cancelUnconfirmed(ev cornelwall.CancelBatch) {
+	c.cancelOwned(ev.ID)
+	for _, p := range c.peersByID {
+		c.send(p.id, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: ev.ID}})
+	}
+	c.answerCanceller(ev.Req, cornelwall.BatchCancelled, "")
+}
+
+// addCancellation adds a cancellation that peers are told of.
+func (c *Core) addCancellation(id string) *ownCancellation {
+	c.lastNumber++
+	o := &ownCancellation{id: id, number: c.lastNumber, askedAt: c.now}
+	c.ownCancels, c.ownByID[id], c.cancelsUnsent = append(c.ownCancels, o), o, true
+	for _, p := range c.peersByID {
+		if !p.cancels.kept { // of an earlier version
+			c.send(p.id, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: id}})
+		}
+	}
+	return o
+}
+
+// mustConfirm reports whether a cancellation is acknowledged only once a peer has confirmed it. A peer that makes
+// a planned stop is off the list and goes on with its batches until it ends.
+func (c *Core) mustConfirm(p *peer) bool {
+	if !p.cancels.kept || p.dead {
+		return false
+	}
+	return p.listed || p.leaving && c.now.Sub(p.unlistedAt) < c.cfg.Limits.StopGrace
+}
+
+// confirmedNumber returns the number up to which all peers have confirmed the cancellations that have to.
+func (c *Core) confirmedNumber() uint64 {
+	n := c.lastNumber
+	for _, p := range c.peersByID {
+		if c.mustConfirm(p) {
+			n = min(n, p.cancels.confirmed)
+		}
+	}
+	return n
+}
+
+// checkCancellations sends again what peers have not confirmed, and answers the callers of cancellations
+// that take effect or whose time is over.
+func (c *Core) checkCancellations() {
+	c.repeatCancellations()
+	if !c.hasUnansweredCancel() {
+		return
+	}
+	confirmed := uint64(0)
+	if c.platformUp && !c.mustCatchUp() {
+		confirmed = c.confirmedNumber()
+	}
+	for _, o := range c.ownCancels {
+		if len(o.callers) == 0 {
+			continue
+		}
+		if o.number <= confirmed {
+			c.acknowledge(o)
+			continue
+		}
+		waiting := o.callers[:0]
+		for _, w := range o.callers {
+			if c.now.Sub(w.askedAt) < cancelWait {
+				waiting = append(waiting, w)
+				continue
+			}
+			c.refuseCanceller(o, w.req, "unconfirmed")
+		}
+		o.callers = waiting
+	}
+}
+
+// acknowledge answers the callers of a cancellation that takes effect.
+func (c *Core) acknowledge(o *ownCancellation) {
+	c.log("cancel-acknowledged", "job", o.id, "number", o.number, "peers", len(c.confirmingPeers(o.number)), "took", c.now.Sub(o.askedAt))
+	for _, w := range o.callers {
+		c.answerCanceller(w.req, cornelwall.BatchCancelled, "")
+	}
+	o.callers, o.acknowledged = nil, true
+}
+
+// refuseCanceller tells a caller that it is not known whether its cancellation takes effect.
+func (c *Core) refuseCanceller(o *ownCancellation, req uint64, why string) {
+	var missing []cornelwall.Incarnation
+	for _, p := range c.peersByID {
+		if c.mustConfirm(p) && p.cancels.confirmed < o.number {
+			missing = append(missing, p.id)
+		}
+	}
+	c.log("cancel-refused", "job", o.id, "number", o.number, "why", why, "missing", missing, "caughtup", !c.mustCatchUp(), "took", c.now.Sub(o.askedAt))
+	c.answerCanceller(req, cornelwall.BatchRefused, "it is not known whether all entries have the cancellation; send it again")
+}
+
+// confirmingPeers returns the peers that have to confirm cancellations and have confirmed one.
+func (c *Core) confirmingPeers(number uint64) []*peer {
+	var list []*peer
+	for _, p := range c.peersByID {
+		if c.mustConfirm(p) && p.cancels.confirmed >= number {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (c *Core) answerCanceller(req uint64, end cornelwall.BatchEnd, text string) {
+	a := cornelwall.BatchAnswer{End: end, Reason: cornelwall.ReasonCancelled, Text: text}
+	if end == cornelwall.BatchRefused {
+		a.Reason, a.RetryAfter = cornelwall.ReasonStale, c.retryAfter(req)
+		c.emit(cornelwall.CountReason{Reason: a.Reason, N: 1})
+	}
+	c.emit(cornelwall.ReplyBatch{Req: req, Answer: a})
+}
+
+// hasUnansweredCancel reports whether a caller waits for the answer to a cancellation.
+func (c *Core) hasUnansweredCancel() bool {
+	return slices.ContainsFunc(c.ownCancels, func(o *ownCancellation) bool { return len(o.callers) > 0 })
+}
+
+// forgetCanceller removes a caller that has disconnected. Its cancellation goes on.
+func (c *Core) forgetCanceller(req uint64) {
+	for _, o := range c.ownCancels {
+		o.callers = slices.DeleteFunc(o.callers, func(w canceller) bool { return w.req == req })
+	}
+}
--- /dev/null
+++ b/core/dispatch/catchup.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"time"
+
+	"cornelwall"
+)
+
+const (
+	catchUpMargin   = 5 * time.Second        // before an entry lost track, from which on it may have missed cancellations
+	catchUpGrace    = 500 * time.Millisecond // for which an entry that was dropped from the list, or finds the platform again, goes on
+	catchUpPatience = 300 * time.Millisecond // after which an entry that has not caught up refuses batches
+	catchUpTimeout  = 300 * time.Millisecond // for a peer to answer
+	catchUpAsks     = 2                      // peers that are asked at a time
+	catchUpQuorum   = 2                      // answers of peers that have missed nothing themselves
+)
+
+// catchUpState holds whether this entry may have missed cancellations. Those that were acknowledged while
+// it was on the platform's list have been confirmed by it. When it was not, or may not have been, it
+// asks its peers, and starts nothing before they have answered.
+type catchUpState struct {
+	caughtUp   bool
+	missedFrom time.Time // cancellations since then may have been missed
+	holdFrom   time.Time // nothing starts from then on until it has caught up
+	lostAt     time.Time // when it lost track
+	selfListed bool      // this entry is on the platform's list
+	listedAt   time.Time // when it was last seen there
+
+	round    uint64                               // of queries
+	askedAt  map[cornelwall.Incarnation]time.Time // in this round
+	answered map[cornelwall.Incarnation]bool      // in this round
+	complete int                                  // answers in this round of peers that have missed nothing
+}
+
+func newCatchUpState(now time.Time) catchUpState {
+	return catchUpState{
+		holdFrom: now, lostAt: now, missedFrom: now.Add(-cancellationTTL),
+		askedAt: map[cornelwall.Incarnation]time.Time{}, answered: map[cornelwall.Incarnation]bool{},
+	}
+}
+
+// mustCatchUp reports whether this entry may have missed cancellations.
+func (c *Core) mustCatchUp() bool { return c.keepsCancellations() && !c.caughtUp }
+
+// catchingUp reports whether nothing may be assigned or started, as this entry may have missed the cancellation. Without
+// the platform it goes on: its peers cannot wait for it.
+func (c *Core) catchingUp() bool {
+	return c.mustCatchUp() && c.platformUp && !c.now.Before(c.holdFrom)
+}
+
+// catchUpOverdue reports whether callers should not wait for this entry to catch up.
+func (c *Core) catchUpOverdue() bool {
+	return c.catchingUp() && c.now.Sub(c.holdFrom) > catchUpPatience
+}
+
+// loseTrack records that this entry may have missed cancellations, for a reason and since a time, and that
+// it starts nothing from hold on until it has caught up.
+func (c *Core) loseTrack(why string, since, hold time.Time) {
+	if !c.keepsCancellations() {
+		return
+	}
+	since = since.Add(-catchUpMargin)
+	if c.caughtUp {
+		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom = false, since, c.now, hold
+		c.log("cancels-missed", "why", why, "since", c.now.Sub(since))
+	}
+	if since.Before(c.missedFrom) {
+		c.missedFrom = since
+	}
+	if hold.Before(c.holdFrom) {
+		c.holdFrom = hold
+	}
+	c.round++
+	clear(c.askedAt)
+	clear(c.answered)
+	c.complete = 0
+}
+
+// graceAfterOutage lets this entry go on for catchUpGrace after the platform is back, while it registers anew. All
+// entries may have lost the platform, and all would stop.
+func (c *Core) graceAfterOutage() {
+	if !c.listedAt.IsZero() {
+		c.holdFrom = c.now.Add(catchUpGrace)
+	}
+}
+
+// noteListed notes whether this entry is on the platform's list. An entry that makes a planned stop is not.
+func (c *Core) noteListed(listed bool) {
+	if listed {
+		c.listedAt = c.now
+	}
+	if listed == c.selfListed {
+		return
+	}
+	c.selfListed = listed
+	if c.isStopping() {
+		return
+	}
+	c.log("entry-listed", "listed", listed)
+	if !listed {
+		c.loseTrack("unlisted", c.listedAt, c.now.Add(catchUpGrace))
+	}
+	c.catchUp()
+}
+
+// catchUp asks peers for cancellations if some may have been missed, once this entry is on the list: from then
+// on its peers wait for its confirmations. What was missed cancellationTTL ago has no effect any more.
+func (c *Core) catchUp() {
+	if !c.mustCatchUp() || !c.platformUp || !c.selfListed && !c.isStopping() {
+		return
+	}
+	open, asked := 0, 0
+	for _, p := range c.peersByID {
+		if !c.mustConfirm(p) || c.answered[p.id] {
+			continue
+		}
+		open++
+		if at, ok := c.askedAt[p.id]; ok && c.now.Sub(at) < catchUpTimeout {
+			asked++
+		}
+	}
+	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.lostAt) >= cancellationTTL {
+		c.endCatchUp(open)
+		return
+	}
+	for ; asked < min(catchUpAsks, open); asked++ {
+		p := c.pickInformant()
+		if p == nil {
+			return
+		}
+		c.askedAt[p.id] = c.now
+		c.send(p.id, cornelwall.Message{CancellationQuery: &cornelwall.CancellationQuery{Round: c.round, Since: min(c.now.Sub(c.missedFrom), cancellationTTL)}})
+	}
+}
+
+func (c *Core) endCatchUp(open int) {
+	c.caughtUp = true
+	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "cancelled", len(c.cancelled))
+	c.backlogChanged = true
+	c.checkCancellations()
+}
+
+// pickInformant returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
+// answers heartbeats rather than another.
+func (c *Core) pickInformant() *peer {
+	var best *peer
+	for i := range c.peersByID {
+		p := c.peersByID[(i+int(c.nameHash%uint64(len(c.peersByID))))%len(c.peersByID)]
+		at, asked := c.askedAt[p.id]
+		if !c.mustConfirm(p) || c.answered[p.id] || asked && c.now.Sub(at) < catchUpTimeout {
+			continue
+		}
+		if best == nil || c.isBetterInformant(p, best) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (c *Core) isBetterInformant(p, q *peer) bool {
+	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
+		return a.Before(b)
+	}
+	return c.isResponsive(p) && !c.isResponsive(q)
+}
+
+// handleCancellationQuery tells a peer which cancellations this entry knows of.
+func (c *Core) handleCancellationQuery(from cornelwall.Incarnation, m *cornelwall.CancellationQuery) {
+	if !c.keepsCancellations() {
+		return
+	}
+	c.send(from, cornelwall.Message{CancellationAnswer: &cornelwall.CancellationAnswer{
+		Round: m.Round, Complete: c.caughtUp && c.platformUp, List: c.cancellationsSince(m.Since),
+	}})
+}
+
+// handleCancellationAnswer records the cancellations that a peer knows of.
+func (c *Core) handleCancellationAnswer(from cornelwall.Incarnation, m *cornelwall.CancellationAnswer) {
+	if !c.keepsCancellations() || !c.recordCancellations(m.List) {
+		return
+	}
+	if m.Round != c.round || c.answered[from] || !c.mustCatchUp() {
+		return
+	}
+	c.answered[from] = true
+	if m.Complete {
+		c.complete++
+	}
+	c.catchUp()
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -30,7 +30,9 @@
 //
 // Owner: jobs.go accepts batches, jobcallers.go keeps the callers that wait for each, estimates.go
 // corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
-// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
+// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended. cancel.go
+// acknowledges cancellations, cancelsend.go sends them to the peers, cancelrecord.go keeps the records of them, and catchup.go
+// asks for those that this entry has missed.
 //
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
@@ -68,6 +70,9 @@
 	StopDelay time.Duration // a run ends within this time after a stop order or the expiry of its lease
 	StopGrace time.Duration // time that a planned stop of this entry may take
 	DrainTime time.Duration // for which an endpoint serves on after it has reported that it leaves; 0 means 2 s
+	// CancelTime is the time after the acknowledgement of a cancellation within which it takes effect. At 0,
+	// entries neither record cancellations nor confirm them.
+	CancelTime time.Duration
 }
 
 // Config holds the settings of a core.
@@ -139,6 +144,9 @@
 	usualSlowdown    float64  // at all endpoints that this entry hears of
 	supersededLeases []*lease // leases on endpoints that other entries have acquired
 
+	cancelState
+	catchUpState
+
 	jobs          map[string]*job
 	jobsByReq     map[uint64]*job
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
@@ -171,6 +179,8 @@
 		withdrawnRuns:    map[cornelwall.RunID]time.Time{},
 		transferredRuns:  map[cornelwall.RunID]transferredRun{},
 		endedRuns:        map[cornelwall.RunID]endedRun{},
+		cancelState:      newCancelState(),
+		catchUpState:     newCatchUpState(now),
 		jobs:             map[string]*job{},
 		tasksByRun:       map[cornelwall.RunID]*task{},
 		jobsByReq:        map[uint64]*job{},
@@ -183,7 +193,7 @@
 
 // Next returns the time by which the core needs a Tick.
 func (c *Core) Next() time.Time {
-	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.isStopping() {
+	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.isStopping() && !c.hasUnansweredCancel() {
 		return c.lastTick.Add(idleTickInterval)
 	}
 	return c.lastTick.Add(tickInterval)
@@ -201,6 +211,7 @@
 		c.tick()
 	}
 	c.handleEvent(ev)
+	c.sendNewCancellations()
 	c.deliverLocal()
 	c.startBacklog()
 	c.deliverLocal()
@@ -251,9 +262,12 @@
 	if pause := c.now.Sub(c.lastTick); pause > pauseThreshold {
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
+		c.loseTrack("pause", c.lastTick, c.now)
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
+	c.catchUp()
+	c.checkCancellations()
 	c.fetchQueueConfig()
 	c.withdrawUnprovenRuns()
 	c.repeatReports()
@@ -288,7 +302,7 @@
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches)
+		"behind", c.behindFor(), "fetches", c.fetches, "cancelled", len(c.cancelled), "caughtup", !c.mustCatchUp())
 }
 
 // responsivePeers returns the number of peers that were heard from recently.
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -80,16 +80,6 @@
 	}
 }
 
-// handleCancelBatch cancels a batch at whichever entry owns it, by a message to all peers.
-func (c *Core) handleCancelBatch(ev cornelwall.CancelBatch) {
-	a := cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled}
-	c.cancelOwned(ev.ID)
-	for _, p := range c.peersByID {
-		c.send(p.id, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: ev.ID}})
-	}
-	c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
-}
-
 func (c *Core) cancelOwned(id string) {
 	if j := c.jobs[id]; j != nil {
 		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
--- a/core/dispatch/fuzz/messages_test.go
+++ b/core/dispatch/fuzz/messages_test.go
@@ -41,6 +41,10 @@
 		{EndpointUpdate: &cornelwall.EndpointUpdate{FromRevision: 1, ToRevision: 2, Endpoints: []cornelwall.Endpoint{ep}, Removed: []string{"x2"}, Version: 2}},
 		{QueueConfigSync: &cornelwall.QueueConfigSync{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{{Name: "holds", Host: host, Prefix: prefix, Service: service, Attempts: 3, Timeout: time.Second, Objective: 1, Stretch: 1.6}}}}},
 		{BatchCancellation: &cornelwall.BatchCancellation{ID: "00000000000000aa"}},
+		{Cancellations: &cornelwall.Cancellations{First: 1, List: []cornelwall.Cancellation{{ID: "00000000000000aa", Age: 5}, {ID: "00000000000000ab"}}}},
+		{CancellationsKept: &cornelwall.CancellationsKept{First: 1, Last: 2}},
+		{CancellationQuery: &cornelwall.CancellationQuery{Round: 1, Since: time.Second}},
+		{CancellationAnswer: &cornelwall.CancellationAnswer{Round: 1, Complete: true, List: []cornelwall.Cancellation{{ID: "00000000000000aa", Age: 5}}}},
 		{CrashReport: &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{{RunID: run, Endpoint: "x1", Boot: 5, Alone: true, State: cornelwall.CrashConfirmed, Age: 5}}}},
 	}
 	codec := peer.NewCodec()
@@ -58,7 +62,7 @@
 		heartbeat.SessionHeartbeat.Seq++
 		heartbeat.SessionHeartbeat.FreeCapacity.Queued = []int{1, 2, 3, 4}[:rng.IntN(5)]
 		if i%500 == 0 {
-			core = dispatch.New(dispatch.Config{Self: self, Addr: addr, Limits: dispatch.Limits{MaxLease: time.Second}}, now)
+			core = dispatch.New(dispatch.Config{Self: self, Addr: addr, Limits: dispatch.Limits{MaxLease: time.Second, CancelTime: time.Second}}, now)
 			step(cornelwall.EndpointsListed{List: []cornelwall.Endpoint{ep}, Revision: 1})
 			step(cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: self, Messages: []cornelwall.Message{heartbeat, messages[10]}}})
 		}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -194,10 +194,10 @@
 
 // aliveMembers returns this entry and the peers that are alive.
 func (c *Core) aliveMembers() []cornelwall.Member {
-	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr, Weight: c.cfg.Weight}}
+	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr, Weight: c.cfg.Weight, KeepsCancellations: c.keepsCancellations()}}
 	for _, p := range c.peersByID {
 		if c.isAlive(p) {
-			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr, Weight: p.weight})
+			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr, Weight: p.weight, KeepsCancellations: p.cancels.kept})
 		}
 	}
 	return list
@@ -217,7 +217,7 @@
 			continue
 		}
 		p := c.peers[s.To]
-		if p == nil || added[p] || p.sessionOpen && c.now.Sub(p.heartbeatAt) < piggybackInterval {
+		if p == nil || added[p] || needsNoHeartbeat(p, &s.Message) || p.sessionOpen && c.now.Sub(p.heartbeatAt) < piggybackInterval {
 			continue
 		}
 		if heartbeats == nil {
--- a/core/dispatch/jobcallers.go
+++ b/core/dispatch/jobcallers.go
@@ -76,6 +76,7 @@
 func (c *Core) handleCallerGone(req uint64) {
 	j := c.jobsByReq[req]
 	if j == nil {
+		c.forgetCanceller(req)
 		return
 	}
 	delete(c.jobsByReq, req)
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -115,6 +115,10 @@
 		refuse(cornelwall.BatchInvalid, cornelwall.ReasonContent, err.Error())
 		return
 	}
+	if c.isCancelled(ev.Batch.ID) {
+		refuse(cornelwall.BatchCancelled, cornelwall.ReasonCancelled, "the batch was cancelled; submit it under another ID")
+		return
+	}
 	if task, crashes := c.crashes.deadlyTask(ev.Batch.ID); task != "" {
 		refuse(cornelwall.BatchFailed, cornelwall.ReasonCrash, deadlyText(task, crashes))
 		return
@@ -164,6 +168,9 @@
 	if c.isStopping() && !b.FitsBefore(c.now, c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
 		return cornelwall.ReasonStopping
 	}
+	if !j.started && c.catchUpOverdue() {
+		return cornelwall.ReasonStale
+	}
 	wait := policy.ShortestWait(c.holderOptions(), j.batch.Steps[0].Need, j.queue.Priority)
 	switch b.Admit(c.now, wait) {
 	case policy.RefuseTooLate:
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -85,11 +85,11 @@
 	suspectedAtPoll   uint64    // lastPoll when a crash was recorded
 }
 
-// withoutWithdrawn returns the runs that their owners have not withdrawn.
+// withoutWithdrawn returns the runs that their owners have not withdrawn, and whose batches are not cancelled.
 func (c *Core) withoutWithdrawn(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
 		_, withdrawn := c.withdrawnRuns[h.RunID]
-		return withdrawn
+		return withdrawn || c.isCancelled(batchOf(h.Task))
 	})
 }
 
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -49,7 +49,15 @@
 	case m.EndpointUpdate != nil:
 		c.handleEndpointUpdate(from, m.EndpointUpdate)
 	case m.BatchCancellation != nil:
-		c.cancelOwned(m.BatchCancellation.ID)
+		c.handleBatchCancellation(m.BatchCancellation)
+	case m.Cancellations != nil:
+		c.handleCancellations(from, m.Cancellations)
+	case m.CancellationsKept != nil:
+		c.handleCancellationsKept(from, m.CancellationsKept)
+	case m.CancellationQuery != nil:
+		c.handleCancellationQuery(from, m.CancellationQuery)
+	case m.CancellationAnswer != nil:
+		c.handleCancellationAnswer(from, m.CancellationAnswer)
 	case m.CrashReport != nil:
 		c.handleCrashReport(from, m.CrashReport)
 	}
@@ -86,9 +94,10 @@
 }
 
 // isBulk reports whether a message may be large and is not urgent: a complete list of endpoints, or many
-// crashes. Updates of the list are not, as their age must not grow on the way.
+// crashes or cancellations. Updates of the list are not, as their age must not grow on the way.
 func isBulk(m *cornelwall.Message) bool {
-	return m.EndpointUpdate != nil && m.EndpointUpdate.FromRevision == 0 || m.CrashReport != nil && len(m.CrashReport.Crashes) > maxOrderedCrashes
+	return m.EndpointUpdate != nil && m.EndpointUpdate.FromRevision == 0 || m.CancellationAnswer != nil && len(m.CancellationAnswer.List) > maxCancellationsSent ||
+		m.CrashReport != nil && len(m.CrashReport.Crashes) > maxOrderedCrashes
 }
 
 // isRepeatable reports whether a message is idempotent and its receiver depends on it.
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -68,6 +68,7 @@
 	membersSentAt  time.Time            // when the members were last sent to it
 	fetchFailedAt  time.Time            // when it last failed to send its queue configuration
 	crashSeq       uint64               // of the last change of a crash that it was sent
+	cancels        peerCancels
 }
 
 // entryName identifies an entry across its incarnations.
@@ -173,6 +174,7 @@
 	if m.Weight > 0 {
 		p.weight = m.Weight
 	}
+	p.cancels.kept = p.cancels.kept || m.KeepsCancellations
 	return p
 }
 
@@ -193,6 +195,7 @@
 	if !c.platformUp {
 		c.platformUp = true
 		c.log("platform-back")
+		c.graceAfterOutage()
 	}
 	before := slices.Clone(c.peersByID)
 	before = slices.DeleteFunc(before, func(p *peer) bool { return !p.listed })
@@ -214,6 +217,7 @@
 			c.useLink(p) // which asks it for a heartbeat
 		}
 	}
+	c.noteListed(slices.ContainsFunc(list, func(m cornelwall.Member) bool { return m.ID == c.cfg.Self }))
 }
 
 // handlePlatformLost records that the platform does not answer. From now on peers are judged by
@@ -224,6 +228,7 @@
 	}
 	c.platformUp = false
 	c.log("platform-lost")
+	c.loseTrack("platform", c.listedAt, c.now.Add(catchUpGrace))
 	for _, p := range c.peersByID {
 		if !c.wantsLink(p) {
 			p.unansweredSince = time.Time{} // heartbeats without an answer count from now on
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -33,6 +33,11 @@
 	served    map[cornelwall.Incarnation]*cornelwall.QueueConfig // that other entries get when they fetch it
 	// extraDelay returns how much longer than simDelay a message is in transit.
 	extraDelay func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
+	cancelTime time.Duration // Limits.CancelTime of entries that are added
+	unlisted   map[cornelwall.Incarnation]bool
+	// messageLost reports whether a message does not arrive; its sender learns that.
+	messageLost func(from, to cornelwall.Incarnation) bool
+	held        map[cornelwall.Incarnation][]cornelwall.Event // of frozen entries
 	// replyLost reports whether an order is carried out and its reply lost.
 	replyLost func(from cornelwall.Incarnation, cmd cornelwall.Command) bool
 }
@@ -56,6 +61,9 @@
 		replies:    map[uint64]simReply{},
 		extraDelay: func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 0 },
 		replyLost:  func(cornelwall.Incarnation, cornelwall.Command) bool { return false },
+
+		unlisted: map[cornelwall.Incarnation]bool{}, held: map[cornelwall.Incarnation][]cornelwall.Event{},
+		messageLost: func(_, _ cornelwall.Incarnation) bool { return false },
 	}
 }
 
@@ -84,19 +92,45 @@
 func (s *simulation) addEntry(id cornelwall.Incarnation) {
 	s.cores[id] = New(Config{
 		Self: id, Addr: s.addr(len(s.order)),
-		Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
+		Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second, CancelTime: s.cancelTime},
 	}, s.now)
 	s.order = append(s.order, id)
+	s.postMembers()
+	s.step(id, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Attempts: 2, Timeout: 9 * time.Second, Stretch: 40},
+	}}})
+}
+
+// postMembers sends all entries the list of entries.
+func (s *simulation) postMembers() {
+	list := s.members()
+	for _, id := range s.order {
+		s.step(id, cornelwall.MembersListed{List: list})
+	}
+}
+
+// members returns the platform's list of entries.
+func (s *simulation) members() []cornelwall.Member {
 	var list []cornelwall.Member
 	for i, id := range s.order {
-		list = append(list, cornelwall.Member{ID: id, Addr: s.addr(i)})
+		if !s.unlisted[id] {
+			list = append(list, cornelwall.Member{ID: id, Addr: s.addr(i), KeepsCancellations: s.cancelTime > 0})
+		}
 	}
-	for _, id := range s.order {
-		s.step(id, cornelwall.MembersListed{List: list})
+	return list
+}
+
+// freeze holds the events of an entry back until thaw.
+func (s *simulation) freeze(id cornelwall.Incarnation) { s.held[id] = []cornelwall.Event{} }
+
+// thaw lets an entry handle the events that it has missed, in an order that reorder may change.
+func (s *simulation) thaw(id cornelwall.Incarnation, reorder func([]cornelwall.Event)) {
+	events := s.held[id]
+	delete(s.held, id)
+	reorder(events)
+	for _, ev := range events {
+		s.step(id, ev)
 	}
-	s.step(id, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{
-		{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Attempts: 2, Timeout: 9 * time.Second, Stretch: 40},
-	}}})
 }
 
 // addEndpoint adds a stand-in of an endpoint whose runs take 5 s.
@@ -152,6 +186,12 @@
 	if c == nil {
 		return // it was killed
 	}
+	if s.held[id] != nil {
+		if _, tick := ev.(cornelwall.Tick); !tick {
+			s.held[id] = append(s.held[id], ev)
+		}
+		return
+	}
 	for _, cmd := range c.Step(s.now, ev) {
 		switch cmd := cmd.(type) {
 		case cornelwall.Send:
@@ -159,6 +199,12 @@
 				continue
 			}
 			m := cmd.Message
+			if s.messageLost(id, cmd.To) {
+				s.after(250*time.Millisecond, func() {
+					s.step(id, cornelwall.Undelivered{Envelope: cornelwall.Envelope{From: id, To: cmd.To, Messages: []cornelwall.Message{m}}})
+				})
+				continue
+			}
 			s.after(simDelay+s.extraDelay(id, cmd.To, &m), func() {
 				s.step(cmd.To, cornelwall.Receive{Envelope: cornelwall.Envelope{From: id, To: cmd.To, Messages: []cornelwall.Message{m}}})
 			})
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -42,7 +42,7 @@
 		for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 			c.finishJob(c.jobs[id], cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonStopping, Text: "the entry stops; send it again"})
 		}
-	} else if len(c.jobs) > 0 || len(c.runs) > 0 && len(c.peers) > 0 {
+	} else if len(c.jobs) > 0 || len(c.runs) > 0 && len(c.peers) > 0 || c.hasUnansweredCancel() {
 		return
 	}
 	c.stopped = true
@@ -52,7 +52,7 @@
 
 // checkReady reports to the load balancer whether to send callers to this entry.
 func (c *Core) checkReady() {
-	ready := c.queueConfig.Version != 0 && !c.isStopping() && c.hasCapacity()
+	ready := c.queueConfig.Version != 0 && !c.isStopping() && !c.catchUpOverdue() && c.hasCapacity()
 	if ready != c.ready {
 		c.ready = ready
 		c.log("ready", "ready", ready, "version", c.queueConfig.Version, "endpoints", len(c.endpoints))
--- a/io/peer/size.go
+++ b/io/peer/size.go
@@ -32,6 +32,10 @@
 		size += endpointUpdateSize(m.EndpointUpdate)
 	case m.QueueConfigSync != nil && m.QueueConfigSync.Config != nil:
 		size += queueConfigSize(m.QueueConfigSync.Config)
+	case m.Cancellations != nil:
+		size += messageOverhead * len(m.Cancellations.List)
+	case m.CancellationAnswer != nil:
+		size += messageOverhead * len(m.CancellationAnswer.List)
 	case m.CrashReport != nil:
 		size += messageOverhead * len(m.CrashReport.Crashes)
 	case m.Assign != nil:
--- a/leased_message.go
+++ b/leased_message.go
@@ -12,6 +12,8 @@
 	ID     Incarnation    `json:"id"`
 	Addr   netip.AddrPort `json:"addr"`             // where it listens for peers
 	Weight int            `json:"weight,omitempty"` // its capacity relative to other entries
+	// KeepsCancellations is set if it keeps records of cancelled batches and confirms Cancellations.
+	KeepsCancellations bool `json:"cancels,omitempty"`
 }
 
 // Check reports every problem with the member.
@@ -290,7 +292,7 @@
 	return s.Config.Check()
 }
 
-// BatchCancellation cancels a batch at the receiver, if it owns the batch.
+// BatchCancellation cancels a batch at the receiver, if it owns the batch. It is not confirmed.
 type BatchCancellation struct {
 	ID string `json:"id"`
 }
--- a/message.go
+++ b/message.go
@@ -70,6 +70,11 @@
 	QueueConfigSync   *QueueConfigSync   `json:"declare,omitempty"`
 	BatchCancellation *BatchCancellation `json:"revoke,omitempty"`
 	CrashReport       *CrashReport       `json:"crash,omitempty"`
+
+	Cancellations      *Cancellations      `json:"cancels,omitempty"`
+	CancellationsKept  *CancellationsKept  `json:"cancelled,omitempty"`
+	CancellationQuery  *CancellationQuery  `json:"askcancels,omitempty"`
+	CancellationAnswer *CancellationAnswer `json:"cancelsknown,omitempty"`
 }
 
 // ForAnyEpoch reports whether the message may be sent to an entry whose epoch is not known. Such
@@ -118,6 +123,10 @@
 	count(m.QueueConfigSync != nil)
 	count(m.BatchCancellation != nil)
 	count(m.CrashReport != nil)
+	count(m.Cancellations != nil)
+	count(m.CancellationsKept != nil)
+	count(m.CancellationQuery != nil)
+	count(m.CancellationAnswer != nil)
 	if n > 1 {
 		return fmt.Errorf("message has %d kinds; send exactly one", n)
 	}
@@ -170,6 +179,10 @@
 		return m.QueueConfigSync.Check()
 	case m.CrashReport != nil:
 		return m.CrashReport.Check()
+	case m.Cancellations != nil:
+		return m.Cancellations.Check()
+	case m.CancellationAnswer != nil:
+		return m.CancellationAnswer.Check()
 	}
 	return nil
 }
