--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -307,3 +308,28 @@
 	s.advance(cancellationTTL)
 	assert.Equal(t, len(full.cancelled), 0)
 }
+
+// TestCancellationMemory bounds the memory of the records of a burst, a third of 850 batches a second for 12 s, and of a
+// full table.
+func TestCancellationMemory(t *testing.T) {
+	const most = 160 // bytes for each record
+	for _, n := range []int{850 / 3 * 12, cornelwall.MaxCancellations} {
+		used := func() int64 {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return int64(m.HeapAlloc)
+		}
+		now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+		c := New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}, Limits: Limits{CancelTime: testCancelTime}}, now)
+		before := used()
+		for i := range n {
+			assert.Assert(t, c.recordCancellations([]cornelwall.Cancellation{{ID: fmt.Sprintf("%016x", i)}}))
+		}
+		took := used() - before
+		t.Logf("%d records take %d bytes", n, took)
+		assert.Assert(t, took <= int64(n)*most, "%d records take %d bytes", n, took)
+		assert.Equal(t, c.recordCancellations([]cornelwall.Cancellation{{ID: "00000000ffffffff"}}), n < cornelwall.MaxCancellations)
+		runtime.KeepAlive(c)
+	}
+}
--- a/core/dispatch/fuzz/fleet_test.go
+++ b/core/dispatch/fuzz/fleet_test.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// count returns the number of messages of a kind.
+func (c messageCounts) count(name string) float64 {
+	if c[name] == nil {
+		return 0
+	}
+	return c[name].messages
+}
+
 // table returns the counts per entry and second, given the number of entry-seconds.
 func (c messageCounts) table(entrySeconds float64) string {
 	var b strings.Builder
