Let entries that cannot catch up pass work on, and bound what an acknowledgement covers

An entry that is missing from the list for long reports no free capacity and returns what waits there. A DELETE is waited for up to 4.5 s, as callers wait 6 s, and one that is repeated after that is sent anew, so that what is acknowledged is never older than what an entry that catches up asks for. A stopping entry announces itself to entries that join meanwhile.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -91,7 +91,7 @@
 		if c.runs[t.RunID] != nil {
 			continue
 		}
-		if _, withdrawn := c.withdrawnRuns[t.RunID]; !valid || withdrawn || c.isStopping() || !c.fitsHeldEndpoint(m.Service, t) {
+		if _, withdrawn := c.withdrawnRuns[t.RunID]; !valid || withdrawn || c.isStopping() || c.catchUpOverdue() || !c.fitsHeldEndpoint(m.Service, t) {
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
@@ -358,7 +358,7 @@
 // freeCapacity returns the free capacity and the queued work of this entry.
 func (c *Core) freeCapacity() cornelwall.FreeCapacity {
 	var v cornelwall.FreeCapacity
-	if c.isStopping() {
+	if c.isStopping() || c.catchUpOverdue() {
 		return v
 	}
 	for _, ep := range c.held() {
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -7,9 +7,9 @@
 	"cornelwall"
 )
 
-// cancelWait is how long an entry waits for its peers before it refuses a DELETE. An entry that stands still
+// cancelWait is how long an entry waits for its peers before it refuses a DELETE: callers wait 6 s. An entry that stands still
 // is off the platform's list by then.
-const cancelWait = 3 * time.Second
+const cancelWait = 4500 * time.Millisecond
 
 // cancelState holds the cancellations that this entry knows of.
 type cancelState struct {
@@ -55,8 +55,8 @@
 	}
 	recorded := c.recordCancellations([]cornelwall.Cancellation{{ID: ev.ID}})
 	o := c.ownByID[ev.ID]
-	if o == nil {
-		o = c.addCancellation(ev.ID)
+	if o == nil || !o.acknowledged && c.now.Sub(o.askedAt) > cancelWait {
+		o = c.addCancellation(ev.ID) // anew, so that peers' records are as young as catchUpMargin takes them to be
 	}
 	switch {
 	case !recorded:
@@ -165,6 +165,16 @@
 	c.answerCanceller(req, cornelwall.BatchRefused, "it is not known whether all entries have the cancellation; send it again")
 }
 
+// refuseCancellers refuses all cancellations that are not acknowledged.
+func (c *Core) refuseCancellers(why string) {
+	for _, o := range c.ownCancels {
+		for _, w := range o.callers {
+			c.refuseCanceller(o, w.req, why)
+		}
+		o.callers = nil
+	}
+}
+
 // confirmingPeers returns the peers that have to confirm cancellations and have confirmed one.
 func (c *Core) confirmingPeers(number uint64) []*peer {
 	var list []*peer
--- a/core/dispatch/cancelsend.go
+++ b/core/dispatch/cancelsend.go
@@ -63,7 +63,9 @@
 // that have not been sent or not confirmed them.
 func (c *Core) repeatCancellations() {
 	for len(c.ownCancels) > 0 && len(c.ownCancels[0].callers) == 0 && c.now.Sub(c.ownCancels[0].askedAt) > cancelSpread {
-		delete(c.ownByID, c.ownCancels[0].id)
+		if o := c.ownCancels[0]; c.ownByID[o.id] == o {
+			delete(c.ownByID, o.id)
+		}
 		c.ownCancels = c.ownCancels[1:]
 	}
 	if len(c.ownCancels) == 0 {
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	catchUpMargin   = 5 * time.Second        // before an entry lost track, from which on it may have missed cancellations
-	catchUpGrace    = 500 * time.Millisecond // for which an entry that was dropped from the list, or finds the platform again, goes on
-	catchUpPatience = 300 * time.Millisecond // after which an entry that has not caught up refuses batches
-	catchUpTimeout  = 300 * time.Millisecond // for a peer to answer
-	catchUpAsks     = 2                      // peers that are asked at a time
-	catchUpQuorum   = 2                      // answers of peers that have missed nothing themselves
+	catchUpMargin   = 2*cancelWait + time.Second // before an entry lost track, from which on it may have missed cancellations: they were acknowledged later
+	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
+	catchUpPatience = 300 * time.Millisecond     // after which an entry that has not caught up refuses batches
+	catchUpTimeout  = 300 * time.Millisecond     // for a peer to answer
+	catchUpAsks     = 2                          // peers that are asked at a time
+	catchUpQuorum   = 2                          // answers of peers that have missed nothing themselves
 )
 
 // catchUpState holds whether this entry may have missed cancellations. Those that were acknowledged while
@@ -89,6 +89,7 @@
 	if listed {
 		c.listedAt = c.now
 	}
+	c.announceStop()
 	if listed == c.selfListed {
 		return
 	}
@@ -103,9 +104,25 @@
 	c.catchUp()
 }
 
+// announceStop tells peers that have been listed since this entry's planned stop began that it is here. It is not on the
+// list any more.
+func (c *Core) announceStop() {
+	if !c.isStopping() || !c.keepsCancellations() {
+		return
+	}
+	for _, p := range c.peersByID {
+		if p.listed && p.sentSeq == 0 {
+			c.sendHeartbeats(p)
+		}
+	}
+}
+
 // catchUp asks peers for cancellations if some may have been missed, once this entry is on the list: from then
 // on its peers wait for its confirmations. What was missed cancellationTTL ago has no effect any more.
 func (c *Core) catchUp() {
+	if c.catchUpOverdue() {
+		c.returnBacklog() // others can start it
+	}
 	if !c.mustCatchUp() || !c.platformUp || !c.selfListed && !c.isStopping() {
 		return
 	}
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -160,6 +160,7 @@
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
 
 	cancelAnswers map[cornelwall.BatchEnd]int
+	lateCancels   int                             // acknowledged after ackTime
 	slowestCancel time.Duration                   // from a cancellation to its acknowledgement
 	cancelGivers  map[cornelwall.RunID]*fake.Host // entry that ordered a start; of clients that cancel
 
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -129,7 +129,7 @@
 	}
 	j := c.newJob(q, &ev)
 	if why := c.admissionRefusal(j); why != cornelwall.ReasonNone {
-		refuse(cornelwall.BatchRefused, why, "the batch cannot be done in time; come back later")
+		refuse(cornelwall.BatchRefused, why, refusalText(why))
 		return
 	}
 	c.jobs[j.id], c.jobsByReq[ev.Req] = j, j
@@ -181,6 +181,14 @@
 	return cornelwall.ReasonNone
 }
 
+// refusalText returns what a caller is told of a refusal on arrival.
+func refusalText(why cornelwall.Reason) string {
+	if why == cornelwall.ReasonStale {
+		return "this entry is not on the list of entries, or may have missed cancellations; come back later"
+	}
+	return "the batch cannot be done in time; come back later"
+}
+
 // retryAfter returns the delay after which a refused caller should retry. The delays are spread to
 // keep callers from retrying all at once: salt selects one of 1000 delays.
 func (c *Core) retryAfter(salt uint64) time.Duration {
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -42,6 +42,7 @@
 		for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 			c.finishJob(c.jobs[id], cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonStopping, Text: "the entry stops; send it again"})
 		}
+		c.refuseCancellers("stopping")
 	} else if len(c.jobs) > 0 || len(c.runs) > 0 && len(c.peers) > 0 || c.hasUnansweredCancel() {
 		return
 	}
