--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -91,10 +91,14 @@
 		if c.runs[t.RunID] != nil {
 			continue
 		}
-		if _, withdrawn := c.withdrawnRuns[t.RunID]; !valid || withdrawn || c.isStopping() || !c.fitsHeldEndpoint(m.Service, t) {
+		if _, withdrawn := c.withdrawnRuns[t.RunID]; !valid || withdrawn || c.isStopping() || c.catchUpOverdue() || !c.fitsHeldEndpoint(m.Service, t) {
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
+		if c.isCancelled(batchOf(t.Task)) {
+			c.returnCancelled(from, t.RunID)
+			continue
+		}
 		if c.crashes.suspicion(t.Task) >= policy.OnHold {
 			c.returnSuspect(from, t.RunID)
 			continue
@@ -211,6 +215,7 @@
 	maps.DeleteFunc(c.withdrawnRuns, func(_ cornelwall.RunID, at time.Time) bool { return old(at) })
 	maps.DeleteFunc(c.endedRuns, func(_ cornelwall.RunID, e endedRun) bool { return old(e.endedAt) })
 	c.crashes.expire(c.now.Add(-crashTTL))
+	c.expireCancellations()
 	maps.DeleteFunc(c.transferredRuns, func(_ cornelwall.RunID, r transferredRun) bool { return old(r.transferredAt) })
 }
 
@@ -281,7 +286,7 @@
 
 // startBacklog starts the waiting runs that fit on the endpoints held, in order of value.
 func (c *Core) startBacklog() {
-	if len(c.backlog) == 0 || !c.backlogChanged || c.resuming() {
+	if len(c.backlog) == 0 || !c.backlogChanged || c.resuming() || c.catchingUp() {
 		return
 	}
 	c.backlogChanged = false
@@ -372,7 +377,7 @@
 // freeCapacity returns the free capacity and the queued work of this entry.
 func (c *Core) freeCapacity() cornelwall.FreeCapacity {
 	var v cornelwall.FreeCapacity
-	if c.isStopping() {
+	if c.isStopping() || c.catchUpOverdue() {
 		return v
 	}
 	for _, ep := range c.held() {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -31,7 +31,9 @@
 //
 // Owner: jobs.go accepts batches, retryafter.go tells refused callers when to come back, jobcallers.go keeps the callers that wait for each, estimates.go
 // corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
-// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended.
+// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended. cancel.go
+// acknowledges cancellations, cancelsend.go sends them to the peers, cancelrecord.go keeps the records of them, and catchup.go
+// asks for those that this entry has missed.
 //
 // Both: shed.go decides under overload which batches are refused and in which order runs start.
 //
@@ -74,6 +76,9 @@
 	// EvacuateTime is the time within which nothing starts any more in a data centre that is evacuated. It is 0 if none
 	// can be; otherwise nothing starts before it is known which are.
 	EvacuateTime time.Duration
+	// CancelTime is the time after the acknowledgement of a cancellation within which it takes effect. At 0,
+	// entries neither record cancellations nor confirm them.
+	CancelTime time.Duration
 }
 
 // Config holds the settings of a core.
@@ -149,6 +154,9 @@
 	usualSlowdown    float64  // at all endpoints that this entry hears of
 	supersededLeases []*lease // leases on endpoints that other entries have acquired
 
+	cancelState
+	catchUpState
+
 	jobs          map[string]*job
 	jobsByReq     map[uint64]*job
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
@@ -182,6 +190,8 @@
 		withdrawnRuns:    map[cornelwall.RunID]time.Time{},
 		transferredRuns:  map[cornelwall.RunID]transferredRun{},
 		endedRuns:        map[cornelwall.RunID]endedRun{},
+		cancelState:      newCancelState(),
+		catchUpState:     newCatchUpState(now),
 		jobs:             map[string]*job{},
 		tasksByRun:       map[cornelwall.RunID]*task{},
 		jobsByReq:        map[uint64]*job{},
@@ -195,7 +205,7 @@
 
 // Next returns the time by which the core needs a Tick.
 func (c *Core) Next() time.Time {
-	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.isStopping() {
+	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.isStopping() && !c.hasUnansweredCancel() {
 		return c.lastTick.Add(idleTickInterval)
 	}
 	return c.lastTick.Add(tickInterval)
@@ -213,6 +223,7 @@
 		c.tick()
 	}
 	c.handleEvent(ev)
+	c.sendNewCancellations()
 	c.deliverLocal()
 	c.startBacklog()
 	c.deliverLocal()
@@ -266,9 +277,12 @@
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
 		c.doubtEvacuations(pause)
+		c.loseTrack("pause", c.lastTick, c.now)
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
+	c.catchUp()
+	c.checkCancellations()
 	c.fetchQueueConfig()
 	c.withdrawUnprovenRuns()
 	c.repeatReports()
@@ -304,7 +318,7 @@
 	pairs := []any{"held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
 		"listage", c.listAge(), "listinterval", c.readInterval, "version", c.queueConfig.Version, "newest", c.newestVersion,
-		"behind", c.behindFor(), "fetches", c.fetches, "overload", c.overloadedFor(), "shed", c.overload.shed}
+		"behind", c.behindFor(), "fetches", c.fetches, "overload", c.overloadedFor(), "shed", c.overload.shed, "cancelled", len(c.cancelled), "caughtup", !c.mustCatchUp()}
 	if c.readsEvacuations() {
 		pairs = append(pairs, "evacuated", c.evacuatedNames())
 	}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -114,6 +114,10 @@
 		refuse(cornelwall.BatchInvalid, cornelwall.ReasonContent, err.Error())
 		return
 	}
+	if c.isCancelled(ev.Batch.ID) {
+		refuse(cornelwall.BatchCancelled, cornelwall.ReasonCancelled, "the batch was cancelled; submit it under another ID")
+		return
+	}
 	if task, crashes := c.crashes.deadlyTask(ev.Batch.ID); task != "" {
 		refuse(cornelwall.BatchFailed, cornelwall.ReasonCrash, deadlyText(task, crashes))
 		return
@@ -136,8 +140,11 @@
 
 // refusalText returns the text for a caller whose batch is refused on arrival.
 func refusalText(why cornelwall.Reason) string {
-	if why == cornelwall.ReasonEvacuated {
+	switch why {
+	case cornelwall.ReasonEvacuated:
 		return "all data centres are evacuated; come back later"
+	case cornelwall.ReasonStale:
+		return "this entry is not on the list of entries, or may have missed cancellations; come back later"
 	}
 	return "the batch cannot be done in time; come back later"
 }
@@ -175,6 +182,9 @@
 	if c.isStopping() && !b.FitsBefore(c.now, c.stoppingSince.Add(c.cfg.Limits.StopGrace-stopGraceMargin)) {
 		return cornelwall.ReasonStopping
 	}
+	if !j.started && c.catchUpOverdue() {
+		return cornelwall.ReasonStale
+	}
 	switch c.admit(j, b) {
 	case policy.RefuseTooLate:
 		return cornelwall.ReasonTooLate
