--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -63,6 +63,7 @@
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsEnv)},
 			&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries", Sources: env("SECRET")},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics page; 0 disables it", Sources: env("METRICS_PORT")},
+			&cli.BoolFlag{Name: "place-by-speed", Usage: "place tasks by when they are expected to end at each endpoint", Sources: env("PLACE_BY_SPEED")},
 			&cli.BoolFlag{Name: "verbose", Usage: "log debug events too", Sources: env("VERBOSE")},
 		},
 		Action: runDispatch,
@@ -79,7 +80,8 @@
 		return usageError(err)
 	}
 	lines := newLineWriter(os.Stdout)
-	d, err := buildDispatcher(s, secret, c.Int("metrics-port"), newLog(lines, c.Bool("verbose")))
+	cfg := dispatch.Config{PlaceBySpeed: c.Bool("place-by-speed")}
+	d, err := buildDispatcher(s, cfg, secret, c.Int("metrics-port"), newLog(lines, c.Bool("verbose")))
 	if err != nil {
 		return err
 	}
@@ -100,8 +102,9 @@
 	servers      []*server
 }
 
-// buildDispatcher opens the listeners and creates the services of an entry.
-func buildDispatcher(s platform.Settings, secret string, metricsPort int, log logr.Logger) (*dispatcher, error) {
+// buildDispatcher opens the listeners and creates the services of an entry. It completes the config of the core
+// by the settings.
+func buildDispatcher(s platform.Settings, cfg dispatch.Config, secret string, metricsPort int, log logr.Logger) (*dispatcher, error) {
 	if s.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB) * (1 << 20)))
 	}
@@ -109,11 +112,9 @@
 	self := cornelwall.Incarnation{DataCentre: s.DataCentre, Entry: s.Name, Epoch: newEpoch(time.Now())}
 	d := &dispatcher{settings: s, log: log.WithValues("entry", self)}
 	d.kernel = kernel.New(d.log)
-	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: s.PeerAddr, Seeds: s.Seeds, Weight: s.Weight,
-		Limits: dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime},
-	}, clock.Now())
-	d.loop = control.New(core, clock, d.log)
+	cfg.Self, cfg.Addr, cfg.Seeds, cfg.Weight = self, s.PeerAddr, s.Seeds, s.Weight
+	cfg.Limits = dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime}
+	d.loop = control.New(dispatch.New(cfg, clock.Now()), clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout, Clock: clock}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
 	service := platform.New(s.StoreAddr, cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight}, d.loop, clock, d.log)
--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -54,7 +54,7 @@
 			}
 		}
 		s := &j.batch.Steps[t.step]
-		idle := policy.IdleTask{Need: s.Need, Class: j.queue.Priority, MissedStarts: t.missedStarts}
+		idle := policy.IdleTask{Need: s.Need, Class: j.queue.Priority, MissedStarts: t.missedStarts, MaxPace: c.maxPace(j, t.step)}
 		best := policy.PickHolder(holders, &idle)
 		if best == nil || best.View.FreePlaces(s.Need) == 0 {
 			c.seekCapacity()
@@ -64,7 +64,7 @@
 			continue
 		}
 		t.returnIfBusy = idle.ReturnIfBusy(best)
-		best.View.Reserve(s.Need, j.queue.Priority, j.estimate(t.step))
+		best.View.Reserve(&idle, j.estimate(t.step))
 		t.state, t.holder, t.changedAt, t.run = taskAssigned, best.ID, c.now, c.newRunID(t)
 		c.tasksByRun[t.run] = t
 		if assigns[best.ID] == nil {
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -54,7 +54,8 @@
 	stopAcked       bool      // the endpoint has accepted the stop
 	startAnswered   bool      // the endpoint is known to have carried out the start
 	progress        policy.Progress
-	unansweredTicks int // ticks since its start was ordered, until that is answered
+	longTask        bool // it takes long where others don't
+	unansweredTicks int  // ticks since its start was ordered, until that is answered
 }
 
 // transferredRun is a run that was transferred to the next holder of its endpoint.
@@ -295,20 +296,19 @@
 
 // chooseLease returns the lease on the best endpoint for a run, or nil if there is none for it.
 func (c *Core) chooseLease(r *run, held []*endpoint) *lease {
-	var best *lease
-	var bestCost int
-	waiting := r.waiting()
-	for _, ep := range held {
+	c.choice.Reset(c.now, r.waiting(), c.cfg.PlaceBySpeed)
+	for i, ep := range held {
 		l := ep.lease
 		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Capacity.Minus(l.used)) {
 			continue
 		}
 		option := c.endpointOption(r, l)
-		if cost, ok := option.Cost(c.now, waiting); ok && (best == nil || cost < bestCost) {
-			best, bestCost = l, cost
-		}
+		c.choice.Add(i, &option)
+	}
+	if best := c.choice.Best(); best >= 0 && !c.awaitsFaster(r, held) {
+		return held[best].lease
 	}
-	return best
+	return nil
 }
 
 // endpointOption returns what the choice of an endpoint for a run depends on.
@@ -324,6 +324,7 @@
 		Runs:      len(l.runs),
 		Suspicion: c.suspicionOfRun(r),
 		Beside:    c.suspicionAt(l),
+		Pace:      c.pace(l),
 	}
 }
 
@@ -363,6 +364,9 @@
 		v.Total += ep.Capacity.Cores
 		if free := ep.Capacity.Minus(ep.lease.used); free.Cores > 0 && c.suspicionAt(ep.lease) < policy.Isolated {
 			v.Free = append(v.Free, free)
+			if c.cfg.PlaceBySpeed {
+				v.Paces = append(v.Paces, policy.PaceHundredths(c.pace(ep.lease)))
+			}
 		}
 	}
 	for _, r := range c.backlog {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -35,8 +35,8 @@
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
-// follows the progress of runs, health.go finds slow endpoints and stops stragglers there, and
-// crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
+// follows the progress of runs, health.go finds slow endpoints and stops stragglers there, speed.go
+// tells long tasks from slow endpoints, and crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
@@ -78,6 +78,7 @@
 	Weight       int              // capacity of this entry relative to others; 0 means 1
 	MaxMeshPeers int              // up to this many peers, all pairs exchange heartbeats all the time; 0 means 8, negative never
 	Limits       Limits
+	PlaceBySpeed bool // runs are placed by when they are expected to end at each endpoint
 }
 
 const (
@@ -127,8 +128,10 @@
 	lastOffer          uint64 // number of the last handover offer
 	endpointList
 
-	runs             map[cornelwall.RunID]*run      // tasks assigned to this entry
-	backlog          []*run                         // runs that wait to start
+	runs             map[cornelwall.RunID]*run // tasks assigned to this entry
+	backlog          []*run                    // runs that wait to start
+	choice           policy.EndpointChoice     // of the endpoint for a run; kept for its memory
+	speedCounts      speedCounts
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
 	withdrawnRuns    map[cornelwall.RunID]time.Time // when each run was withdrawn; it must not start any more
 	transferredRuns  map[cornelwall.RunID]transferredRun
@@ -284,6 +287,7 @@
 	for _, ep := range held {
 		used += ep.lease.used.Cores
 	}
+	c.logSpeeds()
 	v := c.freeCapacity()
 	c.log("load", "held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -1,6 +1,7 @@
 package fuzz
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -111,6 +112,7 @@
 	timeout  time.Duration
 	noRetry  bool      // it submits its batch only once
 	persists bool      // it submits its batch up to persistentAttempts times, also after a refusal
+	prefix   string    // of its queue; "" for the usual one
 	deadly   bool      // its tasks crash the endpoints that start them
 	sentAt   time.Time // first attempt
 	answered bool
@@ -144,6 +146,8 @@
 	thinLinks *thinLinks // that carry messages and queue configurations; nil: links of any bandwidth
 
 	maxMeshPeers int // in the config of each core
+	placeBySpeed bool
+	moreQueues   []cornelwall.Queue // beside that of the clients
 	size         size
 	listReads    int               // of the endpoint list
 	orders       int               // to endpoints
@@ -178,6 +182,18 @@
 
 // newSizedRig is newMeshRig for a system of any size.
 func newSizedRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
+	return startRig(emptyRig(seed, mut, maxMeshPeers, sz))
+}
+
+// newPlacedRig is newSizedRig without mutations and with the given Config.PlaceBySpeed.
+func newPlacedRig(seed uint64, sz size, placeBySpeed bool) *rig {
+	r := emptyRig(seed, mutation{}, 0, sz)
+	r.placeBySpeed = placeBySpeed
+	return startRig(r)
+}
+
+// emptyRig returns a system without entries and endpoints.
+func emptyRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)), fetchRng: rand.New(rand.NewPCG(seed, 2)),
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
@@ -191,6 +207,12 @@
 	}
 	r.w.FetchLink = r.fetchLink
 	r.w.Link, r.w.HandleOrder, r.w.OnOutput = r.link, r.sendOrder, r.handleOutput
+	return r
+}
+
+// startRig adds the endpoints and starts the entries of a system.
+func startRig(r *rig) *rig {
+	mut, sz := r.mutation, r.size
 	for i := range sz.endpoints {
 		ep := leased.New(fmt.Sprintf("x%d", i), endpointCapacity, r.w.Now)
 		ep.IgnoreFence = mut.ignoreFences
@@ -222,7 +244,7 @@
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
 	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(),
+		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), PlaceBySpeed: r.placeBySpeed,
 		Limits: dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
 	}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
@@ -290,7 +312,7 @@
 				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
 			if r.thinLinks == nil {
-				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: []cornelwall.Queue{r.queue()}}})
+				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: append([]cornelwall.Queue{r.queue()}, r.moreQueues...)}})
 			}
 		}
 	}
@@ -606,7 +628,7 @@
 	a := &attempt{client: c, entry: e, host: e.host, starts: c.starts}
 	e.reqs[r.nextReq] = a
 	req := r.nextReq
-	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: prefix + c.id, Batch: c.batch, TimeLeft: c.timeout})
+	r.w.Post(e.host, cornelwall.SubmitBatch{Req: req, Host: host, Path: cmp.Or(c.prefix, prefix) + c.id, Batch: c.batch, TimeLeft: c.timeout})
 	r.w.CallAfter(c.timeout, func() { // the client's deadline
 		if e.reqs[req] == a {
 			delete(e.reqs, req)
--- a/core/dispatch/fuzz/rooms_test.go
+++ b/core/dispatch/fuzz/rooms_test.go
@@ -72,10 +72,12 @@
 
 // listedCapacity returns the capacity that an endpoint reports to the platform.
 func (r *rig) listedCapacity(ep *leased.Endpoint) cornelwall.Resources {
-	capacity := endpointCapacity
-	if m := r.rooms[ep.ID]; m != nil {
-		capacity.Cores = m.cores()
+	m := r.rooms[ep.ID]
+	if m == nil {
+		return ep.Capacity
 	}
+	capacity := endpointCapacity
+	capacity.Cores = m.cores()
 	return capacity
 }
 
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -171,7 +171,7 @@
 	delete(c.runs, r.id)
 	c.backlogChanged = true
 	took := c.now.Sub(r.startedAt)
-	l.ep.health.RecordEnd(c.now, end, took, r.Estimate)
+	l.ep.health.RecordEnd(c.now, end, c.endedSlowdown(r, end, took))
 	result := cornelwall.RunResult{RunID: r.id, End: end, Endpoint: l.ep.ID, Took: took}
 	c.endedRuns[r.id] = endedRun{result: result, endedAt: c.now}
 	if end == cornelwall.RunDone {
--- /dev/null
+++ b/core/dispatch/speed.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cornelwall"
+	"cornelwall/core/policy"
+)
+
+// speedCounts counts since the last log line what placing by speed has decided.
+type speedCounts struct {
+	longTasks int // that were told from slow endpoints
+	awaited   int // times that a run was left waiting for a faster endpoint
+}
+
+// endedSlowdown returns as what run time / estimate a run that has ended counts for the health of its
+// endpoint.
+func (c *Core) endedSlowdown(r *run, end cornelwall.RunEnd, took time.Duration) float64 {
+	slowdown := policy.SlowdownOf(took, r.Estimate)
+	if !c.cfg.PlaceBySpeed || end != cornelwall.RunDone {
+		return slowdown
+	}
+	health := &r.lease.ep.health
+	if !health.IsLong(c.now, slowdown, c.usualSlowdown) && health.Speed().IsKnown(c.now) {
+		c.findLongTasks(r)
+	}
+	return health.RecordSpeed(c.now, slowdown, c.usualSlowdown, r.longTask)
+}
+
+// findLongTasks marks as long tasks the runs that take long, and beside which a run that started later took no
+// longer than usual: the endpoint is not slow.
+func (c *Core) findLongTasks(ended *run) {
+	for _, r := range ended.lease.runs {
+		if r.state == runRunning && !r.longTask && !r.startedAt.After(ended.startedAt) && ended.lease.ep.health.IsLong(c.now, c.runSlowdown(r), c.usualSlowdown) {
+			r.longTask = true
+			c.speedCounts.longTasks++
+		}
+	}
+}
+
+// pace returns the slowdown that a run at the endpoint of a lease is expected to have, or 0 if it doesn't
+// matter.
+func (c *Core) pace(l *lease) float64 {
+	if !c.cfg.PlaceBySpeed {
+		return 0
+	}
+	return l.ep.health.Pace(c.now, c.usualSlowdown)
+}
+
+// awaitsFaster reports whether a run that would be late on each endpoint with room for it waits for one that is
+// in use, as it would be in time there.
+func (c *Core) awaitsFaster(r *run, held []*endpoint) bool {
+	if !c.cfg.PlaceBySpeed || !c.choice.IsLate() {
+		return false
+	}
+	for _, ep := range held {
+		l := ep.lease
+		if c.choice.IsInTime(c.pace(l)) && c.usable(l) && c.allowed(r, l) && r.Need.Fits(ep.Capacity) && !c.isSlow(l) {
+			c.speedCounts.awaited++
+			return true
+		}
+	}
+	return false
+}
+
+// maxPace returns the slowdown up to which a task of a job is in time if it starts now, or 0 if it is late or that doesn't
+// matter.
+func (c *Core) maxPace(j *job, step int) float64 {
+	if !c.cfg.PlaceBySpeed {
+		return 0
+	}
+	return max(policy.MaxPace(c.now, j.due, j.estimate(step)), 0)
+}
+
+// logSpeeds logs what is known of the speeds of the endpoints held.
+func (c *Core) logSpeeds() {
+	if !c.cfg.PlaceBySpeed {
+		return
+	}
+	var known []float64
+	for _, ep := range c.held() {
+		if ep.health.Speed().IsKnown(c.now) {
+			known = append(known, c.pace(ep.lease))
+		}
+	}
+	pairs := []any{"known", len(known), "longtasks", c.speedCounts.longTasks, "awaited", c.speedCounts.awaited}
+	if len(known) > 0 {
+		pairs = append(pairs, "fastest", slices.Min(known), "slowest", slices.Max(known))
+	}
+	c.speedCounts = speedCounts{}
+	c.log("speeds", pairs...)
+}
--- a/core/policy/endpoint.go
+++ b/core/policy/endpoint.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// Costs that are added to the thousandths of cores that are left over. Each outweighs those below it.
@@ -22,6 +26,7 @@
 	Runs      int       // that are there
 	Suspicion Suspicion // of the task
 	Beside    Suspicion // highest of the runs there
+	Pace      float64   // slowdown that a run there is expected to have; used by EndpointChoice only
 }
 
 // Cost returns the cost of starting a run on the endpoint. The choice is best fit, so that large tasks
@@ -57,3 +62,102 @@
 	}
 	return cost, true
 }
+
+// EndpointChoice chooses the endpoint for a run among those on which it fits. The costs that outweigh the cores left
+// over come first. Among endpoints that are equal in these it goes by the expected end: of those where the run is in time
+// it takes the slowest, so that the fast ones are left to runs that need them; if there are none, the
+// fastest. Where slowdowns differ by less than alikeFactor, best fit decides. With endpoints at 0.55 to 1.2 times the
+// usual speed, a run with a target of 1.6 times its run time is in time only on some.
+//
+// Unless it goes by speed, it takes the endpoint with the lowest cost. A choice can be used again after Reset.
+type EndpointChoice struct {
+	now     time.Time
+	run     *Waiting
+	bySpeed bool
+	maxPace float64 // up to which the run is in time
+	options []choiceOption
+}
+
+// choiceOption is an endpoint that may be chosen.
+type choiceOption struct {
+	index int // of the caller
+	tier  int // part of the cost that outweighs the slowdown
+	cost  int
+	pace  float64
+}
+
+// Reset starts the choice for a run.
+func (c *EndpointChoice) Reset(now time.Time, w *Waiting, bySpeed bool) {
+	c.now, c.run, c.bySpeed, c.options = now, w, bySpeed, c.options[:0]
+	c.maxPace = MaxPace(now, w.Due, w.Estimate)
+}
+
+// Add adds an endpoint by an index of the caller, unless the run may not start there.
+func (c *EndpointChoice) Add(index int, o *EndpointOption) {
+	cost, ok := o.Cost(c.now, c.run)
+	switch {
+	case !ok:
+	case c.bySpeed:
+		c.options = append(c.options, choiceOption{index, cost - o.CoresLeft, cost, o.Pace})
+	case len(c.options) == 0:
+		c.options = append(c.options, choiceOption{index: index, cost: cost})
+	case cost < c.options[0].cost:
+		c.options[0] = choiceOption{index: index, cost: cost}
+	}
+}
+
+// Best returns the index of the chosen endpoint, or -1 if there is none.
+func (c *EndpointChoice) Best() int {
+	if len(c.options) == 0 {
+		return -1
+	}
+	tier := c.options[0].tier
+	for i := range c.options {
+		tier = min(tier, c.options[i].tier)
+	}
+	target := c.targetPace(tier)
+	best := -1
+	for i := range c.options {
+		o := &c.options[i]
+		if o.tier == tier && c.isAlike(o.pace, target) && (best < 0 || o.cost < c.options[best].cost) {
+			best = i
+		}
+	}
+	return c.options[best].index
+}
+
+// IsInTime reports whether the run is expected to be in time on an endpoint with a slowdown.
+func (c *EndpointChoice) IsInTime(pace float64) bool { return pace <= c.maxPace }
+
+// IsLate reports whether the run is in time on none of the endpoints that were added.
+func (c *EndpointChoice) IsLate() bool {
+	return !slices.ContainsFunc(c.options, func(o choiceOption) bool { return c.IsInTime(o.pace) })
+}
+
+// targetPace returns the slowdown to choose among the endpoints of a tier: the highest at which the run is in time or, if there is
+// none, the lowest.
+func (c *EndpointChoice) targetPace(tier int) float64 {
+	slowest, fastest := -1.0, math.Inf(1)
+	for i := range c.options {
+		o := &c.options[i]
+		if o.tier != tier {
+			continue
+		}
+		fastest = min(fastest, o.pace)
+		if c.IsInTime(o.pace) {
+			slowest = max(slowest, o.pace)
+		}
+	}
+	if slowest >= 0 {
+		return slowest
+	}
+	return fastest
+}
+
+// isAlike reports whether an endpoint is as good as one with the target pace: a run that can be in time is in time there too.
+func (c *EndpointChoice) isAlike(pace, target float64) bool {
+	if c.IsInTime(target) && !c.IsInTime(pace) {
+		return false
+	}
+	return pace <= alikeFactor*target && target <= alikeFactor*pace
+}
--- a/core/policy/endpoint_test.go
+++ b/core/policy/endpoint_test.go
@@ -36,13 +36,48 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w := &Waiting{Estimate: 100 * ms, Due: now.Add(tc.due), UsefulUntil: now.Add(600 * ms)}
-			best, bestCost := none, 0
-			for i := range tc.options {
-				if cost, ok := tc.options[i].Cost(now, w); ok && (best == none || cost < bestCost) {
-					best, bestCost = i, cost
+			for _, bySpeed := range []bool{false, true} {
+				var c EndpointChoice
+				c.Reset(now, w, bySpeed)
+				for i := range tc.options {
+					c.Add(i, &tc.options[i])
 				}
+				assert.Equal(t, c.Best(), tc.want, "by speed: %t", bySpeed)
+			}
+		})
+	}
+}
+
+// TestChoiceBySpeed checks which endpoint gets a run of 100 ms, where a quarter of the endpoints runs at 0.55 times the usual
+// speed and the others at 1.2.
+func TestChoiceBySpeed(t *testing.T) {
+	const none, slow, fast = -1, 1 / slowSpeed, 1 / fastSpeed
+	for _, tc := range []struct {
+		name    string
+		due     time.Duration
+		options []EndpointOption
+		want    int
+		isLate  bool
+	}{
+		{"a run that has time leaves the fast one free", 300 * ms, []EndpointOption{{Pace: fast}, {Pace: slow, CoresLeft: 9000}}, 1, false},
+		{"a run that has none goes to the fast one", 160 * ms, []EndpointOption{{Pace: fast, CoresLeft: 9000}, {Pace: slow}}, 0, false},
+		{"a run that would just miss its target goes to the fast one", 185 * ms, []EndpointOption{{Pace: fast, CoresLeft: 9000}, {Pace: slow}}, 0, false},
+		{"a late run goes to the fast one", 50 * ms, []EndpointOption{{Pace: slow}, {Pace: fast, CoresLeft: 9000}}, 1, true},
+		{"best fit among those that are alike", 300 * ms, []EndpointOption{{Pace: 1, CoresLeft: 9000}, {Pace: 0.85, CoresLeft: 1000}}, 1, false},
+		{"alike, but too slow to be in time", 109 * ms, []EndpointOption{{Pace: 1.1}, {Pace: 0.9, CoresLeft: 9000}}, 1, false},
+		{"best fit among fast ones of a late run", 50 * ms, []EndpointOption{{Pace: 0.8, CoresLeft: 9000}, {Pace: 0.9}, {Pace: slow}}, 1, true},
+		{"the one to avoid last, however fast", 160 * ms, []EndpointOption{{Pace: fast, Avoid: true}, {Pace: slow}}, 1, false},
+		{"more cores left than another rack costs", 300 * ms, []EndpointOption{{Pace: 1, CoresLeft: 90_000}, {Pace: 1, OtherRack: true}}, 0, false},
+		{"many times slower", 150 * ms, []EndpointOption{{Pace: 6, Slowdown: 6, IsSlow: true}}, none, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c EndpointChoice
+			c.Reset(now, &Waiting{Estimate: 100 * ms, Due: now.Add(tc.due), UsefulUntil: now.Add(400 * ms)}, true)
+			for i := range tc.options {
+				c.Add(i, &tc.options[i])
 			}
-			assert.Equal(t, best, tc.want)
+			assert.Equal(t, c.Best(), tc.want)
+			assert.Equal(t, c.IsLate(), tc.isLate)
 		})
 	}
 }
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -30,6 +30,8 @@
 	silent         bool          // only one run at a time until one succeeds, as a start got no answer
 	slowdown       float64       // moving average of run time / estimate; 0 if not known
 	slowdownAt     time.Time     // last update of slowdown
+	speed          Speed         // see RecordSpeed
+	lastWasLong    bool          // the last run that RecordSpeed recorded was long
 }
 
 // MayStart reports whether one more run may start beside the given number of runs.
@@ -87,12 +89,12 @@
 	}
 }
 
-// RecordEnd records how a run ended and how long it took.
-func (h *Health) RecordEnd(now time.Time, end cornelwall.RunEnd, took, estimate time.Duration) {
+// RecordEnd records how a run ended and its run time / estimate.
+func (h *Health) RecordEnd(now time.Time, end cornelwall.RunEnd, slowdown float64) {
 	switch end {
 	case cornelwall.RunDone:
 		h.failures, h.quarantine, h.probing, h.silent = 0, 0, false, false
-		h.RecordSlowdown(now, SlowdownOf(took, estimate))
+		h.RecordSlowdown(now, slowdown)
 	case cornelwall.RunFailed:
 		h.failures++
 		if h.failures >= quarantineFailures || h.probing {
--- a/core/policy/health_test.go
+++ b/core/policy/health_test.go
@@ -12,14 +12,14 @@
 	var h Health
 	for range quarantineFailures {
 		assert.Assert(t, h.MayStart(now, 5))
-		h.RecordEnd(now, cornelwall.RunFailed, 0, 0)
+		h.RecordEnd(now, cornelwall.RunFailed, 0)
 	}
 	assert.Assert(t, !h.MayStart(now.Add(minQuarantine-ms), 0))
 	at := now.Add(minQuarantine)
 	assert.Assert(t, h.MayStart(at, 0) && !h.MayStart(at, 1), "one trial run at a time")
-	h.RecordEnd(at, cornelwall.RunFailed, 0, 0)
+	h.RecordEnd(at, cornelwall.RunFailed, 0)
 	assert.Assert(t, !h.MayStart(at.Add(2*minQuarantine-ms), 0), "the quarantine doubles")
-	h.RecordEnd(at, cornelwall.RunDone, 100*ms, 100*ms)
+	h.RecordEnd(at, cornelwall.RunDone, 1)
 	assert.Assert(t, h.MayStart(at.Add(2*minQuarantine), 5))
 }
 
@@ -38,7 +38,7 @@
 	at := now.Add(2 * minSilenceBackoff)
 	assert.Assert(t, h.MayStart(at, 0) && !h.MayStart(at, 1), "one trial run at a time")
 	h.RecordAnswer()
-	h.RecordEnd(at, cornelwall.RunDone, 100*ms, 100*ms)
+	h.RecordEnd(at, cornelwall.RunDone, 1)
 	assert.Assert(t, h.MayStart(at, 5))
 }
 
--- a/core/policy/holder.go
+++ b/core/policy/holder.go
@@ -25,9 +25,15 @@
 
 // FreePlaces returns how many tasks with the need fit, judged by their cores alone. For a task that
 // needs no cores, each endpoint with free capacity counts once.
-func (v *HolderView) FreePlaces(need cornelwall.Resources) int {
+func (v *HolderView) FreePlaces(need cornelwall.Resources) int { return v.freePlaces(need, 0) }
+
+// freePlaces is FreePlaces on endpoints with slowdowns up to maxPace; 0 means any.
+func (v *HolderView) freePlaces(need cornelwall.Resources, maxPace float64) int {
 	n := 0
-	for _, free := range v.Capacity.Free {
+	for i, free := range v.Capacity.Free {
+		if !v.isWithin(i, maxPace) {
+			continue
+		}
 		if need.Cores > 0 {
 			n += free.Cores / need.Cores
 		} else {
@@ -37,20 +43,36 @@
 	return n
 }
 
+// isWithin reports whether the slowdown of a free endpoint is up to maxPace, where 0 means any. Those of
+// holders that don't report them count as such.
+func (v *HolderView) isWithin(i int, maxPace float64) bool {
+	return maxPace == 0 || len(v.Capacity.Paces) != len(v.Capacity.Free) || float64(v.Capacity.Paces[i]) <= 100*maxPace
+}
+
 // Reserve deducts a task that is assigned. Like the holder it is best fit: it uses the endpoint
-// with the least free cores on which the task fits.
-func (v *HolderView) Reserve(need cornelwall.Resources, class int, estimate time.Duration) {
+// with the least free cores on which the task fits, if possible one where it is in time.
+func (v *HolderView) Reserve(t *IdleTask, estimate time.Duration) {
+	best := v.bestFit(t.Need, t.MaxPace)
+	if best < 0 {
+		best = v.bestFit(t.Need, 0)
+	}
+	if best >= 0 {
+		v.Capacity.Free[best] = v.Capacity.Free[best].Minus(t.Need)
+		return
+	}
+	v.Capacity.Queued = AddQueued(v.Capacity.Queued, t.Class, t.Need, estimate)
+}
+
+// bestFit returns the index of the endpoint with the least free cores, among those with slowdowns up to maxPace on which
+// a task fits, or -1 if there is none.
+func (v *HolderView) bestFit(need cornelwall.Resources, maxPace float64) int {
 	best := -1
 	for i, free := range v.Capacity.Free {
-		if need.Fits(free) && (best < 0 || free.Cores < v.Capacity.Free[best].Cores) {
+		if need.Fits(free) && v.isWithin(i, maxPace) && (best < 0 || free.Cores < v.Capacity.Free[best].Cores) {
 			best = i
 		}
 	}
-	if best >= 0 {
-		v.Capacity.Free[best] = v.Capacity.Free[best].Minus(need)
-		return
-	}
-	v.Capacity.Queued = AddQueued(v.Capacity.Queued, class, need, estimate)
+	return best
 }
 
 // AddQueued adds a task to the queued work of its class.
@@ -65,13 +87,18 @@
 // ExpectedWait estimates how long a task with the need waits, in milliseconds: for a place to
 // become free, and for the queued tasks of its own and of higher classes to go first.
 func (v *HolderView) ExpectedWait(need cornelwall.Resources, class int) float64 {
+	return v.expectedWait(need, class, 0)
+}
+
+// expectedWait is ExpectedWait for a place with a slowdown up to maxPace; 0 means any.
+func (v *HolderView) expectedWait(need cornelwall.Resources, class int, maxPace float64) float64 {
 	ahead := 0
 	for k, n := range v.Capacity.Queued {
 		if k <= class {
 			ahead += n
 		}
 	}
-	if n := v.FreePlaces(need); n > 0 && ahead == 0 {
+	if n := v.freePlaces(need, maxPace); n > 0 && ahead == 0 {
 		if v.Exact {
 			return 0
 		}
@@ -105,11 +132,25 @@
 type IdleTask struct {
 	Need         cornelwall.Resources
 	Class        int
-	MissedStarts int // consecutive assignments that did not start
+	MissedStarts int     // consecutive assignments that did not start
+	MaxPace      float64 // slowdown up to which it is in time if it starts now; 0 if that doesn't matter
+}
+
+// maxPace returns the slowdown up to which free places count for the task. If it is in time on none of them, all do.
+func (t *IdleTask) maxPace(options []HolderOption) float64 {
+	for i := range options {
+		if options[i].View.freePlaces(t.Need, t.MaxPace) > 0 {
+			return t.MaxPace
+		}
+	}
+	return 0
 }
 
-// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity.
+// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity. Where
+// endpoints run at 0.55 to 1.2 times the usual speed, places on which the task would be late don't count as free, if there
+// are others.
 func PickHolder(options []HolderOption, t *IdleTask) *HolderOption {
+	maxPace := t.maxPace(options)
 	var best *HolderOption
 	var bestCost float64
 	for i := range options {
@@ -117,7 +158,7 @@
 		if o.View.Capacity.Total == 0 {
 			continue
 		}
-		cost := o.distanceCost() + o.View.ExpectedWait(t.Need, t.Class)
+		cost := o.distanceCost() + o.View.expectedWait(t.Need, t.Class, maxPace)
 		if best == nil || cost < bestCost {
 			best, bestCost = o, cost
 		}
@@ -128,7 +169,7 @@
 // ReturnIfBusy reports whether a holder is to return the task unless it can start it at once. It does so
 // while its report promises a place, at most maxBusyReturns times in a row.
 func (t *IdleTask) ReturnIfBusy(o *HolderOption) bool {
-	return !o.IsSelf && t.MissedStarts < maxBusyReturns && o.View.FreePlaces(t.Need) > 0
+	return !o.IsSelf && t.MissedStarts < maxBusyReturns && o.View.freePlaces(t.Need, t.MaxPace) > 0
 }
 
 // ShortestWait estimates how long a task waits at the holder with the shortest wait. It is 0 if no
--- a/core/policy/slowdown_test.go
+++ b/core/policy/slowdown_test.go
@@ -48,6 +48,8 @@
 		{"not slow itself", Straggler{Took: 60 * ms, Expected: 200 * ms, Estimate: 100 * ms}, false},
 		{"no progress known, as slow as its endpoint", Straggler{Took: 260 * ms, Expected: 260 * ms, Estimate: 100 * ms}, false},
 		{"no progress known, far longer", Straggler{Took: 510 * ms, Expected: 510 * ms, Estimate: 100 * ms}, true},
+		{"long task", Straggler{Took: 60 * ms, Expected: 700 * ms, Estimate: 100 * ms, LongTask: true}, false},
+		{"long task that stands still", Straggler{Took: 60 * ms, Expected: 2 * time.Second, Estimate: 100 * ms, LongTask: true}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tc.s.Endpoint, tc.s.Usual = 4, 1
--- /dev/null
+++ b/core/policy/speed.go
@@ -0,0 +1,147 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	speedPriorRuns = 2                // runs at the usual slowdown that an estimate starts with
+	maxSpeedRuns   = 15               // runs that an estimate goes back, so that it follows a change
+	knownSpeedRuns = 5                // runs from which an endpoint counts as known
+	speedHalfLife  = 10 * time.Second // without a run, in which the weight of earlier runs halves
+	// speedClip bounds the factor by which one run may differ from the estimate. Declared run times that are off by 40 % stay
+	// within it, and a task that takes seven times as long counts as one of 2.5 times.
+	speedClip = 2.5
+	// longTaskFactor is the factor by which a run must exceed the slowdown of its endpoint to count as long. An
+	// estimate that is 40 % too low makes 1.7.
+	longTaskFactor = 2.5
+	alikeFactor    = 1.25 // up to which the slowdowns of two endpoints count as alike
+	// inTimeMargin is the share of its run time that a run must have left at its due time to count as in
+	// time, as slowdowns are estimates.
+	inTimeMargin  = 0.1
+	maxHundredths = 100 * 1000 // bounds a slowdown that is reported
+)
+
+// MaxPace returns the slowdown up to which a run that starts now is expected to end in time.
+func MaxPace(now, due time.Time, estimate time.Duration) float64 {
+	return float64(due.Sub(now)) / ((1 + inTimeMargin) * float64(max(estimate, time.Millisecond)))
+}
+
+// PaceHundredths returns a slowdown as entries report it.
+func PaceHundredths(pace float64) int { return int(min(max(math.Round(100*pace), 1), maxHundredths)) }
+
+// Speed estimates the slowdown of an endpoint from the runs that have ended there: the logarithmic mean of run
+// time / estimate, where each run counts only up to speedClip times more or less than the estimate so
+// far. It is meant for endpoints at 0.55 to 1.2 times the usual speed, with run times that are declared
+// 40 % too low or too high and 3 % of the tasks seven times as long: some ten runs tell such endpoints apart, and one
+// long task hardly changes the estimate. Endpoints that stand still or are many times slower are found by
+// Health.EndpointSlowdown. The zero value knows no run.
+type Speed struct {
+	mean float64   // of the logarithm of the slowdowns
+	runs float64   // that it is based on, as of at
+	at   time.Time // last record
+}
+
+// RestoreSpeed returns the estimate that another entry has reported: a slowdown and the number of runs that it is
+// based on. A report that no entry makes is ignored.
+func RestoreSpeed(now time.Time, slowdown float64, runs int) Speed {
+	if !(slowdown > 0) || math.IsInf(slowdown, 1) || runs <= 0 {
+		return Speed{}
+	}
+	return Speed{mean: math.Log(slowdown), runs: float64(min(runs, maxSpeedRuns)), at: now}
+}
+
+// Record adds the run time / estimate of a run that has ended, where usual is the UsualSlowdown.
+func (s *Speed) Record(now time.Time, ratio, usual float64) {
+	runs := s.weight(now)
+	estimate, clip := s.logSlowdown(now, usual), math.Log(speedClip)
+	x := min(max(math.Log(max(ratio, math.SmallestNonzeroFloat64)), estimate-clip), estimate+clip)
+	s.mean = (runs*s.mean + x) / (runs + 1)
+	s.runs, s.at = min(runs+1, maxSpeedRuns), now
+}
+
+// Slowdown returns the estimate. Without recent runs it is near the usual slowdown.
+func (s *Speed) Slowdown(now time.Time, usual float64) float64 {
+	if s.runs == 0 {
+		return usual
+	}
+	return math.Exp(s.logSlowdown(now, usual))
+}
+
+// Mean returns the logarithmic mean of the slowdowns and the number of runs that it is based on, for RestoreSpeed.
+func (s *Speed) Mean(now time.Time) (slowdown float64, runs int) {
+	return math.Exp(s.mean), int(s.weight(now))
+}
+
+// IsKnown reports whether the estimate is based on enough recent runs to tell a long task from a slow
+// endpoint.
+func (s *Speed) IsKnown(now time.Time) bool { return s.weight(now) >= knownSpeedRuns }
+
+// logSlowdown returns the logarithm of the estimate.
+func (s *Speed) logSlowdown(now time.Time, usual float64) float64 {
+	runs := s.weight(now)
+	return (runs*s.mean + speedPriorRuns*math.Log(usual)) / (runs + speedPriorRuns)
+}
+
+// weight returns the number of runs that the estimate is based on, less what has become outdated.
+func (s *Speed) weight(now time.Time) float64 {
+	if s.runs == 0 {
+		return 0
+	}
+	return s.runs * math.Exp2(-float64(max(now.Sub(s.at), 0))/float64(speedHalfLife))
+}
+
+// Pace returns the slowdown that a run at the endpoint is expected to have.
+func (h *Health) Pace(now time.Time, usual float64) float64 { return h.speed.Slowdown(now, usual) }
+
+// Speed returns the estimate of the endpoint's slowdown.
+func (h *Health) Speed() *Speed { return &h.speed }
+
+// RestoreSpeed starts with the estimate of an earlier holder of the endpoint, unless runs have ended here.
+func (h *Health) RestoreSpeed(s Speed) {
+	if h.speed.runs == 0 {
+		h.speed = s
+	}
+}
+
+// IsLong reports whether a run time / estimate is far above what is known of the endpoint.
+func (h *Health) IsLong(now time.Time, slowdown, usual float64) bool {
+	return h.speed.IsKnown(now) && slowdown > longTaskFactor*h.speed.Slowdown(now, usual)
+}
+
+// RecordSpeed records the run time / estimate of a run that is done, and returns as what it counts for RecordEnd. A run
+// that takes long counts as one of the usual length if others have not taken long beside it, or if it is the first: where 3 %
+// of the tasks take seven times as long, a long run at an endpoint that was not slow before is
+// most probably a long task, and two in a row hardly ever are.
+func (h *Health) RecordSpeed(now time.Time, slowdown, usual float64, longTask bool) float64 {
+	pace := h.speed.Slowdown(now, usual)
+	if longTask {
+		return pace
+	}
+	long, wasLong := h.IsLong(now, slowdown, usual), h.lastWasLong
+	h.lastWasLong = long
+	h.speed.Record(now, slowdown, usual)
+	if long && !wasLong {
+		return pace
+	}
+	return slowdown
+}
+
+// EndpointSlowdown is the slowdown of the endpoint with the slowdowns of the runs there that have not ended and are not known
+// to be long tasks. Like RecordSpeed it passes over the first long run, unless that stands still.
+func (h *Health) EndpointSlowdown(now time.Time, running []float64, usual float64) float64 {
+	if !h.lastWasLong {
+		passed := -1
+		for i, slowdown := range running {
+			if h.IsLong(now, slowdown, usual) && !StandsStill(slowdown, usual) && (passed < 0 || slowdown > running[passed]) {
+				passed = i
+			}
+		}
+		if passed >= 0 {
+			running = slices.Delete(running, passed, passed+1)
+		}
+	}
+	return EndpointSlowdown(h.slowdown, running)
+}
--- a/leased_message.go
+++ b/leased_message.go
@@ -76,6 +76,7 @@
 type FreeCapacity struct {
 	Total  int         `json:"total"`            // thousandths of cores of its usable endpoints
 	Free   []Resources `json:"free,omitempty"`   // per usable endpoint that has any
+	Paces  []int       `json:"paces,omitempty"`  // slowdown of each endpoint in Free, in hundredths; empty from entries that don't place by speed
 	Queued []int       `json:"queued,omitempty"` // by priority, see FreeCapacityClasses: work that can end in time, in thousandths of cores times milliseconds
 }
 
