Carry the slowdown of an endpoint in a handover, and judge by today's rules what is not heard of

The next holder of an endpoint started without knowing its speed. A handover now carries the slowdown and the number of runs that it is based on. A run counts as a long task only while it goes on as its progress has shown; one of which nothing is heard is judged as without the part.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -9,18 +9,15 @@
 
 // slowdown returns the slowdown of an endpoint.
 func (c *Core) slowdown(l *lease) float64 {
+	if c.cfg.PlaceBySpeed {
+		return c.slowdownBySpeed(l)
+	}
 	var running []float64
 	for _, r := range l.runs {
-		if r.state != runRunning {
-			continue
-		}
-		if slowdown := c.runSlowdown(r); !r.longTask || policy.StandsStill(slowdown, c.usualSlowdown) {
-			running = append(running, slowdown)
+		if r.state == runRunning {
+			running = append(running, c.runSlowdown(r))
 		}
 	}
-	if c.cfg.PlaceBySpeed {
-		return l.ep.health.EndpointSlowdown(c.now, running, c.usualSlowdown)
-	}
 	return policy.EndpointSlowdown(l.ep.health.Slowdown(), running)
 }
 
@@ -57,7 +54,7 @@
 	for _, r := range filterRuns(l.runs, func(r *run) bool { return r.state == runRunning && !r.StoppedAsStraggler }) {
 		s := policy.Straggler{
 			Took: c.now.Sub(r.startedAt), Expected: r.expectedTime(c.now), Estimate: r.Estimate,
-			Endpoint: slowdown, Usual: c.usualSlowdown, LongTask: r.longTask,
+			Endpoint: slowdown, Usual: c.usualSlowdown, LongTask: r.longTask && r.progress.IsOnCourse(c.now),
 		}
 		if s.ShouldRestart() {
 			c.log("straggler-stopped", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "took", s.Took, "estimate", r.Estimate, "expected", s.Expected, "pace", slowdown)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -135,6 +135,7 @@
 			RunID: r.id, Owner: r.owner, Need: r.Need, Estimate: r.Estimate, Age: c.now.Sub(r.startedAt), ProofAge: c.proofAge(r),
 		})
 	}
+	c.reportSpeed(ep, m)
 	l.phase, l.offeredTo, l.offeredAt, l.ackedEndAtOffer, l.lastOffer = phaseOffered, to, c.now, l.ackedEnd, c.lastOffer
 	c.log("endpoint-handed", "endpoint", ep.ID, "to", to, "fence", l.fence, "runs", len(m.Runs))
 	c.send(to, cornelwall.Message{Handover: m})
@@ -155,6 +156,7 @@
 		c.declineOffer(ep, from, m.Offer)
 		return
 	}
+	c.takeSpeed(ep, m)
 	c.acquire(ep, c.withoutUnproven(c.peers[from], m, c.withoutWithdrawn(m.Runs)))
 	ep.lease.handedOverBy, ep.lease.handedOverBoot = from, m.Boot
 	c.inheritProofs(ep.lease, c.peers[from], m)
@@ -186,7 +188,9 @@
 	}
 	c.lastOffer++
 	ep.presumedHolder = p.id
-	c.send(p.id, cornelwall.Message{Handover: &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: fence, Offer: c.lastOffer}})
+	m := &cornelwall.Handover{Session: p.theirSession, Endpoint: ep.Endpoint, Fence: fence, Offer: c.lastOffer}
+	c.reportSpeed(ep, m)
+	c.send(p.id, cornelwall.Message{Handover: m})
 }
 
 // handleHandoverDecline keeps an endpoint whose offer was declined. If a request was
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -32,13 +32,36 @@
 // longer than usual: the endpoint is not slow.
 func (c *Core) findLongTasks(ended *run) {
 	for _, r := range ended.lease.runs {
-		if r.state == runRunning && !r.longTask && !r.startedAt.After(ended.startedAt) && ended.lease.ep.health.IsLong(c.now, c.runSlowdown(r), c.usualSlowdown) {
+		if r.state == runRunning && !r.longTask && !r.startedAt.After(ended.startedAt) && c.mayBeLongTask(r, c.runSlowdown(r)) {
 			r.longTask = true
 			c.speedCounts.longTasks++
 		}
 	}
 }
 
+// mayBeLongTask reports whether a run may be a long task: it takes long, and its endpoint reports progress of it.
+func (c *Core) mayBeLongTask(r *run, slowdown float64) bool {
+	return r.lease.ep.health.IsLongTask(c.now, slowdown, c.usualSlowdown) && r.progress.IsOnCourse(c.now)
+}
+
+// slowdownBySpeed is slowdown where long tasks are told from slow endpoints.
+func (c *Core) slowdownBySpeed(l *lease) float64 {
+	var running, long []float64
+	for _, r := range l.runs {
+		if r.state != runRunning {
+			continue
+		}
+		slowdown := c.runSlowdown(r)
+		switch {
+		case !c.mayBeLongTask(r, slowdown):
+			running = append(running, slowdown)
+		case !r.longTask:
+			long = append(long, slowdown)
+		}
+	}
+	return l.ep.health.EndpointSlowdown(running, long)
+}
+
 // pace returns the slowdown that a run at the endpoint of a lease is expected to have, or 0 if it doesn't
 // matter.
 func (c *Core) pace(l *lease) float64 {
@@ -73,6 +96,23 @@
 	return max(policy.MaxPace(c.now, j.due, j.estimate(step)), 0)
 }
 
+// reportSpeed adds to the offer of an endpoint what is known of its slowdown.
+func (c *Core) reportSpeed(ep *endpoint, m *cornelwall.Handover) {
+	if !c.cfg.PlaceBySpeed {
+		return
+	}
+	if slowdown, runs := ep.health.Speed().Mean(c.now); runs > 0 {
+		m.Pace, m.PaceRuns = policy.PaceHundredths(slowdown), runs
+	}
+}
+
+// takeSpeed starts with what the previous holder of an endpoint knows of its slowdown.
+func (c *Core) takeSpeed(ep *endpoint, m *cornelwall.Handover) {
+	if c.cfg.PlaceBySpeed {
+		ep.health.RestoreSpeed(c.now, policy.RestoreSpeed(c.now, float64(m.Pace)/100, m.PaceRuns))
+	}
+}
+
 // logSpeeds logs what is known of the speeds of the endpoints held.
 func (c *Core) logSpeeds() {
 	if !c.cfg.PlaceBySpeed {
--- a/core/policy/progress.go
+++ b/core/policy/progress.go
@@ -5,6 +5,11 @@
 // MinProgressSpan is the time between two reports of progress that the speed of a run is taken from.
 const MinProgressSpan = 20 * time.Millisecond
 
+const (
+	overdueFactor = 1.5                   // by which a run may exceed the time that its progress has shown to remain
+	overdueSlack  = 50 * time.Millisecond // and in addition, for its endpoint to report the end
+)
+
 // progressResolution is the share to which endpoints round the progress of a run down.
 const progressResolution = 0.01
 
@@ -59,3 +64,9 @@
 	}
 	return max(took, p.receivedAt.Sub(startedAt)+p.remaining())
 }
+
+// IsOnCourse reports whether the run goes on at the speed that its progress has shown, as far as is known. If not, it stands
+// still, or its endpoint reports nothing.
+func (p *Progress) IsOnCourse(now time.Time) bool {
+	return p.SpeedKnown() && now.Sub(p.receivedAt) <= time.Duration(overdueFactor*float64(p.remaining()))+overdueSlack
+}
--- a/core/policy/progress_test.go
+++ b/core/policy/progress_test.go
@@ -44,3 +44,13 @@
 		})
 	}
 }
+
+// TestIsOnCourse guards against a run that counts as a long task although nothing is heard of it any more.
+func TestIsOnCourse(t *testing.T) {
+	var p Progress
+	p.Record(now, 0, 0)
+	assert.Assert(t, !p.IsOnCourse(now), "speed not known")
+	p.Record(now.Add(40*ms), 0.1, 40*ms)
+	assert.Assert(t, p.IsOnCourse(now.Add(400*ms)))
+	assert.Assert(t, !p.IsOnCourse(now.Add(700*ms)))
+}
--- a/core/policy/slowdown.go
+++ b/core/policy/slowdown.go
@@ -25,9 +25,6 @@
 	return min(SlowdownOf(expected, estimate), maxSlowdown*usual)
 }
 
-// StandsStill reports whether a run counts as standing still by its RunSlowdown.
-func StandsStill(slowdown, usual float64) bool { return slowdown >= maxSlowdown*usual }
-
 // smoothSlowdown returns the moving average after one more run with the ratio of run time to
 // estimate. An average of 0, which means not known, counts as 1.
 func smoothSlowdown(average, ratio float64) float64 {
@@ -79,17 +76,15 @@
 	Estimate time.Duration
 	Endpoint float64 // slowdown of its endpoint
 	Usual    float64 // slowdown that is usual
-	LongTask bool    // others took no longer than usual beside it
+	LongTask bool    // it goes on, and others took no longer than usual beside it
 }
 
 // ShouldRestart reports whether a straggler is to be stopped and started elsewhere: it is expected to
 // end sooner there, or has taken more than twice the time from which a run counts as slow. A long task
 // would take as long elsewhere, and is restarted only if it stands still.
 func (s *Straggler) ShouldRestart() bool {
-	if s.LongTask && !StandsStill(RunSlowdown(s.Expected, s.Estimate, s.Usual), s.Usual) {
-		return false
-	}
-	if !IsSlow(RunSlowdown(s.Expected, s.Estimate, s.Usual), s.Usual) {
+	slowdown := RunSlowdown(s.Expected, s.Estimate, s.Usual)
+	if !IsSlow(slowdown, s.Usual) || s.LongTask && slowdown < maxSlowdown*s.Usual {
 		return false
 	}
 	remaining := s.Expected - s.Took
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -45,12 +45,12 @@
 }
 
 // RestoreSpeed returns the estimate that another entry has reported: a slowdown and the number of runs that it is
-// based on. A report that no entry makes is ignored.
+// based on. A report without either is ignored.
 func RestoreSpeed(now time.Time, slowdown float64, runs int) Speed {
-	if !(slowdown > 0) || math.IsInf(slowdown, 1) || runs <= 0 {
+	if slowdown <= 0 || runs <= 0 {
 		return Speed{}
 	}
-	return Speed{mean: math.Log(slowdown), runs: float64(min(runs, maxSpeedRuns)), at: now}
+	return Speed{mean: math.Log(min(slowdown, maxHundredths/100)), runs: float64(min(runs, maxSpeedRuns)), at: now}
 }
 
 // Record adds the run time / estimate of a run that has ended, where usual is the UsualSlowdown.
@@ -99,9 +99,9 @@
 // Speed returns the estimate of the endpoint's slowdown.
 func (h *Health) Speed() *Speed { return &h.speed }
 
-// RestoreSpeed starts with the estimate of an earlier holder of the endpoint, unless runs have ended here.
-func (h *Health) RestoreSpeed(s Speed) {
-	if h.speed.runs == 0 {
+// RestoreSpeed takes over the estimate of the previous holder of the endpoint, unless that is based on fewer recent runs.
+func (h *Health) RestoreSpeed(now time.Time, s Speed) {
+	if s.weight(now) > h.speed.weight(now) {
 		h.speed = s
 	}
 }
@@ -129,19 +129,18 @@
 	return slowdown
 }
 
-// EndpointSlowdown is the slowdown of the endpoint with the slowdowns of the runs there that have not ended and are not known
-// to be long tasks. Like RecordSpeed it passes over the first long run, unless that stands still.
-func (h *Health) EndpointSlowdown(now time.Time, running []float64, usual float64) float64 {
-	if !h.lastWasLong {
-		passed := -1
-		for i, slowdown := range running {
-			if h.IsLong(now, slowdown, usual) && !StandsStill(slowdown, usual) && (passed < 0 || slowdown > running[passed]) {
-				passed = i
-			}
-		}
-		if passed >= 0 {
-			running = slices.Delete(running, passed, passed+1)
-		}
+// IsLongTask reports whether a run that has not ended may be a long task by its RunSlowdown: it takes long and does not stand
+// still.
+func (h *Health) IsLongTask(now time.Time, slowdown, usual float64) bool {
+	return h.IsLong(now, slowdown, usual) && slowdown < maxSlowdown*usual
+}
+
+// EndpointSlowdown is the slowdown of the endpoint with the slowdowns of the runs there that have not ended. Those of runs that may be
+// long tasks are given apart; like RecordSpeed it passes over one.
+func (h *Health) EndpointSlowdown(running, long []float64) float64 {
+	slices.Sort(long)
+	if !h.lastWasLong && len(long) > 0 {
+		long = long[:len(long)-1]
 	}
-	return EndpointSlowdown(h.slowdown, running)
+	return EndpointSlowdown(h.slowdown, append(running, long...))
 }
--- a/leased_message.go
+++ b/leased_message.go
@@ -215,6 +215,8 @@
 	Offer    uint64        `json:"offer"`          // rises with each offer of the sender
 	AckedSeq uint64        `json:"seen,omitempty"` // as in SessionHeartbeat; tells the receiver when the offer was sent at the earliest
 	Runs     []HandoverRun `json:"runs,omitempty"`
+	Pace     int           `json:"pace,omitempty"`     // slowdown of the endpoint, in hundredths; 0 if not known
+	PaceRuns int           `json:"paceRuns,omitempty"` // recent runs that Pace is based on
 }
 
 // HandoverDecline declines a Handover or, with Offer 0, a HandoverRequest for an endpoint that
@@ -270,6 +272,9 @@
 // Check reports every problem with the message.
 func (h *Handover) Check() error {
 	errs := []error{h.Endpoint.Check()}
+	if h.Pace < 0 || h.PaceRuns < 0 {
+		errs = append(errs, fmt.Errorf("handover has pace %d of %d runs; send 0 or more", h.Pace, h.PaceRuns))
+	}
 	for i := range h.Runs {
 		errs = append(errs, h.Runs[i].RunID.Check(), h.Runs[i].Owner.Check(), h.Runs[i].Need.Check())
 	}
