--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -54,6 +54,7 @@
 	stopAcked       bool      // the endpoint has accepted the stop
 	startAnswered   bool      // the endpoint is known to have carried out the start
 	progress        policy.Progress
+	needRecorded    bool // for the usual need of its service
 	longTask        bool // it takes long where others don't
 	unansweredTicks int  // ticks since its start was ordered, until that is answered
 }
@@ -277,6 +278,7 @@
 		if l := c.chooseLease(r, held); l != nil {
 			c.startRun(r, l)
 		} else {
+			c.recordWaitingNeed(r)
 			waiting = append(waiting, r)
 		}
 	}
@@ -296,7 +298,7 @@
 
 // chooseLease returns the lease on the best endpoint for a run, or nil if there is none for it.
 func (c *Core) chooseLease(r *run, held []*endpoint) *lease {
-	c.choice.Reset(c.now, r.waiting(), c.cfg.PlaceBySpeed)
+	c.choice.Reset(c.now, r.waiting(), c.cfg.PlaceBySpeed, c.usualNeed(r.service))
 	for i, ep := range held {
 		l := ep.lease
 		if !c.usable(l) || !c.allowed(r, l) || !r.Need.Fits(ep.Capacity.Minus(l.used)) {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -132,6 +132,7 @@
 	backlog          []*run                    // runs that wait to start
 	choice           policy.EndpointChoice     // of the endpoint for a run; kept for its memory
 	speedCounts      speedCounts
+	usualNeeds       map[string]*policy.UsualNeed   // by service
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
 	withdrawnRuns    map[cornelwall.RunID]time.Time // when each run was withdrawn; it must not start any more
 	transferredRuns  map[cornelwall.RunID]transferredRun
@@ -171,6 +172,7 @@
 		seedContacted:    map[netip.AddrPort]time.Time{},
 		endpoints:        map[string]*endpoint{},
 		runs:             map[cornelwall.RunID]*run{},
+		usualNeeds:       map[string]*policy.UsualNeed{},
 		withdrawnRuns:    map[cornelwall.RunID]time.Time{},
 		transferredRuns:  map[cornelwall.RunID]transferredRun{},
 		endedRuns:        map[cornelwall.RunID]endedRun{},
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -87,6 +87,29 @@
 	return false
 }
 
+// usualNeed returns the need that is usual for runs of a service that wait here, in thousandths of cores, or 0 if it is not
+// known.
+func (c *Core) usualNeed(service string) int {
+	if u := c.usualNeeds[service]; u != nil {
+		return u.Cores()
+	}
+	return 0
+}
+
+// recordWaitingNeed records the need of a run that has found no endpoint at once.
+func (c *Core) recordWaitingNeed(r *run) {
+	if !c.cfg.PlaceBySpeed || r.needRecorded {
+		return
+	}
+	r.needRecorded = true
+	u := c.usualNeeds[r.service]
+	if u == nil {
+		u = &policy.UsualNeed{}
+		c.usualNeeds[r.service] = u
+	}
+	u.Record(r.Need)
+}
+
 // maxPace returns the slowdown up to which a task of a job is in time if it starts now, or 0 if it is late or that doesn't
 // matter.
 func (c *Core) maxPace(j *job, step int) float64 {
--- a/core/policy/endpoint.go
+++ b/core/policy/endpoint.go
@@ -71,24 +71,25 @@
 //
 // Unless it goes by speed, it takes the endpoint with the lowest cost. A choice can be used again after Reset.
 type EndpointChoice struct {
-	now     time.Time
-	run     *Waiting
-	bySpeed bool
-	maxPace float64 // up to which the run is in time
-	options []choiceOption
+	now       time.Time
+	run       *Waiting
+	bySpeed   bool
+	usualNeed int     // in thousandths of cores; 0 if not known
+	maxPace   float64 // up to which the run is in time
+	options   []choiceOption
 }
 
 // choiceOption is an endpoint that may be chosen.
 type choiceOption struct {
 	index int // of the caller
 	tier  int // part of the cost that outweighs the slowdown
-	cost  int
+	cost  int // by speed: that of the cores left over
 	pace  float64
 }
 
 // Reset starts the choice for a run.
-func (c *EndpointChoice) Reset(now time.Time, w *Waiting, bySpeed bool) {
-	c.now, c.run, c.bySpeed, c.options = now, w, bySpeed, c.options[:0]
+func (c *EndpointChoice) Reset(now time.Time, w *Waiting, bySpeed bool, usualNeed int) {
+	c.now, c.run, c.bySpeed, c.usualNeed, c.options = now, w, bySpeed, usualNeed, c.options[:0]
 	c.maxPace = MaxPace(now, w.Due, w.Estimate)
 }
 
@@ -98,7 +99,7 @@
 	switch {
 	case !ok:
 	case c.bySpeed:
-		c.options = append(c.options, choiceOption{index, cost - o.CoresLeft, cost, o.Pace})
+		c.options = append(c.options, choiceOption{index, cost - o.CoresLeft, fitCost(o.CoresLeft, c.usualNeed), o.Pace})
 	case len(c.options) == 0:
 		c.options = append(c.options, choiceOption{index: index, cost: cost})
 	case cost < c.options[0].cost:
--- a/core/policy/endpoint_test.go
+++ b/core/policy/endpoint_test.go
@@ -38,7 +38,7 @@
 			w := &Waiting{Estimate: 100 * ms, Due: now.Add(tc.due), UsefulUntil: now.Add(600 * ms)}
 			for _, bySpeed := range []bool{false, true} {
 				var c EndpointChoice
-				c.Reset(now, w, bySpeed)
+				c.Reset(now, w, bySpeed, 0)
 				for i := range tc.options {
 					c.Add(i, &tc.options[i])
 				}
@@ -72,7 +72,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var c EndpointChoice
-			c.Reset(now, &Waiting{Estimate: 100 * ms, Due: now.Add(tc.due), UsefulUntil: now.Add(400 * ms)}, true)
+			c.Reset(now, &Waiting{Estimate: 100 * ms, Due: now.Add(tc.due), UsefulUntil: now.Add(400 * ms)}, true, 0)
 			for i := range tc.options {
 				c.Add(i, &tc.options[i])
 			}
--- /dev/null
+++ b/core/policy/packing.go
@@ -0,0 +1,47 @@
+package policy
+
+import (
+	"slices"
+
+	"cornelwall"
+)
+
+const (
+	// usualNeedRuns is the number of runs that the usual need goes back.
+	usualNeedRuns = 31
+	// smallRemainder is the share of the usual need up to which cores that are left over count as too small for any run: needs vary by
+	// a fifth.
+	smallRemainder = 0.5
+)
+
+// UsualNeed is the moving median of the cores that runs need which have waited. The zero value knows no run.
+type UsualNeed struct {
+	latest []int // in the order of arrival; the next one replaces that at next
+	next   int
+	median int
+}
+
+// Record adds the need of a run.
+func (u *UsualNeed) Record(need cornelwall.Resources) {
+	if len(u.latest) < usualNeedRuns {
+		u.latest = append(u.latest, need.Cores)
+	} else {
+		u.latest[u.next] = need.Cores
+		u.next = (u.next + 1) % usualNeedRuns
+	}
+	sorted := slices.Sorted(slices.Values(u.latest))
+	u.median = sorted[(len(sorted)-1)/2]
+}
+
+// Cores returns the usual need in thousandths of cores, or 0 if it is not known.
+func (u *UsualNeed) Cores() int { return u.median }
+
+// fitCost returns the cost of leaving cores over on an endpoint: as few as possible, but rather enough for one more run of the usual
+// need, or too few for any, than just too few. Where runs need half of the cores of an endpoint, plus or minus a
+// fifth, these would stay unused.
+func fitCost(coresLeft, usualNeed int) int {
+	if coresLeft < usualNeed && float64(coresLeft) >= smallRemainder*float64(usualNeed) {
+		return coresLeft + usualNeed
+	}
+	return coresLeft
+}
