Read for how long a draining endpoint serves on

It is decoded into the record and logged by endpoint-leaves; what a leaving endpoint takes does not change. It alone makes no record count as changed, so that no more updates are sent.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	if ep.absentSince.IsZero() && ep.Equal(info) {
-		ep.Revision = info.Revision
+		ep.Revision, ep.Remaining = info.Revision, info.Remaining
 		return false
 	}
 	before := ep.Endpoint
@@ -121,7 +121,7 @@
 	c.heldChanged, c.backlogChanged = true, true
 	l.leaveAnnounced = l.leaveAnnounced || before.Leaving
 	if ep.Leaving && !before.Leaving {
-		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.listAge())
+		c.log("endpoint-leaves", "endpoint", ep.ID, "listage", c.listAge(), "remaining", ep.Remaining)
 	}
 	switch {
 	case before.Boot == ep.Boot || ep.Boot == 0:
--- a/endpoint.go
+++ b/endpoint.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Resources is an amount of the resources of an endpoint. Unlike in a Need, cores are counted in
@@ -62,6 +63,7 @@
 	Leaving    bool           `json:"leaving,omitempty"` // draining: takes no new tasks
 	Boot       int64          `json:"boot,omitempty"`    // start in milliseconds since 1970, 0 if unknown
 	Revision   int64          `json:"at,omitempty"`      // of the platform's store, as of which this is the record; 0 if unknown
+	Remaining  time.Duration  `json:"left,omitempty"`    // for which it serves on as of Revision, if it is leaving; 0 if unknown
 }
 
 // Check reports every problem with the endpoint.
@@ -70,6 +72,9 @@
 	if e.ID == "" || e.Service == "" || !e.Addr.IsValid() || e.Addr.Port() == 0 || e.Addr.Addr().IsUnspecified() {
 		errs = append(errs, fmt.Errorf("endpoint %.50q of service %.50q has address %s; name all three, with an IP address and a port to connect to", e.ID, e.Service, e.Addr))
 	}
+	if e.Remaining < 0 {
+		errs = append(errs, fmt.Errorf("endpoint %.50q serves on for %s; send 0 or more", e.ID, e.Remaining))
+	}
 	if len(e.Labels) > maxLabels {
 		errs = append(errs, fmt.Errorf("endpoint %.50q has %d labels; use at most %d", e.ID, len(e.Labels), maxLabels))
 	}
@@ -82,7 +87,7 @@
 	return errors.Join(errs...)
 }
 
-// Equal reports whether all fields but the revision are equal.
+// Equal reports whether all fields are equal but the revision and, as it changes with each, the time that remains.
 func (e *Endpoint) Equal(o *Endpoint) bool {
 	return e.ID == o.ID && e.Service == o.Service && e.Addr == o.Addr && e.DataCentre == o.DataCentre && e.Capacity == o.Capacity &&
 		slices.Equal(e.Labels, o.Labels) && e.Leaving == o.Leaving && e.Boot == o.Boot
