--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -64,6 +64,7 @@
 			&cli.StringFlag{Name: "secret", Usage: "secret shared by all entries", Sources: env("SECRET")},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics page; 0 disables it", Sources: env("METRICS_PORT")},
 			&cli.BoolFlag{Name: "shed", Usage: "under overload, delay or refuse by priority, target time and work what costs callers least", Sources: env("SHED")},
+			&cli.BoolFlag{Name: "place-by-speed", Usage: "place tasks by when they are expected to end at each endpoint", Sources: env("PLACE_BY_SPEED")},
 			&cli.BoolFlag{Name: "verbose", Usage: "log debug events too", Sources: env("VERBOSE")},
 		},
 		Action: runDispatch,
@@ -80,7 +81,7 @@
 		return usageError(err)
 	}
 	lines := newLineWriter(os.Stdout)
-	cfg := dispatch.Config{Shed: c.Bool("shed")}
+	cfg := dispatch.Config{Shed: c.Bool("shed"), PlaceBySpeed: c.Bool("place-by-speed")}
 	d, err := buildDispatcher(s, cfg, secret, c.Int("metrics-port"), newLog(lines, c.Bool("verbose")))
 	if err != nil {
 		return err
@@ -102,7 +103,8 @@
 	servers      []*server
 }
 
-// buildDispatcher opens the listeners and creates the services of an entry. What the settings tell is added to cfg.
+// buildDispatcher opens the listeners and creates the services of an entry. It completes the config of the core
+// by the settings.
 func buildDispatcher(s platform.Settings, cfg dispatch.Config, secret string, metricsPort int, log logr.Logger) (*dispatcher, error) {
 	if s.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB) * (1 << 20)))
@@ -113,8 +115,7 @@
 	d.kernel = kernel.New(d.log)
 	cfg.Self, cfg.Addr, cfg.Seeds, cfg.Weight = self, s.PeerAddr, s.Seeds, s.Weight
 	cfg.Limits = dispatch.Limits{MaxLease: s.MaxLease, StopDelay: s.StopDelay, StopGrace: s.StopGrace, DrainTime: s.DrainTime, EvacuateTime: s.EvacuateTime, CancelTime: s.CancelTime}
-	core := dispatch.New(cfg, clock.Now())
-	d.loop = control.New(core, clock, d.log)
+	d.loop = control.New(dispatch.New(cfg, clock.Now()), clock, d.log)
 	peers := peer.New(peer.Config{Self: self, Secret: secret, Timeout: peerTimeout, Clock: clock}, d.loop, d.log)
 	executors := platform.NewExecutors(d.loop, clock)
 	member := cornelwall.Member{ID: self, Addr: s.PeerAddr, Weight: s.Weight, KeepsCancellations: s.CancelTime > 0}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -40,8 +40,8 @@
 // Holder: backlog.go is the queue of waiting runs, lease.go the lease on an endpoint, poll.go
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
-// follows the progress of runs, health.go finds slow endpoints and stops stragglers there, and
-// crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
+// follows the progress of runs, health.go finds slow endpoints and stops stragglers there, speed.go
+// tells long tasks from slow endpoints, and crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
@@ -90,6 +90,7 @@
 	MaxMeshPeers int              // up to this many peers, all pairs exchange heartbeats all the time; 0 means 8, negative never
 	Limits       Limits
 	Shed         bool // under overload, what costs callers least is delayed or refused; see shed.go
+	PlaceBySpeed bool // runs are placed by when they are expected to end at each endpoint
 }
 
 const (
@@ -144,6 +145,9 @@
 	backlog          []*run                    // runs that wait to start
 	classShares      policy.ClassShares        // of the runs started here
 	overload         overload
+	choice           policy.EndpointChoice // of the endpoint for a run; kept for its memory
+	speedCounts      speedCounts
+	usualNeeds       map[string]*policy.UsualNeed   // by service
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
 	withdrawnRuns    map[cornelwall.RunID]time.Time // when each run was withdrawn; it must not start any more
 	transferredRuns  map[cornelwall.RunID]transferredRun
@@ -187,6 +191,7 @@
 		seedContacted:    map[netip.AddrPort]time.Time{},
 		endpoints:        map[string]*endpoint{},
 		runs:             map[cornelwall.RunID]*run{},
+		usualNeeds:       map[string]*policy.UsualNeed{},
 		withdrawnRuns:    map[cornelwall.RunID]time.Time{},
 		transferredRuns:  map[cornelwall.RunID]transferredRun{},
 		endedRuns:        map[cornelwall.RunID]endedRun{},
@@ -314,6 +319,7 @@
 	for _, ep := range held {
 		used += ep.lease.used.Cores
 	}
+	c.logSpeeds()
 	v := c.freeCapacity()
 	pairs := []any{"held", len(held), "millicores", v.Total, "used", used, "waiting", len(c.backlog),
 		"queued", v.Queued, "jobs", len(c.jobs), "peers", c.responsivePeers(), "platform", c.platformUp, "usual", c.usualSlowdown,
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -156,6 +156,8 @@
 	thinLinks *thinLinks // that carry messages and queue configurations; nil: links of any bandwidth
 
 	maxMeshPeers int // in the config of each core
+	placeBySpeed bool
+	moreQueues   []cornelwall.Queue // beside that of the clients
 	size         size
 	listReads    int                  // of the endpoint list
 	orders       int                  // to endpoints
@@ -196,6 +198,18 @@
 
 // newSizedRig is newMeshRig for a system of any size.
 func newSizedRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
+	return startRig(emptyRig(seed, mut, maxMeshPeers, sz))
+}
+
+// newPlacedRig is newSizedRig without mutations and with the given Config.PlaceBySpeed.
+func newPlacedRig(seed uint64, sz size, placeBySpeed bool) *rig {
+	r := emptyRig(seed, mutation{}, 0, sz)
+	r.placeBySpeed = placeBySpeed
+	return startRig(r)
+}
+
+// emptyRig returns a system without entries and endpoints.
+func emptyRig(seed uint64, mut mutation, maxMeshPeers int, sz size) *rig {
 	r := &rig{
 		w: fake.NewWorld(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)), rng: rand.New(rand.NewPCG(seed, 1)), fetchRng: rand.New(rand.NewPCG(seed, 2)),
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
@@ -210,6 +224,12 @@
 	}
 	r.w.FetchLink = r.fetchLink
 	r.w.Link, r.w.HandleOrder, r.w.OnOutput = r.link, r.sendOrder, r.handleOutput
+	return r
+}
+
+// startRig adds the endpoints and starts the entries of a system.
+func startRig(r *rig) *rig {
+	mut, sz := r.mutation, r.size
 	for i := range sz.endpoints {
 		ep := leased.New(fmt.Sprintf("x%d", i), endpointCapacity, r.w.Now)
 		ep.IgnoreFence = mut.ignoreFences
@@ -252,7 +272,7 @@
 	if r.mutation.evacuations {
 		limits.EvacuateTime = evacuateTime
 	}
-	core := dispatch.New(dispatch.Config{Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Shed: r.size.shed, Limits: limits}, r.w.Now)
+	core := dispatch.New(dispatch.Config{Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Shed: r.size.shed, PlaceBySpeed: r.placeBySpeed, Limits: limits}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
 	e.cancels, e.lastList = map[uint64]*client{}, nil
 	e.host.SharedBatchTime = r.mutation.staleEventTimes
@@ -339,7 +359,7 @@
 	if r.mixed != nil {
 		return r.mixed.queues()
 	}
-	return []cornelwall.Queue{r.queue()}
+	return append([]cornelwall.Queue{r.queue()}, r.moreQueues...)
 }
 
 // labels returns the labels of an endpoint's boot.
--- a/core/policy/slowdown.go
+++ b/core/policy/slowdown.go
@@ -76,12 +76,15 @@
 	Estimate time.Duration
 	Endpoint float64 // slowdown of its endpoint
 	Usual    float64 // slowdown that is usual
+	LongTask bool    // it goes on, and others took no longer than usual beside it
 }
 
 // ShouldRestart reports whether a straggler is to be stopped and started elsewhere: it is expected to
-// end sooner there, or has taken more than twice the time from which a run counts as slow.
+// end sooner there, or has taken more than twice the time from which a run counts as slow. A long task
+// would take as long elsewhere, and is restarted only if it stands still.
 func (s *Straggler) ShouldRestart() bool {
-	if !IsSlow(RunSlowdown(s.Expected, s.Estimate, s.Usual), s.Usual) {
+	slowdown := RunSlowdown(s.Expected, s.Estimate, s.Usual)
+	if !IsSlow(slowdown, s.Usual) || s.LongTask && slowdown < maxSlowdown*s.Usual {
 		return false
 	}
 	remaining := s.Expected - s.Took
--- a/leased_message.go
+++ b/leased_message.go
@@ -82,6 +82,7 @@
 type FreeCapacity struct {
 	Total  int         `json:"total"`            // thousandths of cores of its usable endpoints
 	Free   []Resources `json:"free,omitempty"`   // per usable endpoint that has any
+	Paces  []int       `json:"paces,omitempty"`  // slowdown of each endpoint in Free, in hundredths; empty from entries that don't place by speed
 	Queued []int       `json:"queued,omitempty"` // by priority, see FreeCapacityClasses: work that can end in time, in thousandths of cores times milliseconds
 }
 
@@ -220,6 +221,8 @@
 	Offer    uint64        `json:"offer"`          // rises with each offer of the sender
 	AckedSeq uint64        `json:"seen,omitempty"` // as in SessionHeartbeat; tells the receiver when the offer was sent at the earliest
 	Runs     []HandoverRun `json:"runs,omitempty"`
+	Pace     int           `json:"pace,omitempty"`     // slowdown of the endpoint, in hundredths; 0 if not known
+	PaceRuns int           `json:"paceRuns,omitempty"` // recent runs that Pace is based on
 }
 
 // HandoverDecline declines a Handover or, with Offer 0, a HandoverRequest for an endpoint that
@@ -275,6 +278,9 @@
 // Check reports every problem with the message.
 func (h *Handover) Check() error {
 	errs := []error{h.Endpoint.Check()}
+	if h.Pace < 0 || h.PaceRuns < 0 {
+		errs = append(errs, fmt.Errorf("handover has pace %d of %d runs; send 0 or more", h.Pace, h.PaceRuns))
+	}
 	for i := range h.Runs {
 		errs = append(errs, h.Runs[i].RunID.Check(), h.Runs[i].Owner.Check(), h.Runs[i].Need.Check())
 	}
