--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -10,6 +10,9 @@
 	catchUpMargin   = 2*cancelWait + time.Second // before an entry lost track, from which on it may have missed cancellations: they were acknowledged later
 	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
 	catchUpPatience = 300 * time.Millisecond     // after which an entry that has not caught up refuses batches
+	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
+	// long as the cut lasts, and callers have to be served meanwhile.
+	maxAskHold = 300 * time.Millisecond
 	catchUpTimeout  = 300 * time.Millisecond     // for a peer to answer
 	catchUpAsks     = 2                          // peers that are asked at a time
 	catchUpQuorum   = 2                          // answers of peers that have missed nothing themselves
@@ -23,6 +26,7 @@
 	missedFrom time.Time // cancellations since then may have been missed
 	holdFrom   time.Time // nothing starts from then on until it has caught up
 	lostAt     time.Time // when it lost track
+	askingAt   time.Time // when it first could ask its peers since then; zero if it could not
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
 
@@ -43,9 +47,13 @@
 func (c *Core) mustCatchUp() bool { return c.keepsCancellations() && !c.caughtUp }
 
 // catchingUp reports whether nothing may be assigned or started, as this entry may have missed the cancellation. Without
-// the platform it goes on: its peers cannot wait for it.
+// the platform it goes on: its peers cannot wait for it. If its peers do not answer, it goes on after a while; it
+// acknowledges nothing before they have.
 func (c *Core) catchingUp() bool {
-	return c.mustCatchUp() && c.platformUp && !c.now.Before(c.holdFrom)
+	if !c.mustCatchUp() || !c.platformUp || c.now.Before(c.holdFrom) {
+		return false
+	}
+	return c.askingAt.IsZero() || c.now.Sub(c.askingAt) < maxAskHold
 }
 
 // catchUpOverdue reports whether callers should not wait for this entry to catch up.
@@ -61,7 +69,7 @@
 	}
 	since = since.Add(-catchUpMargin)
 	if c.caughtUp {
-		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom = false, since, c.now, hold
+		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom, c.askingAt = false, since, c.now, hold, time.Time{}
 		c.log("cancels-missed", "why", why, "since", c.now.Sub(since))
 	}
 	if since.Before(c.missedFrom) {
@@ -126,6 +134,9 @@
 	if !c.mustCatchUp() || !c.platformUp || !c.selfListed && !c.isStopping() {
 		return
 	}
+	if c.askingAt.IsZero() {
+		c.askingAt = c.now
+	}
 	open, asked := 0, 0
 	for _, p := range c.peersByID {
 		if !c.mustConfirm(p) || c.answered[p.id] {
