--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -93,7 +93,7 @@
 		if end == cornelwall.BatchRefused {
 			a.RetryAfter = c.retryAfter(j, ev.Req)
 		}
-		c.log("batch-refused", "job", ev.Batch.ID, "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor(), "retry", a.RetryAfter)
+		c.log("batch-refused", "job", ev.Batch.ID, "queue", queueOf(j), "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor(), "retry", a.RetryAfter)
 		c.emit(cornelwall.CountReason{Reason: why, N: 1})
 		c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
 	}
@@ -149,6 +149,14 @@
 	return "the batch cannot be done in time; come back later"
 }
 
+// queueOf returns the queue of a job for the log, or "" if there is no job.
+func queueOf(j *job) string {
+	if j == nil {
+		return ""
+	}
+	return j.queue.Name
+}
+
 // newJob returns the job of a submitted batch. It counts as started if runs of an earlier
 // submission of the batch may not have ended, or endpoints have crashed under them.
 func (c *Core) newJob(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) *job {
--- a/core/explain/batch.go
+++ b/core/explain/batch.go
@@ -38,7 +38,7 @@
 		case "batch":
 			list = append(list, Batch{ID: id, Queue: l.Get("queue"), Owner: l.Entry, ArrivedAt: l.At})
 		case "batch-refused":
-			b := Batch{ID: id, Owner: l.Entry, ArrivedAt: l.At, refusedOnArrival: true}
+			b := Batch{ID: id, Queue: l.Get("queue"), Owner: l.Entry, ArrivedAt: l.At, refusedOnArrival: true}
 			b.setEnd(l)
 			list = append(list, b)
 		case "batch-end":
