--- a/core/dispatch/fuzz/speed_test.go
+++ b/core/dispatch/fuzz/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -49,43 +50,46 @@
 // speedResult is what the callers of a queue got.
 type speedResult struct{ submitted, onTime, late, unserved int }
 
-func (s *speedResult) add(other speedResult) {
-	s.submitted += other.submitted
-	s.onTime += other.onTime
-	s.late += other.late
-	s.unserved += other.unserved
+func (s *speedResult) add(o speedResult) {
+	*s = speedResult{s.submitted + o.submitted, s.onTime + o.onTime, s.late + o.late, s.unserved + o.unserved}
+}
+
+// speedBatch is a batch of a speedLoad.
+type speedBatch struct {
+	class int
+	need  int           // cores of a task
+	took  time.Duration // of a task at the usual speed
 }
 
 // speedLoad is a load of three queues on endpoints of different speeds.
 type speedLoad struct {
 	*rig
-	rng     *rand.Rand               // of the batches and tasks, so that they are the same with and without the part
-	needs   map[string]int           // cores of a task, by batch
-	times   map[string]time.Duration // run time of a task at the usual speed, by batch
-	classOf map[string]int
-	long    map[string]bool // by task
+	rng      *rand.Rand // of the batches, so that they are the same with and without the part
+	batches  map[string]speedBatch
+	capacity float64 // tasks at once at the usual speed
 }
 
 // newSpeedLoad returns a system in which a quarter of the endpoints runs at 0.55 and the others at 1.2 times the usual
 // speed, and every third has 1.5 times the cores.
 func newSpeedLoad(seed uint64, placeBySpeed bool) *speedLoad {
 	r := newPlacedRig(seed, size{entries: 6, endpoints: 36, dataCentres: 3}, placeBySpeed)
-	l := &speedLoad{rig: r, rng: rand.New(rand.NewPCG(seed, 3)), needs: map[string]int{}, times: map[string]time.Duration{}, classOf: map[string]int{}, long: map[string]bool{}}
+	l := &speedLoad{rig: r, rng: rand.New(rand.NewPCG(seed, 3)), batches: map[string]speedBatch{}}
 	r.objective = objectiveMargin
 	for k := range speedClasses {
 		q := r.queue()
-		q.Name, q.Prefix, q.Priority, q.Timeout = fmt.Sprint("class", k), l.prefix(k), k, speedCallerWait
+		q.Name, q.Prefix, q.Priority, q.Timeout = fmt.Sprint("class", k), classPrefix(k), k, speedCallerWait
 		r.moreQueues = append(r.moreQueues, q)
 	}
 	for i, ep := range r.endpoints {
 		if i%3 == 0 {
 			ep.Capacity.Cores = int(largeEndpoint * float64(ep.Capacity.Cores))
 		}
-		ep.NeedOf = func(task string) cornelwall.Resources { return cornelwall.Resources{Cores: l.needs[batchOf(task)]} }
+		ep.NeedOf = func(task string) cornelwall.Resources { return cornelwall.Resources{Cores: l.batchOf(task).need} }
 		speed := fastSpeed
 		if i%4 == 1 {
 			speed = slowSpeed
 		}
+		l.capacity += speed * float64(ep.Capacity.Cores) / (float64(endpointCapacity.Cores) / 2)
 		ep.Simulate = func(id cornelwall.RunID) leased.SimulatedRun { return l.simulate(id, speed) }
 	}
 	r.changeQueueConfig()
@@ -93,43 +97,37 @@
 	return l
 }
 
-func (l *speedLoad) prefix(class int) string { return fmt.Sprintf("/class%d/", class) }
+func classPrefix(class int) string { return fmt.Sprintf("/class%d/", class) }
 
-func batchOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
+func (l *speedLoad) batchOf(task string) speedBatch {
+	return l.batches[strings.SplitN(task, ".", 2)[0]]
+}
 
 // simulate returns how long a run takes. A task that is long is so in each of its runs.
 func (l *speedLoad) simulate(id cornelwall.RunID, speed float64) leased.SimulatedRun {
-	long, ok := l.long[id.Task]
-	if !ok {
-		rng := rand.New(rand.NewPCG(hashName(id.Task), 5))
-		long = rng.Float64() < longTaskShare
-		l.long[id.Task] = long
-	}
-	took := float64(l.times[batchOf(id.Task)]) / speed
-	if long {
+	took := float64(l.batchOf(id.Task).took) / speed
+	if rand.New(rand.NewPCG(hashName(id.Task), 5)).Float64() < longTaskShare {
 		took *= longTaskFactor
 	}
 	return leased.SimulatedRun{Duration: time.Duration(took)}
 }
 
 func hashName(name string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * 1099511628211
-	}
-	return h
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
 }
 
 // submitClass submits a batch of a queue.
 func (l *speedLoad) submitClass(class int) *client {
 	k := speedClasses[class]
 	l.nextID++
-	c := &client{id: fmt.Sprintf("%016x", l.nextID), done: map[string]bool{}, timeout: speedCallerWait, sentAt: l.w.Now, noRetry: true, prefix: l.prefix(class)}
+	c := &client{id: fmt.Sprintf("%016x", l.nextID), done: map[string]bool{}, timeout: speedCallerWait, sentAt: l.w.Now, noRetry: true, prefix: classPrefix(class)}
 	took := k.min + time.Duration(l.rng.Int64N(int64(k.max-k.min)))
 	need := int(float64(endpointCapacity.Cores) / 2 * (0.8 + 0.4*l.rng.Float64()))
 	estimate := time.Duration(float64(took) * (1 - estimateError + 2*estimateError*l.rng.Float64()))
 	c.batch = &cornelwall.BatchJob{ID: c.id, Steps: []cornelwall.Step{{Count: k.tasks, Need: cornelwall.Resources{Cores: need}, Estimate: estimate}}}
-	l.clients[c.id], l.needs[c.id], l.times[c.id], l.classOf[c.id] = c, need, took, class
+	l.clients[c.id], l.batches[c.id] = c, speedBatch{class, need, took}
 	l.send(c)
 	return c
 }
@@ -137,16 +135,8 @@
 // play submits batches whose work is a share of the endpoints' capacity, and returns what callers got
 // by queue.
 func (l *speedLoad) play(share float64) []speedResult {
-	capacity := 0.0 // tasks at the usual speed
-	for i, ep := range l.endpoints {
-		speed := fastSpeed
-		if i%4 == 1 {
-			speed = slowSpeed
-		}
-		capacity += speed * float64(ep.Capacity.Cores) / (float64(endpointCapacity.Cores) / 2)
-	}
 	var clients []*client
-	rate, due := share*capacity/batchWork()/1000, 0.0 // batches per millisecond
+	rate, due := share*l.capacity/batchWork()/1000, 0.0 // batches per millisecond
 	for range speedLoadTime / time.Millisecond {
 		for due += rate; due >= 1; due-- {
 			class, x := 0, l.rng.Float64()
@@ -161,9 +151,10 @@
 	l.w.Advance(2 * speedCallerWait)
 	results := make([]speedResult, len(speedClasses))
 	for _, c := range clients {
-		s := &results[l.classOf[c.id]]
+		batch := l.batches[c.id]
+		s := &results[batch.class]
 		s.submitted++
-		target := time.Duration(1.6*float64(l.times[c.id])) + objectiveMargin
+		target := time.Duration(1.6*float64(batch.took)) + objectiveMargin
 		switch {
 		case c.end == cornelwall.BatchDone && c.endAt.Sub(c.sentAt) <= target:
 			s.onTime++
--- a/core/policy/speed_test.go
+++ b/core/policy/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,13 +53,7 @@
 // TestSpeedHistories checks the estimate after histories of run time / estimate, 100 ms apart, and an idle
 // time.
 func TestSpeedHistories(t *testing.T) {
-	repeat := func(n int, ratio float64) []float64 {
-		list := make([]float64, n)
-		for i := range list {
-			list[i] = ratio
-		}
-		return list
-	}
+	repeat := func(n int, ratio float64) []float64 { return slices.Repeat([]float64{ratio}, n) }
 	for _, tc := range []struct {
 		name     string
 		ratios   []float64
