--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -12,10 +12,10 @@
 	catchUpPatience = 300 * time.Millisecond     // after which an entry that has not caught up refuses batches
 	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
 	// long as the cut lasts, and callers have to be served meanwhile.
-	maxAskHold = 300 * time.Millisecond
-	catchUpTimeout  = 300 * time.Millisecond     // for a peer to answer
-	catchUpAsks     = 2                          // peers that are asked at a time
-	catchUpQuorum   = 2                          // answers of peers that have missed nothing themselves
+	maxAskHold     = 300 * time.Millisecond
+	catchUpTimeout = 300 * time.Millisecond // for a peer to answer
+	catchUpAsks    = 2                      // peers that are asked at a time
+	catchUpQuorum  = 2                      // answers of peers that have missed nothing themselves
 )
 
 // catchUpState holds whether this entry may have missed cancellations. Those that were acknowledged while
