--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -9,7 +9,7 @@
 const (
 	catchUpMargin   = 2*cancelWait + time.Second // before an entry lost track, from which on it may have missed cancellations: they were acknowledged later
 	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
-	catchUpPatience = 300 * time.Millisecond     // after which an entry that has not caught up refuses batches
+	catchUpPatience = time.Second                // after which an entry that is not on the list refuses batches
 	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
 	// long as the cut lasts, and callers have to be served meanwhile.
 	maxAskHold     = 300 * time.Millisecond
@@ -56,9 +56,10 @@
 	return c.askingAt.IsZero() || c.now.Sub(c.askingAt) < maxAskHold
 }
 
-// catchUpOverdue reports whether callers should not wait for this entry to catch up.
+// catchUpOverdue reports whether callers should not wait for this entry to catch up, as it is not on the list and
+// cannot ask its peers.
 func (c *Core) catchUpOverdue() bool {
-	return c.catchingUp() && c.now.Sub(c.holdFrom) > catchUpPatience
+	return c.catchingUp() && c.askingAt.IsZero() && c.now.Sub(c.holdFrom) > catchUpPatience
 }
 
 // loseTrack records that this entry may have missed cancellations, for a reason and since a time, and that
