--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -83,8 +83,8 @@
 }
 
 // seekCapacity adds a link to one more peer, which may have free capacity. Peers are chosen with a
-// probability in proportion to their weight. Other data centres are asked once this one is full, or if it is
-// evacuated.
+// probability in proportion to their weight. Other data centres are asked once this one is full, and evacuated
+// ones not at all if there are others.
 func (c *Core) seekCapacity() {
 	if len(c.peers) <= c.cfg.MaxMeshPeers || c.now.Sub(c.lastSeek) < seekInterval {
 		return
@@ -104,7 +104,7 @@
 	}
 	c.lastSeek = c.now
 	c.seekSalt++
-	remote := full >= fullPeersLimit || c.isEvacuated(c.cfg.Self.DataCentre)
+	remote := full >= fullPeersLimit
 	p := c.pickUnlinkedPeer(remote)
 	if p == nil {
 		p = c.pickUnlinkedPeer(!remote)
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -35,6 +35,10 @@
 	extraDelay func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
 	// replyLost reports whether an order is carried out and its reply lost.
 	replyLost func(from cornelwall.Incarnation, cmd cornelwall.Command) bool
+
+	evacuateTime time.Duration                   // in the limits of entries that are added
+	maxMeshPeers int                             // in their config
+	frozen       map[cornelwall.Incarnation]bool // entries that do not run; what comes for them meanwhile is lost
 }
 
 // simReply is the answer to the caller of a batch.
@@ -54,6 +58,7 @@
 		cores: map[cornelwall.Incarnation]*Core{}, endpoints: map[string]*leased.Endpoint{}, running: map[string]cornelwall.RunID{},
 		served:     map[cornelwall.Incarnation]*cornelwall.QueueConfig{},
 		replies:    map[uint64]simReply{},
+		frozen:     map[cornelwall.Incarnation]bool{},
 		extraDelay: func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 0 },
 		replyLost:  func(cornelwall.Incarnation, cornelwall.Command) bool { return false },
 	}
@@ -83,8 +88,8 @@
 
 func (s *simulation) addEntry(id cornelwall.Incarnation) {
 	s.cores[id] = New(Config{
-		Self: id, Addr: s.addr(len(s.order)),
-		Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
+		Self: id, Addr: s.addr(len(s.order)), MaxMeshPeers: s.maxMeshPeers,
+		Limits: Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second, EvacuateTime: s.evacuateTime},
 	}, s.now)
 	s.order = append(s.order, id)
 	var list []cornelwall.Member
@@ -149,8 +154,8 @@
 
 func (s *simulation) step(id cornelwall.Incarnation, ev cornelwall.Event) {
 	c := s.cores[id]
-	if c == nil {
-		return // it was killed
+	if c == nil || s.frozen[id] {
+		return // it was killed, or stands still
 	}
 	for _, cmd := range c.Step(s.now, ev) {
 		switch cmd := cmd.(type) {
