--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -181,8 +181,8 @@
 	return false
 }
 
-// isPassedOver reports whether free capacity is not sought with the entries of a data centre: it is
-// evacuated, and others are not.
+// isPassedOver reports whether free capacity is sought with the entries of a data centre only after all others: it
+// is evacuated, and others are not.
 func (c *Core) isPassedOver(dc string) bool { return c.isEvacuated(dc) && c.hasOpenCentre() }
 
 // allEvacuated reports whether all data centres that have entries or endpoints are evacuated.
--- a/core/dispatch/fuzz/messages_test.go
+++ b/core/dispatch/fuzz/messages_test.go
@@ -27,7 +27,8 @@
 	need := cornelwall.Resources{Cores: 8000, Memory: 1}
 	ep := cornelwall.Endpoint{ID: "x1", Service: service, Addr: addr, DataCentre: "dc0", Capacity: endpointCapacity, Labels: []string{"r1"}, Boot: 5}
 	heartbeat := cornelwall.Message{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: addr, Seq: 9, Session: 1, WantHeartbeats: true, Version: 1, MaxFence: 7, Waiting: map[string]int{"q": 1},
-		FreeCapacity: cornelwall.FreeCapacity{Total: 16000, Free: []cornelwall.Resources{need}, Queued: []int{1, 2, 3, 4}}, Members: []cornelwall.Member{{ID: other, Addr: addr, Weight: 3}}}}
+		FreeCapacity: cornelwall.FreeCapacity{Total: 16000, Free: []cornelwall.Resources{need}, Queued: []int{1, 2, 3, 4}}, Members: []cornelwall.Member{{ID: other, Addr: addr, Weight: 3}},
+		Evacuations: []cornelwall.Evacuation{{DataCentre: "dc1", Revision: 5, Active: true}}, EvacuationsAsOf: 7}}
 	messages := []cornelwall.Message{
 		{Assign: &cornelwall.Assign{Service: service, Spec: "s", DueIn: 1, UsefulFor: 2, Remaining: 1, Count: 3, Tasks: []cornelwall.AssignTask{{RunID: run, Need: need, Estimate: 5, PerEndpoint: 1, AvoidEndpoint: "x1"}}}},
 		{BatchProgress: &cornelwall.BatchProgress{Runs: runs, Remaining: 0.5, Estimates: []time.Duration{5}, DueIn: 1, UsefulFor: 2}},
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -61,9 +61,13 @@
 	longRuns bool
 	// kinds is no broken rule: endpoints are of two kinds, of which each boot draws one anew, and some
 	// batches require one.
-	kinds     bool
-	anyBoot   bool // starts reach any boot of an endpoint
-	rareReads bool // entries read the list of endpoints every few seconds only, whatever they order
+	kinds   bool
+	anyBoot bool // starts reach any boot of an endpoint
+	// evacuations is no broken rule: data centres can be evacuated.
+	evacuations     bool
+	hideEvacuations bool // heartbeats do not carry evacuations
+	lateEvacuations bool // the platform does not list an evacuation before some time has passed
+	rareReads       bool // entries read the list of endpoints every few seconds only, whatever they order
 }
 
 type entry struct {
@@ -75,6 +79,7 @@
 	downSince    time.Time // when it was last killed
 	platformCut  bool      // it cannot reach the platform
 	incarnations uint64
+	isolatedAt   time.Time     // when it last could not run or hear an entry in touch
 	disturbedAt  time.Time     // when it last could not run or reach the platform
 	readInterval time.Duration // between reads of the endpoint list, as ordered by the core
 	nextRead     time.Time     // time of the next read
@@ -145,13 +150,14 @@
 
 	maxMeshPeers int // in the config of each core
 	size         size
-	listReads    int               // of the endpoint list
-	orders       int               // to endpoints
-	sentMessages messageCounts     // between entries; nil if not counted
-	listRevision int64             // of the endpoint list
-	postInterval time.Duration     // between two lists of the platform
-	drains       map[string]*drain // by endpoint
-	rooms        map[string]*room  // by endpoint; nil if all keep their capacity and guard it
+	listReads    int                  // of the endpoint list
+	orders       int                  // to endpoints
+	sentMessages messageCounts        // between entries; nil if not counted
+	listRevision int64                // of the endpoint list
+	postInterval time.Duration        // between two lists of the platform
+	drains       map[string]*drain    // by endpoint
+	evacuatedAt  map[string]time.Time // by data centre, of those that are evacuated
+	rooms        map[string]*room     // by endpoint; nil if all keep their capacity and guard it
 
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
@@ -183,7 +189,7 @@
 		mutation: mut, maxMeshPeers: maxMeshPeers, size: sz, clients: map[string]*client{}, configVersion: 1, platformUp: true, objective: longObjective, estimate: taskTime,
 		cuts: map[[2]string]bool{}, stalls: map[[2]string]bool{}, lateOrderShare: map[string]float64{}, slowdown: map[string]float64{}, failureShare: map[string]float64{},
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
-		postInterval: listInterval, drains: map[string]*drain{},
+		postInterval: listInterval, drains: map[string]*drain{}, evacuatedAt: map[string]time.Time{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{}, crashed: map[string]bool{},
 	}
 	if mut.longRuns {
@@ -218,13 +224,14 @@
 
 func (r *rig) start(e *entry) {
 	e.incarnations++
-	e.disturbedAt = r.w.Now
+	e.disturbedAt, e.isolatedAt = r.w.Now, r.w.Now
 	e.readInterval, e.nextRead = 0, time.Time{}
 	self := cornelwall.Incarnation{DataCentre: e.dc, Entry: e.name, Epoch: uint64(r.w.Now.UnixMilli())<<8 | e.incarnations}
-	core := dispatch.New(dispatch.Config{
-		Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(),
-		Limits: dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second},
-	}, r.w.Now)
+	limits := dispatch.Limits{MaxLease: time.Second, StopDelay: 50 * time.Millisecond, StopGrace: 6 * time.Second}
+	if r.mutation.evacuations {
+		limits.EvacuateTime = evacuateTime
+	}
+	core := dispatch.New(dispatch.Config{Self: self, Addr: e.addr, MaxMeshPeers: r.maxMeshPeers, Seeds: r.seedAddrs(), Limits: limits}, r.w.Now)
 	e.host, e.reqs = r.w.AddHost(core, self, e.addr), map[uint64]*attempt{}
 	e.host.SharedBatchTime = r.mutation.staleEventTimes
 	r.applyDelays(e)
@@ -273,6 +280,7 @@
 		})
 	}
 	r.listRevision++
+	r.recordIsolation()
 	for _, e := range r.entries {
 		if !e.up() || e.host.Frozen || e.platformCut || !r.platformUp {
 			e.disturbedAt = r.w.Now
@@ -283,6 +291,7 @@
 			r.w.Post(e.host, cornelwall.PlatformLost{})
 		default:
 			r.w.Post(e.host, cornelwall.MembersListed{List: members})
+			r.postEvacuations(e)
 			if !r.w.Now.Before(e.nextRead) {
 				e.nextRead = r.w.Now.Add(e.readInterval)
 				r.listReads++
@@ -368,6 +377,9 @@
 		}
 		if h := e.Messages[i].SessionHeartbeat; h != nil {
 			r.sessions[[2]cornelwall.Incarnation{from, to}] = h.Session
+			if r.mutation.hideEvacuations {
+				h.Evacuations, h.EvacuationsAsOf = nil, 0
+			}
 			if r.mutation.hideWithdrawals {
 				h.Withdrawn = nil
 			}
@@ -398,6 +410,7 @@
 func (r *rig) sendOrder(h *fake.Host, cmd cornelwall.Command) {
 	r.orders++
 	r.checkDrain(h, cmd)
+	r.checkEvacuation(h, cmd)
 	r.recordGiver(h, cmd)
 	id, wait := orderTarget(cmd)
 	ep := r.endpoint(id)
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -22,11 +22,11 @@
 func (c *Core) isSlow(l *lease) bool { return policy.IsSlow(c.slowdown(l), c.usualSlowdown) }
 
 // updateUsualSlowdown determines the slowdown that is usual at the endpoints of this entry and of its
-// peers.
+// peers. Those in evacuated data centres do not count: if all others are slower, these are to be used nevertheless.
 func (c *Core) updateUsualSlowdown() {
 	var own, all []float64
 	for _, ep := range c.held() {
-		if slowdown := ep.health.Slowdown(); slowdown > 0 {
+		if slowdown := ep.health.Slowdown(); slowdown > 0 && !c.isClosed(ep.DataCentre) {
 			own = append(own, slowdown)
 		}
 	}
--- a/core/dispatch/links.go
+++ b/core/dispatch/links.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -83,15 +84,19 @@
 }
 
 // seekCapacity adds a link to one more peer, which may have free capacity. Peers are chosen with a
-// probability in proportion to their weight. Other data centres are asked once this one is full, and evacuated
-// ones not at all if there are others.
+// probability in proportion to their weight. Other data centres are asked once this one is full. Entries of
+// evacuated ones, which may hold endpoints elsewhere, are asked last.
 func (c *Core) seekCapacity() {
 	if len(c.peers) <= c.cfg.MaxMeshPeers || c.now.Sub(c.lastSeek) < seekInterval {
 		return
 	}
-	links, full := 0, 0
+	links, passedOver, full := 0, 0, 0
 	for _, p := range c.links {
-		if !c.wantsLink(p) || c.isPassedOver(p.id.DataCentre) {
+		if !c.wantsLink(p) {
+			continue
+		}
+		if c.isPassedOver(p.id.DataCentre) {
+			passedOver++
 			continue
 		}
 		links++
@@ -105,9 +110,12 @@
 	c.lastSeek = c.now
 	c.seekSalt++
 	remote := full >= fullPeersLimit
-	p := c.pickUnlinkedPeer(remote)
+	p := c.pickUnlinkedPeer(remote, false)
 	if p == nil {
-		p = c.pickUnlinkedPeer(!remote)
+		p = c.pickUnlinkedPeer(!remote, false)
+	}
+	if p == nil && links+passedOver < maxLinks {
+		p = cmp.Or(c.pickUnlinkedPeer(true, true), c.pickUnlinkedPeer(false, true))
 	}
 	if p != nil {
 		c.useLink(p)
@@ -115,12 +123,13 @@
 }
 
 // pickUnlinkedPeer returns a peer without a link, chosen at random by weight, or nil. The peer is
-// of another data centre if remote is set, and of this one otherwise.
-func (c *Core) pickUnlinkedPeer(remote bool) *peer {
+// of another data centre if remote is set, and of this one otherwise. Its data centre is evacuated, while others are
+// not, if passedOver is set.
+func (c *Core) pickUnlinkedPeer(remote, passedOver bool) *peer {
 	var best *peer
 	bestScore := math.Inf(-1)
 	for _, p := range c.peersByID {
-		if c.wantsLink(p) || p.id.DataCentre == c.cfg.Self.DataCentre == remote || !c.isEligible(p) || c.isPassedOver(p.id.DataCentre) {
+		if c.wantsLink(p) || p.id.DataCentre == c.cfg.Self.DataCentre == remote || !c.isEligible(p) || c.isPassedOver(p.id.DataCentre) != passedOver {
 			continue
 		}
 		if s := score(p.hash, c.nameHash+c.seekSalt, p.weight); s > bestScore {
