--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -125,7 +125,7 @@
 	}
 	j := c.newJob(q, &ev)
 	if why := c.admissionRefusal(j); why != cornelwall.ReasonNone {
-		refuse(cornelwall.BatchRefused, why, "the batch cannot be done in time; come back later")
+		refuse(cornelwall.BatchRefused, why, refusalText(why))
 		return
 	}
 	c.jobs[j.id], c.jobsByReq[ev.Req] = j, j
@@ -134,6 +134,14 @@
 	c.assignTasks(j)
 }
 
+// refusalText returns the text for a caller whose batch is refused on arrival.
+func refusalText(why cornelwall.Reason) string {
+	if why == cornelwall.ReasonEvacuated {
+		return "all data centres are evacuated; come back later"
+	}
+	return "the batch cannot be done in time; come back later"
+}
+
 // newJob returns the job of a submitted batch. It counts as started if runs of an earlier
 // submission of the batch may not have ended, or endpoints have crashed under them.
 func (c *Core) newJob(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) *job {
