Take no endpoint before the evacuations are known

A new entry took endpoints before it knew which data centres are evacuated and could start nothing there, also from holders that could.

--- a/core/dispatch/acquire.go
+++ b/core/dispatch/acquire.go
@@ -39,10 +39,11 @@
 	}
 }
 
-// settled reports whether this entry has had the time to learn of the others since its start.
+// settled reports whether this entry has learnt since its start which data centres are evacuated, and has had the
+// time to learn of the others.
 func (c *Core) settled() bool {
 	up := c.now.Sub(c.startedAt)
-	return up >= maxSettleTime || up >= minSettleTime && c.membersRead && c.now.Sub(c.rankedAt) >= stableTime
+	return c.knowsEvacuations() && (up >= maxSettleTime || up >= minSettleTime && c.membersRead && c.now.Sub(c.rankedAt) >= stableTime)
 }
 
 // handleHandoverRequest marks the requested endpoints to be handed over. For those that this entry
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -125,7 +125,7 @@
 // large enough for a task and has the label that it requires.
 func (c *Core) fitsHeldEndpoint(service string, t *cornelwall.AssignTask) bool {
 	for _, ep := range c.heldEndpoints {
-		if !c.isClosed(ep.DataCentre) && ep.Service == service && t.Need.Fits(ep.Capacity) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
+		if !c.isEvacuated(ep.DataCentre) && ep.Service == service && t.Need.Fits(ep.Capacity) && (t.Requires == "" || slices.Contains(ep.Labels, t.Requires)) {
 			return true
 		}
 	}
--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -137,17 +137,14 @@
 func (c *Core) readsEvacuations() bool { return c.cfg.Limits.EvacuateTime > 0 }
 
 // knowsEvacuations reports whether the store or a peer has told which data centres are evacuated, if
-// that is to be known.
+// that is to be known. An entry that does not know takes no endpoint, so that it starts nothing.
 func (c *Core) knowsEvacuations() bool {
 	return !c.readsEvacuations() || c.evacuations.completeAsOf > 0 || len(c.evacuations.list) > 0
 }
 
-// isClosed reports whether the endpoints of a data centre take nothing new: it is evacuated, or may be.
-func (c *Core) isClosed(dc string) bool { return !c.knowsEvacuations() || c.isEvacuated(dc) }
-
 // mayStartIn reports whether a run may start in a data centre now. After a long pause of the process the state may
 // be out of date, and is confirmed first.
-func (c *Core) mayStartIn(dc string) bool { return !c.isClosed(dc) && !c.awaitsEvacuations() }
+func (c *Core) mayStartIn(dc string) bool { return !c.isEvacuated(dc) && !c.awaitsEvacuations() }
 
 // awaitsEvacuations reports whether the state has still to be confirmed after a pause of the process.
 func (c *Core) awaitsEvacuations() bool {
@@ -168,7 +165,7 @@
 
 // holdsOpenEndpoint reports whether this entry holds an endpoint outside the evacuated data centres.
 func (c *Core) holdsOpenEndpoint() bool {
-	return slices.ContainsFunc(c.held(), func(ep *endpoint) bool { return !c.isClosed(ep.DataCentre) })
+	return slices.ContainsFunc(c.held(), func(ep *endpoint) bool { return !c.isEvacuated(ep.DataCentre) })
 }
 
 // hasOpenCentre reports whether a data centre that is not evacuated has an entry that may hold endpoints.
--- a/core/dispatch/evacuations_test.go
+++ b/core/dispatch/evacuations_test.go
@@ -155,9 +155,9 @@
 	s.submitToAll(2 * time.Second) // after what has waited
 }
 
-// TestNewEntryStartsNothingBeforeItKnowsEvacuations starts an entry in an evacuated data centre. It must start nothing before it is
-// told, and then no more. Told by a peer that nothing is evacuated, it must start runs without the store.
-func TestNewEntryStartsNothingBeforeItKnowsEvacuations(t *testing.T) {
+// TestNewEntryTakesNothingBeforeItKnowsEvacuations starts an entry in an evacuated data centre. It must take no endpoint before it is
+// told, and start nothing there then. Told by a peer that nothing is evacuated, it must start runs without the store.
+func TestNewEntryTakesNothingBeforeItKnowsEvacuations(t *testing.T) {
 	for _, evacuated := range []bool{true, false} {
 		s := newEvacuationTest(t, 1, 0)
 		for _, id := range s.order[1:] {
@@ -178,15 +178,20 @@
 			s.step(other, cornelwall.MembersListed{List: []cornelwall.Member{{ID: s.order[0], Addr: s.addr(0)}, {ID: id, Addr: s.addr(3)}}})
 		}
 		s.advance(2 * time.Second)
-		assert.Assert(t, s.cores[id].Held() > 0)
 		s.submit(id, 2)
 		s.advance(time.Second)
-		assert.Equal(t, s.starts["dc1"], 0, "it starts a run before it knows whether it may")
+		assert.Equal(t, s.cores[id].Held(), 0, "it takes an endpoint before it knows whether it may start runs there")
 		assert.Assert(t, !s.cores[id].ready)
+		c, p := s.cores[id], s.cores[id].peers[s.order[0]]
+		p.sessionOpen, p.provenAt = true, s.now
+		assert.Assert(t, c.mustDecline(c.endpoints["x01"], p.id, &cornelwall.Handover{Session: p.session, Endpoint: c.endpoints["x01"].Endpoint}))
 		silent = false
 		s.advance(time.Second)
+		assert.Assert(t, s.cores[id].Held() > 0)
+		s.submit(id, 2)
+		s.advance(time.Second)
 		assert.Equal(t, s.starts["dc1"] == 0, evacuated)
-		assert.Equal(t, len(s.replies), 1, "the batch is not done")
+		assert.Equal(t, len(s.replies), 2, "a batch is not done")
 	}
 }
 
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -26,7 +26,7 @@
 func (c *Core) updateUsualSlowdown() {
 	var own, all []float64
 	for _, ep := range c.held() {
-		if slowdown := ep.health.Slowdown(); slowdown > 0 && !c.isClosed(ep.DataCentre) {
+		if slowdown := ep.health.Slowdown(); slowdown > 0 && !c.isEvacuated(ep.DataCentre) {
 			own = append(own, slowdown)
 		}
 	}
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -164,7 +164,7 @@
 func (c *Core) mustDecline(ep *endpoint, from cornelwall.Incarnation, m *cornelwall.Handover) bool {
 	moved := len(m.Runs) > 0 && ep.Addr != m.Endpoint.Addr // the endpoint list of one of the two entries is out of date
 	p := c.peers[from]
-	return ep.lease != nil || moved || c.isStopping() || c.now.Before(ep.unreachableUntil) || !c.hasProof(p) || p.session != m.Session
+	return ep.lease != nil || moved || c.isStopping() || !c.knowsEvacuations() || c.now.Before(ep.unreachableUntil) || !c.hasProof(p) || p.session != m.Session
 }
 
 // declineOffer declines an offer, for good: it may have been sent twice, and the entry that made it goes on as
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -65,7 +65,7 @@
 // the others.
 func (c *Core) hasCapacity() bool {
 	for _, ep := range c.held() {
-		if ep.lease.phase != phaseUnreachable && !c.isClosed(ep.DataCentre) {
+		if ep.lease.phase != phaseUnreachable && !c.isEvacuated(ep.DataCentre) {
 			return true
 		}
 	}
