--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -61,13 +61,14 @@
 	longRuns bool
 	// kinds is no broken rule: endpoints are of two kinds, of which each boot draws one anew, and some
 	// batches require one.
-	kinds   bool
-	anyBoot bool // starts reach any boot of an endpoint
+	kinds     bool
+	anyBoot   bool // starts reach any boot of an endpoint
+	rareReads bool // entries read the list of endpoints every few seconds only, whatever they order
+
 	// evacuations is no broken rule: data centres can be evacuated.
 	evacuations     bool
 	hideEvacuations bool // heartbeats do not carry evacuations
 	lateEvacuations bool // the platform does not list an evacuation before some time has passed
-	rareReads       bool // entries read the list of endpoints every few seconds only, whatever they order
 }
 
 type entry struct {
@@ -150,14 +151,15 @@
 
 	maxMeshPeers int // in the config of each core
 	size         size
-	listReads    int                  // of the endpoint list
-	orders       int                  // to endpoints
-	sentMessages messageCounts        // between entries; nil if not counted
-	listRevision int64                // of the endpoint list
-	postInterval time.Duration        // between two lists of the platform
-	drains       map[string]*drain    // by endpoint
-	evacuatedAt  map[string]time.Time // by data centre, of those that are evacuated
-	rooms        map[string]*room     // by endpoint; nil if all keep their capacity and guard it
+	listReads    int               // of the endpoint list
+	orders       int               // to endpoints
+	sentMessages messageCounts     // between entries; nil if not counted
+	listRevision int64             // of the endpoint list
+	postInterval time.Duration     // between two lists of the platform
+	drains       map[string]*drain // by endpoint
+	rooms        map[string]*room  // by endpoint; nil if all keep their capacity and guard it
+
+	evacuatedAt map[string]time.Time // by data centre, of those that are evacuated
 
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
