--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -70,6 +70,11 @@
 	lateEvacuations bool // the platform does not list an evacuation before some time has passed
 	cancellationMutation
 	rareReads bool // entries read the list of endpoints every few seconds only, whatever they order
+
+	// evacuations is no broken rule: data centres can be evacuated.
+	evacuations     bool
+	hideEvacuations bool // heartbeats do not carry evacuations
+	lateEvacuations bool // the platform does not list an evacuation before some time has passed
 }
 
 type entry struct {
@@ -168,6 +173,8 @@
 	evacuatedAt  map[string]time.Time // by data centre, of those that are evacuated
 	rooms        map[string]*room     // by endpoint; nil if all keep their capacity and guard it
 
+	evacuatedAt map[string]time.Time // by data centre, of those that are evacuated
+
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
 
