--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -64,10 +64,6 @@
 	// batches require one.
 	kinds   bool
 	anyBoot bool // starts reach any boot of an endpoint
-	// evacuations is no broken rule: data centres can be evacuated.
-	evacuations     bool
-	hideEvacuations bool // heartbeats do not carry evacuations
-	lateEvacuations bool // the platform does not list an evacuation before some time has passed
 	cancellationMutation
 	rareReads bool // entries read the list of endpoints every few seconds only, whatever they order
 
