--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -169,8 +169,6 @@
 	evacuatedAt  map[string]time.Time // by data centre, of those that are evacuated
 	rooms        map[string]*room     // by endpoint; nil if all keep their capacity and guard it
 
-	evacuatedAt map[string]time.Time // by data centre, of those that are evacuated
-
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
 
