--- a/cmd/cornelwall/check.go
+++ b/cmd/cornelwall/check.go
@@ -24,14 +24,28 @@
 line, and exits with code 2 if there is any. It connects to no entry, so that it can run
 in CI before a merge.
 
+For "dispatch", --queues checks a queue configuration, the JSON that is written to the
+key op/config of the platform's store, and --dispatch-settings the settings file of an
+entry. All errors and warnings are printed with their places and remedies. Errors
+are what entries reject, what leaves a queue without batches, and limits that contradict
+each other; they exit with code 2. Warnings alone exit with code 0. With --against, what
+differs from the configuration in force is printed, and it is an error if the version
+does not rise with it.
+
 Examples:
   cornelwall check profiles/
   cornelwall check --settings ikeja-entry-0.env profiles/
   env | grep ^CORNELWALL_ | cornelwall check --settings -
+  cornelwall check --queues queues.json
+  cornelwall check --queues queues.json --against in-force.json --output json
+  cornelwall check --dispatch-settings local.toml
 
 ` + exitCodesHelp(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "`FILE` of environment variables for serve; \"-\" reads stdin"},
+			&cli.StringFlag{Name: "queues", Usage: "`FILE` of a queue configuration for dispatch; \"-\" reads stdin"},
+			&cli.StringFlag{Name: "against", Usage: "with --queues: `FILE` of the queue configuration in force, to compare with; \"-\" reads stdin"},
+			&cli.StringFlag{Name: "dispatch-settings", Usage: "settings `FILE` of dispatch; \"-\" reads stdin"},
 			outputFlag(),
 		},
 		Action: runCheck,
@@ -40,8 +54,9 @@
 
 func runCheck(ctx context.Context, c *cli.Command) error {
 	file := c.String("settings")
-	if file == "" && c.Args().Len() == 0 {
-		return usageError(errors.New("nothing to check; name profile files or use --settings"))
+	files := dispatchFilesOf(c)
+	if file == "" && c.Args().Len() == 0 && files.isEmpty() {
+		return usageError(errors.New("nothing to check; name profile files, or use --settings, --queues or --dispatch-settings"))
 	}
 	var errs []error
 	checked := []string{}
@@ -56,7 +71,11 @@
 			checked = append(checked, fmt.Sprintf("profile %s of %s", d.Name, d.position))
 		}
 	}
-	if err := errors.Join(errs...); err != nil {
+	err := errors.Join(errs...)
+	if !files.isEmpty() {
+		return checkDispatchFiles(c, &files, checked, err)
+	}
+	if err != nil {
 		return usageError(err)
 	}
 	t := &table{head: []string{"CHECKED"}}
--- a/cmd/cornelwall/output.go
+++ b/cmd/cornelwall/output.go
@@ -55,12 +55,29 @@
 
 // printResult prints v as JSON or t as a table, depending on --output.
 func printResult(c *cli.Command, v any, t *table) error {
+	return printTables(c, v, t)
+}
+
+// printTables prints v as JSON, or as tables, with an empty line between them.
+func printTables(c *cli.Command, v any, tables ...*table) error {
 	if c.String("output") == outputJSON {
 		enc := json.NewEncoder(stdout(c))
 		enc.SetIndent("", "  ")
 		return enc.Encode(v)
 	}
-	w := tabwriter.NewWriter(stdout(c), 0, 0, 2, ' ', 0)
+	for i, t := range tables {
+		if i > 0 {
+			_, _ = fmt.Fprintln(stdout(c))
+		}
+		if err := printTable(stdout(c), t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printTable(out io.Writer, t *table) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, row := range append([][]string{t.head}, t.rows...) {
 		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -31,6 +31,9 @@
 	clockResolution = time.Millisecond // to which endpoints report their clocks
 )
 
+// LeaseTTL is how long the leases last that an entry asks for. Limits.MaxLease must allow it.
+const LeaseTTL = leaseTTL
+
 // leasePhase is the phase of a lease.
 type leasePhase int
 
