Word problems with prefixes and time limits exactly

A decoded path has a question mark if a client escapes it, and net/http accepts headers 4,096 bytes above the limit that is set.

go test -race ./core/configcheck ./platform ./cmd/cornelwall passes.

--- a/cmd/cornelwall/check_dispatch.go
+++ b/cmd/cornelwall/check_dispatch.go
@@ -15,8 +15,10 @@
 	"cornelwall/platform"
 )
 
-// maxCheckedFile bounds what is read of a file. The decoders report what is too large for an entry.
-const maxCheckedFile = 16 << 20
+const (
+	maxCheckedFile = 16 << 20              // bytes that are read of a file; the decoders report what is too large for an entry
+	maxPath        = maxHeaderBytes + 4096 // bytes; net/http reads so many beyond the limit that is set
+)
 
 // dispatchFiles are the files of dispatch to check.
 type dispatchFiles struct {
@@ -144,7 +146,7 @@
 		return nil, nil, err
 	}
 	f := platform.DecodeConfigFile(text)
-	return f, &configcheck.Input{Config: f.Config, Services: f.Services, MaxPath: maxHeaderBytes, Source: f}, nil
+	return f, &configcheck.Input{Config: f.Config, Services: f.Services, MaxPath: maxPath, Source: f}, nil
 }
 
 // checkDispatchSettings checks a settings file of dispatch.
--- a/core/configcheck/address.go
+++ b/core/configcheck/address.go
@@ -39,7 +39,7 @@
 	case c.MaxPath > 0 && len(prefix) > c.MaxPath:
 		c.errorAt(FieldPrefix, "write a shorter prefix", "the prefix has %d bytes, while no path can have more than %d", len(prefix), c.MaxPath)
 	case i >= 0:
-		c.errorAt(FieldPrefix, "write the path only", "prefix %q contains %q, which no path has", prefix, []rune(prefix[i:])[0])
+		c.errorAt(FieldPrefix, "write the path only", "prefix %q contains %q, which a path has only as an escape", prefix, []rune(prefix[i:])[0])
 	case strings.Contains(prefix, "%"):
 		c.warnAt(FieldPrefix, "write the character itself", "prefix %q has a \"%%\", while paths are compared after their escapes are decoded", prefix)
 	case hasRelativeSegment(prefix):
--- a/core/configcheck/configcheck_test.go
+++ b/core/configcheck/configcheck_test.go
@@ -86,7 +86,7 @@
 		{"no prefix", func(_ *Input, q *cornelwall.Queue) { q.Prefix = "" }, nil,
 			"error 0.prefix: prefix \"\" does not begin with \"/\", and entries reject it; write /"},
 		{"prefix with query", func(_ *Input, q *cornelwall.Queue) { q.Prefix = "/holds?a=b" }, nil,
-			"error 0.prefix: prefix \"/holds?a=b\" contains '?', which no path has; write the path only"},
+			"error 0.prefix: prefix \"/holds?a=b\" contains '?', which a path has only as an escape; write the path only"},
 		{"prefix with escape", func(_ *Input, q *cornelwall.Queue) { q.Prefix = "/seat%20holds/" }, nil,
 			"warning 0.prefix: prefix \"/seat%20holds/\" has a \"%\", while paths are compared after their escapes are decoded; write the character itself"},
 		{"prefix with dots", func(_ *Input, q *cornelwall.Queue) { q.Prefix = "/a/../b/" }, nil,
@@ -110,7 +110,7 @@
 		{"limit below target", func(_ *Input, q *cornelwall.Queue) { q.Timeout = 50 * time.Millisecond }, nil,
 			"error 0.timeout: the time limit of 50ms is not above the fixed part of the target time, 60ms; raise the time limit, or lower objective"},
 		{"times out of range", func(_ *Input, q *cornelwall.Queue) { q.Timeout, q.Objective = 0, -time.Second }, nil,
-			"error 0.timeout: with a time limit of 0s, requests without a deadline are given up at once; set more than 0\n" +
+			"error 0.timeout: with a time limit of 0s, requests without a deadline have no time left; set more than 0\n" +
 				"error 0.objective: the fixed part of the target time, -1s, is below 0; set 0 or more"},
 		{"times too long", func(_ *Input, q *cornelwall.Queue) { q.Timeout, q.Objective = 1<<63-1, 25*time.Hour }, nil,
 			"error 0.timeout: the time limit of 2562047h47m16.854775807s is too long to calculate with; set at most 24h0m0s\n" +
@@ -122,7 +122,7 @@
 			map[string]State{"0.priority": StateMissing, "0.attempts": StateMissing, "0.timeout": StateMissing, "0.stretch": StateMissing},
 			"warning 0.priority: no priority is set, so that the queue gets the highest one, 0; set the priority\n" +
 				"warning 0.attempts: no attempts are set, so that a batch fails with the first task that fails; set the attempts\n" +
-				"error 0.timeout: no time limit is set, so that requests without a deadline are given up at once; set the time limit\n" +
+				"error 0.timeout: no time limit is set, so that requests without a deadline have no time left; set the time limit\n" +
 				"warning 0.stretch: no stretch is set, so that entries take 1; set the stretch"},
 		{"unreadable", func(_ *Input, q *cornelwall.Queue) { *q = cornelwall.Queue{} }, map[string]State{
 			"0.name": StateUnreadable, "0.host": StateUnreadable, "0.prefix": StateUnreadable, "0.service": StateUnreadable, "0.priority": StateUnreadable,
--- a/core/configcheck/queues.go
+++ b/core/configcheck/queues.go
@@ -144,9 +144,9 @@
 	limit, target := c.queue.Timeout, c.queue.Objective
 	switch {
 	case !c.isSet(FieldTimeout):
-		c.errorAt(FieldTimeout, "set the time limit", "no time limit is set, so that requests without a deadline are given up at once")
+		c.errorAt(FieldTimeout, "set the time limit", "no time limit is set, so that requests without a deadline have no time left")
 	case limit <= 0:
-		c.errorAt(FieldTimeout, "set more than 0", "with a time limit of %s, requests without a deadline are given up at once", limit)
+		c.errorAt(FieldTimeout, "set more than 0", "with a time limit of %s, requests without a deadline have no time left", limit)
 	case limit > maxTime:
 		c.errorAt(FieldTimeout, fmt.Sprintf("set at most %s", maxTime), "the time limit of %s is too long to calculate with", limit)
 	case limit <= target && c.isSet(FieldObjective):
