--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -18,9 +18,10 @@
 	// which are consecutive.
 	ownCancels    []*ownCancellation
 	ownByID       map[string]*ownCancellation
-	lastNumber    uint64    // of ownCancels
-	cancelsUnsent bool      // peers have not been told of the latest one
-	cancelsSentAt time.Time // when peers were last told of new ones
+	unanswered    []*ownCancellation // those for whose acknowledgement callers wait
+	lastNumber    uint64             // of ownCancels
+	cancelsUnsent bool               // peers have not been told of the latest one
+	cancelsSentAt time.Time          // when peers were last told of new ones
 }
 
 // ownCancellation is a cancellation that a caller has asked this entry for.
@@ -66,8 +67,11 @@
 	case !c.platformUp:
 		c.refuseCanceller(o, ev.Req, "platform")
 	default:
+		if len(o.callers) == 0 {
+			c.unanswered = append(c.unanswered, o)
+		}
 		o.callers = append(o.callers, canceller{req: ev.Req, askedAt: c.now})
-		c.checkCancellations()
+		c.answerCancellers()
 	}
 }
 
@@ -117,6 +121,11 @@
 // that take effect or whose time is over.
 func (c *Core) checkCancellations() {
 	c.repeatCancellations()
+	c.answerCancellers()
+}
+
+// answerCancellers answers the callers of cancellations that take effect or whose time is over.
+func (c *Core) answerCancellers() {
 	if !c.hasUnansweredCancel() {
 		return
 	}
@@ -124,24 +133,20 @@
 	if c.platformUp && !c.mustCatchUp() {
 		confirmed = c.confirmedNumber()
 	}
-	for _, o := range c.ownCancels {
-		if len(o.callers) == 0 {
-			continue
-		}
+	c.unanswered = slices.DeleteFunc(c.unanswered, func(o *ownCancellation) bool {
 		if o.number <= confirmed {
 			c.acknowledge(o)
-			continue
+			return true
 		}
-		waiting := o.callers[:0]
-		for _, w := range o.callers {
-			if c.now.Sub(w.askedAt) < cancelWait {
-				waiting = append(waiting, w)
-				continue
+		o.callers = slices.DeleteFunc(o.callers, func(w canceller) bool {
+			overdue := c.now.Sub(w.askedAt) >= cancelWait
+			if overdue {
+				c.refuseCanceller(o, w.req, "unconfirmed")
 			}
-			c.refuseCanceller(o, w.req, "unconfirmed")
-		}
-		o.callers = waiting
-	}
+			return overdue
+		})
+		return len(o.callers) == 0
+	})
 }
 
 // acknowledge answers the callers of a cancellation that takes effect.
@@ -167,12 +172,13 @@
 
 // refuseCancellers refuses all cancellations that are not acknowledged.
 func (c *Core) refuseCancellers(why string) {
-	for _, o := range c.ownCancels {
+	for _, o := range c.unanswered {
 		for _, w := range o.callers {
 			c.refuseCanceller(o, w.req, why)
 		}
 		o.callers = nil
 	}
+	c.unanswered = nil
 }
 
 // confirmingPeers returns the peers that have to confirm cancellations and have confirmed one.
@@ -196,13 +202,12 @@
 }
 
 // hasUnansweredCancel reports whether a caller waits for the answer to a cancellation.
-func (c *Core) hasUnansweredCancel() bool {
-	return slices.ContainsFunc(c.ownCancels, func(o *ownCancellation) bool { return len(o.callers) > 0 })
-}
+func (c *Core) hasUnansweredCancel() bool { return len(c.unanswered) > 0 }
 
 // forgetCanceller removes a caller that has disconnected. Its cancellation goes on.
 func (c *Core) forgetCanceller(req uint64) {
-	for _, o := range c.ownCancels {
+	c.unanswered = slices.DeleteFunc(c.unanswered, func(o *ownCancellation) bool {
 		o.callers = slices.DeleteFunc(o.callers, func(w canceller) bool { return w.req == req })
-	}
+		return len(o.callers) == 0
+	})
 }
--- a/core/dispatch/cancelsend.go
+++ b/core/dispatch/cancelsend.go
@@ -113,5 +113,5 @@
 	}
 	p.cancels.confirmed, p.cancels.repeats = m.Last, 0
 	p.cancels.sent = max(p.cancels.sent, m.Last)
-	c.checkCancellations()
+	c.answerCancellers()
 }
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -154,7 +154,7 @@
 	c.caughtUp = true
 	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "cancelled", len(c.cancelled))
 	c.backlogChanged = true
-	c.checkCancellations()
+	c.answerCancellers()
 }
 
 // pickInformant returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
