--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	catchUpMargin   = 2*cancelWait + time.Second // before an entry lost track, from which on it may have missed cancellations: they were acknowledged later
+	catchUpMargin   = 2*cancelWait + time.Second // before the start of a gap, from which on cancellations may have been missed: they were acknowledged in the gap
 	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
 	catchUpPatience = 300 * time.Millisecond     // after which an entry that has not caught up refuses batches
 	catchUpTimeout  = 300 * time.Millisecond     // for a peer to answer
@@ -22,7 +22,7 @@
 	caughtUp   bool
 	missedFrom time.Time // cancellations since then may have been missed
 	holdFrom   time.Time // nothing starts from then on until it has caught up
-	lostAt     time.Time // when it lost track
+	lostAt     time.Time // when the gap was noticed
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
 
@@ -53,9 +53,9 @@
 	return c.catchingUp() && c.now.Sub(c.holdFrom) > catchUpPatience
 }
 
-// loseTrack records that this entry may have missed cancellations, for a reason and since a time, and that
+// noteMissed records that this entry may have missed cancellations, for a reason and since a time, and that
 // it starts nothing from hold on until it has caught up.
-func (c *Core) loseTrack(why string, since, hold time.Time) {
+func (c *Core) noteMissed(why string, since, hold time.Time) {
 	if !c.keepsCancellations() {
 		return
 	}
@@ -99,7 +99,7 @@
 	}
 	c.log("entry-listed", "listed", listed)
 	if !listed {
-		c.loseTrack("unlisted", c.listedAt, c.now.Add(catchUpGrace))
+		c.noteMissed("unlisted", c.listedAt, c.now.Add(catchUpGrace))
 	}
 	c.catchUp()
 }
@@ -141,7 +141,7 @@
 		return
 	}
 	for ; asked < min(catchUpAsks, open); asked++ {
-		p := c.pickInformant()
+		p := c.pickCatchUpPeer()
 		if p == nil {
 			return
 		}
@@ -157,9 +157,9 @@
 	c.answerCancellers()
 }
 
-// pickInformant returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
+// pickCatchUpPeer returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
 // answers heartbeats rather than another.
-func (c *Core) pickInformant() *peer {
+func (c *Core) pickCatchUpPeer() *peer {
 	var best *peer
 	for i := range c.peersByID {
 		p := c.peersByID[(i+int(c.nameHash%uint64(len(c.peersByID))))%len(c.peersByID)]
@@ -167,14 +167,14 @@
 		if !c.mustConfirm(p) || c.answered[p.id] || asked && c.now.Sub(at) < catchUpTimeout {
 			continue
 		}
-		if best == nil || c.isBetterInformant(p, best) {
+		if best == nil || c.isBetterCatchUpPeer(p, best) {
 			best = p
 		}
 	}
 	return best
 }
 
-func (c *Core) isBetterInformant(p, q *peer) bool {
+func (c *Core) isBetterCatchUpPeer(p, q *peer) bool {
 	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
 		return a.Before(b)
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -262,7 +262,7 @@
 	if pause := c.now.Sub(c.lastTick); pause > pauseThreshold {
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
-		c.loseTrack("pause", c.lastTick, c.now)
+		c.noteMissed("pause", c.lastTick, c.now)
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -228,7 +228,7 @@
 	}
 	c.platformUp = false
 	c.log("platform-lost")
-	c.loseTrack("platform", c.listedAt, c.now.Add(catchUpGrace))
+	c.noteMissed("platform", c.listedAt, c.now.Add(catchUpGrace))
 	for _, p := range c.peersByID {
 		if !c.wantsLink(p) {
 			p.unansweredSince = time.Time{} // heartbeats without an answer count from now on
