--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	catchUpMargin   = 2*cancelWait + time.Second // before an entry lost track, from which on it may have missed cancellations: they were acknowledged later
+	catchUpMargin   = 2*cancelWait + time.Second // before the start of a gap, from which on cancellations may have been missed: they were acknowledged in the gap
 	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
 	catchUpPatience = time.Second                // after which an entry that is not on the list refuses batches
 	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
 	// long as the cut lasts, and callers have to be served meanwhile.
-	maxAskHold     = 300 * time.Millisecond
+	maxAskHold     = 150 * time.Millisecond
 	catchUpTimeout = 300 * time.Millisecond // for a peer to answer
 	catchUpAsks    = 2                      // peers that are asked at a time
 	catchUpQuorum  = 2                      // answers of peers that have missed nothing themselves
@@ -25,7 +25,7 @@
 	caughtUp   bool
 	missedFrom time.Time // cancellations since then may have been missed
 	holdFrom   time.Time // nothing starts from then on until it has caught up
-	lostAt     time.Time // when it lost track
+	lostAt     time.Time // when the gap was noticed
 	askingAt   time.Time // when it first could ask its peers since then; zero if it could not
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
@@ -62,9 +62,9 @@
 	return c.catchingUp() && c.askingAt.IsZero() && c.now.Sub(c.holdFrom) > catchUpPatience
 }
 
-// loseTrack records that this entry may have missed cancellations, for a reason and since a time, and that
+// noteMissed records that this entry may have missed cancellations, for a reason and since a time, and that
 // it starts nothing from hold on until it has caught up.
-func (c *Core) loseTrack(why string, since, hold time.Time) {
+func (c *Core) noteMissed(why string, since, hold time.Time) {
 	if !c.keepsCancellations() {
 		return
 	}
@@ -108,7 +108,7 @@
 	}
 	c.log("entry-listed", "listed", listed)
 	if !listed {
-		c.loseTrack("unlisted", c.listedAt, c.now.Add(catchUpGrace))
+		c.noteMissed("unlisted", c.listedAt, c.now.Add(catchUpGrace))
 	}
 	c.catchUp()
 }
@@ -153,7 +153,7 @@
 		return
 	}
 	for ; asked < min(catchUpAsks, open); asked++ {
-		p := c.pickInformant()
+		p := c.pickCatchUpPeer()
 		if p == nil {
 			return
 		}
@@ -166,12 +166,12 @@
 	c.caughtUp = true
 	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "cancelled", len(c.cancelled))
 	c.backlogChanged = true
-	c.checkCancellations()
+	c.answerCancellers()
 }
 
-// pickInformant returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
+// pickCatchUpPeer returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
 // answers heartbeats rather than another.
-func (c *Core) pickInformant() *peer {
+func (c *Core) pickCatchUpPeer() *peer {
 	var best *peer
 	for i := range c.peersByID {
 		p := c.peersByID[(i+int(c.nameHash%uint64(len(c.peersByID))))%len(c.peersByID)]
@@ -179,14 +179,14 @@
 		if !c.mustConfirm(p) || c.answered[p.id] || asked && c.now.Sub(at) < catchUpTimeout {
 			continue
 		}
-		if best == nil || c.isBetterInformant(p, best) {
+		if best == nil || c.isBetterCatchUpPeer(p, best) {
 			best = p
 		}
 	}
 	return best
 }
 
-func (c *Core) isBetterInformant(p, q *peer) bool {
+func (c *Core) isBetterCatchUpPeer(p, q *peer) bool {
 	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
 		return a.Before(b)
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -282,7 +282,7 @@
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
 		c.doubtEvacuations(pause)
-		c.loseTrack("pause", c.lastTick, c.now)
+		c.noteMissed("pause", c.lastTick, c.now)
 	}
 	c.lastTick, c.backlogChanged = c.now, true
 	c.checkPeers()
