--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -8,7 +8,7 @@
 
 const (
 	catchUpMargin   = 2*cancelWait + time.Second // before the start of a gap, from which on cancellations may have been missed: they were acknowledged in the gap
-	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, or finds the platform again, goes on
+	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, finds the platform again or has started goes on
 	catchUpPatience = time.Second                // after which an entry that is not on the list refuses batches
 	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
 	// long as the cut lasts, and callers have to be served meanwhile.
@@ -38,7 +38,7 @@
 
 func newCatchUpState(now time.Time) catchUpState {
 	return catchUpState{
-		holdFrom: now, lostAt: now, missedFrom: now.Add(-cancellationTTL),
+		holdFrom: now.Add(catchUpGrace), lostAt: now, missedFrom: now.Add(-cancellationTTL),
 		askedAt: map[cornelwall.Incarnation]time.Time{}, answered: map[cornelwall.Incarnation]bool{},
 	}
 }
