Answer no batch as not run whose earlier submission may have run

A batch that is submitted again while runs of an earlier submission may not have ended, or endpoints have crashed under them, was answered 503 (not run) on arrival when the load was too high, the time too short, all data centres evacuated, the entry stopping or the queue not known.

The load is no reason to turn such a batch away now: giving it up would be final for its caller, and one that waits is not given up for the load either. What cannot be done is given up at once.

--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -89,6 +89,9 @@
 func (c *Core) handleSubmitBatch(ev cornelwall.SubmitBatch) {
 	var j *job // that is refused; nil if the reason is not the load
 	refuse := func(end cornelwall.BatchEnd, why cornelwall.Reason, text string) {
+		if end == cornelwall.BatchRefused && c.mayHaveRun(ev.Batch.ID) {
+			end, text = cornelwall.BatchGivenUp, "tasks of an earlier submission of the batch may have run; "+text
+		}
 		a := cornelwall.BatchAnswer{End: end, Reason: why, Text: text}
 		if end == cornelwall.BatchRefused {
 			a.RetryAfter = c.retryAfter(j, ev.Req)
@@ -157,15 +160,20 @@
 	return j.queue.Name
 }
 
-// newJob returns the job of a submitted batch. It counts as started if runs of an earlier
-// submission of the batch may not have ended, or endpoints have crashed under them.
+// mayHaveRun reports whether tasks of an earlier submission of a batch may have run: their runs may not have ended, or
+// endpoints have crashed under them.
+func (c *Core) mayHaveRun(batch string) bool {
+	return c.pendingEnds.perBatch[batch] > 0 || c.crashes.hasBatch(batch)
+}
+
+// newJob returns the job of a submitted batch. It counts as started if tasks of an earlier submission of the batch may have run.
 func (c *Core) newJob(q *cornelwall.Queue, ev *cornelwall.SubmitBatch) *job {
 	deadline := c.callerDeadline(q, ev)
 	j := &job{
 		id: ev.Batch.ID, queue: *q, batch: ev.Batch,
 		callers:     []jobCaller{{req: ev.Req, deadline: deadline}},
 		submittedAt: c.now.Add(-ev.Waited), deadline: deadline,
-		started:           c.pendingEnds.perBatch[ev.Batch.ID] > 0 || c.crashes.hasBatch(ev.Batch.ID),
+		started:           c.mayHaveRun(ev.Batch.ID),
 		reportedRemaining: 1,
 		unfinished:        make([]int, len(ev.Batch.Steps)),
 	}
@@ -181,7 +189,8 @@
 	return j
 }
 
-// admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone.
+// admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone. The load is no reason if
+// tasks of the batch may have run: it could only be given up, and one that waits here is not given up for the load either.
 func (c *Core) admissionRefusal(j *job) cornelwall.Reason {
 	if c.allEvacuated() {
 		return cornelwall.ReasonEvacuated
@@ -193,12 +202,14 @@
 	if !j.started && c.catchUpOverdue() {
 		return cornelwall.ReasonStale
 	}
-	switch c.admit(j, b) {
-	case policy.RefuseTooLate:
+	switch admission := c.admit(j, b); {
+	case admission == policy.RefuseTooLate:
 		return cornelwall.ReasonTooLate
-	case policy.RefuseFull:
+	case admission == policy.Admit || j.started:
+		return cornelwall.ReasonNone
+	case admission == policy.RefuseFull:
 		return cornelwall.ReasonQueueFull
-	case policy.RefuseShed:
+	case admission == policy.RefuseShed:
 		c.countShed(j)
 		return cornelwall.ReasonShed
 	}
