Confirm evacuations after a freeze by what is newer, and check what peers tell

- Two entries that had been frozen together confirmed each other's old state.
One that has not heard of the state since its freeze says so now (evacuatedUnsure), and confirms nothing.
- The doubt ended after 1 s, while a watch on a dead connection fails after 2.6 s.
It lasts up to 4 s now unless the store is lost.
The entry asks four peers at once: links expire during the freeze in a fleet without a full mesh, so that nobody was asked.
The test of an entry that is alone covered the 1 s without losing the store; it covers both cases now.
- Owners gave tasks to holders of older versions in evacuated data centres, which start them.
- Data centres that are not evacuated any more stayed on the list and in each heartbeat, and the list had no limit.
The tests that expected them on the list now check that they leave it, and that an older state does not bring them back.
- A revision that the store cannot have reached made all later reads ineffective in the fleet.
- A list that is not complete counted as knowing the state, and peers' states were applied where the settings do not ask for it.

--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -10,9 +10,17 @@
 )
 
 const (
-	// evacuationConfirmTimeout is how long an entry that has resumed from a long pause waits for newer word of the
-	// evacuations. A watch of the store that was sent after the pause is answered at once if there is any.
+	// evacuationConfirmTimeout is how long an entry that has resumed from a long pause, and has lost the platform, waits for a
+	// peer that confirms the evacuations.
 	evacuationConfirmTimeout = time.Second
+	// evacuationReadTimeout is the same for an entry that has not lost the platform. A watch on a connection that has died
+	// fails only after 2.6 s, and the list that follows it takes up to 0.6 s.
+	evacuationReadTimeout = 4 * time.Second
+	evacuationAsks        = 4 // peers that are asked to confirm the evacuations after a long pause
+	// maxRevisionLead and maxRevisionRate bound by how much the revision that a peer tells may exceed the last one that this
+	// entry has read from the platform's store, which takes some 400 writes per second.
+	maxRevisionLead = 10_000
+	maxRevisionRate = 10_000 // per second since that read
 	// longPauseShare is the share of Limits.EvacuateTime from which on a pause of the process is long. After a shorter one there
 	// is time enough to hear of what has changed.
 	longPauseShare = 0.2
@@ -23,17 +31,29 @@
 //
 // Every element of list is as of completeAsOf or later: with each complete state, the data centres that are
 // missing from it count as not evacuated as of its revision. So an old state of a data centre that is not on the list is
-// told from a new one, too.
+// told from a new one, too. What is not active as of completeAsOf needs no place in the list.
 type evacuations struct {
 	list         []cornelwall.Evacuation // sorted by data centre; never modified, as heartbeats share it
 	completeAsOf int64                   // revision as of which no data centre is evacuated that is not on the list; 0 if not known
 	confirmedAt  time.Time               // when the store, or a peer that reads it, was last asked and has answered since
 	doubtedAt    time.Time               // end of the last long pause of the process
+	storeRev     int64                   // greatest revision that was read from the store; 0 if none
+	storeReadAt  time.Time
+}
+
+// isPlausible reports whether the platform's store may have reached a revision that a peer tells.
+func (e *evacuations) isPlausible(rev int64, now time.Time) bool {
+	return e.storeRev == 0 || rev-e.storeRev <= maxRevisionLead+int64(now.Sub(e.storeReadAt).Seconds()*maxRevisionRate)
 }
 
 // handleEvacuationsRead applies the state that was read from the platform's store.
 func (c *Core) handleEvacuationsRead(ev cornelwall.EvacuationsRead) {
 	rev := max(ev.Revision, 1)
+	c.evacuations.storeRev, c.evacuations.storeReadAt = max(c.evacuations.storeRev, rev), c.now
+	c.dropImplausible()
+	if len(ev.List) > cornelwall.MaxEvacuations {
+		c.log("evacuations-dropped", "keys", len(ev.List), "limit", cornelwall.MaxEvacuations)
+	}
 	list := slices.Clone(ev.List)
 	for i := range list {
 		list[i].Revision = max(list[i].Revision, rev)
@@ -47,15 +67,42 @@
 
 // noteEvacuations applies the state that a heartbeat of a peer carries.
 func (c *Core) noteEvacuations(p *peer, m *cornelwall.SessionHeartbeat) {
-	if len(m.Evacuations) == 0 && m.EvacuationsAsOf <= 0 {
+	p.tellsEvacuations = len(m.Evacuations) > 0 || m.EvacuationsAsOf > 0
+	if !c.readsEvacuations() || !p.tellsEvacuations {
 		return // it does not know the state, or is of an older version
 	}
+	if !c.isPlausibleState(m) {
+		if !p.implausible {
+			c.log("evacuations-implausible", "source", p.id, "revision", m.EvacuationsAsOf, "read", c.evacuations.storeRev)
+		}
+		p.implausible = true
+		return
+	}
+	p.implausible = false
 	c.applyEvacuations(m.Evacuations, m.EvacuationsAsOf, p.id.String())
-	if at, ok := p.sentTime(m.AckedSeq); ok && !m.PlatformLost {
+	if at, ok := p.sentTime(m.AckedSeq); ok && !m.PlatformLost && !m.EvacuationsDoubted && m.EvacuationsAsOf > 0 {
 		c.confirmEvacuations(at)
 	}
 }
 
+// isPlausibleState reports whether the platform's store may have reached the revisions in a heartbeat.
+func (c *Core) isPlausibleState(m *cornelwall.SessionHeartbeat) bool {
+	return c.evacuations.isPlausible(m.EvacuationsAsOf, c.now) && !slices.ContainsFunc(m.Evacuations, func(e cornelwall.Evacuation) bool {
+		return !c.evacuations.isPlausible(e.Revision, c.now)
+	})
+}
+
+// dropImplausible forgets what peers have told as of revisions that the platform's store has not reached: no read of the
+// store would replace it. It was taken before the first read.
+func (c *Core) dropImplausible() {
+	e := &c.evacuations
+	if e.isPlausible(e.completeAsOf, c.now) && !slices.ContainsFunc(e.list, func(x cornelwall.Evacuation) bool { return !e.isPlausible(x.Revision, c.now) }) {
+		return
+	}
+	c.log("evacuations-implausible", "source", "peers", "revision", e.completeAsOf, "read", e.storeRev)
+	e.list, e.completeAsOf = nil, 0
+}
+
 func (c *Core) confirmEvacuations(at time.Time) {
 	if at.After(c.evacuations.confirmedAt) {
 		c.evacuations.confirmedAt = at
@@ -94,7 +141,8 @@
 			apply(cornelwall.Evacuation{DataCentre: e.DataCentre, Revision: completeAsOf})
 		}
 	}
-	c.evacuations.list, c.evacuations.completeAsOf = next, max(c.evacuations.completeAsOf, completeAsOf)
+	c.evacuations.completeAsOf = max(c.evacuations.completeAsOf, completeAsOf)
+	c.evacuations.list = c.neededEvacuations(next)
 	for _, e := range changes {
 		c.log("evacuation", "dc", e.DataCentre, "active", e.Active, "revision", e.Revision, "source", source, "runs", c.runsIn(e.DataCentre))
 	}
@@ -104,6 +152,30 @@
 	}
 }
 
+// neededEvacuations returns a list without what completeAsOf tells as well, and of MaxEvacuations at most: data centres that have
+// entries or endpoints come first.
+func (c *Core) neededEvacuations(list []cornelwall.Evacuation) []cornelwall.Evacuation {
+	needed := slices.DeleteFunc(slices.Clone(list), func(e cornelwall.Evacuation) bool {
+		return !e.Active && e.Revision <= c.evacuations.completeAsOf
+	})
+	if len(needed) > cornelwall.MaxEvacuations {
+		slices.SortStableFunc(needed, func(a, b cornelwall.Evacuation) int {
+			return cmp.Compare(c.rankOfCentre(a.DataCentre), c.rankOfCentre(b.DataCentre))
+		})
+		needed = needed[:cornelwall.MaxEvacuations]
+		slices.SortFunc(needed, func(a, b cornelwall.Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	}
+	return needed
+}
+
+// rankOfCentre returns 0 for a data centre that has entries or endpoints, and 1 for any other.
+func (c *Core) rankOfCentre(dc string) int {
+	if len(c.ranking.byCentre[dc]) > 0 || slices.ContainsFunc(c.endpointsByName, func(ep *endpoint) bool { return ep.DataCentre == dc }) {
+		return 0
+	}
+	return 1
+}
+
 func compareDataCentre(e cornelwall.Evacuation, dc string) int { return cmp.Compare(e.DataCentre, dc) }
 
 // replaces reports whether e is newer than what was known of its data centre. Of two states as of one revision, which
@@ -137,29 +209,61 @@
 func (c *Core) readsEvacuations() bool { return c.cfg.Limits.EvacuateTime > 0 }
 
 // knowsEvacuations reports whether the store or a peer has told which data centres are evacuated, if
-// that is to be known. An entry that does not know takes no endpoint, so that it starts nothing.
+// that is to be known. An entry that does not know takes no endpoint, so that it starts nothing. A list that is not complete may
+// lack a data centre.
 func (c *Core) knowsEvacuations() bool {
-	return !c.readsEvacuations() || c.evacuations.completeAsOf > 0 || len(c.evacuations.list) > 0
+	return !c.readsEvacuations() || c.evacuations.completeAsOf > 0
+}
+
+// startsInEvacuated reports whether a peer may start tasks in its data centre although that is evacuated: it does not tell
+// which ones are, so that it is of an older version.
+func (c *Core) startsInEvacuated(p *peer) bool {
+	return !p.tellsEvacuations && c.isEvacuated(p.id.DataCentre)
 }
 
 // mayStartIn reports whether a run may start in a data centre now. After a long pause of the process the state may
 // be out of date, and is confirmed first.
 func (c *Core) mayStartIn(dc string) bool { return !c.isEvacuated(dc) && !c.awaitsEvacuations() }
 
-// awaitsEvacuations reports whether the state has still to be confirmed after a pause of the process.
+// awaitsEvacuations reports whether the state has still to be confirmed after a pause of the process. An entry that gets
+// no answer goes on after a while.
 func (c *Core) awaitsEvacuations() bool {
-	return c.evacuations.confirmedAt.Before(c.evacuations.doubtedAt) && c.now.Sub(c.evacuations.doubtedAt) < evacuationConfirmTimeout
+	timeout := evacuationReadTimeout
+	if !c.platformUp {
+		timeout = evacuationConfirmTimeout
+	}
+	return c.doubtsEvacuations() && c.now.Sub(c.evacuations.doubtedAt) < timeout
 }
 
-// doubtEvacuations has the state confirmed after a long pause of the process. The next heartbeats ask for
-// replies, which do so.
+// doubtsEvacuations reports whether the state has not been confirmed since the last long pause of the process. It
+// confirms no peer's state meanwhile, as two entries that have paused at the same time would confirm each other's.
+func (c *Core) doubtsEvacuations() bool {
+	return c.evacuations.confirmedAt.Before(c.evacuations.doubtedAt)
+}
+
+// doubtEvacuations has the state confirmed after a long pause of the process, by the platform's store or by peers.
 func (c *Core) doubtEvacuations(pause time.Duration) {
 	if !c.readsEvacuations() || float64(pause) < longPauseShare*float64(c.cfg.Limits.EvacuateTime) {
 		return
 	}
 	c.evacuations.doubtedAt = c.now
-	for _, p := range c.links {
-		p.replyNow = true
+	asked := 0
+	for _, p := range slices.Clone(c.links) {
+		if asked < evacuationAsks || c.wantsLink(p) {
+			c.askForProof(p)
+			asked++
+		}
+	}
+	// Links that were used before the pause have expired, and may all be to peers that do not answer.
+	for i := range 2 * evacuationAsks {
+		if asked >= evacuationAsks {
+			return
+		}
+		c.seekSalt++
+		if p := c.pickUnlinkedPeer(i%2 == 0, false); p != nil {
+			c.askForProof(p)
+			asked++
+		}
 	}
 }
 
--- a/core/dispatch/evacuations_test.go
+++ b/core/dispatch/evacuations_test.go
@@ -223,10 +223,14 @@
 }
 
 // TestEntryConfirmsEvacuationsAfterFreeze freezes an entry while its data centre is evacuated, and lets messages take longer than
-// resumeDelay afterwards. It started runs at once. An entry that is alone must go on after a while.
+// resumeDelay afterwards. It started runs at once. An entry that is alone must go on after a while; if it has not lost the platform, only
+// once a watch on a dead connection has failed and the list after it has been read.
 func TestEntryConfirmsEvacuationsAfterFreeze(t *testing.T) {
-	for _, alone := range []bool{false, true} {
-		s := newEvacuationTest(t, 1, 0)
+	for _, tc := range []struct {
+		alone, lost bool
+		timeout     time.Duration
+	}{{false, false, evacuationReadTimeout}, {true, false, evacuationReadTimeout}, {true, true, evacuationConfirmTimeout}} {
+		s, alone := newEvacuationTest(t, 1, 0), tc.alone
 		id := s.order[0]
 		if alone {
 			delete(s.cores, s.order[1])
@@ -239,13 +243,103 @@
 		delete(s.frozen, id)
 		s.extraDelay = func(_, _ cornelwall.Incarnation, _ *cornelwall.Message) time.Duration { return 150 * time.Millisecond }
 		s.submit(id, 2)
-		s.advance(evacuationConfirmTimeout)
+		if tc.lost {
+			s.step(id, cornelwall.PlatformLost{})
+		}
+		s.advance(tc.timeout)
 		assert.Equal(t, s.starts["dc0"], 0)
 		s.advance(time.Second)
 		assert.Equal(t, s.starts["dc0"] > 0, alone)
 	}
 }
 
+// TestEntriesThatFrozeTogetherConfirmNothing freezes two entries while a data centre is evacuated, and cuts them off from the third one
+// afterwards. Each took the heartbeat of the other, which knew no more, for the confirmation of what it knew.
+func TestEntriesThatFrozeTogetherConfirmNothing(t *testing.T) {
+	s := newEvacuationTest(t, 1, 0)
+	other := s.order[2]
+	s.messageLost = func(from, to cornelwall.Incarnation) bool { return from == other || to == other }
+	s.frozen[s.order[0]], s.frozen[s.order[1]] = true, true
+	s.advance(time.Second)
+	s.evacuate(s.order[2:], "dc0")
+	s.advance(6 * time.Second)
+	clear(s.frozen)
+	s.submit(s.order[0], 2)
+	s.advance(evacuationReadTimeout - time.Second)
+	assert.Equal(t, s.starts["dc0"]+s.starts["dc1"], 0)
+	s.read(s.order[1])
+	s.advance(300 * time.Millisecond)
+	assert.Equal(t, s.starts["dc0"], 0)
+	assert.Assert(t, s.starts["dc1"] > 0, "the read of one entry does not confirm what the other knows")
+}
+
+// TestEntryWithoutLinksAsksPeersAfterFreeze lets an entry of a fleet, whose links have expired, stand still. It asked no peer, and started runs
+// on what it knew before.
+func TestEntryWithoutLinksAsksPeersAfterFreeze(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e00", Epoch: 1}, Addr: addr, MaxMeshPeers: -1, Limits: Limits{EvacuateTime: 5 * time.Second}}, now)
+	var members []cornelwall.Member
+	for i := range 12 {
+		members = append(members, cornelwall.Member{ID: cornelwall.Incarnation{DataCentre: fmt.Sprint("dc", i%3), Entry: fmt.Sprintf("e%02d", i), Epoch: 1}, Addr: addr})
+	}
+	c.Step(now, cornelwall.MembersListed{List: members})
+	c.Step(now, cornelwall.EvacuationsRead{Revision: 7, AsOf: now})
+	now = now.Add(1500 * time.Millisecond)
+	asked := map[string]bool{}
+	for _, cmd := range c.Step(now, cornelwall.Tick{}) {
+		if s, ok := cmd.(cornelwall.Send); ok && s.Message.SessionHeartbeat != nil && s.Message.SessionHeartbeat.ReplyNow {
+			asked[s.To.Entry] = true
+		}
+	}
+	assert.Equal(t, len(asked), evacuationAsks, "%v", asked)
+	assert.Assert(t, c.awaitsEvacuations())
+}
+
+// TestOlderHolderInEvacuatedDataCentreGetsNoTasks guards against tasks for a holder of a version that starts them although its data
+// centre is evacuated.
+func TestOlderHolderInEvacuatedDataCentreGetsNoTasks(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}, Addr: addr, Limits: Limits{EvacuateTime: 5 * time.Second}}, now)
+	c.Step(now, cornelwall.EvacuationsRead{List: []cornelwall.Evacuation{{DataCentre: "dc1", Revision: 7, Active: true}}, Revision: 7})
+	var options []string
+	for i, asOf := range []int64{0, 7} {
+		for dc := range 2 {
+			id := cornelwall.Incarnation{DataCentre: fmt.Sprint("dc", dc), Entry: fmt.Sprintf("p%d", i), Epoch: 1}
+			p := c.getOrAddPeer(cornelwall.Member{ID: id, Addr: addr}, true)
+			c.addLink(p)
+			c.Step(now, cornelwall.Receive{Envelope: cornelwall.Envelope{From: id, To: c.cfg.Self, Messages: []cornelwall.Message{
+				{SessionHeartbeat: &cornelwall.SessionHeartbeat{Addr: addr, Seq: 1, Session: 1, EvacuationsAsOf: asOf}},
+			}}})
+			p.sessionOpen, p.provenAt = true, now
+		}
+	}
+	for _, h := range c.holderOptions() {
+		options = append(options, h.ID.DataCentre+" "+h.ID.Entry)
+	}
+	slices.Sort(options)
+	assert.DeepEqual(t, options, []string{"dc0 e1", "dc0 p0", "dc0 p1", "dc1 p1"})
+}
+
+// TestListOfEvacuationsIsBounded guards against messages that grow with the number of keys that the operator writes, and against a
+// data centre with entries that is left out for others.
+func TestListOfEvacuationsIsBounded(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	addr := netip.MustParseAddrPort("10.0.0.1:7001")
+	c := New(Config{Self: cornelwall.Incarnation{DataCentre: "zz", Entry: "e1", Epoch: 1}, Addr: addr, Limits: Limits{EvacuateTime: 5 * time.Second}}, now)
+	c.Step(now.Add(tickInterval), cornelwall.Tick{}) // which ranks the data centres
+	list := []cornelwall.Evacuation{{DataCentre: "zz", Revision: 7, Active: true}}
+	for i := range 2 * cornelwall.MaxEvacuations {
+		list = append(list, cornelwall.Evacuation{DataCentre: fmt.Sprint("dc", i), Revision: 7, Active: true})
+	}
+	c.Step(now.Add(tickInterval), cornelwall.EvacuationsRead{List: list, Revision: 7})
+	assert.Equal(t, len(c.evacuations.list), cornelwall.MaxEvacuations)
+	assert.Assert(t, c.isEvacuated("zz"))
+	assert.NilError(t, cornelwall.CheckEvacuations(c.evacuations.list))
+	assert.ErrorContains(t, cornelwall.CheckEvacuations(list), "at most")
+}
+
 // TestWaitingRunsAreReturnedAtEvacuation evacuates a data centre in which one of two waiting runs needs an endpoint. That one waited for
 // the end of the evacuation. One that an owner of an older version sends afterwards must be returned too.
 func TestWaitingRunsAreReturnedAtEvacuation(t *testing.T) {
@@ -321,7 +415,8 @@
 }
 
 // TestOlderStateReplacesNoNewerOne applies states of the store and of peers in any order. An evacuation that had ended came back
-// with the heartbeat of an entry that had not heard of that.
+// with the heartbeat of an entry that had not heard of that. One that has ended must not stay on the list, and a peer with a
+// revision that the store has not reached must not make reads of the store ineffective.
 func TestOlderStateReplacesNoNewerOne(t *testing.T) {
 	type list = []cornelwall.Evacuation
 	on := func(rev int64) list { return list{{DataCentre: "dc0", Revision: rev, Active: true}} }
@@ -344,20 +439,35 @@
 		{"evacuated", []cornelwall.Event{store(5, nil), store(7, on(7))}, on(7)},
 		{"as of the revision of the list", []cornelwall.Event{store(9, on(7))}, on(9)},
 		{"by a page of a list after the first one", []cornelwall.Event{store(5, on(7))}, on(7)},
-		{"missing from the list", []cornelwall.Event{store(7, on(7)), store(9, nil)}, off(9)},
+		{"missing from the list", []cornelwall.Event{store(7, on(7)), store(9, nil)}, nil},
 		{"an older list", []cornelwall.Event{store(9, nil), store(7, on(7))}, nil},
-		{"an older list of a known data centre", []cornelwall.Event{store(7, on(7)), store(9, nil), store(8, on(7))}, off(9)},
+		{"an older list of a known data centre", []cornelwall.Event{store(7, on(7)), store(9, nil), store(8, on(7))}, nil},
 		{"a peer that has not heard of the end", []cornelwall.Event{store(9, nil), peer(7, on(7))}, nil},
-		{"a peer that knows more", []cornelwall.Event{store(7, on(7)), peer(9, off(9))}, off(9)},
-		{"a peer that knows more and never heard of it", []cornelwall.Event{store(7, on(7)), peer(9, nil)}, off(9)},
+		{"a peer that knows more", []cornelwall.Event{store(7, on(7)), peer(9, off(9))}, nil},
+		{"a peer that knows more and never heard of it", []cornelwall.Event{store(7, on(7)), peer(9, nil)}, nil},
 		{"a peer of an older version", []cornelwall.Event{store(7, on(7)), peer(0, nil)}, on(7)},
+		{"a list that is not complete and tells of an end", []cornelwall.Event{store(7, on(7)), peer(0, off(9))}, off(9)},
+		{"an end, and a peer that has not heard of it", []cornelwall.Event{store(7, on(7)), store(9, nil), peer(7, on(7)), peer(8, on(8))}, nil},
+		{"an end, and a new evacuation", []cornelwall.Event{store(7, on(7)), store(9, nil), peer(10, on(10))}, on(10)},
+		{"a peer with a revision that the store has not reached", []cornelwall.Event{store(7, nil), peer(1<<62, nil), store(8, on(8))}, on(8)},
+		{"the same in the list until the next read", []cornelwall.Event{store(7, nil), peer(7, on(1<<62))}, nil},
+		{"the same in the list", []cornelwall.Event{store(7, nil), peer(7, on(1<<62)), store(8, nil)}, nil},
+		{"the same before the first read", []cornelwall.Event{peer(1<<62, nil), store(8, on(8))}, on(8)},
+		{"the same in the list before the first read", []cornelwall.Event{peer(7, on(1<<62)), store(8, nil)}, nil},
 		{"two states of one revision", []cornelwall.Event{store(7, nil), peer(7, on(7)), store(7, nil)}, on(7)},
 	} {
 		now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
-		c := New(Config{Self: self, Addr: addr}, now)
+		c := New(Config{Self: self, Addr: addr, Limits: Limits{EvacuateTime: 5 * time.Second}}, now)
 		for _, ev := range tc.events {
 			c.Step(now, ev)
 		}
-		assert.DeepEqual(t, c.baseHeartbeat().Evacuations, tc.want)
+		assert.Assert(t, slices.Equal(c.baseHeartbeat().Evacuations, tc.want), "%s: %v", tc.name, c.baseHeartbeat().Evacuations)
 	}
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	c := New(Config{Self: self, Addr: addr, Limits: Limits{EvacuateTime: 5 * time.Second}}, now)
+	c.Step(now, peer(0, on(7)))
+	assert.Assert(t, c.isEvacuated("dc0") && !c.knowsEvacuations(), "a list that is not complete counts as the whole state")
+	c = New(Config{Self: self, Addr: addr}, now)
+	c.Step(now, peer(7, on(7)))
+	assert.Assert(t, !c.isEvacuated("dc0"), "an evacuation is taken from a peer where the settings do not ask for it")
 }
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -192,7 +192,7 @@
 	return cornelwall.SessionHeartbeat{
 		Addr: c.cfg.Addr, Weight: c.cfg.Weight, Leaving: c.isStopping(), Version: c.queueConfig.Version, MaxFence: c.highestFence,
 		FreeCapacity: c.freeCapacity(), PlatformLost: !c.platformUp, NoEndpointList: c.listRev == 0, Waiting: c.waitingByQueue(), Slowdown: c.medianSlowdown,
-		Evacuations: c.evacuations.list, EvacuationsAsOf: c.evacuations.completeAsOf,
+		Evacuations: c.evacuations.list, EvacuationsAsOf: c.evacuations.completeAsOf, EvacuationsDoubted: c.doubtsEvacuations(),
 	}
 }
 
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -71,6 +71,9 @@
 	load           []peerLoad           // its own demand and capacity, as last reported
 	loadSentAt     time.Time            // when a load report was last sent to it
 	cancels        peerCancels
+
+	tellsEvacuations bool // its last heartbeat tells which data centres are evacuated
+	implausible      bool // it tells that as of a revision that the platform's store has not reached
 }
 
 // entryName identifies an entry across its incarnations.
--- a/evacuation.go
+++ b/evacuation.go
@@ -25,8 +25,14 @@
 	return errors.Join(errs...)
 }
 
+// MaxEvacuations is the number of data centres whose evacuation an entry knows of, and that one message may name.
+const MaxEvacuations = 256
+
 // CheckEvacuations reports every problem with a list of evacuations.
 func CheckEvacuations(list []Evacuation) error {
+	if len(list) > MaxEvacuations {
+		return fmt.Errorf("message names %d evacuations; send at most %d", len(list), MaxEvacuations)
+	}
 	var errs []error
 	for i := range list {
 		errs = append(errs, list[i].Check())
--- a/leased_message.go
+++ b/leased_message.go
@@ -60,6 +60,8 @@
 
 	Evacuations     []Evacuation `json:"evacuated,omitempty"`   // of the data centres that are or were evacuated
 	EvacuationsAsOf int64        `json:"evacuatedAt,omitempty"` // revision of the platform's store as of which no others are; 0 if not known
+	// EvacuationsDoubted is set while the sender has not heard of the evacuations since a pause of its process.
+	EvacuationsDoubted bool `json:"evacuatedUnsure,omitempty"`
 }
 
 // IsToSeed reports whether the heartbeat went to the address of a seed, whoever listens there. It has no
