Count the hold for missed cancellations from when the entry is on the list

- An entry that resumed took itself to be on the list until it read it, which started the 300 ms after which it goes on without its peers' answers.
They were not counted anew when the list showed that it had been dropped, so that it started batches although nobody waited for its confirmation.
- An entry that had lost track 60 s ago counted as caught up without asking anybody, although it had been off the list, or without the store, until just now: it missed what was acknowledged within that time.
The 60 s count from when it is on the list again now.

--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -26,7 +26,7 @@
 	missedFrom time.Time // cancellations since then may have been missed
 	holdFrom   time.Time // nothing starts from then on until it has caught up
 	lostAt     time.Time // when it lost track
-	askingAt   time.Time // when it first could ask its peers since then; zero if it could not
+	askingAt   time.Time // when it first could ask its peers since it last had a reason to; zero if it could not
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
 
@@ -73,6 +73,12 @@
 		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom, c.askingAt = false, since, c.now, hold, time.Time{}
 		c.log("cancels-missed", "why", why, "since", c.now.Sub(since))
 	}
+	if !c.askingAt.IsZero() { // it took itself to be on the list, which has to be seen anew
+		if c.now.Sub(c.askingAt) >= maxAskHold {
+			c.holdFrom = hold // it has gone on meanwhile
+		}
+		c.askingAt = time.Time{}
+	}
 	if since.Before(c.missedFrom) {
 		c.missedFrom = since
 	}
@@ -148,7 +154,7 @@
 			asked++
 		}
 	}
-	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.lostAt) >= cancellationTTL {
+	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.askingAt) >= cancellationTTL {
 		c.endCatchUp(open)
 		return
 	}
