Wait for stopping entries that a canceller has never seen on the list

An entry that joins while another makes a planned stop learns of that one by its heartbeats only. It did not wait for its confirmation, and acknowledged cancellations of batches that the stopping entry went on with. A stopping entry tells in its heartbeats now that it records cancellations, and is waited for.

After a freeze, an entry asks two peers of other data centres besides those that it has links to: its own data centre may have stood still as a whole.

--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -102,6 +102,18 @@
 	return p.listed || p.leaving && c.now.Sub(p.unlistedAt) < c.cfg.Limits.StopGrace
 }
 
+// noteStopping notes that a peer that makes a planned stop has to confirm cancellations. It may never have been on the list
+// that this entry has read, and counts as dropped from it when it is first heard then.
+func (c *Core) noteStopping(p *peer, m *cornelwall.SessionHeartbeat) {
+	if !m.Leaving || !m.KeepsCancellations {
+		return
+	}
+	p.cancels.kept = true
+	if !p.listed && p.unlistedAt.IsZero() {
+		p.unlistedAt = c.now
+	}
+}
+
 // confirmedNumber returns the number up to which all peers have confirmed the cancellations that have to.
 func (c *Core) confirmedNumber() uint64 {
 	n := c.lastNumber
--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -276,6 +276,31 @@
 	s.checkEnd(1, cornelwall.BatchCancelled)
 }
 
+// TestStoppingEntryConfirmsToEntryThatHasJoined guards against a cancellation that an entry acknowledges although one that it has never seen
+// on the list goes on with the batch: that one makes a planned stop, and left the list before.
+func TestStoppingEntryConfirmsToEntryThatHasJoined(t *testing.T) {
+	s := newCancelSystem(t, 0)
+	s.submitTo(1, 1)
+	s.advance(100 * time.Millisecond)
+	s.step(s.ids[1], cornelwall.Stop{})
+	s.unlisted[s.ids[1]] = true
+	s.tickList(100 * time.Millisecond)
+	joined := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e9", Epoch: 1}
+	s.addEntry(joined)
+	s.ids = append(s.ids, joined)
+	s.tickList(300 * time.Millisecond)
+	lost := true
+	s.messageLost = func(_, to cornelwall.Incarnation) bool { return lost && to == s.ids[1] }
+	s.cancelAt(4, 2)
+	s.advance(300 * time.Millisecond)
+	_, answered := s.replies[2]
+	assert.Assert(t, !answered, "acknowledged although the stopping entry does not know it")
+	lost = false
+	s.advance(time.Second)
+	s.checkEnd(2, cornelwall.BatchCancelled)
+	s.checkEnd(1, cornelwall.BatchCancelled)
+}
+
 // TestCancelAmongVersions checks that an entry of an earlier version is told of a cancellation, and not waited for.
 func TestCancelAmongVersions(t *testing.T) {
 	s := newCancelSystem(t, 0)
--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -254,13 +254,15 @@
 			asked++
 		}
 	}
-	// Links that were used before the pause have expired, and may all be to peers that do not answer.
+	// Links that were used before the pause have expired, and may all be to peers that do not answer. A whole data centre may
+	// have stood still, so that others are asked in any case.
 	for i := range 2 * evacuationAsks {
-		if asked >= evacuationAsks {
-			return
+		remote := i%2 == 0
+		if asked >= evacuationAsks && (!remote || i >= evacuationAsks) {
+			continue
 		}
 		c.seekSalt++
-		if p := c.pickUnlinkedPeer(i%2 == 0, false); p != nil {
+		if p := c.pickUnlinkedPeer(remote, false); p != nil {
 			c.askForProof(p)
 			asked++
 		}
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -39,6 +39,7 @@
 	first, wasOpen := p.sentSeq == 0, p.sessionOpen
 	p.receivedSeq, p.heardAt, p.unansweredSince, p.dead, p.runsExpired = m.Seq, c.now, time.Time{}, false, false
 	p.leaving, p.noEndpointList, p.platformLost, p.wantsHeartbeats = m.Leaving, m.NoEndpointList, m.PlatformLost, m.WantHeartbeats
+	c.noteStopping(p, m)
 	newSession := p.theirSession != m.Session
 	p.theirSession, p.waitingJobs, p.slowdown = m.Session, m.Waiting, m.Slowdown
 	p.view.Capacity = m.FreeCapacity
@@ -193,6 +194,7 @@
 		Addr: c.cfg.Addr, Weight: c.cfg.Weight, Leaving: c.isStopping(), Version: c.queueConfig.Version, MaxFence: c.highestFence,
 		FreeCapacity: c.freeCapacity(), PlatformLost: !c.platformUp, NoEndpointList: c.listRev == 0, Waiting: c.waitingByQueue(), Slowdown: c.medianSlowdown,
 		Evacuations: c.evacuations.list, EvacuationsAsOf: c.evacuations.completeAsOf, EvacuationsDoubted: c.doubtsEvacuations(),
+		KeepsCancellations: c.isStopping() && c.keepsCancellations(),
 	}
 }
 
