Ask one peer of each side for missed cancellations

An entry in a data centre that was cut off asked two peers in any order. It asks one of its own and one of another at a time now. The test fails without the change; it covers a cut from the entry's own data centre as well.

--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -176,29 +176,44 @@
 }
 
 // pickInformant returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
-// answers heartbeats rather than another.
+// answers heartbeats rather than another. One of this data centre and one of another are asked at a time, as there may be a cut
+// between them, or one of them may be gone as a whole.
 func (c *Core) pickInformant() *peer {
-	var best *peer
+	var open []*peer
+	remote := false // whether the next one is of another data centre
 	for i := range c.peersByID {
 		p := c.peersByID[(i+int(c.nameHash%uint64(len(c.peersByID))))%len(c.peersByID)]
-		at, asked := c.askedAt[p.id]
-		if !c.mustConfirm(p) || c.answered[p.id] || asked && c.now.Sub(at) < catchUpTimeout {
+		if !c.mustConfirm(p) || c.answered[p.id] {
+			continue
+		}
+		if at, asked := c.askedAt[p.id]; asked && c.now.Sub(at) < catchUpTimeout {
+			remote = remote || c.isLocal(p)
 			continue
 		}
-		if best == nil || c.isBetterInformant(p, best) {
+		open = append(open, p)
+	}
+	var best *peer
+	for _, p := range open {
+		if best == nil || c.isBetterInformant(p, best, remote) {
 			best = p
 		}
 	}
 	return best
 }
 
-func (c *Core) isBetterInformant(p, q *peer) bool {
+func (c *Core) isBetterInformant(p, q *peer, remote bool) bool {
 	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
 		return a.Before(b)
 	}
+	if c.isLocal(p) != c.isLocal(q) {
+		return c.isLocal(p) != remote
+	}
 	return c.isResponsive(p) && !c.isResponsive(q)
 }
 
+// isLocal reports whether a peer is of this entry's data centre.
+func (c *Core) isLocal(p *peer) bool { return p.id.DataCentre == c.cfg.Self.DataCentre }
+
 // handleCancellationQuery tells a peer which cancellations this entry knows of.
 func (c *Core) handleCancellationQuery(from cornelwall.Incarnation, m *cornelwall.CancellationQuery) {
 	if !c.keepsCancellations() {
--- a/core/dispatch/catchup_test.go
+++ b/core/dispatch/catchup_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,3 +93,26 @@
 	s.tickList(100 * time.Millisecond)
 	assert.Assert(t, s.cores[id].isCancelled(cancelledBatch))
 }
+
+// TestEntryInCutOffDataCentreAsksItsOwn cuts a data centre off from the others. An entry there that has stood still asked peers in any order,
+// most of them in the other ones, and went on after maxAskHold although those of its own could have told it what it had missed.
+func TestEntryInCutOffDataCentreAsksItsOwn(t *testing.T) {
+	for i := 1; i < 4; i++ { // the entries of dc1
+		for _, cutOwn := range []bool{false, true} {
+			s := newCancelSystem(t, 0)
+			for n := range 6 {
+				s.addEntry(cornelwall.Incarnation{DataCentre: "dc2", Entry: fmt.Sprint("f", n), Epoch: 1})
+			}
+			s.tickList(time.Second)
+			id := s.ids[i]
+			s.messageLost = func(a, b cornelwall.Incarnation) bool {
+				return (a == id || b == id) && (a.DataCentre == b.DataCentre) == cutOwn
+			}
+			s.freeze(id)
+			s.tickList(500 * time.Millisecond)
+			s.thaw(id, func([]cornelwall.Event) {})
+			s.advance(maxAskHold / 2)
+			assert.Assert(t, !s.cores[id].mustCatchUp(), "entry %s, cut off from its data centre: %t", id, cutOwn)
+		}
+	}
+}
