--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -56,6 +56,10 @@
 	recorded := c.recordCancellations([]cornelwall.Cancellation{{ID: ev.ID}})
 	o := c.ownByID[ev.ID]
 	if o == nil || !o.acknowledged && c.now.Sub(o.askedAt) > cancelWait {
+		if len(c.ownCancels) >= cornelwall.MaxCancellations {
+			c.refuseCanceller(&ownCancellation{id: ev.ID, askedAt: c.now}, ev.Req, "full")
+			return
+		}
 		o = c.addCancellation(ev.ID) // anew, so that peers' records are as young as catchUpMargin takes them to be
 	}
 	switch {
--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -334,6 +334,28 @@
 	assert.Equal(t, len(full.cancelled), 0)
 }
 
+// TestFloodOfCancellationsIsBounded guards against cancellations that are kept to be sent although the table is full.
+func TestFloodOfCancellationsIsBounded(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	c := New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}, Limits: Limits{CancelTime: testCancelTime}}, now)
+	c.Step(now, cornelwall.MembersListed{})
+	for i := range cornelwall.MaxCancellations {
+		id := fmt.Sprintf("%016x", i)
+		c.recordCancellations([]cornelwall.Cancellation{{ID: id}})
+		c.addCancellation(id)
+	}
+	refused := 0
+	for i := range 10 {
+		for _, cmd := range c.Step(now, cornelwall.CancelBatch{Req: uint64(i), ID: fmt.Sprintf("%016x", cornelwall.MaxCancellations+i)}) {
+			if r, ok := cmd.(cornelwall.ReplyBatch); ok && r.Answer.End == cornelwall.BatchRefused {
+				refused++
+			}
+		}
+	}
+	assert.Equal(t, refused, 10)
+	assert.Equal(t, len(c.ownCancels), cornelwall.MaxCancellations)
+}
+
 // TestCancellationMemory bounds the memory of the records of a burst, a third of 850 batches a second for 12 s, and of a
 // full table.
 func TestCancellationMemory(t *testing.T) {
