--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -276,6 +276,31 @@
 	s.checkEnd(1, cornelwall.BatchCancelled)
 }
 
+// TestStoppingEntryConfirmsToEntryThatHasJoined guards against a cancellation that an entry acknowledges although one that it has never seen
+// on the list goes on with the batch: that one makes a planned stop, and left the list before.
+func TestStoppingEntryConfirmsToEntryThatHasJoined(t *testing.T) {
+	s := newCancelSystem(t, 0)
+	s.submitTo(1, 1)
+	s.advance(100 * time.Millisecond)
+	s.step(s.ids[1], cornelwall.Stop{})
+	s.unlisted[s.ids[1]] = true
+	s.tickList(100 * time.Millisecond)
+	joined := cornelwall.Incarnation{DataCentre: "dc1", Entry: "e9", Epoch: 1}
+	s.addEntry(joined)
+	s.ids = append(s.ids, joined)
+	s.tickList(300 * time.Millisecond)
+	lost := true
+	s.messageLost = func(_, to cornelwall.Incarnation) bool { return lost && to == s.ids[1] }
+	s.cancelAt(4, 2)
+	s.advance(300 * time.Millisecond)
+	_, answered := s.replies[2]
+	assert.Assert(t, !answered, "acknowledged although the stopping entry does not know it")
+	lost = false
+	s.advance(time.Second)
+	s.checkEnd(2, cornelwall.BatchCancelled)
+	s.checkEnd(1, cornelwall.BatchCancelled)
+}
+
 // TestCancelAmongVersions checks that an entry of an earlier version is told of a cancellation, and not waited for.
 func TestCancelAmongVersions(t *testing.T) {
 	s := newCancelSystem(t, 0)
@@ -309,6 +334,28 @@
 	assert.Equal(t, len(full.cancelled), 0)
 }
 
+// TestFloodOfCancellationsIsBounded guards against cancellations that are kept to be sent although the table is full.
+func TestFloodOfCancellationsIsBounded(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	c := New(Config{Self: cornelwall.Incarnation{DataCentre: "dc0", Entry: "e1", Epoch: 1}, Limits: Limits{CancelTime: testCancelTime}}, now)
+	c.Step(now, cornelwall.MembersListed{})
+	for i := range cornelwall.MaxCancellations {
+		id := fmt.Sprintf("%016x", i)
+		c.recordCancellations([]cornelwall.Cancellation{{ID: id}})
+		c.addCancellation(id)
+	}
+	refused := 0
+	for i := range 10 {
+		for _, cmd := range c.Step(now, cornelwall.CancelBatch{Req: uint64(i), ID: fmt.Sprintf("%016x", cornelwall.MaxCancellations+i)}) {
+			if r, ok := cmd.(cornelwall.ReplyBatch); ok && r.Answer.End == cornelwall.BatchRefused {
+				refused++
+			}
+		}
+	}
+	assert.Equal(t, refused, 10)
+	assert.Equal(t, len(c.ownCancels), cornelwall.MaxCancellations)
+}
+
 // TestCancellationMemory bounds the memory of the records of a burst, a third of 850 batches a second for 12 s, and of a
 // full table.
 func TestCancellationMemory(t *testing.T) {
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -26,7 +26,7 @@
 	missedFrom time.Time // cancellations since then may have been missed
 	holdFrom   time.Time // nothing starts from then on until it has caught up
 	lostAt     time.Time // when the gap was noticed
-	askingAt   time.Time // when it first could ask its peers since then; zero if it could not
+	askingAt   time.Time // when it first could ask its peers since it last had a reason to; zero if it could not
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
 
@@ -73,6 +73,12 @@
 		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom, c.askingAt = false, since, c.now, hold, time.Time{}
 		c.log("cancels-missed", "why", why, "since", c.now.Sub(since))
 	}
+	if !c.askingAt.IsZero() { // it took itself to be on the list, which has to be seen anew
+		if c.now.Sub(c.askingAt) >= maxAskHold {
+			c.holdFrom = hold // it has gone on meanwhile
+		}
+		c.askingAt = time.Time{}
+	}
 	if since.Before(c.missedFrom) {
 		c.missedFrom = since
 	}
@@ -148,7 +154,7 @@
 			asked++
 		}
 	}
-	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.lostAt) >= cancellationTTL {
+	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.askingAt) >= cancellationTTL {
 		c.endCatchUp(open)
 		return
 	}
@@ -170,29 +176,44 @@
 }
 
 // pickCatchUpPeer returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
-// answers heartbeats rather than another.
+// answers heartbeats rather than another. One of this data centre and one of another are asked at a time, as there may be a cut
+// between them, or one of them may be gone as a whole.
 func (c *Core) pickCatchUpPeer() *peer {
-	var best *peer
+	var open []*peer
+	remote := false // whether the next one is of another data centre
 	for i := range c.peersByID {
 		p := c.peersByID[(i+int(c.nameHash%uint64(len(c.peersByID))))%len(c.peersByID)]
-		at, asked := c.askedAt[p.id]
-		if !c.mustConfirm(p) || c.answered[p.id] || asked && c.now.Sub(at) < catchUpTimeout {
+		if !c.mustConfirm(p) || c.answered[p.id] {
+			continue
+		}
+		if at, asked := c.askedAt[p.id]; asked && c.now.Sub(at) < catchUpTimeout {
+			remote = remote || c.isLocal(p)
 			continue
 		}
-		if best == nil || c.isBetterCatchUpPeer(p, best) {
+		open = append(open, p)
+	}
+	var best *peer
+	for _, p := range open {
+		if best == nil || c.isBetterCatchUpPeer(p, best, remote) {
 			best = p
 		}
 	}
 	return best
 }
 
-func (c *Core) isBetterCatchUpPeer(p, q *peer) bool {
+func (c *Core) isBetterCatchUpPeer(p, q *peer, remote bool) bool {
 	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
 		return a.Before(b)
 	}
+	if c.isLocal(p) != c.isLocal(q) {
+		return c.isLocal(p) != remote
+	}
 	return c.isResponsive(p) && !c.isResponsive(q)
 }
 
+// isLocal reports whether a peer is of this entry's data centre.
+func (c *Core) isLocal(p *peer) bool { return p.id.DataCentre == c.cfg.Self.DataCentre }
+
 // handleCancellationQuery tells a peer which cancellations this entry knows of.
 func (c *Core) handleCancellationQuery(from cornelwall.Incarnation, m *cornelwall.CancellationQuery) {
 	if !c.keepsCancellations() {
