Sum the queued work once per event, in one function

The queued work ahead of a class was summed in QueuedAhead, QueueLoadOf and backlogSeconds, each over a list of holders that was made for it. QueueLoad has it by class now and is computed once per event, from the reports themselves. freeCapacity and ownLoad share the condition for an endpoint that counts as capacity, and ClassShares uses the classes of ClassDemand; its decay no longer depends on how often it is called.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -377,6 +377,9 @@
 		!l.mustExpire(c.now) && l.ep.health.MayStart(c.now, len(l.runs))
 }
 
+// countsAsCapacity reports whether this entry reports the cores of a lease as capacity.
+func (c *Core) countsAsCapacity(l *lease) bool { return c.usable(l) && !c.isSlow(l) }
+
 // freeCapacity returns the free capacity and the queued work of this entry.
 func (c *Core) freeCapacity() cornelwall.FreeCapacity {
 	var v cornelwall.FreeCapacity
@@ -384,7 +387,7 @@
 		return v
 	}
 	for _, ep := range c.held() {
-		if !c.usable(ep.lease) || c.isSlow(ep.lease) {
+		if !c.countsAsCapacity(ep.lease) {
 			continue
 		}
 		v.Total += ep.Capacity.Cores
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -145,6 +145,7 @@
 	backlog          []*run                    // runs that wait to start
 	classShares      policy.ClassShares        // of the runs started here
 	overload         overload
+	queued           *policy.QueueLoad     // result of queueLoad for this event, or nil
 	choice           policy.EndpointChoice // of the endpoint for a run; kept for its memory
 	speedCounts      speedCounts
 	usualNeeds       map[string]*policy.UsualNeed   // by service
@@ -223,9 +224,10 @@
 		now = c.now
 	}
 	c.now = now
-	c.commands = nil
+	c.commands, c.queued = nil, nil
 	if now.Sub(c.lastTick) >= tickInterval {
 		c.tick()
+		c.queued = nil
 	}
 	c.handleEvent(ev)
 	c.sendNewCancellations()
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -93,7 +93,6 @@
 	if c.resuming() {
 		return
 	}
-	load := c.queueLoad()
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		if j == nil {
@@ -101,7 +100,7 @@
 		}
 		c.answerExpiredCallers(j)
 		b := j.policyBatch()
-		b.Crowded = load.IsCrowded(j.waitingWork())
+		b.Crowded = c.cfg.Shed && c.queueLoad().IsCrowded(j.waitingWork())
 		switch b.Judge(c.now) {
 		case policy.Refuse:
 			why := cornelwall.ReasonTooLate
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -94,7 +94,7 @@
 		return s
 	}
 	for _, ep := range c.held() {
-		if ep.Service == service && c.usable(ep.lease) && !c.isSlow(ep.lease) {
+		if ep.Service == service && c.countsAsCapacity(ep.lease) {
 			s.Capacity += float64(ep.Capacity.Cores) / 1000
 		}
 	}
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -162,8 +162,8 @@
 	refuse(500*time.Millisecond, 1500*time.Millisecond)
 }
 
-// BenchmarkServiceLoad measures serviceLoad with 147 entries that all report, computed each time and from the cache, beside
-// the judgement by the shortest wait: an admission may take 20 µs.
+// BenchmarkServiceLoad measures serviceLoad with 147 entries that all report, computed each time and from the cache, and the
+// admission of a batch without and with Shed, which may take 20 µs; the refusal computes Retry-After as well.
 func BenchmarkServiceLoad(b *testing.B) {
 	c, now, heartbeats := newSizedFleetCore(b, 147, 1100)
 	for i, ev := range heartbeats {
@@ -186,14 +186,16 @@
 		ID: "00000000000000ab", Steps: []cornelwall.Step{{Count: 8, Need: cornelwall.Resources{Cores: 6800}, Estimate: 60 * time.Millisecond}},
 	}})
 	fresh := func() { clear(c.load.current); c.serviceLoad("s") }
+	admit := func(shed bool) { clear(c.load.current); c.queued, c.cfg.Shed = nil, shed; c.admissionRefusal(j) }
 	for _, bm := range []struct {
 		name string
 		f    func()
 	}{
 		{"computed", fresh},
 		{"cached", func() { c.serviceLoad("s") }},
-		{"shortest-wait", func() { c.admissionRefusal(j) }},
-		{"admission", func() { c.admissionRefusal(j); fresh() }},
+		{"shortest-wait", func() { admit(false) }},
+		{"admission", func() { admit(true) }},
+		{"refusal", func() { admit(true); c.retryAfter(j, 1) }},
 	} {
 		b.Run(bm.name, func(b *testing.B) {
 			for b.Loop() {
--- a/core/dispatch/retryafter.go
+++ b/core/dispatch/retryafter.go
@@ -22,24 +22,6 @@
 	}
 	return policy.RetryAfter(c.now, &load, plan, &policy.Refusal{
 		Class: policy.Class(j.queue.Priority), Work: j.work(), ServeTime: j.queue.TargetTime(j.criticalPath),
-		Backlog: load.Capacity * c.backlogSeconds(j.queue.Priority), Salt: hashOf(j.id),
+		Backlog: load.Capacity * c.queueLoad().Ahead(j.queue.Priority).Seconds(), Salt: hashOf(j.id),
 	})
 }
-
-// backlogSeconds returns for how many seconds the endpoints of this entry and of the holders that it hears are busy with the queued
-// work of a class and of those before it.
-func (c *Core) backlogSeconds(priority int) float64 {
-	queued, total := 0.0, 0.0
-	for _, h := range c.holderOptions() {
-		total += float64(h.View.Capacity.Total)
-		for class, n := range h.View.Capacity.Queued {
-			if class <= policy.Class(priority) {
-				queued += float64(max(n, 0))
-			}
-		}
-	}
-	if total == 0 {
-		return 0
-	}
-	return queued / total / 1000 // from milliseconds
-}
--- a/core/dispatch/shed.go
+++ b/core/dispatch/shed.go
@@ -22,6 +22,9 @@
 
 // trackOverload logs when an overload begins and ends, as this entry sees it by the queued work that holders report.
 func (c *Core) trackOverload() {
+	if !c.cfg.Shed {
+		return
+	}
 	o := &c.overload
 	if load := c.queueLoad(); load.IsCrowded(0) {
 		if o.since.IsZero() {
@@ -61,22 +64,29 @@
 
 // admit returns whether to take a job on arrival.
 func (c *Core) admit(j *job, b *policy.Batch) policy.Admission {
-	holders := c.holderOptions()
 	if !c.cfg.Shed {
-		return b.Admit(c.now, policy.ShortestWait(holders, j.batch.Steps[0].Need, j.queue.Priority))
+		return b.Admit(c.now, policy.ShortestWait(c.holderOptions(), j.batch.Steps[0].Need, j.queue.Priority))
 	}
 	load := c.serviceLoad(j.queue.Service)
-	ahead := policy.QueuedAhead(holders, j.queue.Priority)
+	ahead := c.queueLoad().Ahead(j.queue.Priority)
 	return b.AdmitQueued(c.now, load.Overtaken(ahead, j.queue.Priority))
 }
 
-// queueLoad returns the work that waits at the holders that this entry knows. It is empty unless this entry
-// sheds load.
-func (c *Core) queueLoad() policy.QueueLoad {
-	if !c.cfg.Shed {
-		return policy.QueueLoad{}
+// queueLoad returns the work that waits at the holders that this entry knows. It is computed once for each event, as it is used for
+// the admission of a batch and for the answer to its caller.
+func (c *Core) queueLoad() *policy.QueueLoad {
+	if c.queued != nil {
+		return c.queued
+	}
+	c.queued = new(policy.QueueLoad)
+	own := c.freeCapacity()
+	c.queued.Add(&own)
+	for _, p := range c.links {
+		if c.canAssign(p) {
+			c.queued.Add(&p.view.Capacity)
+		}
 	}
-	return policy.QueueLoadOf(c.holderOptions())
+	return c.queued
 }
 
 // waitingWork returns the work of the tasks of a job that wait at holders.
--- a/core/policy/shed.go
+++ b/core/policy/shed.go
@@ -1,6 +1,11 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"cornelwall"
+)
 
 const (
 	minClassShare     = 0.1                   // of the started work that a class gets while its runs wait and can be on time
@@ -11,26 +16,6 @@
 	minSlackShare = 0.25
 )
 
-// QueuedAhead returns how long the work takes that waits at all holders and goes before a task of a class. It is
-// meant for many owners that assign tasks at the same time: the wait at the best holder is what the first of them
-// gets, the queue of all is what a batch of several tasks meets. It is 0 if no holder with capacity is known.
-func QueuedAhead(options []HolderOption, class int) time.Duration {
-	total, ahead := 0, 0
-	for i := range options {
-		capacity := &options[i].View.Capacity
-		total += capacity.Total
-		for k, work := range capacity.Queued {
-			if k <= class {
-				ahead += work
-			}
-		}
-	}
-	if total == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / float64(total) * float64(time.Millisecond))
-}
-
 // AdmitQueued is Admit for an entry that sheds load, where a batch waits for the queued work ahead of it. While
 // work is queued, a batch is taken only if it can be on time: one that is late would take places of batches that could
 // be on time.
@@ -59,66 +44,71 @@
 	return time.Duration(float64(ahead) / max(left, minOvertakenShare))
 }
 
-// QueueLoad is the work that waits at the holders of an owner.
+// QueueLoad is the work that waits at the holders of an owner and can be on time. Many owners assign tasks at the same time: the wait
+// at the best holder is what the first of them gets, the queue of all is what a batch of several tasks meets.
 type QueueLoad struct {
-	Cores int // thousandths of cores of the usable endpoints
-	Work  int // that waits and can be on time, in thousandths of cores times milliseconds
+	Cores int                                 // thousandths of cores of the usable endpoints
+	Work  [cornelwall.FreeCapacityClasses]int // by class, in thousandths of cores times milliseconds
 }
 
-// QueueLoadOf returns the load of the queues of holders.
-func QueueLoadOf(options []HolderOption) QueueLoad {
-	var l QueueLoad
-	for i := range options {
-		capacity := &options[i].View.Capacity
-		l.Cores += capacity.Total
-		for _, work := range capacity.Queued {
-			l.Work += work
-		}
+// Add adds what a holder reports.
+func (l *QueueLoad) Add(v *cornelwall.FreeCapacity) {
+	l.Cores += v.Total
+	for k, work := range v.Queued {
+		l.Work[Class(k)] += max(work, 0)
+	}
+}
+
+// upTo returns the work of a class and of those before it.
+func (l *QueueLoad) upTo(class int) int {
+	sum := 0
+	for _, work := range l.Work[:Class(class)+1] {
+		sum += work
 	}
-	return l
+	return sum
 }
 
-// Drain returns how long the holders take for the queued work.
-func (l QueueLoad) Drain() time.Duration {
-	return time.Duration(float64(l.Work) / float64(max(l.Cores, 1)) * float64(time.Millisecond))
+// Ahead returns how long the work takes that goes before a task of a class. It is 0 if no holder with capacity is known.
+func (l *QueueLoad) Ahead(class int) time.Duration {
+	if l.Cores <= 0 {
+		return 0
+	}
+	return time.Duration(float64(l.upTo(class)) / float64(l.Cores) * float64(time.Millisecond))
 }
 
+// Drain returns how long the holders take for all queued work.
+func (l *QueueLoad) Drain() time.Duration { return l.Ahead(len(l.Work) - 1) }
+
 // IsCrowded reports whether so much work of others waits that a batch which can't be on time has to make way. Own is the
 // part of the work that belongs to the batch itself.
-func (l QueueLoad) IsCrowded(own int) bool {
-	return l.Work-own > int(crowdedDrain.Milliseconds())*l.Cores
+func (l *QueueLoad) IsCrowded(own int) bool {
+	return l.upTo(len(l.Work)-1)-own > int(crowdedDrain.Milliseconds())*l.Cores
 }
 
+const classShareWindow = time.Second // time constant of the decay of started work
+
 // ClassShares tracks the work that was started lately by class, so that strict priorities do not starve a class.
 type ClassShares struct {
-	started [maxClasses]float64 // thousandths of cores times milliseconds, decayed
+	started ClassDemand // thousandths of cores times milliseconds, decayed
 	at      time.Time
 }
 
-const (
-	maxClasses       = 4           // classes that are told apart; all lower ones count as the last
-	classShareWindow = time.Second // over which started work decays
-)
-
 // Record adds a run that starts.
 func (s *ClassShares) Record(now time.Time, class, cores int, estimate time.Duration) {
 	s.decay(now)
-	s.started[min(max(class, 0), maxClasses-1)] += float64(cores) * float64(estimate.Milliseconds())
+	s.started[Class(class)] += float64(cores) * float64(estimate.Milliseconds())
 }
 
 // IsStarved reports whether a class has got less than minClassShare of the work that was started lately.
 func (s *ClassShares) IsStarved(now time.Time, class int) bool {
 	s.decay(now)
-	total := 0.0
-	for _, work := range s.started {
-		total += work
-	}
-	return total > 0 && s.started[min(max(class, 0), maxClasses-1)] < minClassShare*total
+	return s.started[Class(class)] < minClassShare*s.started.Total()
 }
 
+// decay is exponential, so that the shares do not depend on how often it is called.
 func (s *ClassShares) decay(now time.Time) {
 	if elapsed := now.Sub(s.at); elapsed > 0 {
-		keep := max(1-elapsed.Seconds()/classShareWindow.Seconds(), 0)
+		keep := math.Exp(-elapsed.Seconds() / classShareWindow.Seconds())
 		for i := range s.started {
 			s.started[i] *= keep
 		}
--- a/core/policy/shed_test.go
+++ b/core/policy/shed_test.go
@@ -9,34 +9,36 @@
 	"cornelwall"
 )
 
-func holders(capacities ...cornelwall.FreeCapacity) []HolderOption {
-	var list []HolderOption
-	for _, c := range capacities {
-		list = append(list, HolderOption{View: &HolderView{Capacity: c}})
+func queueLoad(capacities ...cornelwall.FreeCapacity) *QueueLoad {
+	var l QueueLoad
+	for i := range capacities {
+		l.Add(&capacities[i])
 	}
-	return list
+	return &l
 }
 
-// TestQueuedAhead guards against an admission by the best holder alone, which all owners would fill at once.
-func TestQueuedAhead(t *testing.T) {
+// TestAhead guards against an admission by the best holder alone, which all owners would fill at once.
+func TestAhead(t *testing.T) {
 	crowded := cornelwall.FreeCapacity{Total: 16000, Queued: []int{0, 16000 * 300, 16000 * 100, 0}}
 	idle := cornelwall.FreeCapacity{Total: 16000}
 	for _, tc := range []struct {
-		name    string
-		holders []HolderOption
-		class   int
-		want    time.Duration
+		name  string
+		load  *QueueLoad
+		class int
+		want  time.Duration
 	}{
-		{"no holder", nil, 0, 0},
-		{"no capacity", holders(cornelwall.FreeCapacity{}), 0, 0},
-		{"lower classes go behind", holders(crowded), 0, 0},
-		{"own class", holders(crowded), 1, 300 * ms},
-		{"higher classes go first", holders(crowded), 2, 400 * ms},
-		{"mean of all holders", holders(crowded, idle), 2, 200 * ms},
-		{"report of an older entry without classes", holders(idle), 7, 0},
+		{"no holder", &QueueLoad{}, 0, 0},
+		{"no capacity", queueLoad(cornelwall.FreeCapacity{}), 0, 0},
+		{"lower classes go behind", queueLoad(crowded), 0, 0},
+		{"own class", queueLoad(crowded), 1, 300 * ms},
+		{"higher classes go first", queueLoad(crowded), 2, 400 * ms},
+		{"mean of all holders", queueLoad(crowded, idle), 2, 200 * ms},
+		{"implausible", queueLoad(cornelwall.FreeCapacity{Total: 16000, Queued: []int{-16000 * 300, 16000 * 100}}), 1, 100 * ms},
+		{"no capacity left", queueLoad(cornelwall.FreeCapacity{Queued: []int{1000}}), 0, 0},
+		{"report of an older entry without classes", queueLoad(idle), 7, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			assert.Equal(t, QueuedAhead(tc.holders, tc.class), tc.want)
+			assert.Equal(t, tc.load.Ahead(tc.class), tc.want)
 		})
 	}
 }
@@ -103,11 +105,11 @@
 
 // TestIsCrowded guards against a batch that makes way for its own waiting tasks.
 func TestIsCrowded(t *testing.T) {
-	l := QueueLoadOf(holders(cornelwall.FreeCapacity{Total: 16000, Queued: []int{16000 * 30, 0, 16000 * 12, 0}}, cornelwall.FreeCapacity{Total: 16000}))
+	l := queueLoad(cornelwall.FreeCapacity{Total: 16000, Queued: []int{16000 * 30, 0, 16000 * 12, 0}}, cornelwall.FreeCapacity{Total: 16000})
 	assert.Equal(t, l.Drain(), 21*ms)
 	assert.Assert(t, l.IsCrowded(0))
 	assert.Assert(t, !l.IsCrowded(16000*30))
-	assert.Assert(t, !QueueLoad{}.IsCrowded(0))
+	assert.Assert(t, !new(QueueLoad).IsCrowded(0))
 }
 
 // TestClassShares guards against a class that gets nothing as long as higher ones have work.
@@ -119,8 +121,8 @@
 	s.Record(now, 2, 8000, 200*ms)
 	assert.Assert(t, !s.IsStarved(now, 2))
 	assert.Assert(t, s.IsStarved(now, 1))
-	assert.Assert(t, !s.IsStarved(now.Add(classShareWindow), 1)) // long ago
-	assert.Assert(t, s.IsStarved(now, 17) == s.IsStarved(now, maxClasses-1))
+	assert.Assert(t, !s.IsStarved(now.Add(time.Hour), 1)) // long ago
+	assert.Assert(t, s.IsStarved(now, 17) == s.IsStarved(now, cornelwall.FreeCapacityClasses-1))
 }
 
 // TestRank orders runs of batches of 100 ms that are due after 200 ms.
