--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -104,7 +104,7 @@
 		switch b.Judge(c.now) {
 		case policy.Refuse:
 			why := cornelwall.ReasonTooLate
-			if b.MakesWay(c.now) {
+			if j.makesWay || b.MakesWay(c.now) {
 				why = cornelwall.ReasonShed
 				c.countShed(j)
 			}
@@ -117,7 +117,7 @@
 		case policy.GiveUpTooLate:
 			c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonTooLate, Text: "some tasks have run and the others cannot in time; what still runs is stopped"})
 		case policy.WithdrawWaiting:
-			j.refusing = true
+			j.refusing, j.makesWay = true, b.MakesWay(c.now)
 			c.withdrawTasks(j, true)
 		default:
 			j.refusing = j.refusing && !j.started // a task that had already started was not withdrawn
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -81,6 +81,7 @@
 	criticalPath      time.Duration // estimated run time of its longest chain of dependent steps
 	started           bool          // a task may have run
 	refusing          bool          // its waiting tasks were withdrawn; it is refused once all are back
+	makesWay          bool          // they were withdrawn to make way for others
 	reportedRemaining float64       // remaining share that was last sent to holders
 }
 
--- a/core/policy/endpoint.go
+++ b/core/policy/endpoint.go
@@ -66,8 +66,8 @@
 // EndpointChoice chooses the endpoint for a run among those on which it fits. The costs that outweigh the cores left
 // over come first. Among endpoints that are equal in these it goes by the expected end: of those where the run is in time
 // it takes the slowest, so that the fast ones are left to runs that need them; if there are none, the
-// fastest. Where slowdowns differ by less than alikeFactor, best fit decides. With endpoints at 0.55 to 1.2 times the
-// usual speed, a run with a target of 1.6 times its run time is in time only on some.
+// fastest. Where slowdowns differ by less than alikeFactor, best fit decides. It is meant for endpoints whose speeds differ so
+// much that a run with little time is in time only on some.
 //
 // Unless it goes by speed, it takes the endpoint with the lowest cost. A choice can be used again after Reset.
 type EndpointChoice struct {
--- a/core/policy/holder.go
+++ b/core/policy/holder.go
@@ -146,9 +146,8 @@
 	return 0
 }
 
-// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity. Where
-// endpoints run at 0.55 to 1.2 times the usual speed, places on which the task would be late don't count as free, if there
-// are others.
+// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity. Where the speeds of endpoints
+// differ, places on which the task would be late don't count as free, if there are others.
 func PickHolder(options []HolderOption, t *IdleTask) *HolderOption {
 	maxPace := t.maxPace(options)
 	var best *HolderOption
--- a/core/policy/load.go
+++ b/core/policy/load.go
@@ -19,7 +19,7 @@
 )
 
 // MovingRate is a moving average of an amount per second, for arrivals that come one by one and
-// in bursts of 3 to 7 s.
+// in bursts of a few seconds.
 type MovingRate struct {
 	rate float64
 	at   time.Time
--- a/core/policy/order.go
+++ b/core/policy/order.go
@@ -9,8 +9,8 @@
 const (
 	classDiscount = 0.25 // a run of class n has 1/(1 + n*classDiscount) of the value of one of class 0
 	lateWeight    = 0.2  // value of an answer after its due time, relative to one in time
-	// classValueRatio is the ratio of the values of two neighbouring classes where load is shed. At this ratio a run of the
-	// next lower class goes first only if less than two fifths of its batch are left to start.
+	// classValueRatio is the ratio of the values of two neighbouring classes where load is shed. A run of the next lower class
+	// goes first only if less than 1/classValueRatio of its batch is left to start.
 	classValueRatio = 2.5
 	starvedValue    = 1 / minRemaining // above the value of any run whose class is not starved
 	minRemaining    = 0.02             // lower bound of a remaining share; the value of a run is inverse to it
@@ -31,10 +31,10 @@
 // time, and 0 if the answer would come too late to be useful.
 func (w *Waiting) Value(at time.Time) float64 {
 	v := 1 / ((1 + classDiscount*float64(w.Class)) * max(w.Remaining, minRemaining))
-	switch end := at.Add(w.Estimate); {
-	case !end.After(w.Due):
+	switch w.TimelinessAt(at) {
+	case OnTime:
 		return v
-	case !end.After(w.UsefulUntil):
+	case Late:
 		return lateWeight * v
 	}
 	return 0
--- a/core/policy/packing.go
+++ b/core/policy/packing.go
@@ -9,8 +9,7 @@
 const (
 	// usualNeedRuns is the number of runs that the usual need goes back.
 	usualNeedRuns = 31
-	// smallRemainder is the share of the usual need up to which cores that are left over count as too small for any run: needs vary by
-	// a fifth.
+	// smallRemainder is the share of the usual need up to which cores that are left over count as too few for any run.
 	smallRemainder = 0.5
 )
 
@@ -37,8 +36,8 @@
 func (u *UsualNeed) Cores() int { return u.median }
 
 // fitCost returns the cost of leaving cores over on an endpoint: as few as possible, but rather enough for one more run of the usual
-// need, or too few for any, than just too few. Where runs need half of the cores of an endpoint, plus or minus a
-// fifth, these would stay unused.
+// need, or too few for any, than just too few. It is meant for runs of which an endpoint takes a few at a time, where just
+// too few cores would stay unused.
 func fitCost(coresLeft, usualNeed int) int {
 	if coresLeft < usualNeed && float64(coresLeft) >= smallRemainder*float64(usualNeed) {
 		return coresLeft + usualNeed
--- a/core/policy/retryafter.go
+++ b/core/policy/retryafter.go
@@ -11,7 +11,7 @@
 	maxRetrySeconds  = 10                     // latest retry
 	retrySpread      = 0.5                    // of the delay, over which retries are spread
 	maxRetryBase     = 6                      // seconds, so that the spread fits below maxRetrySeconds
-	usableCapacity   = 0.85                   // share of the cores that tasks of half an endpoint, plus or minus a fifth, can fill
+	usableCapacity   = 0.85                   // share of the cores that runs fill, as what is left on an endpoint mostly fits none
 	minSpareCapacity = 0.05                   // share of the capacity that is taken to be left, as a burst ends after some seconds
 	minOwnShare      = 0.5                    // of an even part of the demand, as that of an entry varies from second to second
 	retrySlots       = 16                     // seconds of which a RetryPlan keeps the work; more than maxRetrySeconds
@@ -64,9 +64,9 @@
 	Salt      uint64        // of the request
 }
 
-// RetryAfter returns the time after which the caller of a refused batch should come back, and records it in the plan. In a
-// burst, where one queue asks for 1.6 to 2.6 times as much for 3 to 7 s, callers who come back after a second meet the same burst,
-// or make a second one when it ends.
+// RetryAfter returns the time after which the caller of a refused batch should come back, and records it in the plan. It is meant
+// for bursts of a few seconds: callers who all come back after a second meet the same burst, or make a second one when it
+// ends.
 //
 // The time is the first at which the backlog, the work that comes back before and the batch itself fit beside the
 // demand of its class and of those before it. An entry plans with its share of what is left, in proportion to
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -11,11 +11,11 @@
 	maxSpeedRuns   = 15               // runs that an estimate goes back, so that it follows a change
 	knownSpeedRuns = 5                // runs from which an endpoint counts as known
 	speedHalfLife  = 10 * time.Second // without a run, in which the weight of earlier runs halves
-	// speedClip bounds the factor by which one run may differ from the estimate. Declared run times that are off by 40 % stay
-	// within it, and a task that takes seven times as long counts as one of 2.5 times.
+	// speedClip bounds the factor by which one run may differ from the estimate. It is above the usual error of declared run
+	// times, so that only long tasks are clipped.
 	speedClip = 2.5
-	// longTaskFactor is the factor by which a run must exceed the slowdown of its endpoint to count as long. An
-	// estimate that is 40 % too low makes 1.7.
+	// longTaskFactor is the factor by which a run must exceed the slowdown of its endpoint to count as long. It is above the usual
+	// error of declared run times.
 	longTaskFactor = 2.5
 	alikeFactor    = 1.25 // up to which the slowdowns of two endpoints count as alike
 	// inTimeMargin is the share of its run time that a run must have left at its due time to count as in
@@ -34,9 +34,8 @@
 
 // Speed estimates the slowdown of an endpoint from the runs that have ended there: the logarithmic mean of run
 // time / estimate, where each run counts only up to speedClip times more or less than the estimate so
-// far. It is meant for endpoints at 0.55 to 1.2 times the usual speed, with run times that are declared
-// 40 % too low or too high and 3 % of the tasks seven times as long: some ten runs tell such endpoints apart, and one
-// long task hardly changes the estimate. Endpoints that stand still or are many times slower are found by
+// far. It is meant for endpoints of different speeds, with declared run times that are off and a few tasks that take many times as
+// long: some ten runs tell endpoints apart, and one long task hardly changes the estimate. Endpoints that stand still or are many times slower are found by
 // Health.EndpointSlowdown. The zero value knows no run.
 type Speed struct {
 	mean float64   // of the logarithm of the slowdowns
@@ -112,9 +111,9 @@
 }
 
 // RecordSpeed records the run time / estimate of a run that is done, and returns as what it counts for RecordEnd. A run
-// that takes long counts as one of the usual length if others have not taken long beside it, or if it is the first: where 3 %
-// of the tasks take seven times as long, a long run at an endpoint that was not slow before is
-// most probably a long task, and two in a row hardly ever are.
+// that takes long counts as one of the usual length if others have not taken long beside it, or if it is the first: where few
+// tasks take long, a long run at an endpoint that was not slow before is most probably a long task, and two in a row
+// hardly ever are.
 func (h *Health) RecordSpeed(now time.Time, slowdown, usual float64, longTask bool) float64 {
 	pace := h.speed.Slowdown(now, usual)
 	if longTask {
