--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -131,7 +131,7 @@
 }
 
 // TestRetryAfterFollowsLoad refuses batches that take too long. With Shed the callers must come back as late as the batch takes at
-// least; without Shed, and on an entry that stops, the delay must stay short.
+// least; without Shed, and on an entry that stops or may have missed cancellations, the delay must stay short.
 func TestRetryAfterFollowsLoad(t *testing.T) {
 	f := newLoadFixture()
 	f.step(cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: 1, Queues: []cornelwall.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Stretch: 1.6}}}})
@@ -158,6 +158,9 @@
 	for range 20 {
 		refuse(7*time.Second, 10*time.Second)
 	}
+	f.c.cfg.Limits.CancelTime, f.c.holdFrom = time.Second, f.now.Add(-time.Minute)
+	refuse(500*time.Millisecond, 1500*time.Millisecond)
+	f.c.cfg.Limits.CancelTime = 0
 	f.step(cornelwall.Stop{})
 	refuse(500*time.Millisecond, 1500*time.Millisecond)
 }
--- a/core/dispatch/retryafter.go
+++ b/core/dispatch/retryafter.go
@@ -7,10 +7,10 @@
 )
 
 // retryAfter returns the time after which the callers of a refused job should come back. It follows from the load if the job is
-// refused because of it; salt selects a short delay otherwise. A stopping entry tells the short one, as another entry takes
-// the batch.
+// refused because of it; salt selects a short delay otherwise. An entry that stops, or that may have missed cancellations and cannot
+// ask for them, tells the short one, as another entry takes the batch.
 func (c *Core) retryAfter(j *job, salt uint64) time.Duration {
-	if !c.cfg.Shed || j == nil || c.isStopping() {
+	if !c.cfg.Shed || j == nil || c.isStopping() || c.catchUpOverdue() {
 		return policy.ShortRetryAfter(salt)
 	}
 	service := j.queue.Service
