Clarify the comments of package policy

Several doc comments of the new files told more than one reason each, or gave only the load that a rule is meant for. They now say what the code does and why, in one or two sentences.

--- a/core/policy/endpoint.go
+++ b/core/policy/endpoint.go
@@ -63,13 +63,16 @@
 	return cost, true
 }
 
-// EndpointChoice chooses the endpoint for a run among those on which it fits. The costs that outweigh the cores left
-// over come first. Among endpoints that are equal in these it goes by the expected end: of those where the run is in time
-// it takes the slowest, so that the fast ones are left to runs that need them; if there are none, the
-// fastest. Where slowdowns differ by less than alikeFactor, best fit decides. It is meant for endpoints whose speeds differ so
-// much that a run with little time is in time only on some.
+// EndpointChoice chooses the endpoint for a run among those on which it fits. Without placement by speed
+// it takes the endpoint with the lowest cost.
 //
-// Unless it goes by speed, it takes the endpoint with the lowest cost. A choice can be used again after Reset.
+// With placement by speed it compares, in this order:
+//   - the part of the cost that outweighs the cores left over;
+//   - the slowdown: the slowest endpoint on which the run is in time, so that fast ones are left to runs
+//     that need them, or the fastest if the run is in time on none;
+//   - best fit, among endpoints whose slowdowns differ by less than alikeFactor.
+//
+// A choice can be used again after Reset.
 type EndpointChoice struct {
 	now       time.Time
 	run       *Waiting
@@ -83,17 +86,17 @@
 type choiceOption struct {
 	index int // of the caller
 	tier  int // part of the cost that outweighs the slowdown
-	cost  int // by speed: that of the cores left over
+	cost  int // with placement by speed, fitCost of the cores left over; otherwise the whole cost
 	pace  float64
 }
 
-// Reset starts the choice for a run.
+// Reset starts the choice for a run. UsualNeed is in thousandths of cores, or 0 if it is not known.
 func (c *EndpointChoice) Reset(now time.Time, w *Waiting, bySpeed bool, usualNeed int) {
 	c.now, c.run, c.bySpeed, c.usualNeed, c.options = now, w, bySpeed, usualNeed, c.options[:0]
 	c.maxPace = MaxPace(now, w.Due, w.Estimate)
 }
 
-// Add adds an endpoint by an index of the caller, unless the run may not start there.
+// Add adds an endpoint unless the run may not start there. Best returns its index, which the caller assigns.
 func (c *EndpointChoice) Add(index int, o *EndpointOption) {
 	cost, ok := o.Cost(c.now, c.run)
 	switch {
@@ -135,8 +138,8 @@
 	return !slices.ContainsFunc(c.options, func(o choiceOption) bool { return c.IsInTime(o.pace) })
 }
 
-// targetPace returns the slowdown to choose among the endpoints of a tier: the highest at which the run is in time or, if there is
-// none, the lowest.
+// targetPace returns the slowdown to choose among the endpoints of a tier: the highest at which the run
+// is in time or, if there is none, the lowest.
 func (c *EndpointChoice) targetPace(tier int) float64 {
 	slowest, fastest := -1.0, math.Inf(1)
 	for i := range c.options {
@@ -155,7 +158,8 @@
 	return fastest
 }
 
-// isAlike reports whether an endpoint is as good as one with the target pace: a run that can be in time is in time there too.
+// isAlike reports whether an endpoint is as good as one with the target pace: the slowdowns are alike, and the
+// run is in time on both or late on both.
 func (c *EndpointChoice) isAlike(pace, target float64) bool {
 	if c.IsInTime(target) && !c.IsInTime(pace) {
 		return false
--- a/core/policy/holder.go
+++ b/core/policy/holder.go
@@ -43,8 +43,8 @@
 	return n
 }
 
-// isWithin reports whether the slowdown of a free endpoint is up to maxPace, where 0 means any. Those of
-// holders that don't report them count as such.
+// isWithin reports whether the slowdown of a free endpoint is up to maxPace, where 0 means any. Every
+// endpoint of a holder that reports no slowdowns is within.
 func (v *HolderView) isWithin(i int, maxPace float64) bool {
 	return maxPace == 0 || len(v.Capacity.Paces) != len(v.Capacity.Free) || float64(v.Capacity.Paces[i]) <= 100*maxPace
 }
@@ -136,7 +136,8 @@
 	MaxPace      float64 // slowdown up to which it is in time if it starts now; 0 if that doesn't matter
 }
 
-// maxPace returns the slowdown up to which free places count for the task. If it is in time on none of them, all do.
+// maxPace returns the slowdown up to which free places count for the task, or 0 if all count because it is
+// late on each of them.
 func (t *IdleTask) maxPace(options []HolderOption) float64 {
 	for i := range options {
 		if options[i].View.freePlaces(t.Need, t.MaxPace) > 0 {
@@ -146,8 +147,8 @@
 	return 0
 }
 
-// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity. Where the speeds of endpoints
-// differ, places on which the task would be late don't count as free, if there are others.
+// PickHolder returns the holder with the lowest cost for a task, or nil if none has any capacity. Places
+// on which the task would be late don't count as free if there are others.
 func PickHolder(options []HolderOption, t *IdleTask) *HolderOption {
 	maxPace := t.maxPace(options)
 	var best *HolderOption
--- a/core/policy/load.go
+++ b/core/policy/load.go
@@ -8,18 +8,17 @@
 )
 
 const (
-	MaxLoadAge    = time.Second            // of a report, up to which it is counted
-	MaxDigestAge  = 500 * time.Millisecond // of a report, up to which it goes into a digest for other entries
+	MaxLoadAge    = time.Second            // age up to which a report is counted
+	MaxDigestAge  = 500 * time.Millisecond // age up to which a report goes into a digest for other entries
 	demandWindow  = 500 * time.Millisecond // time constant of the moving average of demand
-	digestHopAge  = 100 * time.Millisecond // by which a digest gets older on its way, so that it cannot circulate
-	capacityBound = 4                      // times its share by weight, up to which the capacity of an entry is believed
-	demandBound   = 16                     // the same of demand; a balancer may send many callers to one entry
-	extraMembers  = 2                      // entries of a data centre that a digest may count although they are not known
+	digestHopAge  = 100 * time.Millisecond // added to the age of a digest that arrives, so that it cannot circulate
+	capacityBound = 4                      // plausible capacity of an entry, as a multiple of its share by weight
+	demandBound   = 16                     // the same for demand; a balancer may send many callers to one entry
+	extraMembers  = 2                      // entries unknown here that the digest of a data centre may count
 	coresPerUnit  = 1000                   // figures in messages are in thousandths
 )
 
-// MovingRate is a moving average of an amount per second, for arrivals that come one by one and
-// in bursts of a few seconds.
+// MovingRate is the exponentially weighted moving average of an amount per second.
 type MovingRate struct {
 	rate float64
 	at   time.Time
@@ -38,10 +37,10 @@
 	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/demandWindow.Seconds())
 }
 
-// ClassDemand is a demand in cores by priority class; all classes from the last one on count as that.
+// ClassDemand is the demand in cores by priority class. See Class for priorities beyond the last one.
 type ClassDemand [cornelwall.FreeCapacityClasses]float64
 
-// Class returns the class of a priority.
+// Class returns the class of a priority. Priorities beyond the last class belong to it.
 func Class(priority int) int { return min(max(priority, 0), cornelwall.FreeCapacityClasses-1) }
 
 // Total returns the demand of all classes.
@@ -161,8 +160,8 @@
 	}
 }
 
-// ServiceLoad is the load of one service over the entries that are heard of. An owner judges by it in place
-// of the best holder alone, at which all others may send their tasks too.
+// ServiceLoad is the load of one service over all entries with recent reports. An owner admits by it rather
+// than by the best holder alone, as other owners may send their tasks to that holder too.
 type ServiceLoad struct {
 	Demand    ClassDemand   // cores asked for
 	OwnDemand ClassDemand   // the part of it that callers of this entry ask for
@@ -172,8 +171,8 @@
 	Age       time.Duration // of the oldest report that is counted
 }
 
-// NewServiceLoad returns the load from an entry's own figures and the sums over the data centres, which
-// are to have its own in the one of its data centre.
+// NewServiceLoad returns the load from an entry's own figures and the sums over the data centres. The sum of
+// its own data centre must include them.
 func NewServiceLoad(now time.Time, own *LoadSum, centres []LoadSum, members int) ServiceLoad {
 	var all LoadSum
 	for i := range centres {
--- a/core/policy/order.go
+++ b/core/policy/order.go
@@ -61,7 +61,7 @@
 // unstartedTasks returns how many tasks of the run's batch have not started, at all holders.
 func (w *Waiting) unstartedTasks() int { return int(math.Round(w.Remaining * float64(w.BatchSize))) }
 
-// Timeliness tells whether the answer to a batch can be on time.
+// Timeliness is whether the answer to a batch can be on time.
 type Timeliness int
 
 const (
@@ -88,16 +88,16 @@
 	Due   time.Time
 }
 
-// Compare orders ranks, for more work than the endpoints can do: what costs callers most goes first. Of runs of the
-// same value the large ones go first, as the small ones fit beside them.
+// Compare orders ranks by falling value. Of runs of the same value the large ones go first, as the small ones
+// fit beside them, and then those that are due first.
 func (r Rank) Compare(o Rank) int {
 	return cmp.Or(cmp.Compare(o.Value, r.Value), cmp.Compare(o.Cores, r.Cores), r.Due.Compare(o.Due))
 }
 
-// RankAmong returns the rank of a run that needs a number of cores; here and share are as in ValueAmong. A batch is worth
-// as much to its caller as its work, so that no size of batch is preferred, and classValueRatio less for each class. If the run does
-// not start, what has run of its batch is lost too; the value is therefore inverse to the remaining share. A run of a starved class goes
-// before all others that can be on time.
+// RankAmong returns the rank of a run that needs a number of cores; here and share are as in ValueAmong. The value
+// per unit of work is the same for all sizes of batches, and falls by classValueRatio with each class. It is
+// inverse to the remaining share of the batch, as what has already run is lost if the run does not start. A run
+// of a starved class that can be on time goes first.
 func (w *Waiting) RankAmong(now time.Time, here int, share float64, cores int, starved bool) Rank {
 	r := Rank{Cores: cores, Due: w.Due}
 	r.Value = math.Pow(classValueRatio, -float64(max(w.Class, 0))) / max(w.Remaining, minRemaining)
--- a/core/policy/packing.go
+++ b/core/policy/packing.go
@@ -13,10 +13,10 @@
 	smallRemainder = 0.5
 )
 
-// UsualNeed is the moving median of the cores that runs need which have waited. The zero value knows no run.
+// UsualNeed is the moving median of the cores that waiting runs need. The zero value knows no run.
 type UsualNeed struct {
-	latest []int // in the order of arrival; the next one replaces that at next
-	next   int
+	latest []int // ring buffer of the latest needs
+	next   int   // index in latest that is replaced next, once it is full
 	median int
 }
 
@@ -35,9 +35,8 @@
 // Cores returns the usual need in thousandths of cores, or 0 if it is not known.
 func (u *UsualNeed) Cores() int { return u.median }
 
-// fitCost returns the cost of leaving cores over on an endpoint: as few as possible, but rather enough for one more run of the usual
-// need, or too few for any, than just too few. It is meant for runs of which an endpoint takes a few at a time, where just
-// too few cores would stay unused.
+// fitCost returns the cost of leaving cores over on an endpoint. Fewer cores cost less, but a rest that is just
+// too small for a run of the usual need costs extra, as it would stay unused.
 func fitCost(coresLeft, usualNeed int) int {
 	if coresLeft < usualNeed && float64(coresLeft) >= smallRemainder*float64(usualNeed) {
 		return coresLeft + usualNeed
--- a/core/policy/progress.go
+++ b/core/policy/progress.go
@@ -6,8 +6,8 @@
 const MinProgressSpan = 20 * time.Millisecond
 
 const (
-	overdueFactor = 1.5                   // by which a run may exceed the time that its progress has shown to remain
-	overdueSlack  = 50 * time.Millisecond // and in addition, for its endpoint to report the end
+	overdueFactor = 1.5                   // tolerated multiple of the time that remains by the progress of a run
+	overdueSlack  = 50 * time.Millisecond // time added to it, for the endpoint to report the end
 )
 
 // progressResolution is the share to which endpoints round the progress of a run down.
@@ -65,8 +65,8 @@
 	return max(took, p.receivedAt.Sub(startedAt)+p.remaining())
 }
 
-// IsOnCourse reports whether the run goes on at the speed that its progress has shown, as far as is known. If not, it stands
-// still, or its endpoint reports nothing.
+// IsOnCourse reports whether the run may still go on at the speed that its progress has shown. If not, its speed
+// is not known, it stands still, or its endpoint reports nothing.
 func (p *Progress) IsOnCourse(now time.Time) bool {
 	return p.SpeedKnown() && now.Sub(p.receivedAt) <= time.Duration(overdueFactor*float64(p.remaining()))+overdueSlack
 }
--- a/core/policy/reserve.go
+++ b/core/policy/reserve.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	maxReservedShare  = 0.25 // of the endpoints of a holder that are reserved at a time
-	reserveAfterShare = 0.25 // of the time that a run may wait, after which an endpoint is reserved for it
+	maxReservedShare  = 0.25 // of the endpoints of a holder that may be reserved at a time
+	reserveAfterShare = 0.25 // of the time that a run may wait; after it an endpoint is reserved
 )
 
 // Occupied is a run on an endpoint: what it takes, and when it is expected to end.
@@ -18,8 +18,8 @@
 	Ends time.Time
 }
 
-// EarliestFit returns when a need fits on an endpoint with free resources as the runs there end, latest now. It
-// sorts the runs. If the need does not fit even without them, ok is false.
+// EarliestFit returns when a need fits on an endpoint with free resources, given the expected ends of the runs
+// there. It is never before now. If the need does not fit even without the runs, ok is false. It sorts runs.
 func EarliestFit(now time.Time, need, free cornelwall.Resources, runs []Occupied) (at time.Time, ok bool) {
 	slices.SortFunc(runs, func(a, b Occupied) int { return a.Ends.Compare(b.Ends) })
 	at = now
@@ -35,8 +35,8 @@
 	return at, true
 }
 
-// Reservation keeps an endpoint free for a waiting run, for load whose small tasks take each place that becomes free
-// before it is large enough for a large one.
+// Reservation keeps an endpoint free for a large run, as small ones would otherwise take each place that becomes
+// free before enough of them are free at once.
 type Reservation struct {
 	Need cornelwall.Resources
 	At   time.Time // when the run is expected to fit
@@ -48,8 +48,8 @@
 	return need.Plus(r.Need).Fits(free) || !ends.After(r.At)
 }
 
-// MayReserve reports whether an endpoint is reserved for a run that waits since a time: it can still be on time, and
-// has waited for a part of the time that it has.
+// MayReserve reports whether an endpoint may be reserved for a run that waits since a time: the run can still be on
+// time, and has waited for reserveAfterShare of the time that it may wait.
 func (w *Waiting) MayReserve(now, since time.Time) bool {
 	latest := w.Due.Add(-w.Estimate)
 	return !now.After(latest) && now.Sub(since) >= time.Duration(reserveAfterShare*float64(latest.Sub(since)))
--- a/core/policy/retryafter.go
+++ b/core/policy/retryafter.go
@@ -10,10 +10,10 @@
 	shortRetrySpread = time.Second            // over which retries are spread if the load is not known
 	maxRetrySeconds  = 10                     // latest retry
 	retrySpread      = 0.5                    // of the delay, over which retries are spread
-	maxRetryBase     = 6                      // seconds, so that the spread fits below maxRetrySeconds
+	maxRetryBase     = 6                      // latest planned retry in seconds; the spread then ends before maxRetrySeconds
 	usableCapacity   = 0.85                   // share of the cores that runs fill, as what is left on an endpoint mostly fits none
-	minSpareCapacity = 0.05                   // share of the capacity that is taken to be left, as a burst ends after some seconds
-	minOwnShare      = 0.5                    // of an even part of the demand, as that of an entry varies from second to second
+	minSpareCapacity = 0.05                   // least share of the capacity that counts as left, as the present demand may not last
+	minOwnShare      = 0.5                    // least share of an entry, as a multiple of an even one, as its demand varies
 	retrySlots       = 16                     // seconds of which a RetryPlan keeps the work; more than maxRetrySeconds
 )
 
@@ -64,14 +64,13 @@
 	Salt      uint64        // of the request
 }
 
-// RetryAfter returns the time after which the caller of a refused batch should come back, and records it in the plan. It is meant
-// for bursts of a few seconds: callers who all come back after a second meet the same burst, or make a second one when it
-// ends.
+// RetryAfter returns the time after which the caller of a refused batch should come back, and records it in the
+// plan. The times are planned because callers who all come back at once would make another burst.
 //
 // The time is the first at which the backlog, the work that comes back before and the batch itself fit beside the
 // demand of its class and of those before it. An entry plans with its share of what is left, in proportion to
-// the demand of its callers, so that all entries together fill it without telling each other. The
-// time is in whole seconds, as it reaches the caller, and is spread by the request over half of it.
+// the demand of its callers, so that all entries together fill it without coordination. The time is in whole
+// seconds, as Retry-After is, and is spread by the salt over retrySpread of it.
 func RetryAfter(now time.Time, load *ServiceLoad, plan *RetryPlan, r *Refusal) time.Duration {
 	if load.Capacity <= 0 || load.Entries == 0 {
 		return ShortRetryAfter(r.Salt)
--- a/core/policy/slowdown.go
+++ b/core/policy/slowdown.go
@@ -76,7 +76,7 @@
 	Estimate time.Duration
 	Endpoint float64 // slowdown of its endpoint
 	Usual    float64 // slowdown that is usual
-	LongTask bool    // it goes on, and others took no longer than usual beside it
+	LongTask bool    // it makes progress, and other runs beside it took no longer than usual
 }
 
 // ShouldRestart reports whether a straggler is to be stopped and started elsewhere: it is expected to
--- a/core/policy/speed.go
+++ b/core/policy/speed.go
@@ -8,9 +8,9 @@
 
 const (
 	speedPriorRuns = 2                // runs at the usual slowdown that an estimate starts with
-	maxSpeedRuns   = 15               // runs that an estimate goes back, so that it follows a change
-	knownSpeedRuns = 5                // runs from which an endpoint counts as known
-	speedHalfLife  = 10 * time.Second // without a run, in which the weight of earlier runs halves
+	maxSpeedRuns   = 15               // greatest weight of earlier runs, so that an estimate follows a change
+	knownSpeedRuns = 5                // runs from which the slowdown of an endpoint counts as known
+	speedHalfLife  = 10 * time.Second // time without a run in which the weight of earlier runs halves
 	// speedClip bounds the factor by which one run may differ from the estimate. It is above the usual error of declared run
 	// times, so that only long tasks are clipped.
 	speedClip = 2.5
@@ -32,11 +32,10 @@
 // PaceHundredths returns a slowdown as entries report it.
 func PaceHundredths(pace float64) int { return int(min(max(math.Round(100*pace), 1), maxHundredths)) }
 
-// Speed estimates the slowdown of an endpoint from the runs that have ended there: the logarithmic mean of run
-// time / estimate, where each run counts only up to speedClip times more or less than the estimate so
-// far. It is meant for endpoints of different speeds, with declared run times that are off and a few tasks that take many times as
-// long: some ten runs tell endpoints apart, and one long task hardly changes the estimate. Endpoints that stand still or are many times slower are found by
-// Health.EndpointSlowdown. The zero value knows no run.
+// Speed estimates the slowdown of an endpoint as the logarithmic mean of run time / estimate of the runs that
+// have ended there. Each run counts up to speedClip times more or less than the estimate so far, so that a
+// single long task hardly changes it. Endpoints that stand still are found by Health.EndpointSlowdown
+// instead. The zero value knows no run.
 type Speed struct {
 	mean float64   // of the logarithm of the slowdowns
 	runs float64   // that it is based on, as of at
@@ -98,7 +97,8 @@
 // Speed returns the estimate of the endpoint's slowdown.
 func (h *Health) Speed() *Speed { return &h.speed }
 
-// RestoreSpeed takes over the estimate of the previous holder of the endpoint, unless that is based on fewer recent runs.
+// RestoreSpeed takes over the estimate of the previous holder of the endpoint if that is based on more recent
+// runs than the one known here.
 func (h *Health) RestoreSpeed(now time.Time, s Speed) {
 	if s.weight(now) > h.speed.weight(now) {
 		h.speed = s
@@ -110,10 +110,9 @@
 	return h.speed.IsKnown(now) && slowdown > longTaskFactor*h.speed.Slowdown(now, usual)
 }
 
-// RecordSpeed records the run time / estimate of a run that is done, and returns as what it counts for RecordEnd. A run
-// that takes long counts as one of the usual length if others have not taken long beside it, or if it is the first: where few
-// tasks take long, a long run at an endpoint that was not slow before is most probably a long task, and two in a row
-// hardly ever are.
+// RecordSpeed records the run time / estimate of a run that is done, and returns the value to pass to RecordEnd.
+// For a long task that is the slowdown of the endpoint. A long run counts as a long task if longTask is
+// set, or if the run before it was not long; two long runs in a row count as a slow endpoint.
 func (h *Health) RecordSpeed(now time.Time, slowdown, usual float64, longTask bool) float64 {
 	pace := h.speed.Slowdown(now, usual)
 	if longTask {
@@ -134,8 +133,9 @@
 	return h.IsLong(now, slowdown, usual) && slowdown < maxSlowdown*usual
 }
 
-// EndpointSlowdown is the slowdown of the endpoint with the slowdowns of the runs there that have not ended. Those of runs that may be
-// long tasks are given apart; like RecordSpeed it passes over one.
+// EndpointSlowdown returns the slowdown of the endpoint, counting the slowdowns of runs there that have not ended.
+// Long has those of runs that may be long tasks; like RecordSpeed it ignores the longest of them unless the last
+// run was long. It sorts long.
 func (h *Health) EndpointSlowdown(running, long []float64) float64 {
 	slices.Sort(long)
 	if !h.lastWasLong && len(long) > 0 {
