Clarify the comments on load and speed in package dispatch

Comments on the load reports, shedding and placement by speed were hard to follow, and the condition for a load report took one line of five terms: it is now hasLoadToReport. overloadCalm is renamed to overloadEndDelay.

--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -14,11 +14,11 @@
 
 const (
 	loadInterval       = 100 * time.Millisecond // between two load reports to a peer
-	loadCacheTime      = 20 * time.Millisecond  // for which figures are not computed again
-	loadBoundsInterval = time.Second            // between two computations of what is plausible
-	minDemand          = 0.01                   // cores, below which a demand counts as none
-	maxLoadServices    = 4                      // services in a report, those with the greatest demand
-	maxLoadDigests     = 16                     // digests in a report, and that are kept
+	loadCacheTime      = 20 * time.Millisecond  // for which computed figures are used again
+	loadBoundsInterval = time.Second            // between two computations of loadBounds
+	minDemand          = 0.01                   // in cores; a smaller demand counts as none
+	maxLoadServices    = 4                      // in a report; those with the greatest demand
+	maxLoadDigests     = 16                     // in a report, and kept
 )
 
 // loadState is what is known of the demand and the capacity of the fleet.
@@ -33,7 +33,7 @@
 	retries       map[string]*policy.RetryPlan // of refused callers, by service
 }
 
-// loadDigest is the sum over entries of one data centre that another entry has made.
+// loadDigest is a sum over entries of one data centre.
 type loadDigest struct {
 	centre, service string
 	sum             policy.LoadSum
@@ -43,19 +43,24 @@
 	return cmp.Or(cmp.Compare(d.centre, o.centre), cmp.Compare(d.service, o.service))
 }
 
-// peerLoad is what a peer has reported of itself.
+// peerLoad is what a peer has reported of its own demand and capacity for a service.
 type peerLoad struct {
 	service string
 	sum     policy.LoadSum
 }
 
+// cachedLoad is a result of serviceLoad.
 type cachedLoad struct {
-	at   time.Time
+	at   time.Time // when it was computed
 	load policy.ServiceLoad
 }
 
 func newLoadState() loadState {
-	return loadState{demand: map[string]*[cornelwall.FreeCapacityClasses]policy.MovingRate{}, current: map[string]cachedLoad{}, retries: map[string]*policy.RetryPlan{}}
+	return loadState{
+		demand:  map[string]*[cornelwall.FreeCapacityClasses]policy.MovingRate{},
+		current: map[string]cachedLoad{},
+		retries: map[string]*policy.RetryPlan{},
+	}
 }
 
 // noteDemand counts a batch that has arrived, whether it is accepted or not.
@@ -101,8 +106,8 @@
 	return s
 }
 
-// serviceLoad returns the load of a service over all entries that are heard of. It is called for each batch that arrives,
-// so that the result is kept for loadCacheTime.
+// serviceLoad returns the load of a service over all entries with recent reports. The result is kept for
+// loadCacheTime, as each batch that arrives asks for it.
 func (c *Core) serviceLoad(service string) policy.ServiceLoad {
 	cached, ok := c.load.current[service]
 	if ok && c.now.Sub(cached.at) < loadCacheTime {
@@ -121,8 +126,8 @@
 	return load
 }
 
-// centreLoads returns the best sum for each data centre: of what its entries have told this one themselves within
-// a time, or the digest of another entry. The first is that of this entry's own data centre.
+// centreLoads returns the best sum for each data centre: over the reports of its entries that are at most as old as
+// maxAge, or a digest of another entry. The first is that of this entry's own data centre.
 func (c *Core) centreLoads(service string, own *policy.LoadSum, maxAge time.Duration) []loadDigest {
 	sums := make([]loadDigest, 1, len(c.ranking.byCentre)+1)
 	sums[0] = loadDigest{centre: c.cfg.Self.DataCentre, service: service, sum: *own}
@@ -185,9 +190,9 @@
 }
 
 // takeLoadReport returns the load report for the next heartbeat to a peer, or nil if none is due, there
-// is nothing to report, or this entry sheds no load and so decides nothing by it. Digests that are heard are nothing to report, since entries would keep each other reporting.
+// is nothing to report, or this entry does not shed load.
 func (c *Core) takeLoadReport(p *peer) *cornelwall.LoadReport {
-	if !c.cfg.Shed || c.now.Sub(p.loadSentAt) < loadInterval || len(c.runs) == 0 && c.now.Sub(c.load.demandHeardAt) > policy.MaxLoadAge && !c.hasDemand() {
+	if !c.cfg.Shed || c.now.Sub(p.loadSentAt) < loadInterval || !c.hasLoadToReport() {
 		return nil
 	}
 	p.loadSentAt = c.now
@@ -197,6 +202,12 @@
 	return c.load.report
 }
 
+// hasLoadToReport reports whether there are runs here, or demand here or at a peer. Digests alone don't count,
+// as entries would keep each other reporting.
+func (c *Core) hasLoadToReport() bool {
+	return len(c.runs) > 0 || c.now.Sub(c.load.demandHeardAt) <= policy.MaxLoadAge || c.hasDemand()
+}
+
 // loadReport returns what this entry knows of the load.
 func (c *Core) loadReport() *cornelwall.LoadReport {
 	r := &cornelwall.LoadReport{}
@@ -207,7 +218,8 @@
 			isOwn := d.centre == c.cfg.Self.DataCentre && d.sum.Entries == 1 // as in r.Own
 			if len(r.Centres) < maxLoadDigests && d.sum.Entries > 0 && !isOwn {
 				r.Centres = append(r.Centres, cornelwall.CentreFigures{
-					ServiceFigures: d.sum.Figures(service), DataCentre: d.centre, Entries: d.sum.Entries, Age: c.now.Sub(d.sum.ReportedAt).Truncate(time.Millisecond),
+					ServiceFigures: d.sum.Figures(service), DataCentre: d.centre, Entries: d.sum.Entries,
+					Age: c.now.Sub(d.sum.ReportedAt).Truncate(time.Millisecond),
 				})
 			}
 		}
@@ -215,8 +227,8 @@
 	return r
 }
 
-// handleLoadReport keeps the load report of a peer. One that exceeds its bounds is reduced to them, and its digests are not
-// believed.
+// handleLoadReport keeps the load report of a peer. Figures that exceed their bounds are reduced to them, and the
+// digests of that report are dropped.
 func (c *Core) handleLoadReport(p *peer, r *cornelwall.LoadReport) {
 	if r == nil {
 		return
@@ -267,16 +279,17 @@
 	}
 }
 
-// loadBounds has what the bounds of reports follow from.
+// loadBounds holds the sums that plausible reports are derived from.
 type loadBounds struct {
-	at            time.Time
+	at            time.Time             // when they were computed
 	all           map[string]float64    // listed capacity in cores, by service
 	inCentre      map[[2]string]float64 // the same, by data centre and service
 	weight        int                   // of all entries
 	centreWeights map[string]int        // of the entries of a data centre
 }
 
-// updateLoadBounds computes the bounds again if that is due, and forgets what is no longer reported.
+// updateLoadBounds computes the bounds again if that is due, and drops old digests, cached results and demand that
+// has ended.
 func (c *Core) updateLoadBounds() {
 	if c.now.Sub(c.load.bounds.at) < loadBoundsInterval {
 		return
@@ -315,7 +328,8 @@
 	return list
 }
 
-// loadPairs returns the pairs of the log line load that tell the load of each service, in the order of loadServices.
+// loadPairs returns the key-value pairs with the load of each service for the log line load, in the order of
+// loadServices.
 func (c *Core) loadPairs() []any {
 	var demand, capacity, entries, age []string
 	for _, service := range c.loadServices() {
--- a/core/dispatch/retryafter.go
+++ b/core/dispatch/retryafter.go
@@ -6,9 +6,9 @@
 	"cornelwall/core/policy"
 )
 
-// retryAfter returns the time after which the callers of a refused job should come back. It follows from the load if the job is
-// refused because of it; salt selects a short delay otherwise. An entry that stops, or that may have missed cancellations and cannot
-// ask for them, tells the short one, as another entry takes the batch.
+// retryAfter returns the time after which the callers of a refused job should come back. It follows from the load,
+// or is a short delay selected by salt if the refusal has another reason (j is nil) or another entry is to take
+// the batch: this one is stopping, or it may have missed cancellations and cannot ask for them.
 func (c *Core) retryAfter(j *job, salt uint64) time.Duration {
 	if !c.cfg.Shed || j == nil || c.isStopping() || c.catchUpOverdue() {
 		return policy.ShortRetryAfter(salt)
--- a/core/dispatch/shed.go
+++ b/core/dispatch/shed.go
@@ -9,18 +9,18 @@
 	"cornelwall/core/policy"
 )
 
-// overloadCalm is the time without queued work after which an overload counts as over.
-const overloadCalm = 500 * time.Millisecond
+// overloadEndDelay is the time without queued work after which an overload counts as over.
+const overloadEndDelay = 500 * time.Millisecond
 
-// overload is what operators are told about the load that this entry sheds.
+// overload is the state of the log lines on the load that this entry sheds.
 type overload struct {
 	since  time.Time      // start of the present overload; zero if there is none
-	seenAt time.Time      // when work was last queued
-	shed   map[string]int // batches refused to make way since the start of the entry, by queue
-	before map[string]int // the same, as of since
+	seenAt time.Time      // when queued work was last seen
+	shed   map[string]int // batches that were shed since the start of the entry, by queue
+	before map[string]int // shed as of since
 }
 
-// trackOverload logs when an overload begins and ends, as this entry sees it by the queued work that holders report.
+// trackOverload logs when an overload begins and ends, judged by the queued work that holders report.
 func (c *Core) trackOverload() {
 	if !c.cfg.Shed {
 		return
@@ -33,7 +33,7 @@
 		}
 		o.seenAt = c.now
 	}
-	if o.since.IsZero() || c.now.Sub(o.seenAt) < overloadCalm {
+	if o.since.IsZero() || c.now.Sub(o.seenAt) < overloadEndDelay {
 		return
 	}
 	shed := maps.Clone(o.shed)
@@ -72,8 +72,8 @@
 	return b.AdmitQueued(c.now, load.Overtaken(ahead, j.queue.Priority))
 }
 
-// queueLoad returns the work that waits at the holders that this entry knows. It is computed once for each event, as it is used for
-// the admission of a batch and for the answer to its caller.
+// queueLoad returns the work that waits at the holders that this entry knows. It is computed once for each event,
+// as both the admission of a batch and the answer to its caller use it.
 func (c *Core) queueLoad() *policy.QueueLoad {
 	if c.queued != nil {
 		return c.queued
@@ -101,7 +101,7 @@
 }
 
 // countsAsQueued reports whether a waiting run is part of the queued work that this entry reports. An entry that
-// sheds load leaves out what goes behind all runs that can be on time.
+// sheds load leaves out late runs, as they go behind all others.
 func (c *Core) countsAsQueued(r *run) bool {
 	if c.cfg.Shed {
 		return r.waiting().TimelinessAt(c.now) == policy.OnTime
@@ -122,7 +122,7 @@
 	})
 }
 
-// reservations are the endpoints that are kept free for waiting runs, during one pass over the backlog.
+// reservations holds the reserved endpoints during one pass over the backlog.
 type reservations map[*lease]policy.Reservation
 
 // allow reports whether a run may start under a lease.
@@ -153,7 +153,7 @@
 	}
 }
 
-// occupied returns what the runs of a lease take, and when they are expected to end.
+// occupied returns the needs of the runs of a lease, and when they are expected to end.
 func (l *lease) occupied() []policy.Occupied {
 	list := make([]policy.Occupied, 0, len(l.runs))
 	for _, r := range l.sortedRuns() {
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -8,13 +8,13 @@
 	"cornelwall/core/policy"
 )
 
-// speedCounts counts since the last log line what placing by speed has decided.
+// speedCounts counts decisions of placement by speed since the last log line.
 type speedCounts struct {
-	longTasks int // that were told from slow endpoints
-	awaited   int // times that a run was left waiting for a faster endpoint
+	longTasks int // runs that were found to be long tasks
+	awaited   int // times that a run waited for a faster endpoint
 }
 
-// endedSlowdown returns as what run time / estimate a run that has ended counts for the health of its
+// endedSlowdown returns the run time / estimate by which a run that has ended counts for the health of its
 // endpoint.
 func (c *Core) endedSlowdown(r *run, end cornelwall.RunEnd, took time.Duration) float64 {
 	slowdown := policy.SlowdownOf(took, r.Estimate)
@@ -28,8 +28,8 @@
 	return health.RecordSpeed(c.now, slowdown, c.usualSlowdown, r.longTask)
 }
 
-// findLongTasks marks as long tasks the runs that take long, and beside which a run that started later took no
-// longer than usual: the endpoint is not slow.
+// findLongTasks marks as long tasks the long runs beside a run that started later and took no longer than usual, which
+// shows that the endpoint is not slow.
 func (c *Core) findLongTasks(ended *run) {
 	for _, r := range ended.lease.runs {
 		if r.state == runRunning && !r.longTask && !r.startedAt.After(ended.startedAt) && c.mayBeLongTask(r, c.runSlowdown(r)) {
@@ -44,7 +44,7 @@
 	return r.lease.ep.health.IsLongTask(c.now, slowdown, c.usualSlowdown) && r.progress.IsOnCourse(c.now)
 }
 
-// slowdownBySpeed is slowdown where long tasks are told from slow endpoints.
+// slowdownBySpeed returns the slowdown of the endpoint of a lease, leaving out long tasks.
 func (c *Core) slowdownBySpeed(l *lease) float64 {
 	var running, long []float64
 	for _, r := range l.runs {
@@ -62,8 +62,8 @@
 	return l.ep.health.EndpointSlowdown(running, long)
 }
 
-// pace returns the slowdown that a run at the endpoint of a lease is expected to have, or 0 if it doesn't
-// matter.
+// pace returns the slowdown that a run at the endpoint of a lease is expected to have, or 0 without placement
+// by speed.
 func (c *Core) pace(l *lease) float64 {
 	if !c.cfg.PlaceBySpeed {
 		return 0
@@ -71,8 +71,8 @@
 	return l.ep.health.Pace(c.now, c.usualSlowdown)
 }
 
-// awaitsFaster reports whether a run that would be late on each endpoint with room for it waits for one that is
-// in use, as it would be in time there.
+// awaitsFaster reports whether a run waits for a faster endpoint that is in use: it would be late on each
+// endpoint with room for it, and in time there.
 func (c *Core) awaitsFaster(r *run, held []*endpoint) bool {
 	if !c.cfg.PlaceBySpeed || !c.choice.IsLate() {
 		return false
@@ -87,8 +87,8 @@
 	return false
 }
 
-// usualNeed returns the need that is usual for runs of a service that wait here, in thousandths of cores, or 0 if it is not
-// known.
+// usualNeed returns the usual need of runs of a service that wait here, in thousandths of cores, or 0 if it is
+// not known.
 func (c *Core) usualNeed(service string) int {
 	if u := c.usualNeeds[service]; u != nil {
 		return u.Cores()
@@ -110,8 +110,8 @@
 	u.Record(r.Need)
 }
 
-// maxPace returns the slowdown up to which a task of a job is in time if it starts now, or 0 if it is late or that doesn't
-// matter.
+// maxPace returns the slowdown up to which a task of a job is in time if it starts now. It is 0 if the task is late
+// or without placement by speed.
 func (c *Core) maxPace(j *job, step int) float64 {
 	if !c.cfg.PlaceBySpeed {
 		return 0
@@ -119,7 +119,7 @@
 	return max(policy.MaxPace(c.now, j.due, j.estimate(step)), 0)
 }
 
-// reportSpeed adds to the offer of an endpoint what is known of its slowdown.
+// reportSpeed adds the known slowdown of an endpoint to its handover.
 func (c *Core) reportSpeed(ep *endpoint, m *cornelwall.Handover) {
 	if !c.cfg.PlaceBySpeed {
 		return
@@ -129,7 +129,7 @@
 	}
 }
 
-// takeSpeed starts with what the previous holder of an endpoint knows of its slowdown.
+// takeSpeed takes over the slowdown of an endpoint that its previous holder has reported.
 func (c *Core) takeSpeed(ep *endpoint, m *cornelwall.Handover) {
 	if c.cfg.PlaceBySpeed {
 		ep.health.RestoreSpeed(c.now, policy.RestoreSpeed(c.now, float64(m.Pace)/100, m.PaceRuns))
