Clarify the comments on cancellations and evacuations in package dispatch

catchUpPatience is renamed to catchUpRefuseDelay, and the count of peers that have still to answer is split from catchUp. Comments state the rule first and its reason in one sentence.

--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -7,8 +7,8 @@
 	"cornelwall"
 )
 
-// cancelWait is how long an entry waits for its peers before it refuses a DELETE: callers wait 6 s. An entry that stands still
-// is off the platform's list by then.
+// cancelWait is how long an entry waits for its peers before it refuses a DELETE. It is below the 6 s that callers wait,
+// and long enough for an entry that stands still to be dropped from the platform's list.
 const cancelWait = 4500 * time.Millisecond
 
 // cancelState holds the cancellations that this entry knows of.
@@ -28,7 +28,7 @@
 type ownCancellation struct {
 	id           string
 	number       uint64
-	askedAt      time.Time // first
+	askedAt      time.Time // by the first caller
 	callers      []canceller
 	acknowledged bool
 }
@@ -61,7 +61,7 @@
 			c.refuseCanceller(&ownCancellation{id: ev.ID, askedAt: c.now}, ev.Req, "full")
 			return
 		}
-		o = c.addCancellation(ev.ID) // anew, so that peers' records are as young as catchUpMargin takes them to be
+		o = c.addCancellation(ev.ID) // again, as catchUpMargin bounds the age of the peers' records
 	}
 	switch {
 	case !recorded:
@@ -79,7 +79,7 @@
 	}
 }
 
-// cancelUnconfirmed cancels a batch by a message to all peers, and answers at once.
+// cancelUnconfirmed sends a cancellation to all peers and answers at once, without waiting for confirmations.
 func (c *Core) cancelUnconfirmed(ev cornelwall.CancelBatch) {
 	c.cancelOwned(ev.ID)
 	for _, p := range c.peersByID {
@@ -110,8 +110,8 @@
 	return p.listed || p.leaving && c.now.Sub(p.unlistedAt) < c.cfg.Limits.StopGrace
 }
 
-// noteStopping notes that a peer that makes a planned stop has to confirm cancellations. It may never have been on the list
-// that this entry has read, and counts as dropped from it when it is first heard then.
+// noteStopping notes that a peer that makes a planned stop has to confirm cancellations. A peer that this entry has never
+// seen on the list counts as dropped from it now.
 func (c *Core) noteStopping(p *peer, m *cornelwall.SessionHeartbeat) {
 	if !m.Leaving || !m.KeepsCancellations {
 		return
@@ -122,7 +122,7 @@
 	}
 }
 
-// confirmedNumber returns the number up to which all peers have confirmed the cancellations that have to.
+// confirmedNumber returns the number up to which all peers that must confirm cancellations have done so.
 func (c *Core) confirmedNumber() uint64 {
 	n := c.lastNumber
 	for _, p := range c.peersByID {
@@ -208,6 +208,7 @@
 	return list
 }
 
+// answerCanceller answers a caller of a cancellation.
 func (c *Core) answerCanceller(req uint64, end cornelwall.BatchEnd, text string) {
 	a := cornelwall.BatchAnswer{End: end, Reason: cornelwall.ReasonCancelled, Text: text}
 	if end == cornelwall.BatchRefused {
--- a/core/dispatch/cancelrecord.go
+++ b/core/dispatch/cancelrecord.go
@@ -8,8 +8,8 @@
 	"cornelwall"
 )
 
-// cancellationTTL is how long the record of a cancelled batch is kept. It is longer than any message is
-// delayed, and than callers send a batch again.
+// cancellationTTL is how long the record of a cancelled batch is kept. It exceeds the delay of any message, and
+// the time in which callers submit a batch again.
 const cancellationTTL = time.Minute
 
 // keepsCancellations reports whether this entry records cancellations, and confirms them to its peers.
@@ -46,7 +46,7 @@
 	return recorded
 }
 
-// stopCancelledRuns returns the waiting runs here of cancelled batches, and stops the others.
+// stopCancelledRuns ends the runs of cancelled batches here: waiting ones return to their owners, others are stopped.
 func (c *Core) stopCancelledRuns(batches map[string]bool) {
 	if len(batches) == 0 {
 		return
@@ -56,8 +56,8 @@
 	}
 }
 
-// returnCancelled returns a run of a cancelled batch to its owner, and tells that it is cancelled: the
-// owner does not know, or has sent the run before it did.
+// returnCancelled returns a run of a cancelled batch to its owner with the cancellation, which the owner may not
+// know of.
 func (c *Core) returnCancelled(owner cornelwall.Incarnation, id cornelwall.RunID) {
 	c.log("cancelled-returned", "task", id.Task, "run", id.Run, "owner", owner)
 	c.send(owner, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: batchOf(id.Task)}})
--- a/core/dispatch/cancelsend.go
+++ b/core/dispatch/cancelsend.go
@@ -9,8 +9,8 @@
 const (
 	cancelInterval       = 10 * time.Millisecond  // between two messages to a peer with new cancellations
 	cancelRetry          = 200 * time.Millisecond // after which a peer that answers is sent unconfirmed cancellations again
-	cancelSpread         = 10 * time.Second       // for which peers are sent a cancellation, also those that are listed meanwhile
-	maxCancellationsSent = 512                    // in one message, and in one that is not sent as bulk
+	cancelSpread         = 10 * time.Second       // for which a cancellation is sent to peers, including newly listed ones
+	maxCancellationsSent = 512                    // in one message; longer answers to queries are sent as bulk
 )
 
 // peerCancels is what a peer knows of this entry's cancellations.
@@ -19,7 +19,7 @@
 	sent      uint64    // number of the last one that it was sent
 	confirmed uint64    // number up to which it has confirmed them
 	sentAt    time.Time // when it was last sent any
-	repeats   int       // messages since the last confirmation that repeat others
+	repeats   int       // repeated messages since the last confirmation
 }
 
 // needsNoHeartbeat reports whether a message to a peer needs no heartbeat before it. The message is sent again, with
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -7,20 +7,25 @@
 )
 
 const (
-	catchUpMargin   = 2*cancelWait + time.Second // before the start of a gap, from which on cancellations may have been missed: they were acknowledged in the gap
-	catchUpGrace    = 500 * time.Millisecond     // for which an entry that was dropped from the list, finds the platform again or has started goes on
-	catchUpPatience = time.Second                // after which an entry that is not on the list refuses batches
-	// maxAskHold is for how long an entry that can ask its peers starts nothing. Peers that are cut off may not answer for as
-	// long as the cut lasts, and callers have to be served meanwhile.
+	// catchUpMargin is the time before the start of a gap from which on cancellations may have been missed, as they may have
+	// been acknowledged in the gap.
+	catchUpMargin = 2*cancelWait + time.Second
+	// catchUpGrace is the time for which an entry goes on after it was dropped from the list, has found the platform again
+	// or has started.
+	catchUpGrace = 500 * time.Millisecond
+	// catchUpRefuseDelay is the time after which an entry that is not on the list refuses batches.
+	catchUpRefuseDelay = time.Second
+	// maxAskHold is the time for which an entry that can ask its peers starts nothing. Peers that are cut off do not
+	// answer, and callers have to be served meanwhile.
 	maxAskHold     = 150 * time.Millisecond
 	catchUpTimeout = 300 * time.Millisecond // for a peer to answer
 	catchUpAsks    = 2                      // peers that are asked at a time
 	catchUpQuorum  = 2                      // answers of peers that have missed nothing themselves
 )
 
-// catchUpState holds whether this entry may have missed cancellations. Those that were acknowledged while
-// it was on the platform's list have been confirmed by it. When it was not, or may not have been, it
-// asks its peers, and starts nothing before they have answered.
+// catchUpState holds whether this entry may have missed cancellations. It has confirmed those that were
+// acknowledged while it was on the platform's list. If it was not, or may not have been, it asks its peers, and
+// starts nothing until they have answered or maxAskHold has passed.
 type catchUpState struct {
 	caughtUp   bool
 	missedFrom time.Time // cancellations since then may have been missed
@@ -30,7 +35,7 @@
 	selfListed bool      // this entry is on the platform's list
 	listedAt   time.Time // when it was last seen there
 
-	round    uint64                               // of queries
+	round    uint64                               // number of the present round of queries
 	askedAt  map[cornelwall.Incarnation]time.Time // in this round
 	answered map[cornelwall.Incarnation]bool      // in this round
 	complete int                                  // answers in this round of peers that have missed nothing
@@ -47,8 +52,8 @@
 func (c *Core) mustCatchUp() bool { return c.keepsCancellations() && !c.caughtUp }
 
 // catchingUp reports whether nothing may be assigned or started, as this entry may have missed the cancellation. Without
-// the platform it goes on: its peers cannot wait for it. If its peers do not answer, it goes on after a while; it
-// acknowledges nothing before they have.
+// the platform it goes on, as its peers do not wait for its confirmations then. If its peers do not answer, it goes
+// on after maxAskHold, but acknowledges no cancellation before they have.
 func (c *Core) catchingUp() bool {
 	if !c.mustCatchUp() || !c.platformUp || c.now.Before(c.holdFrom) {
 		return false
@@ -59,7 +64,7 @@
 // catchUpOverdue reports whether callers should not wait for this entry to catch up, as it is not on the list and
 // cannot ask its peers.
 func (c *Core) catchUpOverdue() bool {
-	return c.catchingUp() && c.askingAt.IsZero() && c.now.Sub(c.holdFrom) > catchUpPatience
+	return c.catchingUp() && c.askingAt.IsZero() && c.now.Sub(c.holdFrom) > catchUpRefuseDelay
 }
 
 // noteMissed records that this entry may have missed cancellations, for a reason and since a time, and that
@@ -73,9 +78,9 @@
 		c.caughtUp, c.missedFrom, c.lostAt, c.holdFrom, c.askingAt = false, since, c.now, hold, time.Time{}
 		c.log("cancels-missed", "why", why, "since", c.now.Sub(since))
 	}
-	if !c.askingAt.IsZero() { // it took itself to be on the list, which has to be seen anew
+	if !c.askingAt.IsZero() { // that it is on the list has to be read again
 		if c.now.Sub(c.askingAt) >= maxAskHold {
-			c.holdFrom = hold // it has gone on meanwhile
+			c.holdFrom = hold // the earlier hold has ended
 		}
 		c.askingAt = time.Time{}
 	}
@@ -91,8 +96,8 @@
 	c.complete = 0
 }
 
-// graceAfterOutage lets this entry go on for catchUpGrace after the platform is back, while it registers anew. All
-// entries may have lost the platform, and all would stop.
+// graceAfterOutage lets this entry go on for catchUpGrace after the platform is back, while it registers again.
+// Otherwise all entries would stop at once after an outage.
 func (c *Core) graceAfterOutage() {
 	if !c.listedAt.IsZero() {
 		c.holdFrom = c.now.Add(catchUpGrace)
@@ -119,8 +124,8 @@
 	c.catchUp()
 }
 
-// announceStop tells peers that have been listed since this entry's planned stop began that it is here. It is not on the
-// list any more.
+// announceStop sends heartbeats to peers that were listed after this entry's planned stop began, as they don't find
+// it on the list.
 func (c *Core) announceStop() {
 	if !c.isStopping() || !c.keepsCancellations() {
 		return
@@ -133,7 +138,7 @@
 }
 
 // catchUp asks peers for cancellations if some may have been missed, once this entry is on the list: from then
-// on its peers wait for its confirmations. What was missed cancellationTTL ago has no effect any more.
+// on its peers wait for its confirmations. It ends after cancellationTTL, when the missed ones have no effect any more.
 func (c *Core) catchUp() {
 	if c.catchUpOverdue() {
 		c.returnBacklog() // others can start it
@@ -144,16 +149,7 @@
 	if c.askingAt.IsZero() {
 		c.askingAt = c.now
 	}
-	open, asked := 0, 0
-	for _, p := range c.peersByID {
-		if !c.mustConfirm(p) || c.answered[p.id] {
-			continue
-		}
-		open++
-		if at, ok := c.askedAt[p.id]; ok && c.now.Sub(at) < catchUpTimeout {
-			asked++
-		}
-	}
+	open, asked := c.countCatchUpPeers()
 	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.askingAt) >= cancellationTTL {
 		c.endCatchUp(open)
 		return
@@ -168,6 +164,21 @@
 	}
 }
 
+// countCatchUpPeers returns how many peers have still to answer, and how many of them were asked within catchUpTimeout.
+func (c *Core) countCatchUpPeers() (open, asked int) {
+	for _, p := range c.peersByID {
+		if !c.mustConfirm(p) || c.answered[p.id] {
+			continue
+		}
+		open++
+		if at, ok := c.askedAt[p.id]; ok && c.now.Sub(at) < catchUpTimeout {
+			asked++
+		}
+	}
+	return open, asked
+}
+
+// endCatchUp ends the catch-up, with a number of peers that have not answered.
 func (c *Core) endCatchUp(open int) {
 	c.caughtUp = true
 	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "cancelled", len(c.cancelled))
@@ -175,9 +186,9 @@
 	c.answerCancellers()
 }
 
-// pickCatchUpPeer returns the peer to ask next, or nil: one that was not asked yet rather than another, and one that
-// answers heartbeats rather than another. One of this data centre and one of another are asked at a time, as there may be a cut
-// between them, or one of them may be gone as a whole.
+// pickCatchUpPeer returns the peer to ask next, or nil. It prefers peers that were not asked yet, then those of the
+// data centre whose turn it is, then those that answer heartbeats. One peer of this data centre and one of another are asked at a time, as either may not be
+// reachable as a whole.
 func (c *Core) pickCatchUpPeer() *peer {
 	var open []*peer
 	remote := false // whether the next one is of another data centre
@@ -201,6 +212,7 @@
 	return best
 }
 
+// isBetterCatchUpPeer reports whether to ask p rather than q, where remote prefers another data centre to this one.
 func (c *Core) isBetterCatchUpPeer(p, q *peer, remote bool) bool {
 	if a, b := c.askedAt[p.id], c.askedAt[q.id]; !a.Equal(b) {
 		return a.Before(b)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -89,7 +89,7 @@
 	Weight       int              // capacity of this entry relative to others; 0 means 1
 	MaxMeshPeers int              // up to this many peers, all pairs exchange heartbeats all the time; 0 means 8, negative never
 	Limits       Limits
-	Shed         bool // under overload, what costs callers least is delayed or refused; see shed.go
+	Shed         bool // under overload, the work that costs callers least is delayed or refused; see shed.go
 	PlaceBySpeed bool // runs are placed by when they are expected to end at each endpoint
 }
 
@@ -146,7 +146,7 @@
 	classShares      policy.ClassShares        // of the runs started here
 	overload         overload
 	queued           *policy.QueueLoad     // result of queueLoad for this event, or nil
-	choice           policy.EndpointChoice // of the endpoint for a run; kept for its memory
+	choice           policy.EndpointChoice // of the endpoint for a run; kept to reuse its memory
 	speedCounts      speedCounts
 	usualNeeds       map[string]*policy.UsualNeed   // by service
 	backlogChanged   bool                           // a waiting run may now be able to start, or the order may differ
--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -13,29 +13,28 @@
 	// evacuationConfirmTimeout is how long an entry that has resumed from a long pause, and has lost the platform, waits for a
 	// peer that confirms the evacuations.
 	evacuationConfirmTimeout = time.Second
-	// evacuationReadTimeout is the same for an entry that has not lost the platform. A watch on a connection that has died
-	// fails only after 2.6 s, and the list that follows it takes up to 0.6 s.
+	// evacuationReadTimeout is the same for an entry that has not lost the platform. It exceeds the 2.6 s after which a watch on
+	// a dead connection fails, and the 0.6 s that the list after it may take.
 	evacuationReadTimeout = 4 * time.Second
 	evacuationAsks        = 4 // peers that are asked to confirm the evacuations after a long pause
-	// maxRevisionLead and maxRevisionRate bound by how much the revision that a peer tells may exceed the last one that this
-	// entry has read from the platform's store, which takes some 400 writes per second.
+	// maxRevisionLead and maxRevisionRate bound by how much the revision that a peer reports may exceed the last one that this
+	// entry has read from the platform's store. The store takes some 400 writes per second.
 	maxRevisionLead = 10_000
 	maxRevisionRate = 10_000 // per second since that read
-	// longPauseShare is the share of Limits.EvacuateTime from which on a pause of the process is long. After a shorter one there
-	// is time enough to hear of what has changed.
+	// longPauseShare is the share of Limits.EvacuateTime from which on a pause of the process is long. After a shorter one
+	// enough of that time is left to learn what has changed.
 	longPauseShare = 0.2
 )
 
 // evacuations is what this entry knows of the evacuation of data centres, from the platform's store or
 // from peers. The higher revision wins.
 //
-// Every element of list is as of completeAsOf or later: with each complete state, the data centres that are
-// missing from it count as not evacuated as of its revision. So an old state of a data centre that is not on the list is
-// told from a new one, too. What is not active as of completeAsOf needs no place in the list.
+// Every element of list is as of completeAsOf or later. A data centre that is not on the list counts as not evacuated as
+// of completeAsOf, so that older states of it are ignored. Elements that are not active as of completeAsOf are therefore left out.
 type evacuations struct {
 	list         []cornelwall.Evacuation // sorted by data centre; never modified, as heartbeats share it
 	completeAsOf int64                   // revision as of which no data centre is evacuated that is not on the list; 0 if not known
-	confirmedAt  time.Time               // when the store, or a peer that reads it, was last asked and has answered since
+	confirmedAt  time.Time               // when the latest answered query to the store, or to a peer that reads it, was sent
 	doubtedAt    time.Time               // end of the last long pause of the process
 	storeRev     int64                   // greatest revision that was read from the store; 0 if none
 	storeReadAt  time.Time
@@ -92,8 +91,8 @@
 	})
 }
 
-// dropImplausible forgets what peers have told as of revisions that the platform's store has not reached: no read of the
-// store would replace it. It was taken before the first read.
+// dropImplausible drops a state with revisions that the platform's store cannot have reached, as no read of the store would
+// replace it. Peers can have reported it only before the first read.
 func (c *Core) dropImplausible() {
 	e := &c.evacuations
 	if e.isPlausible(e.completeAsOf, c.now) && !slices.ContainsFunc(e.list, func(x cornelwall.Evacuation) bool { return !e.isPlausible(x.Revision, c.now) }) {
@@ -103,6 +102,7 @@
 	e.list, e.completeAsOf = nil, 0
 }
 
+// confirmEvacuations notes that the state is confirmed as of a time.
 func (c *Core) confirmEvacuations(at time.Time) {
 	if at.After(c.evacuations.confirmedAt) {
 		c.evacuations.confirmedAt = at
@@ -152,8 +152,8 @@
 	}
 }
 
-// neededEvacuations returns a list without what completeAsOf tells as well, and of MaxEvacuations at most: data centres that have
-// entries or endpoints come first.
+// neededEvacuations returns a list without the elements that completeAsOf implies. If it exceeds MaxEvacuations, data centres
+// without entries or endpoints are left out first.
 func (c *Core) neededEvacuations(list []cornelwall.Evacuation) []cornelwall.Evacuation {
 	needed := slices.DeleteFunc(slices.Clone(list), func(e cornelwall.Evacuation) bool {
 		return !e.Active && e.Revision <= c.evacuations.completeAsOf
@@ -208,15 +208,14 @@
 // readsEvacuations reports whether data centres can be evacuated.
 func (c *Core) readsEvacuations() bool { return c.cfg.Limits.EvacuateTime > 0 }
 
-// knowsEvacuations reports whether the store or a peer has told which data centres are evacuated, if
-// that is to be known. An entry that does not know takes no endpoint, so that it starts nothing. A list that is not complete may
-// lack a data centre.
+// knowsEvacuations reports whether this entry has a complete list of the evacuated data centres, or needs none. An
+// entry without it takes no endpoint, so that it starts nothing.
 func (c *Core) knowsEvacuations() bool {
 	return !c.readsEvacuations() || c.evacuations.completeAsOf > 0
 }
 
-// startsInEvacuated reports whether a peer may start tasks in its data centre although that is evacuated: it does not tell
-// which ones are, so that it is of an older version.
+// startsInEvacuated reports whether a peer may start tasks in its data centre although that is evacuated: it is of an older
+// version, which does not report evacuations.
 func (c *Core) startsInEvacuated(p *peer) bool {
 	return !p.tellsEvacuations && c.isEvacuated(p.id.DataCentre)
 }
@@ -254,8 +253,8 @@
 			asked++
 		}
 	}
-	// Links that were used before the pause have expired, and may all be to peers that do not answer. A whole data centre may
-	// have stood still, so that others are asked in any case.
+	// The linked peers may not answer either, as a whole data centre may have paused. Unlinked peers, of other
+	// data centres in any case, are therefore asked too.
 	for i := range 2 * evacuationAsks {
 		remote := i%2 == 0
 		if asked >= evacuationAsks && (!remote || i >= evacuationAsks) {
@@ -295,6 +294,7 @@
 	})
 }
 
+// isAnyEvacuated reports whether a data centre is evacuated.
 func (c *Core) isAnyEvacuated() bool {
 	return slices.ContainsFunc(c.evacuations.list, func(e cornelwall.Evacuation) bool { return e.Active })
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -190,8 +190,8 @@
 	return j
 }
 
-// admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone. The load is no reason if
-// tasks of the batch may have run: it could only be given up, and one that waits here is not given up for the load either.
+// admissionRefusal returns the reason to refuse a batch that can't be done in time, or ReasonNone. A batch of which tasks
+// may have run is not refused because of the load, as it could only be given up.
 func (c *Core) admissionRefusal(j *job) cornelwall.Reason {
 	if c.allEvacuated() {
 		return cornelwall.ReasonEvacuated
