--- a/cmd/cornelwall/check_dispatch.go
+++ b/cmd/cornelwall/check_dispatch.go
@@ -17,7 +17,7 @@
 
 const (
 	maxCheckedFile = 16 << 20              // bytes that are read of a file; the decoders report what is too large for an entry
-	maxPath        = maxHeaderBytes + 4096 // bytes; net/http reads so many beyond the limit that is set
+	maxPath        = maxHeaderBytes + 4096 // bytes; net/http accepts 4096 bytes beyond the limit that is set
 )
 
 // dispatchFiles are the files of dispatch to check.
@@ -36,7 +36,7 @@
 // check reports a wrong use of the flags. Other is the file of --settings.
 func (f *dispatchFiles) check(other string) error {
 	if f.against != "" && f.queues == "" {
-		return errors.New("--against goes with --queues")
+		return errors.New("--against goes with --queues; name the new configuration with --queues")
 	}
 	stdin := 0
 	for _, name := range []string{f.queues, f.against, f.settings, other} {
@@ -206,6 +206,7 @@
 	return printTables(c, r, tables...)
 }
 
+// problemTable returns the table of the problems with all files.
 func problemTable(problems []fileProblem) *table {
 	t := &table{head: []string{"SEVERITY", "FILE", "PLACE", "QUEUE", "PROBLEM", "REMEDY"}}
 	for _, p := range problems {
@@ -218,6 +219,7 @@
 	return t
 }
 
+// changeTable returns the table of the changes, with a line of its own if there are none.
 func changeTable(changes []configcheck.Change) *table {
 	t := &table{head: []string{"CHANGE", "OBJECT", "NAME", "FIELD", "BEFORE", "AFTER"}}
 	for _, ch := range changes {
--- a/cmd/cornelwall/dispatch.go
+++ b/cmd/cornelwall/dispatch.go
@@ -103,8 +103,8 @@
 	servers      []*server
 }
 
-// buildDispatcher opens the listeners and creates the services of an entry. It completes the config of the core
-// by the settings.
+// buildDispatcher opens the listeners and creates the services of an entry. It completes the core's config from the
+// settings.
 func buildDispatcher(s platform.Settings, cfg dispatch.Config, secret string, metricsPort int, log logr.Logger) (*dispatcher, error) {
 	if s.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB) * (1 << 20)))
--- a/core/configcheck/changes.go
+++ b/core/configcheck/changes.go
@@ -11,7 +11,7 @@
 
 //go:generate go tool enumer -type=ChangeKind -text -transform=kebab -trimprefix=Change -output=changekind_gen.go
 
-// ChangeKind tells what happens to an object.
+// ChangeKind is how an object differs from the configuration in force.
 type ChangeKind int
 
 const (
@@ -85,6 +85,7 @@
 	return changes, r.problems
 }
 
+// isReadable reports whether a field is missing or could be decoded.
 func (in *Input) isReadable(index int, f Field) bool {
 	return in.Source.State(index, f) != StateUnreadable
 }
--- a/core/configcheck/field.go
+++ b/core/configcheck/field.go
@@ -38,7 +38,7 @@
 
 //go:generate go tool enumer -type=State -transform=kebab -trimprefix=State -output=state_gen.go
 
-// State tells what a file has for a field.
+// State is whether a file has a field, and whether its value could be decoded.
 type State int
 
 const (
@@ -47,8 +47,8 @@
 	StateUnreadable       // with a value that could not be decoded, which has been reported
 )
 
-// Source is the file that was decoded. The index is that of the queue or service whose field is meant, and
-// 0 for any other field.
+// Source gives the places, states and names of the fields of a decoded file. Index is that of the queue or service
+// that the field belongs to, and 0 for any other field.
 type Source interface {
 	Place(index int, f Field) Place
 	State(index int, f Field) State
--- a/core/configcheck/problem.go
+++ b/core/configcheck/problem.go
@@ -4,7 +4,7 @@
 
 //go:generate go tool enumer -type=Severity -text -transform=kebab -trimprefix=Severity -output=severity_gen.go
 
-// Severity tells whether a problem must be corrected.
+// Severity is whether a problem must be corrected.
 type Severity int
 
 const (
--- a/core/configcheck/settings.go
+++ b/core/configcheck/settings.go
@@ -45,6 +45,7 @@
 	return c.problems
 }
 
+// settingsChecker checks the settings of an entry.
 type settingsChecker struct {
 	*Settings
 	report
