Name peers' flags plainly and split the refusal of jobs

Renames tellsEvacuations to reportsEvacuations, startsInEvacuated to mayStartInEvacuated and peerCancels.kept to keeps, and removes a variable that shadowed the job in handleSubmitBatch. refuseJob is split from checkJobs.

go vet and the tests of core/dispatch, core/policy, platform, cmd/cornelwall and the root package pass.

--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -24,7 +24,7 @@
 		list = append(list, policy.HolderOption{ID: c.cfg.Self, View: &own, IsSelf: true, SameCentre: true})
 	}
 	for _, p := range c.links {
-		if c.canAssign(p) && !c.startsInEvacuated(p) {
+		if c.canAssign(p) && !c.mayStartInEvacuated(p) {
 			list = append(list, policy.HolderOption{ID: p.id, View: &p.view, SameCentre: p.id.DataCentre == c.cfg.Self.DataCentre})
 		}
 	}
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -54,8 +54,8 @@
 	stopAcked       bool      // the endpoint has accepted the stop
 	startAnswered   bool      // the endpoint is known to have carried out the start
 	progress        policy.Progress
-	needRecorded    bool // for the usual need of its service
-	longTask        bool // it takes long where others don't
+	needRecorded    bool // its need is counted in the usual need of its service
+	longTask        bool // it is found to be a long task, see findLongTasks
 	unansweredTicks int  // ticks since its start was ordered, until that is answered
 }
 
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -14,14 +14,14 @@
 // cancelState holds the cancellations that this entry knows of.
 type cancelState struct {
 	cancelled map[string]time.Time // when each batch was cancelled
-	// ownCancels are the cancellations of this entry's callers that peers are told of, in the order of their numbers,
-	// which are consecutive.
+	// ownCancels are the cancellations of this entry's callers that are sent to peers, in the order of their
+	// consecutive numbers.
 	ownCancels    []*ownCancellation
 	ownByID       map[string]*ownCancellation
 	unanswered    []*ownCancellation // those for whose acknowledgement callers wait
 	lastNumber    uint64             // of ownCancels
-	cancelsUnsent bool               // peers have not been told of the latest one
-	cancelsSentAt time.Time          // when peers were last told of new ones
+	cancelsUnsent bool               // the latest one has not been sent to peers
+	cancelsSentAt time.Time          // when new ones were last sent to peers
 }
 
 // ownCancellation is a cancellation that a caller has asked this entry for.
@@ -88,13 +88,13 @@
 	c.answerCanceller(ev.Req, cornelwall.BatchCancelled, "")
 }
 
-// addCancellation adds a cancellation that peers are told of.
+// addCancellation adds a cancellation to those that are sent to peers.
 func (c *Core) addCancellation(id string) *ownCancellation {
 	c.lastNumber++
 	o := &ownCancellation{id: id, number: c.lastNumber, askedAt: c.now}
 	c.ownCancels, c.ownByID[id], c.cancelsUnsent = append(c.ownCancels, o), o, true
 	for _, p := range c.peersByID {
-		if !p.cancels.kept { // of an earlier version
+		if !p.cancels.keeps { // of an earlier version
 			c.send(p.id, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: id}})
 		}
 	}
@@ -104,7 +104,7 @@
 // mustConfirm reports whether a cancellation is acknowledged only once a peer has confirmed it. A peer that makes
 // a planned stop is off the list and goes on with its batches until it ends.
 func (c *Core) mustConfirm(p *peer) bool {
-	if !p.cancels.kept || p.dead {
+	if !p.cancels.keeps || p.dead {
 		return false
 	}
 	return p.listed || p.leaving && c.now.Sub(p.unlistedAt) < c.cfg.Limits.StopGrace
@@ -116,7 +116,7 @@
 	if !m.Leaving || !m.KeepsCancellations {
 		return
 	}
-	p.cancels.kept = true
+	p.cancels.keeps = true
 	if !p.listed && p.unlistedAt.IsZero() {
 		p.unlistedAt = c.now
 	}
--- a/core/dispatch/cancelsend.go
+++ b/core/dispatch/cancelsend.go
@@ -15,7 +15,7 @@
 
 // peerCancels is what a peer knows of this entry's cancellations.
 type peerCancels struct {
-	kept      bool      // it records cancellations and confirms them
+	keeps     bool      // it records cancellations and confirms them
 	sent      uint64    // number of the last one that it was sent
 	confirmed uint64    // number up to which it has confirmed them
 	sentAt    time.Time // when it was last sent any
@@ -28,7 +28,7 @@
 	return m.CancellationsKept != nil || m.Cancellations != nil && p.cancels.repeats == 0
 }
 
-// sendNewCancellations tells the peers of the cancellations that they have not been told of.
+// sendNewCancellations sends the peers the cancellations that they have not been sent.
 func (c *Core) sendNewCancellations() {
 	if !c.cancelsUnsent || c.now.Sub(c.cancelsSentAt) < cancelInterval {
 		return
@@ -41,7 +41,7 @@
 
 // sendCancellations sends a peer the cancellations after the last one that it was sent.
 func (c *Core) sendCancellations(p *peer) {
-	if !p.cancels.kept || p.dead || len(c.ownCancels) == 0 {
+	if !p.cancels.keeps || p.dead || len(c.ownCancels) == 0 {
 		return
 	}
 	first := max(p.cancels.sent+1, c.ownCancels[0].number)
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -187,8 +187,8 @@
 }
 
 // pickCatchUpPeer returns the peer to ask next, or nil. It prefers peers that were not asked yet, then those of the
-// data centre whose turn it is, then those that answer heartbeats. One peer of this data centre and one of another are asked at a time, as either may not be
-// reachable as a whole.
+// data centre whose turn it is, then those that answer heartbeats. One peer of this data centre and one of
+// another are asked at a time, as either may not be reachable as a whole.
 func (c *Core) pickCatchUpPeer() *peer {
 	var open []*peer
 	remote := false // whether the next one is of another data centre
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,11 +29,11 @@
 // What is decided by figures, such as the order of the backlog or the choice of a holder, is in package
 // policy; this package keeps the state and acts.
 //
-// Owner: jobs.go accepts batches, retryafter.go tells refused callers when to come back, jobcallers.go keeps the callers that wait for each, estimates.go
-// corrects their targets, assign.go assigns tasks to holders, tasks.go processes the results of runs,
-// finish.go ends batches, and pendingends.go tracks withdrawn runs until they have ended. cancel.go
-// acknowledges cancellations, cancelsend.go sends them to the peers, cancelrecord.go keeps the records of them, and catchup.go
-// asks for those that this entry has missed.
+// Owner: jobs.go accepts batches, retryafter.go sets when refused callers come back, jobcallers.go keeps
+// the callers that wait for each, estimates.go corrects their targets, assign.go assigns tasks to holders,
+// tasks.go processes the results of runs, finish.go ends batches, and pendingends.go tracks withdrawn runs
+// until they have ended. cancel.go acknowledges cancellations, cancelsend.go sends them to the peers,
+// cancelrecord.go keeps the records of them, and catchup.go asks for those that this entry has missed.
 //
 // Both: shed.go decides under overload which batches are refused and in which order runs start.
 //
@@ -41,15 +41,17 @@
 // compares what runs there with what should, cause.go names the evidence for the end of a run,
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
 // follows the progress of runs, health.go finds slow endpoints and stops stragglers there, speed.go
-// tells long tasks from slow endpoints, and crashes.go acts on the crashes of endpoints under runs, which crashtable.go keeps.
+// tells long tasks from slow endpoints, and crashes.go acts on the crashes of endpoints under runs, which
+// crashtable.go keeps.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
 // which endpoint and hands endpoints over, and acquire.go acquires those that this entry should hold.
 //
 // Other entries: peers.go tracks which are alive, links.go which of them exchange heartbeats,
-// heartbeats.go sends and receives these, load.go keeps the demand and the capacity of the fleet, sessions.go withdraws the runs of owners that may not
-// hear this entry, and messages.go dispatches messages.
+// heartbeats.go sends and receives these, load.go keeps the demand and the capacity of the fleet,
+// sessions.go withdraws the runs of owners that may not hear this entry, and messages.go dispatches
+// messages.
 //
 // # Log lines
 //
--- a/core/dispatch/evacuations.go
+++ b/core/dispatch/evacuations.go
@@ -40,7 +40,7 @@
 	storeReadAt  time.Time
 }
 
-// isPlausible reports whether the platform's store may have reached a revision that a peer tells.
+// isPlausible reports whether the platform's store may have reached a revision that a peer reports.
 func (e *evacuations) isPlausible(rev int64, now time.Time) bool {
 	return e.storeRev == 0 || rev-e.storeRev <= maxRevisionLead+int64(now.Sub(e.storeReadAt).Seconds()*maxRevisionRate)
 }
@@ -66,8 +66,8 @@
 
 // noteEvacuations applies the state that a heartbeat of a peer carries.
 func (c *Core) noteEvacuations(p *peer, m *cornelwall.SessionHeartbeat) {
-	p.tellsEvacuations = len(m.Evacuations) > 0 || m.EvacuationsAsOf > 0
-	if !c.readsEvacuations() || !p.tellsEvacuations {
+	p.reportsEvacuations = len(m.Evacuations) > 0 || m.EvacuationsAsOf > 0
+	if !c.readsEvacuations() || !p.reportsEvacuations {
 		return // it does not know the state, or is of an older version
 	}
 	if !c.isPlausibleState(m) {
@@ -214,10 +214,10 @@
 	return !c.readsEvacuations() || c.evacuations.completeAsOf > 0
 }
 
-// startsInEvacuated reports whether a peer may start tasks in its data centre although that is evacuated: it is of an older
-// version, which does not report evacuations.
-func (c *Core) startsInEvacuated(p *peer) bool {
-	return !p.tellsEvacuations && c.isEvacuated(p.id.DataCentre)
+// mayStartInEvacuated reports whether a peer may start tasks in its data centre although that is evacuated: it is of an older
+// version that does not report evacuations.
+func (c *Core) mayStartInEvacuated(p *peer) bool {
+	return !p.reportsEvacuations && c.isEvacuated(p.id.DataCentre)
 }
 
 // mayStartIn reports whether a run may start in a data centre now. After a long pause of the process the state may
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -80,12 +80,26 @@
 	}
 }
 
+// cancelOwned cancels a batch if this entry owns it.
 func (c *Core) cancelOwned(id string) {
 	if j := c.jobs[id]; j != nil {
 		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchCancelled, Reason: cornelwall.ReasonCancelled})
 	}
 }
 
+// refuseJob refuses a job of which nothing has run, where shed tells whether it makes way for others.
+func (c *Core) refuseJob(j *job, shed bool) {
+	why := cornelwall.ReasonTooLate
+	if shed {
+		why = cornelwall.ReasonShed
+		c.countShed(j)
+	}
+	c.finishJob(j, cornelwall.BatchAnswer{
+		End: cornelwall.BatchRefused, Reason: why, RetryAfter: c.retryAfter(j, uint64(c.now.UnixMilli())),
+		Text: "the batch could not be done in time and has not run; come back later",
+	})
+}
+
 // checkJobs ends jobs that can't be done in time any more, and assigns the idle tasks of the
 // others. A job that has started is given up. One that has not is refused, once its waiting tasks
 // are withdrawn.
@@ -103,15 +117,7 @@
 		b.Crowded = c.cfg.Shed && c.queueLoad().IsCrowded(j.waitingWork())
 		switch b.Judge(c.now) {
 		case policy.Refuse:
-			why := cornelwall.ReasonTooLate
-			if j.makesWay || b.MakesWay(c.now) {
-				why = cornelwall.ReasonShed
-				c.countShed(j)
-			}
-			c.finishJob(j, cornelwall.BatchAnswer{
-				End: cornelwall.BatchRefused, Reason: why, RetryAfter: c.retryAfter(j, uint64(c.now.UnixMilli())),
-				Text: "the batch could not be done in time and has not run; come back later",
-			})
+			c.refuseJob(j, j.makesWay || b.MakesWay(c.now))
 		case policy.GiveUpAtDeadline:
 			c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonDeadline, Text: "the deadline has passed; what still runs is stopped"})
 		case policy.GiveUpTooLate:
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -203,7 +203,7 @@
 	list := []cornelwall.Member{{ID: c.cfg.Self, Addr: c.cfg.Addr, Weight: c.cfg.Weight, KeepsCancellations: c.keepsCancellations()}}
 	for _, p := range c.peersByID {
 		if c.isAlive(p) {
-			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr, Weight: p.weight, KeepsCancellations: p.cancels.kept})
+			list = append(list, cornelwall.Member{ID: p.id, Addr: p.addr, Weight: p.weight, KeepsCancellations: p.cancels.keeps})
 		}
 	}
 	return list
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -81,14 +81,14 @@
 	criticalPath      time.Duration // estimated run time of its longest chain of dependent steps
 	started           bool          // a task may have run
 	refusing          bool          // its waiting tasks were withdrawn; it is refused once all are back
-	makesWay          bool          // they were withdrawn to make way for others
+	makesWay          bool          // its waiting tasks were withdrawn to make way for other batches
 	reportedRemaining float64       // remaining share that was last sent to holders
 }
 
 // handleSubmitBatch admits a batch, or adds a caller to a batch with the same ID that is already
 // here.
 func (c *Core) handleSubmitBatch(ev cornelwall.SubmitBatch) {
-	var j *job // that is refused; nil if the reason is not the load
+	var j *job // job to admit; nil if the batch is refused before admission
 	refuse := func(end cornelwall.BatchEnd, why cornelwall.Reason, text string) {
 		if end == cornelwall.BatchRefused && c.mayHaveRun(ev.Batch.ID) {
 			end, text = cornelwall.BatchGivenUp, "tasks of an earlier submission of the batch may have run; "+text
@@ -126,8 +126,8 @@
 		refuse(cornelwall.BatchFailed, cornelwall.ReasonCrash, deadlyText(task, crashes))
 		return
 	}
-	if j := c.jobs[ev.Batch.ID]; j != nil {
-		c.joinJob(j, jobCaller{req: ev.Req, deadline: c.callerDeadline(q, &ev)})
+	if owned := c.jobs[ev.Batch.ID]; owned != nil {
+		c.joinJob(owned, jobCaller{req: ev.Req, deadline: c.callerDeadline(q, &ev)})
 		return
 	}
 	j = c.newJob(q, &ev)
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -72,8 +72,8 @@
 	loadSentAt     time.Time            // when a load report was last sent to it
 	cancels        peerCancels
 
-	tellsEvacuations bool // its last heartbeat tells which data centres are evacuated
-	implausible      bool // it tells that as of a revision that the platform's store has not reached
+	reportsEvacuations bool // its last heartbeat has the evacuated data centres
+	implausible        bool // it reports them as of a revision that the platform's store cannot have reached
 }
 
 // entryName identifies an entry across its incarnations.
@@ -179,7 +179,7 @@
 	if m.Weight > 0 {
 		p.weight = m.Weight
 	}
-	p.cancels.kept = p.cancels.kept || m.KeepsCancellations
+	p.cancels.keeps = p.cancels.keeps || m.KeepsCancellations
 	return p
 }
 
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -74,7 +74,7 @@
 		return true // capacity there is found when a batch needs it
 	}
 	for _, p := range c.peersByID {
-		if c.canAssign(p) && !c.startsInEvacuated(p) && p.view.Capacity.Total > 0 {
+		if c.canAssign(p) && !c.mayStartInEvacuated(p) && p.view.Capacity.Total > 0 {
 			return true
 		}
 	}
--- a/leased_message.go
+++ b/leased_message.go
@@ -60,10 +60,10 @@
 
 	Evacuations     []Evacuation `json:"evacuated,omitempty"`   // of the data centres that are or were evacuated
 	EvacuationsAsOf int64        `json:"evacuatedAt,omitempty"` // revision of the platform's store as of which no others are; 0 if not known
-	// KeepsCancellations is set by a stopping sender that records cancellations. It is not on the list of entries, which tells that
-	// of the others.
+	// KeepsCancellations is set by a stopping sender that records cancellations, as it is no longer on the list of entries,
+	// where Member has the same field.
 	KeepsCancellations bool `json:"cancels,omitempty"`
-	// EvacuationsDoubted is set while the sender has not heard of the evacuations since a pause of its process.
+	// EvacuationsDoubted is set while the sender has not confirmed its state of the evacuations after a pause of its process.
 	EvacuationsDoubted bool `json:"evacuatedUnsure,omitempty"`
 }
 
