--- a/core/dispatch/cancel_test.go
+++ b/core/dispatch/cancel_test.go
@@ -264,12 +264,19 @@
 	s.advance(10 * time.Millisecond)
 	s.unlisted[s.ids[1]] = true
 	s.tickList(100 * time.Millisecond)
+	s.checkWaitsForStopping(3)
+}
+
+// checkWaitsForStopping cancels at an entry the batch of the stopping entry 1, which at first gets no messages. The cancellation must
+// not be acknowledged before they arrive.
+func (s *cancelSystem) checkWaitsForStopping(entry int) {
+	s.t.Helper()
 	lost := true
 	s.messageLost = func(_, to cornelwall.Incarnation) bool { return lost && to == s.ids[1] }
-	s.cancelAt(3, 2)
+	s.cancelAt(entry, 2)
 	s.advance(300 * time.Millisecond)
 	_, answered := s.replies[2]
-	assert.Assert(t, !answered, "acknowledged although the stopping entry does not know it")
+	assert.Assert(s.t, !answered, "acknowledged although the stopping entry does not know it")
 	lost = false
 	s.advance(time.Second)
 	s.checkEnd(2, cornelwall.BatchCancelled)
@@ -289,16 +296,7 @@
 	s.addEntry(joined)
 	s.ids = append(s.ids, joined)
 	s.tickList(300 * time.Millisecond)
-	lost := true
-	s.messageLost = func(_, to cornelwall.Incarnation) bool { return lost && to == s.ids[1] }
-	s.cancelAt(4, 2)
-	s.advance(300 * time.Millisecond)
-	_, answered := s.replies[2]
-	assert.Assert(t, !answered, "acknowledged although the stopping entry does not know it")
-	lost = false
-	s.advance(time.Second)
-	s.checkEnd(2, cornelwall.BatchCancelled)
-	s.checkEnd(1, cornelwall.BatchCancelled)
+	s.checkWaitsForStopping(4)
 }
 
 // TestCancelAmongVersions checks that an entry of an earlier version is told of a cancellation, and not waited for.
