--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -75,10 +75,8 @@
 	for i := range entryCount {
 		ip := fmt.Sprintf("127.0.3.%d", firstEntryIP+i)
 		e := &entry{name: fmt.Sprintf("edge-%s-1", zoneNames[i]), zone: zoneNames[i], ip: ip, rec: l.rec}
-		for _, addr := range []*string{&e.frontend, &e.readiness, &e.control} {
-			if *addr, err = freeAddr(ip); err != nil {
-				return err
-			}
+		if err := freeAddrs(ip, &e.frontend, &e.readiness, &e.control); err != nil {
+			return err
 		}
 		e.settings = filepath.Join(l.dir, e.name+".toml")
 		if e.logs, err = os.Create(filepath.Join(l.dir, e.name+".log")); err != nil {
@@ -95,13 +93,17 @@
 	return nil
 }
 
-// freeAddr returns an address with a free port.
-func freeAddr(ip string) (string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddrs sets addresses with different free ports.
+func freeAddrs(ip string, addrs ...*string) (err error) {
+	for _, addr := range addrs {
+		ln, lerr := net.Listen("tcp", ip+":0")
+		if lerr != nil {
+			return errors.Join(err, lerr)
+		}
+		defer func() { err = errors.Join(err, ln.Close()) }() // after the last one is chosen, so that no port is chosen twice
+		*addr = ln.Addr().String()
 	}
-	return ln.Addr().String(), ln.Close()
+	return err
 }
 
 // serve serves a stand-in on a free port until the lab is closed.
