--- a/review/lab3/cancel.go
+++ b/review/lab3/cancel.go
@@ -18,6 +18,7 @@
 	rollGap      = 1200 * time.Millisecond // between two SIGTERM
 	graceTime    = 6 * time.Second         // graceS
 	restartDelay = 500 * time.Millisecond  // from the end of a process to its next start
+	powerDown    = 1100 * time.Millisecond // for which the entries are off
 	calmTime     = 5 * time.Second         // after the last start, before the request arrives again; above stableWindowMs
 )
 
@@ -25,6 +26,16 @@
 // acknowledged. All entries are then stopped and started in turn. After that the request that submits the job arrives
 // again.
 func forgottenCancel(ctx context.Context, l *lab, trouble bool) (broken bool, err error) {
+	return l.playCancel(ctx, trouble, l.roll)
+}
+
+// lostCancel judges UNASKED as forgottenCancel does, but all entries lose power right after the acknowledgement.
+func lostCancel(ctx context.Context, l *lab, trouble bool) (broken bool, err error) {
+	return l.playCancel(ctx, trouble, l.losePower)
+}
+
+// playCancel plays a case of a cancelled job with a disturbance after the acknowledgement, and judges it.
+func (l *lab) playCancel(ctx context.Context, trouble bool, disturb func(context.Context) error) (broken bool, err error) {
 	if err := l.startAll(ctx); err != nil {
 		return false, err
 	}
@@ -34,7 +45,7 @@
 		return false, err
 	}
 	if trouble {
-		if err := l.roll(ctx); err != nil {
+		if err := disturb(ctx); err != nil {
 			return false, err
 		}
 	}
@@ -112,6 +123,30 @@
 	return errors.Join(all...)
 }
 
+// losePower ends all entries at once, starts them again and waits until all are ready.
+func (l *lab) losePower(ctx context.Context) error {
+	for _, e := range l.entries {
+		if err := e.signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, powerDown); err != nil {
+		return err
+	}
+	for _, e := range l.entries {
+		<-e.ended
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	for _, e := range l.entries {
+		if err := e.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // restart makes a planned stop of an entry and starts it again, and waits until it is ready.
 func (e *entry) restart(ctx context.Context) error {
 	if err := e.signal(syscall.SIGTERM); err != nil {
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -35,6 +35,7 @@
 var scenarios = map[string]scenario{
 	"forgotten-cancel": forgottenCancel,
 	"late-request":     lateRequest,
+	"lost-cancel":      lostCancel,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
