Review case 11: an entry of another writer ends runs that go on

An entry under an executor's key, of a service that no config names, with another boot and the address of another executor: the holder takes the 421 from there for the end of the runs, and their tasks run twice.

--- a/review/lab3/executor.go
+++ b/review/lab3/executor.go
@@ -38,6 +38,7 @@
 	id, addr string
 	needOf   func(task string) int // thousandths of a core
 	rec      *record
+	reported chan struct{} // gets an element with each report to the store, if it is empty
 
 	mu        sync.Mutex
 	bornAt    time.Time
@@ -56,7 +57,7 @@
 }
 
 func newExecutor(id, addr string, rec *record, needOf func(string) int) *executor {
-	return &executor{id: id, addr: addr, rec: rec, needOf: needOf, bornAt: time.Now(), running: map[string]*taskRun{}, highest: map[string]uint64{}}
+	return &executor{id: id, addr: addr, rec: rec, needOf: needOf, reported: make(chan struct{}, 1), bornAt: time.Now(), running: map[string]*taskRun{}, highest: map[string]uint64{}}
 }
 
 func (x *executor) clock() time.Duration { return time.Since(x.bornAt) }
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -140,6 +140,11 @@
 			l.rec.add("executor %s could not report: %v", x.id, err)
 		}
 		select {
+		case <-x.reported: // the one before
+		default:
+		}
+		x.reported <- struct{}{}
+		select {
 		case <-t.C:
 		case <-l.stop:
 			return
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -33,6 +33,7 @@
 type scenario func(ctx context.Context, l *lab, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"foreign-entry":    foreignEntry,
 	"forgotten-cancel": forgottenCancel,
 	"late-request":     lateRequest,
 	"lost-cancel":      lostCancel,
