--- a/review/lab3/executor.go
+++ b/review/lab3/executor.go
@@ -39,8 +39,11 @@
 	needOf   func(task string) int // thousandths of a core
 	rec      *record
 	reported chan struct{} // gets an element with each report to the store, if it is empty
+	now      chan struct{} // asks for a report at once
 
 	mu        sync.Mutex
+	draining  bool
+	lateBy    time.Duration // by which the store carries out the next report late, without an answer; 0 for none
 	bornAt    time.Time
 	fence     uint64
 	holdUntil time.Duration // on its own clock
@@ -57,7 +60,7 @@
 }
 
 func newExecutor(id, addr string, rec *record, needOf func(string) int) *executor {
-	return &executor{id: id, addr: addr, rec: rec, needOf: needOf, reported: make(chan struct{}, 1), bornAt: time.Now(), running: map[string]*taskRun{}, highest: map[string]uint64{}}
+	return &executor{id: id, addr: addr, rec: rec, needOf: needOf, reported: make(chan struct{}, 1), now: make(chan struct{}, 1), bornAt: time.Now(), running: map[string]*taskRun{}, highest: map[string]uint64{}}
 }
 
 func (x *executor) clock() time.Duration { return time.Since(x.bornAt) }
@@ -242,10 +245,44 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// drain makes the executor report that it drains. It serves on.
+func (x *executor) drain() {
+	x.mu.Lock()
+	x.draining = true
+	x.mu.Unlock()
+	x.now <- struct{}{}
+}
+
+// loseNext makes the store carry out the next report only after a time.
+func (x *executor) loseNext(lateBy time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lateBy = lateBy
+}
+
+// takeLate returns by how much the store carries out the present report late.
+func (x *executor) takeLate() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	d := x.lateBy
+	x.lateBy = 0
+	return d
+}
+
+// state returns the state that the executor reports.
+func (x *executor) state() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // entry returns what the executor writes of itself into the store.
 func (x *executor) entry(zone string, seq int64) map[string]any {
 	return map[string]any{
-		"service": serviceName, "address": x.addr, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "coldMs": 0, "seq": seq,
+		"service": serviceName, "address": x.addr, "zone": zone, "version": "v1", "slots": 8, "state": x.state(), "coldMs": 0, "seq": seq,
 		"born": x.bornAt.UnixMilli(), "labels": []string{"a", fmt.Sprintf("%s-r1", zone)},
 		"capacity": map[string]int{"cpu": executorCores, "memMb": executorMemMb, "gpu": 0},
 	}
--- a/review/lab3/foreign.go
+++ b/review/lab3/foreign.go
@@ -24,7 +24,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var jobs []*job
-	wg.Go(func() { jobs = l.submitSteadily(ctx, &wg, stop) })
+	wg.Go(func() { jobs = l.submitSteadily(ctx, &wg, stop, submitGap) })
 	for n := range foreignWrites {
 		x, other := l.executors[n%len(l.executors)], l.executors[(n+1)%len(l.executors)]
 		if err := sleep(ctx, foreignGap); err != nil {
@@ -51,14 +51,8 @@
 
 // writeForeign writes the entry of another writer under the key of an executor, shortly after that has reported.
 func (l *lab) writeForeign(ctx context.Context, x *executor, addr string) error {
-	select {
-	case <-x.reported: // an earlier report
-	default:
-	}
-	select {
-	case <-x.reported:
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := x.awaitReport(ctx); err != nil {
+		return err
 	}
 	if err := sleep(ctx, afterReport); err != nil {
 		return err
@@ -69,9 +63,9 @@
 	return l.store.put("servers/"+x.id, entry)
 }
 
-// submitSteadily submits jobs to the entries in turn until stop is closed, and returns them.
-func (l *lab) submitSteadily(ctx context.Context, wg *sync.WaitGroup, stop <-chan struct{}) (jobs []*job) {
-	t := time.NewTicker(submitGap)
+// submitSteadily submits a job to each entry in turn, a gap apart, until stop is closed, and returns them.
+func (l *lab) submitSteadily(ctx context.Context, wg *sync.WaitGroup, stop <-chan struct{}, gap time.Duration) (jobs []*job) {
+	t := time.NewTicker(gap)
 	defer t.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -136,9 +136,7 @@
 	t := time.NewTicker(heartbeat)
 	defer t.Stop()
 	for seq := int64(1); ; seq++ {
-		if err := l.store.put("servers/"+x.id, x.entry(zone, seq)); err != nil {
-			l.rec.add("executor %s could not report: %v", x.id, err)
-		}
+		l.write(x, x.entry(zone, seq))
 		select {
 		case <-x.reported: // the one before
 		default:
@@ -146,12 +144,33 @@
 		x.reported <- struct{}{}
 		select {
 		case <-t.C:
+		case <-x.now:
+			t.Reset(heartbeat)
 		case <-l.stop:
 			return
 		}
 	}
 }
 
+// write writes the entry of an executor into the store, now or as late as the store carries it out.
+func (l *lab) write(x *executor, entry map[string]any) {
+	put := func() {
+		if err := l.store.put("servers/"+x.id, entry); err != nil {
+			l.rec.add("executor %s could not report: %v", x.id, err)
+		}
+	}
+	lateBy := x.takeLate()
+	if lateBy == 0 {
+		put()
+		return
+	}
+	l.rec.add("store: report %v of %s (%v) gets no answer", entry["seq"], x.id, entry["state"])
+	time.AfterFunc(lateBy, func() {
+		l.rec.add("store: report %v of %s (%v) is carried out", entry["seq"], x.id, entry["state"])
+		put()
+	})
+}
+
 // needOf returns the thousandths of a core that a task needs, as its job was submitted.
 func (l *lab) needOf(task string) int {
 	l.mu.Lock()
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -35,6 +35,7 @@
 var scenarios = map[string]scenario{
 	"foreign-entry":    foreignEntry,
 	"forgotten-cancel": forgottenCancel,
+	"late-report":      lateReport,
 	"late-request":     lateRequest,
 	"lost-cancel":      lostCancel,
 }
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -107,21 +107,6 @@
 	}
 }
 
-// keys returns the keys under a prefix.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	var keys []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
 	last := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
