--- a/review/lab3/cancel.go
+++ b/review/lab3/cancel.go
@@ -15,9 +15,10 @@
 	stopBound    = 50 * time.Millisecond
 	ackBound     = 6 * time.Second         // for which the client waits for the answer to its DELETE
 	leaveAfter   = 300 * time.Millisecond  // of the client that submits the job
-	rollGap      = 1200 * time.Millisecond // between two SIGTERM
+	rollGap      = 2 * time.Second         // between two SIGTERM
 	graceTime    = 6 * time.Second         // graceS
 	restartDelay = 500 * time.Millisecond  // from the end of a process to its next start
+	longWork     = 8 * time.Second         // of a job that is under way at the first entry to stop
 	powerDown    = 1100 * time.Millisecond // for which the entries are off
 	calmTime     = 5 * time.Second         // after the last start, before the request arrives again; above stableWindowMs
 )
@@ -25,8 +26,23 @@
 // forgottenCancel judges UNASKED. A client submits a job, leaves without an answer and cancels the job, which is
 // acknowledged. All entries are then stopped and started in turn. After that the request that submits the job arrives
 // again.
+//
+// The first entry to stop has a longer job under way, and the second one is the one that acknowledged the cancellation.
 func forgottenCancel(ctx context.Context, l *lab, trouble bool) (broken bool, err error) {
-	return l.playCancel(ctx, trouble, l.roll)
+	return l.playCancel(ctx, trouble, func(ctx context.Context) error {
+		c, err := l.open(ctx, l.entries[0].name, l.entries[0].frontend)
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		if err := l.submit(c, &job{id: "1a2b3c4d5e6f7a8b", tasks: 1, cores: 2000, work: longWork, patience: 2 * longWork}); err != nil {
+			return err
+		}
+		if err := sleep(ctx, leaveAfter); err != nil {
+			return err
+		}
+		return l.roll(ctx)
+	})
 }
 
 // lostCancel judges UNASKED as forgottenCancel does, but all entries lose power right after the acknowledgement.
@@ -52,7 +68,7 @@
 	if err := sleep(ctx, calmTime); err != nil {
 		return false, err
 	}
-	c, err := l.open(ctx, l.entries[0].name, l.entries[0].frontend)
+	c, err := l.open(ctx, l.entries[1].name, l.entries[1].frontend)
 	if err != nil {
 		return false, err
 	}
@@ -68,7 +84,7 @@
 
 // submitAndCancel submits a job to one entry, leaves, and cancels it at another. It returns when that was acknowledged.
 func (l *lab) submitAndCancel(ctx context.Context, j *job) (ackedAt time.Time, err error) {
-	c, err := l.open(ctx, l.entries[1].name, l.entries[1].frontend)
+	c, err := l.open(ctx, l.entries[2].name, l.entries[2].frontend)
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -81,7 +97,7 @@
 	}
 	l.rec.add("client closes its channel to %s", c.to)
 	c.close()
-	return l.cancelJob(ctx, l.entries[0], j)
+	return l.cancelJob(ctx, l.entries[1], j)
 }
 
 // cancelJob cancels a job, and returns when that was acknowledged.
--- a/review/lab3/entry.go
+++ b/review/lab3/entry.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	program     = "target/cornelwall"
-	metricsPort = 7990 // as in the deploy file
-	settleTime  = 4 * time.Second
+	program    = "target/cornelwall"
+	settleTime = 4 * time.Second
 )
 
 // entry is a process of the program, with the ports that it has listened on since its first start.
@@ -24,6 +23,7 @@
 	frontend       string
 	readiness      string
 	control        string
+	metrics        string // at the address of control
 	settings       string // path of its settings file
 	logs           *os.File
 	rec            *record
@@ -111,7 +111,7 @@
 	e.cmd = exec.Command(program, "dispatch")
 	e.cmd.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(e.settings), "LANG=C.UTF-8", "CORNELWALL_NODE_FILE=" + e.settings,
-		"CORNELWALL_SECRET=replace-this-shared-secret", fmt.Sprintf("CORNELWALL_METRICS_PORT=%d", metricsPort), "CORNELWALL_SHED=true",
+		"CORNELWALL_SECRET=replace-this-shared-secret", "CORNELWALL_METRICS_PORT=" + e.metrics[strings.LastIndexByte(e.metrics, ':')+1:], "CORNELWALL_SHED=true",
 		"CORNELWALL_PLACE_BY_SPEED=true",
 	}
 	e.cmd.Stdout, e.cmd.Stderr = e.logs, e.logs
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -75,7 +75,7 @@
 	for i := range entryCount {
 		ip := fmt.Sprintf("127.0.3.%d", firstEntryIP+i)
 		e := &entry{name: fmt.Sprintf("edge-%s-1", zoneNames[i]), zone: zoneNames[i], ip: ip, rec: l.rec}
-		if err := freeAddrs(ip, &e.frontend, &e.readiness, &e.control); err != nil {
+		if err := freeAddrs(ip, &e.frontend, &e.readiness, &e.control, &e.metrics); err != nil {
 			return err
 		}
 		e.settings = filepath.Join(l.dir, e.name+".toml")
