--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -53,6 +53,7 @@
 	lastStopSent    time.Time // last stop, as stops are repeated
 	stopAcked       bool      // the endpoint has accepted the stop
 	startAnswered   bool      // the endpoint is known to have carried out the start
+	seenAt          time.Time // when the endpoint last told that it runs; zero if it has not told this entry
 	progress        policy.Progress
 	needRecorded    bool // its need is counted in the usual need of its service
 	longTask        bool // it is found to be a long task, see findLongTasks
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"cornelwall"
 	"cornelwall/core/policy"
@@ -43,7 +44,8 @@
 			continue
 		}
 		found = append(found, batchOf(r.id.Task))
-		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.count(r.id.Task), "alone", alone, "suspicion", c.crashes.suspicion(r.id.Task))
+		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.count(r.id.Task), "alone", alone, "suspicion", c.crashes.suspicion(r.id.Task),
+			"begun", r.startAnswered, "seen", r.seenFor(), "silent", c.now.Sub(l.answeredAt))
 	}
 	if len(found) == 0 {
 		return
@@ -54,6 +56,14 @@
 	c.actOnCrashes(found)
 }
 
+// seenFor returns the time from the start of a run until the endpoint last told that it runs, or 0 if it has not.
+func (r *run) seenFor() time.Duration {
+	if r.seenAt.IsZero() {
+		return 0
+	}
+	return r.seenAt.Sub(r.startedAt)
+}
+
 // recordSilentCrash records that an endpoint whose lease has expired may have crashed, if it has given
 // no answer for longer than the longest poll takes. Nothing more starts there until it answers. If it was this
 // process that stood still, the answer that waits withdraws the crash.
@@ -71,7 +81,7 @@
 // resolveCrashes withdraws the crashes of the boot that an endpoint has reported, as it was only cut off,
 // and confirms those of other boots. The poll that it answered was sent after the crashes were recorded.
 func (c *Core) resolveCrashes(id string, boot int64) {
-	c.updateCrashes(id, func(x *crash) cornelwall.CrashState {
+	c.updateCrashes(id, boot, func(x *crash) cornelwall.CrashState {
 		if x.Boot == boot {
 			return cornelwall.CrashWithdrawn
 		}
@@ -82,7 +92,7 @@
 
 // confirmCrashesOf confirms the crashes of a boot of an endpoint that has ended.
 func (c *Core) confirmCrashesOf(id string, boot int64) {
-	c.updateCrashes(id, func(x *crash) cornelwall.CrashState {
+	c.updateCrashes(id, 0, func(x *crash) cornelwall.CrashState {
 		if x.Boot == boot {
 			return cornelwall.CrashConfirmed
 		}
@@ -92,18 +102,19 @@
 
 // confirmAllCrashes confirms the crashes of an endpoint that is gone.
 func (c *Core) confirmAllCrashes(id string) {
-	c.updateCrashes(id, func(*crash) cornelwall.CrashState { return cornelwall.CrashConfirmed })
+	c.updateCrashes(id, 0, func(*crash) cornelwall.CrashState { return cornelwall.CrashConfirmed })
 }
 
-// updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed.
-func (c *Core) updateCrashes(id string, state func(*crash) cornelwall.CrashState) {
+// updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed. The boot is the one that
+// has answered, or 0 if none has.
+func (c *Core) updateCrashes(id string, answered int64, state func(*crash) cornelwall.CrashState) {
 	var changed []string
 	for _, x := range slices.Clone(c.crashes.byEndpoint[id]) {
 		s := state(x)
 		if s <= x.State {
 			continue
 		}
-		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s)
+		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s, "answered", answered)
 		c.crashes.setState(x, s)
 		changed = append(changed, batchOf(x.Task))
 	}
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -32,6 +32,9 @@
 		c.handleFencedOut(l)
 		return
 	case ev.Refusal == cornelwall.RefusedBoot:
+		if r != nil && r.lease == l && !ev.Stop {
+			c.logRefusedStart(r, ev.Refusal)
+		}
 		c.handleReplaced(l)
 		return
 	case ev.Refusal == cornelwall.RefusedRestarted:
@@ -49,7 +52,9 @@
 	case ev.Stop:
 		c.handleStopResult(r, ev.Refusal)
 	default:
-		r.startAnswered = r.startAnswered || ev.Refusal == cornelwall.RefusedNone
+		if ev.Refusal == cornelwall.RefusedNone {
+			r.startAnswered, r.seenAt = true, c.now
+		}
 		if r.startAnswered && ev.Clock > 0 {
 			r.progress.Record(c.now, 0, ev.Clock)
 		}
@@ -94,10 +99,14 @@
 		return
 	}
 	health.RecordRefusal(c.now, refusal)
-	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "why", refusal)
+	c.logRefusedStart(r, refusal)
 	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
 
+func (c *Core) logRefusedStart(r *run, refusal cornelwall.Refusal) {
+	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "why", refusal)
+}
+
 // abandonStart stops a run whose start got no answer, as the endpoint may still carry it out. A run
 // that the endpoint has listed meanwhile goes on.
 func (c *Core) abandonStart(r *run) {
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -104,7 +104,7 @@
 		if r.state == runStarting {
 			c.reportStarted(r)
 		}
-		r.startAnswered = true
+		r.startAnswered, r.seenAt = true, c.now
 		r.recordProgress(c.now, s.Progress, ev.Clock)
 	}
 	for id := range l.orphans {
