--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -355,3 +355,88 @@
 		assert.Equal(t, f.core.commands[0].(cornelwall.Send).Bulk, tc.bulk)
 	}
 }
+
+// start orders a run of a task at an endpoint. Nothing has answered the order yet.
+func (c *crashCore) start(task string, number uint64, endpoint string) *run {
+	r := &run{id: cornelwall.RunID{Task: task, Run: number}, owner: c.cfg.Self, receivedAt: c.now}
+	r.Estimate = time.Second
+	c.runs[r.id] = r
+	c.startRun(r, c.endpoints[endpoint].lease)
+	return r
+}
+
+// refuse answers the start of a run as another endpoint at the same address does.
+func (c *crashCore) refuse(r *run) {
+	l := r.lease
+	c.step(cornelwall.OrderResult{Endpoint: l.ep.ID, Fence: l.fence, Run: r.id, Refusal: cornelwall.RefusedBoot})
+}
+
+// TestUncertainCrashesFailNoBatch loses runs of a task at endpoints that crash, without a proof that the task was at work there by then.
+func TestUncertainCrashesFailNoBatch(t *testing.T) {
+	task := crashBatch + ".0.0.0"
+	rebootUnder := func(c *crashCore, id string) {
+		c.silence(id)
+		info := c.endpoints[id].Endpoint
+		info.Boot = 6000
+		c.setEndpoint(&info, 2)
+	}
+	losses := map[string]func(c *crashCore, number uint64, id string){
+		"refused by another endpoint": func(c *crashCore, number uint64, id string) { c.refuse(c.start(task, number, id)) },
+		"never answered": func(c *crashCore, number uint64, id string) {
+			c.start(task, number, id)
+			rebootUnder(c, id)
+		},
+		"stopped with its lease": func(c *crashCore, number uint64, id string) {
+			c.run(task, number, id)
+			rebootUnder(c, id)
+		},
+		"crashed at once": func(c *crashCore, number uint64, id string) {
+			c.run(task, number, id)
+			c.answer(id, 6000)
+		},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashCore(t)
+			for i, id := range []string{"x1", "x2", "x3"} {
+				lose(c, uint64(i+1), id)
+			}
+			c.submit(1)
+			for range 600 {
+				c.now = c.now.Add(tickInterval)
+				c.step(cornelwall.Tick{})
+			}
+			assert.Equal(t, len(c.ended), 1)
+			assert.Assert(t, c.ended[0].End != cornelwall.BatchFailed, "%v", c.ended[0])
+		})
+	}
+}
+
+// TestRefusedStartIsNoCrash has another endpoint refuse a start while a run of the same lease is at work.
+func TestRefusedStartIsNoCrash(t *testing.T) {
+	c := newCrashCore(t)
+	task, other := crashBatch+".0.0.0", "00000000000000bb.0.0.0"
+	c.run(other, 1, "x1")
+	c.refuse(c.start(task, 2, "x1"))
+	assert.Equal(t, len(c.counted(task)), 0)
+	assert.Equal(t, len(c.counted(other)), 1)
+	assert.Assert(t, c.endpoints["x1"].lease == nil)
+}
+
+// TestAnswerFromBeforeCrashSettlesNothing reads the answer to a poll that was sent before a peer told of a crash.
+func TestAnswerFromBeforeCrashSettlesNothing(t *testing.T) {
+	for _, boot := range []int64{5000, 6000} {
+		c := newCrashCore(t)
+		task := crashBatch + ".0.0.0"
+		l := c.endpoints["x1"].lease
+		c.poll(l, 0)
+		c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{
+			{RunID: cornelwall.RunID{Task: task, Run: 1}, Endpoint: "x1", Boot: boot},
+		}})
+		c.answer("x1", 5000)
+		assert.DeepEqual(t, c.counted(task), []policy.Crash{{}})
+		c.poll(l, 0)
+		c.answer("x1", 5000)
+		assert.Equal(t, len(c.counted(task)), map[int64]int{5000: 0, 6000: 1}[boot])
+	}
+}
