Count no crash under a start that was refused

Such a start has not run: it is returned as unstarted, so that it also counts as no lost run. If the refusal comes only after the lease has ended, it withdraws the crash.

TestRefusedStartIsNoCrash failed before and passes.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -105,6 +105,18 @@
 	c.updateCrashes(id, 0, func(*crash) cornelwall.CrashState { return cornelwall.CrashConfirmed })
 }
 
+// withdrawCrash withdraws the crash under a run that has not begun, if there is one.
+func (c *Core) withdrawCrash(id cornelwall.RunID) {
+	x := c.crashes.byRun[id]
+	if x == nil || x.State == cornelwall.CrashWithdrawn {
+		return
+	}
+	c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", x.Endpoint, "boot", x.Boot, "state", cornelwall.CrashWithdrawn, "answered", 0)
+	c.crashes.setState(x, cornelwall.CrashWithdrawn)
+	c.sendCrashesToAll()
+	c.actOnCrashes([]string{batchOf(x.Task)})
+}
+
 // updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed. The boot is the one that
 // has answered, or 0 if none has.
 func (c *Core) updateCrashes(id string, answered int64, state func(*crash) cornelwall.CrashState) {
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -366,8 +366,7 @@
 }
 
 // refuse answers the start of a run as another endpoint at the same address does.
-func (c *crashCore) refuse(r *run) {
-	l := r.lease
+func (c *crashCore) refuse(r *run, l *lease) {
 	c.step(cornelwall.OrderResult{Endpoint: l.ep.ID, Fence: l.fence, Run: r.id, Refusal: cornelwall.RefusedBoot})
 }
 
@@ -381,7 +380,9 @@
 		c.setEndpoint(&info, 2)
 	}
 	losses := map[string]func(c *crashCore, number uint64, id string){
-		"refused by another endpoint": func(c *crashCore, number uint64, id string) { c.refuse(c.start(task, number, id)) },
+		"refused by another endpoint": func(c *crashCore, number uint64, id string) {
+			c.refuse(c.start(task, number, id), c.endpoints[id].lease)
+		},
 		"never answered": func(c *crashCore, number uint64, id string) {
 			c.start(task, number, id)
 			rebootUnder(c, id)
@@ -412,13 +413,16 @@
 	}
 }
 
-// TestRefusedStartIsNoCrash has another endpoint refuse a start while a run of the same lease is at work.
+// TestRefusedStartIsNoCrash has another endpoint refuse two starts while a run of the same lease is at work.
 func TestRefusedStartIsNoCrash(t *testing.T) {
 	c := newCrashCore(t)
 	task, other := crashBatch+".0.0.0", "00000000000000bb.0.0.0"
 	c.run(other, 1, "x1")
-	c.refuse(c.start(task, 2, "x1"))
+	l, first, second := c.endpoints["x1"].lease, c.start(task, 2, "x1"), c.start(crashBatch+".0.0.1", 3, "x1")
+	c.refuse(first, l)
+	c.refuse(second, l)
 	assert.Equal(t, len(c.counted(task)), 0)
+	assert.Equal(t, len(c.counted(crashBatch+".0.0.1")), 0)
 	assert.Equal(t, len(c.counted(other)), 1)
 	assert.Assert(t, c.endpoints["x1"].lease == nil)
 }
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -20,6 +20,9 @@
 func (c *Core) handleOrderResult(ev cornelwall.OrderResult) {
 	r := c.runs[ev.Run]
 	l := c.leaseForFence(ev.Endpoint, ev.Fence)
+	if !ev.Stop && ev.Refusal != cornelwall.RefusedNone && ev.Refusal != cornelwall.RefusedUnknown {
+		c.withdrawCrash(ev.Run)
+	}
 	if l == nil {
 		return // the expiry of the lease or the next holder determines the ends of its runs
 	}
@@ -32,8 +35,8 @@
 		c.handleFencedOut(l)
 		return
 	case ev.Refusal == cornelwall.RefusedBoot:
-		if r != nil && r.lease == l && !ev.Stop {
-			c.logRefusedStart(r, ev.Refusal)
+		if r != nil && r.lease == l && !ev.Stop && !r.startAnswered {
+			c.handleStartResult(r, ev.Refusal)
 		}
 		c.handleReplaced(l)
 		return
@@ -99,12 +102,8 @@
 		return
 	}
 	health.RecordRefusal(c.now, refusal)
-	c.logRefusedStart(r, refusal)
-	c.endRun(r, cornelwall.RunUnstarted, endRefused)
-}
-
-func (c *Core) logRefusedStart(r *run, refusal cornelwall.Refusal) {
 	c.log("start-refused", "task", r.id.Task, "run", r.id.Run, "endpoint", r.lease.ep.ID, "why", refusal)
+	c.endRun(r, cornelwall.RunUnstarted, endRefused)
 }
 
 // abandonStart stops a run whose start got no answer, as the endpoint may still carry it out. A run
