--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -165,11 +165,20 @@
 		rc := &m.Crashes[i]
 		if rc.Age < crashTTL && c.crashes.merge(rc, c.now.Add(-rc.Age), from) {
 			changed = append(changed, batchOf(rc.Task))
+			c.awaitLaterPoll(rc.Endpoint)
 		}
 	}
 	c.actOnCrashes(changed)
 }
 
+// awaitLaterPoll leaves the crashes of an endpoint to the polls that are still to be sent: an answer to an
+// earlier one may be from before them.
+func (c *Core) awaitLaterPoll(endpoint string) {
+	if ep := c.endpoints[endpoint]; ep != nil && ep.lease != nil {
+		ep.lease.suspectedAtPoll = ep.lease.lastPoll
+	}
+}
+
 // actOnCrashes acts on what is new of the crashes under the runs of batches: it returns waiting runs that must
 // not start, and ends jobs of this entry that have a deadly task. Any other job of them counts as started: a
 // refusal would tell its caller that it has not run.
