Withhold a task under which endpoints have crashed, and fail no batch for it

Cause: a verdict that can't be taken back rested on evidence that can be wrong. That an endpoint has booted again proves that its old boot has ended, and not that a run was at work there then: the start may never have arrived, the run may have been stopped with its lease during a cut, or have ended without a report that reached anybody.

No report that an entry can get proves it: silence, a reset and a refused connection look alike for a crash and for a cut. So crashes only delay now.

--- a/batch.go
+++ b/batch.go
@@ -201,7 +201,7 @@
 type BatchAnswer struct {
 	End        BatchEnd      `json:"end"`
 	Reason     Reason        `json:"why"`
-	RetryAfter time.Duration `json:"retry,omitempty"` // delay before the caller retries, if refused
+	RetryAfter time.Duration `json:"retry,omitempty"` // delay before the caller retries; 0 if the entry names none
 	Text       string        `json:"text,omitempty"`  // remedy, for people
 }
 
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -180,7 +180,7 @@
 }
 
 // actOnCrashes acts on what is new of the crashes under the runs of batches: it returns waiting runs that must
-// not start, and ends jobs of this entry that have a deadly task. Any other job of them counts as started: a
+// not start, and gives up jobs of this entry that have a withheld task. Any other job of them counts as started: a
 // refusal would tell its caller that it has not run.
 func (c *Core) actOnCrashes(batches []string) {
 	if len(batches) == 0 {
@@ -196,7 +196,7 @@
 	for _, batch := range slices.Compact(batches) {
 		if j := c.jobs[batch]; j != nil {
 			j.started = true
-			c.failIfDeadly(j)
+			c.giveUpIfWithheld(j)
 		}
 	}
 }
@@ -211,20 +211,22 @@
 	c.sendResult(owner, cornelwall.RunResult{RunID: id, End: cornelwall.RunUnstarted})
 }
 
-// failIfDeadly ends a job of this entry that has a deadly task, and reports whether it did.
-func (c *Core) failIfDeadly(j *job) bool {
-	task, crashes := c.crashes.deadlyTask(j.id)
+// giveUpIfWithheld gives up a job of this entry that has a withheld task, and reports whether it did.
+func (c *Core) giveUpIfWithheld(j *job) bool {
+	task := c.crashes.withheldTask(j.id)
 	if task == "" {
 		return false
 	}
-	c.emit(cornelwall.CountReason{Reason: cornelwall.ReasonCrash, N: 1})
-	c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchFailed, Reason: cornelwall.ReasonCrash, Text: deadlyText(task, crashes)})
+	c.finishJob(j, c.withheldAnswer(task))
 	return true
 }
 
-// deadlyText tells a caller why its batch is not run.
-func deadlyText(task string, crashes int) string {
-	return fmt.Sprintf("%d endpoints have crashed while task %s ran there; it is not run again", crashes, task)
+// withheldAnswer tells a caller why its batch is not run for now.
+func (c *Core) withheldAnswer(task string) cornelwall.BatchAnswer {
+	return cornelwall.BatchAnswer{
+		End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonCrash, RetryAfter: c.crashes.withheldFor(c.now, task),
+		Text: fmt.Sprintf("%d endpoints have crashed while task %s may have been at work there; it is not started again until these crashes are forgotten", c.crashes.count(task), task),
+	}
 }
 
 // reasonOfLoss returns why a run was lost.
--- a/core/dispatch/crashtable.go
+++ b/core/dispatch/crashtable.go
@@ -44,10 +44,10 @@
 
 // batchCrashes are the crashes under the runs of a batch, and what is concluded from them.
 type batchCrashes struct {
-	list   []*crash
-	stale  bool   // the list has changed since the other fields were determined
-	deadly string // a deadly task; empty if there is none
-	inTurn bool   // see crashTable.inTurn
+	list     []*crash
+	stale    bool   // the list has changed since the other fields were determined
+	withheld string // a task that is withheld; empty if there is none
+	inTurn   bool   // see crashTable.inTurn
 }
 
 // endpointBoot is one boot of an endpoint.
@@ -154,14 +154,14 @@
 func (t *crashTable) batch(batch string) *batchCrashes {
 	b := t.byBatch[batch]
 	if b != nil && b.stale {
-		b.stale, b.deadly, b.inTurn = false, t.findDeadlyTask(b), b.mustRunInTurn()
+		b.stale, b.withheld, b.inTurn = false, t.findWithheldTask(b), b.mustRunInTurn()
 	}
 	return b
 }
 
-func (t *crashTable) findDeadlyTask(b *batchCrashes) string {
+func (t *crashTable) findWithheldTask(b *batchCrashes) string {
 	for _, x := range b.list {
-		if t.task(x.Task).suspicion == policy.Deadly {
+		if t.task(x.Task).suspicion == policy.Withheld {
 			return x.Task
 		}
 	}
@@ -218,13 +218,22 @@
 // hasBatch reports whether there is a crash under a run of a batch, which has thus started.
 func (t *crashTable) hasBatch(batch string) bool { return t.byBatch[batch] != nil }
 
-// deadlyTask returns a deadly task of a batch and the number of its crashes, or "" if there is none.
-func (t *crashTable) deadlyTask(batch string) (task string, crashes int) {
-	b := t.batch(batch)
-	if b == nil || b.deadly == "" {
-		return "", 0
+// withheldTask returns a task of a batch that is withheld, or "" if there is none.
+func (t *crashTable) withheldTask(batch string) string {
+	if b := t.batch(batch); b != nil {
+		return b.withheld
+	}
+	return ""
+}
+
+// withheldFor returns the time until the first of the crashes that count against a task expires.
+func (t *crashTable) withheldFor(now time.Time, task string) time.Duration {
+	for _, x := range t.byTask[task].list {
+		if x.State != cornelwall.CrashWithdrawn {
+			return max(x.at.Add(crashTTL).Sub(now), 0)
+		}
 	}
-	return b.deadly, t.count(b.deadly)
+	return 0
 }
 
 // inTurn reports whether the tasks of a batch have to run one after the other: several endpoints have
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -127,6 +127,7 @@
 	deadly   bool      // its tasks crash the endpoints that start them
 	sentAt   time.Time // first attempt
 	clientCancel
+	last     cornelwall.BatchAnswer // to the last attempt that was answered
 	answered bool
 	end      cornelwall.BatchEnd
 	endAt    time.Time // when it was answered
@@ -738,6 +739,7 @@
 
 func (r *rig) checkAnswer(a *attempt, answer cornelwall.BatchAnswer) {
 	c := a.client
+	c.last = answer
 	r.answers[answer.End]++
 	switch answer.End {
 	case cornelwall.BatchGivenUp:
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -98,9 +98,7 @@
 		if end == cornelwall.BatchRefused {
 			a.RetryAfter = c.retryAfter(j, ev.Req)
 		}
-		c.log("batch-refused", "job", ev.Batch.ID, "queue", queueOf(j), "end", end, "why", why, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor(), "retry", a.RetryAfter)
-		c.emit(cornelwall.CountReason{Reason: why, N: 1})
-		c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
+		c.answerOnArrival(&ev, j, a)
 	}
 	if c.queueConfig.Version == 0 {
 		refuse(cornelwall.BatchRefused, cornelwall.ReasonNoProfile, "no declaration is in force yet; come back later")
@@ -123,8 +121,8 @@
 		refuse(cornelwall.BatchCancelled, cornelwall.ReasonCancelled, "the batch was cancelled; submit it under another ID")
 		return
 	}
-	if task, crashes := c.crashes.deadlyTask(ev.Batch.ID); task != "" {
-		refuse(cornelwall.BatchFailed, cornelwall.ReasonCrash, deadlyText(task, crashes))
+	if task := c.crashes.withheldTask(ev.Batch.ID); task != "" {
+		c.answerOnArrival(&ev, nil, c.withheldAnswer(task))
 		return
 	}
 	if known := c.jobs[ev.Batch.ID]; known != nil {
@@ -143,6 +141,13 @@
 	c.claimJob(j)
 }
 
+// answerOnArrival answers a submitted batch that is not admitted. Its job is nil if it was not judged.
+func (c *Core) answerOnArrival(ev *cornelwall.SubmitBatch, j *job, a cornelwall.BatchAnswer) {
+	c.log("batch-refused", "job", ev.Batch.ID, "queue", queueOf(j), "end", a.End, "why", a.Reason, "version", c.queueConfig.Version, "newest", c.newestVersion, "behind", c.behindFor(), "retry", a.RetryAfter)
+	c.emit(cornelwall.CountReason{Reason: a.Reason, N: 1})
+	c.emit(cornelwall.ReplyBatch{Req: ev.Req, Answer: a})
+}
+
 // refusalText returns the text for a caller whose batch is refused on arrival.
 func refusalText(why cornelwall.Reason) string {
 	switch why {
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -130,7 +130,7 @@
 		return // the job has been answered
 	}
 	switch {
-	case c.failIfDeadly(j):
+	case c.giveUpIfWithheld(j):
 	case t.failures >= max(j.queue.Attempts, 1):
 		c.finishJob(j, cornelwall.BatchAnswer{End: cornelwall.BatchFailed, Reason: cornelwall.ReasonTask, Text: "task " + t.name + " has failed as often as its queue allows"})
 	case j.done():
--- a/core/explain/cause.go
+++ b/core/explain/cause.go
@@ -12,7 +12,7 @@
 	CauseNone             Cause = iota // it was served in time
 	CauseCallerLeft                    // its caller disconnected or cancelled it
 	CauseInvalid                       // the entry has no queue for it, or it is not a valid batch
-	CauseTaskCrashed                   // endpoints have crashed under one of its tasks, which is not run again
+	CauseTaskCrashed                   // endpoints have crashed while one of its tasks may have been at work there, and it is withheld
 	CauseRefusedOnArrival              // it was refused at once
 	CauseEntryLost                     // the entry that took it ended without an answer
 	CauseEntryStopped                  // the entry that took it was stopped
--- a/core/policy/crash.go
+++ b/core/policy/crash.go
@@ -3,18 +3,19 @@
 //go:generate go tool enumer -type=Suspicion -transform=kebab -output=suspicion_gen.go
 
 const (
-	deadlyCrashes      = 3 // crashes after which a task counts as deadly
-	deadlyCrashesAlone = 2 // the same if it ran alone under one of them
-	crashesInTurn      = 3 // crashed endpoints from which on the tasks of a batch run one after the other
+	withholdingCrashes      = 3 // crashes from which on a task must not start
+	withholdingCrashesAlone = 2 // the same if it ran alone under one of them
+	crashesInTurn           = 3 // crashed endpoints from which on the tasks of a batch run one after the other
 )
 
-// Crash is a crash of an endpoint under a run of a task.
+// Crash is a crash of an endpoint that a run of a task may have caused. That it did is never certain: the start may not
+// have arrived, and the run may have ended before the crash, with its lease or by itself, without a report.
 type Crash struct {
 	Alone     bool // no other run was there
 	Confirmed bool // the endpoint has booted again; otherwise it may only be cut off
 }
 
-// Suspicion is what is concluded about a task from the crashes under its runs.
+// Suspicion is what is concluded about a task from the crashes under its runs. It delays a task and fails none.
 type Suspicion int
 
 const (
@@ -22,7 +23,7 @@
 	Suspected             // it should run alone
 	Isolated              // it has to run alone
 	OnHold                // it must not start until it is known whether the endpoints have crashed
-	Deadly                // it crashes the endpoints that start it, and must not start
+	Withheld              // it must not start as long as these crashes count
 )
 
 // SuspicionOf returns what is concluded from the crashes under the runs of one task.
@@ -35,9 +36,9 @@
 		}
 	}
 	switch {
-	case confirmed.isDeadly():
-		return Deadly
-	case all.isDeadly():
+	case confirmed.withholds():
+		return Withheld
+	case all.withholds():
 		return OnHold
 	}
 	return SuspicionOfCount(all.n)
@@ -59,6 +60,6 @@
 	}
 }
 
-func (n *crashCount) isDeadly() bool {
-	return n.n >= deadlyCrashes || (n.n >= deadlyCrashesAlone && n.alone > 0)
+func (n *crashCount) withholds() bool {
+	return n.n >= withholdingCrashes || (n.n >= withholdingCrashesAlone && n.alone > 0)
 }
--- a/core/policy/suspicion_gen.go
+++ b/core/policy/suspicion_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _SuspicionName = "unsuspectedsuspectedisolatedon-holddeadly"
+const _SuspicionName = "unsuspectedsuspectedisolatedon-holdwithheld"
 
-var _SuspicionIndex = [...]uint8{0, 11, 20, 28, 35, 41}
+var _SuspicionIndex = [...]uint8{0, 11, 20, 28, 35, 43}
 
-const _SuspicionLowerName = "unsuspectedsuspectedisolatedon-holddeadly"
+const _SuspicionLowerName = "unsuspectedsuspectedisolatedon-holdwithheld"
 
 func (i Suspicion) String() string {
 	if i < 0 || i >= Suspicion(len(_SuspicionIndex)-1) {
@@ -28,17 +28,17 @@
 	_ = x[Suspected-(1)]
 	_ = x[Isolated-(2)]
 	_ = x[OnHold-(3)]
-	_ = x[Deadly-(4)]
+	_ = x[Withheld-(4)]
 }
 
-var _SuspicionValues = []Suspicion{Unsuspected, Suspected, Isolated, OnHold, Deadly}
+var _SuspicionValues = []Suspicion{Unsuspected, Suspected, Isolated, OnHold, Withheld}
 
 var _SuspicionNameToValueMap = map[string]Suspicion{
 	_SuspicionName[0:11]:  Unsuspected,
 	_SuspicionName[11:20]: Suspected,
 	_SuspicionName[20:28]: Isolated,
 	_SuspicionName[28:35]: OnHold,
-	_SuspicionName[35:41]: Deadly,
+	_SuspicionName[35:43]: Withheld,
 }
 
 var _SuspicionLowerNameToValueMap = map[string]Suspicion{
@@ -46,7 +46,7 @@
 	_SuspicionLowerName[11:20]: Suspected,
 	_SuspicionLowerName[20:28]: Isolated,
 	_SuspicionLowerName[28:35]: OnHold,
-	_SuspicionLowerName[35:41]: Deadly,
+	_SuspicionLowerName[35:43]: Withheld,
 }
 
 var _SuspicionNames = []string{
@@ -54,7 +54,7 @@
 	_SuspicionName[11:20],
 	_SuspicionName[20:28],
 	_SuspicionName[28:35],
-	_SuspicionName[35:41],
+	_SuspicionName[35:43],
 }
 
 // SuspicionString retrieves an enum value from the enum constants string name.
--- a/reason.go
+++ b/reason.go
@@ -62,7 +62,7 @@
 	ReasonPeer
 	// ReasonTooLarge means that the results of a job are larger than an answer may be.
 	ReasonTooLarge
-	// ReasonCrash means that endpoints have crashed while the task ran there.
+	// ReasonCrash means that endpoints have crashed while the task may have been at work there.
 	ReasonCrash
 	// ReasonEvacuated means that all data centres are evacuated.
 	ReasonEvacuated
