--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -36,7 +36,7 @@
 	if j.claim.state != owned || j.refusing || c.resuming() || c.catchingUp() || c.pendingEnds.perBatch[j.id] > 0 {
 		return
 	}
-	inTurn := c.crashes.inTurn(j.id)
+	inTurn := c.crashes.InTurn(j.id)
 	if inTurn && j.anyAssigned() {
 		return
 	}
@@ -44,7 +44,7 @@
 	assigns := map[cornelwall.Incarnation]*cornelwall.Assign{}
 	var order []cornelwall.Incarnation
 	for _, t := range j.tasks {
-		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) || c.crashes.suspicion(t.name) >= policy.OnHold {
+		if t.state != taskIdle || c.now.Before(t.retryAt) || !j.stepReady(t.step) || c.crashes.Suspicion(t.name) >= policy.OnHold {
 			continue
 		}
 		if holders == nil {
@@ -73,7 +73,7 @@
 		}
 		assigns[best.ID].Tasks = append(assigns[best.ID].Tasks, cornelwall.AssignTask{
 			RunID: t.run, Need: s.Need, Estimate: j.estimate(t.step), Requires: s.Requires, Rack: s.Rack, PerEndpoint: s.PerEndpoint, AvoidEndpoint: t.avoidEndpoint, StoppedAsStraggler: t.wasStopped, ReturnIfBusy: t.returnIfBusy,
-			Crashes: c.crashes.count(t.name),
+			Crashes: c.crashes.Count(t.name),
 		})
 		if inTurn {
 			break
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/crash"
 	"cornelwall/core/policy"
 )
 
-// suspicionOfRun is suspicion for a run, whose owner may know of more crashes.
+// maxOrderedCrashes is the number of crashes in a report that travels among the ordered messages.
+const maxOrderedCrashes = 64
+
+// suspicionOfRun returns what is concluded about the task of a run, whose owner may know of more crashes.
 func (c *Core) suspicionOfRun(r *run) policy.Suspicion {
-	return max(c.crashes.suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
+	return max(c.crashes.Suspicion(r.id.Task), policy.SuspicionOfCount(r.Crashes))
 }
 
 // suspicionAt returns how far other runs have to keep away from an endpoint: the highest suspicion of the
@@ -40,11 +44,11 @@
 	alone := len(runs) == 1 && len(l.orphans) == 0
 	for _, r := range runs {
 		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state}
-		if !c.crashes.merge(&rc, c.now, cornelwall.Incarnation{}) {
+		if !c.crashes.Merge(&rc, c.now, cornelwall.Incarnation{}) {
 			continue
 		}
 		found = append(found, batchOf(r.id.Task))
-		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.count(r.id.Task), "alone", alone, "suspicion", c.crashes.suspicion(r.id.Task),
+		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.Count(r.id.Task), "alone", alone, "suspicion", c.crashes.Suspicion(r.id.Task),
 			"begun", r.startAnswered, "seen", r.seenFor(), "silent", c.now.Sub(l.answeredAt))
 	}
 	if len(found) == 0 {
@@ -81,7 +85,7 @@
 // resolveCrashes withdraws the crashes of the boot that an endpoint has reported, as it was only cut off,
 // and confirms those of other boots. The poll that it answered was sent after the crashes were recorded.
 func (c *Core) resolveCrashes(id string, boot int64) {
-	c.updateCrashes(id, boot, func(x *crash) cornelwall.CrashState {
+	c.updateCrashes(id, boot, func(x *crash.Record) cornelwall.CrashState {
 		if x.Boot == boot {
 			return cornelwall.CrashWithdrawn
 		}
@@ -92,7 +96,7 @@
 
 // confirmCrashesOf confirms the crashes of a boot of an endpoint that has ended.
 func (c *Core) confirmCrashesOf(id string, boot int64) {
-	c.updateCrashes(id, 0, func(x *crash) cornelwall.CrashState {
+	c.updateCrashes(id, 0, func(x *crash.Record) cornelwall.CrashState {
 		if x.Boot == boot {
 			return cornelwall.CrashConfirmed
 		}
@@ -102,32 +106,32 @@
 
 // confirmAllCrashes confirms the crashes of an endpoint that is gone.
 func (c *Core) confirmAllCrashes(id string) {
-	c.updateCrashes(id, 0, func(*crash) cornelwall.CrashState { return cornelwall.CrashConfirmed })
+	c.updateCrashes(id, 0, func(*crash.Record) cornelwall.CrashState { return cornelwall.CrashConfirmed })
 }
 
 // withdrawCrash withdraws the crash under a run that has not begun, if there is one.
 func (c *Core) withdrawCrash(id cornelwall.RunID) {
-	x := c.crashes.byRun[id]
+	x := c.crashes.OfRun(id)
 	if x == nil || x.State == cornelwall.CrashWithdrawn {
 		return
 	}
 	c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", x.Endpoint, "boot", x.Boot, "state", cornelwall.CrashWithdrawn, "answered", 0)
-	c.crashes.setState(x, cornelwall.CrashWithdrawn)
+	c.crashes.SetState(x, cornelwall.CrashWithdrawn)
 	c.sendCrashesToAll()
 	c.actOnCrashes([]string{batchOf(x.Task)})
 }
 
 // updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed. The boot is the one that
 // has answered, or 0 if none has.
-func (c *Core) updateCrashes(id string, answered int64, state func(*crash) cornelwall.CrashState) {
+func (c *Core) updateCrashes(id string, answered int64, state func(*crash.Record) cornelwall.CrashState) {
 	var changed []string
-	for _, x := range slices.Clone(c.crashes.byEndpoint[id]) {
+	for _, x := range c.crashes.AtEndpoint(id) {
 		s := state(x)
 		if s <= x.State {
 			continue
 		}
 		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s, "answered", answered)
-		c.crashes.setState(x, s)
+		c.crashes.SetState(x, s)
 		changed = append(changed, batchOf(x.Task))
 	}
 	c.actOnCrashes(changed)
@@ -144,11 +148,11 @@
 
 // sendCrashes sends a peer the crashes that it has not been sent.
 func (c *Core) sendCrashes(p *peer) {
-	if p.crashSeq >= c.crashes.lastSeq {
+	if p.crashSeq >= c.crashes.LastChange() {
 		return
 	}
-	list := c.crashes.news(c.now, p)
-	p.crashSeq = c.crashes.lastSeq
+	list := c.crashes.News(c.now, p.crashSeq, p.id)
+	p.crashSeq = c.crashes.LastChange()
 	c.reportCrashes(p.id, list)
 }
 
@@ -163,7 +167,7 @@
 	var changed []string
 	for i := range m.Crashes {
 		rc := &m.Crashes[i]
-		if rc.Age < crashTTL && c.crashes.merge(rc, c.now.Add(-rc.Age), from) {
+		if rc.Age < crash.TTL && c.crashes.Merge(rc, c.now.Add(-rc.Age), from) {
 			changed = append(changed, batchOf(rc.Task))
 			c.awaitLaterPoll(rc.Endpoint)
 		}
@@ -188,7 +192,7 @@
 	}
 	c.backlogChanged = true
 	for _, r := range slices.Clone(c.backlog) {
-		if c.crashes.suspicion(r.id.Task) >= policy.OnHold {
+		if c.crashes.Suspicion(r.id.Task) >= policy.OnHold {
 			c.withdrawRun(r, true)
 		}
 	}
@@ -203,17 +207,13 @@
 
 // returnSuspect returns an assigned run that must not start, with the reason why.
 func (c *Core) returnSuspect(owner cornelwall.Incarnation, id cornelwall.RunID) {
-	var list []cornelwall.RunCrash
-	for _, x := range c.crashes.byTask[id.Task].list {
-		list = append(list, x.report(c.now))
-	}
-	c.reportCrashes(owner, list)
+	c.reportCrashes(owner, c.crashes.OfTask(c.now, id.Task))
 	c.sendResult(owner, cornelwall.RunResult{RunID: id, End: cornelwall.RunUnstarted})
 }
 
 // giveUpIfWithheld gives up a job of this entry that has a withheld task, and reports whether it did.
 func (c *Core) giveUpIfWithheld(j *job) bool {
-	task := c.crashes.withheldTask(j.id)
+	task := c.crashes.WithheldTask(j.id)
 	if task == "" {
 		return false
 	}
@@ -224,14 +224,14 @@
 // withheldAnswer tells a caller why its batch is not run for now.
 func (c *Core) withheldAnswer(task string) cornelwall.BatchAnswer {
 	return cornelwall.BatchAnswer{
-		End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonCrash, RetryAfter: c.crashes.withheldFor(c.now, task),
-		Text: fmt.Sprintf("%d endpoints have crashed while task %s may have been at work there; it is not started again until these crashes are forgotten", c.crashes.count(task), task),
+		End: cornelwall.BatchGivenUp, Reason: cornelwall.ReasonCrash, RetryAfter: c.crashes.WithheldFor(c.now, task),
+		Text: fmt.Sprintf("%d endpoints have crashed while task %s may have been at work there; it is not started again until these crashes are forgotten", c.crashes.Count(task), task),
 	}
 }
 
 // reasonOfLoss returns why a run was lost.
 func (c *Core) reasonOfLoss(id cornelwall.RunID) cornelwall.Reason {
-	if x := c.crashes.byRun[id]; x != nil && x.State != cornelwall.CrashWithdrawn {
+	if x := c.crashes.OfRun(id); x != nil && x.State != cornelwall.CrashWithdrawn {
 		return cornelwall.ReasonCrash
 	}
 	return cornelwall.ReasonLost
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cornelwall"
+	"cornelwall/core/crash"
 	"cornelwall/core/policy"
 )
 
@@ -96,10 +96,7 @@
 
 // counted returns the crashes that count against a task.
 func (c *crashCore) counted(task string) []policy.Crash {
-	if k := c.crashes.byTask[task]; k != nil {
-		return k.countedCrashes()
-	}
-	return nil
+	return c.crashes.Counted(task)
 }
 
 // submit submits the batch and returns the answers to all callers so far.
@@ -131,7 +128,7 @@
 	back := leaving
 	back.Leaving, back.Boot = false, 6000
 	c.setEndpoint(&back, 2)
-	assert.Equal(t, len(c.crashes.byRun), 0)
+	assert.Equal(t, c.crashes.LastChange(), uint64(0))
 }
 
 func TestEndpointThatWasCutOffBlamesNobody(t *testing.T) {
@@ -156,7 +153,7 @@
 	c.silence("x1")
 	c.run(task, 2, "x2")
 	c.silence("x2")
-	assert.Equal(t, c.crashes.suspicion(task), policy.OnHold)
+	assert.Equal(t, c.crashes.Suspicion(task), policy.OnHold)
 	assert.Equal(t, len(c.submit(1)), 0)
 	assert.Assert(t, c.jobs[crashBatch].unassigned(), "the task is assigned while it is on hold")
 	var list []cornelwall.Endpoint
@@ -167,7 +164,7 @@
 	}
 	c.step(cornelwall.EndpointsListed{List: list, Revision: 2, AsOf: c.now})
 	assert.Assert(t, len(c.ended) == 1 && c.ended[0].End == cornelwall.BatchGivenUp && c.ended[0].Reason == cornelwall.ReasonCrash, "%v", c.ended)
-	assert.Assert(t, c.ended[0].RetryAfter > crashTTL-5*time.Second && c.ended[0].RetryAfter < crashTTL, "%v", c.ended)
+	assert.Assert(t, c.ended[0].RetryAfter > crash.TTL-5*time.Second && c.ended[0].RetryAfter < crash.TTL, "%v", c.ended)
 	assert.Assert(t, len(c.submit(2)) == 2 && c.ended[1] == c.ended[0], "the second answer differs: %v", c.ended)
 }
 
@@ -225,23 +222,9 @@
 	task := crashBatch + ".0.0.0"
 	c.run(task, 1, "x1")
 	c.answer("x1", 6000)
-	assert.Equal(t, c.crashes.suspicion(task), policy.Suspected)
+	assert.Equal(t, c.crashes.Suspicion(task), policy.Suspected)
 	c.endRun(c.run(task, 2, "x2"), cornelwall.RunDone, endListed)
-	assert.Equal(t, c.crashes.suspicion(task), policy.Unsuspected)
-}
-
-func TestCrashTableIsBounded(t *testing.T) {
-	table := newCrashTable()
-	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
-	for i := range maxCrashes + 10 {
-		id := cornelwall.RunID{Task: crashBatch + ".0.0.0", Run: uint64(i + 1)}
-		table.merge(&cornelwall.RunCrash{RunID: id, Endpoint: "x1", Boot: int64(i)}, now.Add(time.Duration(i)), cornelwall.Incarnation{})
-	}
-	assert.Equal(t, len(table.byRun), maxCrashes)
-	assert.Assert(t, table.byRun[cornelwall.RunID{Task: crashBatch + ".0.0.0", Run: 10}] == nil, "the oldest is kept")
-	assert.Assert(t, slices.Contains(table.byEndpoint["x1"], table.inOrder[0]))
-	table.expire(now.Add(time.Second))
-	assert.Equal(t, len(table.byRun)+len(table.byBatch)+len(table.byEndpoint)+len(table.inOrder), 0)
+	assert.Equal(t, c.crashes.Suspicion(task), policy.Unsuspected)
 }
 
 // TestBatchOnHoldIsNotRefusedAsNotRun holds a batch back until its deadline because endpoints may have crashed under it. Its
@@ -300,8 +283,8 @@
 	c := newCrashCore(t)
 	task := crashBatch + ".0.0.0"
 	c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{{RunID: cornelwall.RunID{Task: task, Run: 1}, Endpoint: "y1", Boot: 7}}})
-	c.crashes.clear(task)
-	news := c.crashes.news(c.now, c.peers[c.peer])
+	c.crashes.Clear(task)
+	news := c.crashes.News(c.now, c.peers[c.peer].crashSeq, c.peer)
 	assert.Assert(t, len(news) == 1 && news[0].State == cornelwall.CrashWithdrawn, "%v", news)
 }
 
@@ -317,7 +300,7 @@
 		}
 		c.handleCrashReport(c.peer, &report)
 		if cleared {
-			c.crashes.clear(crashBatch + ".0.0.0")
+			c.crashes.Clear(crashBatch + ".0.0.0")
 		}
 		c.step(cornelwall.SubmitBatch{Req: 1, Host: "h", Path: "/q/1", TimeLeft: 5 * time.Second, Batch: &cornelwall.BatchJob{
 			ID: crashBatch, Steps: []cornelwall.Step{{Count: 6, Need: cornelwall.Resources{Cores: 4000}, Estimate: 100 * time.Millisecond}},
@@ -343,7 +326,7 @@
 		f.hear(time.Second, 1, false)
 		for i := range tc.crashes {
 			id := cornelwall.RunID{Task: fmt.Sprintf("%016x.0.0.0", i), Run: 1}
-			f.core.crashes.merge(&cornelwall.RunCrash{RunID: id, Endpoint: "x1", Boot: 1}, f.now, cornelwall.Incarnation{})
+			f.core.crashes.Merge(&cornelwall.RunCrash{RunID: id, Endpoint: "x1", Boot: 1}, f.now, cornelwall.Incarnation{})
 		}
 		f.core.commands = nil
 		f.core.sendCrashesToAll()
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 // leaseend.go ends leases and transfers their runs, orders.go starts and stops runs, progress.go
 // follows the progress of runs, health.go finds slow endpoints and stops stragglers there, speed.go
 // tells long tasks from slow endpoints, and crashes.go acts on the crashes of endpoints under runs, which
-// crashtable.go keeps.
+// core/crash keeps.
 //
 // Endpoints: endpoints.go holds what is known of them, endpointlist.go reads the platform's list or
 // gets it from other entries, rendezvous.go ranks the entries, holders.go decides which entry holds
@@ -69,6 +69,7 @@
 	"time"
 
 	"cornelwall"
+	"cornelwall/core/crash"
 	"cornelwall/core/policy"
 )
 
@@ -172,7 +173,7 @@
 	jobsByReq     map[uint64]*job
 	tasksByRun    map[cornelwall.RunID]*task // assigned tasks
 	pendingEnds   pendingEnds
-	crashes       crashTable
+	crashes       *crash.Table
 	load          loadState
 	lastRunNumber uint64
 
@@ -209,7 +210,7 @@
 		tasksByRun:       map[cornelwall.RunID]*task{},
 		jobsByReq:        map[uint64]*job{},
 		pendingEnds:      newPendingEnds(),
-		crashes:          newCrashTable(),
+		crashes:          crash.NewTable(),
 		load:             newLoadState(),
 		queueConfigState: queueConfigState{queueConfig: &cornelwall.QueueConfig{}},
 		endpointList:     endpointList{toldAt: now}, // readers get the time to send the first update
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -121,7 +121,7 @@
 		refuse(cornelwall.BatchCancelled, cornelwall.ReasonCancelled, "the batch was cancelled; submit it under another ID")
 		return
 	}
-	if task := c.crashes.withheldTask(ev.Batch.ID); task != "" {
+	if task := c.crashes.WithheldTask(ev.Batch.ID); task != "" {
 		c.answerOnArrival(&ev, nil, c.withheldAnswer(task))
 		return
 	}
@@ -170,7 +170,7 @@
 // mayHaveRun reports whether tasks of an earlier submission of a batch may have run: their runs may not have ended, or
 // endpoints have crashed under them.
 func (c *Core) mayHaveRun(batch string) bool {
-	return c.pendingEnds.perBatch[batch] > 0 || c.crashes.hasBatch(batch)
+	return c.pendingEnds.perBatch[batch] > 0 || c.crashes.HasBatch(batch)
 }
 
 // newJob returns the job of a submitted batch. It counts as started if tasks of an earlier submission of the batch may have run.
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -183,7 +183,7 @@
 	result := cornelwall.RunResult{RunID: r.id, End: end, Endpoint: l.ep.ID, Took: took}
 	c.endedRuns[r.id] = endedRun{result: result, endedAt: c.now}
 	if end == cornelwall.RunDone {
-		c.crashes.clear(r.id.Task)
+		c.crashes.Clear(r.id.Task)
 	}
 	c.sendResult(r.owner, result)
 }
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -61,7 +61,7 @@
 	}
 	l.boot, l.answeredAt, l.unansweredSince = ev.Boot, c.now, time.Time{}
 	l.ep.health.RecordContact()
-	if ev.Seq > l.suspectedAtPoll && len(c.crashes.byEndpoint[l.ep.ID]) > 0 {
+	if ev.Seq > l.suspectedAtPoll && len(c.crashes.AtEndpoint(l.ep.ID)) > 0 {
 		c.resolveCrashes(l.ep.ID, ev.Boot)
 	}
 	c.updateClock(l, ev.Clock)
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -15,6 +15,8 @@
 	return cornelwall.RunID{Task: t.name, Run: c.lastRunNumber}
 }
 
+func batchOf(task string) string { return cornelwall.BatchOf(task) }
+
 // handleRunsStarted records where tasks run. Runs that no job of this entry waits for are
 // withdrawn: an earlier withdrawal may have gone to a holder whose process has ended since.
 func (c *Core) handleRunsStarted(from cornelwall.Incarnation, m *cornelwall.RunsStarted) {
@@ -103,7 +105,7 @@
 	switch result.End {
 	case cornelwall.RunDone:
 		t.state = taskDone
-		c.crashes.clear(t.name)
+		c.crashes.Clear(t.name)
 		j.unfinished[t.step]--
 		c.observeRunTime(t, result.Took)
 	case cornelwall.RunFailed:
--- a/endpoint.go
+++ b/endpoint.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -101,6 +102,12 @@
 	Run  uint64 `json:"run"`
 }
 
+// BatchOf returns the ID of the batch of a task.
+func BatchOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // Check reports an error if the ID is incomplete.
 func (r RunID) Check() error {
 	if r.Task == "" || r.Run == 0 {
