Pass no older entry's verdict on crashes to a caller that has joined

What older entries tell their own callers stays until they are replaced. Found by the review, by reading; no test. explain's tests know a batch that is given up for crashes, too.

--- a/core/dispatch/joins.go
+++ b/core/dispatch/joins.go
@@ -124,6 +124,9 @@
 		j.claim.accepted = true
 	case cornelwall.JoinAnswered:
 		j.claim.state = owned // there is nobody to leave any more
+		if m.Answer.End == cornelwall.BatchFailed && m.Answer.Reason == cornelwall.ReasonCrash {
+			m.Answer.End = cornelwall.BatchGivenUp // an older entry fails batches for crashes
+		}
 		c.finishJob(j, m.Answer)
 	case cornelwall.JoinEnding:
 		j.claim.accepted = false
--- a/core/explain/explain_test.go
+++ b/core/explain/explain_test.go
@@ -30,6 +30,8 @@
 		{CauseRefusedOnArrival, []string{lineAt(`msg=batch-refused entry=dc0.e1.1 job=aa end=refused why=queue-full version=1`)}},
 		{CauseTaskCrashed, []string{arrival, strings.NewReplacer("end=given-up", "end=failed", "why=too-late", "why=crash").Replace(givenUp)}},
 		{CauseTaskCrashed, []string{lineAt(`msg=batch-refused entry=dc0.e1.1 job=aa end=failed why=crash version=1`)}},
+		{CauseTaskCrashed, []string{arrival, strings.Replace(givenUp, "why=too-late", "why=crash", 1)}},
+		{CauseTaskCrashed, []string{lineAt(`msg=batch-refused entry=dc0.e1.1 job=aa end=given-up why=crash version=1`)}},
 		{CauseEntryLost, []string{arrival}},
 		{CauseEntryStopped, []string{arrival, strings.Replace(givenUp, "why=too-late", "why=stopping", 1)}},
 		{CauseOwnerUnproven, []string{arrival, lineAt(`msg=owner-unproven entry=dc0.e2.1 task=aa.0.0.1 run=7 owner=dc0.e1.1 age=460ms`),
