Confirm no crash by the record of an earlier boot

A boot is a time of day: a later one confirms, any other leaves the crash to the next poll. Found by the review; TestOldRecordConfirmsNothing failed before.

--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -428,3 +428,31 @@
 		assert.Equal(t, len(c.counted(task)), map[int64]int{5000: 0, 6000: 1}[boot])
 	}
 }
+
+// TestOldRecordConfirmsNothing reads records of an earlier boot, which the store carried out late, of endpoints that go on answering.
+func TestOldRecordConfirmsNothing(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	for i, id := range []string{"x1", "x2"} {
+		c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{
+			{RunID: cornelwall.RunID{Task: task, Run: uint64(i + 1)}, Endpoint: id, Boot: 5000, Alone: true},
+		}})
+	}
+	c.submit(1)
+	var list []cornelwall.Endpoint
+	for _, id := range []string{"x1", "x2", "x3"} {
+		info := c.endpoints[id].Endpoint
+		if id != "x3" {
+			info.Boot = 4000
+		}
+		list = append(list, info)
+	}
+	assert.Equal(t, c.crashes.Suspicion(task), policy.OnHold)
+	c.step(cornelwall.EndpointsListed{List: list, Revision: 2, AsOf: c.now})
+	assert.Equal(t, len(c.ended), 0, "%v", c.ended)
+	for _, id := range []string{"x1", "x2"} {
+		c.poll(c.endpoints[id].lease, 0)
+		c.answer(id, 5000)
+	}
+	assert.Equal(t, len(c.counted(task)), 0)
+}
--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -90,7 +90,7 @@
 		return false
 	}
 	before := ep.Endpoint
-	if before.Boot != info.Boot && before.Boot != 0 && info.Boot != 0 {
+	if before.Boot != 0 && info.Boot > before.Boot {
 		c.confirmCrashesOf(ep.ID, before.Boot)
 	}
 	ep.Endpoint, ep.absentSince, ep.changedRev = *info, time.Time{}, rev
