--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -121,6 +121,16 @@
 	c.actOnCrashes([]string{batchOf(x.Task)})
 }
 
+// awaitsSettling reports whether an answer of an endpoint can settle crashes there that no poll under way can.
+func (c *Core) awaitsSettling(l *lease) bool {
+	for _, x := range c.crashes.AtEndpoint(l.ep.ID) {
+		if x.State == cornelwall.CrashSuspected || l.suspectedAtPoll >= l.lastPoll {
+			return true
+		}
+	}
+	return false
+}
+
 // updateCrashes sets the states of the crashes of an endpoint, and acts on those that have changed. The boot is the one that
 // has answered, or 0 if none has.
 func (c *Core) updateCrashes(id string, answered int64, state func(*crash.Record) cornelwall.CrashState) {
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -456,3 +456,42 @@
 	}
 	assert.Equal(t, len(c.counted(task)), 0)
 }
+
+// answerOpen answers the polls of x1 to x3 for a time, if any are under way.
+func (c *crashCore) answerOpen(during time.Duration) (polls uint64) {
+	before := c.endpoints["x1"].lease.lastPoll
+	for range during / tickInterval {
+		c.now = c.now.Add(tickInterval)
+		c.step(cornelwall.Tick{})
+		for _, id := range []string{"x1", "x2", "x3"} {
+			if l := c.endpoints[id].lease; l != nil && l.openPolls > 0 {
+				c.answer(id, 5000)
+			}
+		}
+	}
+	return c.endpoints["x1"].lease.lastPoll - before
+}
+
+// TestCrashToldDuringPollIsSettled has a peer tell of a silent endpoint while this entry, which has just taken it, waits for
+// the answer to its only poll. The endpoint is idle.
+func TestCrashToldDuringPollIsSettled(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.poll(c.endpoints["x1"].lease, 0)
+	c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{
+		{RunID: cornelwall.RunID{Task: task, Run: 1}, Endpoint: "x1", Boot: 5000, Alone: true},
+	}})
+	polls := c.answerOpen(5 * time.Second)
+	assert.Equal(t, len(c.counted(task)), 0, "%d polls since", polls)
+}
+
+// TestCrashToldOfIdleEndpointIsSettled is the same without a poll under way.
+func TestCrashToldOfIdleEndpointIsSettled(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{
+		{RunID: cornelwall.RunID{Task: task, Run: 1}, Endpoint: "x1", Boot: 5000, Alone: true},
+	}})
+	polls := c.answerOpen(5 * time.Second)
+	assert.Equal(t, len(c.counted(task)), 0, "%d polls since", polls)
+}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -260,6 +260,9 @@
 	if l.phase == phaseReady && len(l.orphans) > 0 && l.openPolls == 0 && since >= confirmPollInterval {
 		c.poll(l, 0)
 	}
+	if l.phase == phaseReady && l.openPolls == 0 && since >= pollRetryInterval && c.awaitsSettling(l) {
+		c.poll(l, 0)
+	}
 	for _, r := range filterRuns(l.runs, func(r *run) bool {
 		return r.state == runStopping && c.now.Sub(r.lastStopSent) >= stopRetryInterval && !r.stopAcked
 	}) {
