Let the answer to a start settle the crash under it

Two starts that are sent together to an endpoint whose address another has by then are refused one after the other. The first refusal ended the lease and confirmed a crash under the second run, whose own refusal was still on its way: with a crash to its name already, its batch was given up 0.1 ms before that refusal withdrew the crash. Such a crash is only suspected now, until the start is answered: refused withdraws it, anything else confirms it.

--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -53,6 +53,7 @@
 	stopRequestedAt time.Time // first stop
 	lastStopSent    time.Time // last stop, as stops are repeated
 	stopAcked       bool      // the endpoint has accepted the stop
+	startOpen       bool      // the start was sent and may still be answered
 	startAnswered   bool      // the endpoint is known to have carried out the start
 	seenAt          time.Time // when the endpoint last told that it runs; zero if it has not told this entry
 	progress        policy.Progress
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -44,6 +44,9 @@
 	alone := len(runs) == 1 && len(l.orphans) == 0
 	for _, r := range runs {
 		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state}
+		if r.startOpen {
+			rc.State = cornelwall.CrashSuspected // the answer to its start settles it
+		}
 		if !c.crashes.Merge(&rc, c.now, cornelwall.Incarnation{}) {
 			continue
 		}
@@ -86,8 +89,12 @@
 // and confirms those of other boots. The poll that it answered was sent after the crashes were recorded.
 func (c *Core) resolveCrashes(id string, boot int64) {
 	c.updateCrashes(id, boot, func(x *crash.Record) cornelwall.CrashState {
-		if x.Boot == boot {
+		r := c.runs[x.RunID]
+		switch {
+		case x.Boot == boot:
 			return cornelwall.CrashWithdrawn
+		case r != nil && r.startOpen:
+			return x.State
 		}
 		return cornelwall.CrashConfirmed
 	})
@@ -109,14 +116,24 @@
 	c.updateCrashes(id, 0, func(*crash.Record) cornelwall.CrashState { return cornelwall.CrashConfirmed })
 }
 
-// withdrawCrash withdraws the crash under a run that has not begun, if there is one.
-func (c *Core) withdrawCrash(id cornelwall.RunID) {
-	x := c.crashes.OfRun(id)
+// settleStart settles the crash under a run by the answer to its start: a run that was refused has not begun. Without a
+// refusal the crash is confirmed if the boot has ended, as it has where the lease has.
+func (c *Core) settleStart(ev *cornelwall.OrderResult, l *lease) {
+	x := c.crashes.OfRun(ev.Run)
 	if x == nil || x.State == cornelwall.CrashWithdrawn {
 		return
 	}
-	c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", x.Endpoint, "boot", x.Boot, "state", cornelwall.CrashWithdrawn, "answered", 0)
-	c.crashes.SetState(x, cornelwall.CrashWithdrawn)
+	switch {
+	case ev.Refusal != cornelwall.RefusedNone && ev.Refusal != cornelwall.RefusedUnknown:
+		c.settleCrash(x, cornelwall.CrashWithdrawn)
+	case x.State == cornelwall.CrashSuspected && (l == nil || l.boot != 0 && l.boot != x.Boot):
+		c.settleCrash(x, cornelwall.CrashConfirmed)
+	}
+}
+
+func (c *Core) settleCrash(x *crash.Record, state cornelwall.CrashState) {
+	c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", x.Endpoint, "boot", x.Boot, "state", state, "answered", 0)
+	c.crashes.SetState(x, state)
 	c.sendCrashesToAll()
 	c.actOnCrashes([]string{batchOf(x.Task)})
 }
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -495,3 +495,56 @@
 	polls := c.answerOpen(5 * time.Second)
 	assert.Equal(t, len(c.counted(task)), 0, "%d polls since", polls)
 }
+
+// confirmedCrash records a certain crash at an endpoint that another entry holds, under a run that was alone there.
+func (c *crashCore) confirmedCrash(task string, run uint64) {
+	c.Core.now = c.now
+	c.handleCrashReport(c.peer, &cornelwall.CrashReport{Crashes: []cornelwall.RunCrash{
+		{RunID: cornelwall.RunID{Task: task, Run: run}, Endpoint: "y1", Boot: int64(run), Alone: true, State: cornelwall.CrashConfirmed},
+	}})
+}
+
+// startedBy returns the run of a task that the core has started.
+func (c *crashCore) startedBy(task string) *run {
+	for range 20 {
+		for id, r := range c.runs {
+			if id.Task == task && r.state == runStarting {
+				return r
+			}
+		}
+		c.now = c.now.Add(tickInterval)
+		c.step(cornelwall.Tick{})
+	}
+	c.t.Fatal("the task has not started")
+	return nil
+}
+
+// TestRefusalsInTransitWithholdNothing has another endpoint refuse two starts that were sent together. The second
+// refusal is still on its way when the first one is handled.
+func TestRefusalsInTransitWithholdNothing(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.confirmedCrash(task, 1)
+	c.submit(1)
+	r := c.startedBy(task)
+	l := r.lease
+	c.refuse(c.start("00000000000000bb.0.0.0", 2, l.ep.ID), l)
+	c.refuse(r, l)
+	assert.Equal(t, len(c.counted(task)), 1)
+	assert.Equal(t, len(c.ended), 0, "%v", c.ended)
+}
+
+// TestPollRefusedBeforeStartWithholdsNothing is the same with the refusal of a poll as the first.
+func TestPollRefusedBeforeStartWithholdsNothing(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.confirmedCrash(task, 1)
+	c.submit(1)
+	r := c.startedBy(task)
+	l := r.lease
+	c.poll(l, 0)
+	c.step(cornelwall.PollResult{Endpoint: l.ep.ID, Fence: l.fence, Seq: l.lastPoll, Refusal: cornelwall.RefusedBoot})
+	c.refuse(r, l)
+	assert.Equal(t, len(c.counted(task)), 1)
+	assert.Equal(t, len(c.ended), 0, "%v", c.ended)
+}
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -43,8 +43,8 @@
 // gone, and so are its runs.
 func (c *Core) handleReplaced(l *lease) {
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
-	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
 	c.confirmAllCrashes(l.ep.ID)
+	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
 	c.sendCrashesToAll()
 	for _, r := range l.sortedRuns() {
 		c.endRun(r, cornelwall.RunLapsed, endReplaced)
--- a/core/dispatch/orders.go
+++ b/core/dispatch/orders.go
@@ -9,7 +9,7 @@
 
 // startRun orders the endpoint of a lease to start a run.
 func (c *Core) startRun(r *run, l *lease) {
-	r.state, r.startedAt = runStarting, c.now
+	r.state, r.startedAt, r.startOpen = runStarting, c.now, true
 	l.addRun(r)
 	c.emit(cornelwall.StartRun{
 		Endpoint: l.target(), Fence: l.fence, Run: r.id, Spec: r.spec, LeaseUntil: l.extend(c.now), Boot: l.boot,
@@ -20,8 +20,11 @@
 func (c *Core) handleOrderResult(ev cornelwall.OrderResult) {
 	r := c.runs[ev.Run]
 	l := c.leaseForFence(ev.Endpoint, ev.Fence)
-	if !ev.Stop && ev.Refusal != cornelwall.RefusedNone && ev.Refusal != cornelwall.RefusedUnknown {
-		c.withdrawCrash(ev.Run)
+	if !ev.Stop {
+		if r != nil {
+			r.startOpen = false
+		}
+		c.settleStart(&ev, l)
 	}
 	if l == nil {
 		return // the expiry of the lease or the next holder determines the ends of its runs
