Count a crash under a run whose earlier crash was withdrawn

Each find of a crash has a number now, and a later one replaces every state of an earlier one; entries of the version before ignore it.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -9,6 +9,7 @@
 package crash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -72,16 +73,19 @@
 }
 
 // Merge adds a crash, or what is new of it, and reports whether that changes anything. A state is only
-// replaced by a later one.
+// replaced by a later one, or by that of a later find.
 func (t *Table) Merge(rc *cornelwall.RunCrash, at time.Time, from cornelwall.Incarnation) bool {
 	known := t.byRun[rc.RunID]
 	if known == nil {
 		t.add(&Record{RunCrash: *rc, at: at, from: from})
 		return true
 	}
-	if rc.State <= known.State {
+	if cmp.Or(cmp.Compare(rc.Find, known.Find), cmp.Compare(rc.State, known.State)) <= 0 {
 		return false
 	}
+	if rc.Find > known.Find {
+		known.Find, known.at = rc.Find, at
+	}
 	t.SetState(known, rc.State)
 	known.from = from
 	return true
@@ -113,6 +117,9 @@
 // SetState sets the state of a crash. Its next reports go to all peers, whoever has told of it.
 func (t *Table) SetState(x *Record, state cornelwall.CrashState) {
 	t.lastSeq++
+	if x.State == cornelwall.CrashWithdrawn {
+		t.byEndpoint[x.Endpoint] = append(t.byEndpoint[x.Endpoint], x)
+	}
 	x.State, x.seq, x.from = state, t.lastSeq, cornelwall.Incarnation{}
 	if state == cornelwall.CrashWithdrawn {
 		removeCrash(t.byEndpoint, x.Endpoint, x)
@@ -290,6 +297,18 @@
 	return list
 }
 
+// NextFind returns the number of a find of a crash under a run: a crash that was withdrawn before is found anew.
+func (t *Table) NextFind(id cornelwall.RunID) uint64 {
+	x := t.byRun[id]
+	switch {
+	case x == nil:
+		return 0
+	case x.State == cornelwall.CrashWithdrawn:
+		return x.Find + 1
+	}
+	return x.Find
+}
+
 // OfRun returns the crash under a run, or nil if none is known.
 func (t *Table) OfRun(id cornelwall.RunID) *Record { return t.byRun[id] }
 
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -43,7 +43,7 @@
 	runs := l.sortedRuns()
 	alone := len(runs) == 1 && len(l.orphans) == 0
 	for _, r := range runs {
-		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state}
+		rc := cornelwall.RunCrash{RunID: r.id, Endpoint: l.ep.ID, Boot: boot, Alone: alone, State: state, Find: c.crashes.NextFind(r.id)}
 		if r.startOpen {
 			rc.State = cornelwall.CrashSuspected // the answer to its start settles it
 		}
--- a/core/dispatch/crashes_test.go
+++ b/core/dispatch/crashes_test.go
@@ -548,3 +548,26 @@
 	assert.Equal(t, len(c.counted(task)), 1)
 	assert.Equal(t, len(c.ended), 0, "%v", c.ended)
 }
+
+// TestCrashAfterWithdrawalCounts loses the answer to a start, hears the same boot again, and then lets it crash under that run.
+func TestCrashAfterWithdrawalCounts(t *testing.T) {
+	c := newCrashCore(t)
+	task := crashBatch + ".0.0.0"
+	c.start(task, 1, "x1")
+	for range 75 {
+		if len(c.counted(task)) > 0 {
+			break
+		}
+		c.now = c.now.Add(tickInterval)
+		c.step(cornelwall.Tick{})
+	}
+	assert.Equal(t, len(c.counted(task)), 1)
+	c.poll(c.endpoints["x1"].lease, 0)
+	c.answer("x1", 5000)
+	assert.Equal(t, len(c.counted(task)), 0)
+	assert.Equal(t, len(c.endpoints["x1"].lease.runs), 1, "the run is no longer there")
+	c.answer("x1", 6000)
+	c.poll(c.endpoints["x1"].lease, 0)
+	c.answer("x1", 6000)
+	assert.Equal(t, len(c.counted(task)), 1)
+}
--- a/leased_message.go
+++ b/leased_message.go
@@ -326,7 +326,7 @@
 
 //go:generate go tool enumer -type=CrashState -text -transform=kebab -trimprefix=Crash -output=crash_gen.go
 
-// CrashState is how certain a crash is. A later state replaces an earlier one.
+// CrashState is how certain a crash is. A later state replaces an earlier one of the same find.
 type CrashState int
 
 const (
@@ -347,7 +347,8 @@
 	Boot     int64         `json:"boot"`            // of the endpoint, see Endpoint
 	Alone    bool          `json:"alone,omitempty"` // no other run was there
 	State    CrashState    `json:"state,omitempty"`
-	Age      time.Duration `json:"age,omitempty"` // time since the crash was noticed
+	Age      time.Duration `json:"age,omitempty"`  // time since the crash was noticed
+	Find     uint64        `json:"find,omitempty"` // rises when a crash that was withdrawn is found anew; a later find replaces each state of an earlier one
 }
 
 // Check reports every problem with the message.
