Tell no caller "not run" on the word of an owner that did not run its tasks

A caller could be told that its batch has not run (503) although tasks of it had run at this entry: an entry that has stood still claims its batches again, joins the entry that owns one by then, and passed that owner's refusal on as it was. The owner knows of its own runs only, so that its "not run" says nothing of those before (rule REFUSED, if no other attempt of the caller is accepted). The same for a batch that is submitted again while runs of its earlier submission may go on.

Such a refusal becomes "given up" (504), as the entry answers if it owns the batch itself. Other answers are passed on as before: done and failed are what the owner has seen, and cancelled stands everywhere.

TestRefusalOfOwnerIsNotPassedOnWhereTasksHaveRun failed before (refused in place of given-up where the entry had stood still; the case in which nothing ran passed) and passes.

--- a/core/dispatch/joins.go
+++ b/core/dispatch/joins.go
@@ -22,6 +22,7 @@
 	}
 	c.leaveOwner(j)
 	c.log("batch-joins", "job", j.id, "owner", owner.Entry, "left", j.deadline.Sub(c.now))
+	o.ranBefore = o.ranBefore || o.state != joined && j.started
 	o.state, o.joinedTo, o.accepted = joined, owner, false
 	j.started = true // by its owner
 	c.takeBackTasks(j)
@@ -124,7 +125,7 @@
 		j.claim.accepted = true
 	case cornelwall.JoinAnswered:
 		j.claim.state = owned // there is nobody to leave any more
-		c.finishJob(j, m.Answer)
+		c.finishJob(j, c.answerOfOwner(j, m.Answer))
 	case cornelwall.JoinEnding:
 		j.claim.accepted = false
 	case cornelwall.JoinLetGo:
@@ -136,6 +137,18 @@
 	}
 }
 
+// answerOfOwner returns the answer of the owner of a job's batch as the callers here get it. The owner knows of its own
+// runs only: that the batch has not run does not hold if tasks of it may have run before this entry joined.
+func (c *Core) answerOfOwner(j *job, a cornelwall.BatchAnswer) cornelwall.BatchAnswer {
+	if a.End != cornelwall.BatchRefused || !j.claim.ranBefore && !c.mayHaveRun(j.id) {
+		return a
+	}
+	return cornelwall.BatchAnswer{
+		End: cornelwall.BatchGivenUp, Reason: a.Reason,
+		Text: "tasks of the batch may have run at this entry, and the entry that owns the batch by now has not run it; send it again",
+	}
+}
+
 // handleLeaveBatch removes a peer from the callers of a job.
 func (c *Core) handleLeaveBatch(from cornelwall.Incarnation, m *cornelwall.LeaveBatch) {
 	if j := c.jobs[m.ID]; j != nil {
--- a/core/dispatch/ownership.go
+++ b/core/dispatch/ownership.go
@@ -41,6 +41,7 @@
 	joinedTo   cornelwall.BatchOwner // owner, if joined
 	joinSentAt time.Time
 	accepted   bool // the owner has confirmed that it will answer
+	ranBefore  bool // tasks may have run before this entry joined, of which the owner need not know
 }
 
 // witnessAnswer is what a witness has answered in a round.
