End no run on a refusal from an address that the lease has left

A run could count as lapsed, and its task start again elsewhere, while it went on (rule TWICE): an entry acquires an endpoint at the address of an earlier boot, which another endpoint has by now, learns the present address before an answer comes, starts a run there, and reads the 421 of the first poll, up to 200 ms after it was sent. The change of address kept the fence, so that the refusal counted as one of the endpoint whose run it was.

A change of address now takes a new fence and a poll at once; answers from the address before quote the old fence and end nothing, as after a restart.

TestRefusalAtAddressBeforeFirstAnswerEndsNoRun failed before (the run was gone) and passes. No play shows the fault; it was found by reading.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -139,7 +140,7 @@
 	switch {
 	case before.Boot == ep.Boot || ep.Boot == 0:
 	case l.boot == 0: // none has answered yet
-		l.addr = ep.Addr
+		c.moveTo(l, ep.Addr)
 	case c.doubtsRecord(l):
 		c.log("record-doubted", "endpoint", ep.ID, "runs", len(l.runs), "boot", ep.Boot, "addr", ep.Addr, "answers", l.addr)
 	case ep.Boot != l.boot:
@@ -147,6 +148,16 @@
 	}
 }
 
+// moveTo sends the orders under a lease to another address from now on. They carry a new fence, which tells their answers from those
+// of the address before.
+func (c *Core) moveTo(l *lease, addr netip.AddrPort) {
+	if l.addr == addr {
+		return
+	}
+	l.addr, l.fence, l.lastStalePoll = addr, c.nextFence(), l.lastPoll
+	c.poll(l, 0)
+}
+
 // doubtsRecord reports whether the record of an endpoint names another boot at another address than the one whose runs go on
 // there, as its answers show. Who answers at the other address can't tell of these runs.
 func (c *Core) doubtsRecord(l *lease) bool {
