--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -127,9 +127,9 @@
 	return info.Revision >= ep.Revision
 }
 
-// handleRecordChange acts on a new record of an endpoint that this entry holds. A new boot in the record is a
-// restart, unless the list lags behind what the endpoint itself has reported, or the endpoint goes on answering at its address
-// while the record names another.
+// handleRecordChange acts on a new record of an endpoint that this entry holds. An endpoint with a new boot at the same address is
+// acquired again, unless it is on offer. That alone is no restart: the platform may have carried out a report of an earlier boot
+// late, and the endpoint itself tells. A new boot at another address is one, unless the endpoint goes on answering at its own.
 func (c *Core) handleRecordChange(l *lease, before *cornelwall.Endpoint) {
 	ep := l.ep
 	c.heldChanged, c.backlogChanged = true, true
@@ -143,8 +143,11 @@
 		c.moveTo(l, ep.Addr)
 	case c.doubtsRecord(l):
 		c.log("record-doubted", "endpoint", ep.ID, "runs", len(l.runs), "boot", ep.Boot, "addr", ep.Addr, "answers", l.addr)
-	case ep.Boot != l.boot:
+	case l.isListedElsewhere():
 		c.restartAsListed(l)
+	case ep.Boot != l.boot && l.phase != phaseOffered:
+		l.phase, l.fence = phaseAcquiring, c.nextFence()
+		c.poll(l, 0) // its answer tells which boot is there
 	}
 }
 
--- a/core/dispatch/movedlease_test.go
+++ b/core/dispatch/movedlease_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -27,3 +28,22 @@
 	assert.Equal(t, len(l.runs), 1, "the refusal of another endpoint ends the run")
 	assert.Assert(t, h.c.endpoints["x1"].lease == l)
 }
+
+// TestLateRecordOfEarlierBootIsNoRestart lists the record of a boot that has ended, which the store has carried out late, while
+// the present boot goes on.
+func TestLateRecordOfEarlierBootIsNoRestart(t *testing.T) {
+	h := newRecordHolder(t)
+	h.restart(2)
+	h.list(func(e *cornelwall.Endpoint) { e.Boot = 2 })
+	h.submit(1, "a")
+	assert.Equal(t, len(h.starts), 1)
+	l := h.c.endpoints["x1"].lease
+	h.step(cornelwall.OrderResult{Endpoint: "x1", Fence: l.fence, Run: h.starts[0].Run, Clock: time.Second})
+	h.list(func(e *cornelwall.Endpoint) { e.Boot = 1 })
+	assert.Equal(t, len(h.c.crashes.byRun), 0, "the record counts as a crash of the endpoint")
+	running := []cornelwall.RunState{{RunID: h.starts[0].Run}}
+	h.step(cornelwall.PollResult{Endpoint: "x1", Fence: l.fence, Seq: l.lastPoll, Boot: 2, Clock: time.Second, Running: running})
+	h.list(func(e *cornelwall.Endpoint) { e.Boot = 2 })
+	assert.Equal(t, len(h.c.crashes.byRun), 0)
+	assert.Equal(t, len(l.runs), 1)
+}
