Let an endpoint's runs end by its own answers, not by those at an address that its record names

Runs that went on could count as lapsed, and their tasks start again elsewhere (rule TWICE), and their endpoint as crashed: an endpoint is cut off from its holder for 420 ms while its record names another boot at another address (a report that the store carries out late, or another writer's). The holder took the record for a restart and asked at that address, and the 421 of the endpoint there ended the runs at once, up to 200 ms before their lease. Runs that had been handed over and were not yet heard of were ended so without any silence. The crashes counted as confirmed by the record alone.

Orders follow the record as before, but the boot that has answered counts as ended only once the listed one answers. Until then its crash is a suspicion; a refusal sends the orders back to where it answered, and its runs end with their lease.

--- a/core/dispatch/endpointlist.go
+++ b/core/dispatch/endpointlist.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -129,7 +130,7 @@
 
 // handleRecordChange acts on a new record of an endpoint that this entry holds. An endpoint with a new boot at the same address is
 // acquired again, unless it is on offer. That alone is no restart: the platform may have carried out a report of an earlier boot
-// late, and the endpoint itself tells. A new boot at another address is one, unless the endpoint goes on answering at its own.
+// late, and the endpoint itself tells. Orders follow a new boot to another address, unless the endpoint goes on answering at its own.
 func (c *Core) handleRecordChange(l *lease, before *cornelwall.Endpoint) {
 	ep := l.ep
 	c.heldChanged, c.backlogChanged = true, true
@@ -139,13 +140,13 @@
 	}
 	switch {
 	case before.Boot == ep.Boot || ep.Boot == 0:
-	case l.boot == 0: // none has answered yet
+	case l.boot == 0 && (len(l.runs) == 0 || l.handedOverBoot == 0): // none has answered yet
 		c.moveTo(l, ep.Addr)
 	case c.doubtsRecord(l):
 		c.log("record-doubted", "endpoint", ep.ID, "runs", len(l.runs), "boot", ep.Boot, "addr", ep.Addr, "answers", l.addr)
 	case l.isListedElsewhere():
-		c.restartAsListed(l)
-	case ep.Boot != l.boot && l.phase != phaseOffered:
+		c.acquireAsListed(l)
+	case l.boot != 0 && ep.Boot != l.boot && l.phase != phaseOffered:
 		l.phase, l.fence = phaseAcquiring, c.nextFence()
 		c.poll(l, 0) // its answer tells which boot is there
 	}
@@ -162,27 +163,48 @@
 }
 
 // doubtsRecord reports whether the record of an endpoint names another boot at another address than the one whose runs go on
-// there, as its answers show. Who answers at the other address can't tell of these runs.
+// there, as its answers show, or the address of another endpoint. Who answers at the other address can't tell of these runs.
 func (c *Core) doubtsRecord(l *lease) bool {
-	return l.isListedElsewhere() && len(l.runs) > 0 && l.unansweredFor(c.now) <= pollWait+pollMargin
+	return l.isListedElsewhere() && len(l.runs) > 0 && (l.ep.Addr == l.refusedAddr || l.unansweredFor(c.now) <= pollWait+pollMargin)
 }
 
-// isListedElsewhere reports whether the record of the endpoint names another boot than the one that has answered, at another address.
+// isListedElsewhere reports whether the record of the endpoint names another boot than the one that has answered this entry or, if none
+// has, the previous holder, at another address.
 func (l *lease) isListedElsewhere() bool {
-	return l.boot != 0 && l.ep.Boot != 0 && l.ep.Boot != l.boot && l.ep.Addr != l.addr
+	boot := cmp.Or(l.boot, l.handedOverBoot)
+	return boot != 0 && l.ep.Boot != 0 && l.ep.Boot != boot && l.ep.Addr != l.addr
 }
 
 // followRecord acquires an endpoint at the address in its record once that is not doubted any more.
 func (c *Core) followRecord(l *lease) {
 	if l.isListedElsewhere() && !c.doubtsRecord(l) {
-		c.restartAsListed(l)
+		c.acquireAsListed(l)
 	}
 }
 
-// restartAsListed acquires an endpoint again as its record names it.
-func (c *Core) restartAsListed(l *lease) {
+// acquireAsListed acquires an endpoint again as its record names it. That boot has to answer before the one that has answered
+// counts as ended.
+func (c *Core) acquireAsListed(l *lease) {
+	c.log("endpoint-moved", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", l.ep.Boot, "addr", l.ep.Addr, "answered", l.addr)
+	if l.answered == nil {
+		l.answered = &answeredBoot{addr: l.addr, boot: l.boot, ackedEnd: l.ackedEnd, clock: l.clock, clockAt: l.clockAt, latestEnd: l.latestEnd}
+		c.recordCrash(l, l.boot, cornelwall.CrashSuspected)
+	}
+	boot := l.ep.Boot
+	if l.boot == 0 {
+		boot = 0 // this entry has reached none
+	}
 	l.addr = l.ep.Addr
-	c.handleRestart(l, l.ep.Boot)
+	c.acquireBoot(l, boot)
+}
+
+// returnToAnswered acquires an endpoint again at the address where it has answered, as another endpoint refuses at the listed one.
+func (c *Core) returnToAnswered(l *lease) {
+	a := l.answered
+	c.log("record-refused", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", l.ep.Boot, "addr", l.addr, "answered", a.addr)
+	l.answered, l.refusedAddr, l.addr = nil, l.addr, a.addr
+	c.acquireBoot(l, a.boot)
+	l.ackedEnd, l.clock, l.clockAt, l.latestEnd = a.ackedEnd, a.clock, a.clockAt, a.latestEnd
 }
 
 // removeFromList records that an endpoint is not on the list of a revision, and reports whether that
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -57,6 +57,9 @@
 	boot          int64  // identifies the endpoint's start; a time of day, which may jump and gives no order
 	lastStalePoll uint64 // number of the last poll that the endpoint may have answered before its last restart
 
+	answered    *answeredBoot  // boot that has answered before, while none has at the address that is listed now; else nil
+	refusedAddr netip.AddrPort // listed address where another endpoint has refused a poll for this one
+
 	clock      time.Duration // reading of the endpoint's clock, taken at clockAt or before
 	clockAt    time.Time     // zero if no reading is known
 	latestEnd  time.Duration // latest end of the lease by any order, on the endpoint's clock
@@ -88,6 +91,16 @@
 	suspectedAtPoll   uint64    // lastPoll when a crash was recorded
 }
 
+// answeredBoot is what a lease knows of a boot of its endpoint that has answered.
+type answeredBoot struct {
+	addr      netip.AddrPort
+	boot      int64
+	ackedEnd  int64
+	clock     time.Duration
+	clockAt   time.Time
+	latestEnd time.Duration
+}
+
 // withoutWithdrawn returns the runs that their owners have not withdrawn, and whose batches are not cancelled.
 func (c *Core) withoutWithdrawn(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
--- a/core/dispatch/leaseend.go
+++ b/core/dispatch/leaseend.go
@@ -19,13 +19,18 @@
 }
 
 // handleRestart acquires an endpoint again that has restarted under the same name. The runs from
-// before the restart are gone, but orders that were in transit may have reached the endpoint after
-// it, or may still do so. The next poll therefore carries a new fence, so that the endpoint refuses
-// those to come, and its answer lists the runs that have started.
+// before the restart are gone.
 func (c *Core) handleRestart(l *lease, boot int64) {
 	c.log("endpoint-restarted", "endpoint", l.ep.ID, "runs", len(l.runs), "boot", boot)
 	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
 	l.leaveAnnounced = false
+	c.acquireBoot(l, boot)
+}
+
+// acquireBoot acquires an endpoint again at another boot than the one that has answered. Orders that were in transit may have
+// reached the endpoint since it began, or may still do so. The next poll therefore carries a new fence, so that the
+// endpoint refuses those to come, and its answer lists the runs that have started.
+func (c *Core) acquireBoot(l *lease, boot int64) {
 	l.lastStalePoll = l.lastPoll
 	l.boot, l.ackedEnd, l.ackedEndSent, l.latestEnd, l.clockAt, l.clock = boot, 0, 0, 0, time.Time{}, 0
 	clear(l.orphans)
@@ -40,12 +45,18 @@
 }
 
 // handleReplaced ends the lease on an endpoint at whose address another endpoint answers: it is
-// gone, and so are its runs.
+// gone, and so are its runs. At an address where only the record has it, that tells nothing of them.
 func (c *Core) handleReplaced(l *lease) {
+	if l.answered != nil && len(l.runs) > 0 {
+		c.returnToAnswered(l)
+		return
+	}
 	c.log("endpoint-replaced", "endpoint", l.ep.ID, "runs", len(l.runs))
-	c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
-	c.confirmAllCrashes(l.ep.ID)
-	c.sendCrashesToAll()
+	if l.answered == nil {
+		c.recordCrash(l, l.boot, cornelwall.CrashConfirmed)
+		c.confirmAllCrashes(l.ep.ID)
+		c.sendCrashesToAll()
+	}
 	for _, r := range l.sortedRuns() {
 		c.endRun(r, cornelwall.RunLapsed, endReplaced)
 	}
--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -59,6 +59,9 @@
 			c.recordCrash(l, l.handedOverBoot, cornelwall.CrashConfirmed) // it has restarted while it was handed over
 		}
 	}
+	if l.answered != nil {
+		l.answered, l.leaveAnnounced = nil, false // it has ended
+	}
 	l.boot, l.answeredAt, l.unansweredSince = ev.Boot, c.now, time.Time{}
 	l.ep.health.RecordContact()
 	if ev.Seq > l.suspectedAtPoll && len(c.crashes.byEndpoint[l.ep.ID]) > 0 {
