Ask the owner of a joined batch again when no claim of it is known any more

A caller could wait until its deadline for a batch that nobody runs: its entry has joined another, whose word that it will answer stood for good, while that owner has dropped it since. A message to leave that is repeated after the next request to join does that (both quote one number); so does the loss of the answer, or an owner that took the entry for dead. An owner that is silent was replaced already.

TestOwnerThatDroppedCallerIsAskedAgain failed before (the caller still waits after 9 s) and passes.

--- a/core/dispatch/joins_test.go
+++ b/core/dispatch/joins_test.go
@@ -52,3 +52,24 @@
 		})
 	}
 }
+
+// TestOwnerThatDroppedCallerIsAskedAgain guards against a caller that waits until its deadline, as the owner of its batch has accepted it
+// and has dropped it since: a repeated message to leave arrives after the request to join.
+func TestOwnerThatDroppedCallerIsAskedAgain(t *testing.T) {
+	s, entries := ownersSimulation(t)
+	owner, other := entries[0], entries[1]
+	s.submitTo(owner, 1, 9*time.Second)
+	s.advance(100 * time.Millisecond)
+	s.submitTo(other, 2, 20*time.Second)
+	s.advance(100 * time.Millisecond)
+	o := &s.cores[other].jobs["00000000000000ab"].claim
+	assert.Assert(t, o.state == joined && o.accepted)
+	s.step(owner, cornelwall.Receive{Envelope: cornelwall.Envelope{From: other, To: owner, Messages: []cornelwall.Message{
+		{LeaveBatch: &cornelwall.LeaveBatch{ID: "00000000000000ab", Number: o.number}},
+	}}})
+	s.step(owner, cornelwall.CallerGone{Req: 1})
+	s.advance(9 * time.Second)
+	reply, answered := s.replies[2]
+	assert.Assert(t, answered, "the caller still waits")
+	assert.Equal(t, reply.answer.End, cornelwall.BatchDone, "%v", reply.answer)
+}
--- a/core/dispatch/ownership.go
+++ b/core/dispatch/ownership.go
@@ -207,12 +207,16 @@
 	}
 }
 
-// concludeQuery claims the batch of a joined job itself once all claims have lapsed and their owner is silent.
+// concludeQuery claims the batch of a joined job itself once all claims have lapsed and their owner is silent. An owner that is not is
+// asked again: it may have dropped this entry, or its answer may be lost.
 func (c *Core) concludeQuery(j *job, granted bool, other cornelwall.BatchOwner) {
 	switch {
 	case !other.IsZero():
 		c.joinOwner(j, other)
-	case !granted && len(j.claim.witnesses) > 0 && !c.mayBeAlive(j.claim.joinedTo.Entry):
+	case granted || len(j.claim.witnesses) == 0:
+	case c.mayBeAlive(j.claim.joinedTo.Entry):
+		j.claim.accepted = false
+	default:
 		c.reclaimJob(j, cornelwall.BatchOwner{})
 	}
 }
