Take no run for ended by a list of ends that may go on

A run that is done could count as lapsed and its task run again: an endpoint lists 500 ends at a time, and a run that is neither running nor among them counted as ended unheard, though its end may be the next one. The same list let an entry announce an endpoint as acquired, upon which the previous holder reports the runs that are not in it as lapsed.

A list of 500 ends proves no end by what it lacks. It is acknowledged at once, and the next one decides.

--- a/core/dispatch/poll.go
+++ b/core/dispatch/poll.go
@@ -6,6 +6,9 @@
 	"cornelwall"
 )
 
+// maxListedEnds is how many ends an endpoint lists at a time.
+const maxListedEnds = 500
+
 // poll asks an endpoint what runs there. It extends the lease if the endpoint is ready or offered,
 // has runs of the lease, and the lease need not expire.
 func (c *Core) poll(l *lease, wait time.Duration) {
@@ -72,12 +75,19 @@
 		c.recordListedEnd(l, &ev.Ended[i])
 	}
 	c.reconcileRuns(l, &ev)
-	if ev.Fence == l.fence {
+	switch {
+	case ev.Fence != l.fence:
+	case !listsAllEnds(&ev) && l.phase != phaseOffered:
+		c.poll(l, 0) // acknowledges these, for the others to be listed
+	default:
 		c.updatePhase(l)
 	}
 	c.pollIfDue(l)
 }
 
+// listsAllEnds reports whether an answer has all ends that the endpoint keeps. Otherwise that a run isn't listed proves nothing.
+func listsAllEnds(ev *cornelwall.PollResult) bool { return len(ev.Ended) < maxListedEnds }
+
 // recordListedEnd processes the end of a run that an endpoint lists, unless it was processed
 // before.
 func (c *Core) recordListedEnd(l *lease, e *cornelwall.RunEnded) {
@@ -115,6 +125,9 @@
 			delete(l.orphans, id)
 		}
 	}
+	if !listsAllEnds(ev) {
+		return
+	}
 	for _, r := range filterRuns(l.runs, func(r *run) bool {
 		return !running[r.id] && r.endProofPoll > 0 && ev.Seq >= r.endProofPoll
 	}) {
