Play histories of endpoint crashes, and check that batches fail for cause only

Cause: checkAnswer believed a failed and a cancelled batch, and histories disturbed endpoints one at a time.

Endpoints count now, whichever entry and owner asked them: a batch answered as failed has a task of which they have listed as many failures as its queue allows, and one answered as cancelled was cancelled by its client. The new histories lean on a fifth to three fifths of the endpoints at a time, 24 times in 20 s, overlapping: crashes, idle and at work; cuts behind which endpoints boot again; cuts off some entries; orders carried out 2 to 12 s late; failing runs. After a crash the same endpoint boots again or another one has its address, which refuses orders to the former (421), and connections are refused or time out meanwhile. Clients come up to eight times. In every second history runs outlast a lease.

--- a/core/dispatch/fuzz/deadly_test.go
+++ b/core/dispatch/fuzz/deadly_test.go
@@ -23,17 +23,7 @@
 var medium = size{entries: 4, endpoints: 12, dataCentres: 2}
 
 // crash lets an endpoint crash. It boots again after rebootTime.
-func (r *rig) crash(ep *leased.Endpoint) {
-	if r.crashed[ep.ID] {
-		return
-	}
-	r.crashed[ep.ID] = true
-	ep.Crash(r.w.Now)
-	r.w.CallAfter(rebootTime, func() {
-		ep.Restart(r.w.Now)
-		ep.Down, r.crashed[ep.ID] = false, false
-	})
-}
+func (r *rig) crash(ep *leased.Endpoint) { r.crashFor(ep, outage{down: rebootTime}) }
 
 // ownerOf returns the entry at which a client's batch is, or nil.
 func (r *rig) ownerOf(c *client) *entry {
@@ -59,11 +49,21 @@
 // endpoints' capacity, and waits until all of their clients have come as often as they do. The
 // clients persist.
 func (r *rig) playPersistently(share float64, during time.Duration) []*client {
+	return r.submitPersistently(share, during, 1)
+}
+
+// submitPersistently is playPersistently for batches of up to the given number of tasks.
+func (r *rig) submitPersistently(share float64, during time.Duration, most int) []*client {
 	var list []*client
 	work, rate := 0.0, float64(2*r.size.endpoints)*share/taskTime.Seconds()/1000 // tasks per millisecond
 	for range during / time.Millisecond {
-		for work += rate; work >= 1; work-- {
-			c := r.submitBatch(1, loadTimeout)
+		for work += rate; work >= 1; {
+			tasks := 1
+			if most > 1 {
+				tasks += r.rng.IntN(most)
+			}
+			c := r.submitBatch(tasks, loadTimeout)
+			work -= float64(tasks)
 			c.persists = true
 			list = append(list, c)
 		}
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -65,6 +65,7 @@
 	kinds   bool
 	anyBoot bool // starts reach any boot of an endpoint
 	cancellationMutation
+	answerMutation
 	grantClaims bool // witnesses grant all claims to batches
 	rareReads   bool // entries read the list of endpoints every few seconds only, whatever they order
 
@@ -127,7 +128,8 @@
 	deadly   bool      // its tasks crash the endpoints that start them
 	sentAt   time.Time // first attempt
 	clientCancel
-	last     cornelwall.BatchAnswer // to the last attempt that was answered
+	failed   map[cornelwall.RunID]bool // runs of its tasks that endpoints have listed as failed
+	last     cornelwall.BatchAnswer    // to the last attempt that was answered
 	answered bool
 	end      cornelwall.BatchEnd
 	endAt    time.Time // when it was answered
@@ -183,15 +185,20 @@
 	claims map[string]cornelwall.BatchOwner // last claims, see grantClaims
 	joins  int                              // batches that entries have joined at others
 
-	lastStopAt time.Time         // of the last planned stop
-	running    map[string]string // endpoint of each running task
-	failure    string
-	runs       int
-	retries    int // runs of a task beyond its first
-	answers    map[cornelwall.BatchEnd]int
-	runsByTask map[string]int
-	crashed    map[string]bool                 // endpoints that are down after a crash
-	afterStart func(*leased.Endpoint, *client) // called for each start, unless nil
+	lastStopAt  time.Time         // of the last planned stop
+	running     map[string]string // endpoint of each running task
+	failure     string
+	runs        int
+	retries     int // runs of a task beyond its first
+	answers     map[cornelwall.BatchEnd]int
+	runsByTask  map[string]int
+	crashed     map[string]bool                 // endpoints that are down after a crash
+	refuses     map[string]bool                 // of these, those whose machines refuse connections
+	successors  map[string]*leased.Endpoint     // endpoints at the addresses of others that are gone, by the IDs of these
+	overBudget  string                          // a start over the budget of a task that crashes endpoints
+	crashes     map[string]*taskCrashes         // by task, since it was last done
+	startOrders map[cornelwall.RunID]time.Time  // when starts were ordered; nil if not recorded
+	afterStart  func(*leased.Endpoint, *client) // called for each start, unless nil
 }
 
 // newRig returns a system in which all pairs of entries exchange heartbeats or, with every other
@@ -224,6 +231,7 @@
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		postInterval: listInterval, drains: map[string]*drain{}, evacuatedAt: map[string]time.Time{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{}, crashed: map[string]bool{},
+		refuses: map[string]bool{}, successors: map[string]*leased.Endpoint{}, crashes: map[string]*taskCrashes{},
 		claims: map[string]cornelwall.BatchOwner{}, cancelAnswers: map[cornelwall.BatchEnd]int{}, cancelGivers: map[cornelwall.RunID]*fake.Host{},
 	}
 	if mut.longRuns {
@@ -348,7 +356,7 @@
 				r.w.Post(e.host, cornelwall.EndpointsListed{List: list, Revision: r.listRevision, AsOf: r.w.Now})
 			}
 			if r.thinLinks == nil {
-				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: r.queues()}})
+				r.w.Post(e.host, cornelwall.QueueConfigRead{Config: &cornelwall.QueueConfig{Version: r.configVersion, Queues: r.listedQueues()}})
 			}
 		}
 	}
@@ -472,18 +480,23 @@
 	r.checkEvacuation(h, cmd)
 	r.checkCancelled(h, cmd)
 	r.recordGiver(h, cmd)
+	r.recordStartOrder(cmd)
 	id, wait := orderTarget(cmd)
 	ep := r.endpoint(id)
 	outbound, inbound := r.delay(), r.delay()
-	if ep.Down || r.isCut(h.Self.Entry, id) || r.isCut(id, h.Self.Entry) && r.rng.IntN(2) == 0 {
+	if ep.Down && r.refuses[ep.ID] && !r.isCut(h.Self.Entry, ep.ID) && !r.isCut(ep.ID, h.Self.Entry) {
+		r.w.PostAfter(outbound+inbound, h, refusedResult(cmd, cornelwall.RefusedConnect))
+		return
+	}
+	if ep.Down || r.isCut(h.Self.Entry, ep.ID) || r.isCut(ep.ID, h.Self.Entry) && r.rng.IntN(2) == 0 {
 		r.w.PostAfter(orderTimeout+wait, h, timeoutResult(cmd))
 		return
 	}
-	if r.rng.Float64() < r.lateOrderShare[id] {
+	if r.rng.Float64() < r.lateOrderShare[ep.ID] {
 		r.w.PostAfter(orderTimeout+wait, h, timeoutResult(cmd))
 		boot := ep.Boot()
 		r.w.CallAfter(minOrderDelay+time.Duration(r.rng.Int64N(int64(maxOrderDelay-minOrderDelay))), func() {
-			if ep.Boot() == boot { // a restart drops the orders that wait at the endpoint
+			if ep.Boot() == boot && ep.ID == id { // a restart drops the orders that wait at the endpoint
 				r.execute(ep, cmd)
 			}
 		})
@@ -499,6 +512,10 @@
 		r.w.PostAfter(orderTimeout, h, timeoutResult(cmd))
 		return
 	}
+	if id, _ := orderTarget(cmd); id != ep.ID {
+		r.w.PostAfter(inbound, h, refusedResult(cmd, cornelwall.RefusedBoot))
+		return
+	}
 	ev := r.execute(ep, cmd)
 	if poll, ok := cmd.(cornelwall.PollEndpoint); ok && !ep.HasUnackedEnds(r.w.Now, poll.AckedEnd) && r.w.Now.Before(until) {
 		r.w.CallAfter(5*time.Millisecond, func() { r.answerOrder(h, ep, cmd, until, inbound) })
@@ -508,6 +525,7 @@
 		ev = timeoutResult(cmd)
 		inbound = orderTimeout
 	}
+	r.recordListed(ev)
 	r.w.PostAfter(inbound, h, ev)
 }
 
@@ -551,22 +569,31 @@
 
 // timeoutResult returns the event that an order has had no reply in time.
 func timeoutResult(cmd cornelwall.Command) cornelwall.Event {
+	return refusedResult(cmd, cornelwall.RefusedUnknown)
+}
+
+// refusedResult returns the event that an order has been refused.
+func refusedResult(cmd cornelwall.Command, why cornelwall.Refusal) cornelwall.Event {
 	switch cmd := cmd.(type) {
 	case cornelwall.PollEndpoint:
-		return cornelwall.PollResult{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Seq: cmd.Seq, Refusal: cornelwall.RefusedUnknown}
+		return cornelwall.PollResult{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Seq: cmd.Seq, Refusal: why}
 	case cornelwall.StartRun:
-		return cornelwall.OrderResult{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: cornelwall.RefusedUnknown}
+		return cornelwall.OrderResult{Endpoint: cmd.Endpoint.ID, Fence: cmd.Fence, Run: cmd.Run, Refusal: why}
 	}
 	stop := cmd.(cornelwall.StopRun)
-	return cornelwall.OrderResult{Endpoint: stop.Endpoint.ID, Fence: stop.Fence, Run: stop.Run, Stop: true, Refusal: cornelwall.RefusedUnknown}
+	return cornelwall.OrderResult{Endpoint: stop.Endpoint.ID, Fence: stop.Fence, Run: stop.Run, Stop: true, Refusal: why}
 }
 
+// endpoint returns the endpoint with an ID, or the one that has its address now.
 func (r *rig) endpoint(id string) *leased.Endpoint {
 	for _, ep := range r.endpoints {
 		if ep.ID == id {
 			return ep
 		}
 	}
+	if ep := r.successors[id]; ep != nil {
+		return ep
+	}
 	panic("no endpoint " + id)
 }
 
@@ -628,6 +655,7 @@
 		return
 	}
 	c.starts++
+	r.checkBudget(c, id)
 	if kind := c.batch.Steps[0].Requires; kind != "" && !slices.Contains(r.labels(ep), kind) {
 		r.fail("%s requires %s and starts on %s, which has %v since %s", id.Task, kind, ep.ID, r.labels(ep), time.UnixMilli(ep.Boot()).UTC().Format("05.000"))
 	}
@@ -652,6 +680,7 @@
 	delete(r.running, id.Task)
 	if c := r.clients[strings.SplitN(id.Task, ".", 2)[0]]; c != nil && end == cornelwall.RunDone {
 		c.done[id.Task] = true
+		delete(r.crashes, id.Task)
 	}
 }
 
@@ -739,9 +768,14 @@
 
 func (r *rig) checkAnswer(a *attempt, answer cornelwall.BatchAnswer) {
 	c := a.client
+	answer.End = r.forgeAnswer(c, answer.End)
 	c.last = answer
 	r.answers[answer.End]++
 	switch answer.End {
+	case cornelwall.BatchFailed:
+		r.checkFailed(c)
+	case cornelwall.BatchCancelled:
+		r.checkCancelledAnswer(c)
 	case cornelwall.BatchGivenUp:
 		if !c.noRetry {
 			r.retryLater(c)
