Store acknowledged cancellations where they outlive all entries

An entry now answers 200 only once the platform's store has acknowledged the record too. It keeps one key for each of its starts, with the cancellations of its callers of the last minute. A write replaces the key at the revision that it had, so that one that is carried out late replaces nothing later; leases of two minutes let the keys vanish without a call. All entries together write 100 times a second, of 400 that the store takes; what comes meanwhile shares the next write. An entry that catches up reads all keys unless two peers that have missed nothing answer within 50 ms. In calm nothing is written or read. While the store takes no write, a DELETE is answered 503: nothing is certain then. Ways weighed, calls, what is not covered and mixed versions: docs/design/cancel.md.

Tests: TestCancellationOutlivesAllEntries fails without the reads, TestCancellationIsAcknowledgedOnceStored without the wait for the write. Histories in which all entries lose power (TestCancellations/power_losses) hold, and a mutant whose entries find nothing stored is detected in history 0.

TestCancellationCost waited 100 ms for the last acknowledgements of a burst of 283 a second at 147 entries. Answering those would take more writes than the store takes in the first second (430 of 400), so that it waits for 2 s now, half of what callers wait. In exchange it bounds the slowest acknowledgement, which was not bounded, by the same 2 s, and the writes; the messages are counted over the same time as before. It shows 1.47 s and 423 writes. The bounds of 20 ms in calm and 100 ms under overload are as they were, and hold.

--- a/core/control/loop.go
+++ b/core/control/loop.go
@@ -263,7 +263,8 @@
 		l.peers.Handle(cmd)
 	case cornelwall.RunTask, cornelwall.AbandonTask, cornelwall.PollUsage, cornelwall.PollEndpoint, cornelwall.StartRun, cornelwall.StopRun:
 		l.endpoints.Handle(cmd)
-	case cornelwall.StoreGet, cornelwall.StoreCreate, cornelwall.SetWatch, cornelwall.ReadEndpoints, cornelwall.SetReady, cornelwall.Deregister:
+	case cornelwall.StoreGet, cornelwall.StoreCreate, cornelwall.SetWatch, cornelwall.ReadEndpoints, cornelwall.SetReady, cornelwall.Deregister,
+		cornelwall.StoreCancellations, cornelwall.ReadCancellations:
 		l.platform.Handle(cmd)
 	case cornelwall.CountReason:
 		l.metrics.count(cmd)
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -44,7 +44,7 @@
 }
 
 // handleCancelBatch cancels a batch at whichever entry owns it. The caller is answered once no entry that is in
-// contact with the platform can start a task of it any more, see docs/design/cancel.md.
+// contact with the platform can start a task of it any more, also after the loss of all entries, see docs/design/cancel.md.
 func (c *Core) handleCancelBatch(ev cornelwall.CancelBatch) {
 	if !c.keepsCancellations() {
 		c.cancelUnconfirmed(ev)
@@ -91,6 +91,7 @@
 // addCancellation adds a cancellation to those that are sent to peers.
 func (c *Core) addCancellation(id string) *ownCancellation {
 	c.lastNumber++
+	c.callerCancels[id] = true
 	o := &ownCancellation{id: id, number: c.lastNumber, askedAt: c.now}
 	c.ownCancels, c.ownByID[id], c.cancelsUnsent = append(c.ownCancels, o), o, true
 	for _, p := range c.peersByID {
@@ -151,7 +152,7 @@
 	}
 	confirmed := uint64(0)
 	if c.platformUp && !c.mustCatchUp() {
-		confirmed = c.confirmedNumber()
+		confirmed = min(c.confirmedNumber(), c.storedNumber)
 	}
 	c.unanswered = slices.DeleteFunc(c.unanswered, func(o *ownCancellation) bool {
 		if o.number <= confirmed {
@@ -186,7 +187,7 @@
 			missing = append(missing, p.id)
 		}
 	}
-	c.log("cancel-refused", "job", o.id, "number", o.number, "why", why, "missing", missing, "caughtup", !c.mustCatchUp(), "took", c.now.Sub(o.askedAt))
+	c.log("cancel-refused", "job", o.id, "number", o.number, "why", why, "missing", missing, "stored", c.storedNumber >= o.number, "caughtup", !c.mustCatchUp(), "took", c.now.Sub(o.askedAt))
 	c.answerCanceller(req, cornelwall.BatchRefused, "it is not known whether all entries have the cancellation; send it again")
 }
 
--- a/core/dispatch/cancelrecord.go
+++ b/core/dispatch/cancelrecord.go
@@ -86,4 +86,5 @@
 // expireCancellations drops the records that are older than cancellationTTL.
 func (c *Core) expireCancellations() {
 	maps.DeleteFunc(c.cancelled, func(_ string, at time.Time) bool { return c.now.Sub(at) >= cancellationTTL })
+	maps.DeleteFunc(c.callerCancels, func(id string, _ bool) bool { return !c.isCancelled(id) })
 }
--- a/core/dispatch/catchup.go
+++ b/core/dispatch/catchup.go
@@ -21,6 +21,10 @@
 	catchUpTimeout = 300 * time.Millisecond // for a peer to answer
 	catchUpAsks    = 2                      // peers that are asked at a time
 	catchUpQuorum  = 2                      // answers of peers that have missed nothing themselves
+	// catchUpReadDelay is the time after which an entry reads what the entries have stored, unless enough peers have answered. It
+	// leaves time for the read before maxAskHold is over.
+	catchUpReadDelay = 50 * time.Millisecond
+	catchUpReadRetry = 500 * time.Millisecond // between the beginnings of two reads
 )
 
 // catchUpState holds whether this entry may have missed cancellations. It has confirmed those that were
@@ -39,6 +43,10 @@
 	askedAt  map[cornelwall.Incarnation]time.Time // in this round
 	answered map[cornelwall.Incarnation]bool      // in this round
 	complete int                                  // answers in this round of peers that have missed nothing
+
+	storeRead  bool      // in this round, the cancellations that entries have stored were read
+	reading    bool      // such a read has not ended
+	readSentAt time.Time // when it began
 }
 
 func newCatchUpState(now time.Time) catchUpState {
@@ -94,6 +102,7 @@
 	clear(c.askedAt)
 	clear(c.answered)
 	c.complete = 0
+	c.storeRead, c.reading = false, false
 }
 
 // graceAfterOutage lets this entry go on for catchUpGrace after the platform is back, while it registers again.
@@ -138,7 +147,7 @@
 }
 
 // catchUp asks peers for cancellations if some may have been missed, once this entry is on the list: from then
-// on its peers wait for its confirmations. It ends after cancellationTTL, when the missed ones have no effect any more.
+// on its peers wait for its confirmations. Unless two that have missed nothing answer, the platform's store is read too. It ends after cancellationTTL, when the missed ones have no effect any more.
 func (c *Core) catchUp() {
 	if c.catchUpOverdue() {
 		c.returnBacklog() // others can start it
@@ -150,10 +159,11 @@
 		c.askingAt = c.now
 	}
 	open, asked := c.countCatchUpPeers()
-	if open == 0 || c.complete >= catchUpQuorum || c.now.Sub(c.askingAt) >= cancellationTTL {
+	if open == 0 && c.storeRead || c.complete >= catchUpQuorum || c.now.Sub(c.askingAt) >= cancellationTTL {
 		c.endCatchUp(open)
 		return
 	}
+	c.readStoredCancellations(open)
 	for ; asked < min(catchUpAsks, open); asked++ {
 		p := c.pickCatchUpPeer()
 		if p == nil {
@@ -191,7 +201,7 @@
 // endCatchUp ends the catch-up, with a number of peers that have not answered.
 func (c *Core) endCatchUp(open int) {
 	c.caughtUp = true
-	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "cancelled", len(c.cancelled))
+	c.log("cancels-caught-up", "took", c.now.Sub(c.lostAt), "answers", len(c.answered), "complete", c.complete, "open", open, "read", c.storeRead, "cancelled", len(c.cancelled))
 	c.backlogChanged = true
 	c.answerCancellers()
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -33,7 +33,8 @@
 // the callers that wait for each, estimates.go corrects their targets, assign.go assigns tasks to holders,
 // tasks.go processes the results of runs, finish.go ends batches, and pendingends.go tracks withdrawn runs
 // until they have ended. cancel.go acknowledges cancellations, cancelsend.go sends them to the peers,
-// cancelrecord.go keeps the records of them, and catchup.go asks for those that this entry has missed.
+// cancelrecord.go keeps the records of them, cancelstore.go has them written to the platform's store, and catchup.go asks for
+// those that this entry has missed.
 //
 // An entry owns a batch once the witnesses of the batch have recorded that. ownership.go claims batches, witness.go keeps the
 // records of the claims of others, and joins.go passes on the answer to a batch that another entry owns.
@@ -165,6 +166,7 @@
 	supersededLeases []*lease // leases on endpoints that other entries have acquired
 
 	cancelState
+	cancelStoreState
 	catchUpState
 	claimState
 
@@ -203,6 +205,7 @@
 		transferredRuns:  map[cornelwall.RunID]transferredRun{},
 		endedRuns:        map[cornelwall.RunID]endedRun{},
 		cancelState:      newCancelState(),
+		cancelStoreState: newCancelStoreState(),
 		catchUpState:     newCatchUpState(now),
 		claimState:       newClaimState(),
 		jobs:             map[string]*job{},
@@ -221,7 +224,11 @@
 	if len(c.jobs) == 0 && len(c.runs) == 0 && !c.isStopping() && !c.hasUnansweredCancel() {
 		return c.lastTick.Add(idleTickInterval)
 	}
-	return c.lastTick.Add(tickInterval)
+	next := c.lastTick.Add(tickInterval)
+	if due, wanted := c.cancelWriteDue(); wanted && due.Before(next) {
+		return due
+	}
+	return next
 }
 
 // Step runs the periodic checks if they are due, processes one event, starts waiting runs and
@@ -238,6 +245,7 @@
 	}
 	c.handleEvent(ev)
 	c.sendNewCancellations()
+	c.storeCancellations()
 	c.deliverLocal()
 	c.startBacklog()
 	c.deliverLocal()
@@ -272,6 +280,10 @@
 		c.handleQueueConfigFetched(ev)
 	case cornelwall.EvacuationsRead:
 		c.handleEvacuationsRead(ev)
+	case cornelwall.CancellationsStored:
+		c.handleCancellationsStored(ev)
+	case cornelwall.CancellationsRead:
+		c.handleCancellationsRead(ev)
 	case cornelwall.PlatformLost:
 		c.handlePlatformLost()
 	case cornelwall.PollResult:
--- a/core/dispatch/fuzz/cancels_test.go
+++ b/core/dispatch/fuzz/cancels_test.go
@@ -28,6 +28,7 @@
 	cancels            bool // entries record and confirm cancellations
 	forgeConfirmations bool // cancellations count as confirmed when they are sent
 	keepNoRecords      bool // only the cancellers keep records; other entries cancel what they own at that moment
+	blindReads         bool // an entry that reads which cancellations are stored finds none
 	blindCatchUp       bool // an entry that may have missed cancellations is told that there are none
 	hideUnlisted       bool // an entry that is missing from the list does not see that
 	hideOutage         bool // an entry that has lost the platform goes on with the list that it had, or with one of itself only
@@ -332,7 +333,7 @@
 // TestCancellations runs histories with cancellations, freezes, lost peers, lost platforms and lost registrations. An acknowledged
 // cancellation must take effect, whatever happens.
 func TestCancellations(t *testing.T) {
-	for name, actions := range map[string][]action{"all": cancellations, "frozen or unlisted": frozenOrUnlisted, "unlisted": unlisted, "cut off": cutOff} {
+	for name, actions := range map[string][]action{"all": cancellations, "frozen or unlisted": frozenOrUnlisted, "unlisted": unlisted, "cut off": cutOff, "power losses": powerLosses} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			answers := map[cornelwall.BatchEnd]int{}
@@ -425,6 +426,7 @@
 		{"resumed entries do not ask", cancellationMutation{blindCatchUp: true}, frozenOrUnlisted, 50},
 		{"entries do not see that they are not listed", cancellationMutation{hideUnlisted: true}, unlisted, 0},
 		{"entries do not see that the platform is lost", cancellationMutation{hideOutage: true}, cutOff, 0},
+		{"entries do not find what is stored", cancellationMutation{blindReads: true}, powerLosses, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/core/dispatch/fuzz/rig_test.go
+++ b/core/dispatch/fuzz/rig_test.go
@@ -174,6 +174,7 @@
 	sessions      map[[2]cornelwall.Incarnation]uint64 // last one granted, by holder and owner
 	heartbeatSeqs map[[2]cornelwall.Incarnation]uint64 // of the last heartbeat, by sender and receiver
 
+	cancelStore   cancelStore
 	cancelAnswers map[cornelwall.BatchEnd]int
 	lateCancels   int                             // acknowledged after ackTime
 	slowestCancel time.Duration                   // from a cancellation to its acknowledgement
@@ -223,7 +224,8 @@
 		sessions: map[[2]cornelwall.Incarnation]uint64{}, heartbeatSeqs: map[[2]cornelwall.Incarnation]uint64{},
 		postInterval: listInterval, drains: map[string]*drain{}, evacuatedAt: map[string]time.Time{},
 		running: map[string]string{}, answers: map[cornelwall.BatchEnd]int{}, runsByTask: map[string]int{}, crashed: map[string]bool{},
-		claims: map[string]cornelwall.BatchOwner{}, cancelAnswers: map[cornelwall.BatchEnd]int{}, cancelGivers: map[cornelwall.RunID]*fake.Host{},
+		cancelStore: cancelStore{stored: map[cornelwall.Incarnation]storedCancels{}},
+		claims:      map[string]cornelwall.BatchOwner{}, cancelAnswers: map[cornelwall.BatchEnd]int{}, cancelGivers: map[cornelwall.RunID]*fake.Host{},
 	}
 	if mut.longRuns {
 		r.estimate *= longRunFactor
@@ -721,6 +723,7 @@
 	if read, ok := cmd.(cornelwall.ReadEndpoints); ok {
 		r.scheduleRead(h, read)
 	}
+	r.handleStoreCall(h, cmd)
 	reply, ok := cmd.(cornelwall.ReplyBatch)
 	if !ok {
 		return
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -207,6 +207,7 @@
 		c.platformUp = true
 		c.log("platform-back")
 		c.graceAfterOutage()
+		c.storeAgainAfterOutage()
 	}
 	before := slices.Clone(c.peersByID)
 	before = slices.DeleteFunc(before, func(p *peer) bool { return !p.listed })
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -36,6 +36,7 @@
 	extraDelay func(from, to cornelwall.Incarnation, m *cornelwall.Message) time.Duration
 	cancelTime time.Duration // Limits.CancelTime of entries that are added
 	unlisted   map[cornelwall.Incarnation]bool
+	cancelStore
 	// messageLost reports whether a message does not arrive; its sender learns that.
 	messageLost func(from, to cornelwall.Incarnation) bool
 	held        map[cornelwall.Incarnation][]cornelwall.Event // of frozen entries
@@ -70,6 +71,7 @@
 
 		unlisted: map[cornelwall.Incarnation]bool{}, held: map[cornelwall.Incarnation][]cornelwall.Event{},
 		messageLost: func(_, _ cornelwall.Incarnation) bool { return false },
+		cancelStore: newCancelStore(),
 	}
 }
 
@@ -221,6 +223,10 @@
 			s.served[id] = cmd.Config
 		case cornelwall.FetchQueueConfig:
 			s.after(2*simDelay, func() { s.step(id, s.fetch(cmd)) })
+		case cornelwall.StoreCancellations:
+			s.writeCancellations(id, cmd)
+		case cornelwall.ReadCancellations:
+			s.readCancellations(id, cmd)
 		case cornelwall.ReplyBatch:
 			if earlier, ok := s.replies[cmd.Req]; ok {
 				s.t.Errorf("request %d is answered twice: %v, %v", cmd.Req, earlier.answer, cmd.Answer)
--- a/leased.go
+++ b/leased.go
@@ -56,6 +56,18 @@
 		Revision int64
 		AsOf     time.Time // when the read was sent, on the clock of the core; zero counts as now
 	}
+	// CancellationsStored reports the end of a StoreCancellations.
+	CancellationsStored struct {
+		Number uint64 // as in the command
+		Done   bool   // the platform's store has acknowledged the write
+	}
+	// CancellationsRead reports the end of a ReadCancellations.
+	CancellationsRead struct {
+		Round uint64 // as in the command
+		Done  bool   // the store was read as a whole
+		// List has the cancellations that entries have stored. They are at least as old as their age tells.
+		List []Cancellation
+	}
 	// PlatformLost reports that the platform has not answered for a while.
 	PlatformLost struct{}
 	// PollResult is the result of a PollEndpoint.
@@ -80,18 +92,20 @@
 	}
 )
 
-func (SubmitBatch) isEvent()        {}
-func (CancelBatch) isEvent()        {}
-func (FetchBatch) isEvent()         {}
-func (CountWaiting) isEvent()       {}
-func (EndpointsListed) isEvent()    {}
-func (MembersListed) isEvent()      {}
-func (QueueConfigRead) isEvent()    {}
-func (QueueConfigFetched) isEvent() {}
-func (EvacuationsRead) isEvent()    {}
-func (PlatformLost) isEvent()       {}
-func (PollResult) isEvent()         {}
-func (OrderResult) isEvent()        {}
+func (SubmitBatch) isEvent()         {}
+func (CancelBatch) isEvent()         {}
+func (FetchBatch) isEvent()          {}
+func (CountWaiting) isEvent()        {}
+func (EndpointsListed) isEvent()     {}
+func (MembersListed) isEvent()       {}
+func (QueueConfigRead) isEvent()     {}
+func (QueueConfigFetched) isEvent()  {}
+func (EvacuationsRead) isEvent()     {}
+func (CancellationsStored) isEvent() {}
+func (CancellationsRead) isEvent()   {}
+func (PlatformLost) isEvent()        {}
+func (PollResult) isEvent()          {}
+func (OrderResult) isEvent()         {}
 
 // Commands of a core that dispatches batches to leased endpoints.
 type (
@@ -154,6 +168,17 @@
 	}
 	// ServeQueueConfig sets the queue configuration that other entries get when they fetch it.
 	ServeQueueConfig struct{ Config *QueueConfig }
+	// StoreCancellations writes the cancellations of this entry's callers to the platform's store, in place of those that it
+	// wrote before. They remain there for Keep at least, and are then removed without a further call. A CancellationsStored
+	// reports the end, whatever it is.
+	StoreCancellations struct {
+		Number uint64 // of the last one
+		List   []Cancellation
+		Keep   time.Duration
+	}
+	// ReadCancellations reads the cancellations that all entries have stored. A CancellationsRead reports the end, unless
+	// the next ReadCancellations comes first.
+	ReadCancellations struct{ Round uint64 }
 	// SetReady sets whether the readiness check tells the load balancer that the entry takes
 	// requests.
 	SetReady struct{ Ready bool }
@@ -161,17 +186,19 @@
 	Deregister struct{}
 )
 
-func (ReplyBatch) isCommand()       {}
-func (ReplyState) isCommand()       {}
-func (ReplyWaiting) isCommand()     {}
-func (PollEndpoint) isCommand()     {}
-func (StartRun) isCommand()         {}
-func (StopRun) isCommand()          {}
-func (ReadEndpoints) isCommand()    {}
-func (FetchQueueConfig) isCommand() {}
-func (ServeQueueConfig) isCommand() {}
-func (SetReady) isCommand()         {}
-func (Deregister) isCommand()       {}
+func (ReplyBatch) isCommand()         {}
+func (ReplyState) isCommand()         {}
+func (ReplyWaiting) isCommand()       {}
+func (PollEndpoint) isCommand()       {}
+func (StartRun) isCommand()           {}
+func (StopRun) isCommand()            {}
+func (ReadEndpoints) isCommand()      {}
+func (FetchQueueConfig) isCommand()   {}
+func (ServeQueueConfig) isCommand()   {}
+func (StoreCancellations) isCommand() {}
+func (ReadCancellations) isCommand()  {}
+func (SetReady) isCommand()           {}
+func (Deregister) isCommand()         {}
 
 // Request returns the number of the answered request.
 func (r ReplyBatch) Request() uint64 { return r.Req }
