Wait for a batch's witnesses as long as they are away

Where entries are 30 ms apart and more, every batch started 181 ms after it had come, and an entry could own a batch that another owned: 3 of 7 second entries found no owner, and the tasks ran twice at once (simulation of 8 entries, 30 ms and 70 ms one way). An entry took a witness for silent after 60 ms, however far it was. Joined entries also asked anew every 100 ms, before an answer could have come, and so never replaced an owner that had ended.

A witness is now waited for as long as its answers usually take and 50 ms more, 60 to 300 ms. The usual time is the greatest but one of the last eight from a claim to its answer, late answers included, so one stalled message changes nothing. Before the second claim, the least time from a heartbeat to its acknowledgement counts too, which is exact at the first heartbeats. A witness that nothing is known of is as far as the farthest known entry of its data centre, or gets 300 ms. Only time in which the process ran counts. No message is added or has become longer. A query follows once the last one has ended.

From 300 ms of round trip on it takes 901 ms; docs/design/owners.md names that as open.

TestFarWitnessesAreWaitedFor, TestFarOwnerIsFound, TestBatchOfLostOwnerRunsAgain (at 30 ms) and TestPauseCountsNotAgainstWitnesses failed before and pass.

TestUnheardCallers passes.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -36,7 +36,8 @@
 // cancelrecord.go keeps the records of them, and catchup.go asks for those that this entry has missed.
 //
 // An entry owns a batch once the witnesses of the batch have recorded that. ownership.go claims batches, witness.go keeps the
-// records of the claims of others, and joins.go passes on the answer to a batch that another entry owns.
+// records of the claims of others, witnesswait.go tells how long a witness is waited for, and joins.go passes on the answer to a
+// batch that another entry owns. runclock.go measures the time in which this process ran.
 //
 // Both: shed.go decides under overload which batches are refused and in which order runs start.
 //
@@ -114,6 +115,7 @@
 	localMessages []cornelwall.Message // messages from this entry to itself
 	lastTick      time.Time
 	resumedAt     time.Time // end of the last pause of the process
+	runClock
 
 	nameHash      uint64 // hash of this entry's name
 	peers         map[cornelwall.Incarnation]*peer
@@ -192,7 +194,7 @@
 		cfg.Limits.DrainTime = defaultDrainTime
 	}
 	return &Core{
-		cfg: cfg, now: now, startedAt: now, lastTick: now, nameHash: hashOf(cfg.Self.Entry), usualSlowdown: 1,
+		cfg: cfg, now: now, startedAt: now, lastTick: now, runClock: runClock{countedAt: now}, nameHash: hashOf(cfg.Self.Entry), usualSlowdown: 1,
 		peers:            map[cornelwall.Incarnation]*peer{},
 		latestPeers:      map[entryName]*peer{},
 		seedContacted:    map[netip.AddrPort]time.Time{},
@@ -288,6 +290,7 @@
 // tick runs the periodic checks. After a pause of the process it runs before the next event, so
 // that the event isn't handled on the basis of outdated state.
 func (c *Core) tick() {
+	c.countRunTime()
 	if pause := c.now.Sub(c.lastTick); pause > pauseThreshold {
 		c.log("woke", "pause", pause)
 		c.resumedAt = c.now
--- a/core/dispatch/heartbeats.go
+++ b/core/dispatch/heartbeats.go
@@ -47,6 +47,7 @@
 	c.highestFence = max(c.highestFence, m.MaxFence)
 	if at, ok := p.sentTime(m.AckedSeq); ok && at.After(p.provenAt) {
 		p.provenAt = at
+		p.roundTrips.RecordBound(c.now.Sub(at))
 	}
 	p.sessionOpen = c.now.Sub(p.provenAt) <= proofTTL
 	if len(m.Withdrawn) > 0 {
--- a/core/dispatch/ownership.go
+++ b/core/dispatch/ownership.go
@@ -31,6 +31,7 @@
 	number    uint64 // of the claim
 	round     uint64 // number of the present round of claims to the witnesses
 	roundAt   time.Time
+	roundRan  time.Duration         // runTime at roundAt
 	waiting   bool                  // it is repeated once this entry knows the other entries again
 	dropped   bool                  // a witness has not answered in it
 	concluded bool                  // its answers have been acted on
@@ -46,6 +47,7 @@
 // witnessAnswer is what a witness has answered in a round.
 type witnessAnswer struct {
 	id       cornelwall.Incarnation
+	timeout  time.Duration // for which it is waited for
 	answered bool
 	owner    cornelwall.BatchOwner
 }
@@ -76,11 +78,12 @@
 // askWitnesses begins a round of claims, or of queries, to the witnesses of a job.
 func (c *Core) askWitnesses(j *job, query bool) {
 	o := &j.claim
-	o.round, o.roundAt, o.concluded, o.dropped, o.waiting, o.witnesses = o.round+1, c.now, false, false, false, o.witnesses[:0]
+	o.round, o.roundAt, o.roundRan = o.round+1, c.now, c.runTime()
+	o.concluded, o.dropped, o.waiting, o.witnesses = false, false, false, o.witnesses[:0]
 	m := cornelwall.OwnershipClaim{ID: j.id, Number: o.number, Round: o.round, Query: query, Held: o.state == owned, LetGo: o.letGo}
 	for _, id := range c.witnessesOf(j.id) {
 		c.claimsOut[id] = append(c.claimsOut[id], m)
-		o.witnesses = append(o.witnesses, witnessAnswer{id: id})
+		o.witnesses = append(o.witnesses, witnessAnswer{id: id, timeout: c.witnessTimeout(id)})
 	}
 	c.concludeRound(j)
 }
@@ -97,6 +100,7 @@
 		return
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(c.claimsOut), cornelwall.Incarnation.Compare) {
+		c.timeClaim(id, &c.claimsOut[id][0])
 		for list := range slices.Chunk(c.claimsOut[id], cornelwall.MaxOwnershipClaims) {
 			c.send(id, cornelwall.Message{OwnershipClaims: &cornelwall.OwnershipClaims{List: list}})
 		}
@@ -108,6 +112,7 @@
 func (c *Core) handleOwnershipReplies(from cornelwall.Incarnation, m *cornelwall.OwnershipReplies) {
 	if p := c.peers[from]; p != nil {
 		p.witnessMissedAt, p.witnessMisses = time.Time{}, 0
+		c.noteRoundTrip(p, m)
 	}
 	for i := range m.List {
 		x := &m.List[i]
@@ -145,21 +150,24 @@
 		if j == nil || j.claim.round != m.List[i].Round {
 			continue
 		}
-		c.dropWitnesses(&j.claim, func(w cornelwall.Incarnation) bool { return w == id })
+		c.dropWitnesses(&j.claim, func(a witnessAnswer) bool { return a.id == id })
 		c.concludeRound(j)
 	}
 }
 
-// concludeRound acts on the answers of a round once all witnesses have answered. Those that have not within witnessTimeout
-// are left out.
+// dropSilentWitnesses leaves out the witnesses that have not answered in time. Time in which this process did not run does not count.
+func (c *Core) dropSilentWitnesses(j *job) {
+	waited := c.ran - j.claim.roundRan
+	c.dropWitnesses(&j.claim, func(a witnessAnswer) bool { return waited >= a.timeout })
+	c.concludeRound(j)
+}
+
+// concludeRound acts on the answers of a round once all witnesses that are not left out have answered.
 func (c *Core) concludeRound(j *job) {
 	o := &j.claim
 	if o.concluded {
 		return
 	}
-	if c.now.Sub(o.roundAt) >= witnessTimeout {
-		c.dropWitnesses(o, func(cornelwall.Incarnation) bool { return true })
-	}
 	if slices.ContainsFunc(o.witnesses, func(a witnessAnswer) bool { return !a.answered }) {
 		return
 	}
@@ -217,9 +225,9 @@
 }
 
 // dropWitnesses leaves out the witnesses that match and have not answered in this round.
-func (c *Core) dropWitnesses(o *ownership, match func(cornelwall.Incarnation) bool) {
+func (c *Core) dropWitnesses(o *ownership, match func(witnessAnswer) bool) {
 	o.witnesses = slices.DeleteFunc(o.witnesses, func(a witnessAnswer) bool {
-		if a.answered || !match(a.id) {
+		if a.answered || !match(a) {
 			return false
 		}
 		c.noteWitnessMissed(a.id)
@@ -244,7 +252,7 @@
 // becomeOwner lets a job begin.
 func (c *Core) becomeOwner(j *job) {
 	j.claim.state = owned
-	if took := c.now.Sub(j.submittedAt); took >= witnessTimeout {
+	if took := c.now.Sub(j.submittedAt); took >= minWitnessTimeout {
 		c.log("batch-owned", "job", j.id, "took", took, "missed", j.claim.missed, "replaces", j.claim.letGo.Entry)
 	}
 	c.assignTasks(j)
@@ -286,10 +294,8 @@
 	if o.waiting && !c.lacksMembers() {
 		c.askWitnesses(j, false)
 	}
+	c.dropSilentWitnesses(j)
 	age := c.now.Sub(o.roundAt)
-	if age >= witnessTimeout {
-		c.concludeRound(j)
-	}
 	switch o.state {
 	case owned:
 		if c.jobs[j.id] == j && age >= claimRenewal {
@@ -303,7 +309,7 @@
 		if !o.accepted && c.now.Sub(o.joinSentAt) >= joinInterval {
 			c.sendJoin(j)
 		}
-		if age >= queryInterval {
+		if age >= queryInterval && o.concluded {
 			c.keepLink(o.joinedTo.Entry)
 			c.askWitnesses(j, true)
 		}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -75,6 +75,8 @@
 	recordsOwners   bool      // it is a witness of batches
 	witnessMissedAt time.Time // when it last did not answer a claim in time; zero if it has answered since
 	witnessMisses   int       // in a row
+	roundTrips      policy.RoundTrips
+	timed           timedClaim // that it has not answered; zero if none
 
 	reportsEvacuations bool // its last heartbeat has the evacuated data centres
 	implausible        bool // it reports them as of a revision that the platform's store cannot have reached
--- a/core/dispatch/witness.go
+++ b/core/dispatch/witness.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	witnessesPerBatch   = 2                     // of different data centres, if there are several
-	ringPoints          = 8                     // of each entry on the ring of witnesses
-	witnessTimeout      = 60 * time.Millisecond // after which a witness that does not answer is left out; a round trip between entries has to be shorter
-	witnessRetry        = time.Second           // after which one that did not answer is asked again, unless it was heard meanwhile; doubles each time
-	maxWitnessDoublings = 3                     // of witnessRetry
+	witnessesPerBatch   = 2           // of different data centres, if there are several
+	ringPoints          = 8           // of each entry on the ring of witnesses
+	witnessRetry        = time.Second // after which one that did not answer is asked again, unless it was heard meanwhile; doubles each time
+	maxWitnessDoublings = 3           // of witnessRetry
 	// ownerTTL is the time after the last renewal of a claim at which it lapses. The runs of an owner that is gone have
 	// ended by then: see holderTimeout.
 	ownerTTL = holderTimeout
