--- a/core/dispatch/fuzz/crashes_test.go
+++ b/core/dispatch/fuzz/crashes_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	crashHistories    = 12                // unless -seeds is given
+	crashHistories    = 12               // unless -seeds is given
 	deadlyHistories   = 2                // the same, with deadly batches
 	crashLoadTime     = 20 * time.Second // in which batches are submitted
 	crashLoadShare    = 0.5              // of the endpoints' capacity
