Read the change once more: one name for a task's batch, constants with names

The bound on doublings and the factor of the retention have names, and the order of the table of crashes is described as it is since crashes of a task are kept together.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -17,11 +17,13 @@
 	"cornelwall/core/policy"
 )
 
-// minRetention is the time for which a crash is kept at least. Those of a task are kept together, twice as long after the last
-// one as they withhold it.
-const minRetention = 10 * time.Minute
+const (
+	minRetention = 10 * time.Minute // of the crashes of a task, after the last one
+	// retentionFactor is how much longer crashes that withhold a task are kept than they do, so that the next one counts with them.
+	retentionFactor = 2
+)
 
-// maxRecords is the number of crashes that are kept; the oldest go first.
+// maxRecords is the number of crashes that are kept; those heard of first go first.
 const maxRecords = 4096
 
 // Record is what is known of the crash of an endpoint under a run.
@@ -39,7 +41,7 @@
 	byTask     map[string]*taskCrashes
 	byBatch    map[string]*batchCrashes
 	byEndpoint map[string][]*Record // those that were not withdrawn
-	inOrder    []*Record            // oldest first
+	inOrder    []*Record            // as they were heard of; the first goes first
 	lastSeq    uint64               // rises with each change that peers are told of
 }
 
@@ -192,7 +194,7 @@
 func (k *taskCrashes) isExpired(now time.Time) bool {
 	retention := minRetention
 	if k.suspicion >= policy.OnHold {
-		retention = 2 * policy.WithholdingTime(k.counted)
+		retention = retentionFactor * policy.WithholdingTime(k.counted)
 	}
 	return now.Sub(k.newest) > retention
 }
--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -99,7 +99,7 @@
 			c.sendResult(from, cornelwall.RunResult{RunID: t.RunID, End: cornelwall.RunUnstarted})
 			continue
 		}
-		if c.isCancelled(batchOf(t.Task)) {
+		if c.isCancelled(cornelwall.BatchOf(t.Task)) {
 			c.returnCancelled(from, t.RunID)
 			continue
 		}
--- a/core/dispatch/cancelrecord.go
+++ b/core/dispatch/cancelrecord.go
@@ -51,7 +51,7 @@
 	if len(batches) == 0 {
 		return
 	}
-	for _, r := range filterRuns(c.runs, func(r *run) bool { return r.state != runStopping && batches[batchOf(r.id.Task)] }) {
+	for _, r := range filterRuns(c.runs, func(r *run) bool { return r.state != runStopping && batches[cornelwall.BatchOf(r.id.Task)] }) {
 		c.withdrawRun(r, true)
 	}
 }
@@ -60,7 +60,7 @@
 // know of.
 func (c *Core) returnCancelled(owner cornelwall.Incarnation, id cornelwall.RunID) {
 	c.log("cancelled-returned", "task", id.Task, "run", id.Run, "owner", owner)
-	c.send(owner, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: batchOf(id.Task)}})
+	c.send(owner, cornelwall.Message{BatchCancellation: &cornelwall.BatchCancellation{ID: cornelwall.BatchOf(id.Task)}})
 	c.sendResult(owner, cornelwall.RunResult{RunID: id, End: cornelwall.RunUnstarted})
 }
 
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -50,7 +50,7 @@
 		if !c.crashes.Merge(&rc, c.now, cornelwall.Incarnation{}) {
 			continue
 		}
-		found = append(found, batchOf(r.id.Task))
+		found = append(found, cornelwall.BatchOf(r.id.Task))
 		c.log("task-suspect", "task", r.id.Task, "run", r.id.Run, "endpoint", l.ep.ID, "crashes", c.crashes.Count(r.id.Task), "alone", alone, "suspicion", c.crashes.Suspicion(c.now, r.id.Task),
 			"begun", r.startAnswered, "seen", r.seenFor(), "silent", c.now.Sub(l.answeredAt))
 	}
@@ -135,7 +135,7 @@
 	c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", x.Endpoint, "boot", x.Boot, "state", state, "answered", 0)
 	c.crashes.SetState(x, state)
 	c.sendCrashesToAll()
-	c.actOnCrashes([]string{batchOf(x.Task)})
+	c.actOnCrashes([]string{cornelwall.BatchOf(x.Task)})
 }
 
 // awaitsSettling reports whether an answer of an endpoint can settle crashes there that no poll under way can.
@@ -159,7 +159,7 @@
 		}
 		c.log("crash-resolved", "task", x.Task, "run", x.Run, "endpoint", id, "boot", x.Boot, "state", s, "answered", answered)
 		c.crashes.SetState(x, s)
-		changed = append(changed, batchOf(x.Task))
+		changed = append(changed, cornelwall.BatchOf(x.Task))
 	}
 	c.actOnCrashes(changed)
 }
@@ -195,7 +195,7 @@
 	for i := range m.Crashes {
 		rc := &m.Crashes[i]
 		if c.crashes.Merge(rc, c.now.Add(-rc.Age), from) {
-			changed = append(changed, batchOf(rc.Task))
+			changed = append(changed, cornelwall.BatchOf(rc.Task))
 			c.awaitLaterPoll(rc.Endpoint)
 		}
 	}
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -105,7 +105,7 @@
 func (c *Core) withoutWithdrawn(runs []cornelwall.HandoverRun) []cornelwall.HandoverRun {
 	return slices.DeleteFunc(slices.Clone(runs), func(h cornelwall.HandoverRun) bool {
 		_, withdrawn := c.withdrawnRuns[h.RunID]
-		return withdrawn || c.isCancelled(batchOf(h.Task))
+		return withdrawn || c.isCancelled(cornelwall.BatchOf(h.Task))
 	})
 }
 
--- a/core/dispatch/tasks.go
+++ b/core/dispatch/tasks.go
@@ -15,8 +15,6 @@
 	return cornelwall.RunID{Task: t.name, Run: c.lastRunNumber}
 }
 
-func batchOf(task string) string { return cornelwall.BatchOf(task) }
-
 // handleRunsStarted records where tasks run. Runs that no job of this entry waits for are
 // withdrawn: an earlier withdrawal may have gone to a holder whose process has ended since.
 func (c *Core) handleRunsStarted(from cornelwall.Incarnation, m *cornelwall.RunsStarted) {
--- a/core/policy/crash.go
+++ b/core/policy/crash.go
@@ -9,8 +9,9 @@
 	withholdingCrashesAlone = 2 // the same if it ran alone under one of them
 	crashesInTurn           = 3 // crashed endpoints from which on the tasks of a batch run one after the other
 
-	minWithholding = 10 * time.Minute // doubles with each further crash
-	maxWithholding = 2 * time.Hour
+	minWithholding          = 10 * time.Minute // doubles with each further crash
+	maxWithholding          = 2 * time.Hour
+	maxWithholdingDoublings = 4 // that reach maxWithholding
 )
 
 // Crash is a crash of an endpoint that a run of a task may have caused. That it did is never certain: the start may not
@@ -54,10 +55,7 @@
 
 // WithholdingTime returns for how long after the last of so many crashes a task must not start.
 func WithholdingTime(crashes int) time.Duration {
-	doublings := max(crashes-withholdingCrashesAlone, 0)
-	if doublings >= 8 {
-		return maxWithholding
-	}
+	doublings := min(max(crashes-withholdingCrashesAlone, 0), maxWithholdingDoublings)
 	return min(minWithholding<<doublings, maxWithholding)
 }
 
